--- a/cmd/benchlink/main.go
+++ b/cmd/benchlink/main.go
@@ -9,7 +9,7 @@
 	"io"
 	"os"
 
-	"rillshift/internal/wire"
+	"cinderroad/internal/wire"
 )
 
 func main() {
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -4,7 +4,7 @@
 	"encoding/json"
 	"fmt"
 
-	"rillshift/brain"
+	"cinderroad/brain"
 )
 
 // settingsDoc mirrors the keys of the settings JSON that the decisions use; others are ignored.
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"io"
 	"math"
 
-	"rillshift/brain"
+	"cinderroad/brain"
 )
 
 // Codes of events.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -9,7 +9,7 @@
 	"strings"
 	"testing"
 
-	"rillshift/brain"
+	"cinderroad/brain"
 )
 
 const settingsText = `{"categories":[
