--- a/brain/api.go
+++ b/brain/api.go
@@ -105,6 +105,7 @@
 type Request struct {
 	ID       RequestID
 	Class    int
+	Skill    uint32 // what a worker must be able to do; 0 is what workers without Skills do
 	Tenant   int
 	Slots    float64
 	Memory   float64 // taken for completeness: room is counted in slots alone, see docs/design.md
@@ -129,8 +130,9 @@
 	Kind   int
 	Cell   int
 	State  WorkerState
-	Weight float64 // relative size; 0 is not told
-	Since  float64 // clock time of its last start; 0 is long ago
+	Weight float64  // relative size; 0 is not told
+	Since  float64  // clock time of its last start; 0 is long ago
+	Skills []uint32 // what it can do; none is skill 0 alone
 }
 
 // ListKind tells how the entries of a list event apply.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -439,7 +439,7 @@
 // may says whether the four rules allow this send.
 func (b *Balancer) may(now float64, r *request, w *worker) bool {
 	if r.done || now >= r.Deadline || len(r.attempts) >= b.MaxAttempts || r.flying > 0 && !b.ParallelTries ||
-		w.State != Ready || r.class.Kind >= 0 && w.Kind != r.class.Kind {
+		w.State != Ready || r.class.Kind >= 0 && w.Kind != r.class.Kind || !w.able(r.Skill) {
 		return false
 	}
 	for i := range r.attempts {
--- a/brain/state.go
+++ b/brain/state.go
@@ -298,6 +298,11 @@
 	return &r.attempts[n], r
 }
 
+// able says whether the worker can do what a request needs.
+func (w *worker) able(skill uint32) bool {
+	return skill == 0 && len(w.Skills) == 0 || slices.Contains(w.Skills, skill)
+}
+
 // tried says whether an attempt went to the worker.
 func (r *request) tried(w *worker) bool {
 	for i := range r.attempts {
--- /dev/null
+++ b/cmd/cinderroad/main.go
@@ -0,0 +1,35 @@
+// Command cinderroad is one dispatcher: it takes jobs from clients, sends each to a backend that the decisions
+// of package brain choose, and gives every job one final answer.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"cinderroad/internal/program"
+)
+
+func main() {
+	configPath := flag.String("config", os.Getenv("ROUTER_CONFIG"), "configuration file (JSON)")
+	level := zap.LevelFlag("log", zapcore.InfoLevel, "log level: debug, info, warn or error")
+	flag.Parse()
+	if err := run(*configPath, *level); err != nil {
+		fmt.Fprintln(os.Stderr, "cinderroad:", err)
+		os.Exit(1)
+	}
+}
+
+func run(configPath string, level zapcore.Level) error {
+	config, err := program.ReadConfig(configPath, os.Getenv)
+	if err != nil {
+		return err
+	}
+	encoder := zap.NewProductionEncoderConfig()
+	encoder.EncodeTime = zapcore.ISO8601TimeEncoder
+	log := zap.New(zapcore.NewCore(zapcore.NewConsoleEncoder(encoder), zapcore.Lock(os.Stderr), level))
+	return program.Run(config, log)
+}
--- /dev/null
+++ b/internal/invariant/invariant.go
@@ -0,0 +1,20 @@
+// Package invariant states what must hold: a breach panics in debug builds and is counted in release builds.
+package invariant
+
+import "sync/atomic"
+
+var broken atomic.Uint64
+
+// Check notes a breach of what must hold.
+func Check(holds bool, what string) {
+	if holds {
+		return
+	}
+	broken.Add(1)
+	if fatal {
+		panic("invariant: " + what)
+	}
+}
+
+// Broken is the number of breaches so far.
+func Broken() uint64 { return broken.Load() }
--- /dev/null
+++ b/internal/invariant/release.go
@@ -0,0 +1,5 @@
+//go:build !debug
+
+package invariant
+
+const fatal = false
--- /dev/null
+++ b/internal/program/config.go
@@ -0,0 +1,102 @@
+// Package program wires the dispatcher: configuration, log, signals, metrics, the core and its fronts.
+package program
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"cinderroad/brain"
+	"cinderroad/internal/protocol/platform"
+	"cinderroad/internal/settings"
+)
+
+// Config is what a dispatcher is told at its start.
+type Config struct {
+	Name      string        `json:"name"`
+	Listen    string        `json:"listen"`    // empty: no platform front
+	Discovery string        `json:"discovery"` // empty: no director
+	Seed      string        `json:"seed"`
+	Known     platform.List `json:"known"`
+	Limits    struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB int     `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	Settings json.RawMessage `json:"settings"`
+
+	listen, discovery netip.AddrPort
+	seed              uint64
+	brain             brain.Settings
+	names             names
+}
+
+// names are the settings that the program needs beside those of the decisions.
+type names struct {
+	Categories []struct {
+		Name string `json:"name"`
+	} `json:"categories"`
+	FailureDomains []string `json:"failureDomains"`
+	Kinds          []string `json:"kinds"`
+	Limits         struct {
+		ConnIdleS       float64 `json:"connIdleS"`
+		ConnectTimeoutS float64 `json:"connectTimeoutS"`
+	} `json:"limits"`
+	Report struct {
+		Fields []string `json:"fields"`
+	} `json:"report"`
+}
+
+// ReadConfig reads the configuration file and the environment, which wins, and checks all of it.
+func ReadConfig(path string, env func(string) string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	var c Config
+	if err := json.Unmarshal(text, &c); err != nil {
+		return nil, fmt.Errorf("config: %s: %w", path, err)
+	}
+	for _, v := range []struct {
+		name string
+		to   *string
+	}{{"ROUTER_NAME", &c.Name}, {"ROUTER_LISTEN", &c.Listen}, {"ROUTER_DISCOVERY", &c.Discovery}} {
+		if s := env(v.name); s != "" {
+			*v.to = s
+		}
+	}
+	for _, a := range []struct {
+		name, text string
+		to         *netip.AddrPort
+	}{{"listen", c.Listen, &c.listen}, {"discovery", c.Discovery, &c.discovery}} {
+		if a.text == "" {
+			continue
+		}
+		if *a.to, err = netip.ParseAddrPort(a.text); err != nil {
+			return nil, fmt.Errorf("config: %s: %w", a.name, err)
+		}
+	}
+	if c.Seed != "" {
+		if c.seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
+			return nil, fmt.Errorf("config: seed: %w", err)
+		}
+	}
+	if c.brain, err = settings.Parse(c.Settings); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	if err := json.Unmarshal(c.Settings, &c.names); err != nil {
+		return nil, fmt.Errorf("config: settings: %w", err)
+	}
+	if c.names.Limits.ConnectTimeoutS <= 0 || c.names.Limits.ConnIdleS <= 0 {
+		return nil, fmt.Errorf("config: settings: limits.connectTimeoutS and limits.connIdleS must be above 0")
+	}
+	if c.Limits.Sockets == 0 {
+		c.Limits.Sockets = 1024
+	}
+	if c.Limits.Sockets <= reserve {
+		return nil, fmt.Errorf("config: limits.sockets: %d is too few", c.Limits.Sockets)
+	}
+	return &c, nil
+}
--- /dev/null
+++ b/internal/program/program.go
@@ -0,0 +1,128 @@
+package program
+
+import (
+	"fmt"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+
+	"go.uber.org/zap"
+
+	"cinderroad/internal/protocol/platform"
+	"cinderroad/internal/routing"
+	"cinderroad/internal/transport"
+)
+
+const (
+	reserve    = 48   // descriptors kept for the runtime, the log and what is being accepted
+	lingerTime = 0.5  // after SIGTERM the front goes on sending new clients for about this long
+	drainCheck = 0.01 // then the exit waits for all that was taken
+)
+
+// clock lets the core hang its deadlines in the loop's structure.
+type clock struct{ loop *transport.Loop }
+
+func (c clock) Now() float64                          { return c.loop.Now() }
+func (c clock) At(at float64, do func()) routing.Stop { return c.loop.At(at, do) }
+
+// Program is one dispatcher.
+type Program struct {
+	config   *Config
+	log      *zap.Logger
+	loop     *transport.Loop
+	core     *routing.Core
+	pool     *platform.Pool
+	front    *platform.Front
+	director *platform.Director
+	listener *transport.Listener
+	stopping bool
+}
+
+// Run serves until it is told to stop.
+func Run(config *Config, log *zap.Logger) error {
+	bound(config)
+	p, err := build(config, log)
+	if err != nil {
+		return err
+	}
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		for s := range signals {
+			p.loop.Post(func() { p.stop(s.String()) })
+		}
+	}()
+	log.Info("program: serving", zap.String("name", config.Name), zap.Stringer("listen", p.listener.Addr()))
+	if err := p.loop.Run(); err != nil {
+		return err
+	}
+	log.Info("program: ended", zap.Any("counts", p.core.Counts()))
+	return nil
+}
+
+// bound keeps the runtime within the deployment's limits: one core, and collecting early rather than killed.
+func bound(config *Config) {
+	runtime.GOMAXPROCS(1)
+	if mb := config.Limits.MemoryMB; mb > 0 {
+		debug.SetMemoryLimit(int64(mb) << 20 * 6 / 10)
+	}
+}
+
+func build(config *Config, log *zap.Logger) (*Program, error) {
+	loop, err := transport.NewLoop(config.Limits.Sockets - reserve)
+	if err != nil {
+		return nil, err
+	}
+	p := &Program{config: config, log: log, loop: loop}
+	if p.core, err = routing.New(config.brain, config.seed, clock{loop}); err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	p.core.Log = func(line string) { log.Info("brain: " + line) }
+	n := &config.names
+	p.pool = platform.NewPool(loop, log, platform.Limits{ConnectTimeout: n.Limits.ConnectTimeoutS,
+		ConnIdle: n.Limits.ConnIdleS, ProbeTimeout: 2 * n.Limits.ConnectTimeoutS, Fields: n.Report.Fields})
+	p.pool.Serve(p.core)
+	classes := make([]string, len(n.Categories))
+	for i, c := range n.Categories {
+		classes[i] = c.Name
+	}
+	p.front = platform.NewFront(loop, log, p.core, p.pool, classes)
+	// A descriptor is freed where it costs least: an idle client session first, then an idle backend connection.
+	loop.Shed = func() bool { return p.front.ShedIdle() || p.pool.ShedIdle() }
+	p.director = platform.NewDirector(loop, log, config.discovery, p.core, p.pool, n.FailureDomains, n.Kinds)
+	p.core.Director = p.director
+	p.core.Start()
+	if config.discovery.IsValid() {
+		p.director.Start(config.Known)
+	}
+	if config.listen.IsValid() {
+		if p.listener, err = loop.Listen(config.listen, p.front.Accept); err != nil {
+			return nil, err
+		}
+	}
+	return p, nil
+}
+
+// stop serves on for a moment, then closes what is idle and ends once all that was taken is answered. The
+// listener stays open to the end: call-backs come by it.
+func (p *Program) stop(signal string) {
+	if p.stopping {
+		return
+	}
+	p.stopping = true
+	p.log.Info("program: stopping", zap.String("signal", signal), zap.Int("open", p.core.Counts().OpenReqs))
+	p.loop.At(p.loop.Now()+lingerTime, func() {
+		p.front.Drain()
+		p.exitWhenDone()
+	})
+}
+
+func (p *Program) exitWhenDone() {
+	if n := p.core.Counts(); n.OpenReqs == 0 && p.front.Quiet() {
+		p.loop.Stop()
+		return
+	}
+	p.loop.At(p.loop.Now()+drainCheck, p.exitWhenDone)
+}
--- /dev/null
+++ b/internal/routing/routing.go
@@ -0,0 +1,450 @@
+// Package routing is the core: it owns every req and every fetch, lets brain decide, and sees to it that each
+// req gets exactly one final answer. It knows no wire: fronts and backends are behind the interfaces here.
+//
+// All of it belongs to one goroutine. Whatever a backend or a front does from within an action of the
+// Balancer is queued and handled after the event at hand, so the Balancer is never re-entered.
+package routing
+
+import (
+	"math"
+
+	"cinderroad/brain"
+	"cinderroad/internal/invariant"
+	"cinderroad/internal/slots"
+)
+
+// Stop withdraws a deadline.
+type Stop interface{ Stop() }
+
+// Clock is the time, and the one structure that deadlines hang in.
+type Clock interface {
+	Now() float64
+	At(at float64, do func()) Stop
+}
+
+// Verdict is the kind of a final answer.
+type Verdict uint8
+
+// The final answers.
+const (
+	Served  Verdict = iota
+	Refused         // it did not run, a retry is harmless
+	Failed          // nothing is promised
+)
+
+// Answer is the one final answer of a req.
+type Answer struct {
+	Verdict Verdict
+	Body    []byte  // of Served
+	Wait    float64 // of Refused: when to come back, in seconds; 0 names no wait
+}
+
+// Asker is the front's side of a req.
+type Asker interface {
+	Answer(a Answer)
+}
+
+// ReqID names a req, FetchID a fetch; either misses once what it named is over.
+type (
+	ReqID   slots.Handle
+	FetchID slots.Handle
+)
+
+// Job is what a front hands in.
+type Job struct {
+	Class         int // place in the settings' classes; out of range is a class nobody knows
+	Skill         uint32
+	Slots, Memory float64
+	Work          float64 // hinted, 0 is no hint
+	Deadline      float64 // clock time at which the client gives up
+	Load          any     // the front's own form of the job, for the backends that understand it
+}
+
+// Fetch is one attempt as a backend sees it.
+type Fetch struct {
+	ID       FetchID
+	Worker   brain.WorkerID
+	Deadline float64 // when the core stops waiting
+	Load     any
+}
+
+// End is how a fetch ended.
+type End struct {
+	Result brain.Result
+	Body   []byte
+	Report []float32
+}
+
+// Backend carries fetches to one worker. A call may come from within an action: what it causes is told to
+// the core by Started, Progress and Ended, which may be called at any time.
+type Backend interface {
+	// Begin carries out a fetch.
+	Begin(f Fetch)
+	// Drop gives up a fetch, of which nothing more is to be told; it says whether the fetch may have run.
+	Drop(id FetchID) (mayHaveRun bool)
+	// Probe asks for health and load; done is called once.
+	Probe(done func(result brain.Result, report []float32))
+}
+
+// Member is a worker of the list and its backend.
+type Member struct {
+	brain.Worker
+	Backend Backend
+}
+
+// Director asks for the list where it does not come by itself.
+type Director interface {
+	Watch(on bool)
+	Fetch()
+}
+
+// Counts are the core's figures since the start.
+type Counts struct {
+	Reqs, Served, Refused, Failed, Gone uint64
+	Fetches, Repeats, Cancels, Probes   uint64
+	Results                             [brain.Moot + 1]uint64 // ends of fetches by result
+	Overdue                             uint64                 // answered by the core because the decisions had not
+	OpenReqs, OpenFetches               int
+}
+
+// Core is the dispatcher between its fronts and its backends.
+type Core struct {
+	Director Director
+	Log      func(line string)
+
+	clock   Clock
+	bal     *brain.Balancer
+	reqs    slots.Table[*req]
+	fetches slots.Table[*fetch]
+	byID    map[brain.RequestID]*req
+	nextID  brain.RequestID
+	members map[brain.WorkerID]*Member
+	queue   []func()
+	busy    bool
+	counts  Counts
+}
+
+type req struct {
+	h        slots.Handle
+	id       brain.RequestID
+	job      Job
+	asker    Asker
+	fetches  []*fetch // by attempt
+	live     int
+	answered bool
+	guard    Stop
+}
+
+type fetch struct {
+	h        slots.Handle
+	r        *req
+	attempt  int
+	member   *Member
+	deadline Stop
+	ends     float64
+	over     bool
+}
+
+// overdueAfter is how long after a client's deadline the core itself answers, should the decisions not have.
+const overdueAfter = 0.005
+
+// New makes a core; Start begins its life.
+func New(set brain.Settings, seed uint64, clock Clock) (*Core, error) {
+	c := &Core{clock: clock, byID: map[brain.RequestID]*req{}, members: map[brain.WorkerID]*Member{},
+		Log: func(string) {}}
+	bal, err := brain.New(set, seed, actions{c})
+	if err != nil {
+		return nil, err
+	}
+	c.bal = bal
+	return c, nil
+}
+
+// Start begins the decisions' life.
+func (c *Core) Start() { c.do(func() { c.bal.OnStart(c.clock.Now()) }) }
+
+// Counts returns the figures so far.
+func (c *Core) Counts() Counts {
+	n := c.counts
+	n.OpenReqs, n.OpenFetches = c.reqs.Len(), c.fetches.Len()
+	return n
+}
+
+// do runs an event after those before it: one event at a time reaches the Balancer.
+func (c *Core) do(event func()) {
+	c.queue = append(c.queue, event)
+	if c.busy {
+		return
+	}
+	c.busy = true
+	for len(c.queue) > 0 {
+		next := c.queue[0]
+		c.queue = c.queue[1:]
+		next()
+	}
+	c.queue, c.busy = nil, false
+}
+
+// Take accepts a job; its one answer goes to asker, perhaps before Take returns.
+func (c *Core) Take(job Job, asker Asker) ReqID {
+	r := &req{job: job, asker: asker}
+	r.h = c.reqs.Put(r)
+	for r.id = c.nextID + 1; r.id == 0 || r.id == math.MaxUint32 || c.byID[r.id] != nil; r.id++ {
+	} // the last number is the sweep's timer
+	c.nextID = r.id
+	c.byID[r.id] = r
+	c.counts.Reqs++
+	r.guard = c.clock.At(job.Deadline+overdueAfter, func() { c.do(func() { c.overdue(r) }) })
+	c.do(func() {
+		if r.answered {
+			return
+		}
+		c.bal.OnRequest(c.clock.Now(), &brain.Request{ID: r.id, Class: job.Class, Skill: job.Skill, Slots: job.Slots,
+			Memory: job.Memory, Work: job.Work, Deadline: job.Deadline})
+	})
+	return ReqID(r.h)
+}
+
+// Gone tells that the client has left: nothing is owed any more.
+func (c *Core) Gone(id ReqID) {
+	c.do(func() {
+		r, ok := c.reqs.Get(slots.Handle(id))
+		if !ok || r.answered {
+			return
+		}
+		c.counts.Gone++
+		c.settle(r)
+		c.bal.OnGone(c.clock.Now(), r.id)
+		c.forget(r)
+	})
+}
+
+// overdue guards the promise of one final answer against decisions that forgot a req.
+func (c *Core) overdue(r *req) {
+	if r.answered {
+		return
+	}
+	c.counts.Overdue++
+	c.answer(r, Answer{Verdict: Failed})
+	c.bal.OnGone(c.clock.Now(), r.id)
+	c.forget(r)
+}
+
+// answer gives the one final answer.
+func (c *Core) answer(r *req, a Answer) {
+	invariant.Check(!r.answered, "a req is answered once")
+	if r.answered {
+		return
+	}
+	switch a.Verdict {
+	case Served:
+		c.counts.Served++
+	case Refused:
+		c.counts.Refused++
+	default:
+		c.counts.Failed++
+	}
+	c.settle(r)
+	r.asker.Answer(a)
+}
+
+func (c *Core) settle(r *req) {
+	r.answered = true
+	r.guard.Stop()
+}
+
+// forget lets go of a req that has its answer and no fetch out.
+func (c *Core) forget(r *req) {
+	if r.answered && r.live == 0 && c.reqs.Drop(r.h) {
+		delete(c.byID, r.id)
+	}
+}
+
+// Clear says whether a fetch whose first byte has not gone out may still be sent: it must not be over, and its
+// worker must still want new work.
+func (c *Core) Clear(id FetchID) bool {
+	f, ok := c.fetches.Get(slots.Handle(id))
+	return ok && !f.over && f.member.State == brain.Ready && c.clock.Now() < f.ends
+}
+
+// Started tells that a fetch's job has begun.
+func (c *Core) Started(id FetchID) { c.note(id, brain.Note{Started: true}) }
+
+// Progress tells the share of a fetch's job that is done.
+func (c *Core) Progress(id FetchID, share float64) { c.note(id, brain.Note{Share: share}) }
+
+func (c *Core) note(id FetchID, n brain.Note) {
+	c.do(func() {
+		if f, ok := c.fetches.Get(slots.Handle(id)); ok && !f.over {
+			n.Request, n.Attempt = f.r.id, f.attempt
+			c.bal.OnNote(c.clock.Now(), &n)
+		}
+	})
+}
+
+// Ended tells how a fetch ended; only the first word on a fetch counts.
+func (c *Core) Ended(id FetchID, e End) {
+	c.do(func() {
+		if f, ok := c.fetches.Get(slots.Handle(id)); ok && !f.over {
+			c.end(f, e)
+		}
+	})
+}
+
+// end turns the end of a fetch into the Balancer's one Outcome for the Send.
+func (c *Core) end(f *fetch, e End) {
+	invariant.Check(!f.over, "a fetch ends once")
+	f.over = true
+	f.deadline.Stop()
+	c.fetches.Drop(f.h)
+	r := f.r
+	r.live--
+	c.counts.Results[e.Result]++
+	if e.Result == brain.OK && !r.answered {
+		c.answer(r, Answer{Verdict: Served, Body: e.Body})
+	}
+	c.bal.OnOutcome(c.clock.Now(), &brain.Outcome{Request: r.id, Attempt: f.attempt, Worker: f.member.ID,
+		Result: e.Result, Closed: r.answered, Report: e.Report})
+	c.forget(r)
+}
+
+// List takes the director's news. What has left the list stays known: a fetch may still be out there.
+func (c *Core) List(kind brain.ListKind, members []Member) {
+	c.do(func() {
+		if kind == brain.ListFull || kind == brain.ListCached {
+			for _, m := range c.members {
+				m.State = brain.Gone
+			}
+		}
+		workers := make([]brain.Worker, 0, len(members))
+		for i := range members {
+			m := c.members[members[i].ID]
+			if m == nil {
+				m = &Member{}
+				c.members[members[i].ID] = m
+			}
+			*m = members[i]
+			workers = append(workers, m.Worker)
+		}
+		c.bal.OnList(c.clock.Now(), kind, workers)
+	})
+}
+
+// actions carries out the Balancer's decisions.
+type actions struct{ core *Core }
+
+// Send implements brain.Actions.
+func (a actions) Send(id brain.RequestID, worker brain.WorkerID, timeout float64) {
+	c := a.core
+	r, m := c.byID[id], c.members[worker]
+	invariant.Check(r != nil && !r.answered && m != nil, "a send names an open req and a listed worker")
+	if r == nil {
+		return
+	}
+	f := &fetch{r: r, attempt: len(r.fetches), member: m, ends: r.job.Deadline}
+	if timeout > 0 {
+		f.ends = math.Min(f.ends, c.clock.Now()+timeout)
+	}
+	r.fetches = append(r.fetches, f)
+	r.live++
+	f.h = c.fetches.Put(f)
+	c.counts.Fetches++
+	if f.attempt > 0 {
+		c.counts.Repeats++
+	}
+	f.deadline = c.clock.At(f.ends, func() { c.do(func() { c.expire(f) }) })
+	if r.answered || m == nil || m.Backend == nil {
+		c.do(func() { c.stop(f, brain.Moot) })
+		return
+	}
+	m.Backend.Begin(Fetch{ID: FetchID(f.h), Worker: worker, Deadline: f.ends, Load: r.job.Load})
+}
+
+func (c *Core) stop(f *fetch, result brain.Result) {
+	if !f.over {
+		c.end(f, End{Result: result})
+	}
+}
+
+// expire produces the time-out: nothing else would, of a worker that has fallen silent.
+func (c *Core) expire(f *fetch) {
+	if !f.over {
+		result := brain.ConnectFailed // its first byte never went out
+		if f.member.Backend.Drop(FetchID(f.h)) {
+			result = brain.Timeout
+		}
+		c.end(f, End{Result: result})
+	}
+}
+
+// Cancel implements brain.Actions.
+func (a actions) Cancel(id brain.RequestID, attempt int) {
+	c := a.core
+	r := c.byID[id]
+	if r == nil || attempt < 0 || attempt >= len(r.fetches) || r.fetches[attempt].over {
+		return
+	}
+	f := r.fetches[attempt]
+	c.counts.Cancels++
+	c.do(func() {
+		if f.over {
+			return // its end was on the way
+		}
+		result := brain.Moot
+		if f.member.Backend.Drop(FetchID(f.h)) {
+			result = brain.Cancelled
+		}
+		c.stop(f, result)
+	})
+}
+
+// Refuse implements brain.Actions.
+func (a actions) Refuse(id brain.RequestID, wait float64) {
+	a.core.final(id, Answer{Verdict: Refused, Wait: wait})
+}
+
+// Fail implements brain.Actions.
+func (a actions) Fail(id brain.RequestID) { a.core.final(id, Answer{Verdict: Failed}) }
+
+func (c *Core) final(id brain.RequestID, answer Answer) {
+	if r := c.byID[id]; r != nil && !r.answered {
+		c.answer(r, answer)
+		c.do(func() { c.forget(r) })
+	}
+}
+
+// Probe implements brain.Actions.
+func (a actions) Probe(worker brain.WorkerID) {
+	c := a.core
+	m := c.members[worker]
+	if m == nil || m.Backend == nil {
+		return
+	}
+	c.counts.Probes++
+	m.Backend.Probe(func(result brain.Result, report []float32) {
+		c.do(func() { c.bal.OnProbed(c.clock.Now(), worker, result, report) })
+	})
+}
+
+// SetTimer implements brain.Actions.
+func (a actions) SetTimer(token uint32, at float64) {
+	c := a.core
+	c.clock.At(at, func() { c.do(func() { c.bal.OnTimer(c.clock.Now(), token) }) })
+}
+
+// Watch implements brain.Actions.
+func (a actions) Watch(on bool) {
+	if c := a.core; c.Director != nil {
+		c.Director.Watch(on)
+	}
+}
+
+// Fetch implements brain.Actions.
+func (a actions) Fetch() {
+	if c := a.core; c.Director != nil {
+		c.Director.Fetch()
+	}
+}
+
+// Log implements brain.Actions.
+func (a actions) Log(line string) { a.core.Log(line) }
--- a/internal/wire/settings.go
+++ b/internal/settings/settings.go
@@ -1,4 +1,5 @@
-package wire
+// Package settings reads the deployment's settings, as the simulator and the real dispatcher both get them.
+package settings
 
 import (
 	"encoding/json"
@@ -66,11 +67,11 @@
 		"cell": brain.ScopeCell}
 )
 
-// ParseSettings turns the settings JSON of a start into the decisions' settings.
-func ParseSettings(text []byte) (brain.Settings, error) {
+// Parse turns the settings JSON of a start into the decisions' settings.
+func Parse(text []byte) (brain.Settings, error) {
 	var d settingsDoc
 	if err := json.Unmarshal(text, &d); err != nil {
-		return brain.Settings{}, fmt.Errorf("wire: settings: %w", err)
+		return brain.Settings{}, fmt.Errorf("settings: %w", err)
 	}
 	s := brain.Settings{
 		Zones: len(d.FailureDomains), Zone: d.Zone, Instances: d.NInstances, Me: d.Me,
@@ -84,11 +85,11 @@
 	for i, c := range d.Categories {
 		effect, known := effects[c.Repeat]
 		if !known {
-			return s, fmt.Errorf("wire: settings: bad categories[%d].repeat: %q", i, c.Repeat)
+			return s, fmt.Errorf("settings: bad categories[%d].repeat: %q", i, c.Repeat)
 		}
 		scope, known := scopes[c.DedupScope]
 		if !known {
-			return s, fmt.Errorf("wire: settings: bad categories[%d].dedupScope: %q", i, c.DedupScope)
+			return s, fmt.Errorf("settings: bad categories[%d].dedupScope: %q", i, c.DedupScope)
 		}
 		class := brain.Class{Name: c.Name, Objective: c.ObjectiveS, Deadline: c.DeadlineS, Window: c.WindowS,
 			Worth: c.Worth, LateShare: c.LateShare, Effect: effect, Scope: scope, Kind: -1}
@@ -107,7 +108,7 @@
 	}
 	var known bool
 	if s.ListOnRequest, known = map[string]bool{"pushed": false, "on_request": true}[d.MembershipMode]; !known {
-		return s, fmt.Errorf("wire: settings: bad membershipMode: %q", d.MembershipMode)
+		return s, fmt.Errorf("settings: bad membershipMode: %q", d.MembershipMode)
 	}
 	switch d.Report.Via {
 	case "piggyback", "pull":
@@ -117,7 +118,7 @@
 		}
 	case "silent", "":
 	default:
-		return s, fmt.Errorf("wire: settings: bad report.via: %q", d.Report.Via)
+		return s, fmt.Errorf("settings: bad report.via: %q", d.Report.Via)
 	}
 	return s, nil
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -10,6 +10,7 @@
 	"math"
 
 	"cinderroad/brain"
+	"cinderroad/internal/settings"
 )
 
 // Codes of events.
@@ -294,13 +295,13 @@
 func (h *Host) boot(who uint32, seed uint64, text []byte, now float64) {
 	in := &instance{host: h, who: who}
 	h.instances[who] = in
-	settings, err := ParseSettings(text)
+	set, err := settings.Parse(text)
 	if err != nil {
 		in.text(actFault, err.Error())
 		return
 	}
 	in.guard(func() {
-		bal, err := brain.New(settings, seed, in)
+		bal, err := brain.New(set, seed, in)
 		if err != nil {
 			in.text(actFault, err.Error())
 			return
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -10,6 +10,7 @@
 	"testing"
 
 	"cinderroad/brain"
+	"cinderroad/internal/settings"
 )
 
 const settingsText = `{"categories":[
@@ -99,7 +100,7 @@
 }
 
 func TestSettings(t *testing.T) {
-	s, err := ParseSettings([]byte(settingsText))
+	s, err := settings.Parse([]byte(settingsText))
 	if err != nil {
 		t.Fatal(err)
 	}
