Loopback stories, parser tables and fuzzing; a response of status 000 is not taken

Seen: no test covered the new layers. The stories start the program and speak to it with scripted peers: ends and repeats by class, silence, refusal with Retry-After, director, bad input, descriptors, idle connections, SIGTERM. Found by the fuzzer at ParseResponse (http.go): a status line "HTTP/1. 000" was read as a response; now the version must be exact and the status at least 100.

--- a/internal/invariant/debug.go
+++ b/internal/invariant/debug.go
@@ -2,4 +2,5 @@
 
 package invariant
 
-const fatal = true
+// Fatal says that a breach panics.
+const Fatal = true
--- a/internal/invariant/invariant.go
+++ b/internal/invariant/invariant.go
@@ -11,7 +11,7 @@
 		return
 	}
 	broken.Add(1)
-	if fatal {
+	if Fatal {
 		panic("invariant: " + what)
 	}
 }
--- a/internal/invariant/release.go
+++ b/internal/invariant/release.go
@@ -2,4 +2,5 @@
 
 package invariant
 
-const fatal = false
+// Fatal says that a breach panics.
+const Fatal = false
--- /dev/null
+++ b/internal/program/story_test.go
@@ -0,0 +1,297 @@
+package program
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// The whole path: what passes on unchanged, a call-back before the 202, repeats of it, and an escaped result.
+func TestAJobIsServed(t *testing.T) {
+	var w *world
+	u := newRunner(t, "s-1", func(_ int, rw http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("X-Call-Id")
+		w.news(id, "s-1", `"state":"started"`)
+		w.news(id, "s-0", `"state":"done","result":"of another runner"`)
+		w.news("no such id", "s-1", `"state":"done","result":"of an earlier life"`)
+		w.news(id, "s-1", `"state":"done","result":"say \"\u00e9\"\n","load":{"util":0.5,"inflight":1,"queue":0,"x0":1}`)
+		w.news(id, "s-1", `"state":"failed"`)
+		rw.WriteHeader(202)
+	})
+	w = begin(t, options{}, u.target("ready", 1))
+	for range 3 {
+		if status, body, _ := w.ask("score", 4000); status != 200 || body != "say \"é\"\n" {
+			t.Fatalf("answer %d %q", status, body)
+		}
+	}
+	body, _ := io.ReadAll(u.got[0].Body)
+	got := []string{u.got[0].Method, u.got[0].URL.Path, string(body), u.got[0].Header.Get("Idempotency-Key")}
+	if diff := cmp.Diff([]string{"POST", "/score/7f3a", "payload", "key-0000000000000001"}, got); diff != "" {
+		t.Errorf("passed on (-want +got):\n%s", diff)
+	}
+	if ms, _ := strconv.Atoi(u.got[0].Header.Get("X-Budget-Ms")); ms <= 0 || ms >= 4000 {
+		t.Errorf("budget passed on: %d ms", ms)
+	}
+}
+
+// Each way an attempt can end, and how often its class lets it be repeated.
+func TestEndsAndRepeats(t *testing.T) {
+	hangUp := func(rw http.ResponseWriter) {
+		c, _, _ := rw.(http.Hijacker).Hijack()
+		c.Close()
+	}
+	ends := map[string]func(w *world, uid string, rw http.ResponseWriter, id string){
+		"rejected": func(_ *world, _ string, rw http.ResponseWriter, _ string) {
+			rw.Header().Set("X-Rejected", "1")
+			rw.WriteHeader(503)
+		},
+		"plain 503": func(_ *world, _ string, rw http.ResponseWriter, _ string) { rw.WriteHeader(503) },
+		"reset":     func(_ *world, _ string, rw http.ResponseWriter, _ string) { hangUp(rw) },
+	}
+	for _, state := range []string{"returned", "failed", "lost"} {
+		ends[state] = func(w *world, uid string, rw http.ResponseWriter, id string) {
+			rw.WriteHeader(202)
+			rw.(http.Flusher).Flush()
+			go w.news(id, uid, fmt.Sprintf(`"state":%q`, state))
+		}
+	}
+	for _, tc := range []struct {
+		end, class   string
+		status, jobs int // jobs that the runners get together
+	}{
+		{"rejected", "once", 200, 2}, {"returned", "once", 200, 2},
+		{"plain 503", "once", 500, 1}, {"reset", "once", 500, 1}, {"failed", "once", 500, 1}, {"lost", "once", 500, 1},
+		{"reset", "score", 200, 2}, {"failed", "score", 200, 2}, {"failed", "charge", 200, 2},
+	} {
+		t.Run(tc.end+" "+tc.class, func(t *testing.T) {
+			t.Parallel()
+			var w *world
+			first := make(chan bool, 1)
+			first <- true
+			var runners []*runner
+			var targets []string
+			for i := range 3 { // three runners in three cells: whichever is first ends the attempt badly
+				uid := fmt.Sprint("s-", i)
+				u := newRunner(t, uid, func(n int, rw http.ResponseWriter, r *http.Request) {
+					select {
+					case <-first:
+						ends[tc.end](w, uid, rw, r.Header.Get("X-Call-Id"))
+					default:
+						w.done(uid, "ok")(n, rw, r)
+					}
+				})
+				runners, targets = append(runners, u), append(targets, u.target("ready", i))
+			}
+			w = begin(t, options{}, targets...)
+			status, body, _ := w.ask(tc.class, 4000)
+			jobs, met := 0, 0
+			for _, u := range runners {
+				jobs += u.jobs()
+				if u.jobs() > 0 {
+					met++
+				}
+			}
+			if status != tc.status || jobs != tc.jobs || tc.class == "charge" && met != 1 {
+				t.Errorf("answer %d %q after %d jobs at %d runners", status, body, jobs, met)
+			}
+		})
+	}
+}
+
+// Guards against a runner that has vanished holding a client past its budget, and against a refusal without a
+// word on when to come back.
+func TestSilenceAndRefusal(t *testing.T) {
+	u := newRunner(t, "s-1", func(_ int, rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(202) })
+	w := begin(t, options{}, u.target("ready", 1))
+	if status, _, _ := w.ask("once", 400); status != 500 {
+		t.Errorf("silent runner: %d", status)
+	}
+	w.tell(`{"rev":2,"all":true,"targets":[]}`)
+	w.eventually("empty list", func() bool { return strings.Contains(w.log.String(), `"rev": 2`) })
+	status, _, header := w.ask("once", 400)
+	wait, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+	if status != 503 || err != nil || wait <= 0 || wait > 2 {
+		t.Errorf("nobody to serve: %d, Retry-After %q", status, header.Get("Retry-After"))
+	}
+}
+
+// Guards against work for a runner that drains, a bad line replacing the list, and a watch that is not renewed.
+func TestTheDirectorIsFollowed(t *testing.T) {
+	var w *world
+	var runners []*runner
+	for i := range 2 {
+		uid := fmt.Sprint("s-", i)
+		runners = append(runners, newRunner(t, uid, func(n int, rw http.ResponseWriter, r *http.Request) { w.done(uid, uid)(n, rw, r) }))
+	}
+	w = begin(t, options{}, runners[0].target("ready", 0))
+	w.tell(`{"rev":2,"all":false,"targets":[` + runners[0].target("draining", 0) + `,` + runners[1].target("ready", 1) + `]}`)
+	w.tell(`{"rev":3,"all":true,"targets":[{"uid":""}]}`)
+	w.eventually("bad line", func() bool { return strings.Contains(w.log.String(), "old list kept") })
+	for range 5 {
+		if status, body, _ := w.ask("score", 4000); status != 200 || body != "s-1" {
+			t.Errorf("answer %d %q", status, body)
+		}
+	}
+	w.discovery.CloseClientConnections()
+	w.eventually("second watch", func() bool {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return len(w.watches) > 1
+	})
+	if diff := cmp.Diff([]string{"stream=1&index=1", "stream=1&index=2"}, w.watches[:2]); diff != "" {
+		t.Errorf("watches (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against requests that break HTTP, classes nobody knows, and ids in use.
+func TestBadInput(t *testing.T) {
+	u := newRunner(t, "s-1", func(_ int, rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(202) })
+	w := begin(t, options{}, u.target("ready", 1))
+	head := "X-Call-Id: a\r\nX-Budget-Ms: 600\r\nConnection: close\r\n\r\n"
+	for text, want := range map[string]string{
+		"\x16\x03\x01\r\n\r\n":                                                          "400",
+		"POST /score/a HTTP/1.1\r\n\r\n":                                                "400",
+		"POST /score/a HTTP/1.1\r\nContent-Length: x\r\n\r\n":                           "400",
+		"POST /score/a HTTP/1.1\r\nContent-Length: 99999999\r\n\r\n":                    "413",
+		"POST /nobody/a HTTP/1.1\r\n" + head:                                            "404",
+		"GET /score/a HTTP/1.1\r\n" + head:                                              "405",
+		"POST /_jobs/news HTTP/1.1\r\nContent-Length: 2\r\nConnection: close\r\n\r\n{}": "400",
+	} {
+		if got := w.raw(text); !strings.HasPrefix(got, "HTTP/1.1 "+want) {
+			t.Errorf("%q: %q", text, got)
+		}
+	}
+	first := make(chan string)
+	go func() { first <- w.raw("POST /once/a HTTP/1.1\r\n" + head) }()
+	w.eventually("first call", func() bool { return u.jobs() == 1 })
+	if got := w.raw("POST /once/a HTTP/1.1\r\n" + head); !strings.HasPrefix(got, "HTTP/1.1 409") {
+		t.Errorf("id in use: %q", got)
+	}
+	if got := <-first; !strings.HasPrefix(got, "HTTP/1.1 500") || u.jobs() != 1 {
+		t.Errorf("first call: %q after %d jobs", got, u.jobs())
+	}
+}
+
+// Guards against running out of descriptors: idle sessions are shed, and work goes on.
+func TestDescriptorsRunShort(t *testing.T) {
+	var w *world
+	u := newRunner(t, "s-1", func(n int, rw http.ResponseWriter, r *http.Request) { w.done("s-1", "ok")(n, rw, r) })
+	w = begin(t, options{sockets: reserve + 12}, u.target("ready", 1))
+	for i := range 60 {
+		c, err := net.Dial("tcp", w.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if i%20 == 19 {
+			if status, body, _ := w.ask("score", 4000); status != 200 {
+				t.Fatalf("after %d sessions: %d %q", i, status, body)
+			}
+		}
+	}
+	open, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", w.cmd.Process.Pid))
+	if err != nil || len(open) > reserve+12 {
+		t.Errorf("%d descriptors open, %v", len(open), err)
+	}
+}
+
+// Guards against a request written to a connection that its runner has closed, and against connections kept
+// longer than the settings' idle time.
+func TestIdleConnections(t *testing.T) {
+	var w *world
+	u := newRunner(t, "s-1", func(n int, rw http.ResponseWriter, r *http.Request) { w.done("s-1", "ok")(n, rw, r) })
+	w = begin(t, options{connIdle: 0.5}, u.target("ready", 1))
+	for i := range 4 {
+		if status, body, _ := w.ask("once", 4000); status != 200 {
+			t.Fatalf("job %d: %d %q", i, status, body)
+		}
+		if i == 1 {
+			u.server.CloseClientConnections()
+		}
+	}
+	w.eventually("the program closes them", func() bool {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		return u.open == 0
+	})
+}
+
+// Guards against a planned restart that loses what was taken: call-backs still come, and all is answered.
+func TestSigtermAnswersWhatWasTaken(t *testing.T) {
+	release := make(chan bool)
+	var w *world
+	u := newRunner(t, "s-1", func(n int, rw http.ResponseWriter, r *http.Request) {
+		rw.WriteHeader(202)
+		rw.(http.Flusher).Flush()
+		go func() {
+			<-release
+			w.news(r.Header.Get("X-Call-Id"), "s-1", `"state":"done","result":"late"`)
+		}()
+	})
+	w = begin(t, options{}, u.target("ready", 1))
+	type answer struct {
+		status int
+		body   string
+		closes bool
+	}
+	answers := make(chan answer, 2)
+	ask := func() {
+		status, body, header := w.ask("once", 4500)
+		answers <- answer{status, body, header.Get("Connection") == "close"}
+	}
+	go ask()
+	w.eventually("first job", func() bool { return u.jobs() == 1 })
+	exit := w.terminate()
+	w.eventually("told", func() bool { return strings.Contains(w.log.String(), "stopping") })
+	go ask() // clients keep coming for a moment
+	w.eventually("second job", func() bool { return u.jobs() == 2 })
+	time.Sleep(600 * time.Millisecond) // past the moment in which idle sessions are closed
+	close(release)
+	for range 2 {
+		if got := <-answers; got.status != 200 || got.body != "late" {
+			t.Errorf("answer %+v", got)
+		}
+	}
+	if err := <-exit; err != nil {
+		t.Errorf("exit: %v\n%s", err, w.log)
+	}
+}
+
+func TestBadConfigIsOneClearLine(t *testing.T) {
+	good := fmt.Sprintf(`{"listen":"127.0.0.1:0","seed":"1","settings":%s}`, fmt.Sprintf(settingsText, 60.0))
+	gearman := "listen = \"127.0.0.1:0\"\n[[function]]\nname = \"f\"\nclass = \"nobody\"\n"
+	for name, tc := range map[string]struct{ config, gearman, want string }{
+		"missing":       {"", "", "no such file"},
+		"no JSON":       {"{", "", "unexpected end"},
+		"listen":        {strings.Replace(good, "127.0.0.1:0", "nowhere", 1), "", "listen"},
+		"seed":          {strings.Replace(good, `"seed":"1"`, `"seed":"xyz"`, 1), "", "seed"},
+		"repeat":        {strings.Replace(good, "retryable", "often", 1), "", "categories[0].repeat"},
+		"deadline":      {strings.Replace(good, `"deadlineS":5`, `"deadlineS":0`, 1), "", "Classes[0].Deadline"},
+		"gearman class": {good, gearman, `unknown class "nobody"`},
+		"gearman key":   {good, "listne = 1\n", "unknown key listne"},
+	} {
+		dir := t.TempDir()
+		args := []string{"-config", filepath.Join(dir, "c.json")}
+		if tc.config != "" {
+			os.WriteFile(args[1], []byte(tc.config), 0o600)
+		}
+		if tc.gearman != "" {
+			args = append(args, "-gearman", filepath.Join(dir, "g.toml"))
+			os.WriteFile(args[3], []byte(tc.gearman), 0o600)
+		}
+		out, err := exec.Command(binary, args...).CombinedOutput()
+		if err == nil || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), tc.want) {
+			t.Errorf("%s: %v, said %q, want one line with %q", name, err, out, tc.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/program/world_test.go
@@ -0,0 +1,308 @@
+package program
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"cinderroad/internal/invariant"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "cinderroad")
+	if err != nil {
+		panic(err)
+	}
+	binary = filepath.Join(dir, "cinderroad")
+	args := []string{"build", "-o", binary}
+	if invariant.Fatal {
+		args = append(args, "-tags", "debug")
+	}
+	if out, err := exec.Command("go", append(args, "cinderroad/cmd/cinderroad")...).CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	code := m.Run()
+	os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+const settingsText = `{"categories":[
+ {"name":"score","deadlineS":5,"objectiveS":0.05,"repeat":"retryable","windowS":5,"worth":3},
+ {"name":"charge","deadlineS":5,"dedupScope":"cell","objectiveS":0.05,"repeat":"dedup","windowS":7.5,"worth":10},
+ {"name":"once","deadlineS":5,"objectiveS":0.05,"repeat":"fragile","worth":10}],
+ "failureDomains":["milano","torino"],"kinds":["two-core"],"familyInfo":{"tellsStart":true,"reportX0":"free slots"},
+ "guarantees":{"answerSlackS":0.016,"askWithinS":10,"coldS":9,"coldShare":0.34,"drainGraceS":0.3,"fallMultiple":3,"fallS":2},
+ "limits":{"attemptsCap":4,"connIdleS":%g,"connectTimeoutS":0.25,"mayCancel":true,"mayProbe":true,"parallelTries":true,
+  "retryAfter":true,"maxRetryAfterS":2},
+ "me":0,"membershipMode":"pushed","nInstances":1,"report":{"fields":["utilization","backlog","outstanding","x0"],"via":"piggyback"},
+ "tickS":0.004,"zone":0}`
+
+// world is the program on loopback sockets among scripted peers.
+type world struct {
+	t         *testing.T
+	addr      string
+	cmd       *exec.Cmd
+	log       *lockedBuffer
+	mu        sync.Mutex
+	lines     []string // of the director, since the start
+	watches   []string // queries of the watches
+	changed   chan struct{}
+	discovery *httptest.Server
+	client    *http.Client
+	calls     int
+}
+
+type lockedBuffer struct {
+	mu sync.Mutex
+	b  bytes.Buffer
+}
+
+func (l *lockedBuffer) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(p)
+}
+
+func (l *lockedBuffer) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+type options struct {
+	sockets  int
+	connIdle float64
+	args     []string
+}
+
+// begin starts the program with the runners in the list that it knows.
+func begin(t *testing.T, o options, targets ...string) *world {
+	t.Helper()
+	w := &world{t: t, log: &lockedBuffer{}, changed: make(chan struct{}), client: &http.Client{Timeout: 20 * time.Second}}
+	w.discovery = httptest.NewServer(http.HandlerFunc(w.watch))
+	t.Cleanup(w.discovery.CloseClientConnections)
+	w.addr = freeAddr(t)
+	if o.sockets == 0 {
+		o.sockets = 1024
+	}
+	if o.connIdle == 0 {
+		o.connIdle = 60
+	}
+	config := map[string]any{"name": "n0", "listen": w.addr, "discovery": strings.TrimPrefix(w.discovery.URL, "http://"),
+		"seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": o.sockets},
+		"known":    json.RawMessage(`{"rev":1,"all":true,"targets":[` + strings.Join(targets, ",") + `]}`),
+		"settings": json.RawMessage(fmt.Sprintf(settingsText, o.connIdle))}
+	text, err := json.Marshal(config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	w.cmd = exec.Command(binary, append([]string{"-config", path, "-log", "debug"}, o.args...)...)
+	w.cmd.Stderr = w.log
+	if err := w.cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		w.cmd.Process.Kill()
+		w.cmd.Wait()
+		if t.Failed() {
+			t.Log(w.log)
+		}
+	})
+	w.eventually("healthy", func() bool {
+		r, err := w.client.Get("http://" + w.addr + "/_health")
+		if err != nil {
+			return false
+		}
+		r.Body.Close()
+		return r.StatusCode == 200
+	})
+	return w
+}
+
+func freeAddr(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// eventually waits for as long as a slow machine may need: no verdict hangs on how fast something comes.
+func (w *world) eventually(what string, ok func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(30 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			w.t.Fatalf("never came: %s", what)
+		}
+	}
+}
+
+// watch is discovery: it writes the lines told so far and each one as it is told.
+func (w *world) watch(rw http.ResponseWriter, r *http.Request) {
+	w.mu.Lock()
+	w.watches = append(w.watches, r.URL.RawQuery)
+	w.mu.Unlock()
+	for at := 0; ; {
+		w.mu.Lock()
+		lines, changed := w.lines[at:], w.changed
+		at = len(w.lines)
+		w.mu.Unlock()
+		io.WriteString(rw, strings.Join(append(lines, ""), "\n"))
+		rw.(http.Flusher).Flush()
+		select {
+		case <-changed:
+		case <-time.After(time.Second):
+			io.WriteString(rw, "\n")
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+// tell has discovery write a line.
+func (w *world) tell(line string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.lines = append(w.lines, line)
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// runner is a scripted runner.
+type runner struct {
+	uid    string
+	server *httptest.Server
+	mu     sync.Mutex
+	got    []*http.Request // jobs, in the order they came
+	open   int             // connections
+}
+
+// newRunner starts a runner; serve answers a job, of which n came before.
+func newRunner(t *testing.T, uid string, serve func(n int, rw http.ResponseWriter, r *http.Request)) *runner {
+	u := &runner{uid: uid}
+	u.server = httptest.NewUnstartedServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		r.Body = io.NopCloser(bytes.NewReader(body))
+		u.mu.Lock()
+		n := len(u.got)
+		if r.Method == "POST" {
+			u.got = append(u.got, r)
+		}
+		u.mu.Unlock()
+		if r.Method == "POST" {
+			serve(n, rw, r)
+		}
+	}))
+	u.server.Config.ConnState = func(_ net.Conn, s http.ConnState) {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		switch s {
+		case http.StateNew:
+			u.open++
+		case http.StateClosed:
+			u.open--
+		}
+	}
+	u.server.Start()
+	t.Cleanup(func() { u.server.CloseClientConnections(); u.server.Close() })
+	return u
+}
+
+func (u *runner) jobs() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return len(u.got)
+}
+
+// target is the runner's entry in the list.
+func (u *runner) target(state string, cell int) string {
+	return fmt.Sprintf(`{"uid":%q,"endpoint":%q,"az":"milano","model":"two-core","pod_group":%d,"state":%q,"capacity_hint":1,"boot_ms":0}`,
+		u.uid, strings.TrimPrefix(u.server.URL, "http://"), cell, state)
+}
+
+// news makes a call-back and checks that it was heard.
+func (w *world) news(id, from, rest string) {
+	r, err := http.Post("http://"+w.addr+"/_jobs/news", "application/json", strings.NewReader(fmt.Sprintf(`{"id":%q,"from":%q,%s}`, id, from, rest)))
+	if err != nil {
+		w.t.Errorf("call-back: %v", err)
+		return
+	}
+	r.Body.Close()
+	if r.StatusCode != 204 {
+		w.t.Errorf("call-back answered %d", r.StatusCode)
+	}
+}
+
+// done takes a job and calls back with a result.
+func (w *world) done(uid, result string) func(int, http.ResponseWriter, *http.Request) {
+	return func(_ int, rw http.ResponseWriter, r *http.Request) {
+		id := r.Header.Get("X-Call-Id")
+		rw.WriteHeader(202)
+		rw.(http.Flusher).Flush()
+		go w.news(id, uid, fmt.Sprintf(`"state":"done","result":%q`, result))
+	}
+}
+
+// ask hands in a job and returns the status and body of its answer.
+func (w *world) ask(class string, budget int) (status int, body string, header http.Header) {
+	w.mu.Lock()
+	w.calls++
+	id := fmt.Sprintf("%016x", w.calls)
+	w.mu.Unlock()
+	req, _ := http.NewRequest("POST", "http://"+w.addr+"/"+class+"/7f3a", strings.NewReader("payload"))
+	for name, value := range map[string]string{"X-Call-Id": id, "X-Call-Class": class, "X-Budget-Ms": fmt.Sprint(budget),
+		"Idempotency-Key": "key-" + id, "X-Call-Info": "slots=1,memory=0.5"} {
+		req.Header.Set(name, value)
+	}
+	r, err := w.client.Do(req)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	defer r.Body.Close()
+	text, err := io.ReadAll(r.Body)
+	if err != nil {
+		return 0, err.Error(), nil
+	}
+	return r.StatusCode, string(text), r.Header
+}
+
+// raw sends bytes and returns what comes back until the connection ends.
+func (w *world) raw(text string) string {
+	c, err := net.Dial("tcp", w.addr)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	defer c.Close()
+	c.SetDeadline(time.Now().Add(20 * time.Second))
+	io.WriteString(c, text)
+	got, _ := io.ReadAll(bufio.NewReader(c))
+	return string(got)
+}
+
+// terminate sends SIGTERM and returns a channel that gets the exit.
+func (w *world) terminate() chan error {
+	exit := make(chan error, 1)
+	w.cmd.Process.Signal(syscall.SIGTERM)
+	go func() { exit <- w.cmd.Wait() }()
+	return exit
+}
--- /dev/null
+++ b/internal/protocol/gearman/packet_test.go
@@ -0,0 +1,55 @@
+package gearman
+
+import (
+	"errors"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestParse(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		in   string
+		want *Packet // nil: not taken
+		more bool
+	}{
+		{"submit", string(AppendRequest(nil, SubmitJob, "f", "u", "a\x00b")), &Packet{SubmitJob, []string{"f", "u", "a\x00b"}}, false},
+		{"no argument", string(AppendRequest(nil, GrabJob)), &Packet{Kind: GrabJob}, false},
+		{"empty last", string(AppendRequest(nil, WorkComplete, "H:1", "")), &Packet{WorkComplete, []string{"H:1", ""}}, false},
+		{"two, the first", string(AppendRequest(AppendRequest(nil, CanDo, "f"), GrabJob)), &Packet{CanDo, []string{"f"}}, false},
+		{"half a header", "\x00RE", nil, true},
+		{"half a body", string(AppendRequest(nil, CanDo, "func")[:14]), nil, true},
+		{"bad magic", "\x00RAQ\x00\x00\x00\x01\x00\x00\x00\x00", nil, false},
+		{"bad magic, short", "\x00X", nil, false},
+		{"a response", string(Append(nil, Noop)), nil, false},
+		{"unknown type", string(AppendRequest(nil, 99)), nil, false},
+		{"a type for clients only", string(AppendRequest(nil, JobCreated, "H:1")), nil, false},
+		{"too few arguments", string(AppendRequest(nil, SubmitJob, "f", "u")), nil, false},
+		{"argument where none is", string(AppendRequest(nil, GrabJob, "x")), nil, false},
+		{"no function", string(AppendRequest(nil, CanDo, "")), nil, false},
+		{"too large", "\x00REQ\x00\x00\x00\x07\x7f\xff\xff\xff", nil, false},
+	} {
+		got, n, err := Parse([]byte(tc.in))
+		if errors.Is(err, ErrMore) != tc.more || (err == nil) != (tc.want != nil) {
+			t.Errorf("%s: %v", tc.name, err)
+		} else if tc.want != nil {
+			if diff := cmp.Diff(*tc.want, got); diff != "" || n > len(tc.in) {
+				t.Errorf("%s: %d bytes (-want +got):\n%s", tc.name, n, diff)
+			}
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(AppendRequest(nil, SubmitJob, "f", "u", "data"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		p, n, err := Parse(b)
+		if err != nil {
+			return
+		}
+		if again := AppendRequest(nil, p.Kind, p.Args...); string(again) != string(b[:n]) {
+			t.Errorf("%q was read as %q", b[:n], again)
+		}
+	})
+}
--- a/internal/protocol/platform/http.go
+++ b/internal/protocol/platform/http.go
@@ -96,7 +96,7 @@
 		version, rest, _ := strings.Cut(line, " ")
 		code, _, _ := strings.Cut(rest, " ")
 		status, err := strconv.Atoi(code)
-		if err != nil || len(code) != 3 || !strings.HasPrefix(version, "HTTP/1.") {
+		if err != nil || len(code) != 3 || status < 100 || version != "HTTP/1.1" && version != "HTTP/1.0" {
 			return p, 0, bad(502, "status line")
 		}
 		if status >= 100 && status < 200 {
--- /dev/null
+++ b/internal/protocol/platform/parse_test.go
@@ -0,0 +1,122 @@
+package platform
+
+import (
+	"bytes"
+	"errors"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func TestParseRequest(t *testing.T) {
+	big := strings.Repeat("x", MaxBody+1)
+	for _, tc := range []struct {
+		name, in string
+		status   int // 0: taken
+		body     string
+		rest     string
+		close    bool
+	}{
+		{"plain", "POST /a/b?c=1 HTTP/1.1\r\nContent-Length: 3\r\n\r\nabcGET", 0, "abc", "GET", false},
+		{"no body", "GET / HTTP/1.1\r\n\r\n", 0, "", "", false},
+		{"chunked", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nab\r\n1\r\nc\r\n0\r\nT: v\r\n\r\n.", 0, "abc", ".", false},
+		{"close", "POST / HTTP/1.1\r\nconnection: Close\r\ncontent-length:0\r\n\r\n", 0, "", "", true},
+		{"1.0 closes", "GET / HTTP/1.0\r\n\r\n", 0, "", "", true},
+		{"half a head", "POST / HTTP/1.1\r\nContent-Le", -1, "", "", false},
+		{"half a body", "POST / HTTP/1.1\r\nContent-Length: 3\r\n\r\nab", -1, "", "", false},
+		{"no target", "POST HTTP/1.1\r\n\r\n", 400, "", "", false},
+		{"bad method", "P@ST / HTTP/1.1\r\n\r\n", 400, "", "", false},
+		{"bad version", "GET / HTTP/2.0\r\n\r\n", 505, "", "", false},
+		{"folded field", "GET / HTTP/1.1\r\nA: b\r\n c\r\n\r\n", 400, "", "", false},
+		{"space before the colon", "GET / HTTP/1.1\r\nContent-Length : 3\r\n\r\nabc", 400, "", "", false},
+		{"bare LF in a value", "GET / HTTP/1.1\r\nA: b\nC: d\r\n\r\n", 400, "", "", false},
+		{"two lengths", "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 4\r\n\r\nabcd", 400, "", "", false},
+		{"length and chunks", "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", 400, "", "", false},
+		{"negative length", "POST / HTTP/1.1\r\nContent-Length: -3\r\n\r\nabc", 400, "", "", false},
+		{"body too large", "POST / HTTP/1.1\r\nContent-Length: 65537\r\n\r\n", 413, "", "", false},
+		{"chunks too large", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n10001\r\n" + big + "\r\n0\r\n\r\n", 413, "", "", false},
+		{"head too large", "GET / HTTP/1.1\r\nA: " + strings.Repeat("x", MaxHead) + "\r\n\r\n", 431, "", "", false},
+		{"head without end", "GET / HTTP/1.1\r\nA: " + strings.Repeat("x", MaxHead), 431, "", "", false},
+	} {
+		q, n, err := ParseRequest([]byte(tc.in))
+		status := 0
+		var syntax *SyntaxError
+		if errors.As(err, &syntax) {
+			status = syntax.Status
+		} else if errors.Is(err, ErrMore) {
+			status = -1
+		}
+		if status != tc.status || err == nil && (string(q.Body) != tc.body || tc.in[n:] != tc.rest || q.Close != tc.close) {
+			t.Errorf("%s: status %d (%v), body %q, rest %q, close %v", tc.name, status, err, q.Body, tc.in[n:], q.Close)
+		}
+	}
+}
+
+func TestParseResponse(t *testing.T) {
+	for _, tc := range []struct {
+		name, in string
+		ended    bool
+		want     Response
+		err      bool
+	}{
+		{"accepted", "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n", false, Response{Status: 202, Body: []byte{}}, false},
+		{"interim first", "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 500 x\r\nContent-Length: 1\r\n\r\na", false, Response{Status: 500, Body: []byte("a")}, false},
+		{"no reason", "HTTP/1.1 204\r\n\r\n", false, Response{Status: 204}, false},
+		{"until the end", "HTTP/1.1 200 OK\r\n\r\nabc", true, Response{Status: 200, Body: []byte("abc"), Close: true}, false},
+		{"not ended yet", "HTTP/1.1 200 OK\r\n\r\nabc", false, Response{}, true},
+		{"cut short", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nabc", true, Response{}, true},
+		{"no HTTP", "SSH-2.0-x\r\n\r\n", false, Response{}, true},
+	} {
+		got, _, err := ParseResponse([]byte(tc.in), tc.ended)
+		got.Header = nil
+		if diff := cmp.Diff(tc.want, got); (err != nil) != tc.err || err == nil && diff != "" {
+			t.Errorf("%s: %v (-want +got):\n%s", tc.name, err, diff)
+		}
+	}
+}
+
+// Guards against a half-sensible list replacing a good one, and against call-backs taken for what they are not.
+func TestParseBodies(t *testing.T) {
+	for text, ok := range map[string]bool{
+		`{"rev":1,"all":true,"targets":[{"uid":"a","endpoint":"127.0.0.1:1","state":"ready"}]}`: true,
+		`{"rev":1,"targets":[{"uid":"a","state":"gone"}]}`:                                      true,
+		`{"rev":1,"targets":[{"uid":"a","endpoint":"127.0.0.1:1","state":"asleep"}]}`:           false,
+		`{"rev":1,"targets":[{"uid":"","endpoint":"127.0.0.1:1","state":"ready"}]}`:             false,
+		`{"rev":1,"targets":[{"uid":"a","endpoint":"nowhere","state":"ready"}]}`:                false,
+		`{"rev":1,"targets":[`: false,
+	} {
+		if _, err := ParseList([]byte(text)); (err == nil) != ok {
+			t.Errorf("list %s: %v", text, err)
+		}
+	}
+	n, err := ParseNews([]byte(`{"id":"a","from":"b","state":"done","result":"q\"\u00e9\n","load":{"util":0.5,"inflight":3,"x0":2}}`))
+	if err != nil || n.Result != "q\"é\n" {
+		t.Errorf("result %q, %v", n.Result, err)
+	}
+	want := []float32{0.5, -1, 3, 2}
+	if diff := cmp.Diff(want, n.Load.Values([]string{"utilization", "backlog", "outstanding", "x0"})); diff != "" {
+		t.Errorf("load (-want +got):\n%s", diff)
+	}
+	for _, text := range []string{`{}`, `{"id":"a","from":"b"}`, `[]`, `{"id":"a","from":"b","state":7}`} {
+		if _, err := ParseNews([]byte(text)); err == nil {
+			t.Errorf("call-back %s was taken", text)
+		}
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte("POST /a HTTP/1.1\r\nContent-Length: 3\r\n\r\nabc"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n0\r\n\r\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if q, n, err := ParseRequest(b); err == nil {
+			again, m, err := ParseRequest(append(bytes.Clone(b[:n]), "more"...))
+			if err != nil || m != n || len(q.Body) > MaxBody || !cmp.Equal(q, again) {
+				t.Errorf("what follows a request changes it: %v, %d and %d bytes", err, n, m)
+			}
+		}
+		if p, n, err := ParseResponse(b, true); err == nil && (n > len(b) || p.Status < 200) {
+			t.Errorf("response %d of %d bytes", p.Status, n)
+		}
+	})
+}
--- /dev/null
+++ b/internal/routing/routing_test.go
@@ -0,0 +1,171 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"cinderroad/brain"
+)
+
+// bench is a core with a scripted clock, one asker and scripted backends.
+type bench struct {
+	t       *testing.T
+	c       *Core
+	now     float64
+	due     []*entry
+	begun   []Fetch
+	dropped int
+	ran     bool // what Drop says
+	answers []Answer
+	instant func(f Fetch) // what a backend does from within Begin
+}
+
+type entry struct {
+	at float64
+	do func()
+}
+
+func (e *entry) Stop()           { e.do = nil }
+func (b *bench) Now() float64    { return b.now }
+func (b *bench) Answer(a Answer) { b.answers = append(b.answers, a) }
+func (b *bench) At(at float64, do func()) Stop {
+	e := &entry{at, do}
+	b.due = append(b.due, e)
+	return e
+}
+func (b *bench) Begin(f Fetch) {
+	b.begun = append(b.begun, f)
+	if b.instant != nil {
+		b.instant(f)
+	}
+}
+func (b *bench) Drop(FetchID) bool                        { b.dropped++; return b.ran }
+func (b *bench) Probe(done func(brain.Result, []float32)) { done(brain.OK, nil) }
+
+// run moves the clock a millisecond at a time.
+func (b *bench) run(until float64) {
+	for b.now < until {
+		b.now += 0.001
+		due := b.due
+		b.due = nil
+		for _, e := range due {
+			if e.do == nil {
+			} else if e.at <= b.now {
+				do := e.do
+				e.do = nil
+				do()
+			} else {
+				b.due = append(b.due, e)
+			}
+		}
+	}
+}
+
+func start(t *testing.T) *bench {
+	b := &bench{t: t, now: 1000, ran: true}
+	class := func(e brain.Effect) brain.Class {
+		return brain.Class{Name: "c", Objective: 0.1, Deadline: 2, Window: 5, Worth: 1, Effect: e, Scope: brain.ScopeCell, Kind: -1}
+	}
+	var err error
+	b.c, err = New(brain.Settings{Classes: []brain.Class{class(brain.Safe), class(brain.Keyed), class(brain.Unsafe)}, Zones: 1,
+		Instances: 1, MaxAttempts: 3, Tick: 0.004, ColdShare: 0.3, FallMultiple: 3, FallTime: 2, AnswerSlack: 0.01, MayCancel: true,
+		TellsStart: true}, 1, b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.c.Start()
+	b.list(brain.Ready, brain.Ready)
+	return b
+}
+
+func (b *bench) list(states ...brain.WorkerState) {
+	var members []Member
+	for i, s := range states {
+		members = append(members, Member{Worker: brain.Worker{ID: brain.WorkerID(i + 1), Cell: i, State: s}, Backend: b})
+	}
+	b.c.List(brain.ListFull, members)
+}
+
+func (b *bench) take(class int, wait float64) ReqID {
+	return b.c.Take(Job{Class: class, Slots: 1, Deadline: b.now + wait}, b)
+}
+
+// Guards the promises of the core: one final answer, repeats as the class allows, one end for each fetch.
+func TestEveryReqGetsOneAnswer(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		class   int
+		ends    []brain.Result // of the fetches in turn; none is silence
+		want    []Verdict
+		fetches int
+	}{
+		{"served", 0, []brain.Result{brain.OK, brain.OK}, []Verdict{Served}, 1},
+		{"safe is repeated", 0, []brain.Result{brain.Error, brain.OK}, []Verdict{Served}, 2},
+		{"keyed stays in its cell", 1, []brain.Result{brain.Reset, brain.OK}, []Verdict{Served}, 2},
+		{"unsafe that may have run", 2, []brain.Result{brain.Reset}, []Verdict{Failed}, 1},
+		{"unsafe that never ran", 2, []brain.Result{brain.ConnectFailed, brain.OK}, []Verdict{Served}, 2},
+		{"attempts run out", 0, []brain.Result{brain.Error, brain.Error, brain.Error}, []Verdict{Refused}, 3},
+		{"silence, safe", 0, nil, []Verdict{Refused}, 1},
+		{"silence, unsafe", 2, nil, []Verdict{Failed}, 1},
+		{"unknown class", 9, nil, []Verdict{Failed}, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			b := start(t)
+			b.instant = func(f Fetch) { // an end from within the Send must not re-enter the decisions
+				if n := len(b.begun); n <= len(tc.ends) {
+					b.c.Ended(f.ID, End{Result: tc.ends[n-1]})
+					b.c.Ended(f.ID, End{Result: brain.OK}) // a second word on a fetch that is over
+				}
+			}
+			b.take(tc.class, 1)
+			b.run(b.now + 3)
+			var got []Verdict
+			for _, a := range b.answers {
+				got = append(got, a.Verdict)
+			}
+			if diff := cmp.Diff(tc.want, got); diff != "" || len(b.begun) != tc.fetches {
+				t.Errorf("%d fetches, want %d; answers (-want +got):\n%s", len(b.begun), tc.fetches, diff)
+			}
+			if n := b.c.Counts(); n.OpenReqs != 0 || n.OpenFetches != 0 || n.Overdue != 0 {
+				t.Errorf("left over: %+v", n)
+			}
+		})
+	}
+}
+
+// Guards against work for a backend that has begun to drain, for a client that is gone, and after the deadline,
+// while the fetch still waits for its connection.
+func TestAFetchNotYetWrittenIsLookedAtAgain(t *testing.T) {
+	for _, tc := range []struct {
+		name   string
+		happen func(b *bench, id ReqID)
+		want   brain.Result
+	}{
+		{"nothing", func(*bench, ReqID) {}, brain.OK},
+		{"drain", func(b *bench, _ ReqID) { b.list(brain.Draining, brain.Draining) }, brain.ConnectFailed},
+		{"left the list", func(b *bench, _ ReqID) { b.c.List(brain.ListFull, nil) }, brain.ConnectFailed},
+		{"client gone", func(b *bench, id ReqID) { b.c.Gone(id) }, brain.Moot},
+		{"deadline", func(b *bench, _ ReqID) { b.run(b.now + 2.1) }, brain.Moot},
+	} {
+		b := start(t)
+		id := b.take(2, 2)
+		tc.happen(b, id)
+		if got, _ := b.c.Clear(b.begun[0].ID); got != tc.want {
+			t.Errorf("%s: %v, want %v", tc.name, got, tc.want)
+		}
+	}
+}
+
+// Guards against a deadline that the decisions forgot: the core answers by itself, once.
+func TestTheCoreAnswersWhatTheDecisionsForgot(t *testing.T) {
+	b := start(t)
+	b.take(2, 0.5)
+	b.due = b.due[:0] // every timer of the decisions is lost
+	r, _ := b.c.reqs.Get(1 << 32)
+	b.c.do(func() { b.c.overdue(r) })
+	b.c.Ended(b.begun[0].ID, End{Result: brain.OK})
+	if len(b.answers) != 1 || b.answers[0].Verdict != Failed || b.c.Counts().Overdue != 1 {
+		t.Errorf("answers %+v, counts %+v", b.answers, b.c.Counts())
+	}
+}
