Loopback proof of the Gearman front: ends per job and repeats per class

Stand-in clients and workers against the started program: workers that drop after WORK_STATUS or fail, background jobs whose caller left, shared unique ids, deadline, refusal, exception, CANT_DO, bad packets, text commands, cold workers. Counted: 27 jobs, one end each; safe and keyed run twice at most, once-only jobs run once.

--- /dev/null
+++ b/internal/program/gearman_test.go
@@ -0,0 +1,415 @@
+package program
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	gm "cinderroad/internal/protocol/gearman"
+)
+
+const gearmanFile = `listen = %q
+max_jobs = 100
+[[function]]
+name = "safe"
+class = "score"
+[[function]]
+name = "keyed"
+class = "charge"
+background_deadline_s = 20.0
+[[function]]
+name = "once"
+class = "once"
+deadline_s = %g
+[[worker]]
+network = "127.0.0.0/8"
+zone = "milano"
+kind = "two-core"
+cell = 1000
+`
+
+// gear is the program with its Gearman front on; deadline is that of function once.
+type gear struct {
+	*world
+	port string
+	mu   sync.Mutex
+	runs map[string]int // starts of a job's data at any worker
+}
+
+func beginGearman(t *testing.T, o options, deadline float64) *gear {
+	g := &gear{port: freeAddr(t), runs: map[string]int{}}
+	path := filepath.Join(t.TempDir(), "gearman.toml")
+	if err := os.WriteFile(path, fmt.Appendf(nil, gearmanFile, g.port, deadline), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	o.args = []string{"-gearman", path}
+	g.world = begin(t, o)
+	return g
+}
+
+// wire is a stand-in's connection.
+type wire struct {
+	g *gear
+	net.Conn
+}
+
+func (g *gear) dial() *wire {
+	c, err := net.Dial("tcp", g.port)
+	if err != nil {
+		g.t.Fatal(err)
+	}
+	g.t.Cleanup(func() { c.Close() })
+	return &wire{g, c}
+}
+
+func (c *wire) send(kind gm.Kind, args ...string) { c.Write(gm.AppendRequest(nil, kind, args...)) }
+
+// next reads one packet; ok is false once the connection has ended.
+func (c *wire) next() (p gm.Packet, ok bool) {
+	head := make([]byte, 12)
+	if _, err := io.ReadFull(c, head); err != nil {
+		return p, false
+	}
+	body := make([]byte, binary.BigEndian.Uint32(head[8:]))
+	if _, err := io.ReadFull(c, body); err != nil {
+		return p, false
+	}
+	return gm.Packet{Kind: gm.Kind(binary.BigEndian.Uint32(head[4:])), Args: strings.Split(string(body), "\x00")}, true
+}
+
+// want reads until a packet of the kind.
+func (c *wire) want(kind gm.Kind) gm.Packet {
+	c.g.t.Helper()
+	c.SetReadDeadline(time.Now().Add(30 * time.Second))
+	for {
+		p, ok := c.next()
+		if !ok {
+			c.g.t.Fatalf("packet %d never came", kind)
+		}
+		if p.Kind == kind {
+			return p
+		}
+	}
+}
+
+// work serves jobs as a worker does, until script says stop or the connection ends.
+func (c *wire) work(grab gm.Kind, script func(handle, function, data string) (stop bool), functions ...string) {
+	c.send(gm.SetClientID, "stand-in")
+	for _, f := range functions {
+		c.send(gm.CanDo, f)
+	}
+	go func() {
+		c.send(grab)
+		for {
+			p, ok := c.next()
+			switch {
+			case !ok:
+				return
+			case p.Kind == gm.NoJob:
+				c.send(gm.PreSleep)
+			case p.Kind == gm.Noop:
+				c.send(grab)
+			case p.Kind == gm.JobAssign || p.Kind == gm.JobAssignUniq || p.Kind == gm.JobAssignAll:
+				data := p.Args[len(p.Args)-1]
+				c.g.mu.Lock()
+				c.g.runs[data]++
+				c.g.mu.Unlock()
+				if script(p.Args[0], p.Args[1], data) {
+					return
+				}
+				c.send(grab)
+			}
+		}
+	}()
+}
+
+// echo completes every job with its data.
+func (c *wire) echo(handle, _, data string) bool {
+	c.send(gm.WorkComplete, handle, "did "+data)
+	return false
+}
+
+func (g *gear) ran(data string) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.runs[data]
+}
+
+// admin sends a text command and returns what it prints up to the line that ends it.
+func (g *gear) admin(command, end string) string {
+	c := g.dial()
+	c.SetReadDeadline(time.Now().Add(30 * time.Second))
+	fmt.Fprintf(c, "%s\n", command)
+	var got strings.Builder
+	for b := make([]byte, 512); !strings.HasSuffix(got.String(), end); {
+		n, err := c.Read(b)
+		if got.Write(b[:n]); err != nil {
+			g.t.Fatalf("%s: %q, %v", command, got.String(), err)
+		}
+	}
+	c.Close()
+	return got.String()
+}
+
+func (g *gear) idle() bool {
+	for _, line := range strings.Split(g.admin("status", ".\n"), "\n") {
+		if f := strings.Split(line, "\t"); len(f) == 4 && (f[1] != "0" || f[2] != "0") {
+			return false
+		}
+	}
+	return true
+}
+
+// The proof: final answers per job and repeats per class, while workers drop after a status, fail, and leave.
+func TestGearmanOneEndForEachJob(t *testing.T) {
+	g := beginGearman(t, options{cold: 0.001}, 5)
+	var once sync.Mutex
+	first := map[string]bool{} // data whose first run ends badly
+	for i, grab := range []gm.Kind{gm.GrabJob, gm.GrabJobUniq, gm.GrabJobAll, gm.GrabJobUniq, gm.GrabJobUniq, gm.GrabJobUniq} {
+		var serve func()
+		serve = func() {
+			c := g.dial()
+			c.work(grab, func(handle, function, data string) bool {
+				once.Lock()
+				bad := !first[data] && strings.Contains(data, "drop")
+				first[data] = true
+				once.Unlock()
+				switch {
+				case bad: // it has told a status, so it may have run
+					c.send(gm.WorkStatus, handle, "1", "2")
+					c.Close()
+					serve()
+					return true
+				case strings.Contains(data, "fail") && g.ran(data) == 1:
+					c.send(gm.WorkFail, handle)
+				default:
+					c.echo(handle, function, data)
+				}
+				return false
+			}, "safe", "keyed", "once")
+		}
+		if serve(); i == 0 {
+			g.eventually("first worker", func() bool { return strings.Contains(g.admin("status", ".\n"), "once\t0\t0\t1") })
+		}
+	}
+	g.eventually("all workers", func() bool { return strings.Contains(g.admin("status", ".\n"), "once\t0\t0\t6") })
+	client := g.dial()
+	type end struct {
+		Ends, Runs int
+		Served     bool
+	}
+	data, got, want := map[string]string{}, map[string]end{}, map[string]end{}
+	for _, f := range []string{"safe", "keyed", "once"} {
+		for _, how := range []string{"plain", "drop", "fail"} {
+			for n := range 3 {
+				name := fmt.Sprint(f, " ", how, " ", n)
+				client.send(map[int]gm.Kind{0: gm.SubmitJob, 1: gm.SubmitJobHigh, 2: gm.SubmitJobLow}[n], f, "", name)
+				data[client.want(gm.JobCreated).Args[0]] = name
+				// One job at a time: what is counted is ends and repeats, not how a jam is refused.
+				for ends := 0; ends == 0; {
+					p, ok := client.next()
+					if !ok {
+						t.Fatal("the connection ended")
+					}
+					if p.Kind == gm.WorkComplete || p.Kind == gm.WorkFail {
+						ends++
+						e := got[data[p.Args[0]]]
+						got[data[p.Args[0]]] = end{e.Ends + 1, g.ran(data[p.Args[0]]), p.Kind == gm.WorkComplete && p.Args[1] == "did "+data[p.Args[0]]}
+					}
+				}
+				switch {
+				case how == "plain":
+					want[name] = end{1, 1, true}
+				case f == "once": // it may have run: never again
+					want[name] = end{1, 1, false}
+				default:
+					want[name] = end{1, 2, true}
+				}
+			}
+		}
+	}
+	client.send(gm.EchoReq, "the end")
+	if p, _ := client.next(); p.Kind != gm.EchoRes { // anything before it is a second answer
+		t.Errorf("after the last answer: %v", p)
+	}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Errorf("ends and runs by job (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against a job in the background that is lost with its caller, or refused because none waits for it.
+func TestGearmanBackgroundJobsOutliveTheirCaller(t *testing.T) {
+	g := beginGearman(t, options{cold: 0.001}, 5)
+	caller := g.dial()
+	for i := range 8 {
+		caller.send([]gm.Kind{gm.SubmitJobBg, gm.SubmitJobHighBg, gm.SubmitJobLowBg}[i%3], "keyed", fmt.Sprint("u", i), fmt.Sprint("job ", i))
+		caller.want(gm.JobCreated)
+	}
+	handle := ""
+	caller.send(gm.SubmitJob, "safe", "", "in the foreground")
+	handle = caller.want(gm.JobCreated).Args[0]
+	caller.Close()
+	look := g.dial()
+	g.eventually("the foreground job is given up", func() bool {
+		look.send(gm.GetStatus, handle)
+		return look.want(gm.StatusRes).Args[1] == "0"
+	})
+	w := g.dial()
+	w.work(gm.GrabJob, w.echo, "safe", "keyed")
+	g.eventually("all ended", g.idle)
+	for i := range 8 {
+		if n := g.ran(fmt.Sprint("job ", i)); n != 1 {
+			t.Errorf("job %d ran %d times", i, n)
+		}
+	}
+	if g.ran("in the foreground") != 0 {
+		t.Error("a job that nobody waits for was begun")
+	}
+	exit := g.terminate()
+	if err := <-exit; err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	for _, count := range []string{`"Jobs":9`, `"BackgroundEnded":8`, `"Served":8`, `"Gone":1`} {
+		if !strings.Contains(g.log.String(), count) {
+			t.Errorf("the log lacks %s", count)
+		}
+	}
+}
+
+// Guards against a job run twice for two callers with one unique id, and callers who see one fetch's output twice.
+func TestGearmanClientsShareAJob(t *testing.T) {
+	g := beginGearman(t, options{cold: 0.001}, 5)
+	var clients [2]*wire
+	var handles [2]string
+	for i := range clients {
+		clients[i] = g.dial()
+		clients[i].send(gm.OptionReq, "exceptions")
+		clients[i].want(gm.OptionRes)
+		clients[i].send(gm.SubmitJob, "safe", "same", "shared")
+		handles[i] = clients[i].want(gm.JobCreated).Args[0]
+	}
+	w := g.dial()
+	w.work(gm.GrabJobUniq, func(handle, _, _ string) bool {
+		w.send(gm.WorkData, handle, "part")
+		w.send(gm.WorkStatus, handle, "1", "4")
+		if g.ran("shared") == 1 {
+			w.send(gm.WorkException, handle, "first try")
+			return false
+		}
+		w.send(gm.WorkComplete, handle, "whole")
+		return false
+	}, "safe")
+	for i, c := range clients {
+		var got []string
+		for len(got) == 0 || got[len(got)-1] != "13 whole" {
+			p, ok := c.next()
+			if !ok {
+				t.Fatalf("client %d: %q", i, got)
+			}
+			if p.Kind != gm.WorkStatus {
+				got = append(got, fmt.Sprint(p.Kind, " ", p.Args[1]))
+			}
+		}
+		if diff := cmp.Diff([]string{"28 part", "13 whole"}, got); diff != "" || handles[i] != handles[0] {
+			t.Errorf("client %d, handles %v (-want +got):\n%s", i, handles, diff)
+		}
+	}
+}
+
+// The mapping of failures, deadlines and refusals, and what a drain leaves behind.
+func TestGearmanFailures(t *testing.T) {
+	g := beginGearman(t, options{cold: 0.001}, 0.4)
+	client := g.dial()
+	submit := func(function, data string) { client.send(gm.SubmitJob, function, "", data); client.want(gm.JobCreated) }
+
+	submit("once", "nobody to do it") // a refusal: when to come back, then the failure
+	if p := client.want(gm.WorkWarning); !strings.Contains(p.Args[1], "retry-after=") {
+		t.Errorf("refusal: %v", p)
+	}
+	client.want(gm.WorkFail)
+
+	client.send(gm.SubmitJob, "unheard of", "", "x")
+	if p := client.want(gm.Error); p.Args[0] != "ERR_UNKNOWN_FUNCTION" {
+		t.Errorf("unknown function: %v", p)
+	}
+
+	w := g.dial()
+	assigned := make(chan string)
+	w.work(gm.GrabJob, func(handle, _, data string) bool { assigned <- handle; return data == "stop" }, "once")
+	submit("once", "silent") // past the deadline: a failure, and its late result is nobody's
+	late := <-assigned
+	client.want(gm.WorkFail)
+	w.send(gm.WorkComplete, late, "late")
+
+	client.send(gm.OptionReq, "exceptions")
+	client.want(gm.OptionRes)
+	submit("once", "throws")
+	w.send(gm.WorkException, <-assigned, "boom")
+	if p := client.want(gm.WorkException); p.Args[1] != "boom" {
+		t.Errorf("exception: %v", p)
+	}
+	client.want(gm.WorkFail)
+
+	w.send(gm.CanDoTimeout, "safe", "1")
+	w.send(gm.CantDo, "once") // a drain: a job for it waits for another worker, though this one is idle
+	g.eventually("drained", func() bool { return strings.Contains(g.admin("status", ".\n"), "once\t0\t0\t0") })
+	submit("once", "after the drain")
+	client.want(gm.WorkFail)
+	if g.ran("after the drain") != 0 {
+		t.Error("work was given to a worker that had said CANT_DO")
+	}
+
+	bad := g.dial()
+	bad.Write([]byte("\x00REQ\x00\x00\x00\x63\x00\x00\x00\x00"))
+	bad.want(gm.Error)
+	if p, ok := bad.next(); ok {
+		t.Errorf("after a bad packet: %v", p)
+	}
+	if got := g.admin("workers", ".\n"); !strings.Contains(got, "127.0.0.1 stand-in : safe\n") {
+		t.Errorf("workers: %q", got)
+	}
+	for command, want := range map[string]string{"version": "OK cinderroad\r\n", "maxqueue safe 3": "OK\r\n",
+		"shutdown": "ERR NOT_ALLOWED allow_shutdown+is+off\r\n", "nonsense": "ERR UNKNOWN_COMMAND Unknown+server+command\r\n"} {
+		if got := g.admin(command, "\r\n"); got != want {
+			t.Errorf("%s: %q", command, got)
+		}
+	}
+}
+
+// Guards against a worker that has just connected being handed all that waits at once.
+func TestGearmanColdWorkersAreNotSwamped(t *testing.T) {
+	g := beginGearman(t, options{cold: 9}, 5)
+	client := g.dial()
+	for i := range 20 {
+		client.send(gm.SubmitJobBg, "safe", "", fmt.Sprint("job ", i))
+		client.want(gm.JobCreated)
+	}
+	w := g.dial()
+	began := time.Now()
+	w.work(gm.GrabJob, w.echo, "safe")
+	g.eventually("first job", func() bool { return len(g.started()) > 0 })
+	time.Sleep(time.Second)
+	// At a third of one core, three times that may be sent in a second, in jobs taken for half a second.
+	if n, most := len(g.started()), 1+int(3*time.Since(began).Seconds()*2); n > most {
+		t.Errorf("%d jobs in the first second, at most %d", n, most)
+	}
+}
+
+func (g *gear) started() map[string]int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	runs := map[string]int{}
+	for data, n := range g.runs {
+		runs[data] = n
+	}
+	return runs
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -62,6 +62,9 @@
 		return err
 	}
 	log.Info("program: ended", zap.Any("counts", p.core.Counts()))
+	if p.gearman != nil {
+		log.Info("program: gearman ended", zap.Any("counts", p.gearman.Counted()))
+	}
 	return nil
 }
 
--- a/internal/program/story_test.go
+++ b/internal/program/story_test.go
@@ -268,7 +268,7 @@
 }
 
 func TestBadConfigIsOneClearLine(t *testing.T) {
-	good := fmt.Sprintf(`{"listen":"127.0.0.1:0","seed":"1","settings":%s}`, fmt.Sprintf(settingsText, 60.0))
+	good := fmt.Sprintf(`{"listen":"127.0.0.1:0","seed":"1","settings":%s}`, fmt.Sprintf(settingsText, 9.0, 60.0))
 	gearman := "listen = \"127.0.0.1:0\"\n[[function]]\nname = \"f\"\nclass = \"nobody\"\n"
 	for name, tc := range map[string]struct{ config, gearman, want string }{
 		"missing":       {"", "", "no such file"},
@@ -289,7 +289,7 @@
 			args = append(args, "-gearman", filepath.Join(dir, "g.toml"))
 			os.WriteFile(args[3], []byte(tc.gearman), 0o600)
 		}
-		out, err := exec.Command(binary, args...).CombinedOutput()
+		out, err := exec.Command(program, args...).CombinedOutput()
 		if err == nil || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), tc.want) {
 			t.Errorf("%s: %v, said %q, want one line with %q", name, err, out, tc.want)
 		}
--- a/internal/program/world_test.go
+++ b/internal/program/world_test.go
@@ -21,15 +21,15 @@
 	"cinderroad/internal/invariant"
 )
 
-var binary string
+var program string
 
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "cinderroad")
 	if err != nil {
 		panic(err)
 	}
-	binary = filepath.Join(dir, "cinderroad")
-	args := []string{"build", "-o", binary}
+	program = filepath.Join(dir, "cinderroad")
+	args := []string{"build", "-o", program}
 	if invariant.Fatal {
 		args = append(args, "-tags", "debug")
 	}
@@ -46,7 +46,7 @@
  {"name":"charge","deadlineS":5,"dedupScope":"cell","objectiveS":0.05,"repeat":"dedup","windowS":7.5,"worth":10},
  {"name":"once","deadlineS":5,"objectiveS":0.05,"repeat":"fragile","worth":10}],
  "failureDomains":["milano","torino"],"kinds":["two-core"],"familyInfo":{"tellsStart":true,"reportX0":"free slots"},
- "guarantees":{"answerSlackS":0.016,"askWithinS":10,"coldS":9,"coldShare":0.34,"drainGraceS":0.3,"fallMultiple":3,"fallS":2},
+ "guarantees":{"answerSlackS":0.016,"askWithinS":10,"coldS":%g,"coldShare":0.34,"drainGraceS":0.3,"fallMultiple":3,"fallS":2},
  "limits":{"attemptsCap":4,"connIdleS":%g,"connectTimeoutS":0.25,"mayCancel":true,"mayProbe":true,"parallelTries":true,
   "retryAfter":true,"maxRetryAfterS":2},
  "me":0,"membershipMode":"pushed","nInstances":1,"report":{"fields":["utilization","backlog","outstanding","x0"],"via":"piggyback"},
@@ -87,6 +87,7 @@
 type options struct {
 	sockets  int
 	connIdle float64
+	cold     float64
 	args     []string
 }
 
@@ -100,13 +101,16 @@
 	if o.sockets == 0 {
 		o.sockets = 1024
 	}
+	if o.cold == 0 {
+		o.cold = 9
+	}
 	if o.connIdle == 0 {
 		o.connIdle = 60
 	}
 	config := map[string]any{"name": "n0", "listen": w.addr, "discovery": strings.TrimPrefix(w.discovery.URL, "http://"),
 		"seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": o.sockets},
 		"known":    json.RawMessage(`{"rev":1,"all":true,"targets":[` + strings.Join(targets, ",") + `]}`),
-		"settings": json.RawMessage(fmt.Sprintf(settingsText, o.connIdle))}
+		"settings": json.RawMessage(fmt.Sprintf(settingsText, o.cold, o.connIdle))}
 	text, err := json.Marshal(config)
 	if err != nil {
 		t.Fatal(err)
@@ -115,7 +119,7 @@
 	if err := os.WriteFile(path, text, 0o600); err != nil {
 		t.Fatal(err)
 	}
-	w.cmd = exec.Command(binary, append([]string{"-config", path, "-log", "debug"}, o.args...)...)
+	w.cmd = exec.Command(program, append([]string{"-config", path, "-log", "debug"}, o.args...)...)
 	w.cmd.Stderr = w.log
 	if err := w.cmd.Start(); err != nil {
 		t.Fatal(err)
