Graphite and collectd output; the session that rested longest is shed, not one of a tie

Seen: TestDescriptorsRunShort lost a job once in ten runs, by EOF on a session that had just been accepted. Cause: ShedIdle compared times, which tie for all sessions accepted in one turn; with slots used again from the end, a fresh session could be the first of the tie. Ruled out: unread data (Alive was checked by then). Sessions and Gearman clients now carry their place in the order of rest.

--- a/cmd/cinderroad/main.go
+++ b/cmd/cinderroad/main.go
@@ -16,24 +16,28 @@
 func main() {
 	configPath := flag.String("config", os.Getenv("ROUTER_CONFIG"), "configuration file (JSON)")
 	gearmanPath := flag.String("gearman", "", "operator's file (TOML) that turns the Gearman front on")
+	graphite := flag.String("graphite", "", "address of a Graphite server for the figures")
+	collectd := flag.String("collectd", "", "path of collectd's unix socket for the figures")
+	every := flag.Float64("metrics-every", 10, "seconds between the figures")
 	level := zap.LevelFlag("log", zapcore.InfoLevel, "log level: debug, info, warn or error")
 	flag.Parse()
-	if err := run(*configPath, *gearmanPath, *level); err != nil {
+	config, err := program.ReadConfig(*configPath, os.Getenv)
+	if err == nil && *gearmanPath != "" {
+		err = config.ReadGearman(*gearmanPath)
+	}
+	if err == nil {
+		err = config.SetMetrics(*graphite, *collectd, *every)
+	}
+	if err == nil {
+		err = run(config, *level)
+	}
+	if err != nil {
 		fmt.Fprintln(os.Stderr, "cinderroad:", err)
 		os.Exit(1)
 	}
 }
 
-func run(configPath, gearmanPath string, level zapcore.Level) error {
-	config, err := program.ReadConfig(configPath, os.Getenv)
-	if err != nil {
-		return err
-	}
-	if gearmanPath != "" {
-		if err := config.ReadGearman(gearmanPath); err != nil {
-			return err
-		}
-	}
+func run(config *program.Config, level zapcore.Level) error {
 	encoder := zap.NewProductionEncoderConfig()
 	encoder.EncodeTime = zapcore.ISO8601TimeEncoder
 	log := zap.New(zapcore.NewCore(zapcore.NewConsoleEncoder(encoder), zapcore.Lock(os.Stderr), level))
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -28,7 +28,12 @@
 	} `json:"limits"`
 	Settings json.RawMessage `json:"settings"`
 
+	Graphite     string  `json:"-"` // address of a Graphite server; empty: off
+	Collectd     string  `json:"-"` // path of collectd's unix socket; empty: off
+	MetricsEvery float64 `json:"-"` // seconds
+
 	listen, discovery netip.AddrPort
+	graphite          netip.AddrPort
 	seed              uint64
 	brain             brain.Settings
 	names             names
@@ -61,6 +66,17 @@
 	return err
 }
 
+// SetMetrics names the outputs for the figures; empty ones stay off.
+func (c *Config) SetMetrics(graphite, collectd string, every float64) (err error) {
+	c.Graphite, c.Collectd, c.MetricsEvery = graphite, collectd, every
+	if graphite != "" {
+		if c.graphite, err = netip.ParseAddrPort(graphite); err != nil {
+			return fmt.Errorf("graphite: %w", err)
+		}
+	}
+	return nil
+}
+
 func (c *Config) classes() []string {
 	names := make([]string, len(c.names.Categories))
 	for i, class := range c.names.Categories {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -49,6 +49,7 @@
 	if err != nil {
 		return err
 	}
+	p.startMetrics()
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
--- a/internal/protocol/gearman/server.go
+++ b/internal/protocol/gearman/server.go
@@ -43,6 +43,7 @@
 	held      int // bytes of the jobs' data
 	prefix    string
 	stopping  bool
+	rests     uint64
 	listener  *transport.Listener
 }
 
@@ -124,7 +125,7 @@
 func (s *Server) ShedIdle() bool {
 	var oldest *peer
 	s.peers.Each(func(_ slots.Handle, p *peer) {
-		if p.worker == nil && p.waits == 0 && (oldest == nil || p.idleSince < oldest.idleSince) {
+		if p.worker == nil && p.waits == 0 && (oldest == nil || p.idleSince < oldest.idleSince) && p.conn.Alive() {
 			oldest = p
 		}
 	})
@@ -143,15 +144,16 @@
 	h          slots.Handle
 	conn       *transport.Conn
 	connected  float64
-	idleSince  float64
-	waits      int // jobs whose end it waits for
+	idleSince  uint64 // its place in the order in which clients came to rest
+	waits      int    // jobs whose end it waits for
 	exceptions bool
 	clientID   string
 	worker     *worker
 }
 
 func (s *Server) accept(c *transport.Conn) transport.Handler {
-	p := &peer{s: s, conn: c, connected: s.loop.Now(), idleSince: s.loop.Now(), clientID: "-"}
+	s.rests++
+	p := &peer{s: s, conn: c, connected: s.loop.Now(), idleSince: s.rests, clientID: "-"}
 	p.h = s.peers.Put(p)
 	return p
 }
@@ -453,7 +455,8 @@
 	j.over = true
 	for _, p := range j.waiters {
 		p.waits--
-		p.idleSince = j.s.loop.Now()
+		j.s.rests++
+		p.idleSince = j.s.rests
 	}
 	j.waiters = nil
 	delete(j.s.jobs, j.handle)
--- a/internal/protocol/platform/front.go
+++ b/internal/protocol/platform/front.go
@@ -33,6 +33,7 @@
 	sessions slots.Table[*session]
 	calls    map[string]bool // ids of calls that are open
 	closing  bool
+	rests    uint64
 	noted    map[string]float64 // when a kind of bad input was last logged
 }
 
@@ -105,7 +106,7 @@
 	call    string // id of the open req, if any
 	last    bool   // closes after the answer
 	asked   bool   // has carried a client's request
-	since   float64
+	since   uint64 // its place in the order in which sessions came to rest; times tie within a turn
 	timeout *transport.Deadline
 }
 
@@ -115,7 +116,8 @@
 
 // rest waits for the next request.
 func (s *session) rest() {
-	s.since = s.f.loop.Now()
+	s.f.rests++
+	s.since = s.f.rests
 	s.expect(idleTimeout, s.end)
 }
 
