--- a/brain/api.go
+++ b/brain/api.go
@@ -108,7 +108,7 @@
 	Skill    uint32 // what a worker must be able to do; 0 is what workers without Skills do
 	Tenant   int
 	Slots    float64
-	Memory   float64 // taken for completeness: room is counted in slots alone, see docs/design.md
+	Memory   float64 // taken for completeness: room is counted in slots alone, see docs/architecture.md
 	Work     float64 // hinted work in seconds on a standard core; 0 is no hint
 	Deadline float64 // clock time at which the client gives up
 }
--- /dev/null
+++ b/rpcplugin/rpcplugin.go
@@ -0,0 +1,342 @@
+// Package rpcplugin lets grpc-go clients spread their unary calls by the same decisions, and under the same
+// rules, as the daemon. An interceptor owns the req: its class, its deadline, its one final answer. Where each
+// fetch goes is asked of package brain through the same core that the daemon uses, and the registered balancer's
+// picker carries that out. The library repeats nothing by itself.
+package rpcplugin
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"reflect"
+	"sync"
+	"time"
+
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"cinderroad/brain"
+	"cinderroad/internal/routing"
+)
+
+// Trailers that a server may set.
+const (
+	// RejectedTrailer, set to 1, says that the server turned the call away unseen.
+	RejectedTrailer = "x-rejected"
+	// LoadTrailer holds a load report, a JSON object by the names in Options.Fields.
+	LoadTrailer = "x-load-report"
+)
+
+// Options configure a Dispatcher.
+type Options struct {
+	Settings brain.Settings
+	Seed     uint64
+	// Class tells a method's place in Settings.Classes. A method that it does not know is never sent.
+	Class func(method string) (class int, known bool)
+	// Fields names the values of load reports, in the order of Settings.Report.
+	Fields []string
+	// ConnectTimeout is how long a fetch waits for its server's connection; 0 is 250 ms.
+	ConnectTimeout time.Duration
+}
+
+// Dispatcher serves one ClientConn.
+type Dispatcher struct {
+	options Options
+	name    string
+	anchor  time.Time
+	start   float64
+
+	mu      sync.Mutex // the core belongs to whoever holds it
+	core    *routing.Core
+	workers map[string]*worker // by address
+	timers  map[*timer]bool
+	closed  bool
+}
+
+// New makes a Dispatcher; pass what DialOptions returns to grpc.NewClient.
+func New(o Options) (*Dispatcher, error) {
+	if o.Class == nil {
+		return nil, errors.New("rpcplugin: no Class function")
+	}
+	if o.ConnectTimeout == 0 {
+		o.ConnectTimeout = 250 * time.Millisecond
+	}
+	now := time.Now()
+	d := &Dispatcher{options: o, anchor: now, start: float64(now.UnixMicro()) / 1e6, workers: map[string]*worker{}, timers: map[*timer]bool{}}
+	var err error
+	if d.core, err = routing.New(o.Settings, o.Seed, d); err != nil {
+		return nil, fmt.Errorf("rpcplugin: %w", err)
+	}
+	d.name = register(d)
+	d.locked(d.core.Start)
+	return d, nil
+}
+
+// DialOptions returns what a ClientConn needs: the interceptor, the balancer, and no retries of the library's own.
+func (d *Dispatcher) DialOptions() []grpc.DialOption {
+	return []grpc.DialOption{grpc.WithUnaryInterceptor(d.intercept), grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(),
+		grpc.WithDefaultServiceConfig(fmt.Sprintf(`{"loadBalancingConfig":[{%q:{"dispatcher":%q}}]}`, balancerName, d.name))}
+}
+
+// Close ends the timers; calls that are out end by their own deadlines.
+func (d *Dispatcher) Close() {
+	unregister(d.name)
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.closed = true
+	for t := range d.timers {
+		t.t.Stop()
+	}
+}
+
+// Counts returns the core's figures so far.
+func (d *Dispatcher) Counts() (n routing.Counts) {
+	d.locked(func() { n = d.core.Counts() })
+	return n
+}
+
+func (d *Dispatcher) locked(do func()) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	do()
+}
+
+// Now implements routing.Clock.
+func (d *Dispatcher) Now() float64 { return d.start + time.Since(d.anchor).Seconds() }
+
+type timer struct {
+	d    *Dispatcher
+	t    *time.Timer
+	over bool
+}
+
+// Stop implements routing.Stop; the lock is held.
+func (t *timer) Stop() {
+	t.over = true
+	t.t.Stop()
+	delete(t.d.timers, t)
+}
+
+// At implements routing.Clock; the lock is held.
+func (d *Dispatcher) At(at float64, do func()) routing.Stop {
+	t := &timer{d: d}
+	if d.closed {
+		t.t = time.NewTimer(time.Hour)
+		t.t.Stop()
+		return t
+	}
+	d.timers[t] = true
+	t.t = time.AfterFunc(time.Duration((at-d.Now())*float64(time.Second)), func() {
+		d.locked(func() {
+			if !t.over && !d.closed {
+				delete(d.timers, t)
+				t.over = true
+				do()
+			}
+		})
+	})
+	return t
+}
+
+// call is a req as the interceptor holds it.
+type call struct {
+	ctx       context.Context
+	method    string
+	request   any
+	reply     reflect.Type
+	cc        *grpc.ClientConn
+	invoke    grpc.UnaryInvoker
+	options   []grpc.CallOption
+	answer    chan routing.Answer
+	served    any   // the reply of the fetch that won, and
+	servedErr error // the status that its server gave it
+	failed    error // of the last fetch that failed
+}
+
+// Answer implements routing.Asker; the lock is held.
+func (c *call) Answer(a routing.Answer) { c.answer <- a }
+
+// intercept owns a unary call from its start to its one answer.
+func (d *Dispatcher) intercept(ctx context.Context, method string, request, reply any, cc *grpc.ClientConn, invoke grpc.UnaryInvoker, options ...grpc.CallOption) error {
+	class, known := d.options.Class(method)
+	if !known || class < 0 || class >= len(d.options.Settings.Classes) {
+		return status.Errorf(codes.FailedPrecondition, "rpcplugin: no class for %s", method)
+	}
+	cc.Connect() // the list comes from the resolver, which an idle ClientConn does not ask
+	c := &call{ctx: ctx, method: method, request: request, reply: reflect.TypeOf(reply).Elem(), cc: cc, invoke: invoke,
+		options: options, answer: make(chan routing.Answer, 1)}
+	job := routing.Job{Class: class, Slots: 1, Deadline: d.Now() + d.options.Settings.Classes[class].Deadline, Load: c}
+	if at, ok := ctx.Deadline(); ok {
+		job.Deadline = math.Min(job.Deadline, d.Now()+time.Until(at).Seconds())
+	}
+	var id routing.ReqID
+	d.locked(func() { id = d.core.Take(job, c) })
+	var a routing.Answer
+	select {
+	case a = <-c.answer:
+	case <-ctx.Done():
+		d.locked(func() { d.core.Gone(id) })
+		select {
+		case a = <-c.answer: // it had come by then
+		default:
+			return status.FromContextError(ctx.Err()).Err()
+		}
+	}
+	d.mu.Lock() // copies that are still out may write here
+	served, servedErr, failed := c.served, c.servedErr, c.failed
+	d.mu.Unlock()
+	switch a.Verdict {
+	case routing.Served:
+		if servedErr != nil {
+			return servedErr
+		}
+		if to, ok := reply.(proto.Message); ok {
+			proto.Reset(to)
+			proto.Merge(to, served.(proto.Message))
+		} else {
+			reflect.ValueOf(reply).Elem().Set(reflect.ValueOf(served).Elem())
+		}
+		return nil
+	case routing.Refused:
+		s := status.New(codes.Unavailable, "refused: a retry is harmless")
+		if with, err := s.WithDetails(&errdetails.RetryInfo{RetryDelay: durationpb.New(time.Duration(a.Wait * float64(time.Second)))}); err == nil {
+			s = with
+		}
+		return s.Err()
+	}
+	if failed != nil {
+		return failed
+	}
+	return status.Error(codes.DeadlineExceeded, "failed: no answer in time")
+}
+
+// worker is a server: a backend of the core.
+type worker struct {
+	d       *Dispatcher
+	addr    string
+	member  brain.Worker
+	link    link
+	fetches map[routing.FetchID]*fetch
+}
+
+// fetch is one attempt. What the picker needs of it travels in its context.
+type fetch struct {
+	id     routing.FetchID
+	w      *worker
+	cancel context.CancelFunc
+	begun  bool // handed to the library
+	picks  int  // guarded by the dispatcher's lock, like the rest
+	unsent bool // the library asked where to send it and was told not to, or to stop
+}
+
+type fetchKey struct{}
+
+// Begin implements routing.Backend; the lock is held.
+func (w *worker) Begin(f routing.Fetch) {
+	c := f.Load.(*call)
+	ctx, cancel := context.WithTimeout(c.ctx, time.Duration((f.Deadline-w.d.Now())*float64(time.Second)))
+	t := &fetch{id: f.ID, w: w, cancel: cancel}
+	w.fetches[f.ID] = t
+	go w.run(context.WithValue(ctx, fetchKey{}, t), t, c)
+}
+
+// Drop implements routing.Backend; the lock is held.
+func (w *worker) Drop(id routing.FetchID) bool {
+	t := w.fetches[id]
+	if t == nil {
+		return true
+	}
+	delete(w.fetches, id)
+	t.cancel()
+	return t.begun && !t.unsent
+}
+
+// Probe implements routing.Backend: the state of the connection is all that costs the server nothing.
+func (w *worker) Probe(done func(brain.Result, []float32)) {
+	result := brain.OK
+	if w.link.sub == nil || !w.link.ready {
+		result = brain.ConnectFailed
+	}
+	done(result, nil)
+}
+
+// run waits for the connection, looks again whether the server still wants work, and makes the call.
+func (w *worker) run(ctx context.Context, t *fetch, c *call) {
+	defer t.cancel()
+	up := w.d.await(ctx, w)
+	w.d.mu.Lock()
+	result, clear := w.d.core.Clear(t.id)
+	if clear && !up {
+		result, clear = brain.ConnectFailed, false
+	}
+	if t.begun = clear; !clear {
+		delete(w.fetches, t.id)
+		w.d.core.Ended(t.id, routing.End{Result: result})
+		w.d.mu.Unlock()
+		return
+	}
+	w.d.mu.Unlock()
+
+	reply := reflect.New(c.reply).Interface() // copies of a req must not write into one reply
+	var trailer metadata.MD
+	err := c.invoke(ctx, c.method, c.request, reply, c.cc, append(c.options[:len(c.options):len(c.options)], grpc.Trailer(&trailer))...)
+
+	w.d.mu.Lock()
+	defer w.d.mu.Unlock()
+	if w.fetches[t.id] == nil {
+		return // given up: its status is of our own making and must not reach the caller
+	}
+	delete(w.fetches, t.id)
+	e := routing.End{Result: outcome(err, trailer, t.unsent), Report: w.d.report(trailer)}
+	if e.Result == brain.OK && c.served == nil {
+		c.served, c.servedErr = reply, err
+	} else if e.Result != brain.OK {
+		c.failed = err
+	}
+	w.d.core.Ended(t.id, e)
+}
+
+// outcome maps a status. Whatever the service itself said to the caller is an answer, not a failure.
+func outcome(err error, trailer metadata.MD, unsent bool) brain.Result {
+	if unsent {
+		return brain.ConnectFailed
+	}
+	if v := trailer.Get(RejectedTrailer); err != nil && len(v) == 1 && v[0] == "1" {
+		return brain.Full
+	}
+	switch status.Code(err) {
+	case codes.Unavailable:
+		return brain.Reset // the connection broke, or so the server says: it may have run
+	case codes.DeadlineExceeded:
+		return brain.Timeout
+	case codes.Canceled:
+		return brain.Cancelled
+	case codes.Unknown, codes.Internal, codes.DataLoss, codes.ResourceExhausted:
+		return brain.Error
+	}
+	return brain.OK
+}
+
+// report reads a load report into the settings' order.
+func (d *Dispatcher) report(trailer metadata.MD) []float32 {
+	var named map[string]float64
+	if v := trailer.Get(LoadTrailer); len(v) != 1 || json.Unmarshal([]byte(v[0]), &named) != nil {
+		return nil
+	}
+	values := make([]float32, len(d.options.Fields))
+	for i, name := range d.options.Fields {
+		if v, ok := named[name]; ok {
+			values[i] = float32(v)
+		} else {
+			values[i] = -1
+		}
+	}
+	return values
+}
--- /dev/null
+++ b/rpcplugin/rpcplugin_test.go
@@ -0,0 +1,222 @@
+package rpcplugin
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/resolver"
+	"google.golang.org/grpc/resolver/manual"
+	"google.golang.org/grpc/status"
+
+	"cinderroad/brain"
+)
+
+const method = "/grpc.health.v1.Health/Check"
+
+// server is a scripted grpc-go server.
+type server struct {
+	grpc_health_v1.UnimplementedHealthServer
+	addr string
+	rig  *rig
+	stop func()
+}
+
+// rig is a ClientConn with the plug-in and its servers.
+type rig struct {
+	t       *testing.T
+	d       *Dispatcher
+	client  grpc_health_v1.HealthClient
+	list    *manual.Resolver
+	servers []*server
+	mu      sync.Mutex
+	calls   []string // addresses, in the order of the calls
+	script  func(n int, s *server, ctx context.Context) error
+}
+
+func (s *server) Check(ctx context.Context, q *grpc_health_v1.HealthCheckRequest) (*grpc_health_v1.HealthCheckResponse, error) {
+	s.rig.mu.Lock()
+	n := len(s.rig.calls)
+	s.rig.calls = append(s.rig.calls, s.addr)
+	script := s.rig.script
+	s.rig.mu.Unlock()
+	if script != nil {
+		if err := script(n, s, ctx); err != nil {
+			return nil, err
+		}
+	}
+	return &grpc_health_v1.HealthCheckResponse{Status: grpc_health_v1.HealthCheckResponse_SERVING}, nil
+}
+
+func newRig(t *testing.T, effect brain.Effect, servers int) *rig {
+	r := &rig{t: t, list: manual.NewBuilderWithScheme("test")}
+	var err error
+	r.d, err = New(Options{Settings: brain.Settings{
+		Classes: []brain.Class{{Name: "check", Objective: 0.1, Deadline: 5, Window: 5, Worth: 1, Effect: effect, Scope: brain.ScopeCell, Kind: -1}},
+		Zones:   1, Instances: 1, MaxAttempts: 4, Tick: 0.004, ColdTime: 9, ColdShare: 0.34, FallMultiple: 3, FallTime: 2,
+		AnswerSlack: 0.016, MayCancel: true, MayRetryAfter: true, MaxRetryAfter: 2, ParallelTries: true,
+	}, Class: func(m string) (int, bool) { return 0, m == method }})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.d.Close)
+	for range servers {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := &server{addr: l.Addr().String(), rig: r}
+		g := grpc.NewServer()
+		grpc_health_v1.RegisterHealthServer(g, s)
+		go g.Serve(l)
+		s.stop = g.Stop
+		t.Cleanup(g.Stop)
+		r.servers = append(r.servers, s)
+	}
+	r.list.InitialState(r.state(Server{}, Server{}, Server{}))
+	cc, err := grpc.NewClient("test:///", append(r.d.DialOptions(), grpc.WithResolvers(r.list),
+		grpc.WithTransportCredentials(insecure.NewCredentials()))...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { cc.Close() })
+	r.client = grpc_health_v1.NewHealthClient(cc)
+	return r
+}
+
+// state is a list of the first servers, each with what is told of it.
+func (r *rig) state(told ...Server) (s resolver.State) {
+	for i, server := range r.servers[:min(len(told), len(r.servers))] {
+		told[i].Cell = i
+		s.Addresses = append(s.Addresses, WithServer(resolver.Address{Addr: server.addr}, told[i]))
+	}
+	return s
+}
+
+func (r *rig) check(wait time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), wait)
+	defer cancel()
+	reply, err := r.client.Check(ctx, &grpc_health_v1.HealthCheckRequest{})
+	if err == nil && reply.Status != grpc_health_v1.HealthCheckResponse_SERVING {
+		r.t.Errorf("reply %v", reply)
+	}
+	return err
+}
+
+// How each end is repeated by class, what the caller is told, and that the library repeats nothing by itself.
+func TestEndsAndRepeats(t *testing.T) {
+	broken := func(code codes.Code) func(int, *server, context.Context) error {
+		return func(n int, _ *server, _ context.Context) error {
+			if n == 0 {
+				return status.Error(code, "first")
+			}
+			return nil
+		}
+	}
+	rejected := func(n int, _ *server, ctx context.Context) error {
+		if n == 0 {
+			grpc.SetTrailer(ctx, metadata.Pairs(RejectedTrailer, "1"))
+			return status.Error(codes.Unavailable, "full")
+		}
+		return nil
+	}
+	for _, tc := range []struct {
+		name   string
+		effect brain.Effect
+		script func(int, *server, context.Context) error
+		want   codes.Code
+		calls  int
+	}{
+		{"served", brain.Unsafe, nil, codes.OK, 1},
+		{"unavailable, safe", brain.Safe, broken(codes.Unavailable), codes.OK, 2},
+		{"unavailable, keyed", brain.Keyed, broken(codes.Unavailable), codes.OK, 2},
+		{"unavailable, unsafe", brain.Unsafe, broken(codes.Unavailable), codes.Unavailable, 1},
+		{"internal, unsafe", brain.Unsafe, broken(codes.Internal), codes.Internal, 1},
+		{"rejected, unsafe", brain.Unsafe, rejected, codes.OK, 2},
+		{"the service's own word", brain.Safe, broken(codes.NotFound), codes.NotFound, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			r := newRig(t, tc.effect, 3)
+			r.script = tc.script
+			err := r.check(5 * time.Second)
+			if status.Code(err) != tc.want || len(r.calls) != tc.calls {
+				t.Errorf("%v after calls %v, want %v after %d", err, r.calls, tc.want, tc.calls)
+			}
+			if tc.effect == brain.Keyed && r.calls[0] != r.calls[1] {
+				t.Errorf("a keyed repeat left its cell: %v", r.calls)
+			}
+			if n := r.d.Counts(); n.Reqs != 1 || n.Served+n.Refused+n.Failed != 1 || int(n.Fetches) != tc.calls {
+				t.Errorf("counts %+v", n)
+			}
+		})
+	}
+}
+
+// Guards against calls to a server that drains or has left the list, and against a refusal without a wait.
+func TestDrainAndRefusal(t *testing.T) {
+	r := newRig(t, brain.Safe, 2)
+	if err := r.check(5 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	r.list.UpdateState(r.state(Server{Draining: true}, Server{}))
+	r.mu.Lock()
+	r.calls = nil
+	r.mu.Unlock()
+	for range 4 {
+		if err := r.check(5 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if diff := cmp.Diff(fmt.Sprint(r.servers[1].addr, r.servers[1].addr, r.servers[1].addr, r.servers[1].addr), fmt.Sprint(r.calls[0], r.calls[1], r.calls[2], r.calls[3])); diff != "" {
+		t.Errorf("calls while one drains (-want +got):\n%s", diff)
+	}
+	r.list.UpdateState(r.state(Server{Draining: true}, Server{Draining: true}))
+	err := r.check(300 * time.Millisecond)
+	var wait time.Duration
+	for _, detail := range status.Convert(err).Details() {
+		if info, ok := detail.(*errdetails.RetryInfo); ok {
+			wait = info.RetryDelay.AsDuration()
+		}
+	}
+	if status.Code(err) != codes.Unavailable || wait <= 0 || wait > 2*time.Second {
+		t.Errorf("all drain: %v, come back after %v", err, wait)
+	}
+}
+
+// Guards against a server that is down: the call never ran there, so even an unsafe one goes elsewhere.
+func TestAServerThatIsDown(t *testing.T) {
+	r := newRig(t, brain.Unsafe, 2)
+	r.servers[0].stop()
+	for range 4 {
+		if err := r.check(5 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for _, addr := range r.calls {
+		if addr != r.servers[1].addr {
+			t.Errorf("call at %s", addr)
+		}
+	}
+}
+
+// Guards against methods nobody has classed being sent, and against silence outliving the caller's deadline.
+func TestUnknownMethodAndSilence(t *testing.T) {
+	r := newRig(t, brain.Unsafe, 1)
+	r.script = func(_ int, _ *server, ctx context.Context) error { <-ctx.Done(); return ctx.Err() }
+	if err := r.check(300 * time.Millisecond); status.Code(err) != codes.DeadlineExceeded {
+		t.Errorf("silence: %v", err)
+	}
+	if _, err := r.client.List(context.Background(), &grpc_health_v1.HealthListRequest{}); status.Code(err) != codes.FailedPrecondition {
+		t.Errorf("unknown method: %v", err)
+	}
+}
