Silent backends lose their idle connections, machines that left are forgotten, the exit waits for quiet

Seen by reading, then shown by tests that failed without the change: Balancer.workers, Core.members and Pool.backends kept every machine that was ever listed; a cut-off machine would swallow one request after another on its open connections (pool.go: start() asked nothing of a backend that had not taken the last one); the exit after SIGTERM did not look whether a request was just arriving (front.go: Quiet).

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -32,6 +32,7 @@
 	firstGuess = 0.1  // share of its deadline that a job is taken to run before any has been seen
 	widestJob  = 256  // slots of a job that count in the mean: one senseless value must not spoil it
 	viewLeast  = 6    // workers in the own zone, and beyond it, that are in sight at least: can be kept fresh
+	pruneAfter = 4.0  // longest deadlines after which a worker that has left is forgotten
 	waitLimit  = 5.0  // a job that would wait longer than this many times the tightest objective is refused
 )
 
@@ -541,7 +542,7 @@
 	b.watching, b.askEvery = kind != ListCached, b.AskWithin/8
 	if kind != ListDelta {
 		for _, w := range b.workers {
-			w.State = Gone
+			w.leave(now)
 		}
 	}
 	for _, e := range entries {
@@ -556,8 +557,12 @@
 		if !finite(e.Since) {
 			e.Since = now
 		}
+		if e.State == Gone {
+			w.leave(now)
+		}
 		w.Worker = e
 	}
+	b.prune(now)
 	b.view(now)
 	b.rebuild(now)
 }
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -324,6 +324,20 @@
 	}
 }
 
+// Guards against a process that slows down and swells with every machine that was ever replaced.
+func TestWorkersThatLeftAreForgotten(t *testing.T) {
+	r := newRecorder(t, testSettings(), 1)
+	for i := range 200 {
+		r.list(ListFull, Worker{ID: WorkerID(i), State: Ready}, Worker{ID: 1000, State: Ready})
+		r.request(RequestID(i+1), 0, 0.05)
+		r.outcome(RequestID(i+1), 0, OK)
+		r.runTo(r.now + 5)
+	}
+	if n := len(r.b.workers); n > 20 || len(r.b.byID) != n || r.b.byID[1000] == nil {
+		t.Errorf("%d workers kept, %d by id", n, len(r.b.byID))
+	}
+}
+
 // Guards against a client that is told to come back at once, into the same jam, or later than it would obey.
 func TestARefusalSaysWhenToComeBack(t *testing.T) {
 	for _, allowed := range []bool{false, true} {
--- a/brain/state.go
+++ b/brain/state.go
@@ -27,6 +27,7 @@
 	pace, run          float64 // running time for a unit of work; mean running time of a job here
 	oldest             float64 // how long an own job has been waiting to start here
 	queued             float64 // slots of own jobs waiting to start here
+	goneAt             float64 // when it left the list
 	strikes            int     // failures near the ceiling since the last cut or clean finish
 	errors             float64 // running share of attempts that failed
 	judged             bool    // an attempt has ended there
@@ -174,6 +175,24 @@
 	}
 }
 
+// leave notes that the worker is not listed, and since when.
+func (w *worker) leave(now float64) {
+	if w.State != Gone || w.goneAt == 0 {
+		w.State, w.goneAt = Gone, now
+	}
+}
+
+// prune forgets workers that left the list long ago: machines come and go for as long as the process runs.
+func (b *Balancer) prune(now float64) {
+	b.workers = slices.DeleteFunc(b.workers, func(w *worker) bool {
+		old := w.State == Gone && w.jobs == 0 && now-w.goneAt > pruneAfter*b.recover
+		if old {
+			delete(b.byID, w.ID)
+		}
+		return old
+	})
+}
+
 // sizeOf is the slots a worker has shown, or else those of its kind, or of all.
 func (b *Balancer) sizeOf(w *worker) float64 {
 	if w.slots > 0 {
--- a/internal/program/story_test.go
+++ b/internal/program/story_test.go
@@ -232,6 +232,43 @@
 	})
 }
 
+// Guards against requests lost one by one on the open, silent connections of a machine that was cut off: once it
+// has not even taken one, the others are closed, and a new connect shows whether it is there.
+func TestASilentBackendLosesItsIdleConnections(t *testing.T) {
+	var w *world
+	both, release := make(chan bool, 2), make(chan bool)
+	u := newRunner(t, "s-1", func(n int, rw http.ResponseWriter, r *http.Request) {
+		if n >= 2 {
+			<-release
+			return
+		}
+		both <- true
+		for len(both) < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		w.done("s-1", "ok")(n, rw, r)
+	})
+	w = begin(t, options{}, u.target("ready", 1))
+	open := func() int {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		return u.open
+	}
+	answers := make(chan int, 3)
+	ask := func() { status, _, _ := w.ask("once", 4000); answers <- status }
+	go ask()
+	go ask()
+	if a, b := <-answers, <-answers; a != 200 || b != 200 || open() != 2 {
+		t.Fatalf("answers %d and %d over %d connections", a, b, open())
+	}
+	go ask()
+	w.eventually("one connection, the silent one", func() bool { return u.jobs() == 3 && open() == 1 })
+	close(release)
+	if status := <-answers; status != 500 { // an answer that is no 202 may mean that it ran
+		t.Errorf("the silent job: %d", status)
+	}
+}
+
 // Guards against a planned restart that loses what was taken: call-backs still come, and all is answered.
 func TestSigtermAnswersWhatWasTaken(t *testing.T) {
 	release := make(chan bool)
--- a/internal/protocol/gearman/worker.go
+++ b/internal/protocol/gearman/worker.go
@@ -20,6 +20,7 @@
 // worker is a worker's connection: a backend of the core.
 type worker struct {
 	p       *peer
+	name    string
 	member  brain.Worker
 	can     map[string]float64 // its functions and how long a job may run, 0 for as long as the job has
 	asleep  bool
@@ -54,9 +55,11 @@
 		}
 		p.worker = &worker{p: p, can: map[string]float64{}, running: map[string]*fetch{},
 			// The number is the slot's, so that workers that come and go leave no trail behind.
-			member: brain.Worker{ID: p.s.core.Number(fmt.Sprintf("gearman/%d", uint32(p.h))), Zone: place.zone,
+			name: fmt.Sprintf("gearman/%d", uint32(p.h)),
+			member: brain.Worker{Zone: place.zone,
 				Kind: place.kind, Cell: place.Cell, Weight: 1, Since: p.connected}}
 	}
+	p.worker.member.ID = p.s.core.Number(p.worker.name)
 	if was, had := p.worker.can[name]; !had || was != limit {
 		p.worker.can[name] = limit
 		p.worker.list()
@@ -71,7 +74,7 @@
 		w.member.Skills = append(w.member.Skills, w.p.s.functions[name].skill)
 	}
 	slices.Sort(w.member.Skills)
-	w.p.s.core.List(brain.ListDelta, []routing.Member{{Worker: w.member, Backend: w}})
+	w.p.s.core.List(brain.ListDelta, []routing.Member{{Worker: w.member, Backend: w, Name: w.name}})
 }
 
 // lose takes abilities away, the named one or all: that is a drain. What waits for a grab never ran and goes
@@ -107,7 +110,7 @@
 // leave ends what the worker had: what it was assigned may have run, whatever it told before.
 func (w *worker) leave() {
 	w.member.State = brain.Gone
-	w.p.s.core.List(brain.ListDelta, []routing.Member{{Worker: w.member, Backend: w}})
+	w.p.s.core.List(brain.ListDelta, []routing.Member{{Worker: w.member, Backend: w, Name: w.name}})
 	clear(w.can)
 	w.sweep()
 	handles := make([]string, 0, len(w.running))
--- a/internal/protocol/platform/director.go
+++ b/internal/protocol/platform/director.go
@@ -160,15 +160,17 @@
 
 func (d *Director) apply(list List, kind brain.ListKind) {
 	d.rev = list.Rev
-	members := make([]routing.Member, 0, len(list.Targets))
+	members, listed := make([]routing.Member, 0, len(list.Targets)), map[brain.WorkerID]bool{}
 	for _, t := range list.Targets {
 		w := brain.Worker{ID: d.core.Number(t.UID), Zone: place(d.zones, t.Zone), Kind: place(d.kinds, t.Kind),
 			Cell: t.Cell, State: states[t.State], Weight: t.Weight, Since: t.BootMs / 1000}
 		addr, _ := netip.ParseAddrPort(t.Endpoint)
-		members = append(members, routing.Member{Worker: w, Backend: d.pool.backend(w.ID, t.UID, addr, w.State)})
+		members = append(members, routing.Member{Worker: w, Backend: d.pool.backend(w.ID, t.UID, addr), Name: t.UID})
+		listed[w.ID] = w.State != brain.Gone
 	}
 	d.log.Info("director: list", zap.Int64("rev", list.Rev), zap.Bool("all", list.All), zap.Int("entries", len(members)))
 	d.core.List(kind, members)
+	d.pool.keep(listed, kind != brain.ListDelta)
 }
 
 // place finds a name among the settings' names, or reads it as a number; -1 is none of them.
--- a/internal/protocol/platform/front.go
+++ b/internal/protocol/platform/front.go
@@ -18,6 +18,7 @@
 	budgetMargin = 0.005 // the budget runs from the client's send, some time before the request is read here
 	headTimeout  = 10.0  // a request that has begun must be whole within this
 	idleTimeout  = 120.0 // a client session without requests is closed
+	quietTime    = 0.1   // without a word from any client before the program may end
 	mostPipeline = MaxHead + MaxBody
 )
 
@@ -34,6 +35,7 @@
 	calls    map[string]bool // ids of calls that are open
 	closing  bool
 	rests    uint64
+	lastNews float64            // when bytes last came from any session
 	noted    map[string]float64 // when a kind of bad input was last logged
 }
 
@@ -81,9 +83,10 @@
 	})
 }
 
-// Quiet says whether no client waits for an answer or for the rest of one.
+// Quiet says whether no client waits for an answer or for the rest of one, and none has spoken for a moment:
+// a request that is just arriving counts as taken.
 func (f *Front) Quiet() bool {
-	quiet := true
+	quiet := f.loop.Now() >= f.lastNews+quietTime
 	f.sessions.Each(func(_ slots.Handle, s *session) { quiet = quiet && (s.idle() || !s.asked && s.call == "") })
 	return quiet
 }
@@ -152,6 +155,7 @@
 
 // Data implements transport.Handler.
 func (s *session) Data(c *transport.Conn) {
+	s.f.lastNews = s.f.loop.Now()
 	if s.call != "" { // the next request, sent early, waits for its turn
 		if len(c.Bytes()) > mostPipeline {
 			s.Closed(c, nil)
--- a/internal/protocol/platform/pool.go
+++ b/internal/protocol/platform/pool.go
@@ -52,24 +52,37 @@
 // Serve names the core that the pool reports to.
 func (p *Pool) Serve(core *routing.Core) { p.core = core }
 
-// backend finds a backend or makes it; one that has moved or is gone loses its idle connections.
-func (p *Pool) backend(id brain.WorkerID, uid string, addr netip.AddrPort, state brain.WorkerState) *backend {
+// backend finds a backend or makes it; one that has moved loses its idle connections.
+func (p *Pool) backend(id brain.WorkerID, uid string, addr netip.AddrPort) *backend {
 	b := p.backends[id]
 	if b == nil {
 		b = &backend{pool: p, uid: uid}
 		p.backends[id] = b
 	}
-	if addr.IsValid() && addr != b.addr || state == brain.Gone {
-		for len(b.idle) > 0 {
-			b.idle[0].end()
-		}
-	}
-	if addr.IsValid() {
+	if addr.IsValid() && addr != b.addr {
+		b.closeIdle()
 		b.addr = addr
 	}
 	return b
 }
 
+// keep lets go of backends that are listed as gone or, where the list is whole, not listed. What is out there
+// keeps its own hold of its backend.
+func (p *Pool) keep(listed map[brain.WorkerID]bool, whole bool) {
+	for id, b := range p.backends {
+		if stays, named := listed[id]; named && !stays || !named && whole {
+			b.closeIdle()
+			delete(p.backends, id)
+		}
+	}
+}
+
+func (b *backend) closeIdle() {
+	for len(b.idle) > 0 {
+		b.idle[0].end()
+	}
+}
+
 // ShedIdle closes the connection that has been idle longest; false when none is idle.
 func (p *Pool) ShedIdle() bool {
 	var oldest *link
@@ -237,6 +250,11 @@
 	l.wrote = l.conn.Unsent() < len(b)
 	if x.attempt != nil {
 		x.attempt.sent = l.conn.Unsent() == 0
+		// A machine that was cut off keeps its connections open and silent: a request on one of them is lost for
+		// as long as it may take, while a connect that never comes up proves that nothing ran. So once a backend
+		// has not even taken a request for this long, the next must connect anew.
+		l.timeout.Stop()
+		l.timeout = p.loop.At(p.loop.Now()+p.limits.ConnectTimeout, l.b.closeIdle)
 	}
 }
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -91,6 +91,7 @@
 type Member struct {
 	brain.Worker
 	Backend Backend
+	Name    string // as given to Number
 }
 
 // Director asks for the list where it does not come by itself.
@@ -352,9 +353,33 @@
 			workers = append(workers, m.Worker)
 		}
 		c.bal.OnList(c.clock.Now(), kind, workers)
+		c.prune()
 	})
 }
 
+// manyGone is how many members that left may be kept before all of them are forgotten.
+const manyGone = 64
+
+// prune forgets members that have left the list, once there are many: machines come and go for as long as the
+// process runs. A fetch that is still out keeps its own hold of its member.
+func (c *Core) prune() {
+	gone := 0
+	for _, m := range c.members {
+		if m.State == brain.Gone {
+			gone++
+		}
+	}
+	if gone <= manyGone {
+		return
+	}
+	for id, m := range c.members {
+		if m.State == brain.Gone {
+			delete(c.members, id)
+			delete(c.byName, m.Name)
+		}
+	}
+}
+
 // actions carries out the Balancer's decisions.
 type actions struct{ core *Core }
 
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -169,3 +170,22 @@
 		t.Errorf("answers %+v, counts %+v", b.answers, b.c.Counts())
 	}
 }
+
+// Guards against a process that swells with every machine that was ever replaced.
+func TestMembersThatLeftAreForgotten(t *testing.T) {
+	b := start(t)
+	for i := range 500 {
+		name := fmt.Sprint("s-", i)
+		b.c.List(brain.ListFull, []Member{{Worker: brain.Worker{ID: b.c.Number(name), State: brain.Ready}, Backend: b, Name: name}})
+		b.take(0, 1)
+	}
+	if n, m := len(b.c.members), len(b.c.byName); n > 2*manyGone || m > 2*manyGone {
+		t.Errorf("%d members and %d names kept", n, m)
+	}
+	for _, f := range b.begun { // what was out there still ends
+		b.c.Ended(f.ID, End{Result: brain.OK})
+	}
+	if len(b.answers) != 500 {
+		t.Errorf("%d answers", len(b.answers))
+	}
+}
--- a/rpcplugin/balancer.go
+++ b/rpcplugin/balancer.go
@@ -126,26 +126,26 @@
 			w := d.workers[a.Addr]
 			if w == nil {
 				w = &worker{d: d, addr: a.Addr, fetches: map[routing.FetchID]*fetch{}, link: link{changed: make(chan struct{})}}
-				w.member.ID = d.core.Number(a.Addr)
 				d.workers[a.Addr] = w
 			}
 			if w.link.sub == nil {
 				missing = append(missing, fresh{w, a})
 			}
 			at, _ := a.BalancerAttributes.Value(serverKey{}).(Server)
-			w.member = brain.Worker{ID: w.member.ID, Zone: at.Zone, Kind: at.Kind, Cell: at.Cell, State: brain.Ready, Weight: 1}
+			w.member = brain.Worker{ID: d.core.Number(a.Addr), Zone: at.Zone, Kind: at.Kind, Cell: at.Cell, State: brain.Ready, Weight: 1}
 			if at.Draining {
 				w.member.State = brain.Draining
 			}
 			if !at.Started.IsZero() {
 				w.member.Since = float64(at.Started.UnixMicro()) / 1e6
 			}
-			members = append(members, routing.Member{Worker: w.member, Backend: w})
+			members = append(members, routing.Member{Worker: w.member, Backend: w, Name: a.Addr})
 		}
 		for addr, w := range d.workers {
 			if !listed[addr] && w.link.sub != nil {
 				gone = append(gone, w.link.sub)
 				w.link.sub, w.link.ready = nil, false
+				delete(d.workers, addr)
 			}
 		}
 		d.core.List(brain.ListFull, members)
