--- a/internal/program/gearman_test.go
+++ b/internal/program/gearman_test.go
@@ -385,6 +385,54 @@
 	}
 }
 
+// Guards against a job that waits for a worker which has said it takes no more of its kind.
+func TestGearmanWhatWaitsLeavesADrainingWorker(t *testing.T) {
+	g := beginGearman(t, options{cold: 0.001}, 5)
+	first, second, client := g.dial(), g.dial(), g.dial()
+	busy := make(chan string, 1)
+	first.work(gm.GrabJob, func(handle, _, _ string) bool { busy <- handle; return true }, "once")
+	g.eventually("first worker", func() bool { return strings.Contains(g.admin("status", ".\n"), "once\t0\t0\t1") })
+	for i := range 2 {
+		client.send(gm.SubmitJob, "once", "", fmt.Sprint("job ", i))
+		client.want(gm.JobCreated)
+	}
+	handle := <-busy
+	first.send(gm.CantDo, "once")
+	second.work(gm.GrabJob, second.echo, "once")
+	if p := client.want(gm.WorkComplete); p.Args[1] != "did job 1" {
+		t.Errorf("the one that waited: %v", p)
+	}
+	first.send(gm.WorkComplete, handle, "did job 0") // what runs may finish
+	if p := client.want(gm.WorkComplete); p.Args[1] != "did job 0" {
+		t.Errorf("the one that ran: %v", p)
+	}
+}
+
+// Guards against a job in the background ending with a refusal that nobody hears, or with a caller it does not need.
+func TestGearmanBackgroundJobsComeBack(t *testing.T) {
+	g := beginGearman(t, options{cold: 0.001}, 1)
+	caller, shares := g.dial(), g.dial()
+	caller.send(gm.SubmitJobBg, "once", "", "refused at first")
+	caller.want(gm.JobCreated)
+	shares.send(gm.SubmitJob, "keyed", "u", "shared")
+	handle := shares.want(gm.JobCreated).Args[0]
+	caller.send(gm.SubmitJobBg, "keyed", "u", "shared")
+	if p := caller.want(gm.JobCreated); p.Args[0] != handle {
+		t.Errorf("not shared: %v", p)
+	}
+	shares.Close()
+	g.eventually("the waiting client is gone", func() bool {
+		return strings.Count(g.admin("workers", ".\n"), "127.0.0.1") == 2 // the caller and the administrator
+	})
+	time.Sleep(1200 * time.Millisecond) // past the deadline in the foreground: it has been refused
+	w := g.dial()
+	w.work(gm.GrabJob, w.echo, "once", "keyed")
+	g.eventually("all ended", g.idle)
+	if g.ran("refused at first") != 1 || g.ran("shared") != 1 {
+		t.Errorf("runs: %v", g.started())
+	}
+}
+
 // Guards against a worker that has just connected being handed all that waits at once.
 func TestGearmanColdWorkersAreNotSwamped(t *testing.T) {
 	g := beginGearman(t, options{cold: 9}, 5)
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -115,7 +115,11 @@
 			b := start(t)
 			b.instant = func(f Fetch) { // an end from within the Send must not re-enter the decisions
 				if n := len(b.begun); n <= len(tc.ends) {
+					open := b.c.Counts().OpenFetches
 					b.c.Ended(f.ID, End{Result: tc.ends[n-1]})
+					if b.c.Counts().OpenFetches != open {
+						t.Error("an end was handled within the Send")
+					}
 					b.c.Ended(f.ID, End{Result: brain.OK}) // a second word on a fetch that is over
 				}
 			}
--- /dev/null
+++ b/internal/transport/loop_test.go
@@ -0,0 +1,136 @@
+package transport
+
+import (
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// side is one end of a connection: it keeps what it heard.
+type side struct {
+	heard *[]string
+	name  string
+	on    func(what string, c *Conn)
+}
+
+func (s side) tell(what string, c *Conn) {
+	*s.heard = append(*s.heard, s.name+" "+what)
+	if s.on != nil {
+		s.on(what, c)
+	}
+}
+func (s side) Opened(c *Conn)          { s.tell("opened", c) }
+func (s side) Data(c *Conn)            { s.tell("data "+string(c.Bytes()), c); c.Consume(len(c.Bytes())) }
+func (s side) Closed(c *Conn, _ error) { s.tell("closed", c) }
+
+func newLoop(t *testing.T, limit int) *Loop {
+	l, err := NewLoop(limit)
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.At(l.Now()+30, l.Stop)
+	return l
+}
+
+// Guards against a connection that its peer has closed passing for a live one before its hang-up was handled,
+// against a connect that fails at once re-entering its caller, and against words after an own Close.
+func TestConnections(t *testing.T) {
+	l := newLoop(t, 100)
+	var heard []string
+	var server *Conn
+	listener, err := l.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func(c *Conn) Handler {
+		server = c
+		return side{&heard, "server", func(what string, c *Conn) {
+			if strings.HasPrefix(what, "data") {
+				c.Write([]byte("pong"))
+			}
+		}}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := l.Connect(listener.Addr(), side{&heard, "client", func(what string, c *Conn) {
+		switch what {
+		case "opened":
+			c.Write([]byte("ping"))
+		case "data pong":
+			if !c.Alive() || c.Written() != 4 || c.Unsent() != 0 {
+				t.Errorf("alive %v, %d written, %d unsent", c.Alive(), c.Written(), c.Unsent())
+			}
+			server.Close()
+			if c.Alive() {
+				t.Error("alive after its peer has closed")
+			}
+		case "closed":
+			listener.Close()
+			calling := true
+			l.ConnectUnix("/nobody/here", side{&heard, "absent", func(string, *Conn) {
+				if calling {
+					t.Error("told of the failure within the call")
+				}
+				l.Stop()
+			}})
+			calling = false
+		}
+	}})
+	if err := l.Run(); err != nil {
+		t.Fatal(err)
+	}
+	want := []string{"client opened", "server data ping", "client data pong", "client closed", "absent closed"}
+	if diff := cmp.Diff(want, heard); diff != "" || client.Alive() || l.Open() != 0 {
+		t.Errorf("%d open (-want +got):\n%s", l.Open(), diff)
+	}
+}
+
+// Guards against descriptors beyond the limit, and against a loop that spins or stops when none is to be had.
+func TestNoRoom(t *testing.T) {
+	l := newLoop(t, 2)
+	var heard []string
+	listener, err := l.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func(*Conn) Handler { return side{&heard, "server", nil} })
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := l.Connect(listener.Addr(), side{&heard, "first", nil})
+	l.Connect(listener.Addr(), side{&heard, "second", nil})
+	l.At(l.Now()+0.05, func() { // the first waits in the backlog: the listener has no room to accept it
+		l.Connect(listener.Addr(), side{&heard, "third", nil})
+		first.Write([]byte("a"))
+		l.limit = 3
+	})
+	server := side{&heard, "server", func(string, *Conn) { l.Stop() }}
+	listener.take = func(*Conn) Handler { return server }
+	if err := l.Run(); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]string{"second closed", "first opened", "third closed", "server data a"}, heard); diff != "" {
+		t.Errorf("heard (-want +got):\n%s", diff)
+	}
+}
+
+// Guards against deadlines out of order, one stopped in time that runs all the same, and one that is past
+// already when it is set keeping the loop from its sockets.
+func TestDeadlines(t *testing.T) {
+	var d Deadlines
+	var got []string
+	note := func(name string) func() { return func() { got = append(got, name) } }
+	d.At(3, note("c"))
+	d.At(1, note("a"))
+	stopped := d.At(1, note("stopped"))
+	d.At(1, note("b"))
+	d.At(2, func() { got = append(got, "again"); d.At(0, note("next turn")) })
+	stopped.Stop()
+	stopped.Stop()
+	(*Deadline)(nil).Stop()
+	d.run(2)
+	got = append(got, "|")
+	d.run(2)
+	if at, any := d.next(); !any || at != 3 {
+		t.Errorf("next at %v, %v", at, any)
+	}
+	d.run(9)
+	if diff := cmp.Diff([]string{"a", "b", "again", "|", "next turn", "c"}, got); diff != "" || d.Len() != 0 {
+		t.Errorf("(-want +got):\n%s", diff)
+	}
+}
--- a/rpcplugin/rpcplugin_test.go
+++ b/rpcplugin/rpcplugin_test.go
@@ -11,6 +11,7 @@
 	"github.com/google/go-cmp/cmp"
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/balancer"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/health/grpc_health_v1"
@@ -220,3 +221,18 @@
 		t.Errorf("unknown method: %v", err)
 	}
 }
+
+// Guards against the library repeating a call by itself: its second question for one fetch is refused, and the
+// fetch then counts as one that never ran.
+func TestTheLibraryRepeatsNothing(t *testing.T) {
+	d := &Dispatcher{}
+	f := &fetch{w: &worker{d: d, link: link{sub: struct{ balancer.SubConn }{}, ready: true}}}
+	ask := balancer.PickInfo{Ctx: context.WithValue(context.Background(), fetchKey{}, f)}
+	if _, err := (picker{d}).Pick(ask); err != nil || f.unsent {
+		t.Fatalf("first pick: %v", err)
+	}
+	_, err := picker{d}.Pick(ask)
+	if got := outcome(err, nil, f.unsent); err == nil || got != brain.ConnectFailed {
+		t.Errorf("second pick: %v, which counts as %v", err, got)
+	}
+}
