A client that asks before it sends a body is told to go on

Seen by trying: `Expect: 100-continue` was ignored, so that a client which waits for the word (curl does, for a second) lost that time of its budget. front.go now answers the head alone; a story covers it.

--- a/internal/program/story_test.go
+++ b/internal/program/story_test.go
@@ -176,6 +176,16 @@
 			t.Errorf("%q: %q", text, got)
 		}
 	}
+	expects, err := net.Dial("tcp", w.addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer expects.Close()
+	fmt.Fprintf(expects, "POST /_jobs/news HTTP/1.1\r\nContent-Length: 2\r\nExpect: 100-continue\r\nConnection: close\r\n\r\n")
+	word := make([]byte, 25)
+	if _, err := io.ReadFull(expects, word); string(word) != "HTTP/1.1 100 Continue\r\n\r\n" {
+		t.Errorf("a client that waits to send its body is told %q, %v", word, err)
+	}
 	first := make(chan string)
 	go func() { first <- w.raw("POST /once/a HTTP/1.1\r\n" + head) }()
 	w.eventually("first call", func() bool { return u.jobs() == 1 })
--- a/internal/protocol/platform/front.go
+++ b/internal/protocol/platform/front.go
@@ -174,6 +174,9 @@
 		}
 		q, n, err := ParseRequest(s.conn.Bytes())
 		if errors.Is(err, ErrMore) {
+			if AwaitsContinue(s.conn.Bytes()) {
+				s.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+			}
 			s.expect(headTimeout, func() { s.reject(408, "request not whole in time") })
 			return
 		}
--- a/internal/protocol/platform/http.go
+++ b/internal/protocol/platform/http.go
@@ -149,6 +149,12 @@
 	return line, header, end + 4, nil
 }
 
+// AwaitsContinue says whether b holds a whole head whose sender waits for a word before it sends the body.
+func AwaitsContinue(b []byte) bool {
+	_, header, n, err := parseHead(b)
+	return err == nil && n == len(b) && strings.EqualFold(header.Get("Expect"), "100-continue")
+}
+
 // token says whether s is an HTTP token.
 func token(s string) bool {
 	for i := 0; i < len(s); i++ {
