No message is logged more than 50 times a second

Seen by reading: the director's bad lines and Gearman's bad packets were logged without limit (director.go: take; server.go: Data), so that one peer could fill the log. A sampler at the log's root bounds every message.

--- a/cmd/cinderroad/main.go
+++ b/cmd/cinderroad/main.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -13,6 +14,9 @@
 	"cinderroad/internal/program"
 )
 
+// linesPerSecond is how often one message is logged within a second.
+const linesPerSecond = 50
+
 func main() {
 	configPath := flag.String("config", os.Getenv("ROUTER_CONFIG"), "configuration file (JSON)")
 	gearmanPath := flag.String("gearman", "", "operator's file (TOML) that turns the Gearman front on")
@@ -40,6 +44,8 @@
 func run(config *program.Config, level zapcore.Level) error {
 	encoder := zap.NewProductionEncoderConfig()
 	encoder.EncodeTime = zapcore.ISO8601TimeEncoder
-	log := zap.New(zapcore.NewCore(zapcore.NewConsoleEncoder(encoder), zapcore.Lock(os.Stderr), level))
+	core := zapcore.NewCore(zapcore.NewConsoleEncoder(encoder), zapcore.Lock(os.Stderr), level)
+	// A peer that sends nonsense without end must not have the log written without end.
+	log := zap.New(zapcore.NewSamplerWithOptions(core, time.Second, linesPerSecond, 0))
 	return program.Run(config, log)
 }
