--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -32,6 +32,7 @@
 	Collectd     string  `json:"-"` // path of collectd's unix socket; empty: off
 	MetricsEvery float64 `json:"-"` // seconds
 
+	path, gearmanPath string // where it was read from
 	listen, discovery netip.AddrPort
 	graphite          netip.AddrPort
 	seed              uint64
@@ -62,6 +63,7 @@
 	for _, class := range c.brain.Classes {
 		n.Deadlines = append(n.Deadlines, class.Deadline)
 	}
+	c.gearmanPath = path
 	c.gearman, err = gearman.ReadConfig(path, n)
 	return err
 }
@@ -91,7 +93,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
-	var c Config
+	c := Config{path: path}
 	if err := json.Unmarshal(text, &c); err != nil {
 		return nil, fmt.Errorf("config: %s: %w", path, err)
 	}
@@ -122,6 +124,9 @@
 	if c.brain, err = settings.Parse(c.Settings); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
+	if _, err := brain.New(c.brain, c.seed, nil); err != nil { // checks them
+		return nil, fmt.Errorf("config: %w", err)
+	}
 	if err := json.Unmarshal(c.Settings, &c.names); err != nil {
 		return nil, fmt.Errorf("config: settings: %w", err)
 	}
@@ -134,5 +139,8 @@
 	if c.Limits.Sockets <= reserve {
 		return nil, fmt.Errorf("config: limits.sockets: %d is too few", c.Limits.Sockets)
 	}
+	if c.Limits.MemoryMB < 0 {
+		return nil, fmt.Errorf("config: limits.memory_mb: %d", c.Limits.MemoryMB)
+	}
 	return &c, nil
 }
--- a/internal/program/figures.go
+++ b/internal/program/figures.go
@@ -26,6 +26,7 @@
 	counter("reqs.failed", n.Failed)
 	counter("reqs.client_gone", n.Gone)
 	counter("reqs.overdue", n.Overdue)
+	counter("reqs.unusable", n.Unusable)
 	gauge("reqs.open", n.OpenReqs)
 	counter("fetches.sent", n.Fetches)
 	counter("fetches.repeats", n.Repeats)
@@ -39,6 +40,10 @@
 	counter("backends.bad_news", p.front.BadNews)
 	counter("clients.sessions_opened", p.front.Sessions)
 	counter("clients.malformed", p.front.Malformed)
+	counter("clients.slow", p.front.Slow)
+	counter("clients.turned_away", p.door.Turned)
+	counter("program.reloads", p.Reloads.Taken)
+	counter("program.reloads_refused", p.Reloads.Refused)
 	counter("director.watches", p.director.Watches)
 	counter("director.bad_lines", p.director.Rejected)
 	gauge("sockets.open", p.loop.Open())
@@ -56,6 +61,7 @@
 		counter("gearman.gone", g.Gone)
 		counter("gearman.bad_packets", g.BadPackets)
 		counter("gearman.stray_work", g.StrayWork)
+		counter("gearman.slow", g.Slow)
 	}
 	return values
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"cinderroad/internal/protocol/door"
 	"cinderroad/internal/protocol/gearman"
 	"cinderroad/internal/protocol/platform"
 	"cinderroad/internal/routing"
@@ -39,22 +40,31 @@
 	director *platform.Director
 	listener *transport.Listener
 	gearman  *gearman.Server
+	door     *door.Door
 	stopping bool
+	Reloads  struct{ Taken, Refused uint64 }
 }
 
 // Run serves until it is told to stop.
 func Run(config *Config, log *zap.Logger) error {
 	bound(config)
+	// Signals are taken before the port opens: whoever finds it open may send one.
+	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(reloads, syscall.SIGHUP)
 	p, err := build(config, log)
 	if err != nil {
 		return err
 	}
 	p.startMetrics()
-	signals := make(chan os.Signal, 2)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
 	go func() {
-		for s := range signals {
-			p.loop.Post(func() { p.stop(s.String()) })
+		for {
+			select {
+			case s := <-stops:
+				p.loop.Post(func() { p.stop(s.String()) })
+			case <-reloads:
+				p.loop.Post(p.reload)
+			}
 		}
 	}()
 	log.Info("program: serving", zap.String("name", config.Name), zap.String("listen", config.Listen),
@@ -91,7 +101,8 @@
 	p.pool = platform.NewPool(loop, log, platform.Limits{ConnectTimeout: n.Limits.ConnectTimeoutS,
 		ConnIdle: n.Limits.ConnIdleS, ProbeTimeout: 2 * n.Limits.ConnectTimeoutS, Fields: n.Report.Fields})
 	p.pool.Serve(p.core)
-	p.front = platform.NewFront(loop, log, p.core, p.pool, config.classes())
+	p.door = door.New(loop, config.Limits.MemoryMB)
+	p.front = platform.NewFront(loop, log, p.core, p.pool, p.door, config.brain.Classes)
 	// A descriptor is freed where it costs least: an idle client session first, then an idle backend connection.
 	loop.Shed = func() bool {
 		return p.front.ShedIdle() || p.pool.ShedIdle() || p.gearman != nil && p.gearman.ShedIdle()
@@ -108,7 +119,7 @@
 		}
 	}
 	if config.gearman != nil {
-		p.gearman = gearman.New(loop, log, p.core, config.gearman, config.Name, config.brain.Report)
+		p.gearman = gearman.New(loop, log, p.core, p.door, config.gearman, config.Name, config.brain.Report)
 		p.gearman.Shutdown = func() { p.stop("gearman shutdown") }
 		if err := p.gearman.Start(); err != nil {
 			return nil, err
--- /dev/null
+++ b/internal/program/reload_test.go
@@ -0,0 +1,95 @@
+package program
+
+import (
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Guards against a program that ends on SIGHUP, takes half of a bad file, goes on watching the address of its
+// start's environment, or lets go of the list before the new address has spoken. A version of the old address
+// means nothing to the new one. All of it holds when it is repeated, and in a drain.
+func TestReload(t *testing.T) {
+	var w *world
+	var runners []*runner
+	for i := range 2 {
+		uid := fmt.Sprint("s-", i)
+		runners = append(runners, newRunner(t, uid, func(n int, rw http.ResponseWriter, r *http.Request) { w.done(uid, uid)(n, rw, r) }))
+	}
+	w = begin(t, options{}, runners[0].target("ready", 0))
+	served := func(want string) {
+		t.Helper()
+		if status, body, _ := w.ask("score", 4000); status != 200 || body != want {
+			t.Fatalf("answer %d %q, want %q", status, body, want)
+		}
+	}
+	w.tell(`{"rev":41,"all":false,"targets":[` + runners[0].target("ready", 0) + `]}`)
+	w.eventually("the old address is heard", func() bool { return strings.Contains(w.log.String(), `"rev": 41`) })
+
+	asked, speak, queries := make(chan bool, 9), make(chan bool), make(chan string, 9)
+	var stall atomic.Bool
+	stall.Store(true)
+	second := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		asked <- true
+		queries <- r.URL.RawQuery
+		if stall.Load() {
+			<-speak
+		}
+		list := `{"rev":7,"all":true,"targets":[` + runners[1].target("ready", 1) + `]}`
+		if r.URL.RawQuery == "" {
+			io.WriteString(rw, list)
+			return
+		}
+		io.WriteString(rw, "\n")
+		rw.(http.Flusher).Flush()
+		<-r.Context().Done()
+	}))
+	t.Cleanup(second.CloseClientConnections)
+	address := strings.TrimPrefix(second.URL, "http://")
+
+	w.configure("discovery", address, "seed", "no number")
+	w.reload("reload refused, old configuration kept")
+	if len(asked) > 0 || strings.Count(w.log.String(), "reload") != 1 {
+		t.Fatalf("%d asked after a bad file, log:\n%s", len(asked), w.log)
+	}
+	served("s-0")
+
+	w.configure("seed", "2", "name", "n9", "limits", map[string]any{"cores": 1, "memory_mb": 64, "sockets": 300})
+	w.reload("program: reloaded")
+	<-asked
+	w.discovery.CloseClientConnections() // the old address goes before the new one speaks
+	w.eventually("the old watch has ended", func() bool { return strings.Contains(w.log.String(), "watch ended") })
+	served("s-0")
+	w.mu.Lock()
+	if diff := cmp.Diff([]string{"stream=1&index=1"}, w.watches); diff != "" {
+		t.Errorf("the old address was asked again (-want +got):\n%s", diff)
+	}
+	w.mu.Unlock()
+	stall.Store(false)
+	close(speak)
+	w.eventually("the new address is heard", func() bool { return strings.Contains(w.log.String(), `"rev": 7`) })
+	served("s-1")
+	<-asked
+	if diff := cmp.Diff([]string{"", "stream=1&index=7"}, []string{<-queries, <-queries}); diff != "" {
+		t.Errorf("queries (-want +got):\n%s", diff)
+	}
+	w.reload("program: reloaded") // nothing has changed: nothing is asked anew
+	served("s-1")
+	if text := w.log.String(); len(asked) > 0 || strings.Count(text, `"needs_restart": ["name"]`) != 2 {
+		t.Errorf("asked %d times more, log:\n%s", len(asked), text)
+	}
+	exit := w.terminate()
+	w.eventually("stopping", func() bool { return strings.Contains(w.log.String(), "program: stopping") })
+	w.configure("discovery", strings.TrimPrefix(w.discovery.URL, "http://"))
+	w.cmd.Process.Signal(syscall.SIGHUP)
+	if err := <-exit; err != nil {
+		t.Errorf("exit: %v\n%s", err, w.log)
+	}
+}
--- /dev/null
+++ b/internal/program/rude_test.go
@@ -0,0 +1,210 @@
+package program
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	gm "cinderroad/internal/protocol/gearman"
+)
+
+// until reads what a connection brings to its end.
+func until(c net.Conn) string {
+	c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	got, _ := io.ReadAll(c)
+	return string(got)
+}
+
+func (w *world) dial() net.Conn {
+	c, err := net.Dial("tcp", w.addr)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	w.t.Cleanup(func() { c.Close() })
+	return c
+}
+
+// drip sends a text and then a byte now and then for as long as the connection takes it.
+func drip(c net.Conn, text string) {
+	io.WriteString(c, text)
+	for {
+		time.Sleep(200 * time.Millisecond)
+		if _, err := io.WriteString(c, "x"); err != nil {
+			return
+		}
+	}
+}
+
+// Guards against clients that hold a session without end, whom a reset robs of the answer, or who hide something
+// in what two readers take differently. Each is owed an error and the end of its connection.
+func TestRudeClients(t *testing.T) {
+	u := newRunner(t, "s-1", func(_ int, rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(202) })
+	w := begin(t, options{}, u.target("ready", 1))
+	call := func(id, budget, rest string) string {
+		return "POST /once/a HTTP/1.1\r\nX-Call-Id: " + id + "\r\nX-Budget-Ms: " + budget + "\r\n" + rest
+	}
+	hidden := "0\r\n\r\nGET /_health HTTP/1.1\r\n\r\n"
+	for _, tc := range []struct {
+		name, text, want string
+		drips            bool
+	}{
+		{"silent", "", "HTTP/1.1 503", false},
+		{"slow head", "POST /once/a HTTP/1.1\r\nA: ", "HTTP/1.1 408", true},
+		{"slow body", call("a", "500", "Content-Length: 1000\r\n\r\n"), "HTTP/1.1 408", true},
+		{"half a body", call("a", "500", "Content-Length: 1000\r\n\r\nabc"), "HTTP/1.1 408", false},
+		{"binary", "\x00\x01\x02", "HTTP/1.1 400", false},
+		{"empty lines", strings.Repeat("\r\n", 100), "HTTP/1.1 400", false},
+		{"60 MB", call("a", "500", "Content-Length: 60000000\r\n\r\n") + strings.Repeat("x", 60000000), "HTTP/1.1 413", false},
+		{"two framings", call("a", "500", "Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n"+hidden), "HTTP/1.1 400", false},
+		{"an empty coding", call("a", "500", "Content-Length: 3\r\nTransfer-Encoding:\r\n\r\n"+hidden), "HTTP/1.1 400", false},
+		{"endless length", call("a", "500", "Content-Length: 99999999999999999999999\r\n\r\n"), "HTTP/1.1 413", false},
+		{"a chunk without end", call("a", "500", "Transfer-Encoding: chunked\r\n\r\n700000\r\n"), "HTTP/1.1 413", false},
+		{"budget Inf", call("a", "Inf", "\r\n"), "HTTP/1.1 400", false},
+		{"budget 1e300", call("a", "1e300", "\r\n"), "HTTP/1.1 400", false},
+		{"budget hex", call("a", "0x1p9", "\r\n"), "HTTP/1.1 400", false},
+		{"budget -1", call("a", "-1", "\r\n"), "HTTP/1.1 400", false},
+		{"two budgets", call("a", "500", "X-Budget-Ms: 400\r\n\r\n"), "HTTP/1.1 400", false},
+		{"no id", call("", "500", "\r\n"), "HTTP/1.1 400", false},
+		{"an id that is a path", call("a/../b", "500", "\r\n"), "HTTP/1.1 400", false},
+		{"another class", call("a", "500", "X-Call-Class: score\r\n\r\n"), "HTTP/1.1 400", false},
+		{"control in a value", call("a", "500", "Idempotency-Key: a\x01b\r\n\r\n"), "HTTP/1.1 400", false},
+		{"control in the target", "POST /once/a\x7fb HTTP/1.1\r\nX-Call-Id: a\r\nX-Budget-Ms: 500\r\n\r\n", "HTTP/1.1 400", false},
+		{"too wide", call("a", "500", "X-Call-Info: coresNeeded=1e9\r\n\r\n"), "HTTP/1.1 400", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := w.dial()
+			if tc.drips {
+				go drip(c, tc.text)
+			} else if _, err := io.WriteString(c, tc.text); err != nil { // all of it, before anything is read
+				t.Errorf("cut off while it sent: %v", err)
+			}
+			if got := until(c); !strings.HasPrefix(got, tc.want) || strings.Count(got, "HTTP/1.1") != 1 {
+				t.Errorf("%.200q, want %s and the end", got, tc.want)
+			}
+		})
+	}
+	t.Cleanup(func() {
+		if n := u.jobs(); n != 0 {
+			t.Errorf("%d jobs were passed on", n)
+		}
+	})
+}
+
+// Guards against a flood of silent connections that pushes out sessions which work here, and against a client
+// that sends far ahead being cut off with its first request unanswered.
+func TestFloods(t *testing.T) {
+	var w *world
+	release := make(chan bool)
+	u := newRunner(t, "s-1", func(n int, rw http.ResponseWriter, r *http.Request) {
+		if n == 2 {
+			<-release
+		}
+		w.done("s-1", "ok")(n, rw, r)
+	})
+	w = begin(t, options{sockets: reserve + 40}, u.target("ready", 1))
+	usual := w.dial()
+	answers := bufio.NewReader(usual)
+	ask := func(id int) {
+		t.Helper()
+		fmt.Fprintf(usual, "POST /score/a HTTP/1.1\r\nX-Call-Id: u%d\r\nX-Budget-Ms: 4000\r\n\r\n", id)
+	}
+	answered := func() {
+		t.Helper()
+		usual.SetReadDeadline(time.Now().Add(20 * time.Second))
+		if r, err := http.ReadResponse(answers, nil); err != nil || r.StatusCode != 200 {
+			t.Fatalf("the usual client: %v, %v", r, err)
+		} else {
+			io.Copy(io.Discard, r.Body)
+		}
+	}
+	ask(0)
+	answered()
+	for range 100 {
+		w.dial()
+	}
+	w.eventually("all came", func() bool { return strings.Count(until(w.dial()), "503") == 1 }) // the last one's time is over
+	ask(1)
+	answered()
+	ask(2)
+	w.eventually("the third", func() bool { return u.jobs() == 3 })
+	go io.WriteString(usual, strings.Repeat("POST /nobody/a HTTP/1.1\r\n", 1<<15))
+	time.Sleep(100 * time.Millisecond)
+	close(release)
+	answered()
+}
+
+// Guards against sessions that asked once and stay taking all room from those who come to work.
+func TestSessionsThatStayGiveWay(t *testing.T) {
+	var w *world
+	u := newRunner(t, "s-1", func(n int, rw http.ResponseWriter, r *http.Request) { w.done("s-1", "ok")(n, rw, r) })
+	w = begin(t, options{sockets: reserve + 40}, u.target("ready", 1))
+	for i := range 100 {
+		c := w.dial()
+		fmt.Fprintf(c, "POST /score/a HTTP/1.1\r\nX-Call-Id: s%d\r\nX-Budget-Ms: 4000\r\n\r\n", i)
+		c.SetReadDeadline(time.Now().Add(20 * time.Second))
+		if r, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || r.StatusCode != 200 {
+			t.Fatalf("session %d: %v, %v", i, r, err)
+		}
+	}
+}
+
+// Guards against requests that no backend can use making healthy ones look bad.
+func TestUnusableRequests(t *testing.T) {
+	var w *world
+	var runners []*runner
+	var targets []string
+	for i := range 4 {
+		uid := fmt.Sprint("s-", i)
+		u := newRunner(t, uid, func(n int, rw http.ResponseWriter, r *http.Request) {
+			if strings.HasSuffix(r.URL.Path, "/7f3a") {
+				w.done(uid, "ok")(n, rw, r)
+				return
+			}
+			rw.WriteHeader(400)
+		})
+		runners, targets = append(runners, u), append(targets, u.target("ready", i))
+	}
+	w = begin(t, options{}, targets...)
+	for i := range 30 {
+		if got := w.raw(fmt.Sprintf("POST /score/bad HTTP/1.1\r\nX-Call-Id: b%d\r\nX-Budget-Ms: 4000\r\nConnection: close\r\n\r\n", i)); !strings.HasPrefix(got, "HTTP/1.1 500") {
+			t.Fatalf("unusable: %q", got)
+		}
+	}
+	jobs := 0
+	for _, u := range runners {
+		jobs += u.jobs()
+	}
+	if jobs > 60 || strings.Contains(w.log.String(), "set aside") {
+		t.Errorf("%d attempts for 30 jobs, log:\n%s", jobs, w.log)
+	}
+	if status, body, _ := w.ask("score", 4000); status != 200 {
+		t.Errorf("a usable one: %d %q", status, body)
+	}
+}
+
+// Guards against Gearman peers that hold a socket without a word, or byte by byte, and against the same bound
+// cutting off a worker that rests between its jobs.
+func TestSilentGearmanPeers(t *testing.T) {
+	g := beginGearman(t, options{cold: 0.001}, 5)
+	worker := g.dial()
+	worker.work(gm.GrabJobUniq, worker.echo, "safe")
+	silent, slow := g.dial(), g.dial()
+	go drip(slow, "\x00REQ\x00\x00\x00\x07\x00\x00\x01\x00")
+	for name, c := range map[string]*wire{"silent": silent, "slow": slow} {
+		if p := c.want(gm.Error); p.Args[0] != "ERR_BAD_PACKET" {
+			t.Errorf("%s: %q", name, p.Args)
+		}
+		if rest := until(c); rest != "" {
+			t.Errorf("%s: %q after the error", name, rest)
+		}
+	}
+	client := g.dial()
+	client.send(gm.SubmitJob, "safe", "", "payload")
+	client.want(gm.WorkComplete)
+}
--- a/internal/program/world_test.go
+++ b/internal/program/world_test.go
@@ -59,6 +59,8 @@
 	cmd       *exec.Cmd
 	log       *lockedBuffer
 	mu        sync.Mutex
+	config    map[string]any
+	path      string   // of the configuration file
 	lines     []string // of the director, since the start
 	watches   []string // queries of the watches
 	changed   chan struct{}
@@ -107,20 +109,15 @@
 	if o.connIdle == 0 {
 		o.connIdle = 60
 	}
-	config := map[string]any{"name": "n0", "listen": w.addr, "discovery": strings.TrimPrefix(w.discovery.URL, "http://"),
+	w.config = map[string]any{"name": "n0", "listen": w.addr, "discovery": strings.TrimPrefix(w.discovery.URL, "http://"),
 		"seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": o.sockets},
 		"known":    json.RawMessage(`{"rev":1,"all":true,"targets":[` + strings.Join(targets, ",") + `]}`),
 		"settings": json.RawMessage(fmt.Sprintf(settingsText, o.cold, o.connIdle))}
-	text, err := json.Marshal(config)
-	if err != nil {
-		t.Fatal(err)
-	}
-	path := filepath.Join(t.TempDir(), "config.json")
-	if err := os.WriteFile(path, text, 0o600); err != nil {
-		t.Fatal(err)
-	}
-	w.cmd = exec.Command(program, append([]string{"-config", path, "-log", "debug"}, o.args...)...)
+	w.path = filepath.Join(t.TempDir(), "config.json")
+	w.configure()
+	w.cmd = exec.Command(program, append([]string{"-config", w.path, "-log", "debug"}, o.args...)...)
 	w.cmd.Stderr = w.log
+	w.cmd.Env = append(os.Environ(), "ROUTER_DISCOVERY="+strings.TrimPrefix(w.discovery.URL, "http://"))
 	if err := w.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -142,6 +139,29 @@
 	return w
 }
 
+// configure writes the configuration file with changes: names and values in turn.
+func (w *world) configure(changes ...any) {
+	w.t.Helper()
+	for i := 0; i < len(changes); i += 2 {
+		w.config[changes[i].(string)] = changes[i+1]
+	}
+	text, err := json.Marshal(w.config)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	if err := os.WriteFile(w.path, text, 0o600); err != nil {
+		w.t.Fatal(err)
+	}
+}
+
+// reload has the program read its configuration again, and waits for its word on it.
+func (w *world) reload(word string) {
+	w.t.Helper()
+	before := strings.Count(w.log.String(), word)
+	w.cmd.Process.Signal(syscall.SIGHUP)
+	w.eventually(word, func() bool { return strings.Count(w.log.String(), word) > before })
+}
+
 func freeAddr(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/protocol/gearman/server.go
+++ b/internal/protocol/gearman/server.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net/netip"
 	"slices"
 	"strconv"
 	"strings"
@@ -11,6 +12,7 @@
 
 	"cinderroad/brain"
 	"cinderroad/internal/invariant"
+	"cinderroad/internal/protocol/door"
 	"cinderroad/internal/routing"
 	"cinderroad/internal/slots"
 	"cinderroad/internal/transport"
@@ -22,7 +24,7 @@
 	Served, Refused, Failed, Gone uint64
 	BackgroundEnded               uint64
 	Returned                      uint64 // refusals after which a job in the background came back
-	BadPackets, StrayWork         uint64
+	BadPackets, StrayWork, Slow   uint64
 }
 
 // Server is the Gearman front: clients and workers come by the same port.
@@ -33,6 +35,7 @@
 	loop      *transport.Loop
 	log       *zap.Logger
 	core      *routing.Core
+	door      *door.Door
 	config    *Config
 	report    []brain.Field
 	functions map[string]*function
@@ -85,8 +88,8 @@
 }
 
 // New makes the front; Start opens its port.
-func New(loop *transport.Loop, log *zap.Logger, core *routing.Core, config *Config, name string, report []brain.Field) *Server {
-	s := &Server{loop: loop, log: log, core: core, config: config, report: report, functions: map[string]*function{},
+func New(loop *transport.Loop, log *zap.Logger, core *routing.Core, door *door.Door, config *Config, name string, report []brain.Field) *Server {
+	s := &Server{loop: loop, log: log, core: core, door: door, config: config, report: report, functions: map[string]*function{},
 		jobs: map[string]*job{}, unique: map[uniqueKey]*job{}, prefix: "H:" + name + ":"}
 	for i, f := range config.Functions {
 		s.functions[f.Name] = &function{Function: f, skill: uint32(i + 1)}
@@ -121,18 +124,40 @@
 	return quiet
 }
 
-// ShedIdle closes the client that has been idle longest; a worker is never shed.
-func (s *Server) ShedIdle() bool {
-	var oldest *peer
+// ShedIdle closes a client that can be spared, a worker never.
+func (s *Server) ShedIdle() bool { return s.shed(func(*peer) bool { return true }) }
+
+// shed closes one of the clients that may be closed: first one that has handed in nothing yet, then the one that
+// has been idle longest.
+func (s *Server) shed(may func(*peer) bool) bool {
+	var best *peer
 	s.peers.Each(func(_ slots.Handle, p *peer) {
-		if p.worker == nil && p.waits == 0 && (oldest == nil || p.idleSince < oldest.idleSince) && p.conn.Alive() {
-			oldest = p
+		switch {
+		case p.worker != nil || p.waits > 0 || !may(p) || best != nil && (p.whole && !best.whole ||
+			p.whole == best.whole && p.idleSince > best.idleSince):
+		case p.conn.Alive() || !p.whole && len(p.conn.Bytes()) > 0:
+			best = p
 		}
 	})
-	if oldest != nil {
-		oldest.end()
+	if best != nil {
+		best.end()
+	}
+	return best != nil
+}
+
+// Reload takes a changed operator's file and names what needs a restart. Workers that stand in the list keep
+// the place they came with.
+func (s *Server) Reload(c *Config) (restart []string) {
+	if c.listen != s.config.listen {
+		restart = append(restart, "gearman listen")
+	}
+	if !slices.Equal(c.Functions, s.config.Functions) {
+		restart = append(restart, "gearman functions")
 	}
-	return oldest != nil
+	next := *c
+	next.listen, next.Functions = s.config.listen, s.config.Functions
+	s.config = &next
+	return restart
 }
 
 // Counted returns the figures so far.
@@ -149,15 +174,42 @@
 	exceptions bool
 	clientID   string
 	worker     *worker
+	from       netip.Addr
+	whole      bool // has sent a whole message
+	began      bool // the next one has begun
+	timeout    *transport.Deadline
 }
 
 func (s *Server) accept(c *transport.Conn) transport.Handler {
 	s.rests++
-	p := &peer{s: s, conn: c, connected: s.loop.Now(), idleSince: s.rests, clientID: "-"}
+	p := &peer{s: s, conn: c, connected: s.loop.Now(), idleSince: s.rests, clientID: "-", from: c.Peer().Addr().Unmap()}
 	p.h = s.peers.Put(p)
+	p.expect(door.FreshTime)
+	if !s.door.Enter(p.from, func(may func(netip.Addr) bool) bool {
+		return s.shed(func(o *peer) bool { return o != p && may(o.from) })
+	}) {
+		p.turn(errQueue, "too many connections")
+	}
 	return p
 }
 
+// expect bounds how long the next message may take: a peer that never says what it wants, or says it byte by
+// byte, must not hold a socket. Between messages clients and workers may rest for as long as they like.
+func (p *peer) expect(wait float64) {
+	p.timeout.Stop()
+	p.timeout = p.s.loop.At(p.s.loop.Now()+wait, func() {
+		p.s.Counts.Slow++
+		p.turn(errPacket, "message not whole in time")
+	})
+}
+
+// turn closes with a word on why.
+func (p *peer) turn(code, reason string) {
+	p.send(Error, code, reason)
+	p.leave()
+	p.conn.CloseWhenSent()
+}
+
 // Opened implements transport.Handler.
 func (p *peer) Opened(*transport.Conn) {}
 
@@ -175,6 +227,8 @@
 	if !p.s.peers.Drop(p.h) {
 		return
 	}
+	p.timeout.Stop()
+	p.s.door.Leave(p.from)
 	if p.worker != nil {
 		p.worker.leave()
 	}
@@ -216,6 +270,7 @@
 			var words []string
 			if words, n, err = ParseLine(c.Bytes()); err == nil {
 				c.Consume(n)
+				p.took()
 				c.Write([]byte(p.admin(words)))
 				continue
 			}
@@ -223,22 +278,34 @@
 			var q Packet
 			if q, n, err = Parse(c.Bytes()); err == nil {
 				c.Consume(n)
+				p.took()
 				p.packet(q)
 				continue
 			}
 		}
 		if errors.Is(err, ErrMore) {
+			switch {
+			case p.s.door.Crowded():
+				p.turn(errQueue, "no memory to wait for the rest")
+			case p.whole && !p.began:
+				p.began = true
+				p.expect(door.WholeTime)
+			}
 			return
 		}
 		p.s.Counts.BadPackets++
 		p.s.log.Warn("gearman: bad packet, closing", zap.Error(err), zap.Uint64("so_far", p.s.Counts.BadPackets))
-		p.send(Error, errPacket, err.Error())
-		p.leave()
-		c.CloseWhenSent()
+		p.turn(errPacket, err.Error())
 		return
 	}
 }
 
+// took notes a whole message.
+func (p *peer) took() {
+	p.whole, p.began = true, false
+	p.timeout.Stop()
+}
+
 func (p *peer) packet(q Packet) {
 	switch q.Kind {
 	case SubmitJob, SubmitJobBg:
@@ -327,11 +394,6 @@
 		}
 		return
 	}
-	if f.maxQueue > 0 && f.jobs-f.running >= f.maxQueue || len(s.jobs) >= s.config.MaxJobs ||
-		s.held+len(data) > s.config.MaxBytes {
-		p.send(Error, errQueue, "job queue is full")
-		return
-	}
 	at := 0.0
 	if q.Kind == SubmitJobEpoch {
 		seconds, err := strconv.ParseInt(q.Args[2], 10, 64)
@@ -341,6 +403,11 @@
 		}
 		at = float64(seconds)
 	}
+	if f.maxQueue > 0 && f.jobs-f.running >= f.maxQueue || len(s.jobs) >= s.config.MaxJobs ||
+		s.held+len(data) > s.config.MaxBytes || !s.door.Hold(len(data)) {
+		p.send(Error, errQueue, "job queue is full")
+		return
+	}
 	s.serial++
 	j := &job{s: s, handle: s.prefix + strconv.FormatUint(s.serial, 10), unique: unique, data: data, f: f,
 		background: background, priority: priority, num: "0", den: "0"}
@@ -465,6 +532,7 @@
 	}
 	j.f.jobs--
 	j.s.held -= len(j.data)
+	j.s.door.Release(len(j.data))
 }
 
 // tell passes news on to all who wait for the job.
--- a/internal/protocol/platform/director.go
+++ b/internal/protocol/platform/director.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"strconv"
+	"strings"
 
 	"go.uber.org/zap"
 
@@ -25,19 +26,18 @@
 	Rejected uint64 // lines that made no sense: the old list was kept
 	Watches  uint64
 
-	loop    *transport.Loop
-	log     *zap.Logger
-	addr    netip.AddrPort
-	core    *routing.Core
-	pool    *Pool
-	zones   []string
-	kinds   []string
-	rev     int64
-	conn    *transport.Conn
-	head    bool // the answer's head has come
-	line    []byte
-	silence *transport.Deadline
-	wait    float64
+	loop  *transport.Loop
+	log   *zap.Logger
+	addr  netip.AddrPort // where discovery is by the latest configuration
+	core  *routing.Core
+	pool  *Pool
+	zones []string
+	kinds []string
+	rev   int64
+	on    *watch // the one that has told the list held now; nil before there was one, or between two tries
+	next  *watch // one at a new address, which has not spoken yet
+	retry *transport.Deadline
+	wait  float64
 }
 
 // NewDirector makes a director; Start begins the watch.
@@ -48,7 +48,24 @@
 // Start hands over the list of an earlier life, which may be out of date, and watches from there.
 func (d *Director) Start(known List) {
 	d.apply(known, brain.ListCached)
-	d.watch()
+	d.on = d.open(false)
+}
+
+// Move watches another address, at once. The list held, and the watch that told it, stay until the new address
+// has spoken: it may never do so, or for a while know of nothing.
+func (d *Director) Move(addr netip.AddrPort) {
+	if addr == d.addr {
+		return
+	}
+	d.addr, d.wait = addr, rewatchAfter
+	d.retry.Stop()
+	if d.next != nil {
+		d.next.close()
+		d.next = nil
+	}
+	if d.on == nil || d.on.addr != addr { // else it moves back before the new address has spoken
+		d.next = d.open(true)
+	}
 }
 
 // Watch and Fetch implement routing.Director: the watch runs by itself, for ever.
@@ -57,49 +74,132 @@
 // Fetch asks for nothing more: the watch brings the whole list where it must.
 func (d *Director) Fetch() {}
 
-func (d *Director) watch() {
+// watch is one connection to discovery.
+type watch struct {
+	d       *Director
+	addr    netip.AddrPort
+	conn    *transport.Conn
+	whole   bool // asks for the whole list first: versions of another address mean nothing here
+	head    bool // the head of the stream's answer has come
+	line    []byte
+	silence *transport.Deadline
+}
+
+func (d *Director) open(whole bool) *watch {
 	d.Watches++
-	d.head, d.line = false, nil
-	d.conn = d.loop.Connect(d.addr, d)
-	d.conn.Urgent()
-	d.heard()
+	w := &watch{d: d, addr: d.addr, whole: whole}
+	w.conn = d.loop.Connect(d.addr, w)
+	w.conn.Urgent()
+	w.heard()
+	return w
+}
+
+func (w *watch) close() {
+	w.silence.Stop()
+	w.conn.Close()
 }
 
 // heard puts off the moment at which the watch counts as dead.
-func (d *Director) heard() {
-	d.silence.Stop()
-	d.silence = d.loop.At(d.loop.Now()+watchSilence, func() {
-		d.conn.Close()
-		d.again(errors.New("silent"))
-	})
+func (w *watch) heard() {
+	w.silence.Stop()
+	w.silence = w.d.loop.At(w.d.loop.Now()+watchSilence, func() { w.fail(errors.New("silent")) })
 }
 
-func (d *Director) again(err error) {
-	d.silence.Stop()
-	d.log.Warn("director: watch ended, asking again", zap.Int64("rev", d.rev), zap.Error(err))
-	d.loop.At(d.loop.Now()+d.wait, d.watch)
+// fail ends the watch. The next try goes to the address of the latest configuration.
+func (w *watch) fail(err error) {
+	d := w.d
+	w.close()
+	d.log.Warn("director: watch ended, asking again", zap.Stringer("discovery", w.addr), zap.Int64("rev", d.rev), zap.Error(err))
+	if w == d.on {
+		if d.on = nil; d.next != nil || w.addr != d.addr {
+			return // the old address has closed; the new one is being asked
+		}
+	} else {
+		d.next = nil
+	}
+	d.retry.Stop()
+	d.retry = d.loop.At(d.loop.Now()+d.wait, func() {
+		if w.whole {
+			d.next = d.open(true)
+		} else {
+			d.on = d.open(false)
+		}
+	})
 	d.wait = min(2*d.wait, rewatchMost)
 }
 
 // Opened implements transport.Handler.
-func (d *Director) Opened(c *transport.Conn) {
-	c.Write(fmt.Appendf(nil, "GET /catalog/members?stream=1&index=%d HTTP/1.1\r\nHost: %s\r\n\r\n", d.rev, d.addr))
+func (w *watch) Opened(c *transport.Conn) { w.ask() }
+
+func (w *watch) ask() {
+	query := fmt.Sprintf("?stream=1&index=%d", w.d.rev)
+	if w.whole {
+		query = ""
+	}
+	w.conn.Write(fmt.Appendf(nil, "GET /catalog/members%s HTTP/1.1\r\nHost: %s\r\n\r\n", query, w.addr))
 }
 
 // Closed implements transport.Handler.
-func (d *Director) Closed(c *transport.Conn, err error) { d.again(err) }
+func (w *watch) Closed(c *transport.Conn, err error) {
+	if w.whole && len(c.Bytes()) > 0 && w.list(true) == nil {
+		return
+	}
+	w.fail(err)
+}
 
 // Data implements transport.Handler.
-func (d *Director) Data(c *transport.Conn) {
-	d.heard()
-	if err := d.read(c); err != nil {
-		c.Close()
-		d.again(err)
+func (w *watch) Data(*transport.Conn) {
+	w.heard()
+	read := w.read
+	if w.whole {
+		read = func() error { return w.list(false) }
+	}
+	if err := read(); err != nil {
+		w.fail(err)
+	}
+}
+
+// list reads the whole list, which a new address is asked for first, and goes on to the stream from there.
+func (w *watch) list(ended bool) error {
+	d := w.d
+	r, n, err := parseResponse(w.conn.Bytes(), ended, MaxList)
+	if errors.Is(err, ErrMore) && !ended {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if r.Status != 200 {
+		return fmt.Errorf("platform: list answered %d", r.Status)
+	}
+	list, err := ParseList(r.Body)
+	if err == nil && !list.All {
+		err = errors.New("platform: list is not whole")
+	}
+	if err != nil {
+		d.Rejected++
+		return err
+	}
+	w.conn.Consume(n)
+	if d.on != nil {
+		d.on.close()
+	}
+	d.on, d.next, d.wait = w, nil, rewatchAfter
+	w.whole = false
+	d.log.Info("director: moved", zap.Stringer("discovery", w.addr), zap.Int64("rev", list.Rev))
+	d.apply(list, brain.ListFull)
+	if r.Close || ended {
+		w.close()
+		d.on = d.open(false)
+		return nil
 	}
+	w.ask()
+	return nil
 }
 
-func (d *Director) read(c *transport.Conn) error {
-	if !d.head {
+func (w *watch) read() error {
+	c := w.conn
+	if !w.head {
 		line, header, n, err := parseHead(c.Bytes())
 		if errors.Is(err, ErrMore) {
 			return nil
@@ -107,14 +207,14 @@
 		if err != nil {
 			return err
 		}
-		if !bytes.HasPrefix([]byte(line), []byte("HTTP/1.1 200")) || header.Get("Transfer-Encoding") == "" {
+		if !strings.HasPrefix(line, "HTTP/1.1 200") || header.Get("Transfer-Encoding") == "" {
 			return fmt.Errorf("platform: watch answered %q", line)
 		}
 		c.Consume(n)
-		d.head = true
+		w.head = true
 	}
 	for {
-		chunk, n, last, err := NextChunk(c.Bytes())
+		chunk, n, last, err := NextChunk(c.Bytes(), MaxList)
 		if errors.Is(err, ErrMore) {
 			return nil
 		}
@@ -124,19 +224,19 @@
 		if last {
 			return errors.New("platform: watch ended by discovery")
 		}
-		d.line = append(d.line, chunk...)
+		w.line = append(w.line, chunk...)
 		c.Consume(n)
 		for {
-			line, rest, whole := bytes.Cut(d.line, []byte("\n"))
+			line, rest, whole := bytes.Cut(w.line, []byte("\n"))
 			if !whole {
 				break
 			}
-			d.line = rest
+			w.line = rest
 			if line = bytes.TrimSpace(line); len(line) > 0 {
-				d.take(line)
+				w.d.take(line)
 			}
 		}
-		if len(d.line) > MaxList {
+		if len(w.line) > MaxList {
 			return errors.New("platform: watch line too long")
 		}
 	}
--- a/internal/protocol/platform/front.go
+++ b/internal/protocol/platform/front.go
@@ -1,36 +1,42 @@
 package platform
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
-	"math"
+	"net/netip"
 	"strconv"
 	"strings"
 
 	"go.uber.org/zap"
 
+	"cinderroad/brain"
+	"cinderroad/internal/protocol/door"
 	"cinderroad/internal/routing"
 	"cinderroad/internal/slots"
 	"cinderroad/internal/transport"
 )
 
 const (
-	budgetMargin = 0.005 // the budget runs from the client's send, some time before the request is read here
-	headTimeout  = 10.0  // a request that has begun must be whole within this
-	idleTimeout  = 120.0 // a client session without requests is closed
-	quietTime    = 0.1   // without a word from any client before the program may end
-	mostPipeline = MaxHead + MaxBody
+	budgetMargin = 0.005                  // the budget runs from the client's send, some time before the request is read here
+	idleTimeout  = 120.0                  // a client session without requests is closed
+	quietTime    = 0.1                    // without a word from any client before the program may end
+	mostAhead    = MaxHead                // bytes that a client may send ahead of its turn; the system's buffers hold the rest
+	mostID       = 128                    // bytes of a call's id
+	mostSlots    = 256                    // of a job: no machine has more, and what all turn away says nothing of them
+	comeBack     = "Retry-After: 0.5\r\n" // of a refusal that the decisions had no part in
 )
 
 // Front serves the clients' side of the platform's protocol, and the runners' call-backs at the same port.
 type Front struct {
-	Malformed, BadNews, Sessions uint64
+	Malformed, BadNews, Sessions, Slow uint64
 
 	loop     *transport.Loop
 	log      *zap.Logger
 	core     *routing.Core
 	pool     *Pool
-	classes  map[string]int
+	door     *door.Door
+	classes  map[string]class
 	sessions slots.Table[*session]
 	calls    map[string]bool // ids of calls that are open
 	closing  bool
@@ -39,37 +45,64 @@
 	noted    map[string]float64 // when a kind of bad input was last logged
 }
 
-// NewFront makes the front of the named classes.
-func NewFront(loop *transport.Loop, log *zap.Logger, core *routing.Core, pool *Pool, classes []string) *Front {
-	f := &Front{loop: loop, log: log, core: core, pool: pool, classes: map[string]int{}, calls: map[string]bool{},
+// class is a class of the settings: its place there, and the longest that its clients wait.
+type class struct {
+	place    int
+	deadline float64
+}
+
+// NewFront makes the front of the settings' classes.
+func NewFront(loop *transport.Loop, log *zap.Logger, core *routing.Core, pool *Pool, door *door.Door, classes []brain.Class) *Front {
+	f := &Front{loop: loop, log: log, core: core, pool: pool, door: door, classes: map[string]class{}, calls: map[string]bool{},
 		noted: map[string]float64{}}
-	for i, name := range classes {
-		f.classes[name] = i
+	for i, c := range classes {
+		f.classes[c.Name] = class{i, c.Deadline}
 	}
 	return f
 }
 
-// Accept owns a new connection.
+// Accept owns a new connection. One for which there is no room takes the place of a session that has shown less.
 func (f *Front) Accept(c *transport.Conn) transport.Handler {
 	f.Sessions++
-	s := &session{f: f, conn: c}
+	s := &session{f: f, conn: c, from: c.Peer().Addr().Unmap(), entered: f.loop.Now()}
 	s.h = f.sessions.Put(s)
 	s.rest()
+	if !f.door.Enter(s.from, func(may func(netip.Addr) bool) bool {
+		return f.shed(func(o *session) bool { return o != s && may(o.from) })
+	}) {
+		s.last = true
+		s.reply(503, comeBack, []byte("too many connections\n"))
+	}
 	return s
 }
 
-// ShedIdle closes the client session that has been idle longest; false when none is idle.
-func (f *Front) ShedIdle() bool {
-	var oldest *session
+// ShedIdle closes the client session that can best be spared; false when there is none.
+func (f *Front) ShedIdle() bool { return f.shed(func(*session) bool { return true }) }
+
+// shed closes one of the sessions that may be closed: first one that has never handed in anything, then one that
+// never came to the end of its first request, and only then one that rests between requests. Within each the
+// one that has stood longest goes: a flood of silent connections must not push out those who work here.
+func (f *Front) shed(may func(*session) bool) bool {
+	var best *session
+	rank := 0
 	f.sessions.Each(func(_ slots.Handle, s *session) {
-		if s.idle() && (oldest == nil || s.since < oldest.since) && s.conn.Alive() {
-			oldest = s
+		r := s.rank()
+		if r == 0 || !may(s) || best != nil && (r < rank || r == rank && s.since > best.since) {
+			return
+		}
+		if r == 2 || s.conn.Alive() { // else a request has come that was not read yet, or the peer has left
+			best, rank = s, r
 		}
 	})
-	if oldest != nil {
-		oldest.end()
+	switch {
+	case best == nil:
+		return false
+	case rank == 2: // its request has begun: it is told
+		best.reject(408, "no room to wait for the rest")
+	default:
+		best.end()
 	}
-	return oldest != nil
+	return true
 }
 
 // Drain closes idle client sessions and has the others closed by their next answer. Sessions that carry
@@ -107,9 +140,14 @@
 	conn    *transport.Conn
 	req     routing.ReqID
 	call    string // id of the open req, if any
+	held    int    // bytes of the open req
 	last    bool   // closes after the answer
 	asked   bool   // has carried a client's request
+	whole   bool   // has carried any request
 	since   uint64 // its place in the order in which sessions came to rest; times tie within a turn
+	from    netip.Addr
+	entered float64
+	began   float64 // when the first bytes came of the request that is not whole yet; 0 is none
 	timeout *transport.Deadline
 }
 
@@ -117,16 +155,40 @@
 	return s.call == "" && len(s.conn.Bytes()) == 0 && s.conn.Unsent() == 0
 }
 
-// rest waits for the next request.
+// rank says how well the session can be spared; 0 is not at all.
+func (s *session) rank() int {
+	switch {
+	case s.call != "" || s.conn.Unsent() > 0:
+		return 0
+	case s.whole && len(s.conn.Bytes()) == 0:
+		return 1
+	case !s.whole && len(s.conn.Bytes()) > 0:
+		return 2
+	case !s.whole:
+		return 3
+	}
+	return 0
+}
+
+// rest waits for the next request. A connection that has not shown what it wants is told so and closed early;
+// it may be a usual client's, opened ahead, so what crosses the close must be known to be harmless to repeat.
 func (s *session) rest() {
 	s.f.rests++
 	s.since = s.f.rests
-	s.expect(idleTimeout, s.end)
+	if s.whole {
+		s.expect(s.f.loop.Now()+idleTimeout, s.end)
+		return
+	}
+	s.expect(s.entered+door.FreshTime, func() {
+		s.f.Slow++
+		s.last = true
+		s.reply(503, comeBack, []byte("no request came in time\n"))
+	})
 }
 
-func (s *session) expect(wait float64, do func()) {
+func (s *session) expect(at float64, do func()) {
 	s.timeout.Stop()
-	s.timeout = s.f.loop.At(s.f.loop.Now()+wait, do)
+	s.timeout = s.f.loop.At(at, do)
 }
 
 func (s *session) end() {
@@ -136,9 +198,19 @@
 
 func (s *session) leave() {
 	s.timeout.Stop()
-	s.f.sessions.Drop(s.h)
-	delete(s.f.calls, s.call)
-	s.call = ""
+	if s.f.sessions.Drop(s.h) {
+		s.f.door.Leave(s.from)
+	}
+	s.free()
+}
+
+// free ends the session's call.
+func (s *session) free() {
+	if s.call != "" {
+		delete(s.f.calls, s.call)
+		s.f.door.Release(s.held)
+		s.call = ""
+	}
 }
 
 // Opened implements transport.Handler.
@@ -157,9 +229,8 @@
 func (s *session) Data(c *transport.Conn) {
 	s.f.lastNews = s.f.loop.Now()
 	if s.call != "" { // the next request, sent early, waits for its turn
-		if len(c.Bytes()) > mostPipeline {
-			s.Closed(c, nil)
-			c.Close()
+		if len(c.Bytes()) > mostAhead {
+			c.Pause(true)
 		}
 		return
 	}
@@ -169,18 +240,19 @@
 // read takes requests until one is open or no whole one is left.
 func (s *session) read() {
 	for s.call == "" {
+		s.conn.Pause(false)
 		if len(s.conn.Bytes()) == 0 {
 			return
 		}
 		q, n, err := ParseRequest(s.conn.Bytes())
-		if errors.Is(err, ErrMore) {
-			if AwaitsContinue(s.conn.Bytes()) {
-				s.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
-			}
-			s.expect(headTimeout, func() { s.reject(408, "request not whole in time") })
+		switch {
+		case errors.Is(err, ErrMore) && s.f.door.Crowded():
+			s.reject(503, "no memory to wait for the rest")
 			return
-		}
-		if err != nil {
+		case errors.Is(err, ErrMore):
+			s.wait()
+			return
+		case err != nil:
 			status := 400
 			var syntax *SyntaxError
 			if errors.As(err, &syntax) && syntax.Status < 500 {
@@ -191,7 +263,7 @@
 		}
 		s.conn.Consume(n)
 		s.timeout.Stop()
-		s.last = q.Close
+		s.last, s.whole, s.began = q.Close, true, 0
 		h := s.h
 		s.serve(&q)
 		if _, open := s.f.sessions.Get(h); !open {
@@ -200,6 +272,26 @@
 	}
 }
 
+// wait bounds how long the rest of a request may take, from its first byte: bytes that come now and then must
+// not hold the session for ever.
+func (s *session) wait() {
+	if AwaitsContinue(s.conn.Bytes()) {
+		s.conn.Write([]byte("HTTP/1.1 100 Continue\r\n\r\n"))
+	}
+	if s.began > 0 {
+		return
+	}
+	s.began = s.f.loop.Now()
+	ends := s.began + door.WholeTime
+	if !s.whole {
+		ends = min(ends, s.entered+door.FreshTime)
+	}
+	s.expect(ends, func() {
+		s.f.Slow++
+		s.reject(408, "request not whole in time")
+	})
+}
+
 // reject answers what is no request and closes.
 func (s *session) reject(status int, reason string) {
 	s.f.Malformed++
@@ -230,7 +322,7 @@
 	case path == "/_jobs/news":
 		s.news(q)
 	case q.Method != "POST":
-		s.reply(405, "Allow: POST\r\n", nil)
+		s.reject(405, "POST only")
 	default:
 		s.take(q)
 	}
@@ -251,28 +343,41 @@
 	s.f.pool.News(n)
 }
 
+// once is the one value of a field; ok is false when it is there twice, which two readers might take differently.
+func once(h Header, name string) (value string, ok bool) { return h.Get(name), h.count(name) <= 1 }
+
+// call reads a client's request; reason says why it is none that can be sent on. What goes on to a backend
+// holds visible ASCII alone, and the id nothing that ends a path.
+func (f *Front) call(q *Request) (c Call, budget float64, reason string) {
+	class, ok1 := once(q.Header, "X-Call-Class")
+	id, ok2 := once(q.Header, "X-Call-Id")
+	ms, ok3 := once(q.Header, "X-Budget-Ms")
+	key, ok4 := once(q.Header, "Idempotency-Key")
+	path, _, _ := strings.Cut(strings.TrimPrefix(q.Target, "/"), "?")
+	first, _, _ := strings.Cut(path, "/")
+	c = Call{ID: id, Class: cmp.Or(class, first), Method: q.Method, Target: q.Target, IdempotencyKey: key, Body: q.Body}
+	// Whole milliseconds in digits: ParseFloat would take Inf, hexadecimal and 1e300.
+	n, err := strconv.ParseUint(ms, 10, 32)
+	switch {
+	case !ok1 || !ok2 || !ok3 || !ok4:
+		reason = "a field is there twice"
+	case id == "" || len(id) > mostID || !visible(id) || strings.ContainsAny(id, `/?#%"\`):
+		reason = "X-Call-Id missing or bad"
+	case err != nil:
+		reason = "X-Budget-Ms missing or bad"
+	case !visible(key):
+		reason = "Idempotency-Key bad"
+	case c.Class != first:
+		reason = "X-Call-Class is not the path's"
+	}
+	return c, float64(n) / 1000, reason
+}
+
 // take hands a client's job to the core.
 func (s *session) take(q *Request) {
 	s.asked = true
-	id, budget := q.Header.Get("X-Call-Id"), q.Header.Get("X-Budget-Ms")
-	name := q.Header.Get("X-Call-Class")
-	if name == "" {
-		name, _, _ = strings.Cut(strings.TrimPrefix(q.Target, "/"), "/")
-	}
-	ms, err := strconv.ParseFloat(budget, 64)
-	if id == "" || err != nil || math.IsNaN(ms) || ms < 0 {
-		s.reject(400, "X-Call-Id or X-Budget-Ms missing or bad")
-		return
-	}
-	class, known := s.f.classes[name]
-	if !known { // what a repeat of it may do is not known either: never served
-		s.reply(404, "", []byte("unknown class\n"))
-		return
-	}
-	if s.f.calls[id] { // its call-backs could not be told apart
-		s.reply(409, "", []byte("call id in use\n"))
-		return
-	}
+	call, budget, reason := s.f.call(q)
+	class, known := s.f.classes[call.Class]
 	info := parseInfo(q.Header.Get("X-Call-Info"))
 	pick := func(names ...string) float64 {
 		for _, name := range names {
@@ -282,13 +387,31 @@
 		}
 		return 0
 	}
+	switch {
+	case reason != "":
+		s.reject(400, reason)
+		return
+	case !known: // what a repeat of it may do is not known either: never served
+		s.reject(404, "unknown class")
+		return
+	case s.f.calls[call.ID]: // its call-backs could not be told apart
+		s.reject(409, "call id in use")
+		return
+	case pick("coresNeeded", "slots") > mostSlots:
+		s.reject(400, "more slots than any machine has")
+		return
+	case !s.f.door.Hold(len(call.Body)):
+		s.reply(503, comeBack, nil)
+		return
+	}
 	hint, _ := strconv.ParseFloat(q.Header.Get("X-Call-Cost"), 64)
-	s.call = id
-	s.f.calls[id] = true
-	s.req = s.f.core.Take(routing.Job{Class: class, Slots: pick("coresNeeded", "slots"), Memory: pick("memory"), Work: hint / 1000,
-		Deadline: s.f.loop.Now() + ms/1000 - budgetMargin,
-		Load: &Call{ID: id, Class: name, Method: q.Method, Target: q.Target,
-			IdempotencyKey: q.Header.Get("Idempotency-Key"), Body: q.Body}}, &asker{s: s, call: id})
+	if hint = hint / 1000; !(hint > 0 && hint <= class.deadline) {
+		hint = 0 // one senseless hint must not spoil the mean of its class
+	}
+	s.call, s.held = call.ID, len(call.Body)
+	s.f.calls[call.ID] = true
+	s.req = s.f.core.Take(routing.Job{Class: class.place, Slots: pick("coresNeeded", "slots"), Memory: pick("memory"), Work: hint,
+		Deadline: s.f.loop.Now() + min(budget, class.deadline) - budgetMargin, Load: &call}, &asker{s: s, call: call.ID})
 }
 
 // asker answers one req; a session that has ended, or gone on, is not touched.
@@ -303,8 +426,7 @@
 	if _, open := s.f.sessions.Get(s.h); !open || s.call != a.call {
 		return
 	}
-	delete(s.f.calls, s.call)
-	s.call = ""
+	s.free()
 	h := s.h
 	switch answer.Verdict {
 	case routing.Served:
--- a/internal/protocol/platform/http.go
+++ b/internal/protocol/platform/http.go
@@ -14,6 +14,8 @@
 const (
 	MaxHead = 16 << 10
 	MaxBody = 64 << 10
+
+	maxBlank = 16 // bytes of empty lines before a request
 )
 
 // ErrMore says that the message is not whole yet.
@@ -42,6 +44,18 @@
 	return ""
 }
 
+// Has says whether a name is there, if only with an empty value.
+func (h Header) Has(name string) bool { return h.count(name) > 0 }
+
+func (h Header) count(name string) (n int) {
+	for _, f := range h {
+		if strings.EqualFold(f.Name, name) {
+			n++
+		}
+	}
+	return n
+}
+
 // Request is a whole request.
 type Request struct {
 	Method, Target string
@@ -61,22 +75,27 @@
 // ParseRequest reads one request from the start of b and tells how many bytes it took; ErrMore asks for more.
 func ParseRequest(b []byte) (q Request, n int, err error) {
 	for bytes.HasPrefix(b[n:], []byte("\r\n")) { // empty lines before a request are ignored
-		n += 2
+		if n += 2; n > maxBlank {
+			return q, 0, bad(400, "no request")
+		}
 	}
 	line, header, head, err := parseHead(b[n:])
+	if errors.Is(err, ErrMore) && !startsRequest(b[n:]) {
+		return q, 0, bad(400, "request line") // no more bytes can mend it
+	}
 	if err != nil {
 		return q, 0, err
 	}
 	n += head
 	parts := strings.Split(line, " ")
-	if len(parts) != 3 || !token(parts[0]) || !strings.HasPrefix(parts[1], "/") {
+	if len(parts) != 3 || !token(parts[0]) || !strings.HasPrefix(parts[1], "/") || !visible(parts[1]) {
 		return q, 0, bad(400, "request line")
 	}
 	if parts[2] != "HTTP/1.1" && parts[2] != "HTTP/1.0" {
 		return q, 0, bad(505, "HTTP version")
 	}
 	q = Request{Method: parts[0], Target: parts[1], Header: header, Close: closes(header, parts[2])}
-	body, m, err := parseBody(b[n:], header, false)
+	body, m, err := parseBody(b[n:], header, MaxBody)
 	if err != nil {
 		return q, 0, err
 	}
@@ -84,9 +103,36 @@
 	return q, n + m, nil
 }
 
+// startsRequest says whether b, the part of a head that has come, may still become a request.
+func startsRequest(b []byte) bool {
+	line, _, _ := bytes.Cut(b, []byte("\r"))
+	for _, c := range line {
+		if c < ' ' || c >= 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
+// visible says whether s holds visible ASCII alone. What else a target or an id holds might be read in another
+// way by the next machine, or end its line there.
+func visible(s string) bool {
+	for i := 0; i < len(s); i++ {
+		if s[i] <= ' ' || s[i] >= 0x7f {
+			return false
+		}
+	}
+	return true
+}
+
 // ParseResponse reads one response from the start of b; ended says that the peer will send no more, which
 // ends a body of untold length.
 func ParseResponse(b []byte, ended bool) (p Response, n int, err error) {
+	return parseResponse(b, ended, MaxBody)
+}
+
+// parseResponse reads a response whose body holds at most limit bytes.
+func parseResponse(b []byte, ended bool, limit int) (p Response, n int, err error) {
 	for {
 		line, header, head, err := parseHead(b[n:])
 		if err != nil {
@@ -108,15 +154,18 @@
 	if p.Status == 204 || p.Status == 304 {
 		return p, n, nil
 	}
-	if p.Header.Get("Content-Length") == "" && p.Header.Get("Transfer-Encoding") == "" {
+	if !p.Header.Has("Content-Length") && !p.Header.Has("Transfer-Encoding") {
 		p.Close = true
+		if len(b)-n > limit {
+			return p, 0, bad(502, "body too large")
+		}
 		if !ended {
 			return p, 0, ErrMore
 		}
 		p.Body = bytes.Clone(b[n:])
 		return p, len(b), nil
 	}
-	body, m, err := parseBody(b[n:], p.Header, true)
+	body, m, err := parseBody(b[n:], p.Header, limit)
 	if err != nil {
 		return p, 0, err
 	}
@@ -141,7 +190,7 @@
 		var field string
 		field, rest, _ = strings.Cut(rest, "\r\n")
 		name, value, ok := strings.Cut(field, ":")
-		if !ok || !token(name) || strings.ContainsAny(value, "\r\n\x00") {
+		if !ok || !token(name) || strings.ContainsFunc(value, control) {
 			return "", nil, 0, bad(400, "header field")
 		}
 		header = append(header, struct{ Name, Value string }{name, strings.Trim(value, " \t")})
@@ -149,6 +198,9 @@
 	return line, header, end + 4, nil
 }
 
+// control says whether c is a control byte other than the tab: none belongs into a field's value.
+func control(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f }
+
 // AwaitsContinue says whether b holds a whole head whose sender waits for a word before it sends the body.
 func AwaitsContinue(b []byte) bool {
 	_, header, n, err := parseHead(b)
@@ -170,35 +222,27 @@
 	return strings.Contains(connection, "close") || version == "HTTP/1.0" && !strings.Contains(connection, "keep-alive")
 }
 
-// parseBody reads the body that the header announces. A length told twice, or both ways, could be read
-// differently by the next machine: it is not taken.
-func parseBody(b []byte, h Header, response bool) (body []byte, n int, err error) {
-	length, coding := "", ""
-	for _, f := range h {
-		switch {
-		case strings.EqualFold(f.Name, "Content-Length"):
-			if length != "" && length != f.Value {
-				return nil, 0, bad(400, "two lengths")
-			}
-			length = f.Value
-		case strings.EqualFold(f.Name, "Transfer-Encoding"):
-			coding += f.Value
-		}
-	}
-	if coding != "" {
-		if length != "" || !strings.EqualFold(coding, "chunked") {
+// parseBody reads the body that the header announces, of at most limit bytes. A length told twice, or both
+// ways, could be read differently by the next machine and hide a request in the body: it is not taken.
+func parseBody(b []byte, h Header, limit int) (body []byte, n int, err error) {
+	lengths, codings := h.count("Content-Length"), h.count("Transfer-Encoding")
+	switch {
+	case lengths+codings > 1:
+		return nil, 0, bad(400, "two lengths")
+	case codings == 1:
+		if !strings.EqualFold(h.Get("Transfer-Encoding"), "chunked") {
 			return nil, 0, bad(400, "transfer coding")
 		}
-		return parseChunks(b)
-	}
-	if length == "" {
+		return parseChunks(b, limit)
+	case lengths == 0:
 		return nil, 0, nil
 	}
+	length := h.Get("Content-Length")
 	size, err := strconv.ParseUint(length, 10, 63)
-	if err != nil {
+	if err != nil && strings.Trim(length, "0123456789") != "" || length == "" {
 		return nil, 0, bad(400, "content length")
 	}
-	if size > MaxBody {
+	if err != nil || size > uint64(limit) { // digits without end are a length all the same
 		return nil, 0, bad(413, "body too large")
 	}
 	if uint64(len(b)) < size {
@@ -207,9 +251,13 @@
 	return bytes.Clone(b[:size]), int(size), nil
 }
 
-func parseChunks(b []byte) (body []byte, n int, err error) {
+// parseChunks reads a chunked body. What frames the chunks is bounded too, or it would be held without end.
+func parseChunks(b []byte, limit int) (body []byte, n int, err error) {
 	for {
-		chunk, m, last, err := NextChunk(b[n:])
+		chunk, m, last, err := NextChunk(b[n:], limit)
+		if errors.Is(err, ErrMore) && len(b) > 2*limit+MaxHead {
+			return nil, 0, bad(413, "body too large")
+		}
 		if err != nil {
 			return nil, 0, err
 		}
@@ -217,14 +265,14 @@
 		if last {
 			return body, n, nil
 		}
-		if body = append(body, chunk...); len(body) > MaxBody {
+		if body = append(body, chunk...); len(body) > limit {
 			return nil, 0, bad(413, "body too large")
 		}
 	}
 }
 
-// NextChunk reads one chunk of a chunked body; last marks the end of the body, its trailer included.
-func NextChunk(b []byte) (chunk []byte, n int, last bool, err error) {
+// NextChunk reads one chunk of a chunked body, of at most limit bytes; last marks the end of the body, its trailer included.
+func NextChunk(b []byte, limit int) (chunk []byte, n int, last bool, err error) {
 	end := bytes.Index(b, []byte("\r\n"))
 	if end < 0 {
 		if len(b) > 1024 {
@@ -239,7 +287,7 @@
 	}
 	n = end + 2
 	if size > 0 {
-		if size > MaxList {
+		if size > uint64(limit) {
 			return nil, 0, false, bad(413, "chunk too large")
 		}
 		if len(b) < n+int(size)+2 {
@@ -265,7 +313,7 @@
 	}
 }
 
-// MaxList bounds a chunk of the director's stream, which may hold the whole list.
+// MaxList bounds the director's answers, which may hold the whole list.
 const MaxList = 8 << 20
 
 var reasons = map[int]string{200: "OK", 202: "Accepted", 204: "No Content", 400: "Bad Request", 404: "Not Found",
--- a/internal/protocol/platform/pool.go
+++ b/internal/protocol/platform/pool.go
@@ -361,8 +361,11 @@
 		return // call-backs tell the rest
 	}
 	e := routing.End{Result: brain.Error, Report: ParseLoad(r.Header.Get("X-Load-Report")).Values(p.limits.Fields)}
-	if (r.Status == 503 || r.Status == 504) && r.Header.Get("X-Rejected") == "1" {
+	switch {
+	case (r.Status == 503 || r.Status == 504) && r.Header.Get("X-Rejected") == "1":
 		e.Result = brain.Full
+	case r.Status >= 400 && r.Status < 500 && r.Status != 408 && r.Status != 429:
+		e.Unusable = true // it is the request that is bad: another backend would say so too
 	}
 	p.end(a, e)
 }
@@ -387,7 +390,9 @@
 	case x == nil:
 	case x.probe != nil:
 		result := brain.Timeout
-		if !l.up {
+		if errors.Is(err, transport.ErrNoRoom) {
+			result = brain.Moot
+		} else if !l.up {
 			result = brain.ConnectFailed
 		}
 		x.probe(result, nil)
@@ -396,6 +401,8 @@
 		result := brain.ConnectFailed
 		if a.written() {
 			result = brain.Reset
+		} else if errors.Is(err, transport.ErrNoRoom) {
+			result = brain.Moot // the want is here: it says nothing of the backend
 		}
 		a.link = nil
 		l.b.pool.log.Debug("fetch: connection lost", zap.String("backend", l.b.uid), zap.Error(err))
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -71,9 +71,10 @@
 
 // End is how a fetch ended.
 type End struct {
-	Result brain.Result
-	Body   []byte
-	Report []float32
+	Result   brain.Result
+	Unusable bool // the backend says that the job itself is bad
+	Body     []byte
+	Report   []float32
 }
 
 // Backend carries fetches to one worker. A call may come from within an action: what it causes is told to
@@ -105,6 +106,7 @@
 	Reqs, Served, Refused, Failed, Gone uint64
 	Fetches, Repeats, Cancels, Probes   uint64
 	Results                             [brain.Moot + 1]uint64 // ends of fetches by result
+	Unusable                            uint64                 // failed since backends could do nothing with them
 	Overdue                             uint64                 // answered by the core because the decisions had not
 	OpenReqs, OpenFetches               int
 }
@@ -135,6 +137,7 @@
 	fetches  []*fetch // by attempt
 	live     int
 	answered bool
+	unusable int // backends that say so
 	guard    Stop
 }
 
@@ -325,10 +328,17 @@
 	c.fetches.Drop(f.h)
 	r := f.r
 	r.live--
-	c.counts.Results[e.Result]++
-	if e.Result == brain.OK && !r.answered {
+	switch {
+	case e.Result == brain.OK && !r.answered:
 		c.answer(r, Answer{Verdict: Served, Body: e.Body})
+	case e.Unusable: // no blame for the backend; a second one that says so settles it, and the client is told
+		e.Result = brain.Cancelled
+		if r.unusable++; r.unusable > 1 && !r.answered {
+			c.counts.Unusable++
+			c.answer(r, Answer{Verdict: Failed})
+		}
 	}
+	c.counts.Results[e.Result]++
 	c.bal.OnOutcome(c.clock.Now(), &brain.Outcome{Request: r.id, Attempt: f.attempt, Worker: f.member.ID,
 		Result: e.Result, Closed: r.answered, Report: e.Report})
 	c.forget(r)
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"io"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -19,6 +20,12 @@
 	wakeHandle = 0 // epoll data of the wake-up descriptor; no slot handle is 0
 	readSize   = 64 << 10
 	readRounds = 4 // reads of one connection in a turn: a fast peer must not hold up the others
+
+	// What a peer still sends after its last answer is thrown away within these bounds: a close at once would
+	// reset the connection, and the reset may reach the peer before it has read the answer.
+	lingerTime  = 2.0
+	lingerBytes = 64 << 20
+	mostLinger  = 64 // connections that linger; beyond that the oldest goes
 )
 
 // Handler is what a connection tells its owner. After a Close of its own the owner hears nothing more.
@@ -38,6 +45,8 @@
 	conns       slots.Table[*Conn]
 	listeners   slots.Table[*Listener]
 	urgent      []*Conn
+	lingering   []*Conn // the oldest first
+	held        int     // bytes that have come and were not consumed, over all connections
 	now, start  float64
 	anchor      time.Time
 	scratch     []byte
@@ -78,6 +87,15 @@
 // Open is the number of sockets open.
 func (l *Loop) Open() int { return l.conns.Len() + l.listeners.Len() }
 
+// SetLimit changes how many sockets may be open; what is open beyond it stays.
+func (l *Loop) SetLimit(limit int) { l.limit = limit }
+
+// Limit is how many sockets may be open.
+func (l *Loop) Limit() int { return l.limit }
+
+// Held is how many bytes have come and were not consumed, over all connections.
+func (l *Loop) Held() int { return l.held }
+
 // Post runs do on the loop's goroutine; it may be called from any other.
 func (l *Loop) Post(do func()) {
 	l.mu.Lock()
@@ -174,9 +192,15 @@
 	unix.Close(l.epoll)
 }
 
-// room frees a descriptor when all are taken.
-func (l *Loop) room() bool {
-	return l.Open() < l.limit || l.Shed != nil && l.Shed()
+// room frees a descriptor when all are taken: first that of a peer which has had its last answer.
+func (l *Loop) room() bool { return l.Open() < l.limit || l.spare() }
+
+func (l *Loop) spare() bool {
+	if len(l.lingering) > 0 {
+		l.lingering[0].Close()
+		return true
+	}
+	return l.Shed != nil && l.Shed()
 }
 
 // sockaddr turns an address into the system's form.
@@ -260,7 +284,7 @@
 			}
 			c.handler = ln.take(c)
 		case errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE) || errors.Is(err, unix.ENOBUFS) || errors.Is(err, unix.ENOMEM):
-			if ln.loop.Shed == nil || !ln.loop.Shed() {
+			if !ln.loop.spare() {
 				ln.pause()
 				return
 			}
@@ -297,7 +321,11 @@
 	connecting bool
 	urgent     bool
 	writing    bool // waits for room to write
-	closing    bool // closes once all is written
+	paused     bool // is not read
+	closing    bool // closes once all is written and the peer has closed too
+	lingers    bool // all is written
+	discarded  int  // bytes thrown away meanwhile
+	limit      *Deadline
 	broken     bool // has failed; Closed is on its way
 }
 
@@ -322,9 +350,12 @@
 	}
 	family, sa := to()
 	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
-	if (errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE)) && l.Shed != nil && l.Shed() {
+	if (errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE)) && l.spare() {
 		fd, err = unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	}
+	if errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE) {
+		err = ErrNoRoom
+	}
 	if err != nil {
 		c.breakLater(fmt.Errorf("transport: socket: %w", err))
 		return c
@@ -366,6 +397,9 @@
 
 // Consume drops the first n bytes of what has come.
 func (c *Conn) Consume(n int) {
+	if c.fd >= 0 {
+		c.loop.held -= n
+	}
 	if c.in = c.in[n:]; len(c.in) == 0 {
 		c.in = nil
 	}
@@ -427,28 +461,79 @@
 	return n, nil
 }
 
-// arm keeps the events waited for in step with whether there is something to write.
+// arm keeps the events waited for in step with whether there is something to write and whether to read.
 func (c *Conn) arm() {
-	want := len(c.out) > 0 || c.connecting
-	if want == c.writing || c.fd < 0 || c.connecting {
+	if c.fd < 0 || c.connecting {
+		return
+	}
+	want := len(c.out) > 0
+	if want == c.writing {
 		return
 	}
 	c.writing = want
-	events := uint32(unix.EPOLLIN | unix.EPOLLRDHUP)
-	if want {
+	c.wait()
+}
+
+func (c *Conn) wait() {
+	events := uint32(unix.EPOLLRDHUP)
+	if !c.paused {
+		events |= unix.EPOLLIN
+	}
+	if c.writing {
 		events |= unix.EPOLLOUT
 	}
 	_ = c.loop.control(unix.EPOLL_CTL_MOD, c.fd, c.h, events)
 }
 
-// CloseWhenSent closes once all that was given to Write has gone out; nothing more is read or told.
+// Pause leaves what comes to the system's buffers, so that a peer which sends ahead is held back; Resume reads
+// on. The peer's close is told all the same.
+func (c *Conn) Pause(on bool) {
+	if c.paused != on && c.fd >= 0 && !c.connecting && !c.broken {
+		c.paused = on
+		c.wait()
+	}
+}
+
+// CloseWhenSent closes once all that was given to Write has gone out and the peer has closed its side, or has
+// had the time for it; nothing more is told. What the peer still sends is thrown away.
 func (c *Conn) CloseWhenSent() {
+	if c.fd < 0 || c.broken || c.closing {
+		return
+	}
+	c.closing = true
+	c.loop.held -= len(c.in)
+	c.in = nil
+	c.limit = c.loop.At(c.loop.now+lingerTime, c.Close)
 	if len(c.out) == 0 {
+		c.linger()
+	}
+}
+
+// linger says that nothing more comes from here and waits for the peer to have read it.
+func (c *Conn) linger() {
+	c.lingers = true
+	c.Pause(false)
+	if err := unix.Shutdown(c.fd, unix.SHUT_WR); err != nil {
 		c.Close()
 		return
 	}
-	c.closing = true
-	c.loop.At(c.loop.now+2, c.Close) // a peer that takes nothing must not keep the slot
+	c.loop.lingering = append(c.loop.lingering, c)
+	if len(c.loop.lingering) > mostLinger {
+		c.loop.lingering[0].Close()
+	}
+}
+
+// discard throws away what has come.
+func (c *Conn) discard() {
+	for i := 0; i < readRounds && c.fd >= 0; i++ {
+		n, _, err := unix.Recvfrom(c.fd, c.loop.scratch, unix.MSG_TRUNC|unix.MSG_DONTWAIT) // nothing is copied
+		if errors.Is(err, unix.EAGAIN) || errors.Is(err, unix.EINTR) {
+			return
+		}
+		if c.discarded += n; err != nil || n == 0 || c.discarded > lingerBytes {
+			c.Close()
+		}
+	}
 }
 
 // Close ends the connection without a word to its owner.
@@ -462,10 +547,16 @@
 			}
 		}
 	}
+	c.limit.Stop()
+	if c.lingers {
+		c.lingers = false
+		c.loop.lingering = slices.DeleteFunc(c.loop.lingering, func(o *Conn) bool { return o == c })
+	}
 	c.loop.conns.Drop(c.h)
 	if c.fd >= 0 {
 		unix.Close(c.fd)
 		c.fd = -1
+		c.loop.held -= len(c.in) // the owner may still look at them
 	}
 	c.handler, c.broken = nil, true
 }
@@ -510,7 +601,11 @@
 	} else if events&unix.EPOLLOUT != 0 {
 		c.flush()
 	}
-	if events&(unix.EPOLLIN|unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0 {
+	switch ended := events&(unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0; {
+	case c.fd < 0 || c.broken:
+	case c.paused && ended: // what it sent ahead is not looked at any more
+		c.fail(io.EOF)
+	case ended || events&unix.EPOLLIN != 0:
 		c.readable()
 	}
 }
@@ -529,23 +624,24 @@
 	}
 	if len(c.out) == 0 {
 		c.out = nil
-		if c.closing {
-			c.Close()
-			return
-		}
 	}
 	c.arm()
+	if c.closing && len(c.out) == 0 {
+		c.linger()
+	}
 }
 
 func (c *Conn) readable() {
-	for i := 0; i < readRounds && c.fd >= 0 && !c.broken; i++ {
+	for i := 0; i < readRounds && c.fd >= 0 && !c.broken && !c.paused; i++ {
+		if c.closing { // the last answer is going out, or has gone: what comes now is nobody's
+			c.discard()
+			return
+		}
 		n, err := unix.Read(c.fd, c.loop.scratch)
 		switch {
 		case n > 0:
-			if c.closing {
-				continue // the last answer is going out; what comes now is nobody's
-			}
 			c.in = append(c.in, c.loop.scratch[:n]...)
+			c.loop.held += n
 			c.handler.Data(c)
 			if n < len(c.loop.scratch) {
 				return // a hang-up, if any, shows in the next turn
@@ -553,8 +649,6 @@
 		case errors.Is(err, unix.EINTR):
 		case errors.Is(err, unix.EAGAIN):
 			return
-		case c.closing:
-			c.Close()
 		case err == nil:
 			c.fail(io.EOF)
 		default:
