A bad or old line of the director has the change asked for anew; reload reaches Gearman

Reading the director again: after a line that makes no sense it went on with the stream, so that the change in it, a drain perhaps, was never heard; an older version on the same watch replaced a newer one. Checked: the story's second half fails on the code before (nothing is asked anew, "version 3 after 4" is taken). At fault: Director.take, which only counted. Now the watch ends there and what has changed since the held version is asked for. The wait named by refusals of the front itself keeps to the settings (retryAfter, maxRetryAfterS).

--- a/internal/program/gearman_test.go
+++ b/internal/program/gearman_test.go
@@ -41,17 +41,18 @@
 type gear struct {
 	*world
 	port string
+	file string // the operator's
 	mu   sync.Mutex
 	runs map[string]int // starts of a job's data at any worker
 }
 
 func beginGearman(t *testing.T, o options, deadline float64) *gear {
 	g := &gear{port: freeAddr(t), runs: map[string]int{}}
-	path := filepath.Join(t.TempDir(), "gearman.toml")
-	if err := os.WriteFile(path, fmt.Appendf(nil, gearmanFile, g.port, deadline), 0o600); err != nil {
+	g.file = filepath.Join(t.TempDir(), "gearman.toml")
+	if err := os.WriteFile(g.file, fmt.Appendf(nil, gearmanFile, g.port, deadline), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	o.args = []string{"-gearman", path}
+	o.args = []string{"-gearman", g.file}
 	g.world = begin(t, o)
 	return g
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -102,7 +102,7 @@
 		ConnIdle: n.Limits.ConnIdleS, ProbeTimeout: 2 * n.Limits.ConnectTimeoutS, Fields: n.Report.Fields})
 	p.pool.Serve(p.core)
 	p.door = door.New(loop, config.Limits.MemoryMB)
-	p.front = platform.NewFront(loop, log, p.core, p.pool, p.door, config.brain.Classes)
+	p.front = platform.NewFront(loop, log, p.core, p.pool, p.door, &config.brain)
 	// A descriptor is freed where it costs least: an idle client session first, then an idle backend connection.
 	loop.Shed = func() bool {
 		return p.front.ShedIdle() || p.pool.ShedIdle() || p.gearman != nil && p.gearman.ShedIdle()
--- a/internal/program/reload_test.go
+++ b/internal/program/reload_test.go
@@ -5,12 +5,16 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 
 	"github.com/google/go-cmp/cmp"
+
+	gm "cinderroad/internal/protocol/gearman"
 )
 
 // Guards against a program that ends on SIGHUP, takes half of a bad file, goes on watching the address of its
@@ -93,3 +97,37 @@
 		t.Errorf("exit: %v\n%s", err, w.log)
 	}
 }
+
+// Guards against a reload that passes the Gearman front by, or takes part of a bad operator's file.
+func TestReloadOfTheGearmanFile(t *testing.T) {
+	g := beginGearman(t, options{}, 5)
+	client := g.dial()
+	submit := func(unique string, want gm.Kind) {
+		t.Helper()
+		client.send(gm.SubmitJobBg, "safe", unique, "payload")
+		client.SetReadDeadline(time.Now().Add(20 * time.Second))
+		if p, ok := client.next(); !ok || p.Kind != want {
+			t.Fatalf("job %s: %v, %v", unique, p, ok)
+		}
+	}
+	submit("a", gm.JobCreated) // nobody works: it waits
+	good, err := os.ReadFile(g.file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	write := func(text string) {
+		if err := os.WriteFile(g.file, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	few := strings.Replace(string(good), "max_jobs = 100", "max_jobs = 1", 1)
+	write(strings.Replace(few, `class = "once"`, `class = "nobody"`, 1))
+	g.reload("reload refused, old configuration kept")
+	submit("b", gm.JobCreated)
+	write(strings.Replace(few, `name = "once"`, `name = "other"`, 1))
+	g.reload("program: reloaded")
+	submit("c", gm.Error)
+	if !strings.Contains(g.log.String(), `"needs_restart": ["gearman functions"]`) {
+		t.Errorf("log:\n%s", g.log)
+	}
+}
--- a/internal/program/story_test.go
+++ b/internal/program/story_test.go
@@ -130,7 +130,8 @@
 	}
 }
 
-// Guards against work for a runner that drains, a bad line replacing the list, and a watch that is not renewed.
+// Guards against work for a runner that drains, a bad or an old line replacing the list or a change being missed
+// with it, and a watch that is not renewed.
 func TestTheDirectorIsFollowed(t *testing.T) {
 	var w *world
 	var runners []*runner
@@ -147,15 +148,33 @@
 			t.Errorf("answer %d %q", status, body)
 		}
 	}
-	w.discovery.CloseClientConnections()
-	w.eventually("second watch", func() bool {
+	watches := func() int {
 		w.mu.Lock()
 		defer w.mu.Unlock()
-		return len(w.watches) > 1
-	})
+		return len(w.watches)
+	}
+	w.eventually("what the bad line may have told is asked for anew", func() bool { return watches() > 1 })
+	w.mu.Lock()
 	if diff := cmp.Diff([]string{"stream=1&index=1", "stream=1&index=2"}, w.watches[:2]); diff != "" {
 		t.Errorf("watches (-want +got):\n%s", diff)
 	}
+	w.lines = []string{`{"rev":4,"all":false,"targets":[]}`, `{"rev":3,"all":true,"targets":[]}`} // older than what came before
+	w.mu.Unlock()
+	w.eventually("an old list", func() bool { return strings.Contains(w.log.String(), "version 3 after 4") })
+	if status, body, _ := w.ask("score", 4000); status != 200 || body != "s-1" {
+		t.Errorf("after an old list: %d %q", status, body)
+	}
+	w.mu.Lock()
+	w.lines = nil
+	w.mu.Unlock()
+	w.eventually("a watch that stays", func() bool {
+		before := watches()
+		time.Sleep(1500 * time.Millisecond) // more than the longest wait between two watches
+		return watches() == before
+	})
+	before := watches()
+	w.discovery.CloseClientConnections()
+	w.eventually("one more watch", func() bool { return watches() > before })
 }
 
 // Guards against requests that break HTTP, classes nobody knows, and ids in use.
--- a/internal/protocol/platform/director.go
+++ b/internal/protocol/platform/director.go
@@ -82,6 +82,7 @@
 	whole   bool // asks for the whole list first: versions of another address mean nothing here
 	head    bool // the head of the stream's answer has come
 	line    []byte
+	rev     int64 // the last that it told
 	silence *transport.Deadline
 }
 
@@ -233,7 +234,9 @@
 			}
 			w.line = rest
 			if line = bytes.TrimSpace(line); len(line) > 0 {
-				w.d.take(line)
+				if err := w.take(line); err != nil {
+					return err
+				}
 			}
 		}
 		if len(w.line) > MaxList {
@@ -242,20 +245,26 @@
 	}
 }
 
-// take applies one line; one that makes no sense is counted and the old list kept.
-func (d *Director) take(line []byte) {
+// take applies one line. One that makes no sense, or is older than what this watch has told, is counted and the
+// old list kept; but a change may have been in it, so what has changed since that list is asked for anew.
+func (w *watch) take(line []byte) error {
+	d := w.d
 	list, err := ParseList(line)
+	if err == nil && list.Rev < w.rev {
+		err = fmt.Errorf("platform: list: version %d after %d", list.Rev, w.rev)
+	}
 	if err != nil {
 		d.Rejected++
 		d.log.Warn("director: bad line, old list kept", zap.Error(err), zap.Int("bytes", len(line)))
-		return
+		return err
 	}
-	d.wait = rewatchAfter
+	w.rev, d.wait = list.Rev, rewatchAfter
 	kind := brain.ListDelta
 	if list.All {
 		kind = brain.ListFull
 	}
 	d.apply(list, kind)
+	return nil
 }
 
 func (d *Director) apply(list List, kind brain.ListKind) {
--- a/internal/protocol/platform/front.go
+++ b/internal/protocol/platform/front.go
@@ -18,13 +18,13 @@
 )
 
 const (
-	budgetMargin = 0.005                  // the budget runs from the client's send, some time before the request is read here
-	idleTimeout  = 120.0                  // a client session without requests is closed
-	quietTime    = 0.1                    // without a word from any client before the program may end
-	mostAhead    = MaxHead                // bytes that a client may send ahead of its turn; the system's buffers hold the rest
-	mostID       = 128                    // bytes of a call's id
-	mostSlots    = 256                    // of a job: no machine has more, and what all turn away says nothing of them
-	comeBack     = "Retry-After: 0.5\r\n" // of a refusal that the decisions had no part in
+	budgetMargin = 0.005   // the budget runs from the client's send, some time before the request is read here
+	idleTimeout  = 120.0   // a client session without requests is closed
+	quietTime    = 0.1     // without a word from any client before the program may end
+	mostAhead    = MaxHead // bytes that a client may send ahead of its turn; the system's buffers hold the rest
+	mostID       = 128     // bytes of a call's id
+	mostSlots    = 256     // of a job: no machine has more, and what all turn away says nothing of them
+	soon         = 0.5     // seconds after which one refused without the decisions' part may come back
 )
 
 // Front serves the clients' side of the platform's protocol, and the runners' call-backs at the same port.
@@ -43,6 +43,7 @@
 	rests    uint64
 	lastNews float64            // when bytes last came from any session
 	noted    map[string]float64 // when a kind of bad input was last logged
+	comeBack string             // of a refusal that the decisions had no part in
 }
 
 // class is a class of the settings: its place there, and the longest that its clients wait.
@@ -51,13 +52,16 @@
 	deadline float64
 }
 
-// NewFront makes the front of the settings' classes.
-func NewFront(loop *transport.Loop, log *zap.Logger, core *routing.Core, pool *Pool, door *door.Door, classes []brain.Class) *Front {
+// NewFront makes the front.
+func NewFront(loop *transport.Loop, log *zap.Logger, core *routing.Core, pool *Pool, door *door.Door, set *brain.Settings) *Front {
 	f := &Front{loop: loop, log: log, core: core, pool: pool, door: door, classes: map[string]class{}, calls: map[string]bool{},
 		noted: map[string]float64{}}
-	for i, c := range classes {
+	for i, c := range set.Classes {
 		f.classes[c.Name] = class{i, c.Deadline}
 	}
+	if wait := min(soon, set.MaxRetryAfter); set.MayRetryAfter && wait > 0 {
+		f.comeBack = retryAfter(wait)
+	}
 	return f
 }
 
@@ -71,7 +75,7 @@
 		return f.shed(func(o *session) bool { return o != s && may(o.from) })
 	}) {
 		s.last = true
-		s.reply(503, comeBack, []byte("too many connections\n"))
+		s.reply(503, f.comeBack, []byte("too many connections\n"))
 	}
 	return s
 }
@@ -182,7 +186,7 @@
 	s.expect(s.entered+door.FreshTime, func() {
 		s.f.Slow++
 		s.last = true
-		s.reply(503, comeBack, []byte("no request came in time\n"))
+		s.reply(503, s.f.comeBack, []byte("no request came in time\n"))
 	})
 }
 
@@ -401,7 +405,7 @@
 		s.reject(400, "more slots than any machine has")
 		return
 	case !s.f.door.Hold(len(call.Body)):
-		s.reply(503, comeBack, nil)
+		s.reply(503, s.f.comeBack, nil)
 		return
 	}
 	hint, _ := strconv.ParseFloat(q.Header.Get("X-Call-Cost"), 64)
@@ -414,6 +418,8 @@
 		Deadline: s.f.loop.Now() + min(budget, class.deadline) - budgetMargin, Load: &call}, &asker{s: s, call: call.ID})
 }
 
+func retryAfter(wait float64) string { return fmt.Sprintf("Retry-After: %.3f\r\n", wait) }
+
 // asker answers one req; a session that has ended, or gone on, is not touched.
 type asker struct {
 	s    *session
@@ -434,7 +440,7 @@
 	case routing.Refused:
 		extra := ""
 		if answer.Wait > 0 {
-			extra = fmt.Sprintf("Retry-After: %.3f\r\n", answer.Wait)
+			extra = retryAfter(answer.Wait)
 		}
 		s.reply(503, extra, nil)
 	default:
