Resting sessions give way beyond a quarter of the sockets, so that clients can come again

Checked with debug lines for each accept, take, answer, shed and close: the dispatcher refused nothing (no 503 went out to a client that had asked, nobody was turned away). With one of two dispatchers up, takes ran at 118/s, each on a new connection that was kept after its answer, and fell to 18/s at the moment 128 of them stood: a third of the 384 descriptors, which is what clients may hold. They had none left to ask with and counted as refused. Ruled out: the 2.5 s of a fresh connection (no usual one ran into it), shedding (no session with a request was shed), the bytes held. At fault: session.rest, which kept every session for 120 s until our own sockets ran short.

--- a/internal/program/rude_test.go
+++ b/internal/program/rude_test.go
@@ -139,19 +139,41 @@
 	answered()
 }
 
-// Guards against sessions that asked once and stay taking all room from those who come to work.
+// Guards against sessions that asked once and stay: their clients may hold only so many, and would have none left
+// to come to work with; nor may they take the room of others. The session that works is kept.
 func TestSessionsThatStayGiveWay(t *testing.T) {
 	var w *world
 	u := newRunner(t, "s-1", func(n int, rw http.ResponseWriter, r *http.Request) { w.done("s-1", "ok")(n, rw, r) })
 	w = begin(t, options{sockets: reserve + 40}, u.target("ready", 1))
-	for i := range 100 {
+	calls := 0
+	ask := func(c net.Conn) {
+		t.Helper()
+		calls++
+		fmt.Fprintf(c, "POST /score/a HTTP/1.1\r\nX-Call-Id: s%d\r\nX-Budget-Ms: 4000\r\n\r\n", calls)
+		c.SetReadDeadline(time.Now().Add(20 * time.Second))
+		r, err := http.ReadResponse(bufio.NewReader(c), nil)
+		if err != nil || r.StatusCode != 200 {
+			t.Fatalf("call %d: %v, %v", calls, r, err)
+		}
+		io.Copy(io.Discard, r.Body)
+	}
+	usual := w.dial()
+	var stayed []net.Conn
+	for range 20 {
 		c := w.dial()
-		fmt.Fprintf(c, "POST /score/a HTTP/1.1\r\nX-Call-Id: s%d\r\nX-Budget-Ms: 4000\r\n\r\n", i)
+		ask(c)
+		ask(usual)
+		stayed = append(stayed, c)
+	}
+	for i, c := range stayed[:10] {
 		c.SetReadDeadline(time.Now().Add(20 * time.Second))
-		if r, err := http.ReadResponse(bufio.NewReader(c), nil); err != nil || r.StatusCode != 200 {
-			t.Fatalf("session %d: %v, %v", i, r, err)
+		if n, err := c.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+			t.Fatalf("session %d of 20 stays open: %d, %v", i, n, err)
 		}
 	}
+	for range 100 {
+		ask(w.dial())
+	}
 }
 
 // Guards against requests that no backend can use making healthy ones look bad.
--- a/internal/protocol/door/door.go
+++ b/internal/protocol/door/door.go
@@ -16,6 +16,7 @@
 	WholeTime = 2.0
 
 	roomShare   = 0.7  // of the sockets for clients: the rest stays for backends, whatever clients open
+	restShare   = 0.25 // of the sockets for sessions that have asked: a client's side may hold only so many, too
 	sourceShare = 0.5  // of the sockets for one address: a front that stands before many clients needs a third
 	bytesShare  = 0.12 // of the memory for messages not whole yet, and as much for the bodies of open jobs
 )
@@ -61,6 +62,10 @@
 	return false
 }
 
+// Resting is how many sessions may be open for some of them to rest between requests. Clients that ask once and
+// stay would else come to the end of what they may hold, and have none for the next request.
+func (d *Door) Resting() int { return int(float64(d.loop.Limit()) * restShare) }
+
 // Leave ends what Enter booked.
 func (d *Door) Leave(from netip.Addr) {
 	d.open--
--- a/internal/protocol/platform/front.go
+++ b/internal/protocol/platform/front.go
@@ -39,6 +39,7 @@
 	classes  map[string]class
 	sessions slots.Table[*session]
 	calls    map[string]bool // ids of calls that are open
+	asking   int             // sessions that have carried a client's request
 	closing  bool
 	rests    uint64
 	lastNews float64            // when bytes last came from any session
@@ -181,6 +182,9 @@
 	s.since = s.f.rests
 	if s.whole {
 		s.expect(s.f.loop.Now()+idleTimeout, s.end)
+		if s.asked && s.f.asking > s.f.door.Resting() {
+			s.f.shed(func(o *session) bool { return o.asked && o != s })
+		}
 		return
 	}
 	s.expect(s.entered+door.FreshTime, func() {
@@ -204,6 +208,9 @@
 	s.timeout.Stop()
 	if s.f.sessions.Drop(s.h) {
 		s.f.door.Leave(s.from)
+		if s.asked {
+			s.f.asking--
+		}
 	}
 	s.free()
 }
@@ -379,7 +386,10 @@
 
 // take hands a client's job to the core.
 func (s *session) take(q *Request) {
-	s.asked = true
+	if !s.asked {
+		s.asked = true
+		s.f.asking++
+	}
 	call, budget, reason := s.f.call(q)
 	class, known := s.f.classes[call.Class]
 	info := parseInfo(q.Header.Get("X-Call-Info"))
