A connection found dead after a rest blames no backend, and as long a rest is not risked again

No word comes before the request, so looking at the socket (Conn.Alive) cannot show it. At fault: link.lost, which told a Reset like any other, and Balancer.learnOutcome, which blamed the worker for it; carry, which tried one old connection after the other although the older ones had rested longer still. Now: such an end is told as Worn: it may have run, as before, but nobody is blamed; all that have rested longer are closed; each backend remembers at which length of rest connections die. A lost DELETE or probe is sent once more. TestWornConnections fails on the code before (each second request dies, the one backend is set aside).

--- a/brain/api.go
+++ b/brain/api.go
@@ -168,6 +168,7 @@
 	Worker  WorkerID
 	Result  Result
 	Closed  bool      // the client has its answer
+	Worn    bool      // a connection that had rested broke, which says nothing of the worker
 	Report  []float32 // in the order of Settings.Report; empty when none came
 }
 
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -357,7 +357,9 @@
 	a.mayHaveRun = o.Result != Full && o.Result != ConnectFailed && o.Result != Moot
 	r.landed(a)
 	b.learnReport(now, a.w, o.Report)
-	b.learnOutcome(now, r, a, o.Result)
+	if !o.Worn {
+		b.learnOutcome(now, r, a, o.Result)
+	}
 	if o.Closed {
 		b.finish(r, nil)
 	}
--- a/internal/program/figures.go
+++ b/internal/program/figures.go
@@ -36,6 +36,7 @@
 		counter("fetches.end_"+name, n.Results[result])
 	}
 	counter("backends.connections_opened", p.pool.Dialed)
+	counter("backends.worn_connections", p.pool.Worn)
 	counter("backends.stray_news", p.pool.StrayNews)
 	counter("backends.bad_news", p.front.BadNews)
 	counter("clients.sessions_opened", p.front.Sessions)
--- a/internal/program/story_test.go
+++ b/internal/program/story_test.go
@@ -367,3 +367,30 @@
 		}
 	}
 }
+
+// Guards against a path that forgets resting connections without a word: neither may the backend be set aside for
+// it, nor may one request after the other be lost to it.
+func TestWornConnections(t *testing.T) {
+	var w *world
+	seen, dead := map[string]bool{}, 0
+	u := newRunner(t, "s-1", func(n int, rw http.ResponseWriter, r *http.Request) { // one at a time
+		if seen[r.RemoteAddr] {
+			dead++
+			c, _, _ := rw.(http.Hijacker).Hijack()
+			c.(*net.TCPConn).SetLinger(0)
+			c.Close()
+			return
+		}
+		seen[r.RemoteAddr] = true
+		w.done("s-1", "ok")(n, rw, r)
+	})
+	w = begin(t, options{}, u.target("ready", 1))
+	for i := range 20 {
+		if status, body, _ := w.ask("score", 4000); status != 200 {
+			t.Fatalf("job %d: %d %q", i, status, body)
+		}
+	}
+	if dead == 0 || dead > 5 || strings.Contains(w.log.String(), "set aside") {
+		t.Errorf("%d of 20 requests met a dead connection, log:\n%s", dead, w.log)
+	}
+}
--- a/internal/protocol/platform/pool.go
+++ b/internal/protocol/platform/pool.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"math"
 	"net/netip"
 
 	"go.uber.org/zap"
@@ -28,7 +29,7 @@
 
 // Pool is all backends of the platform: their connections and the fetches that are out.
 type Pool struct {
-	StrayNews, Dialed uint64
+	StrayNews, Dialed, Worn uint64
 
 	loop     *transport.Loop
 	log      *zap.Logger
@@ -136,6 +137,52 @@
 	uid  string
 	addr netip.AddrPort
 	idle []*link // the one used last is at the end
+	wear wear
+}
+
+// wear is how often connections to a backend were found dead at the request after a rest, by how long they had
+// rested. Something on the way may forget them long before the settings' time, without a word to this side, and a
+// request that meets this may have run: none is tried again.
+type wear struct {
+	dead [wearSteps]float64 // running share
+	at   [wearSteps]float64 // when it was last seen
+}
+
+const (
+	wearSteps  = 12
+	wearLeast  = 0.05 // seconds of rest of the first step; each step is twice as long
+	wearRate   = 0.3  // weight of the newest: two dead ones in turn are enough
+	wearLimit  = 0.4  // a share above this is not risked
+	wearForget = 20.0 // seconds after which a share counts half, so that it is tried again
+)
+
+func wearStep(rest float64) int {
+	step := 0
+	for limit := wearLeast; rest > limit && step < wearSteps-1; limit *= 2 {
+		step++
+	}
+	return step
+}
+
+func (w *wear) share(now float64, step int) float64 {
+	return w.dead[step] * math.Exp2((w.at[step]-now)/wearForget)
+}
+
+// saw notes how a connection was found after a rest: 1 is dead, 0 alive.
+func (w *wear) saw(now, rest, dead float64) {
+	step := wearStep(rest)
+	was := w.share(now, step)
+	w.dead[step], w.at[step] = was+wearRate*(dead-was), now
+}
+
+// out says whether a connection has rested for so long that it is not to be trusted.
+func (w *wear) out(now, rest float64) bool {
+	for step := wearStep(rest); step >= 0; step-- {
+		if w.share(now, step) > wearLimit {
+			return true
+		}
+	}
+	return false
 }
 
 // Begin implements routing.Backend.
@@ -193,6 +240,8 @@
 	up      bool
 	wrote   bool // bytes of the present request have gone out
 	since   float64
+	rested  float64 // how long it had rested before the present request; 0 is a new connection
+	worn    bool    // was found dead after a rest
 	timeout *transport.Deadline
 }
 
@@ -200,12 +249,14 @@
 func (b *backend) carry(x *exchange) {
 	for len(b.idle) > 0 {
 		l := b.idle[len(b.idle)-1]
-		if !l.conn.Alive() { // closed by the backend meanwhile: a request written to it would be lost
+		now := b.pool.loop.Now()
+		if !l.conn.Alive() || b.wear.out(now, now-l.since) { // a request written to it would be lost
 			l.end()
 			continue
 		}
 		b.idle = b.idle[:len(b.idle)-1]
 		l.timeout.Stop()
+		l.rested = math.Max(now-l.since, math.SmallestNonzeroFloat64)
 		l.start(x)
 		return
 	}
@@ -330,6 +381,10 @@
 		return true
 	}
 	l.conn.Consume(n)
+	if l.rested > 0 {
+		l.b.wear.saw(l.b.pool.loop.Now(), l.rested, 0)
+		l.rested = 0
+	}
 	x := l.job
 	l.job = nil
 	if ended || r.Close || len(l.conn.Bytes()) > 0 {
@@ -377,6 +432,19 @@
 	if l.busy && l.up && len(c.Bytes()) > 0 && l.answer(true) {
 		return
 	}
+	if l.busy && l.rested > 0 && len(c.Bytes()) == 0 {
+		// Dead at the request after a rest: the connection's end, not the backend's. Those that have rested
+		// longer are as dead.
+		l.b.wear.saw(l.b.pool.loop.Now(), l.rested, 1)
+		l.b.pool.Worn++
+		l.b.closeIdle()
+		if x := l.job; x != nil && x.attempt == nil { // harmless to repeat
+			l.job, l.busy = nil, false
+			l.b.carry(x)
+			return
+		}
+		l.worn = true
+	}
 	l.lost(err)
 }
 
@@ -406,7 +474,7 @@
 		}
 		a.link = nil
 		l.b.pool.log.Debug("fetch: connection lost", zap.String("backend", l.b.uid), zap.Error(err))
-		l.b.pool.end(a, routing.End{Result: result})
+		l.b.pool.end(a, routing.End{Result: result, Worn: l.worn})
 	}
 }
 
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -73,6 +73,7 @@
 type End struct {
 	Result   brain.Result
 	Unusable bool // the backend says that the job itself is bad
+	Worn     bool // a connection that had rested was found dead: no word on the backend
 	Body     []byte
 	Report   []float32
 }
@@ -340,7 +341,7 @@
 	}
 	c.counts.Results[e.Result]++
 	c.bal.OnOutcome(c.clock.Now(), &brain.Outcome{Request: r.id, Attempt: f.attempt, Worker: f.member.ID,
-		Result: e.Result, Closed: r.answered, Report: e.Report})
+		Result: e.Result, Closed: r.answered, Worn: e.Worn, Report: e.Report})
 	c.forget(r)
 }
 
