A backend leaves as what it was: repeats stay in its cell, and whole lists spare Gearman workers

Seen by reading with the reload in mind: (1) a "gone" entry without pod_group overwrote the backend's cell with 0, so a charge that may have run there was repeated in cell 0, which breaks the rule on duplicates; (2) a whole list of the director, which each reload now brings, marked every worker as gone, those of the Gearman front too. At fault: Director.apply, which passed the entry on as it came, and Core.List with ListFull, which knows no fronts. Now the director keeps what discovery lists: an entry that leaves keeps the rest of what it was, and a whole list is handed on as its entries and the names that are missing from it.

--- a/internal/program/gearman_test.go
+++ b/internal/program/gearman_test.go
@@ -102,6 +102,17 @@
 	}
 }
 
+// any reads the next packet.
+func (c *wire) any() gm.Packet {
+	c.g.t.Helper()
+	c.SetReadDeadline(time.Now().Add(30 * time.Second))
+	p, ok := c.next()
+	if !ok {
+		c.g.t.Fatal("the connection ended")
+	}
+	return p
+}
+
 // work serves jobs as a worker does, until script says stop or the connection ends.
 func (c *wire) work(grab gm.Kind, script func(handle, function, data string) (stop bool), functions ...string) {
 	c.send(gm.SetClientID, "stand-in")
@@ -170,6 +181,27 @@
 	return true
 }
 
+// Guards against a whole list of the director, as each reload brings one, taking the Gearman workers away.
+func TestAWholeListLeavesGearmanWorkers(t *testing.T) {
+	g := beginGearman(t, options{cold: 0.001}, 5)
+	worker := g.dial()
+	worker.work(gm.GrabJobUniq, worker.echo, "safe")
+	g.eventually("the worker", func() bool { return strings.Contains(g.admin("status", ".\n"), "safe\t0\t0\t1") })
+	g.tell(`{"rev":2,"all":true,"targets":[]}`)
+	g.eventually("the list", func() bool { return strings.Contains(g.log.String(), `"rev": 2`) })
+	client := g.dial()
+	client.send(gm.SubmitJob, "safe", "", "payload")
+	for {
+		p := client.any()
+		if p.Kind == gm.WorkComplete {
+			return
+		}
+		if p.Kind == gm.WorkFail {
+			t.Fatal("the worker was taken away")
+		}
+	}
+}
+
 // The proof: final answers per job and repeats per class, while workers drop after a status, fail, and leave.
 func TestGearmanOneEndForEachJob(t *testing.T) {
 	g := beginGearman(t, options{cold: 0.001}, 5)
--- a/internal/program/story_test.go
+++ b/internal/program/story_test.go
@@ -394,3 +394,32 @@
 		t.Errorf("%d of 20 requests met a dead connection, log:\n%s", dead, w.log)
 	}
 }
+
+// Guards against a repeat in the wrong group: a backend leaves with an entry that names no cell, or by missing from a
+// whole list, while a job that may have run there is bound to its cell.
+func TestAJobStaysBoundToACellThatLeft(t *testing.T) {
+	for name, line := range map[string]string{"gone": `{"rev":2,"all":false,"targets":[{"uid":"s-0","state":"gone"},%s]}`,
+		"missing": `{"rev":2,"all":true,"targets":[%s]}`} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			var w *world
+			release := make(chan bool)
+			first := newRunner(t, "s-0", func(_ int, rw http.ResponseWriter, _ *http.Request) {
+				<-release
+				c, _, _ := rw.(http.Hijacker).Hijack()
+				c.Close()
+			})
+			other := newRunner(t, "s-1", func(n int, rw http.ResponseWriter, r *http.Request) { w.done("s-1", "again")(n, rw, r) })
+			w = begin(t, options{}, first.target("ready", 5))
+			answer := make(chan int, 1)
+			go func() { status, _, _ := w.ask("charge", 4000); answer <- status }()
+			w.eventually("the job", func() bool { return first.jobs() == 1 })
+			w.tell(fmt.Sprintf(line, other.target("ready", 0)))
+			w.eventually("the list", func() bool { return strings.Contains(w.log.String(), `"rev": 2`) })
+			close(release)
+			if status := <-answer; status != 500 || other.jobs() != 0 {
+				t.Errorf("answer %d after %d jobs in another cell", status, other.jobs())
+			}
+		})
+	}
+}
--- a/internal/protocol/platform/director.go
+++ b/internal/protocol/platform/director.go
@@ -4,7 +4,9 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -34,15 +36,17 @@
 	zones []string
 	kinds []string
 	rev   int64
-	on    *watch // the one that has told the list held now; nil before there was one, or between two tries
-	next  *watch // one at a new address, which has not spoken yet
+	known map[string]Target // what discovery lists, by uid
+	on    *watch            // the one that has told the list held now; nil before there was one, or between two tries
+	next  *watch            // one at a new address, which has not spoken yet
 	retry *transport.Deadline
 	wait  float64
 }
 
 // NewDirector makes a director; Start begins the watch.
 func NewDirector(loop *transport.Loop, log *zap.Logger, addr netip.AddrPort, core *routing.Core, pool *Pool, zones, kinds []string) *Director {
-	return &Director{loop: loop, log: log, addr: addr, core: core, pool: pool, zones: zones, kinds: kinds, wait: rewatchAfter}
+	return &Director{loop: loop, log: log, addr: addr, core: core, pool: pool, zones: zones, kinds: kinds, wait: rewatchAfter,
+		known: map[string]Target{}}
 }
 
 // Start hands over the list of an earlier life, which may be out of date, and watches from there.
@@ -269,17 +273,36 @@
 
 func (d *Director) apply(list List, kind brain.ListKind) {
 	d.rev = list.Rev
+	if kind == brain.ListFull {
+		// Whole as far as discovery goes: workers that another front lists stay, so what is missing is named.
+		missing := maps.Clone(d.known)
+		for _, t := range list.Targets {
+			delete(missing, t.UID)
+		}
+		for _, uid := range slices.Sorted(maps.Keys(missing)) {
+			list.Targets = append(list.Targets, Target{UID: uid, State: "gone"})
+		}
+		kind = brain.ListDelta
+	}
 	members, listed := make([]routing.Member, 0, len(list.Targets)), map[brain.WorkerID]bool{}
 	for _, t := range list.Targets {
+		if was, ok := d.known[t.UID]; ok && t.State == "gone" {
+			// It leaves as what it was, whatever its last entry lacks: what may have run there is bound to its cell.
+			t, t.State = was, "gone"
+		}
 		w := brain.Worker{ID: d.core.Number(t.UID), Zone: place(d.zones, t.Zone), Kind: place(d.kinds, t.Kind),
 			Cell: t.Cell, State: states[t.State], Weight: t.Weight, Since: t.BootMs / 1000}
 		addr, _ := netip.ParseAddrPort(t.Endpoint)
 		members = append(members, routing.Member{Worker: w, Backend: d.pool.backend(w.ID, t.UID, addr), Name: t.UID})
-		listed[w.ID] = w.State != brain.Gone
+		if listed[w.ID] = w.State != brain.Gone; listed[w.ID] {
+			d.known[t.UID] = t
+		} else {
+			delete(d.known, t.UID)
+		}
 	}
 	d.log.Info("director: list", zap.Int64("rev", list.Rev), zap.Bool("all", list.All), zap.Int("entries", len(members)))
 	d.core.List(kind, members)
-	d.pool.keep(listed, kind != brain.ListDelta)
+	d.pool.keep(listed)
 }
 
 // place finds a name among the settings' names, or reads it as a number; -1 is none of them.
--- a/internal/protocol/platform/pool.go
+++ b/internal/protocol/platform/pool.go
@@ -68,11 +68,10 @@
 	return b
 }
 
-// keep lets go of backends that are listed as gone or, where the list is whole, not listed. What is out there
-// keeps its own hold of its backend.
-func (p *Pool) keep(listed map[brain.WorkerID]bool, whole bool) {
-	for id, b := range p.backends {
-		if stays, named := listed[id]; named && !stays || !named && whole {
+// keep lets go of backends that are listed as gone. What is out there keeps its own hold of its backend.
+func (p *Pool) keep(listed map[brain.WorkerID]bool) {
+	for id, stays := range listed {
+		if b := p.backends[id]; b != nil && !stays {
 			b.closeIdle()
 			delete(p.backends, id)
 		}
