Call-backs are never turned away: a backend's address is let in beyond the clients' bounds

Seen by reading: Front.Accept turned the newcomer away when clients held all their room with open jobs, and those jobs end by call-backs that come by the same port; shed treated a resting call-back session like a client's. Checked: with 28 sockets held by open jobs a call-back was answered 503 (TestCallBacksComeThroughACrowd fails so when the address is not asked for). Now an address where a listed backend stands is let in, and sessions that carry call-backs give way last.

--- a/internal/program/rude_test.go
+++ b/internal/program/rude_test.go
@@ -181,6 +181,43 @@
 	}
 }
 
+// Guards against the bounds on clients turning call-backs away: jobs that hold all the room end by them alone.
+func TestCallBacksComeThroughACrowd(t *testing.T) {
+	var w *world
+	ids := make(chan string, 64)
+	u := newRunner(t, "s-1", func(_ int, rw http.ResponseWriter, r *http.Request) {
+		rw.WriteHeader(202)
+		ids <- r.Header.Get("X-Call-Id")
+	})
+	l, err := net.Listen("tcp", "127.0.0.2:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go http.Serve(l, u.server.Config.Handler)
+	w = begin(t, options{sockets: reserve + 40}, strings.Replace(u.target("ready", 1), strings.TrimPrefix(u.server.URL, "http://"), l.Addr().String(), 1))
+	at := func(host byte) *net.Dialer {
+		return &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, host)}}
+	}
+	for i := range 36 { // more than all addresses may hold, and no session that could give way
+		c, err := at(byte(3+i%3)).Dial("tcp", w.addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "POST /score/a HTTP/1.1\r\nX-Call-Id: c%d\r\nX-Budget-Ms: 4900\r\n\r\n", i)
+	}
+	from := &http.Client{Transport: &http.Transport{DisableKeepAlives: true, DialContext: at(2).DialContext}}
+	for range 8 {
+		text := fmt.Sprintf(`{"id":%q,"from":"s-1","state":"started"}`, <-ids)
+		r, err := from.Post("http://"+w.addr+"/_jobs/news", "application/json", strings.NewReader(text))
+		if err != nil || r.StatusCode != 204 {
+			t.Fatalf("a call-back in the crowd: %v, %v", r, err)
+		}
+		r.Body.Close()
+	}
+}
+
 // Guards against requests that no backend can use making healthy ones look bad.
 func TestUnusableRequests(t *testing.T) {
 	var w *world
--- a/internal/protocol/platform/front.go
+++ b/internal/protocol/platform/front.go
@@ -74,7 +74,7 @@
 	s.rest()
 	if !f.door.Enter(s.from, func(may func(netip.Addr) bool) bool {
 		return f.shed(func(o *session) bool { return o != s && may(o.from) })
-	}) {
+	}) && !f.pool.at(s.from) { // what is out can end by call-backs alone: they are never turned away
 		s.turn("too many connections")
 	}
 	return s
@@ -84,8 +84,9 @@
 func (f *Front) ShedIdle() bool { return f.shed(func(*session) bool { return true }) }
 
 // shed closes one of the sessions that may be closed: first one that has never handed in anything, then one that
-// never came to the end of its first request, and only then one that rests between requests. Within each the
-// one that has stood longest goes: a flood of silent connections must not push out those who work here.
+// never came to the end of its first request, and only then one that rests between requests, those with call-backs
+// last. Within each the one that has stood longest goes: a flood of silent connections must not push out those who
+// work here.
 func (f *Front) shed(may func(*session) bool) bool {
 	var best *session
 	rank := 0
@@ -94,14 +95,14 @@
 		if r == 0 || !may(s) || best != nil && (r < rank || r == rank && s.since > best.since) {
 			return
 		}
-		if r == 2 || s.conn.Alive() { // else a request has come that was not read yet, or the peer has left
+		if r == half || s.conn.Alive() { // else a request has come that was not read yet, or the peer has left
 			best, rank = s, r
 		}
 	})
 	switch {
 	case best == nil:
 		return false
-	case rank == 2: // its request has begun: it is told that a repeat is harmless
+	case rank == half: // its request has begun: it is told that a repeat is harmless
 		best.turn("no room to wait for the rest")
 	default:
 		// Nothing has come. A word written here would lie in wait: a client that opened ahead and comes to use the
@@ -161,19 +162,26 @@
 	return s.call == "" && len(s.conn.Bytes()) == 0 && s.conn.Unsent() == 0
 }
 
-// rank says how well the session can be spared; 0 is not at all.
+// How well a session can be spared; 0 is not at all.
+const (
+	resting = iota + 1 // carried call-backs, rests
+	rested             // carried requests, rests
+	half               // its first request is not whole
+	fresh              // has sent nothing
+)
+
 func (s *session) rank() int {
-	switch {
-	case s.call != "" || s.conn.Unsent() > 0:
+	switch begun := len(s.conn.Bytes()) > 0; {
+	case s.call != "" || s.conn.Unsent() > 0 || s.whole && begun:
 		return 0
-	case s.whole && len(s.conn.Bytes()) == 0:
-		return 1
-	case !s.whole && len(s.conn.Bytes()) > 0:
-		return 2
+	case !s.whole && begun:
+		return half
 	case !s.whole:
-		return 3
+		return fresh
+	case s.asked:
+		return rested
 	}
-	return 0
+	return resting
 }
 
 // rest waits for the next request. A connection that has not shown what it wants is closed early.
--- a/internal/protocol/platform/pool.go
+++ b/internal/protocol/platform/pool.go
@@ -78,6 +78,16 @@
 	}
 }
 
+// at says whether a backend stands at an address.
+func (p *Pool) at(addr netip.Addr) bool {
+	for _, b := range p.backends {
+		if b.addr.Addr().Unmap() == addr {
+			return true
+		}
+	}
+	return false
+}
+
 func (b *backend) closeIdle() {
 	for len(b.idle) > 0 {
 		b.idle[0].end()
