A call-back's new connection is not shed before its first bytes come

Checked: all other sessions held open jobs, so the one that could give way to a backend connection was the call-back's own, accepted and not read yet. A runner would try again, but it is the call-back that frees a session. At fault: session.rank, which took a connection from a backend's address for any silent one. Stand-in runners stand at 127.0.0.2, so that clients' bounds hold for clients.

--- a/internal/program/rude_test.go
+++ b/internal/program/rude_test.go
@@ -189,13 +189,7 @@
 		rw.WriteHeader(202)
 		ids <- r.Header.Get("X-Call-Id")
 	})
-	l, err := net.Listen("tcp", "127.0.0.2:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	go http.Serve(l, u.server.Config.Handler)
-	w = begin(t, options{sockets: reserve + 40}, strings.Replace(u.target("ready", 1), strings.TrimPrefix(u.server.URL, "http://"), l.Addr().String(), 1))
+	w = begin(t, options{sockets: reserve + 40}, u.target("ready", 1))
 	at := func(host byte) *net.Dialer {
 		return &net.Dialer{LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, host)}}
 	}
--- a/internal/program/world_test.go
+++ b/internal/program/world_test.go
@@ -257,6 +257,12 @@
 			u.open--
 		}
 	}
+	l, err := net.Listen("tcp", "127.0.0.2:0") // an address of its own: that of clients is bounded
+	if err != nil {
+		t.Fatal(err)
+	}
+	u.server.Listener.Close()
+	u.server.Listener = l
 	u.server.Start()
 	t.Cleanup(func() { u.server.CloseClientConnections(); u.server.Close() })
 	return u
--- a/internal/protocol/platform/front.go
+++ b/internal/protocol/platform/front.go
@@ -70,11 +70,12 @@
 func (f *Front) Accept(c *transport.Conn) transport.Handler {
 	f.Sessions++
 	s := &session{f: f, conn: c, from: c.Peer().Addr().Unmap(), entered: f.loop.Now()}
+	s.backend = f.pool.at(s.from)
 	s.h = f.sessions.Put(s)
 	s.rest()
 	if !f.door.Enter(s.from, func(may func(netip.Addr) bool) bool {
 		return f.shed(func(o *session) bool { return o != s && may(o.from) })
-	}) && !f.pool.at(s.from) { // what is out can end by call-backs alone: they are never turned away
+	}) && !s.backend { // what is out can end by call-backs alone: they are never turned away
 		s.turn("too many connections")
 	}
 	return s
@@ -153,6 +154,7 @@
 	whole   bool   // has carried any request
 	since   uint64 // its place in the order in which sessions came to rest; times tie within a turn
 	from    netip.Addr
+	backend bool // comes from where a listed backend stands
 	entered float64
 	began   float64 // when the first bytes came of the request that is not whole yet; 0 is none
 	timeout *transport.Deadline
@@ -174,6 +176,8 @@
 	switch begun := len(s.conn.Bytes()) > 0; {
 	case s.call != "" || s.conn.Unsent() > 0 || s.whole && begun:
 		return 0
+	case !s.whole && s.backend: // brings a call-back, which may be all that frees a session
+		return 0
 	case !s.whole && begun:
 		return half
 	case !s.whole:
