The second address with ready, evacuate and rejoin; the clients' socket may be inherited

Seen: a second process exits with 1 (program.build binds the port that the platform holds), /_health says 200 whatever is called. Ruled out: the front or the decisions, neither is reached. Tests: callers among 100 silent clients and 40 silent callers, evacuation with fresh, resting, working and late sessions, a shared listening socket that lives on.

--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -19,6 +19,7 @@
 	Name      string        `json:"name"`
 	Listen    string        `json:"listen"`    // empty: no platform front
 	Discovery string        `json:"discovery"` // empty: no director
+	Console   string        `json:"console"`   // the second address, for the staff who run it; empty: none
 	Seed      string        `json:"seed"`
 	Known     platform.List `json:"known"`
 	Limits    struct {
@@ -34,6 +35,8 @@
 
 	path, gearmanPath string // where it was read from
 	listen, discovery netip.AddrPort
+	console           netip.AddrPort
+	inherited         int // descriptor of the clients' socket, where somebody else holds it; 0: we bind it
 	graphite          netip.AddrPort
 	seed              uint64
 	brain             brain.Settings
@@ -100,7 +103,8 @@
 	for _, v := range []struct {
 		name string
 		to   *string
-	}{{"ROUTER_NAME", &c.Name}, {"ROUTER_LISTEN", &c.Listen}, {"ROUTER_DISCOVERY", &c.Discovery}} {
+	}{{"ROUTER_NAME", &c.Name}, {"ROUTER_LISTEN", &c.Listen}, {"ROUTER_DISCOVERY", &c.Discovery},
+		{"ROUTER_CONSOLE", &c.Console}} {
 		if s := env(v.name); s != "" {
 			*v.to = s
 		}
@@ -108,7 +112,8 @@
 	for _, a := range []struct {
 		name, text string
 		to         *netip.AddrPort
-	}{{"listen", c.Listen, &c.listen}, {"discovery", c.Discovery, &c.discovery}} {
+	}{{"listen", c.Listen, &c.listen}, {"discovery", c.Discovery, &c.discovery},
+		{"console", c.Console, &c.console}} {
 		if a.text == "" {
 			continue
 		}
@@ -116,6 +121,11 @@
 			return nil, fmt.Errorf("config: %s: %w", a.name, err)
 		}
 	}
+	if fd := env("ROUTER_FD"); fd != "" {
+		if c.inherited, err = strconv.Atoi(fd); err != nil || c.inherited < 3 {
+			return nil, fmt.Errorf("config: ROUTER_FD: %q is no descriptor to inherit", fd)
+		}
+	}
 	if c.Seed != "" {
 		if c.seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
 			return nil, fmt.Errorf("config: seed: %w", err)
--- a/internal/program/figures.go
+++ b/internal/program/figures.go
@@ -49,6 +49,11 @@
 	counter("director.bad_lines", p.director.Rejected)
 	gauge("sockets.open", p.loop.Open())
 	counter("invariants.broken", invariant.Broken())
+	if p.console != nil {
+		counter("console.calls", p.console.Calls)
+		counter("console.refused", p.console.Refused)
+		counter("console.gave_way", p.console.GaveWay)
+	}
 	if p.gearman != nil {
 		g := p.gearman.Counted()
 		counter("gearman.jobs", g.Jobs)
--- /dev/null
+++ b/internal/program/operate_test.go
@@ -0,0 +1,171 @@
+package program
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+// operator calls the second address.
+func (w *world) operator(method, path, body string) (status int, reason string) {
+	w.t.Helper()
+	return operate(w.t, w.console, method, path, body)
+}
+
+func operate(t *testing.T, addr, method, path, body string) (status int, reason string) {
+	t.Helper()
+	q, _ := http.NewRequest(method, "http://"+addr+path, strings.NewReader(body))
+	client := http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	r, err := client.Do(q)
+	if err != nil {
+		t.Fatalf("%s %s: %v", method, path, err)
+	}
+	defer r.Body.Close()
+	text, _ := io.ReadAll(r.Body)
+	return r.StatusCode, strings.TrimSpace(string(text))
+}
+
+// Guards against a second address that a flood starves, that callers who say nothing hold shut, or that says yes to
+// what it cannot make out.
+func TestConsole(t *testing.T) {
+	w := begin(t, options{sockets: reserve + 40, console: true})
+	for range 100 { // clients without a word take all the sockets there are
+		w.dial()
+	}
+	for range 40 { // and so do callers
+		c, err := net.Dial("tcp", w.console)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		io.WriteString(c, "PUT /api/exc")
+	}
+	for _, tc := range []struct {
+		method, path, body string
+		want               int
+	}{
+		{"GET", "/api/ready", "", 200},
+		{"PUT", "/api/ready", "", 405},
+		{"GET", "/api/rejoin", "", 405},
+		{"GET", "/", "", 404},
+		{"GET", "/_health", "", 404},
+		{"PUT", "/api/rejoin", "", 200},
+	} {
+		if got, reason := w.operator(tc.method, tc.path, tc.body); got != tc.want || reason == "" {
+			t.Errorf("%s %s %s: %d %q, want %d", tc.method, tc.path, tc.body, got, reason, tc.want)
+		}
+	}
+	c, err := net.Dial("tcp", w.console)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for _, b := range []byte("GET /api/ready HTTP/1.1\r\nHost: a\r\n\r\n") { // a call that comes in pieces
+		c.Write([]byte{b})
+	}
+	if got := until(c); !strings.HasPrefix(got, "HTTP/1.1 200") {
+		t.Errorf("in pieces: %q", got)
+	}
+}
+
+// Guards against an evacuation that leaves somebody who rests or never asked, cuts off whom it serves, closes the way
+// of call-backs, or cannot be undone.
+func TestEvacuation(t *testing.T) {
+	var w *world
+	release := make(chan bool)
+	u := newRunner(t, "s-1", func(n int, rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/score/held" {
+			w.news(r.Header.Get("X-Call-Id"), "s-1", `"state":"started"`)
+			<-release
+		}
+		w.done("s-1", "ok")(n, rw, r)
+	})
+	w = begin(t, options{console: true}, u.target("ready", 1))
+	ask := func(c net.Conn, path string) {
+		t.Helper()
+		fmt.Fprintf(c, "POST /score/%s HTTP/1.1\r\nX-Call-Id: %s\r\nX-Budget-Ms: 4900\r\n\r\n", path, c.LocalAddr().(*net.TCPAddr).String())
+	}
+	fresh, rested, working := w.dial(), w.dial(), w.dial()
+	ask(rested, "a")
+	if r, err := http.ReadResponse(bufio.NewReader(rested), nil); err != nil || r.StatusCode != 200 {
+		t.Fatalf("before: %v, %v", r, err)
+	}
+	ask(working, "held")
+	w.eventually("the job that is held", func() bool { return u.jobs() == 2 })
+	if status, _ := w.operator("PUT", "/api/evacuate", ""); status != 200 {
+		t.Fatalf("evacuate: %d", status)
+	}
+	if got := w.raw("GET /_health HTTP/1.1\r\nConnection: close\r\n\r\n"); !strings.HasPrefix(got, "HTTP/1.1 503") {
+		t.Errorf("health while away: %q", got)
+	}
+	for name, c := range map[string]net.Conn{"fresh": fresh, "rested": rested} {
+		if got := until(c); strings.Contains(got, "HTTP/1.1 5") {
+			t.Errorf("the %s one was told %q", name, got)
+		}
+	}
+	late := w.dial()
+	ask(late, "b")
+	if got := until(late); !strings.HasPrefix(got, "HTTP/1.1 200") && !strings.HasPrefix(got, "HTTP/1.1 503") || !strings.Contains(got, "Connection: close") {
+		t.Errorf("one who comes late: %q", got)
+	}
+	w.eventually("jobs are turned away", func() bool {
+		c := w.dial()
+		ask(c, "c")
+		return strings.HasPrefix(until(c), "HTTP/1.1 503")
+	})
+	close(release) // its call-back comes by the port that clients are sent away from
+	if got := until(working); !strings.HasPrefix(got, "HTTP/1.1 200") || !strings.Contains(got, "Connection: close") {
+		t.Errorf("the one at work: %q", got)
+	}
+	if status, _ := w.operator("PUT", "/api/rejoin", ""); status != 200 {
+		t.Fatalf("rejoin: %d", status)
+	}
+	if got := w.raw("GET /_health HTTP/1.1\r\nConnection: close\r\n\r\n"); !strings.HasPrefix(got, "HTTP/1.1 200") {
+		t.Errorf("health once back: %q", got)
+	}
+	w.eventually("it serves again", func() bool {
+		status, _, header := w.ask("score", 4000)
+		return status == 200 && header.Get("Connection") == ""
+	})
+}
+
+// Guards against binding an address that somebody else holds for this program, and against shutting down or losing
+// what is shared: whoever else listens there goes on.
+func TestInheritedListener(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	file, err := l.(*net.TCPListener).File()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer file.Close()
+	w := begin(t, options{inherit: file, listen: l.Addr().String()})
+	if err := <-w.terminate(); err != nil {
+		t.Fatalf("exit: %v", err)
+	}
+	go func() {
+		if c, err := net.Dial("tcp", l.Addr().String()); err == nil {
+			c.Close()
+		}
+	}()
+	l.(*net.TCPListener).SetDeadline(time.Now().Add(20 * time.Second))
+	if _, err := l.Accept(); err != nil {
+		t.Errorf("after its end nobody can listen there: %v", err)
+	}
+	for _, fd := range []string{"2", "x", "6"} { // the last one is closed
+		w.configure()
+		if _, err := ReadConfig(w.path, func(name string) string {
+			return map[string]string{"ROUTER_FD": fd}[name]
+		}); (err == nil) != (fd == "6") {
+			t.Errorf("ROUTER_FD=%s: %v", fd, err)
+		}
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"cinderroad/internal/console"
 	"cinderroad/internal/protocol/door"
 	"cinderroad/internal/protocol/gearman"
 	"cinderroad/internal/protocol/platform"
@@ -41,6 +42,7 @@
 	listener *transport.Listener
 	gearman  *gearman.Server
 	door     *door.Door
+	console  *console.Console
 	stopping bool
 	Reloads  struct{ Taken, Refused uint64 }
 }
@@ -113,10 +115,14 @@
 	if config.discovery.IsValid() {
 		p.director.Start(config.Known)
 	}
-	if config.listen.IsValid() {
-		if p.listener, err = loop.Listen(config.listen, p.front.Accept); err != nil {
-			return nil, err
-		}
+	switch {
+	case config.inherited > 0:
+		p.listener, err = loop.Inherit(config.inherited, p.front.Accept)
+	case config.listen.IsValid():
+		p.listener, err = loop.Listen(config.listen, p.front.Accept)
+	}
+	if err != nil {
+		return nil, err
 	}
 	if config.gearman != nil {
 		p.gearman = gearman.New(loop, log, p.core, p.door, config.gearman, config.Name, config.brain.Report)
@@ -125,6 +131,11 @@
 			return nil, err
 		}
 	}
+	if config.console.IsValid() {
+		if p.console, err = console.Start(loop, log, config.console, p.calls()); err != nil {
+			return nil, err
+		}
+	}
 	return p, nil
 }
 
--- a/internal/program/world_test.go
+++ b/internal/program/world_test.go
@@ -57,6 +57,7 @@
 type world struct {
 	t         *testing.T
 	addr      string
+	console   string // the second address
 	cmd       *exec.Cmd
 	log       *lockedBuffer
 	mu        sync.Mutex
@@ -92,6 +93,10 @@
 	connIdle float64
 	cold     float64
 	args     []string
+	console  bool     // has a second address
+	inherit  *os.File // the clients' socket, if it is not the program's own
+	listen   string   // and its address
+	tmp      string   // $TMPDIR
 }
 
 // begin starts the program with the runners in the list that it knows.
@@ -100,7 +105,12 @@
 	w := &world{t: t, log: &lockedBuffer{}, changed: make(chan struct{}), client: &http.Client{Timeout: 20 * time.Second}}
 	w.discovery = httptest.NewServer(http.HandlerFunc(w.watch))
 	t.Cleanup(w.discovery.CloseClientConnections)
-	w.addr = freeAddr(t)
+	if w.addr = o.listen; w.addr == "" {
+		w.addr = freeAddr(t)
+	}
+	if o.tmp == "" {
+		o.tmp = t.TempDir()
+	}
 	if o.sockets == 0 {
 		o.sockets = 1024
 	}
@@ -114,11 +124,20 @@
 		"seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": o.sockets},
 		"known":    json.RawMessage(`{"rev":1,"all":true,"targets":[` + strings.Join(targets, ",") + `]}`),
 		"settings": json.RawMessage(fmt.Sprintf(settingsText, o.cold, o.connIdle))}
+	if o.console {
+		w.console = freeAddr(t)
+		w.config["console"] = w.console
+	}
 	w.path = filepath.Join(t.TempDir(), "config.json")
 	w.configure()
 	w.cmd = exec.Command(program, append([]string{"-config", w.path, "-log", "debug"}, o.args...)...)
 	w.cmd.Stderr = w.log
 	w.cmd.Env = append(os.Environ(), "ROUTER_DISCOVERY="+strings.TrimPrefix(w.discovery.URL, "http://"))
+	w.cmd.Env = append(w.cmd.Env, "TMPDIR="+o.tmp)
+	if o.inherit != nil {
+		w.cmd.ExtraFiles = []*os.File{nil, nil, o.inherit} // descriptor 5
+		w.cmd.Env = append(w.cmd.Env, "ROUTER_FD=5")
+	}
 	if err := w.cmd.Start(); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/protocol/gearman/server.go
+++ b/internal/protocol/gearman/server.go
@@ -46,6 +46,7 @@
 	held      int // bytes of the jobs' data
 	prefix    string
 	stopping  bool
+	leaving   bool // evacuated: clients are sent away, until they are taken again
 	rests     uint64
 	listener  *transport.Listener
 }
@@ -117,6 +118,19 @@
 	}
 }
 
+// Evacuate sends the clients away, or takes them again: new jobs are turned away and clients that wait for nothing
+// are closed. Workers stay, and all that was taken is served.
+func (s *Server) Evacuate(on bool) {
+	if s.leaving = on; !on {
+		return
+	}
+	s.peers.Each(func(_ slots.Handle, p *peer) {
+		if p.worker == nil && p.waits == 0 && len(p.conn.Bytes()) == 0 && p.conn.Unsent() == 0 && p.conn.Alive() {
+			p.end()
+		}
+	})
+}
+
 // Quiet says whether every job has had its end and every answer has gone out.
 func (s *Server) Quiet() bool {
 	quiet := len(s.jobs) == 0
@@ -377,6 +391,9 @@
 	case s.stopping:
 		p.send(Error, errStopping, "shutting down")
 		return
+	case s.leaving:
+		p.send(Error, errStopping, "evacuated, come back later")
+		return
 	}
 	if unique == "-" { // by the protocol, the data is then the unique id
 		unique = data
--- a/internal/protocol/platform/front.go
+++ b/internal/protocol/platform/front.go
@@ -25,6 +25,13 @@
 	mostID       = 128     // bytes of a call's id
 	mostSlots    = 256     // of a job: no machine has more, and what all turn away says nothing of them
 	soon         = 0.5     // seconds after which one refused without the decisions' part may come back
+
+	// An evacuation: the front that spreads clients looks away within 0.2 s of a no, and 4 s after the call nobody may
+	// rest here or have a job that is younger than 2 s.
+	lookAway   = 0.5  // seconds of serving on as if nothing had been said
+	lastTake   = 1.8  // after which no new job is taken
+	sweepEvery = 0.05 // closing what has come to rest
+	freshGrace = 0.6  // for the first request of a connection that came while the front still looked
 )
 
 // Front serves the clients' side of the platform's protocol, and the runners' call-backs at the same port.
@@ -41,6 +48,9 @@
 	calls    map[string]bool // ids of calls that are open
 	asking   int             // sessions that have carried a client's request
 	closing  bool
+	leaving  float64 // when an evacuation began; 0 is none
+	emptying bool    // and its sessions are closed
+	sweeping *transport.Deadline
 	rests    uint64
 	lastNews float64            // when bytes last came from any session
 	noted    map[string]float64 // when a kind of bad input was last logged
@@ -124,6 +134,35 @@
 	})
 }
 
+// Evacuate sends the clients away, or takes them again. Unlike Drain it is undone, and leaves nobody who rests:
+// sessions that never asked and those accepted later are closed, too. Call-backs and open jobs go on.
+func (f *Front) Evacuate(on bool) {
+	switch {
+	case !on:
+		f.leaving, f.emptying = 0, false
+		f.sweeping.Stop()
+	case f.leaving == 0:
+		f.leaving = f.loop.Now()
+		f.sweeping = f.loop.At(f.leaving+lookAway, f.sweep)
+	}
+}
+
+// Leaving says whether the front is evacuated.
+func (f *Front) Leaving() bool { return f.leaving > 0 }
+
+func (f *Front) sweep() {
+	f.emptying = true
+	now := f.loop.Now()
+	f.sessions.Each(func(_ slots.Handle, s *session) {
+		switch {
+		case !s.idle() || s.told || !s.whole && (s.backend || now < s.entered+freshGrace):
+		case s.conn.Alive(): // else a request has come that was not read yet
+			s.end()
+		}
+	})
+	f.sweeping = f.loop.At(now+sweepEvery, f.sweep)
+}
+
 // Quiet says whether no client waits for an answer or for the rest of one, and none has spoken for a moment:
 // a request that is just arriving counts as taken.
 func (f *Front) Quiet() bool {
@@ -152,6 +191,7 @@
 	last    bool   // closes after the answer
 	asked   bool   // has carried a client's request
 	whole   bool   // has carried any request
+	told    bool   // has carried call-backs
 	since   uint64 // its place in the order in which sessions came to rest; times tie within a turn
 	from    netip.Addr
 	backend bool // comes from where a listed backend stands
@@ -333,7 +373,7 @@
 
 // reply writes an answer and waits for the next request, or closes.
 func (s *session) reply(status int, extra string, body []byte) {
-	last := s.last || s.f.closing && s.asked
+	last := s.last || s.f.closing && s.asked || s.f.emptying && !s.told
 	s.conn.Write(AppendResponse(nil, status, extra, body, last))
 	if last {
 		s.leave()
@@ -347,6 +387,10 @@
 	path, _, _ := strings.Cut(q.Target, "?")
 	switch {
 	case path == "/_health" && q.Method == "GET":
+		if s.f.leaving > 0 {
+			s.reply(503, "", []byte("evacuated\n"))
+			return
+		}
 		s.reply(200, "", []byte("ok\n"))
 	case path == "/_jobs/news":
 		s.news(q)
@@ -368,6 +412,7 @@
 		s.reply(400, "", nil)
 		return
 	}
+	s.told = true
 	s.reply(204, "", nil)
 	s.f.pool.News(n)
 }
@@ -432,6 +477,10 @@
 	case pick("coresNeeded", "slots") > mostSlots:
 		s.reject(400, "more slots than any machine has")
 		return
+	case s.f.leaving > 0 && s.f.loop.Now() >= s.f.leaving+lastTake:
+		s.last = true
+		s.reply(503, s.f.comeBack, []byte("evacuated\n"))
+		return
 	case !s.f.door.Hold(len(call.Body)):
 		s.reply(503, s.f.comeBack, nil)
 		return
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -47,6 +47,7 @@
 	urgent      []*Conn
 	lingering   []*Conn // the oldest first
 	held        int     // bytes that have come and were not consumed, over all connections
+	apart       int     // sockets of listeners that stand apart
 	now, start  float64
 	anchor      time.Time
 	scratch     []byte
@@ -84,8 +85,8 @@
 
 func (l *Loop) tick() { l.now = l.start + time.Since(l.anchor).Seconds() }
 
-// Open is the number of sockets open.
-func (l *Loop) Open() int { return l.conns.Len() + l.listeners.Len() }
+// Open is the number of sockets open, without those of listeners that stand apart.
+func (l *Loop) Open() int { return l.conns.Len() + l.listeners.Len() - l.apart }
 
 // SetLimit changes how many sockets may be open; what is open beyond it stays.
 func (l *Loop) SetLimit(limit int) { l.limit = limit }
@@ -134,9 +135,20 @@
 			}
 		}
 		l.runLater()
+		if l.apart > 0 {
+			for i := range events[:max(n, 0)] {
+				if l.isApart(&events[i]) {
+					l.event(events[i])
+					l.runLater()
+					events[i].Events = 0
+				}
+			}
+		}
 		for _, e := range events[:max(n, 0)] {
-			l.event(e)
-			l.runLater()
+			if e.Events != 0 {
+				l.event(e)
+				l.runLater()
+			}
 		}
 		l.run(l.now)
 		l.runLater()
@@ -152,8 +164,23 @@
 	}
 }
 
+func handleOf(e *unix.EpollEvent) slots.Handle {
+	return slots.Handle(uint64(uint32(e.Pad))<<32 | uint64(uint32(e.Fd)))
+}
+
+// isApart says whether an event is of a listener that stands apart, or of one of its connections.
+func (l *Loop) isApart(e *unix.EpollEvent) bool {
+	h := handleOf(e)
+	if h>>63 == 1 {
+		ln, ok := l.listeners.Get(h &^ (1 << 63))
+		return ok && ln.most > 0
+	}
+	c, ok := l.conns.Get(h)
+	return ok && c.home != nil
+}
+
 func (l *Loop) event(e unix.EpollEvent) {
-	h := slots.Handle(uint64(uint32(e.Pad))<<32 | uint64(uint32(e.Fd)))
+	h := handleOf(&e)
 	if h == wakeHandle {
 		var count [8]byte
 		_, _ = unix.Read(l.wake, count[:])
@@ -218,6 +245,10 @@
 	fd     int
 	take   func(c *Conn) Handler
 	paused bool
+
+	most int         // connections that may be open of one that stands apart; 0 is one that does not
+	open int         // of them
+	give func() bool // closes one of them
 }
 
 // Listen accepts connections at addr; take names the owner of each.
@@ -237,6 +268,10 @@
 		unix.Close(fd)
 		return nil, fmt.Errorf("transport: listen %s: %w", addr, err)
 	}
+	return l.listen(fd, take)
+}
+
+func (l *Loop) listen(fd int, take func(c *Conn) Handler) (*Listener, error) {
 	ln := &Listener{loop: l, fd: fd, take: take}
 	ln.h = l.listeners.Put(ln)
 	if err := l.control(unix.EPOLL_CTL_ADD, fd, ln.h|1<<63, unix.EPOLLIN); err != nil {
@@ -246,6 +281,32 @@
 	return ln, nil
 }
 
+// ListenApart accepts connections at addr whatever others hold: at most so many are open, give closes one of them
+// that can be spared, and what happens on them is handled first in each turn.
+func (l *Loop) ListenApart(addr netip.AddrPort, most int, give func() bool, take func(c *Conn) Handler) (*Listener, error) {
+	ln, err := l.Listen(addr, take)
+	if err != nil {
+		return nil, err
+	}
+	ln.most, ln.give = most, give
+	l.apart++
+	return ln, nil
+}
+
+// Inherit accepts connections on a socket that was handed to this process and that others listen on, too.
+func (l *Loop) Inherit(fd int, take func(c *Conn) Handler) (*Listener, error) {
+	if on, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil {
+		return nil, fmt.Errorf("transport: descriptor %d: %w", fd, err)
+	} else if on == 0 {
+		return nil, fmt.Errorf("transport: descriptor %d does not listen", fd)
+	}
+	unix.CloseOnExec(fd)
+	if err := unix.SetNonblock(fd, true); err != nil {
+		return nil, fmt.Errorf("transport: descriptor %d: %w", fd, err)
+	}
+	return l.listen(fd, take)
+}
+
 // Addr is the address the listener has.
 func (ln *Listener) Addr() netip.AddrPort { return address(unix.Getsockname(ln.fd)) }
 
@@ -265,13 +326,26 @@
 // Close stops accepting.
 func (ln *Listener) Close() {
 	if ln.loop.listeners.Drop(ln.h) {
+		if ln.most > 0 {
+			ln.loop.apart--
+		}
+		// Closing alone would not end the events of a socket that others hold, too.
+		_ = ln.loop.control(unix.EPOLL_CTL_DEL, ln.fd, 0, 0)
 		unix.Close(ln.fd)
 	}
 }
 
+// room makes room for one more connection.
+func (ln *Listener) room() bool {
+	if ln.most == 0 {
+		return ln.loop.room()
+	}
+	return ln.open < ln.most || ln.give()
+}
+
 func (ln *Listener) accept() {
 	for i := 0; i < 64; i++ {
-		if !ln.loop.room() {
+		if !ln.room() {
 			ln.pause()
 			return
 		}
@@ -279,6 +353,11 @@
 		switch {
 		case err == nil:
 			c := &Conn{loop: ln.loop, fd: fd}
+			if ln.most > 0 {
+				c.home = ln
+				ln.open++
+				ln.loop.apart++
+			}
 			if c.register(unix.EPOLLIN|unix.EPOLLRDHUP) != nil {
 				continue
 			}
@@ -326,7 +405,8 @@
 	lingers    bool // all is written
 	discarded  int  // bytes thrown away meanwhile
 	limit      *Deadline
-	broken     bool // has failed; Closed is on its way
+	broken     bool      // has failed; Closed is on its way
+	home       *Listener // that accepted it, of one that stands apart
 }
 
 // ErrNoRoom says that no descriptor was to be had.
@@ -383,6 +463,9 @@
 	return nil
 }
 
+// Open says whether the connection still holds its socket.
+func (c *Conn) Open() bool { return c.fd >= 0 }
+
 // Peer is the address of the other side.
 func (c *Conn) Peer() netip.AddrPort { return address(unix.Getpeername(c.fd)) }
 
@@ -553,6 +636,11 @@
 		c.loop.lingering = slices.DeleteFunc(c.loop.lingering, func(o *Conn) bool { return o == c })
 	}
 	c.loop.conns.Drop(c.h)
+	if c.home != nil {
+		c.home.open--
+		c.loop.apart--
+		c.home = nil
+	}
 	if c.fd >= 0 {
 		unix.Close(c.fd)
 		c.fd = -1
