--- a/internal/program/operate_test.go
+++ b/internal/program/operate_test.go
@@ -78,12 +78,13 @@
 func TestEvacuation(t *testing.T) {
 	var w *world
 	release := make(chan bool)
-	u := newRunner(t, "s-1", func(n int, rw http.ResponseWriter, r *http.Request) {
+	u := newRunner(t, "s-1", func(_ int, rw http.ResponseWriter, r *http.Request) {
 		if r.URL.Path == "/score/held" {
 			w.news(r.Header.Get("X-Call-Id"), "s-1", `"state":"started"`)
 			<-release
 		}
-		w.done("s-1", "ok")(n, rw, r)
+		rw.WriteHeader(202)
+		go w.news(r.Header.Get("X-Call-Id"), "s-1", `"state":"done","result":"ok","load":{"outstanding":0,"x0":4,"utilization":0}`)
 	})
 	w = begin(t, options{console: true}, u.target("ready", 1))
 	ask := func(c net.Conn, path string) {
