Exclude and include at the second address, as an overlay in the core kept on disk

The member's state reaches the decisions in Core.List alone, so the overlay sits there, and Clear looks at the same state. Tests: the core's (lists, restart, reconnect, a fetch on its way, the next process) and a story with a kill.

--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -34,6 +34,7 @@
 	MetricsEvery float64 `json:"-"` // seconds
 
 	path, gearmanPath string // where it was read from
+	tmp               string // where files of its own may stand; empty: nowhere
 	listen, discovery netip.AddrPort
 	console           netip.AddrPort
 	inherited         int // descriptor of the clients' socket, where somebody else holds it; 0: we bind it
@@ -96,7 +97,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
-	c := Config{path: path}
+	c := Config{path: path, tmp: env("TMPDIR")}
 	if err := json.Unmarshal(text, &c); err != nil {
 		return nil, fmt.Errorf("config: %s: %w", path, err)
 	}
--- a/internal/program/figures.go
+++ b/internal/program/figures.go
@@ -45,6 +45,7 @@
 	counter("clients.turned_away", p.door.Turned)
 	counter("program.reloads", p.Reloads.Taken)
 	counter("program.reloads_refused", p.Reloads.Refused)
+	gauge("members.excluded", p.core.Excluded())
 	counter("director.watches", p.director.Watches)
 	counter("director.bad_lines", p.director.Rejected)
 	gauge("sockets.open", p.loop.Open())
--- a/internal/program/operate_test.go
+++ b/internal/program/operate_test.go
@@ -170,3 +170,62 @@
 		}
 	}
 }
+
+// Guards against a member that is used although it was taken out, whatever discovery says, across a reload and a new
+// process; and against one that stays unused once it is called back.
+func TestExclusion(t *testing.T) {
+	var w *world
+	var runners []*runner
+	for i := range 2 {
+		uid := fmt.Sprint("s-", i)
+		runners = append(runners, newRunner(t, uid, func(n int, rw http.ResponseWriter, r *http.Request) { w.done(uid, uid)(n, rw, r) }))
+	}
+	out, in := runners[0], runners[1]
+	o := options{console: true, tmp: t.TempDir()}
+	both := []string{out.target("ready", 0), in.target("ready", 0)}
+	w = begin(t, o, both...)
+	say := func(call, body string, want int) {
+		t.Helper()
+		if got, reason := w.operator("PUT", "/api/"+call, body); got != want || reason == "" {
+			t.Errorf("%s %s: %d %q, want %d", call, body, got, reason, want)
+		}
+	}
+	for _, body := range []string{"", "[]", "null", "{}", `{"member":7}`, `{"member":""}`, `{"member":null}`, `{"member":"s-0"`} {
+		say("exclude", body, 400)
+	}
+	say("exclude", `{"member":"s-9"}`, 404)
+	say("include", `{"member":"s-9"}`, 404)
+	say("exclude", `{"member":"s-0"}`, 200)
+	say("exclude", `{"member":"s-0"}`, 200)
+	unused := func(when string) {
+		t.Helper()
+		before := out.jobs()
+		for range 5 {
+			if status, body, _ := w.ask("score", 4000); status != 200 || body != "s-1" {
+				t.Errorf("%s: %d %q", when, status, body)
+			}
+		}
+		if got := out.jobs() - before; got != 0 {
+			t.Errorf("%s: %d jobs for the member that is out", when, got)
+		}
+	}
+	unused("out")
+	for i, line := range []string{out.target("gone", 0), out.target("ready", 0)} {
+		w.tell(fmt.Sprintf(`{"rev":%d,"all":false,"targets":[%s]}`, 10+i, line))
+		w.eventually("the change", func() bool { return strings.Contains(w.log.String(), fmt.Sprintf(`"rev": %d`, 10+i)) })
+		unused(line)
+	}
+	w.reload("program: reloaded")
+	unused("after a reload")
+	w.cmd.Process.Kill()
+	w.cmd.Wait()
+	o.listen = w.addr
+	w = begin(t, o, both...)
+	unused("in the next process")
+	say("include", `{"member":"s-0"}`, 200)
+	say("include", `{"member":"s-0"}`, 200)
+	w.eventually("it is used again", func() bool {
+		_, body, _ := w.ask("score", 4000)
+		return body == "s-0"
+	})
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -112,6 +112,7 @@
 	p.director = platform.NewDirector(loop, log, config.discovery, p.core, p.pool, n.FailureDomains, n.Kinds)
 	p.core.Director = p.director
 	p.core.Start()
+	p.restore()
 	if config.discovery.IsValid() {
 		p.director.Start(config.Known)
 	}
--- a/internal/protocol/gearman/worker.go
+++ b/internal/protocol/gearman/worker.go
@@ -171,6 +171,9 @@
 	return true
 }
 
+// Renew implements routing.Backend: a worker is its one connection, and a new process would have a new one.
+func (w *worker) Renew() {}
+
 // Probe implements routing.Backend: a connection that is open is all there is to know.
 func (w *worker) Probe(done func(brain.Result, []float32)) { done(brain.OK, w.load()) }
 
--- a/internal/protocol/platform/pool.go
+++ b/internal/protocol/platform/pool.go
@@ -147,6 +147,7 @@
 	addr netip.AddrPort
 	idle []*link // the one used last is at the end
 	wear wear
+	life uint64 // grows when the runner was restarted: links of an earlier one are not kept
 }
 
 // wear is how often connections to a backend were found dead at the request after a rest, by how long they had
@@ -230,6 +231,12 @@
 	return true
 }
 
+// Renew implements routing.Backend.
+func (b *backend) Renew() {
+	b.life++
+	b.closeIdle()
+}
+
 // Probe implements routing.Backend.
 func (b *backend) Probe(done func(brain.Result, []float32)) { b.carry(&exchange{probe: done}) }
 
@@ -243,6 +250,7 @@
 // link is a connection to a backend.
 type link struct {
 	b       *backend
+	life    uint64
 	conn    *transport.Conn
 	job     *exchange // what it carries; nil when idle or when nobody waits for the answer any more
 	busy    bool
@@ -270,7 +278,7 @@
 		return
 	}
 	b.pool.Dialed++
-	l := &link{b: b, job: x, busy: true}
+	l := &link{b: b, life: b.life, job: x, busy: true}
 	if x.attempt != nil {
 		x.attempt.link = l
 	}
@@ -331,7 +339,7 @@
 func (l *link) rest() {
 	l.job, l.busy = nil, false
 	l.timeout.Stop()
-	if l.b.pool.dropping || l.conn.Unsent() > 0 {
+	if l.b.pool.dropping || l.conn.Unsent() > 0 || l.life != l.b.life {
 		l.conn.Close()
 		return
 	}
--- /dev/null
+++ b/internal/routing/exclude.go
@@ -0,0 +1,110 @@
+package routing
+
+import (
+	"maps"
+
+	"cinderroad/brain"
+)
+
+// mostOut bounds how many members may be excluded at once.
+const mostOut = 1024
+
+// Exclusion says that a member was taken out by hand, or came back from that. No list, restart or reconnect lifts it.
+type Exclusion struct {
+	At    float64 `json:"at"`             // when it was taken out
+	Since float64 `json:"since"`          // its start as of then
+	Back  float64 `json:"back,omitempty"` // when it was called back; 0 is not yet
+}
+
+// Change is what Exclude or Include would have done.
+type Change struct {
+	Known bool // somebody has such a member
+	Full  bool // too many are out
+	Out   map[string]Exclusion
+}
+
+// Exclusions are those in force, and those from which members came back not long ago.
+func (c *Core) Exclusions() map[string]Exclusion { return maps.Clone(c.out) }
+
+// Excluded is how many members are out.
+func (c *Core) Excluded() (n int) {
+	for _, x := range c.out {
+		if x.Back == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// Exclude works out what taking a member out changes; Apply does it. Taking it out twice is as good as once.
+func (c *Core) Exclude(name string) Change {
+	was, had := c.out[name]
+	id, known := c.byName[name]
+	ch := Change{Known: known || had, Out: maps.Clone(c.out)}
+	switch {
+	case !ch.Known || had && was.Back == 0:
+	case len(c.out) >= mostOut:
+		ch.Full = true
+	default:
+		x := Exclusion{At: c.clock.Now()}
+		if m := c.members[id]; known && m != nil {
+			x.Since = m.Since
+		}
+		ch.Out[name] = x
+	}
+	return ch
+}
+
+// Include works out what calling a member back changes.
+func (c *Core) Include(name string) Change {
+	x, had := c.out[name]
+	_, known := c.byName[name]
+	ch := Change{Known: known || had, Out: maps.Clone(c.out)}
+	if had && x.Back == 0 {
+		x.Back = c.clock.Now()
+		ch.Out[name] = x
+	}
+	return ch
+}
+
+// Apply puts exclusions in force in place of those there were: the decisions see them before anything else is sent.
+func (c *Core) Apply(out map[string]Exclusion) {
+	c.do(func() {
+		was := c.out
+		c.out = maps.Clone(out)
+		var workers []brain.Worker
+		for _, m := range c.members {
+			x, now := c.out[m.Name], was[m.Name]
+			if x == now || m.Backend == nil {
+				continue
+			}
+			c.overlay(m)
+			if x.Back > 0 { // whatever it is now, it is not the process those connections led to
+				m.Backend.Renew()
+			}
+			workers = append(workers, m.Worker)
+		}
+		if len(workers) > 0 {
+			c.bal.OnList(c.clock.Now(), brain.ListDelta, workers)
+		}
+	})
+}
+
+// overlay works out what the decisions see of a member. One that is out drains and keeps its start, so that the start
+// it comes back with is news to them: its own if it has been told since, else the call back.
+func (c *Core) overlay(m *Member) {
+	m.Worker = m.told
+	x, had := c.out[m.Name]
+	switch {
+	case !had:
+	case x.Back == 0:
+		m.Since = x.Since
+		if m.State == brain.Ready {
+			m.State = brain.Draining
+		}
+	case m.Since >= x.At || c.clock.Now() > x.Back+c.warm+1:
+		delete(c.out, m.Name) // discovery has caught up, or it is warm
+	default:
+		m.Since = x.Back
+	}
+}
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -85,6 +85,8 @@
 	Begin(f Fetch)
 	// Drop gives up a fetch, of which nothing more is to be told; it says whether the fetch may have run.
 	Drop(id FetchID) (mayHaveRun bool)
+	// Renew drops connections that rest, and those at work once they are done: the worker was restarted.
+	Renew()
 	// Probe asks for health and load; done is called once.
 	Probe(done func(result brain.Result, report []float32))
 }
@@ -94,6 +96,8 @@
 	brain.Worker
 	Backend Backend
 	Name    string // as given to Number
+
+	told brain.Worker // as its front listed it; Worker is what the decisions see
 }
 
 // Director asks for the list where it does not come by itself.
@@ -125,6 +129,8 @@
 	nextID  brain.RequestID
 	members map[brain.WorkerID]*Member
 	byName  map[string]brain.WorkerID
+	out     map[string]Exclusion
+	warm    float64 // seconds after its start at which a worker is warm
 	queue   []func()
 	busy    bool
 	counts  Counts
@@ -158,8 +164,8 @@
 // New makes a core; Start begins its life.
 func New(set brain.Settings, seed uint64, clock Clock) (*Core, error) {
 	c := &Core{clock: clock, byID: map[brain.RequestID]*req{}, members: map[brain.WorkerID]*Member{},
-		byName: map[string]brain.WorkerID{},
-		Log:    func(string) {}}
+		byName: map[string]brain.WorkerID{}, out: map[string]Exclusion{}, warm: set.ColdTime,
+		Log: func(string) {}}
 	bal, err := brain.New(set, seed, actions{c})
 	if err != nil {
 		return nil, err
@@ -350,7 +356,7 @@
 	c.do(func() {
 		if kind == brain.ListFull || kind == brain.ListCached {
 			for _, m := range c.members {
-				m.State = brain.Gone
+				m.State, m.told.State = brain.Gone, brain.Gone
 			}
 		}
 		workers := make([]brain.Worker, 0, len(members))
@@ -361,6 +367,8 @@
 				c.members[members[i].ID] = m
 			}
 			*m = members[i]
+			m.told = m.Worker
+			c.overlay(m)
 			workers = append(workers, m.Worker)
 		}
 		c.bal.OnList(c.clock.Now(), kind, workers)
--- a/internal/routing/routing_test.go
+++ b/internal/routing/routing_test.go
@@ -11,6 +11,7 @@
 
 // bench is a core with a scripted clock, one asker and scripted backends.
 type bench struct {
+	renewed int
 	t       *testing.T
 	c       *Core
 	now     float64
@@ -42,6 +43,7 @@
 	}
 }
 func (b *bench) Drop(FetchID) bool                        { b.dropped++; return b.ran }
+func (b *bench) Renew()                                   { b.renewed++ }
 func (b *bench) Probe(done func(brain.Result, []float32)) { done(brain.OK, nil) }
 
 // run moves the clock a millisecond at a time.
@@ -193,3 +195,70 @@
 		t.Errorf("%d answers", len(b.answers))
 	}
 }
+
+// Guards against an exclusion that a list, a restart or a reconnect lifts, that sends what is on its way, or from
+// which a worker comes back as the one it was.
+func TestExclusion(t *testing.T) {
+	b := start(t)
+	id := b.c.Number("w")
+	list := func(kind brain.ListKind, state brain.WorkerState, since float64) {
+		b.c.List(kind, []Member{{Worker: brain.Worker{ID: id, State: state, Since: since}, Backend: b, Name: "w"}})
+	}
+	seen := func(want brain.WorkerState, since float64) {
+		t.Helper()
+		m := b.c.members[id]
+		if diff := cmp.Diff([]any{want, since}, []any{m.State, m.Since}); diff != "" {
+			t.Errorf("the decisions see (-want +got):\n%s", diff)
+		}
+	}
+	change := func(ch Change, known bool) {
+		t.Helper()
+		if b.c.Apply(ch.Out); ch.Known != known || ch.Full {
+			t.Errorf("change %+v", ch)
+		}
+	}
+	list(brain.ListFull, brain.Ready, 100)
+	change(b.c.Exclude("nobody"), false)
+	change(b.c.Include("nobody"), false)
+	change(b.c.Include("w"), true) // nothing to do
+	b.take(0, 1)
+	if _, clear := b.c.Clear(b.begun[0].ID); !clear {
+		t.Fatal("a fetch is held up for nothing")
+	}
+	change(b.c.Exclude("w"), true)
+	if result, clear := b.c.Clear(b.begun[0].ID); clear || result != brain.ConnectFailed {
+		t.Errorf("a fetch on its way to a member that is out: %v, %v", result, clear)
+	}
+	for _, since := range []float64{100, b.now + 1} { // the second is a restart
+		list(brain.ListDelta, brain.Ready, since)
+		seen(brain.Draining, 100)
+	}
+	list(brain.ListDelta, brain.Gone, 0)
+	seen(brain.Gone, 100)
+	change(b.c.Exclude("w"), true)
+	list(brain.ListFull, brain.Ready, b.now+1)
+	seen(brain.Draining, 100)
+	other := start(t) // the next process
+	other.c.Apply(b.c.Exclusions())
+	other.c.Number("w")
+	other.c.List(brain.ListFull, []Member{{Worker: brain.Worker{ID: id, State: brain.Ready, Since: 100}, Backend: other, Name: "w"}})
+	if got := other.c.members[id].State; got != brain.Draining {
+		t.Errorf("in the next process: %v", got)
+	}
+	b.now += 2
+	change(b.c.Include("w"), true)
+	seen(brain.Ready, b.now-1)
+	if b.renewed != 1 {
+		t.Errorf("connections dropped %d times", b.renewed)
+	}
+	list(brain.ListDelta, brain.Ready, 100) // late news of before
+	seen(brain.Ready, 100)
+	change(b.c.Exclude("w"), true)
+	change(b.c.Include("w"), true)
+	seen(brain.Ready, b.now) // nobody has told of its restart
+	list(brain.ListDelta, brain.Ready, 100)
+	seen(brain.Ready, b.now)
+	b.now++
+	list(brain.ListDelta, brain.Ready, b.now-0.5)
+	seen(brain.Ready, b.now-0.5)
+}
--- a/rpcplugin/rpcplugin.go
+++ b/rpcplugin/rpcplugin.go
@@ -258,6 +258,9 @@
 	return t.begun && !t.unsent
 }
 
+// Renew implements routing.Backend: grpc finds out by itself which connections still stand.
+func (w *worker) Renew() {}
+
 // Probe implements routing.Backend: the state of the connection is all that costs the server nothing.
 func (w *worker) Probe(done func(brain.Result, []float32)) {
 	result := brain.OK
