--- a/brain/brain.go
+++ b/brain/brain.go
@@ -553,6 +553,8 @@
 			w = &worker{pace: b.pace, utilCeil: seedMargin}
 			b.byID[e.ID] = w
 			b.workers = append(b.workers, w)
+			w.ID = e.ID
+			b.recall(w, e.Since)
 		} else if e.State == Ready && e.Since > w.Since { // restarted: what was learnt of its load is void
 			w.heard, w.others, w.errors, w.shunUntil, w.strikes = false, 0, 0, 0, 0
 		}
--- a/brain/state.go
+++ b/brain/state.go
@@ -102,6 +102,7 @@
 	meanSize  float64 // mean slots of the workers
 	arrivals  float64 // since the view was chosen
 	viewAt    float64
+	recalled  map[WorkerID]*LearntWorker // of a Balancer before this one, until the list names them
 }
 
 // New checks the settings and returns a Balancer that knows nothing yet.
--- a/internal/console/console.go
+++ b/internal/console/console.go
@@ -18,7 +18,7 @@
 )
 
 const (
-	mostCallers = 16      // open at once; the oldest that has not made its call gives way
+	mostCallers = 8       // open at once; the oldest that has not made its call gives way
 	mostBytes   = 4 << 10 // of a call
 	patience    = 3.0     // seconds for a call to be whole
 	mostMember  = 256     // bytes of a member's id
--- /dev/null
+++ b/internal/handover/handover.go
@@ -0,0 +1,231 @@
+// Package handover is what two processes of one dispatcher say to each other while the newer takes the older one's
+// place: frames over a unix socket, some with a descriptor.
+package handover
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"cinderroad/internal/transport"
+)
+
+// Version is of the frames and their bodies. Another version's process is no heir and no predecessor.
+const Version = 1
+
+const (
+	magic    = 'R'
+	headSize = 7       // magic, version, kind, length
+	maxBody  = 9 << 20 // the state holds the whole list
+	mostAsks = 4096    // that wait for their answer
+)
+
+// Kind is the kind of a frame.
+type Kind uint8
+
+// The kinds. Questions are answered by Answer, once.
+const (
+	Hello   Kind = iota + 1 // the newer process asks for the state
+	State                   // and gets it, with the descriptors that it names
+	Took                    // the newer one takes the clients
+	Session                 // a client session, with its descriptor
+	Taken                   // one session has arrived
+	News                    // a question: whose is this call-back
+	Order                   // a question: carry out what the staff ask
+	Answer
+	lastKind
+)
+
+var (
+	errMore    = errors.New("handover: frame not whole")
+	errVersion = errors.New("handover: another version")
+)
+
+// Append writes a frame.
+func Append(b []byte, kind Kind, body []byte) []byte {
+	b = append(b, magic, Version, byte(kind))
+	b = binary.BigEndian.AppendUint32(b, uint32(len(body)))
+	return append(b, body...)
+}
+
+// Parse reads one frame from the start of b and tells how many bytes it took; the body is a part of b.
+func Parse(b []byte) (kind Kind, body []byte, n int, err error) {
+	if len(b) > 0 && b[0] != magic {
+		return 0, nil, 0, errors.New("handover: no frame")
+	}
+	if len(b) > 1 && b[1] != Version {
+		return 0, nil, 0, errVersion
+	}
+	if len(b) < headSize {
+		return 0, nil, 0, errMore
+	}
+	kind = Kind(b[2])
+	size := binary.BigEndian.Uint32(b[3:])
+	switch {
+	case kind == 0 || kind >= lastKind:
+		return 0, nil, 0, fmt.Errorf("handover: kind %d", kind)
+	case size > maxBody:
+		return 0, nil, 0, fmt.Errorf("handover: frame of %d bytes", size)
+	case len(b)-headSize < int(size):
+		return 0, nil, 0, errMore
+	}
+	n = headSize + int(size)
+	return kind, b[headSize:n], n, nil
+}
+
+// Owner hears what comes along a link.
+type Owner interface {
+	Up(l *Link)
+	Message(l *Link, kind Kind, body []byte) error
+	Asked(l *Link, kind Kind, body []byte, answer func(yes bool))
+	Down(l *Link, err error)
+}
+
+// Link is the connection to the other process.
+type Link struct {
+	conn  *transport.Conn
+	owner Owner
+	asks  map[uint64]func(yes bool)
+	last  uint64
+	down  bool
+}
+
+// Connect looks for the process that serves at path; Down tells if there is none.
+func Connect(loop *transport.Loop, path string, owner Owner) *Link {
+	l := &Link{owner: owner, asks: map[uint64]func(bool){}}
+	l.conn = loop.ConnectNear(path, l)
+	return l
+}
+
+// Accept owns a connection from a newer process.
+func Accept(conn *transport.Conn, owner Owner) *Link {
+	conn.Passes()
+	return &Link{conn: conn, owner: owner, asks: map[uint64]func(bool){}}
+}
+
+// Tell sends a frame whose body is v as JSON.
+func (l *Link) Tell(kind Kind, v any) error {
+	body, err := json.Marshal(v)
+	if err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
+	l.conn.Write(Append(nil, kind, body))
+	return nil
+}
+
+// Pass sends a frame with a descriptor, which is the other's from now on. It holds a head, as JSON, and bytes.
+func (l *Link) Pass(kind Kind, head any, bytes []byte, fd int) error {
+	text, err := json.Marshal(head)
+	if err != nil {
+		return fmt.Errorf("handover: %w", err)
+	}
+	body := binary.BigEndian.AppendUint32(nil, uint32(len(text)))
+	l.conn.Pass(Append(nil, kind, append(append(body, text...), bytes...)), fd)
+	return nil
+}
+
+// Passed reads what Pass has sent.
+func (l *Link) Passed(body []byte, head any) (bytes []byte, fd int, err error) {
+	fd, ok := l.conn.Taken()
+	if !ok {
+		return nil, -1, errors.New("handover: no descriptor came")
+	}
+	if len(body) < 4 || len(body)-4 < int(binary.BigEndian.Uint32(body)) {
+		return nil, fd, errors.New("handover: short frame")
+	}
+	text, bytes := body[4:4+binary.BigEndian.Uint32(body)], body[4+binary.BigEndian.Uint32(body):]
+	if err := json.Unmarshal(text, head); err != nil {
+		return nil, fd, fmt.Errorf("handover: %w", err)
+	}
+	return bytes, fd, nil
+}
+
+// Descriptor is the next one that came along.
+func (l *Link) Descriptor() (fd int, ok bool) { return l.conn.Taken() }
+
+// Ask sends a question; done gets the answer, or a no when the link ends before it has come. False when too many wait.
+func (l *Link) Ask(kind Kind, body []byte, done func(yes bool)) bool {
+	if l.down || len(l.asks) >= mostAsks {
+		return false
+	}
+	l.last++
+	l.asks[l.last] = done
+	l.conn.Write(Append(nil, kind, append(binary.BigEndian.AppendUint64(nil, l.last), body...)))
+	return true
+}
+
+// Idle says whether nothing that was sent waits to go out or for its answer.
+func (l *Link) Idle() bool { return l.down || len(l.asks) == 0 && l.conn.Unsent() == 0 }
+
+// Close ends the link; its owner hears nothing more, its questions have a no.
+func (l *Link) Close() {
+	l.conn.Close()
+	l.end()
+}
+
+func (l *Link) end() {
+	l.down = true
+	asks := l.asks
+	l.asks = nil
+	for _, done := range asks {
+		done(false)
+	}
+}
+
+// Opened implements transport.Handler.
+func (l *Link) Opened(*transport.Conn) { l.owner.Up(l) }
+
+// Closed implements transport.Handler.
+func (l *Link) Closed(_ *transport.Conn, err error) {
+	l.end()
+	l.owner.Down(l, err)
+}
+
+// Data implements transport.Handler.
+func (l *Link) Data(c *transport.Conn) {
+	for !l.down {
+		kind, body, n, err := Parse(c.Bytes())
+		if errors.Is(err, errMore) {
+			return
+		}
+		if err == nil {
+			err = l.take(kind, body)
+			c.Consume(min(n, len(c.Bytes())))
+		}
+		if err != nil {
+			if !l.down {
+				l.Close()
+				l.owner.Down(l, err)
+			}
+			return
+		}
+	}
+}
+
+func (l *Link) take(kind Kind, body []byte) error {
+	switch kind {
+	case News, Order, Answer:
+	default:
+		return l.owner.Message(l, kind, body)
+	}
+	if len(body) < 8 {
+		return errors.New("handover: short frame")
+	}
+	seq, rest := binary.BigEndian.Uint64(body), body[8:]
+	if kind != Answer {
+		l.owner.Asked(l, kind, rest, func(yes bool) {
+			answer := binary.BigEndian.AppendUint64(nil, seq)
+			if yes {
+				answer = append(answer, 1)
+			}
+			l.conn.Write(Append(nil, Answer, answer))
+		})
+		return nil
+	}
+	if done := l.asks[seq]; done != nil {
+		delete(l.asks, seq)
+		done(len(rest) > 0)
+	}
+	return nil
+}
--- a/internal/program/operate.go
+++ b/internal/program/operate.go
@@ -23,15 +23,19 @@
 		"/api/ready":    {Method: "GET", Do: func(_ string, reply console.Reply) { p.ready(reply) }},
 		"/api/exclude":  {Method: "PUT", Member: true, Do: p.exclude},
 		"/api/include":  {Method: "PUT", Member: true, Do: p.include},
-		"/api/evacuate": {Method: "PUT", Do: func(_ string, reply console.Reply) { p.evacuate(true); reply(200, "evacuating") }},
-		"/api/rejoin":   {Method: "PUT", Do: func(_ string, reply console.Reply) { p.evacuate(false); reply(200, "taking clients") }},
+		"/api/evacuate": {Method: "PUT", Do: func(_ string, reply console.Reply) { p.order(order{What: "evacuate"}, reply) }},
+		"/api/rejoin":   {Method: "PUT", Do: func(_ string, reply console.Reply) { p.order(order{What: "rejoin"}, reply) }},
 	}
 }
 
 // ready says whether this process takes clients, as far as it is up to the process: one that was evacuated by hand
 // could.
 func (p *Program) ready(reply console.Reply) {
-	if p.stopping {
+	switch {
+	case !p.serving:
+		reply(503, "starting")
+		return
+	case p.stopping:
 		reply(503, "stopping")
 		return
 	}
@@ -40,13 +44,19 @@
 
 // evacuate empties the dispatcher, or has it take clients again.
 func (p *Program) evacuate(on bool) {
-	p.log.Info("program: evacuate", zap.Bool("on", on))
 	p.front.Evacuate(on)
 	if p.gearman != nil {
 		p.gearman.Evacuate(on)
 	}
 }
 
+// order is what the staff ask for, as it also goes to the dispatcher's other process.
+type order struct {
+	What      string            `json:"what"` // evacuate, rejoin, exclude or include
+	Member    string            `json:"member,omitempty"`
+	Exclusion routing.Exclusion `json:"exclusion"`
+}
+
 func (p *Program) exclude(member string, reply console.Reply) {
 	p.change("exclude", member, p.core.Exclude(member), reply)
 }
@@ -55,24 +65,47 @@
 	p.change("include", member, p.core.Include(member), reply)
 }
 
-// change puts a change of who is out in force, once it is kept: a yes must outlive this process.
+// change carries out a change of who is out.
 func (p *Program) change(what, member string, ch routing.Change, reply console.Reply) {
 	switch {
+	case !p.serving: // the list and the exclusions are on their way
+		reply(503, "starting")
 	case !ch.Known:
 		reply(404, "nobody has member "+member)
-		return
 	case ch.Full:
 		reply(507, "too many members are out")
-		return
+	default:
+		p.order(order{What: what, Member: member, Exclusion: ch.Out[member]}, reply)
 	}
-	if err := p.keep(ch.Out); err != nil {
-		p.log.Error("program: exclusions cannot be kept", zap.Error(err))
-		reply(500, "it cannot be kept: "+err.Error())
+}
+
+// order carries an order out, here and in the other process, and says yes once both have.
+func (p *Program) order(o order, reply console.Reply) {
+	if err := p.obey(o); err != nil {
+		p.log.Error("program: order not carried out", zap.String("what", o.What), zap.Error(err))
+		reply(500, err.Error())
 		return
 	}
-	p.log.Info("program: "+what, zap.String("member", member))
-	p.core.Apply(ch.Out)
-	reply(200, "done")
+	p.upgrade.order(o, nil, func() { reply(200, "done") })
+}
+
+// obey carries an order out in this process. Who is out is kept first: a yes must outlive it.
+func (p *Program) obey(o order) error {
+	p.log.Info("program: "+o.What, zap.String("member", o.Member))
+	switch o.What {
+	case "evacuate", "rejoin":
+		p.evacuate(o.What == "evacuate")
+		return nil
+	}
+	out := p.core.Exclusions()
+	if o.Exclusion != (routing.Exclusion{}) { // else it was not out, and need not be called back
+		out[o.Member] = o.Exclusion
+	}
+	if err := p.keep(out); err != nil {
+		return err
+	}
+	p.core.Apply(out)
+	return nil
 }
 
 // kept is the form in which exclusions are kept.
@@ -84,6 +117,7 @@
 const (
 	keptVersion = 1
 	mostKept    = 1 << 20 // bytes
+	mostName    = 60      // of a file: the system takes few for a socket
 )
 
 // file is the path of a file of this dispatcher's own in $TMPDIR; empty without one.
@@ -97,6 +131,7 @@
 		}
 		return '_'
 	}, cmp.Or(c.Name, "cinderroad")+"-"+c.Listen)
+	name = name[:min(len(name), mostName)]
 	return filepath.Join(c.tmp, name+kind)
 }
 
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -43,13 +43,15 @@
 	gearman  *gearman.Server
 	door     *door.Door
 	console  *console.Console
+	upgrade  *upgrade
+	serving  bool // takes clients
 	stopping bool
+	err      error // why it ends, if something went wrong
 	Reloads  struct{ Taken, Refused uint64 }
 }
 
 // Run serves until it is told to stop.
 func Run(config *Config, log *zap.Logger) error {
-	bound(config)
 	// Signals are taken before the port opens: whoever finds it open may send one.
 	stops, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
 	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
@@ -69,11 +71,12 @@
 			}
 		}
 	}()
-	log.Info("program: serving", zap.String("name", config.Name), zap.String("listen", config.Listen),
-		zap.String("discovery", config.Discovery), zap.Bool("gearman", p.gearman != nil))
 	if err := p.loop.Run(); err != nil {
 		return err
 	}
+	if p.err != nil {
+		return p.err
+	}
 	log.Info("program: ended", zap.Any("counts", p.core.Counts()))
 	if p.gearman != nil {
 		log.Info("program: gearman ended", zap.Any("counts", p.gearman.Counted()))
@@ -81,11 +84,18 @@
 	return nil
 }
 
-// bound keeps the runtime within the deployment's limits: one core, and collecting early rather than killed.
-func bound(config *Config) {
+// limit keeps the process within the deployment's limits, of which it has half while there are two of them: one core,
+// and collecting early rather than killed.
+func (p *Program) limit() {
 	runtime.GOMAXPROCS(1)
-	if mb := config.Limits.MemoryMB; mb > 0 {
-		debug.SetMemoryLimit(int64(mb) << 20 * 6 / 10)
+	limits, kept := p.config.Limits, reserve
+	if p.upgrade.two() {
+		limits.Sockets, limits.MemoryMB, kept = limits.Sockets/2, limits.MemoryMB/2, reserve/2
+	}
+	p.loop.SetLimit(limits.Sockets - kept)
+	p.door.SetMemory(limits.MemoryMB)
+	if limits.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(limits.MemoryMB) << 20 * 6 / 10)
 	}
 }
 
@@ -112,32 +122,56 @@
 	p.director = platform.NewDirector(loop, log, config.discovery, p.core, p.pool, n.FailureDomains, n.Kinds)
 	p.core.Director = p.director
 	p.core.Start()
-	p.restore()
-	if config.discovery.IsValid() {
-		p.director.Start(config.Known)
-	}
-	switch {
-	case config.inherited > 0:
-		p.listener, err = loop.Inherit(config.inherited, p.front.Accept)
-	case config.listen.IsValid():
-		p.listener, err = loop.Listen(config.listen, p.front.Accept)
-	}
-	if err != nil {
-		return nil, err
-	}
 	if config.gearman != nil {
 		p.gearman = gearman.New(loop, log, p.core, p.door, config.gearman, config.Name, config.brain.Report)
 		p.gearman.Shutdown = func() { p.stop("gearman shutdown") }
-		if err := p.gearman.Start(); err != nil {
-			return nil, err
-		}
 	}
 	if config.console.IsValid() {
 		if p.console, err = console.Start(loop, log, config.console, p.calls()); err != nil {
 			return nil, err
 		}
 	}
-	return p, nil
+	p.upgrade = newUpgrade(p)
+	p.limit()
+	if p.upgrade.begin() {
+		return p, nil
+	}
+	return p, p.alone()
+}
+
+// alone begins with what the configuration and the disk tell.
+func (p *Program) alone() error {
+	p.restore()
+	if p.config.discovery.IsValid() {
+		p.director.Start(p.config.Known)
+	}
+	return p.serve(0)
+}
+
+// serve takes clients.
+func (p *Program) serve(gearmanFD int) (err error) {
+	switch {
+	case p.config.inherited > 0:
+		p.listener, err = p.loop.Inherit(p.config.inherited, p.front.Accept)
+	case p.config.listen.IsValid():
+		p.listener, err = p.loop.Listen(p.config.listen, p.front.Accept)
+	}
+	if err == nil && p.gearman != nil {
+		err = p.gearman.Start(gearmanFD)
+	}
+	if err != nil {
+		return err
+	}
+	p.serving = true
+	p.log.Info("program: serving", zap.String("name", p.config.Name), zap.String("listen", p.config.Listen),
+		zap.String("discovery", p.config.Discovery), zap.Bool("gearman", p.gearman != nil))
+	return nil
+}
+
+// fail ends the program.
+func (p *Program) fail(err error) {
+	p.err = err
+	p.loop.Stop()
 }
 
 // stop serves on for a moment, then closes what is idle and ends once all that was taken is answered. The
@@ -148,17 +182,26 @@
 	}
 	p.stopping = true
 	p.log.Info("program: stopping", zap.String("signal", signal), zap.Int("open", p.core.Counts().OpenReqs))
-	p.loop.At(p.loop.Now()+lingerTime, func() {
+	if p.upgrade.left() { // nobody comes any more, and who is here is passed on
+		p.exitWhenDone()
+		return
+	}
+	p.loop.At(p.loop.Now()+lingerTime, p.drain)
+}
+
+func (p *Program) drain() {
+	if !p.upgrade.left() {
 		p.front.Drain()
 		if p.gearman != nil {
 			p.gearman.Drain()
 		}
-		p.exitWhenDone()
-	})
+	}
+	p.exitWhenDone()
 }
 
 func (p *Program) exitWhenDone() {
-	if n := p.core.Counts(); n.OpenReqs == 0 && p.front.Quiet() && (p.gearman == nil || p.gearman.Quiet()) {
+	if n := p.core.Counts(); n.OpenReqs == 0 && p.front.Quiet() && (p.gearman == nil || p.gearman.Quiet()) &&
+		p.upgrade.done() && (p.console == nil || p.console.Open() == 0) {
 		p.loop.Stop()
 		return
 	}
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -32,9 +32,7 @@
 		restart = append(restart, p.gearman.Reload(next.gearman)...)
 	}
 	p.config = &config
-	bound(&config)
-	p.loop.SetLimit(config.Limits.Sockets - reserve)
-	p.door.SetMemory(config.Limits.MemoryMB)
+	p.limit()
 	if config.discovery.IsValid() {
 		p.director.Move(config.discovery)
 	}
--- /dev/null
+++ b/internal/program/upgrade.go
@@ -0,0 +1,378 @@
+package program
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"cinderroad/brain"
+	"cinderroad/internal/handover"
+	"cinderroad/internal/protocol/platform"
+	"cinderroad/internal/routing"
+	"cinderroad/internal/transport"
+)
+
+const (
+	stateWait = 1.0 // seconds for the process before this one to tell its state
+	spokeWait = 1.0 // and for discovery to say what has changed since: a silent one must not hold the upgrade up
+	orderWait = 0.6 // seconds for the other process to carry an order out; the staff are owed an answer within 1
+	mostMoves = 16  // sessions under way to the next process: their descriptors count for both
+)
+
+// state is what a process tells the one that takes its place.
+type state struct {
+	Discovery  string                       `json:"discovery"`
+	List       platform.List                `json:"list"`
+	Out        map[string]routing.Exclusion `json:"out"`
+	Evacuated  bool                         `json:"evacuated"`
+	Learnt     brain.Learnt                 `json:"learnt"`
+	Gearman    bool                         `json:"gearman"` // its listening socket comes along
+	GearmanFor string                       `json:"gearman_listen"`
+}
+
+// upgrade is a process's part in taking the place of the one before it, and in leaving its own to the next.
+type upgrade struct {
+	Passed, Adopted, Asks uint64
+
+	p        *Program
+	path     string
+	door     *transport.Listener // where the next process comes
+	prev     *handover.Link      // the process before this one, while it lives
+	next     *handover.Link      // the one that takes this one's place
+	heard    bool                // prev has told its state
+	took     bool                // next takes the clients
+	moves    int                 // sessions on their way to next
+	gearman  int                 // listening socket that came along; 0 is none
+	deadline *transport.Deadline
+}
+
+func newUpgrade(p *Program) *upgrade {
+	u := &upgrade{p: p}
+	if p.config.inherited > 0 {
+		u.path = p.config.file(".upgrade")
+	}
+	p.front.Elsewhere = func(body []byte, done func()) bool {
+		if !u.ask(handover.News, body, nil, func(bool) { done() }) {
+			return false
+		}
+		u.Asks++
+		return true
+	}
+	return u
+}
+
+// begin looks for a process whose place this one takes; false where there can be none. What it finds goes on by itself.
+func (u *upgrade) begin() bool {
+	if u.path == "" {
+		return false
+	}
+	u.prev = handover.Connect(u.p.loop, u.path, u)
+	u.deadline = u.p.loop.At(u.p.loop.Now()+stateWait, func() {
+		u.prev.Close()
+		u.Down(u.prev, fmt.Errorf("program: no state within %.0f s", stateWait))
+	})
+	return true
+}
+
+// two says whether there are two processes now.
+func (u *upgrade) two() bool { return u.prev != nil && u.heard || u.next != nil }
+
+// left says whether the clients are the next process's.
+func (u *upgrade) left() bool { return u.took }
+
+// done says whether nothing is owed to the other processes.
+func (u *upgrade) done() bool {
+	return (u.prev == nil || u.prev.Idle()) && (u.next == nil || u.next.Idle()) && (!u.took || u.moves == 0 && u.p.front.Left() == 0)
+}
+
+// Up implements handover.Owner.
+func (u *upgrade) Up(l *handover.Link) { _ = l.Tell(handover.Hello, struct{}{}) }
+
+// Down implements handover.Owner. Whichever process is left has everything again.
+func (u *upgrade) Down(l *handover.Link, err error) {
+	switch l {
+	case u.prev:
+		u.prev = nil
+		u.p.log.Info("program: the process before has gone", zap.Bool("told", u.heard), zap.Error(err))
+		if !u.heard {
+			u.deadline.Stop()
+			u.open(u.p.alone())
+		}
+	case u.next:
+		u.next = nil
+		if !u.took {
+			u.p.log.Warn("program: the next process has gone before it took over", zap.Error(err))
+			break
+		}
+		u.p.log.Warn("program: the next process has gone, taking back", zap.Error(err))
+		u.took, u.moves = false, 0
+		u.p.front.Bequeath(nil)
+		u.p.listener.Suspend(false)
+		if u.p.gearman != nil {
+			u.p.gearman.Retire(false)
+		}
+		if u.p.stopping {
+			u.p.loop.At(u.p.loop.Now()+lingerTime, u.p.drain)
+		} else {
+			u.listen()
+		}
+	default:
+		return
+	}
+	u.p.limit()
+}
+
+// open has this process found by the next one.
+func (u *upgrade) open(err error) {
+	if err != nil {
+		u.p.fail(err)
+		return
+	}
+	u.listen()
+}
+
+func (u *upgrade) listen() {
+	door, err := u.p.loop.ListenUnix(u.path, 2, func() bool { return false }, u.accept)
+	if err != nil { // it serves; the next one will be a plain restart
+		u.p.log.Error("program: no upgrade will find this process", zap.Error(err))
+		return
+	}
+	u.door = door
+}
+
+func (u *upgrade) accept(c *transport.Conn) transport.Handler {
+	l := handover.Accept(c, u)
+	if u.took { // it has looked before the next one stood at the path
+		l.Close()
+		return l
+	}
+	if u.next != nil {
+		u.next.Close()
+	}
+	u.next = l
+	u.p.limit()
+	return l
+}
+
+// Message implements handover.Owner.
+func (u *upgrade) Message(l *handover.Link, kind handover.Kind, body []byte) error {
+	switch {
+	case l == u.next && kind == handover.Hello:
+		return u.tell()
+	case l == u.next && kind == handover.Took && !u.took:
+		u.leave()
+	case l == u.next && kind == handover.Taken && u.took:
+		if u.moves--; u.moves <= mostMoves/2 {
+			u.p.front.Hand()
+		}
+	case l == u.prev && kind == handover.State && !u.heard:
+		return u.hear(body)
+	case l == u.prev && kind == handover.Session && u.heard:
+		return u.adopt(body)
+	default:
+		return fmt.Errorf("program: frame of kind %d out of turn", kind)
+	}
+	return nil
+}
+
+// tell tells the next process all it needs.
+func (u *upgrade) tell() error {
+	p := u.p
+	addr, list := p.director.Held()
+	s := state{Discovery: addr.String(), List: list, Out: p.core.Exclusions(), Evacuated: p.front.Leaving(), Learnt: p.core.Learnt()}
+	p.log.Info("program: telling the next process", zap.Int64("rev", list.Rev), zap.Int("members", len(list.Targets)))
+	if p.gearman == nil || !p.serving {
+		return u.next.Tell(handover.State, s)
+	}
+	fd, err := p.gearman.Listener().Dup()
+	if err != nil {
+		return err
+	}
+	s.Gearman, s.GearmanFor = true, p.gearman.Listener().Addr().String()
+	return u.next.Pass(handover.State, s, nil, fd)
+}
+
+// leave leaves the clients to the next process.
+func (u *upgrade) leave() {
+	p := u.p
+	p.log.Info("program: the next process takes the clients", zap.Int("sessions", p.front.Left()), zap.Int("open", p.core.Counts().OpenReqs))
+	u.took = true
+	if u.door != nil { // the path is the next one's
+		u.door.Close()
+		u.door = nil
+	}
+	p.listener.Suspend(true)
+	if p.gearman != nil {
+		p.gearman.Retire(true)
+	}
+	p.front.Bequeath(u.move)
+}
+
+// move sends a session that rests to the next process.
+func (u *upgrade) move(s platform.State, c *transport.Conn) bool {
+	if u.next == nil || u.moves >= mostMoves {
+		return false
+	}
+	fd, in := c.Release()
+	u.moves++
+	u.Passed++
+	if err := u.next.Pass(handover.Session, s, in, fd); err != nil {
+		u.p.log.Error("program: a session could not be passed on", zap.Error(err))
+	}
+	return true
+}
+
+// adopt takes a session over.
+func (u *upgrade) adopt(body []byte) error {
+	var s platform.State
+	in, fd, err := u.prev.Passed(body, &s)
+	if err != nil {
+		if fd >= 0 {
+			unix.Close(fd)
+		}
+		return err
+	}
+	u.Adopted++
+	if err := u.p.loop.Adopt(fd, bytes.Clone(in), func(c *transport.Conn) transport.Handler {
+		return u.p.front.Adopt(s, c)
+	}); err != nil {
+		u.p.log.Warn("program: a session could not be taken over", zap.Error(err))
+	}
+	return u.prev.Tell(handover.Taken, struct{}{})
+}
+
+// hear takes the state of the process before this one, and waits for discovery to say what has changed since.
+func (u *upgrade) hear(body []byte) error {
+	p := u.p
+	var s state
+	if err := u.read(body, &s); err != nil {
+		return err
+	}
+	u.deadline.Stop()
+	u.heard = true
+	p.limit()
+	p.core.Apply(s.Out)
+	if s.Evacuated {
+		p.evacuate(true)
+	}
+	if err := p.core.Recall(s.Learnt); err != nil {
+		p.log.Warn("program: what the process before has learnt is of no use", zap.Error(err))
+	}
+	if p.config.discovery.IsValid() {
+		addr, _ := netip.ParseAddrPort(s.Discovery)
+		p.director.Spoke = u.take
+		u.deadline = p.loop.At(p.loop.Now()+spokeWait, u.take)
+		p.director.StartFrom(addr, s.List)
+		return nil
+	}
+	u.take()
+	return nil
+}
+
+// read reads a state and checks it.
+func (u *upgrade) read(body []byte, s *state) error {
+	err := json.Unmarshal(body, s)
+	if err != nil { // with a descriptor, it has the other form
+		var fd int
+		if _, fd, err = u.prev.Passed(body, s); err == nil && s.Gearman && u.p.gearman != nil && s.GearmanFor == u.p.config.gearman.Listen {
+			u.gearman = fd
+		} else if fd >= 0 {
+			unix.Close(fd)
+		}
+	}
+	if err != nil {
+		return fmt.Errorf("program: state: %w", err)
+	}
+	if err := s.List.Check(); err != nil {
+		return fmt.Errorf("program: state: %w", err)
+	}
+	text, err := json.Marshal(kept{keptVersion, s.Out})
+	if err != nil {
+		return fmt.Errorf("program: state: %w", err)
+	}
+	_, err = parseKept(text)
+	return err
+}
+
+// take takes the clients: the list, the exclusions and what was learnt are here.
+func (u *upgrade) take() {
+	u.deadline.Stop()
+	if u.p.serving || u.p.stopping {
+		return
+	}
+	u.open(u.p.serve(u.gearman))
+	if u.prev != nil && u.p.serving {
+		_ = u.prev.Tell(handover.Took, struct{}{})
+	}
+}
+
+// Asked implements handover.Owner.
+func (u *upgrade) Asked(l *handover.Link, kind handover.Kind, body []byte, answer func(yes bool)) {
+	body = bytes.Clone(body)
+	switch kind {
+	case handover.News:
+		if u.p.front.Told(body) {
+			answer(true)
+		} else if !u.ask(handover.News, body, l, answer) {
+			answer(false)
+		}
+	case handover.Order:
+		var o order
+		err := json.Unmarshal(body, &o)
+		if err == nil {
+			err = u.p.obey(o)
+		}
+		if err != nil {
+			u.p.log.Error("program: order of the other process not carried out", zap.Error(err))
+			answer(false)
+			return
+		}
+		u.order(o, l, func() { answer(true) })
+	}
+}
+
+// ask asks the other processes, but for the one that asks itself; done hears yes from the first that says it, else no
+// once all have answered or gone. False when there is nobody to ask.
+func (u *upgrade) ask(kind handover.Kind, body []byte, but *handover.Link, done func(yes bool)) bool {
+	waits, over := 0, false
+	for _, l := range []*handover.Link{u.prev, u.next} {
+		if l == nil || l == but || l == u.prev && !u.heard || l == u.next && kind == handover.News && !u.took {
+			continue
+		}
+		if l.Ask(kind, body, func(yes bool) {
+			if waits--; !over && (yes && kind == handover.News || waits == 0) {
+				over = true
+				done(yes)
+			}
+		}) {
+			waits++
+		}
+	}
+	return waits > 0
+}
+
+// order has the other processes carry out an order; done hears when they have, or cannot be waited for.
+func (u *upgrade) order(o order, but *handover.Link, done func()) {
+	body, err := json.Marshal(o)
+	if err != nil {
+		u.p.log.Error("program: order", zap.Error(err))
+		done()
+		return
+	}
+	over := false
+	finish := func() {
+		if !over {
+			over = true
+			done()
+		}
+	}
+	if !u.ask(handover.Order, body, but, func(bool) { finish() }) {
+		finish()
+		return
+	}
+	u.p.loop.At(u.p.loop.Now()+orderWait, finish)
+}
--- /dev/null
+++ b/internal/program/upgrade_test.go
@@ -0,0 +1,222 @@
+package program
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"cinderroad/internal/handover"
+)
+
+// held is a listening socket that somebody else holds, as a platform does over an upgrade.
+func held(t *testing.T) (addr string, file *os.File) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	if file, err = l.(*net.TCPListener).File(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { file.Close() })
+	return l.Addr().String(), file
+}
+
+// upgradePath is where a process is found by the next.
+func upgradePath(o options) string {
+	return (&Config{tmp: o.tmp, Name: "n0", Listen: o.listen}).file(".upgrade")
+}
+
+func (w *world) say(want int, method, path, body string) {
+	w.t.Helper()
+	if got, reason := w.operator(method, path, body); got != want || reason == "" {
+		w.t.Errorf("%s %s %s: %d %q, want %d", method, path, body, got, reason, want)
+	}
+}
+
+// hand writes a job on a connection, or what is left of it.
+func hand(c net.Conn, path, id, from string) string {
+	text := fmt.Sprintf("POST /score/%s HTTP/1.1\r\nX-Call-Id: %s\r\nX-Budget-Ms: 4900\r\n\r\n", path, id)
+	io.WriteString(c, text[len(from):])
+	return text
+}
+
+func served(t *testing.T, what string, c net.Conn) {
+	t.Helper()
+	c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	r, err := http.ReadResponse(bufio.NewReader(c), nil)
+	if err != nil || r.StatusCode != 200 || r.Close {
+		t.Fatalf("%s: %v, %v", what, r, err)
+	}
+	io.Copy(io.Discard, r.Body)
+}
+
+// Guards against an upgrade that ends a client's connection, or a job, or a call-back's way to it; against a next
+// process that has forgotten who is out, and an old one that is not told; and against its working only once.
+func TestUpgrade(t *testing.T) {
+	var w *world
+	release := make(chan bool)
+	handle := func(uid string) func(int, http.ResponseWriter, *http.Request) {
+		return func(n int, rw http.ResponseWriter, r *http.Request) {
+			if !strings.HasPrefix(r.URL.Path, "/score/held") {
+				w.done(uid, uid)(n, rw, r)
+				return
+			}
+			id := r.Header.Get("X-Call-Id")
+			rw.WriteHeader(202)
+			go func() {
+				w.news(id, uid, `"state":"started"`)
+				<-release
+				w.news(id, uid, `"state":"done","result":"late"`)
+			}()
+		}
+	}
+	a, b, c := newRunner(t, "s-a", handle("s-a")), newRunner(t, "s-b", handle("s-b")), newRunner(t, "s-c", handle("s-c"))
+	o := options{console: true, tmp: t.TempDir()}
+	o.listen, o.inherit = held(t)
+	w = begin(t, o, a.target("ready", 0), b.target("ready", 0), c.target("ready", 0))
+	w.say(200, "PUT", "/api/exclude", `{"member":"s-b"}`)
+
+	fresh, rested, half, working := w.dial(), w.dial(), w.dial(), w.dial()
+	hand(rested, "a", "r0", "")
+	served(t, "before", rested)
+	io.WriteString(half, "POST /score/a HTT")
+	hand(working, "held", "w0", "")
+	w.eventually("the job that is held", func() bool { return a.jobs()+c.jobs() == 2 })
+
+	next := w.next(o)
+	next.say(200, "GET", "/api/ready", "")
+	w.eventually("the old one leaves", func() bool { return strings.Contains(w.log.String(), "takes the clients") })
+	hand(rested, "a", "r1", "")
+	served(t, "a session that had rested", rested)
+	hand(half, "a", "h0", "POST /score/a HTT")
+	served(t, "a session that was half way", half)
+	hand(fresh, "a", "f0", "")
+	served(t, "a session that had said nothing", fresh)
+	next.say(200, "PUT", "/api/exclude", `{"member":"s-c"}`) // the old process is told, too
+	w.eventually("the old one obeys", func() bool { return strings.Contains(w.log.String(), `program: exclude	{"member": "s-c"}`) })
+	next.say(200, "PUT", "/api/include", `{"member":"s-c"}`)
+	exit := w.terminate()
+	close(release) // the new process hears of the old one's job
+	served(t, "the job that was open", working)
+	if err := <-exit; err != nil {
+		t.Errorf("the old one's exit: %v", err)
+	}
+	hand(working, "a", "w1", "")
+	served(t, "the session that was at work", working)
+	if b.jobs() != 0 {
+		t.Errorf("%d jobs for the member that is out", b.jobs())
+	}
+
+	last := next.next(o)
+	last.say(200, "GET", "/api/ready", "")
+	if err := <-next.terminate(); err != nil {
+		t.Errorf("the second one's exit: %v", err)
+	}
+	for name, c := range map[string]net.Conn{"fresh": fresh, "rested": rested, "half": half, "working": working} {
+		hand(c, "a", name, "")
+		served(t, "after the second upgrade, "+name, c)
+	}
+	last.say(200, "PUT", "/api/include", `{"member":"s-b"}`)
+	w.eventually("it is used again", func() bool {
+		_, body, _ := last.ask("score", 4000)
+		return body == "s-b"
+	})
+}
+
+// Guards against an upgrade that fails and leaves nobody to serve: the next process goes before and after it took the
+// clients, is of another version, or the old one is killed with a job open.
+func TestUpgradeThatFails(t *testing.T) {
+	var w *world
+	mute := make(chan string, 9)
+	u := newRunner(t, "s-1", func(n int, rw http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/score/mute" {
+			rw.WriteHeader(202)
+			mute <- r.Header.Get("X-Call-Id")
+			return
+		}
+		w.done("s-1", "ok")(n, rw, r)
+	})
+	o := options{console: true, tmp: t.TempDir()}
+	o.listen, o.inherit = held(t)
+	w = begin(t, o, u.target("ready", 0))
+	serves := func(p *world, when string) {
+		t.Helper()
+		p.eventually(when, func() bool {
+			status, body, _ := p.ask("score", 4000)
+			return status == 200 && body == "ok"
+		})
+	}
+	for _, tc := range []struct{ frames, word string }{
+		{string(handover.Append(nil, handover.Hello, []byte("{}"))), "gone before it took over"},
+		{string(handover.Append(nil, handover.Took, []byte("{}"))), "gone, taking back"},
+		{string(handover.Append(nil, handover.State, []byte("{}"))), "out of turn"},
+		{"R\x09", "another version"},
+	} {
+		c, err := net.Dial("unix", upgradePath(o))
+		if err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, tc.frames)
+		if strings.Contains(tc.word, "taking back") {
+			w.eventually("it leaves", func() bool { return strings.Contains(w.log.String(), "takes the clients") })
+		}
+		time.AfterFunc(50*time.Millisecond, func() { c.Close() })
+		w.eventually(tc.word, func() bool { return strings.Contains(w.log.String(), tc.word) })
+		serves(w, "after: "+tc.word)
+	}
+
+	working := w.dial()
+	hand(working, "mute", "w0", "")
+	<-mute
+	next := w.next(o)
+	w.eventually("the old one leaves", func() bool { return strings.Count(w.log.String(), "takes the clients") == 2 })
+	w.cmd.Process.Kill()
+	if got := until(working); got != "" {
+		t.Errorf("a job that died with its process was told %q", got)
+	}
+	next.news("w0", "s-1", `"state":"done","result":"late"`) // nobody has it any more
+	serves(next, "the old one was killed")
+	next.cmd.Process.Kill()
+	next.cmd.Wait()
+	serves(next.next(o), "both were killed") // a stale socket stands at the path
+}
+
+// Guards against a start that waits for ever: for a process that holds the path and says nothing or what makes no
+// sense, or for a discovery that is silent.
+func TestUpgradeFromSilence(t *testing.T) {
+	for _, says := range []string{"", "R\x09", "nonsense", string(handover.Append(nil, handover.State, []byte(`{"out":{"a":{"at":-1}}}`)))} {
+		o := options{console: true, tmp: filepath.Join(t.TempDir(), strings.Repeat("long", 50))} // longer than a socket's path may be
+		os.MkdirAll(o.tmp, 0o700)
+		o.listen, o.inherit = held(t)
+		t.Chdir(o.tmp)
+		l, err := net.Listen("unix", filepath.Base(upgradePath(o)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			if c, err := l.Accept(); err == nil {
+				io.WriteString(c, says)
+				io.Copy(io.Discard, c)
+			}
+		}()
+		begin(t, o).say(200, "GET", "/api/ready", "")
+		l.Close()
+	}
+	u := newRunner(t, "s-1", func(_ int, rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(202) })
+	o := options{console: true, tmp: t.TempDir()}
+	o.listen, o.inherit = held(t)
+	w := begin(t, o, u.target("ready", 0))
+	w.silent.Store(true)
+	w.discovery.CloseClientConnections()
+	next := w.next(o)
+	next.say(200, "GET", "/api/ready", "")
+	next.say(200, "PUT", "/api/exclude", `{"member":"s-1"}`) // the list is the old one's
+}
--- a/internal/program/world_test.go
+++ b/internal/program/world_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -66,6 +67,7 @@
 	lines     []string // of the director, since the start
 	watches   []string // queries of the watches
 	changed   chan struct{}
+	silent    atomic.Bool // discovery takes questions and says nothing
 	discovery *httptest.Server
 	client    *http.Client
 	calls     int
@@ -97,6 +99,7 @@
 	inherit  *os.File // the clients' socket, if it is not the program's own
 	listen   string   // and its address
 	tmp      string   // $TMPDIR
+	loose    bool     // nobody waits until it serves
 }
 
 // begin starts the program with the runners in the list that it knows.
@@ -124,6 +127,14 @@
 		"seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": o.sockets},
 		"known":    json.RawMessage(`{"rev":1,"all":true,"targets":[` + strings.Join(targets, ",") + `]}`),
 		"settings": json.RawMessage(fmt.Sprintf(settingsText, o.cold, o.connIdle))}
+	w.start(o)
+	return w
+}
+
+// start runs one process of the dispatcher and waits until it serves.
+func (w *world) start(o options) {
+	t := w.t
+	t.Helper()
 	if o.console {
 		w.console = freeAddr(t)
 		w.config["console"] = w.console
@@ -132,8 +143,7 @@
 	w.configure()
 	w.cmd = exec.Command(program, append([]string{"-config", w.path, "-log", "debug"}, o.args...)...)
 	w.cmd.Stderr = w.log
-	w.cmd.Env = append(os.Environ(), "ROUTER_DISCOVERY="+strings.TrimPrefix(w.discovery.URL, "http://"))
-	w.cmd.Env = append(w.cmd.Env, "TMPDIR="+o.tmp)
+	w.cmd.Env = append(os.Environ(), "ROUTER_DISCOVERY="+strings.TrimPrefix(w.discovery.URL, "http://"), "TMPDIR="+o.tmp)
 	if o.inherit != nil {
 		w.cmd.ExtraFiles = []*os.File{nil, nil, o.inherit} // descriptor 5
 		w.cmd.Env = append(w.cmd.Env, "ROUTER_FD=5")
@@ -148,6 +158,9 @@
 			t.Log(w.log)
 		}
 	})
+	if o.loose {
+		return
+	}
 	w.eventually("serving", func() bool { return strings.Contains(w.log.String(), "program: serving") })
 	w.eventually("healthy", func() bool {
 		r, err := w.client.Get("http://" + w.addr + "/_health")
@@ -157,7 +170,14 @@
 		r.Body.Close()
 		return r.StatusCode == 200
 	})
-	return w
+}
+
+// next starts another process that takes the place of w's.
+func (w *world) next(o options) *world {
+	w.t.Helper()
+	n := &world{t: w.t, addr: w.addr, log: &lockedBuffer{}, config: maps.Clone(w.config), discovery: w.discovery, client: w.client, calls: 1 << 20}
+	n.start(o)
+	return n
 }
 
 // configure writes the configuration file with changes: names and values in turn.
@@ -215,6 +235,10 @@
 	w.mu.Lock()
 	w.watches = append(w.watches, r.URL.RawQuery)
 	w.mu.Unlock()
+	if w.silent.Load() {
+		<-r.Context().Done()
+		return
+	}
 	for at := 0; ; {
 		w.mu.Lock()
 		lines, changed := w.lines[at:], w.changed
--- a/internal/protocol/door/door.go
+++ b/internal/protocol/door/door.go
@@ -52,8 +52,7 @@
 // backends, need. Where there is no room, one that gives may close, of that address if it has too many, takes its
 // place; if none does, the connection is turned away. Leave must be called either way.
 func (d *Door) Enter(from netip.Addr, gives func(may func(from netip.Addr) bool) bool) (room bool) {
-	d.open++
-	d.from[from]++
+	d.Book(from)
 	limit := float64(d.loop.Limit())
 	greedy := float64(d.from[from]) > limit*sourceShare
 	if !greedy && float64(d.open) <= limit-min(limit*backShare, backMost) || gives(func(o netip.Addr) bool { return !greedy || o == from }) {
@@ -63,6 +62,12 @@
 	return false
 }
 
+// Book books a connection that has been let in elsewhere.
+func (d *Door) Book(from netip.Addr) {
+	d.open++
+	d.from[from]++
+}
+
 // Resting is how many sessions may be open for some of them to rest between requests. Clients that ask once and
 // stay would else come to the end of what they may hold, and have none for the next request.
 func (d *Door) Resting() int { return int(float64(d.loop.Limit()) * restShare) }
--- a/internal/protocol/gearman/server.go
+++ b/internal/protocol/gearman/server.go
@@ -49,8 +49,11 @@
 	leaving   bool // evacuated: clients are sent away, until they are taken again
 	rests     uint64
 	listener  *transport.Listener
+	retiring  *transport.Deadline
 }
 
+const retireEvery = 0.05 // seconds between two looks at who can be sent to the next process
+
 type uniqueKey struct{ function, unique string }
 
 type function struct {
@@ -98,12 +101,37 @@
 	return s
 }
 
-// Start opens the port.
-func (s *Server) Start() (err error) {
-	s.listener, err = s.loop.Listen(s.config.listen, s.accept)
+// Start opens the port, or goes on with the socket of the process before this one; 0 is none.
+func (s *Server) Start(inherited int) (err error) {
+	if inherited > 0 {
+		s.listener, err = s.loop.Inherit(inherited, s.accept)
+	} else {
+		s.listener, err = s.loop.Listen(s.config.listen, s.accept)
+	}
 	return err
 }
 
+// Retire leaves the port to the next process, or takes it back. Its own jobs are served first, by the workers that are
+// here; then clients and workers are sent to the next one, as they would be by a restart.
+func (s *Server) Retire(on bool) {
+	s.listener.Suspend(on)
+	s.retiring.Stop()
+	if s.stopping = on; !on {
+		return
+	}
+	s.Drain()
+	s.retire()
+}
+
+func (s *Server) retire() {
+	s.peers.Each(func(_ slots.Handle, p *peer) {
+		if p.waits == 0 && len(p.conn.Bytes()) == 0 && p.conn.Unsent() == 0 && (p.worker == nil || len(s.jobs) == 0 && len(p.worker.running) == 0) {
+			p.end()
+		}
+	})
+	s.retiring = s.loop.At(s.loop.Now()+retireEvery, s.retire)
+}
+
 // Listener is the open port.
 func (s *Server) Listener() *transport.Listener { return s.listener }
 
--- a/internal/protocol/platform/bodies.go
+++ b/internal/protocol/platform/bodies.go
@@ -94,18 +94,23 @@
 	if err := json.Unmarshal(text, &l); err != nil {
 		return l, fmt.Errorf("platform: list: %w", err)
 	}
+	return l, l.Check()
+}
+
+// Check names the first entry that makes no sense.
+func (l *List) Check() error {
 	for _, t := range l.Targets {
 		if t.UID == "" || states[t.State] == 0 && t.State != "gone" {
-			return l, fmt.Errorf("platform: list: bad entry %q with state %q", t.UID, t.State)
+			return fmt.Errorf("platform: list: bad entry %q with state %q", t.UID, t.State)
 		}
 		if _, err := netip.ParseAddrPort(t.Endpoint); err != nil && t.State != "gone" {
-			return l, fmt.Errorf("platform: list: %s: %w", t.UID, err)
+			return fmt.Errorf("platform: list: %s: %w", t.UID, err)
 		}
 		if math.IsNaN(t.BootMs) || t.BootMs < 0 {
-			return l, fmt.Errorf("platform: list: %s: bad boot_ms", t.UID)
+			return fmt.Errorf("platform: list: %s: bad boot_ms", t.UID)
 		}
 	}
-	return l, nil
+	return nil
 }
 
 var states = map[string]brain.WorkerState{"ready": brain.Ready, "draining": brain.Draining}
--- a/internal/protocol/platform/director.go
+++ b/internal/protocol/platform/director.go
@@ -27,6 +27,7 @@
 type Director struct {
 	Rejected uint64 // lines that made no sense: the old list was kept
 	Watches  uint64
+	Spoke    func() // discovery has spoken for the first time since the start
 
 	loop  *transport.Loop
 	log   *zap.Logger
@@ -55,6 +56,32 @@
 	d.on = d.open(false)
 }
 
+// Held is the list as it is held now, for the process that takes this one's place.
+func (d *Director) Held() (addr netip.AddrPort, list List) {
+	list = List{Rev: d.rev, All: true}
+	for _, uid := range slices.Sorted(maps.Keys(d.known)) {
+		list.Targets = append(list.Targets, d.known[uid])
+	}
+	return d.addr, list
+}
+
+// StartFrom is Start with a list that another process was told by addr.
+func (d *Director) StartFrom(addr netip.AddrPort, known List) {
+	if addr == d.addr {
+		d.Start(known)
+		return
+	}
+	d.apply(known, brain.ListCached) // its version means nothing here
+	d.next = d.open(true)
+}
+
+func (d *Director) spoke() {
+	if d.Spoke != nil {
+		d.Spoke()
+		d.Spoke = nil
+	}
+}
+
 // Move watches another address, at once. The list held, and the watch that told it, stay until the new address
 // has spoken: it may never do so, or for a while know of nothing.
 func (d *Director) Move(addr netip.AddrPort) {
@@ -193,6 +220,7 @@
 	w.whole = false
 	d.log.Info("director: moved", zap.Stringer("discovery", w.addr), zap.Int64("rev", list.Rev))
 	d.apply(list, brain.ListFull)
+	d.spoke()
 	if r.Close || ended {
 		w.close()
 		d.on = d.open(false)
@@ -268,6 +296,7 @@
 		kind = brain.ListFull
 	}
 	d.apply(list, kind)
+	d.spoke()
 	return nil
 }
 
--- a/internal/protocol/platform/front.go
+++ b/internal/protocol/platform/front.go
@@ -28,16 +28,21 @@
 
 	// An evacuation: the front that spreads clients looks away within 0.2 s of a no, and 4 s after the call nobody may
 	// rest here or have a job that is younger than 2 s.
-	lookAway   = 0.5  // seconds of serving on as if nothing had been said
-	lastTake   = 1.8  // after which no new job is taken
-	sweepEvery = 0.05 // closing what has come to rest
-	freshGrace = 0.6  // for the first request of a connection that came while the front still looked
+	lookAway      = 0.5  // seconds of serving on as if nothing had been said
+	lastTake      = 1.8  // after which no new job is taken
+	sweepEvery    = 0.05 // closing what has come to rest
+	elsewhereTime = 3.0  // seconds that a call-back may wait for the other process
+
+	freshGrace = 0.6 // for the first request of a connection that came while the front still looked
 )
 
 // Front serves the clients' side of the platform's protocol, and the runners' call-backs at the same port.
 type Front struct {
 	Malformed, BadNews, Sessions, Slow uint64
 
+	// Elsewhere asks the dispatcher's other process about a call-back that is not known here; false when there is none.
+	Elsewhere func(body []byte, done func()) bool
+
 	loop     *transport.Loop
 	log      *zap.Logger
 	core     *routing.Core
@@ -54,7 +59,8 @@
 	rests    uint64
 	lastNews float64            // when bytes last came from any session
 	noted    map[string]float64 // when a kind of bad input was last logged
-	comeBack string             // of a refusal that the decisions had no part in
+	heir     func(State, *transport.Conn) bool
+	comeBack string // of a refusal that the decisions had no part in
 }
 
 // class is a class of the settings: its place there, and the longest that its clients wait.
@@ -167,7 +173,7 @@
 // a request that is just arriving counts as taken.
 func (f *Front) Quiet() bool {
 	quiet := f.loop.Now() >= f.lastNews+quietTime
-	f.sessions.Each(func(_ slots.Handle, s *session) { quiet = quiet && (s.idle() || !s.asked && s.call == "") })
+	f.sessions.Each(func(_ slots.Handle, s *session) { quiet = quiet && (s.idle() || !s.asked && s.call == "" && !s.waits) })
 	return quiet
 }
 
@@ -192,6 +198,7 @@
 	asked   bool   // has carried a client's request
 	whole   bool   // has carried any request
 	told    bool   // has carried call-backs
+	waits   bool   // its call-back is asked about elsewhere
 	since   uint64 // its place in the order in which sessions came to rest; times tie within a turn
 	from    netip.Addr
 	backend bool // comes from where a listed backend stands
@@ -201,7 +208,7 @@
 }
 
 func (s *session) idle() bool {
-	return s.call == "" && len(s.conn.Bytes()) == 0 && s.conn.Unsent() == 0
+	return s.call == "" && !s.waits && len(s.conn.Bytes()) == 0 && s.conn.Unsent() == 0
 }
 
 // How well a session can be spared; 0 is not at all.
@@ -214,7 +221,7 @@
 
 func (s *session) rank() int {
 	switch begun := len(s.conn.Bytes()) > 0; {
-	case s.call != "" || s.conn.Unsent() > 0 || s.whole && begun:
+	case s.call != "" || s.waits || s.conn.Unsent() > 0 || s.whole && begun:
 		return 0
 	case !s.whole && s.backend: // brings a call-back, which may be all that frees a session
 		return 0
@@ -232,6 +239,13 @@
 func (s *session) rest() {
 	s.f.rests++
 	s.since = s.f.rests
+	if h := s.h; s.f.heir != nil {
+		s.f.loop.Later(func() {
+			if _, open := s.f.sessions.Get(h); open {
+				s.hand()
+			}
+		})
+	}
 	if s.whole {
 		s.expect(s.f.loop.Now()+idleTimeout, s.end)
 		if s.asked && s.f.asking > s.f.door.Resting() {
@@ -297,7 +311,10 @@
 // Data implements transport.Handler.
 func (s *session) Data(c *transport.Conn) {
 	s.f.lastNews = s.f.loop.Now()
-	if s.call != "" { // the next request, sent early, waits for its turn
+	if s.call == "" && !s.waits && s.hand() { // the heir reads it
+		return
+	}
+	if s.call != "" || s.waits { // the next request, sent early, waits for its turn
 		if len(c.Bytes()) > mostAhead {
 			c.Pause(true)
 		}
@@ -308,7 +325,7 @@
 
 // read takes requests until one is open or no whole one is left.
 func (s *session) read() {
-	for s.call == "" {
+	for s.call == "" && !s.waits {
 		s.conn.Pause(false)
 		if len(s.conn.Bytes()) == 0 {
 			return
@@ -401,7 +418,8 @@
 	}
 }
 
-// news takes a call-back; whatever it says it has been heard, so that the runner does not try again.
+// news takes a call-back; whatever it says it has been heard, so that the runner does not try again. One that is not
+// known here may be of a fetch of the other process: it has been heard once that has it, or nobody does.
 func (s *session) news(q *Request) {
 	n, err := ParseNews(q.Body)
 	if err != nil || q.Method != "POST" {
@@ -413,10 +431,34 @@
 		return
 	}
 	s.told = true
+	if h := s.h; s.f.Elsewhere != nil && !s.f.pool.Knows(&n) && s.f.Elsewhere(q.Body, func() {
+		if _, open := s.f.sessions.Get(h); open && s.waits {
+			s.waits = false
+			s.reply(204, "", nil)
+			s.next()
+		}
+	}) {
+		s.waits = true
+		s.expect(s.f.loop.Now()+elsewhereTime, func() { // it will come again
+			s.waits, s.last = false, true
+			s.reply(503, "", nil)
+		})
+		return
+	}
 	s.reply(204, "", nil)
 	s.f.pool.News(n)
 }
 
+// Told takes a call-back that the other process got; false when nobody here knows it.
+func (f *Front) Told(body []byte) bool {
+	n, err := ParseNews(body)
+	if err != nil || !f.pool.Knows(&n) {
+		return false
+	}
+	f.pool.News(n)
+	return true
+}
+
 // once is the one value of a field; ok is false when it is there twice, which two readers might take differently.
 func once(h Header, name string) (value string, ok bool) { return h.Get(name), h.count(name) <= 1 }
 
@@ -523,11 +565,17 @@
 	default:
 		s.reply(500, "", nil)
 	}
-	if _, open := s.f.sessions.Get(h); open { // a request sent early has its turn
-		s.f.loop.Later(func() {
-			if _, open := s.f.sessions.Get(h); open && s.call == "" {
-				s.read()
-			}
-		})
+	if _, open := s.f.sessions.Get(h); open {
+		s.next()
 	}
 }
+
+// next has a request that was sent early have its turn.
+func (s *session) next() {
+	h := s.h
+	s.f.loop.Later(func() {
+		if _, open := s.f.sessions.Get(h); open && s.call == "" && !s.waits {
+			s.read()
+		}
+	})
+}
--- /dev/null
+++ b/internal/protocol/platform/heir.go
@@ -0,0 +1,56 @@
+package platform
+
+import (
+	"cinderroad/internal/slots"
+	"cinderroad/internal/transport"
+)
+
+// State is what a client session has shown, for the process that takes it over.
+type State struct {
+	Asked   bool    `json:"asked,omitempty"`
+	Whole   bool    `json:"whole,omitempty"`
+	Told    bool    `json:"told,omitempty"`
+	Entered float64 `json:"entered"`
+}
+
+// Bequeath has heir take each session as it comes to rest, with what has come and was not read; a session that heir
+// does not take stays for now. Without an heir they stay for good.
+func (f *Front) Bequeath(heir func(State, *transport.Conn) bool) {
+	if f.heir = heir; heir != nil {
+		f.Hand()
+	}
+}
+
+// Hand offers the sessions that rest to the heir.
+func (f *Front) Hand() {
+	f.sessions.Each(func(_ slots.Handle, s *session) { s.hand() })
+}
+
+// Left is how many sessions are still here.
+func (f *Front) Left() int { return f.sessions.Len() }
+
+// hand gives the session to the heir, if it rests and there is one that takes it.
+func (s *session) hand() bool {
+	if s.f.heir == nil || s.call != "" || s.waits || s.conn.Unsent() > 0 || !s.conn.Open() {
+		return false
+	}
+	if !s.f.heir(State{s.asked, s.whole, s.told, s.entered}, s.conn) {
+		return false
+	}
+	s.leave()
+	return true
+}
+
+// Adopt owns a session of the process before this one.
+func (f *Front) Adopt(state State, c *transport.Conn) transport.Handler {
+	s := &session{f: f, conn: c, from: c.Peer().Addr().Unmap(), entered: state.Entered, asked: state.Asked,
+		whole: state.Whole, told: state.Told}
+	s.backend = f.pool.at(s.from)
+	s.h = f.sessions.Put(s)
+	f.door.Book(s.from)
+	if s.asked {
+		f.asking++
+	}
+	s.rest()
+	return s
+}
--- a/internal/protocol/platform/pool.go
+++ b/internal/protocol/platform/pool.go
@@ -495,6 +495,9 @@
 	}
 }
 
+// Knows says whether a call-back names a fetch that is out.
+func (p *Pool) Knows(n *News) bool { return p.live[newsKey{n.ID, n.From}] != nil }
+
 // News takes a call-back. It may repeat one that was taken, or speak of a fetch that is over or of an
 // earlier life's: those find nothing and change nothing.
 func (p *Pool) News(n News) {
--- a/internal/routing/exclude.go
+++ b/internal/routing/exclude.go
@@ -108,3 +108,12 @@
 		m.Since = x.Back
 	}
 }
+
+// Learnt is what the decisions have learnt, for the process that takes this one's place.
+func (c *Core) Learnt() brain.Learnt { return c.bal.Learnt() }
+
+// Recall takes what another process has learnt, before the first list; it says why it is of no use.
+func (c *Core) Recall(l brain.Learnt) (err error) {
+	c.do(func() { err = c.bal.Recall(l) })
+	return err
+}
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -246,6 +246,8 @@
 	take   func(c *Conn) Handler
 	paused bool
 
+	suspended bool // others accept
+
 	most int         // connections that may be open of one that stands apart; 0 is one that does not
 	open int         // of them
 	give func() bool // closes one of them
@@ -335,6 +337,28 @@
 	}
 }
 
+// Suspend leaves the callers to others who listen on the same socket, until Resume.
+func (ln *Listener) Suspend(on bool) {
+	if _, open := ln.loop.listeners.Get(ln.h); !open || ln.suspended == on {
+		return
+	}
+	ln.suspended = on
+	events := uint32(unix.EPOLLIN)
+	if on || ln.paused {
+		events = 0
+	}
+	_ = ln.loop.control(unix.EPOLL_CTL_MOD, ln.fd, ln.h|1<<63, events)
+}
+
+// Dup is another descriptor of the socket, to be handed to another process.
+func (ln *Listener) Dup() (int, error) {
+	fd, err := unix.FcntlInt(uintptr(ln.fd), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		return -1, fmt.Errorf("transport: dup: %w", err)
+	}
+	return fd, nil
+}
+
 // room makes room for one more connection.
 func (ln *Listener) room() bool {
 	if ln.most == 0 {
@@ -344,7 +368,7 @@
 }
 
 func (ln *Listener) accept() {
-	for i := 0; i < 64; i++ {
+	for i := 0; i < 64 && !ln.suspended; i++ {
 		if !ln.room() {
 			ln.pause()
 			return
@@ -383,7 +407,7 @@
 	_ = ln.loop.control(unix.EPOLL_CTL_MOD, ln.fd, ln.h|1<<63, 0)
 	ln.loop.At(ln.loop.now+0.01, func() {
 		ln.paused = false
-		if _, open := ln.loop.listeners.Get(ln.h); open {
+		if _, open := ln.loop.listeners.Get(ln.h); open && !ln.suspended {
 			_ = ln.loop.control(unix.EPOLL_CTL_MOD, ln.fd, ln.h|1<<63, unix.EPOLLIN)
 		}
 	})
@@ -407,6 +431,7 @@
 	limit      *Deadline
 	broken     bool      // has failed; Closed is on its way
 	home       *Listener // that accepted it, of one that stands apart
+	rights     *rights   // of one that descriptors pass along
 }
 
 // ErrNoRoom says that no descriptor was to be had.
@@ -510,7 +535,7 @@
 		return
 	}
 	if len(c.out) == 0 && !c.connecting {
-		n, err := write(c.fd, b)
+		n, err := c.push(b)
 		c.written += uint64(n)
 		if err != nil {
 			c.out = append(c.out, b[n:]...)
@@ -631,6 +656,7 @@
 		}
 	}
 	c.limit.Stop()
+	c.rights.drop()
 	if c.lingers {
 		c.lingers = false
 		c.loop.lingering = slices.DeleteFunc(c.loop.lingering, func(o *Conn) bool { return o == c })
@@ -699,7 +725,7 @@
 }
 
 func (c *Conn) flush() {
-	n, err := write(c.fd, c.out)
+	n, err := c.push(c.out)
 	c.written += uint64(n)
 	c.out = c.out[n:]
 	if err != nil {
@@ -725,7 +751,7 @@
 			c.discard()
 			return
 		}
-		n, err := unix.Read(c.fd, c.loop.scratch)
+		n, err := c.pull()
 		switch {
 		case n > 0:
 			c.in = append(c.in, c.loop.scratch[:n]...)
