Discovery is asked in full jitter, seldom where it has no room; what was learnt is tested

Ruled out: that watches hold the room (a plain list is refused as well), a Retry-After (there is none). At fault: director.go, rewatchAfter doubled to 1 s without jitter. Also: the plan's time goes over with what was learnt, else the first plan wipes paces and ceilings (rebuild's age).

--- a/brain/learnt.go
+++ b/brain/learnt.go
@@ -13,6 +13,7 @@
 	Run     float64                    `json:"run"`
 	PerJob  float64                    `json:"per_job"`
 	Period  float64                    `json:"period"`
+	PlanAt  float64                    `json:"plan_at"` // ceilings and paces recover from here on, not from the first day
 	Kinds   map[int]LearntKind         `json:"kinds"`
 	Workers map[WorkerID]*LearntWorker `json:"workers"`
 }
@@ -47,7 +48,7 @@
 // Learnt tells what was learnt so far.
 func (b *Balancer) Learnt() Learnt {
 	l := Learnt{Work: append([]float64(nil), b.work...), Far: append([]float64(nil), b.far...), Pace: b.pace, Run: b.run,
-		PerJob: b.perJob, Period: b.period, Kinds: map[int]LearntKind{}, Workers: map[WorkerID]*LearntWorker{}}
+		PerJob: b.perJob, Period: b.period, PlanAt: b.planAt, Kinds: map[int]LearntKind{}, Workers: map[WorkerID]*LearntWorker{}}
 	for number, k := range b.kinds {
 		l.Kinds[number] = LearntKind{k.pace, k.size}
 	}
@@ -64,13 +65,13 @@
 
 // Recall takes what another Balancer of the same settings has learnt, all or nothing. What it says of a worker counts
 // once the list names that worker, with the same start.
-func (b *Balancer) Recall(l Learnt) error {
-	if err := b.usable(&l); err != nil {
+func (b *Balancer) Recall(now float64, l Learnt) error {
+	if err := b.usable(now, &l); err != nil {
 		return err
 	}
 	copy(b.work, l.Work)
 	copy(b.far, l.Far)
-	b.pace, b.run, b.perJob, b.period = l.Pace, l.Run, l.PerJob, l.Period
+	b.pace, b.run, b.perJob, b.period, b.planAt = l.Pace, l.Run, l.PerJob, l.Period, l.PlanAt
 	for number, k := range l.Kinds {
 		b.kinds[number] = &kind{k.Pace, k.Size}
 	}
@@ -93,7 +94,7 @@
 }
 
 // usable names the first thing learnt that makes no sense.
-func (b *Balancer) usable(l *Learnt) error {
+func (b *Balancer) usable(now float64, l *Learnt) error {
 	bad := func(what string) error { return fmt.Errorf("brain: learnt: bad %s", what) }
 	fine := func(values ...float64) bool {
 		for _, v := range values {
@@ -106,9 +107,11 @@
 	switch {
 	case len(l.Work) != len(b.work) || !fine(l.Work...):
 		return bad("work")
+	case l.PlanAt > now:
+		return bad("time")
 	case len(l.Far) != len(b.far) || !fine(l.Far...):
 		return bad("far")
-	case !fine(l.Run) || !(l.Pace > 0 && l.PerJob > 0 && l.Period > 0) || !fine(l.Pace, l.PerJob, l.Period):
+	case !fine(l.Run) || !(l.Pace > 0 && l.PerJob > 0 && l.Period > 0) || !fine(l.Pace, l.PerJob, l.Period, l.PlanAt):
 		return bad("means")
 	}
 	for _, w := range l.Work {
--- /dev/null
+++ b/brain/learnt_test.go
@@ -0,0 +1,80 @@
+package brain
+
+import (
+	"encoding/json"
+	"math"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Guards against a process that takes another's place and knows nothing, believes what it was told of a worker that
+// was restarted since, spends a cold worker's budget anew, or takes in what makes no sense.
+func TestLearntGoesOver(t *testing.T) {
+	old := newRecorder(t, testSettings(), 1)
+	old.list(ListFull, append(ready(3), Worker{ID: 4, State: Ready, Since: old.now - 1})...)
+	for i := range 60 {
+		id := RequestID(i + 1)
+		old.request(id, 0, 0.05)
+		old.runTo(old.now + 0.02)
+		for n, a := range old.tries[id] {
+			old.start(id, n)
+			old.runTo(old.now + 0.03)
+			if i < 58 { // the last two are still out
+				old.outcome(id, n, OK, float32(a.worker), 0.5, 3)
+			}
+		}
+	}
+	text, err := json.Marshal(old.b.Learnt())
+	if err != nil {
+		t.Fatal(err)
+	}
+	read := func() (l Learnt) {
+		if err := json.Unmarshal(text, &l); err != nil {
+			t.Fatal(err)
+		}
+		return l
+	}
+	next := newRecorder(t, testSettings(), 2)
+	next.now = old.now
+	if err := next.b.Recall(next.now, read()); err != nil {
+		t.Fatal(err)
+	}
+	entries := append(ready(3), Worker{ID: 4, State: Ready, Since: old.workers[4].Since})
+	entries[2].Since = old.now // restarted
+	next.list(ListFull, entries...)
+	got, want := next.b.Learnt(), read()
+	want.PlanAt = next.now
+	fresh := newRecorder(t, testSettings(), 2)
+	fresh.now = old.now
+	fresh.b.pace = next.b.pace
+	fresh.list(ListFull, entries...)
+	want.Workers[3] = fresh.b.Learnt().Workers[3]
+	if diff := cmp.Diff(want, got, cmp.Comparer(func(a, b float64) bool { return math.Abs(a-b) < 0.02 })); diff != "" {
+		t.Errorf("the next one knows (-want +got):\n%s", diff)
+	}
+	if out := want.Workers[1].Others + want.Workers[2].Others + want.Workers[4].Others; out < 2 {
+		t.Errorf("the jobs that are still out are not among the others': %v", out)
+	}
+	for name, spoil := range map[string]func(l *Learnt){
+		"another number of classes": func(l *Learnt) { l.Work = l.Work[1:] },
+		"no work":                   func(l *Learnt) { l.Work[0] = 0 },
+		"no pace":                   func(l *Learnt) { l.Pace = 0 },
+		"an endless period":         func(l *Learnt) { l.Period = math.Inf(1) },
+		"a room below nothing":      func(l *Learnt) { l.Workers[1].LoadCeil = -1 },
+		"a budget of three spans":   func(l *Learnt) { l.Workers[1].Sent = l.Workers[1].Sent[1:] },
+		"a plan of tomorrow":        func(l *Learnt) { l.PlanAt = old.now + 1 },
+		"no worker":                 func(l *Learnt) { l.Workers[1] = nil },
+		"a kind without a pace":     func(l *Learnt) { l.Kinds[0] = LearntKind{} },
+	} {
+		bad, cold := read(), newRecorder(t, testSettings(), 2)
+		spoil(&bad)
+		before := cold.b.Learnt()
+		if err := cold.b.Recall(old.now, bad); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+		if diff := cmp.Diff(before, cold.b.Learnt()); diff != "" {
+			t.Errorf("%s: half of it was taken:\n%s", name, diff)
+		}
+	}
+}
--- a/internal/program/operate_test.go
+++ b/internal/program/operate_test.go
@@ -229,3 +229,33 @@
 		return body == "s-0"
 	})
 }
+
+// Guards against asking a discovery that has no room before it said, or for more than has changed since; what is known
+// is served meanwhile.
+func TestDiscoveryWithoutRoom(t *testing.T) {
+	var w *world
+	u := newRunner(t, "s-1", func(n int, rw http.ResponseWriter, r *http.Request) { w.done("s-1", "ok")(n, rw, r) })
+	w = begin(t, options{}, u.target("ready", 1))
+	w.tell(`{"rev":41,"all":false,"targets":[` + u.target("ready", 1) + `]}`)
+	w.eventually("the list", func() bool { return strings.Contains(w.log.String(), `"rev": 41`) })
+	w.refuse.Store(1)
+	asked := func() int {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		return len(w.watches)
+	}
+	w.discovery.CloseClientConnections()
+	w.eventually("it asks", func() bool { return asked() == 2 })
+	began := time.Now()
+	if status, body, _ := w.ask("score", 4000); status != 200 || body != "ok" {
+		t.Errorf("meanwhile: %d %q", status, body)
+	}
+	w.refuse.Store(0)
+	w.eventually("it asks again", func() bool { return asked() == 3 })
+	if took := time.Since(began); took < 900*time.Millisecond {
+		t.Errorf("it asked again after %v, was told 1 s", took)
+	}
+	if w.watches[2] != "stream=1&index=41" {
+		t.Errorf("it asked for %q", w.watches[2])
+	}
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -119,7 +119,7 @@
 	loop.Shed = func() bool {
 		return p.front.ShedIdle() || p.pool.ShedIdle() || p.gearman != nil && p.gearman.ShedIdle()
 	}
-	p.director = platform.NewDirector(loop, log, config.discovery, p.core, p.pool, n.FailureDomains, n.Kinds)
+	p.director = platform.NewDirector(loop, log, config.discovery, p.core, p.pool, n.FailureDomains, n.Kinds, config.seed)
 	p.core.Director = p.director
 	p.core.Start()
 	if config.gearman != nil {
--- a/internal/program/world_test.go
+++ b/internal/program/world_test.go
@@ -67,7 +67,8 @@
 	lines     []string // of the director, since the start
 	watches   []string // queries of the watches
 	changed   chan struct{}
-	silent    atomic.Bool // discovery takes questions and says nothing
+	refuse    atomic.Int32 // discovery has no room for so many seconds
+	silent    atomic.Bool  // discovery takes questions and says nothing
 	discovery *httptest.Server
 	client    *http.Client
 	calls     int
@@ -235,6 +236,11 @@
 	w.mu.Lock()
 	w.watches = append(w.watches, r.URL.RawQuery)
 	w.mu.Unlock()
+	if after := w.refuse.Load(); after > 0 {
+		rw.Header().Set("Retry-After", fmt.Sprint(after))
+		rw.WriteHeader(503)
+		return
+	}
 	if w.silent.Load() {
 		<-r.Context().Done()
 		return
--- a/internal/protocol/platform/director.go
+++ b/internal/protocol/platform/director.go
@@ -5,7 +5,10 @@
 	"errors"
 	"fmt"
 	"maps"
+	"math"
+	"math/rand/v2"
 	"net/netip"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -19,10 +22,42 @@
 
 const (
 	watchSilence = 5.0 // an empty line comes every 2 s: after this long the watch is dead though it looks open
-	rewatchAfter = 0.2 // wait before the next try, doubled up to rewatchMost
-	rewatchMost  = 1.0
 )
 
+// backoff is how long to wait before the next try: a time drawn evenly from a span that doubles with each failure, since
+// those who fail together would else ask together again and again.
+type backoff struct{ first, most float64 }
+
+var (
+	// afterLoss is for a watch that broke or never came up.
+	afterLoss = backoff{1, 2}
+	// afterRefusal is for a discovery that answers that it has no room. It works through few questions a second, those
+	// of all dispatchers together, and each that comes too soon takes the place of another.
+	afterRefusal = backoff{2, 16}
+)
+
+// refusedError is the answer of a discovery that has no room.
+type refusedError struct {
+	status string
+	after  float64 // seconds that it names
+}
+
+func (e *refusedError) Error() string { return "platform: discovery answered " + e.status }
+
+// refusal reads an answer that is no list.
+func refusal(status string, header Header) error {
+	if !strings.HasPrefix(status, "503") && !strings.HasPrefix(status, "429") {
+		return fmt.Errorf("platform: discovery answered %q", status)
+	}
+	after, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+	if err != nil || !(after > 0) {
+		after = 0
+	}
+	return &refusedError{status, min(after, retryMost)}
+}
+
+const retryMost = 60 // seconds of a Retry-After that are heeded
+
 // Director watches discovery's list for ever and hands every change to the core at once.
 type Director struct {
 	Rejected uint64 // lines that made no sense: the old list was kept
@@ -41,13 +76,14 @@
 	on    *watch            // the one that has told the list held now; nil before there was one, or between two tries
 	next  *watch            // one at a new address, which has not spoken yet
 	retry *transport.Deadline
-	wait  float64
+	fails int // in a row
+	rng   *rand.Rand
 }
 
 // NewDirector makes a director; Start begins the watch.
-func NewDirector(loop *transport.Loop, log *zap.Logger, addr netip.AddrPort, core *routing.Core, pool *Pool, zones, kinds []string) *Director {
-	return &Director{loop: loop, log: log, addr: addr, core: core, pool: pool, zones: zones, kinds: kinds, wait: rewatchAfter,
-		known: map[string]Target{}}
+func NewDirector(loop *transport.Loop, log *zap.Logger, addr netip.AddrPort, core *routing.Core, pool *Pool, zones, kinds []string, seed uint64) *Director {
+	return &Director{loop: loop, log: log, addr: addr, core: core, pool: pool, zones: zones, kinds: kinds,
+		known: map[string]Target{}, rng: rand.New(rand.NewPCG(seed, uint64(os.Getpid())))}
 }
 
 // Start hands over the list of an earlier life, which may be out of date, and watches from there.
@@ -88,7 +124,7 @@
 	if addr == d.addr {
 		return
 	}
-	d.addr, d.wait = addr, rewatchAfter
+	d.addr, d.fails = addr, 0
 	d.retry.Stop()
 	if d.next != nil {
 		d.next.close()
@@ -150,14 +186,27 @@
 		d.next = nil
 	}
 	d.retry.Stop()
-	d.retry = d.loop.At(d.loop.Now()+d.wait, func() {
+	d.retry = d.loop.At(d.loop.Now()+d.pause(err), func() {
 		if w.whole {
 			d.next = d.open(true)
 		} else {
 			d.on = d.open(false)
 		}
 	})
-	d.wait = min(2*d.wait, rewatchMost)
+}
+
+// pause is how long to wait after a failure, which is one more.
+func (d *Director) pause(err error) float64 {
+	back, after := afterLoss, 0.0
+	var refused *refusedError
+	if errors.As(err, &refused) {
+		back, after = afterRefusal, refused.after
+	}
+	span := min(math.Ldexp(back.first, d.fails), back.most)
+	if d.fails < 16 {
+		d.fails++
+	}
+	return after + span*d.rng.Float64()
 }
 
 // Opened implements transport.Handler.
@@ -202,7 +251,7 @@
 		return err
 	}
 	if r.Status != 200 {
-		return fmt.Errorf("platform: list answered %d", r.Status)
+		return refusal(strconv.Itoa(r.Status), r.Header)
 	}
 	list, err := ParseList(r.Body)
 	if err == nil && !list.All {
@@ -216,7 +265,7 @@
 	if d.on != nil {
 		d.on.close()
 	}
-	d.on, d.next, d.wait = w, nil, rewatchAfter
+	d.on, d.next, d.fails = w, nil, 0
 	w.whole = false
 	d.log.Info("director: moved", zap.Stringer("discovery", w.addr), zap.Int64("rev", list.Rev))
 	d.apply(list, brain.ListFull)
@@ -240,8 +289,8 @@
 		if err != nil {
 			return err
 		}
-		if !strings.HasPrefix(line, "HTTP/1.1 200") || header.Get("Transfer-Encoding") == "" {
-			return fmt.Errorf("platform: watch answered %q", line)
+		if status := strings.TrimPrefix(line, "HTTP/1.1 "); !strings.HasPrefix(status, "200") || header.Get("Transfer-Encoding") == "" {
+			return refusal(status, header)
 		}
 		c.Consume(n)
 		w.head = true
@@ -290,7 +339,7 @@
 		d.log.Warn("director: bad line, old list kept", zap.Error(err), zap.Int("bytes", len(line)))
 		return err
 	}
-	w.rev, d.wait = list.Rev, rewatchAfter
+	w.rev, d.fails = list.Rev, 0
 	kind := brain.ListDelta
 	if list.All {
 		kind = brain.ListFull
--- a/internal/routing/exclude.go
+++ b/internal/routing/exclude.go
@@ -114,6 +114,6 @@
 
 // Recall takes what another process has learnt, before the first list; it says why it is of no use.
 func (c *Core) Recall(l brain.Learnt) (err error) {
-	c.do(func() { err = c.bal.Recall(l) })
+	c.do(func() { err = c.bal.Recall(c.clock.Now(), l) })
 	return err
 }
