--- a/brain/brain.go
+++ b/brain/brain.go
@@ -509,13 +509,15 @@
 
 // coldRoom is the work that may still be sent to a cold worker within the fall time. The others spend theirs
 // unseen, so instances take turns of one fall time, from a place drawn from the worker: as many at once as a
-// budget carries of the largest jobs. Capacity: the smallest size seen, the mean pace of the kind.
+// budget carries of the largest jobs. Capacity: the smallest size seen of its kind, or of all; mean pace.
 func (b *Balancer) coldRoom(now float64, w *worker) float64 {
 	warmth := b.warmth(now, w)
 	if warmth >= 1 {
 		return math.Inf(1)
 	}
-	budget := coldTurn * b.FallMultiple * warmth * b.leastSize / math.Max(b.pace, b.kind(w).pace) * b.FallTime
+	kind := b.kind(w)
+	capacity := warmth * cmp.Or(kind.size, b.leastSize) / math.Max(b.pace, kind.pace)
+	budget := coldTurn * b.FallMultiple * capacity * b.FallTime
 	holders := int(math.Max(1, math.Min(budget/slices.Max(b.work), float64(b.Instances))))
 	first := int((now-w.Since)/b.FallTime)*holders + int(scatter(uint64(w.ID))%uint64(b.Instances))
 	if (b.Me+b.Instances-first%b.Instances)%b.Instances >= holders {
--- a/brain/learnt.go
+++ b/brain/learnt.go
@@ -73,7 +73,7 @@
 	copy(b.far, l.Far)
 	b.pace, b.run, b.perJob, b.period, b.planAt = l.Pace, l.Run, l.PerJob, l.Period, l.PlanAt
 	for number, k := range l.Kinds {
-		b.kinds[number] = &kind{k.Pace, k.Size}
+		b.kinds[number] = &kind{pace: k.Pace, size: k.Size}
 	}
 	b.recalled = l.Workers
 	return nil
--- a/brain/learnt_test.go
+++ b/brain/learnt_test.go
@@ -78,3 +78,19 @@
 		}
 	}
 }
+
+// Guards against a cold worker of a large kind that gets what the smallest of all could bear, and against one that
+// looks larger than its kind, since it held a queue when it reported, raising what its kind is given.
+func TestColdBudgetGoesByKind(t *testing.T) {
+	r := newRecorder(t, testSettings(), 1)
+	r.list(ListFull, Worker{ID: 1, State: Ready}, Worker{ID: 2, State: Ready, Kind: 1}, Worker{ID: 3, State: Ready, Kind: 1},
+		Worker{ID: 4, State: Ready, Since: r.now}, Worker{ID: 5, State: Ready, Kind: 1, Since: r.now})
+	for id, free := range map[WorkerID]float32{1: 2, 2: 5, 3: 6} {
+		r.b.learnReport(r.now, r.b.byID[id], []float32{0, 0, free})
+	}
+	r.b.rebuild(r.now)
+	small, large := r.b.coldRoom(r.now, r.b.byID[4]), r.b.coldRoom(r.now, r.b.byID[5])
+	if small <= 0 || math.Abs(large/small-2.5) > 1e-9 {
+		t.Errorf("budgets %v and %v of kinds of 2 and 5 slots", small, large)
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -36,8 +36,8 @@
 	span               int64
 }
 
-// kind is what is known of a machine kind; size is the slots of one of its workers, 0 if none has shown them.
-type kind struct{ pace, size float64 }
+// kind is what is known of a machine kind; size is the fewest slots that one of its workers has shown, 0 if none has.
+type kind struct{ pace, size, sizedAt float64 }
 
 // kind finds the worker's kind; one not seen before is taken to be like the rest.
 func (b *Balancer) kind(w *worker) *kind {
@@ -156,7 +156,11 @@
 		}
 		if w.slots > 0 {
 			slots, sized, least = slots+w.slots, sized+1, math.Min(least, w.slots)
-			b.kind(w).size = w.slots
+			if k := b.kind(w); k.sizedAt != now {
+				k.size, k.sizedAt = w.slots, now
+			} else { // a worker that held more than it runs may look larger than it is
+				k.size = math.Min(k.size, w.slots)
+			}
 		}
 	}
 	b.errors = failing / math.Max(judged, 1)
