--- a/brain/brain.go
+++ b/brain/brain.go
@@ -255,8 +255,10 @@
 		return // held: the sweep tries again
 	}
 	if rank >= 2 && b.hopeless(w, r) && b.mayRefuse(r) {
-		b.answer(now, r)
-		return
+		if w = b.soonest(now, r); w == nil || b.wait(w, r) > b.limit {
+			b.answer(now, r)
+			return
+		}
 	}
 	b.send(now, r, w)
 }
@@ -269,6 +271,17 @@
 	})
 }
 
+// soonest is the worker that would start the job first, of those that are only full: the least full one may
+// be so slow that it starts it last.
+func (b *Balancer) soonest(now float64, r *request) (best *worker) {
+	for _, w := range b.workers {
+		if b.may(now, r, w) && b.rank(now, r, w) <= 2 && (best == nil || b.wait(w, r) < b.wait(best, r)) {
+			best = w
+		}
+	}
+	return best
+}
+
 // hopeless says that even the best worker would start the job too late: refusing early beats failing late.
 // All classes have one limit: if each waited as its own aim bears, the patient would starve the others.
 func (b *Balancer) hopeless(w *worker, r *request) bool { return b.wait(w, r) > waitLimit*b.limit }
--- a/brain/learnt_test.go
+++ b/brain/learnt_test.go
@@ -94,3 +94,21 @@
 		t.Errorf("budgets %v and %v of kinds of 2 and 5 slots", small, large)
 	}
 }
+
+// Guards against a job refused for one slow worker: it has a little more room than the others, and would start it last.
+func TestASlowWorkerRefusesForNobody(t *testing.T) {
+	r := newRecorder(t, testSettings(), 1)
+	r.list(ListFull, ready(2)...)
+	slow, quick := r.b.byID[1], r.b.byID[2]
+	slow.slots, slow.room, slow.run = 2, 0.5, 5
+	quick.slots, quick.room, quick.run = 2, 0, 0.05
+	r.request(1, 0, 0.05)
+	if len(r.sends) != 1 || r.sends[0].worker != 2 {
+		t.Errorf("sends %v, refused %v; want worker 2", r.sends, r.refused)
+	}
+	quick.room, quick.run = -20, 5 // it would start late, too
+	r.request(2, 0, 0.05)
+	if !r.refused[2] {
+		t.Errorf("sends %v; want a refusal", r.sends)
+	}
+}
