--- a/internal/program/upgrade_test.go
+++ b/internal/program/upgrade_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"cinderroad/internal/handover"
+	gm "cinderroad/internal/protocol/gearman"
 )
 
 // held is a listening socket that somebody else holds, as a platform does over an upgrade.
@@ -220,3 +221,103 @@
 	next.say(200, "GET", "/api/ready", "")
 	next.say(200, "PUT", "/api/exclude", `{"member":"s-1"}`) // the list is the old one's
 }
+
+// frames reads frames until one of the kind.
+func frames(t *testing.T, c net.Conn, want handover.Kind) (body []byte) {
+	t.Helper()
+	c.SetReadDeadline(time.Now().Add(20 * time.Second))
+	var got []byte
+	for b := make([]byte, 64<<10); ; {
+		kind, body, n, err := handover.Parse(got)
+		if err == nil {
+			if got = got[n:]; kind == want {
+				return body
+			}
+			continue
+		}
+		n, err = c.Read(b)
+		if err != nil {
+			t.Fatalf("frame of kind %d never came: %v", want, err)
+		}
+		got = append(got, b[:n]...)
+	}
+}
+
+// Guards against a call-back that is answered before the process whose job it is has it, and against more sessions on
+// their way to the next process than it has taken: their sockets count for both.
+func TestUpgradeToASlowHeir(t *testing.T) {
+	u := newRunner(t, "s-1", func(_ int, rw http.ResponseWriter, _ *http.Request) { rw.WriteHeader(202) })
+	o := options{console: true, tmp: t.TempDir()}
+	o.listen, o.inherit = held(t)
+	w := begin(t, o, u.target("ready", 0))
+	var back []net.Conn
+	for i := range mostMoves + 4 {
+		back = append(back, w.dial())
+		io.WriteString(back[i], "GET /_health HTTP/1.1\r\n\r\n") // once it is answered, the session is known to be here
+		if _, err := bufio.NewReader(back[i]).ReadString('\n'); err != nil {
+			t.Fatal(err)
+		}
+	}
+	heir, err := net.Dial("unix", upgradePath(o))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer heir.Close()
+	heir.Write(handover.Append(handover.Append(nil, handover.Hello, []byte("{}")), handover.Took, []byte("{}")))
+	w.eventually("it leaves", func() bool { return strings.Contains(w.log.String(), "takes the clients") })
+	for _, c := range back { // those of the heir's stay unread
+		body := `{"id":"x","from":"s-1","state":"started"}`
+		fmt.Fprintf(c, "POST /_jobs/news HTTP/1.1\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	}
+	asked := frames(t, heir, handover.News)
+	for _, c := range back {
+		c.SetReadDeadline(time.Now().Add(50 * time.Millisecond))
+		if got, _ := io.ReadAll(c); strings.Contains(string(got), "204") {
+			t.Fatalf("answered before the other process was: %q", got)
+		}
+	}
+	heir.Write(handover.Append(nil, handover.Answer, append(asked[:8:8], 1)))
+	w.eventually("the call-back is answered", func() bool {
+		for _, c := range back {
+			c.SetReadDeadline(time.Now().Add(5 * time.Millisecond))
+			if got, _ := io.ReadAll(c); strings.Contains(string(got), "204") {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// Guards against an upgrade that fails at the Gearman port, which this program binds itself, or loses a job there.
+func TestUpgradeOfTheGearmanFront(t *testing.T) {
+	o := options{console: true, tmp: t.TempDir(), cold: 0.001}
+	o.listen, o.inherit = held(t)
+	g := beginGearman(t, o, 5)
+	worker, release := g.dial(), make(chan bool)
+	worker.work(gm.GrabJobUniq, func(handle, function, data string) bool {
+		<-release
+		return worker.echo(handle, function, data)
+	}, "safe")
+	client := g.dial()
+	client.send(gm.SubmitJob, "safe", "", "held")
+	g.eventually("the job is at work", func() bool { return g.ran("held") == 1 })
+	o.args = []string{"-gearman", g.file}
+	next := g.next(o)
+	next.say(200, "GET", "/api/ready", "")
+	g.eventually("the old one leaves", func() bool { return strings.Contains(g.log.String(), "takes the clients") })
+	exit := g.terminate()
+	close(release)
+	if got := client.want(gm.WorkComplete).Args[1]; got != "did held" {
+		t.Errorf("the job that was open ended with %q", got)
+	}
+	if err := <-exit; err != nil {
+		t.Errorf("exit: %v", err)
+	}
+	again := g.dial() // the same port, another process
+	again.work(gm.GrabJobUniq, again.echo, "safe")
+	client = g.dial()
+	client.send(gm.SubmitJob, "safe", "", "new")
+	if got := client.want(gm.WorkComplete).Args[1]; got != "did new" {
+		t.Errorf("the next job ended with %q", got)
+	}
+}
--- a/internal/program/world_test.go
+++ b/internal/program/world_test.go
@@ -68,6 +68,7 @@
 	watches   []string // queries of the watches
 	changed   chan struct{}
 	refuse    atomic.Int32 // discovery has no room for so many seconds
+	pieces    atomic.Bool  // discovery writes byte by byte
 	silent    atomic.Bool  // discovery takes questions and says nothing
 	discovery *httptest.Server
 	client    *http.Client
@@ -250,8 +251,10 @@
 		lines, changed := w.lines[at:], w.changed
 		at = len(w.lines)
 		w.mu.Unlock()
-		io.WriteString(rw, strings.Join(append(lines, ""), "\n"))
-		rw.(http.Flusher).Flush()
+		for _, piece := range w.cut(strings.Join(append(lines, ""), "\n")) {
+			io.WriteString(rw, piece)
+			rw.(http.Flusher).Flush()
+		}
 		select {
 		case <-changed:
 		case <-time.After(time.Second):
@@ -262,6 +265,14 @@
 	}
 }
 
+// cut is a text as its sender writes it: whole, or byte by byte.
+func (w *world) cut(text string) []string {
+	if !w.pieces.Load() {
+		return []string{text}
+	}
+	return strings.Split(text, "")
+}
+
 // tell has discovery write a line.
 func (w *world) tell(line string) {
 	w.mu.Lock()
@@ -277,6 +288,7 @@
 	server *httptest.Server
 	mu     sync.Mutex
 	got    []*http.Request // jobs, in the order they came
+	gaveUp []string        // paths of the DELETEs
 	open   int             // connections
 }
 
@@ -288,8 +300,11 @@
 		r.Body = io.NopCloser(bytes.NewReader(body))
 		u.mu.Lock()
 		n := len(u.got)
-		if r.Method == "POST" {
+		switch r.Method {
+		case "POST":
 			u.got = append(u.got, r)
+		case "DELETE":
+			u.gaveUp = append(u.gaveUp, r.URL.Path)
 		}
 		u.mu.Unlock()
 		if r.Method == "POST" {
--- a/internal/protocol/gearman/packet_test.go
+++ b/internal/protocol/gearman/packet_test.go
@@ -53,3 +53,18 @@
 		}
 	})
 }
+
+// Guards against a packet or a line that is taken, or refused, before all of it has come.
+func TestCutAnywhere(t *testing.T) {
+	packet := AppendRequest(nil, SubmitJob, "f", "u", "some\x00data")
+	for n := range packet {
+		if _, _, err := Parse(packet[:n]); !errors.Is(err, ErrMore) {
+			t.Errorf("packet cut at %d: %v", n, err)
+		}
+	}
+	for n, line := 0, []byte("show jobs\r\n"); n < len(line); n++ {
+		if _, _, err := ParseLine(line[:n]); !errors.Is(err, ErrMore) {
+			t.Errorf("line cut at %d: %v", n, err)
+		}
+	}
+}
--- a/internal/protocol/platform/parse_test.go
+++ b/internal/protocol/platform/parse_test.go
@@ -120,3 +120,30 @@
 		}
 	})
 }
+
+// Guards against a message that is taken, or refused, before all of it has come: pieces end anywhere.
+func TestCutAnywhere(t *testing.T) {
+	request := func(b []byte) error { _, _, err := ParseRequest(b); return err }
+	response := func(b []byte) error { _, _, err := ParseResponse(b, false); return err }
+	chunk := func(b []byte) error { _, _, _, err := NextChunk(b, MaxList); return err }
+	for _, tc := range []struct {
+		text  string
+		parse func([]byte) error
+	}{
+		{"\r\n\r\nPOST /a/b HTTP/1.1\r\nA: \tb\r\nContent-Length: 3\r\n\r\nabc", request},
+		{"POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\nab\r\n1\r\nc\r\n0\r\nT: v\r\n\r\n", request},
+		{"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 202 Accepted\r\nContent-Length: 2\r\n\r\nok", response},
+		{"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n0\r\n\r\n", response},
+		{"1e;x\r\n{\"rev\":1,\"all\":true,\"targets\":\r\n", chunk},
+		{"0\r\nA: b\r\n\r\n", chunk},
+	} {
+		for n := range len(tc.text) {
+			if err := tc.parse([]byte(tc.text[:n])); !errors.Is(err, ErrMore) {
+				t.Errorf("%q, cut at %d: %v", tc.text, n, err)
+			}
+		}
+		if err := tc.parse([]byte(tc.text)); err != nil {
+			t.Errorf("%q: %v", tc.text, err)
+		}
+	}
+}
