--- a/internal/program/figures.go
+++ b/internal/program/figures.go
@@ -48,6 +48,8 @@
 	counter("upgrade.sessions_passed", p.upgrade.Passed)
 	counter("upgrade.sessions_adopted", p.upgrade.Adopted)
 	counter("upgrade.news_asked", p.upgrade.Asks)
+	gauge("program.evacuated", map[bool]int{true: 1}[p.front.Leaving() > 0])
+	counter("director.refused", p.director.Refused)
 	gauge("members.excluded", p.core.Excluded())
 	counter("director.watches", p.director.Watches)
 	counter("director.bad_lines", p.director.Rejected)
--- a/internal/program/operate.go
+++ b/internal/program/operate.go
@@ -38,13 +38,16 @@
 	case p.stopping:
 		reply(503, "stopping")
 		return
+	case p.upgrade.left():
+		reply(503, "the next process takes the clients")
+		return
 	}
 	reply(200, "ready")
 }
 
-// evacuate empties the dispatcher, or has it take clients again.
-func (p *Program) evacuate(on bool) {
-	p.front.Evacuate(on)
+// evacuate empties the dispatcher from a time on, or has it take clients again.
+func (p *Program) evacuate(on bool, began float64) {
+	p.front.Evacuate(on, began)
 	if p.gearman != nil {
 		p.gearman.Evacuate(on)
 	}
@@ -68,9 +71,7 @@
 // change carries out a change of who is out.
 func (p *Program) change(what, member string, ch routing.Change, reply console.Reply) {
 	switch {
-	case !p.serving: // the list and the exclusions are on their way
-		reply(503, "starting")
-	case !ch.Known:
+	case !ch.Known && p.serving:
 		reply(404, "nobody has member "+member)
 	case ch.Full:
 		reply(507, "too many members are out")
@@ -81,6 +82,10 @@
 
 // order carries an order out, here and in the other process, and says yes once both have.
 func (p *Program) order(o order, reply console.Reply) {
+	if !p.serving { // what the process before has been told is on its way
+		reply(503, "starting")
+		return
+	}
 	if err := p.obey(o); err != nil {
 		p.log.Error("program: order not carried out", zap.String("what", o.What), zap.Error(err))
 		reply(500, err.Error())
@@ -94,7 +99,7 @@
 	p.log.Info("program: "+o.What, zap.String("member", o.Member))
 	switch o.What {
 	case "evacuate", "rejoin":
-		p.evacuate(o.What == "evacuate")
+		p.evacuate(o.What == "evacuate", p.loop.Now())
 		return nil
 	}
 	out := p.core.Exclusions()
--- a/internal/program/upgrade.go
+++ b/internal/program/upgrade.go
@@ -28,7 +28,7 @@
 	Discovery  string                       `json:"discovery"`
 	List       platform.List                `json:"list"`
 	Out        map[string]routing.Exclusion `json:"out"`
-	Evacuated  bool                         `json:"evacuated"`
+	Evacuated  float64                      `json:"evacuated"` // since when; 0 is not
 	Learnt     brain.Learnt                 `json:"learnt"`
 	Gearman    bool                         `json:"gearman"` // its listening socket comes along
 	GearmanFor string                       `json:"gearman_listen"`
@@ -256,8 +256,8 @@
 	u.heard = true
 	p.limit()
 	p.core.Apply(s.Out)
-	if s.Evacuated {
-		p.evacuate(true)
+	if s.Evacuated > 0 {
+		p.evacuate(true, min(s.Evacuated, p.loop.Now()))
 	}
 	if err := p.core.Recall(s.Learnt); err != nil {
 		p.log.Warn("program: what the process before has learnt is of no use", zap.Error(err))
--- a/internal/program/upgrade_test.go
+++ b/internal/program/upgrade_test.go
@@ -321,3 +321,27 @@
 		t.Errorf("the next job ended with %q", got)
 	}
 }
+
+// Guards against a next process that takes clients although the one before it was evacuated, and an order that only one
+// of the two hears.
+func TestUpgradeWhileEvacuated(t *testing.T) {
+	o := options{console: true, tmp: t.TempDir()}
+	o.listen, o.inherit = held(t)
+	w := begin(t, o)
+	w.say(200, "PUT", "/api/evacuate", "")
+	o.loose = true // it serves, and says no to whoever asks for its health
+	next := w.next(o)
+	next.eventually("it takes over", func() bool {
+		return strings.Contains(w.log.String(), "takes the clients") && strings.Contains(next.log.String(), "program: serving")
+	})
+	next.say(200, "GET", "/api/ready", "")
+	w.say(503, "GET", "/api/ready", "")
+	health := func() string { return next.raw("GET /_health HTTP/1.1\r\nConnection: close\r\n\r\n") }
+	if got := health(); !strings.HasPrefix(got, "HTTP/1.1 503") {
+		t.Errorf("health: %q", got)
+	}
+	w.say(200, "PUT", "/api/rejoin", "") // told the old one, which tells the new
+	if got := health(); !strings.HasPrefix(got, "HTTP/1.1 200") {
+		t.Errorf("health once back: %q", got)
+	}
+}
--- a/internal/protocol/platform/director.go
+++ b/internal/protocol/platform/director.go
@@ -62,6 +62,7 @@
 type Director struct {
 	Rejected uint64 // lines that made no sense: the old list was kept
 	Watches  uint64
+	Refused  uint64 // tries that a discovery without room answered so
 	Spoke    func() // discovery has spoken for the first time since the start
 
 	loop  *transport.Loop
@@ -201,6 +202,7 @@
 	var refused *refusedError
 	if errors.As(err, &refused) {
 		back, after = afterRefusal, refused.after
+		d.Refused++
 	}
 	span := min(math.Ldexp(back.first, d.fails), back.most)
 	if d.fails < 16 {
--- a/internal/protocol/platform/front.go
+++ b/internal/protocol/platform/front.go
@@ -142,19 +142,20 @@
 
 // Evacuate sends the clients away, or takes them again. Unlike Drain it is undone, and leaves nobody who rests:
 // sessions that never asked and those accepted later are closed, too. Call-backs and open jobs go on.
-func (f *Front) Evacuate(on bool) {
+// It counts from began, which the process before this one may have seen.
+func (f *Front) Evacuate(on bool, began float64) {
 	switch {
 	case !on:
 		f.leaving, f.emptying = 0, false
 		f.sweeping.Stop()
 	case f.leaving == 0:
-		f.leaving = f.loop.Now()
+		f.leaving = began
 		f.sweeping = f.loop.At(f.leaving+lookAway, f.sweep)
 	}
 }
 
-// Leaving says whether the front is evacuated.
-func (f *Front) Leaving() bool { return f.leaving > 0 }
+// Leaving is since when the front is evacuated; 0 is not.
+func (f *Front) Leaving() float64 { return f.leaving }
 
 func (f *Front) sweep() {
 	f.emptying = true
--- a/rpcplugin/rpcplugin.go
+++ b/rpcplugin/rpcplugin.go
@@ -102,6 +102,22 @@
 	return n
 }
 
+// Exclude takes a server out by its address, whatever the resolver says, until Include; false if nobody has it.
+func (d *Dispatcher) Exclude(addr string) (known bool) { return d.change(d.core.Exclude, addr) }
+
+// Include calls a server back: it is cold, since it was restarted meanwhile.
+func (d *Dispatcher) Include(addr string) (known bool) { return d.change(d.core.Include, addr) }
+
+func (d *Dispatcher) change(what func(string) routing.Change, addr string) (known bool) {
+	d.locked(func() {
+		ch := what(addr)
+		if known = ch.Known && !ch.Full; known {
+			d.core.Apply(ch.Out)
+		}
+	})
+	return known
+}
+
 func (d *Dispatcher) locked(do func()) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/rpcplugin/rpcplugin_test.go
+++ b/rpcplugin/rpcplugin_test.go
@@ -236,3 +236,46 @@
 		t.Errorf("second pick: %v, which counts as %v", err, got)
 	}
 }
+
+// Guards against a server that is used although it was taken out, whatever the resolver says, or stays out for good.
+func TestExclusion(t *testing.T) {
+	r := newRig(t, brain.Safe, 2)
+	if err := r.check(20 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	out := r.servers[0].addr
+	if r.d.Exclude("127.0.0.1:1") || !r.d.Exclude(out) || !r.d.Exclude(out) {
+		t.Error("exclude: yes for nobody, or no for a server")
+	}
+	count := func() (n int) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		for _, addr := range r.calls {
+			if addr == out {
+				n++
+			}
+		}
+		return n
+	}
+	before := count()
+	r.list.UpdateState(r.state(Server{}, Server{})) // a list that knows nothing of it
+	for range 5 {
+		if err := r.check(20 * time.Second); err != nil {
+			t.Error(err)
+		}
+	}
+	if n := count() - before; n != 0 {
+		t.Errorf("%d calls at the server that is out", n)
+	}
+	if !r.d.Include(out) {
+		t.Error("include: no")
+	}
+	for end := time.Now().Add(30 * time.Second); count() == before; {
+		if err := r.check(20 * time.Second); err != nil {
+			t.Error(err)
+		}
+		if time.Now().After(end) {
+			t.Fatal("it is never used again")
+		}
+	}
+}
