The first question to discovery after a start is drawn from 1.5 s where a list is known

Seen: 25 dispatchers restarted at one moment ask within 50 ms, discovery works through 7 a second, 11 are answered 503 after 2 s and have their list 4 to 6 s after the start. An upgrade asks at once.

--- a/internal/protocol/platform/director.go
+++ b/internal/protocol/platform/director.go
@@ -56,6 +56,8 @@
 	return &refusedError{status, min(after, retryMost)}
 }
 
+const startSpan = 1.5 // seconds within which the first question is asked
+
 const retryMost = 60 // seconds of a Retry-After that are heeded
 
 // Director watches discovery's list for ever and hands every change to the core at once.
@@ -87,10 +89,15 @@
 		known: map[string]Target{}, rng: rand.New(rand.NewPCG(seed, uint64(os.Getpid())))}
 }
 
-// Start hands over the list of an earlier life, which may be out of date, and watches from there.
+// Start hands over the list of an earlier life, which may be out of date, and watches from there. Those who start
+// together must not all ask at once: one that knows a list to serve by draws its turn.
 func (d *Director) Start(known List) {
 	d.apply(known, brain.ListCached)
-	d.on = d.open(false)
+	if len(known.Targets) == 0 {
+		d.on = d.open(false)
+		return
+	}
+	d.retry = d.loop.At(d.loop.Now()+startSpan*d.rng.Float64(), func() { d.on = d.open(false) })
 }
 
 // Held is the list as it is held now, for the process that takes this one's place.
@@ -104,12 +111,12 @@
 
 // StartFrom is Start with a list that another process was told by addr.
 func (d *Director) StartFrom(addr netip.AddrPort, known List) {
-	if addr == d.addr {
-		d.Start(known)
-		return
+	d.apply(known, brain.ListCached)
+	if addr == d.addr { // at once: the upgrade waits for it
+		d.on = d.open(false)
+	} else { // its version means nothing here
+		d.next = d.open(true)
 	}
-	d.apply(known, brain.ListCached) // its version means nothing here
-	d.next = d.open(true)
 }
 
 func (d *Director) spoke() {
--- a/internal/protocol/platform/director_test.go
+++ b/internal/protocol/platform/director_test.go
@@ -3,9 +3,15 @@
 import (
 	"errors"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+
+	"cinderroad/brain"
+	"cinderroad/internal/routing"
+	"cinderroad/internal/transport"
 )
 
 // Guards against dispatchers that fail together asking together again, against one that asks a discovery without room
@@ -49,3 +55,40 @@
 		t.Error(diff)
 	}
 }
+
+type clock struct{ *transport.Loop }
+
+func (c clock) At(at float64, do func()) routing.Stop { return c.Loop.At(at, do) }
+
+// Guards against dispatchers that start together asking together, though each has a list to serve by, and against one
+// that has none, or that an upgrade waits for, biding its time.
+func TestWhoAsksAtOnce(t *testing.T) {
+	addr := netip.MustParseAddrPort("127.0.0.1:1")
+	known := List{Rev: 7, All: true, Targets: []Target{{UID: "a", Endpoint: "127.0.0.1:1", State: "ready"}}}
+	for _, tc := range []struct {
+		name  string
+		start func(d *Director)
+		want  uint64
+	}{
+		{"with a list", func(d *Director) { d.Start(known) }, 0},
+		{"with none", func(d *Director) { d.Start(List{}) }, 1},
+		{"in an upgrade", func(d *Director) { d.StartFrom(addr, known) }, 1},
+		{"moved meanwhile", func(d *Director) { d.Start(known); d.Move(netip.MustParseAddrPort("127.0.0.1:2")) }, 1},
+	} {
+		loop, err := transport.NewLoop(9)
+		if err != nil {
+			t.Fatal(err)
+		}
+		core, err := routing.New(brain.Settings{Classes: []brain.Class{{Objective: 1, Deadline: 1}}, Zones: 1, Instances: 1,
+			MaxAttempts: 1, Tick: 1, ColdShare: 1, FallMultiple: 1, FallTime: 1}, 1, clock{loop})
+		if err != nil {
+			t.Fatal(err)
+		}
+		pool := NewPool(loop, zap.NewNop(), Limits{})
+		pool.Serve(core)
+		d := NewDirector(loop, zap.NewNop(), addr, core, pool, []string{"z"}, []string{"k"}, 1)
+		if tc.start(d); d.Watches != tc.want || d.rev != 7 && tc.name != "with none" {
+			t.Errorf("%s: asked %d times at once, want %d; holds version %d", tc.name, d.Watches, tc.want, d.rev)
+		}
+	}
+}
