--- a/internal/program/upgrade_test.go
+++ b/internal/program/upgrade_test.go
@@ -104,6 +104,11 @@
 	next.say(200, "PUT", "/api/exclude", `{"member":"s-c"}`) // the old process is told, too
 	w.eventually("the old one obeys", func() bool { return strings.Contains(w.log.String(), `program: exclude	{"member": "s-c"}`) })
 	next.say(200, "PUT", "/api/include", `{"member":"s-c"}`)
+	for range 20 { // enough to find one that is used although it is out
+		if status, _, _ := next.ask("score", 4000); status != 200 {
+			t.Errorf("the new one answered %d", status)
+		}
+	}
 	exit := w.terminate()
 	close(release) // the new process hears of the old one's job
 	served(t, "the job that was open", working)
