--- a/internal/program/upgrade.go
+++ b/internal/program/upgrade.go
@@ -256,6 +256,7 @@
 	u.heard = true
 	p.limit()
 	p.core.Apply(s.Out)
+	p.log.Info("program: told by the process before", zap.Int64("rev", s.List.Rev), zap.Int("members_out", p.core.Excluded()))
 	if s.Evacuated > 0 {
 		p.evacuate(true, min(s.Evacuated, p.loop.Now()))
 	}
--- a/internal/program/upgrade_test.go
+++ b/internal/program/upgrade_test.go
@@ -94,6 +94,9 @@
 
 	next := w.next(o)
 	next.say(200, "GET", "/api/ready", "")
+	if !strings.Contains(next.log.String(), `"members_out": 1`) {
+		t.Error("the new one has not taken over who is out")
+	}
 	w.eventually("the old one leaves", func() bool { return strings.Contains(w.log.String(), "takes the clients") })
 	hand(rested, "a", "r1", "")
 	served(t, "a session that had rested", rested)
