--- /dev/null
+++ b/brain/standing.go
@@ -0,0 +1,35 @@
+package brain
+
+import "math"
+
+// Standing is what the decisions hold of a worker, for whoever looks on. Load is in slots.
+type Standing struct {
+	Room     float64 // spare room by the plan, less what was sent since
+	Ceiling  float64 // of load; 0 is not learnt yet
+	UtilCeil float64 // of utilization
+	Own      float64 // slots of our own jobs there
+	Others   float64 // jobs of others there
+	Pace     float64 // running time for an amount of work
+	Errors   float64 // mean share of errors
+	Shunned  bool    // set aside
+	Warmth   float64 // share of the capacity that it is sure to have
+	ColdSent float64 // work sent within the fall time, in seconds; what a cold worker's budget is spent on
+}
+
+// Standing tells what is held of a worker at a time; false of one that is not known. It changes nothing.
+func (b *Balancer) Standing(now float64, id WorkerID) (Standing, bool) {
+	w := b.byID[id]
+	if w == nil {
+		return Standing{}, false
+	}
+	s := Standing{Room: w.room, Ceiling: w.loadCeil, UtilCeil: w.utilCeil, Own: w.own, Others: math.Max(0, w.others), Pace: w.pace,
+		Errors: w.errors, Shunned: now < w.shunUntil, Warmth: b.warmth(now, w)}
+	if span := int64(math.Floor(now / (b.FallTime / 3))); span-w.span < int64(len(w.sent)) {
+		for back := range int64(len(w.sent)) {
+			if at := span - back; at <= w.span && w.span-at < int64(len(w.sent)) {
+				s.ColdSent += w.sent[at&3]
+			}
+		}
+	}
+	return s, true
+}
--- /dev/null
+++ b/cmd/cinderroad/books.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"text/tabwriter"
+
+	"github.com/spf13/cobra"
+
+	"cinderroad/internal/audit"
+	"cinderroad/internal/program"
+)
+
+func figuresCommand() *cobra.Command {
+	var page bool
+	c := &cobra.Command{Use: "figures", Short: "List every series: name, kind, unit and meaning", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			if page {
+				return program.WriteFigures(c.OutOrStdout())
+			}
+			t := tabwriter.NewWriter(c.OutOrStdout(), 0, 0, 2, ' ', 0)
+			for _, d := range program.Docs() {
+				fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", d.Pattern, d.Kind, d.Unit, d.Help)
+			}
+			return t.Flush()
+		}}
+	c.Flags().BoolVar(&page, "page", false, "as the page docs/figures.md")
+	return c
+}
+
+func auditCommand() *cobra.Command {
+	var logs, received []string
+	c := &cobra.Command{Use: "audit", Short: "Compare request logs with what a receiver has got, class by class and verdict by verdict",
+		Long: `Compare request logs with what a receiver has got.
+
+For each dispatcher, class and verdict, the lines of the logs are counted and the growth of the total is worked out; they must be
+equal. A log is as [request_log] of the operator's file writes it, its older files (FILE.1, FILE.2) named, too. What a receiver
+has got is a file of lines PATH VALUE TIME, as Graphite takes them, or PUTVAL lines. Ends with status 1 where the two differ.`,
+		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+			books := audit.New()
+			if err := each(logs, books.Log); err != nil {
+				return err
+			}
+			if err := each(received, books.Received); err != nil {
+				return err
+			}
+			if err := books.Write(c.OutOrStdout()); err != nil {
+				return err
+			}
+			if n := audit.Difference(books.Rows()); n > 0 {
+				return fmt.Errorf("audit: %d answers differ", n)
+			}
+			if books.BadCount > 0 {
+				return fmt.Errorf("audit: %d places make no sense", books.BadCount)
+			}
+			if books.Lines == 0 || books.Points == 0 {
+				return errors.New("audit: nothing was there to compare")
+			}
+			return nil
+		}}
+	c.Flags().StringArrayVar(&logs, "log", nil, "request log `FILE`; may be there more than once")
+	c.Flags().StringArrayVar(&received, "received", nil, "`FILE` of what a receiver has got; may be there more than once")
+	for _, name := range []string{"log", "received"} {
+		if err := c.MarkFlagRequired(name); err != nil {
+			panic(err)
+		}
+	}
+	return c
+}
+
+// each has files read.
+func each(paths []string, read func(name string, r io.Reader) error) error {
+	for _, path := range paths {
+		f, err := os.Open(path)
+		if err != nil {
+			return fmt.Errorf("audit: %w", err)
+		}
+		err = read(path, f)
+		f.Close()
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/cmd/cinderroad/main.go
+++ b/cmd/cinderroad/main.go
@@ -1,51 +1,70 @@
 // Command cinderroad is one dispatcher: it takes jobs from clients, sends each to a backend that the decisions
-// of package brain choose, and gives every job one final answer.
+// of package brain choose, and gives every job one final answer. Beside that it checks configurations, lists its figures
+// and audits them.
 package main
 
 import (
-	"flag"
 	"fmt"
 	"os"
-	"time"
+	"runtime/debug"
+	"strings"
 
-	"go.uber.org/zap"
-	"go.uber.org/zap/zapcore"
-
-	"cinderroad/internal/program"
+	"github.com/spf13/cobra"
+	"github.com/spf13/pflag"
 )
 
-// linesPerSecond is how often one message is logged within a second.
-const linesPerSecond = 50
-
 func main() {
-	configPath := flag.String("config", os.Getenv("ROUTER_CONFIG"), "configuration file (JSON)")
-	gearmanPath := flag.String("gearman", "", "operator's file (TOML) that turns the Gearman front on")
-	graphite := flag.String("graphite", "", "address of a Graphite server for the figures")
-	collectd := flag.String("collectd", "", "path of collectd's unix socket for the figures")
-	every := flag.Float64("metrics-every", 10, "seconds between the figures")
-	level := zap.LevelFlag("log", zapcore.InfoLevel, "log level: debug, info, warn or error")
-	flag.Parse()
-	config, err := program.ReadConfig(*configPath, os.Getenv)
-	if err == nil && *gearmanPath != "" {
-		err = config.ReadGearman(*gearmanPath)
-	}
-	if err == nil {
-		err = config.SetMetrics(*graphite, *collectd, *every)
-	}
-	if err == nil {
-		err = run(config, *level)
-	}
-	if err != nil {
+	root := command()
+	root.SetArgs(longForms(root, os.Args[1:]))
+	if err := root.Execute(); err != nil {
 		fmt.Fprintln(os.Stderr, "cinderroad:", err)
 		os.Exit(1)
 	}
 }
 
-func run(config *program.Config, level zapcore.Level) error {
-	encoder := zap.NewProductionEncoderConfig()
-	encoder.EncodeTime = zapcore.ISO8601TimeEncoder
-	core := zapcore.NewCore(zapcore.NewConsoleEncoder(encoder), zapcore.Lock(os.Stderr), level)
-	// A peer that sends nonsense without end must not have the log written without end.
-	log := zap.New(zapcore.NewSamplerWithOptions(core, time.Second, linesPerSecond, 0))
-	return program.Run(config, log)
+// command is the command line: a bare call serves.
+func command() *cobra.Command {
+	s := newServing()
+	root := &cobra.Command{Use: "cinderroad", Short: "A dispatcher: every job gets one final answer", Args: cobra.NoArgs,
+		SilenceErrors: true, SilenceUsage: true, RunE: s.run}
+	serve := &cobra.Command{Use: "serve", Short: "Serve until told to stop; what a bare call does, too", Args: cobra.NoArgs, RunE: s.run}
+	check := &cobra.Command{Use: "check", Short: "Read configuration and operator's file, and print what is in force", Args: cobra.NoArgs, RunE: s.check}
+	for _, c := range []*cobra.Command{root, serve, check} {
+		s.flags(c)
+	}
+	root.AddCommand(serve, check, figuresCommand(), auditCommand(), &cobra.Command{Use: "version", Short: "Print the version",
+		Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), version()) }})
+	root.CompletionOptions.HiddenDefaultCmd = true
+	return root
+}
+
+// longForms has flags of the first releases, which had one dash, read as those with two.
+func longForms(root *cobra.Command, args []string) []string {
+	known := map[string]bool{}
+	root.Flags().VisitAll(func(f *pflag.Flag) { known[f.Name] = true })
+	out := make([]string, len(args))
+	for i, arg := range args {
+		out[i] = arg
+		name, _, _ := strings.Cut(strings.TrimPrefix(arg, "-"), "=")
+		if strings.HasPrefix(arg, "-") && known[name] {
+			out[i] = "-" + arg
+		}
+	}
+	return out
+}
+
+// version is what the build knows of itself.
+func version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "cinderroad, of an unknown build"
+	}
+	text := "cinderroad " + info.Main.Version
+	for _, s := range info.Settings {
+		switch s.Key {
+		case "vcs.revision", "vcs.time", "GOARCH":
+			text += " " + s.Value
+		}
+	}
+	return text + " " + info.GoVersion
 }
--- /dev/null
+++ b/internal/audit/audit.go
@@ -0,0 +1,205 @@
+// Package audit compares what a dispatcher's request log says with what a receiver of its figures has got: for each
+// dispatcher, class and verdict, the lines of the log against the growth of the total. They must be equal.
+package audit
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+
+	"cinderroad/internal/requestlog"
+	"cinderroad/internal/telemetry"
+)
+
+// Key names a total.
+type Key struct{ By, Class, Verdict string }
+
+// Row is one total, by both.
+type Row struct {
+	Key
+	Logged, Received uint64
+}
+
+// Books are what was read so far.
+type Books struct {
+	Lines, Points int
+	Bad           []string // places that make no sense, the first ones
+	BadCount      int
+
+	logged map[Key]uint64
+	series map[Key][]point
+}
+
+type point struct {
+	at float64
+	v  float64
+	n  int // the place in the file: the last one of a stamp counts
+}
+
+const mostBad = 20
+
+// New begins an audit.
+func New() *Books { return &Books{logged: map[Key]uint64{}, series: map[Key][]point{}} }
+
+func (b *Books) bad(format string, a ...any) {
+	if b.BadCount++; len(b.Bad) < mostBad {
+		b.Bad = append(b.Bad, fmt.Sprintf(format, a...))
+	}
+}
+
+// Log reads a request log; name is for messages.
+func (b *Books) Log(name string, r io.Reader) error {
+	return requestlog.Read(r, func(l requestlog.Line) {
+		if _, ok := telemetry.ParseVerdict(l.Verdict); !ok {
+			b.bad("%s: verdict %q of job %q", name, l.Verdict, l.ID)
+			return
+		}
+		b.Lines++
+		b.logged[Key{telemetry.Clean(l.By), l.Class, l.Verdict}]++
+	}, func(n int, err error) { b.bad("%s:%d: %v", name, n, err) })
+}
+
+// Received reads what a receiver has got: lines as Graphite takes them (PATH VALUE TIME) or as collectd does (PUTVAL). Series
+// that count no answers are passed over.
+func (b *Books) Received(name string, r io.Reader) error {
+	in := bufio.NewScanner(r)
+	in.Buffer(make([]byte, 64<<10), 1<<20)
+	for n := 1; in.Scan(); n++ {
+		line := in.Text()
+		if line == "" {
+			continue
+		}
+		key, at, v, err := parse(line)
+		if err != nil {
+			b.bad("%s:%d: %v", name, n, err)
+			continue
+		}
+		if b.Points++; key != (Key{}) {
+			b.series[key] = append(b.series[key], point{at, v, n})
+		}
+	}
+	if err := in.Err(); err != nil {
+		return fmt.Errorf("audit: %s: %w", name, err)
+	}
+	return nil
+}
+
+func parse(line string) (key Key, at, v float64, err error) {
+	if rest, ok := strings.CutPrefix(line, "PUTVAL "); ok {
+		return putval(rest)
+	}
+	f := strings.Fields(line)
+	if len(f) != 3 {
+		return key, 0, 0, fmt.Errorf("%d fields, not PATH VALUE TIME", len(f))
+	}
+	if v, err = strconv.ParseFloat(f[1], 64); err == nil {
+		at, err = strconv.ParseFloat(f[2], 64)
+	}
+	if err != nil {
+		return key, 0, 0, err
+	}
+	parts := strings.Split(f[0], ".")
+	if n := len(parts); n >= 5 && parts[n-4] == "classes" && parts[n-2] == "answers" {
+		key = Key{parts[n-5], parts[n-3], parts[n-1]}
+	}
+	return key, at, v, nil
+}
+
+// putval reads the rest of a PUTVAL line; dots of names have become _ there.
+func putval(rest string) (key Key, at, v float64, err error) {
+	id, rest, ok := strings.Cut(strings.TrimPrefix(rest, `"`), `"`)
+	host, series, ok2 := strings.Cut(id, "/")
+	values := rest[strings.LastIndexByte(rest, ' ')+1:]
+	stamp, value, ok3 := strings.Cut(values, ":")
+	if !ok || !ok2 || !ok3 {
+		return key, 0, 0, fmt.Errorf("no PUTVAL line")
+	}
+	if at, err = strconv.ParseFloat(stamp, 64); err == nil {
+		v, err = strconv.ParseFloat(value, 64)
+	}
+	if err != nil {
+		return key, 0, 0, err
+	}
+	if name, ok := strings.CutPrefix(series, "cinderroad/derive-classes_"); ok {
+		for verdict := range telemetry.Verdicts {
+			if class, ok := strings.CutSuffix(name, "_answers_"+verdict.String()); ok {
+				return Key{host, class, verdict.String()}, at, v, nil
+			}
+		}
+	}
+	return key, at, v, nil
+}
+
+// growth is by how much a total has grown, from 0 on. One that falls has begun anew.
+func growth(points []point) (sum float64) {
+	slices.SortFunc(points, func(x, y point) int { return cmp.Or(cmp.Compare(x.at, y.at), cmp.Compare(x.n, y.n)) })
+	last := 0.0
+	for i, p := range points {
+		if i+1 < len(points) && points[i+1].at == p.at {
+			continue
+		}
+		if p.v < last {
+			last = 0
+		}
+		sum += p.v - last
+		last = p.v
+	}
+	return sum
+}
+
+// Rows compares. Totals that both have as 0 are left out.
+func (b *Books) Rows() (rows []Row) {
+	all := map[Key]Row{}
+	for key, n := range b.logged {
+		all[key] = Row{Key: key, Logged: n}
+	}
+	for key, points := range b.series {
+		if n := uint64(growth(points)); n > 0 {
+			row := all[key]
+			row.Key, row.Received = key, n
+			all[key] = row
+		}
+	}
+	rows = slices.Collect(maps.Values(all))
+	slices.SortFunc(rows, func(x, y Row) int {
+		return cmp.Or(cmp.Compare(x.By, y.By), cmp.Compare(x.Class, y.Class), cmp.Compare(x.Verdict, y.Verdict))
+	})
+	return rows
+}
+
+// Difference is how many answers the two sides do not agree on.
+func Difference(rows []Row) (sum uint64) {
+	for _, r := range rows {
+		sum += max(r.Logged, r.Received) - min(r.Logged, r.Received)
+	}
+	return sum
+}
+
+// Write writes the comparison as a table.
+func (b *Books) Write(w io.Writer) error {
+	rows := b.Rows()
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "dispatcher\tclass\tverdict\tlogged\treceived\tdifference\t")
+	var logged, received uint64
+	for _, r := range rows {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%d\t%d\t\n", r.By, r.Class, r.Verdict, r.Logged, r.Received, int64(r.Received)-int64(r.Logged))
+		logged, received = logged+r.Logged, received+r.Received
+	}
+	fmt.Fprintf(t, "all\t\t\t%d\t%d\t%d\t\n", logged, received, int64(received)-int64(logged))
+	if err := t.Flush(); err != nil {
+		return fmt.Errorf("audit: %w", err)
+	}
+	for _, place := range b.Bad {
+		fmt.Fprintln(w, "makes no sense:", place)
+	}
+	if more := b.BadCount - len(b.Bad); more > 0 {
+		fmt.Fprintf(w, "and %d more\n", more)
+	}
+	return nil
+}
--- a/internal/handover/handover.go
+++ b/internal/handover/handover.go
@@ -34,6 +34,7 @@
 	News                    // a question: whose is this call-back
 	Order                   // a question: carry out what the staff ask
 	Answer
+	Figures // what the older one has counted, for a newer one that said in Hello that it takes this
 	lastKind
 )
 
--- /dev/null
+++ b/internal/metrics/feed.go
@@ -0,0 +1,284 @@
+// Package metrics delivers the figures of package telemetry: to Graphite, as lines or pickles over TCP, and to collectd, over
+// its unix socket or by its network protocol. A Feed closes a period at a time and holds it until every receiver has it;
+// see docs/design/telemetry.md for when that is. Nothing here holds the loop up: values are rendered some at a time, and
+// a receiver that stalls or is down costs room in a bounded ring.
+package metrics
+
+import (
+	"math"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cinderroad/internal/spool"
+	"cinderroad/internal/telemetry"
+	"cinderroad/internal/transport"
+)
+
+const (
+	leastEvery = 0.1 // seconds
+	slice      = 300 // points rendered in a turn: some 0.2 ms
+)
+
+// Options say how figures leave the process.
+type Options struct {
+	Host  string  // the dispatcher's name
+	Every float64 // seconds that a period lasts
+	Bytes int     // of periods held in memory
+	Wall  func() time.Time
+}
+
+// Feed closes the periods and has its outputs deliver them.
+type Feed struct {
+	Periods uint64 // closed
+
+	loop    *transport.Loop
+	log     *zap.Logger
+	set     *telemetry.Set
+	ring    *telemetry.Ring
+	options Options
+	spool   *spool.Spool
+	got     map[string]int64
+	past    map[string]State // of outputs that are gone, by kind
+	outputs []Output
+	last    int64 // stamp of the last period
+	timer   *transport.Deadline
+	on      bool
+}
+
+// Output delivers to one receiver.
+type Output interface {
+	// Name tells it from others, over lives: what it got is kept by it.
+	Name() string
+	// State is what it has done so far.
+	State() State
+	start(f *Feed, place *telemetry.Place)
+	wake()
+	stop() // until the next wake
+	end()  // for good
+	held() *telemetry.Place
+}
+
+// State is what an output has done so far.
+type State struct {
+	Periods uint64 // the receiver has got
+	Points  uint64 // sent, again and again after breaks
+	Breaks  uint64 // tries that came to nothing
+	Refused uint64 // points that the receiver would not have
+}
+
+// NewFeed makes a feed that is not started yet.
+func NewFeed(loop *transport.Loop, log *zap.Logger, set *telemetry.Set, o Options) *Feed {
+	if o.Wall == nil {
+		o.Wall = time.Now
+	}
+	o.Every = math.Max(leastEvery, o.Every)
+	return &Feed{loop: loop, log: log, set: set, ring: telemetry.NewRing(o.Bytes), options: o, got: map[string]int64{}, past: map[string]State{}}
+}
+
+// Attach adds an output, before Start.
+func (f *Feed) Attach(o Output) {
+	f.outputs = append(f.outputs, o)
+	o.start(f, f.ring.Open(o.Name()))
+}
+
+// Replace has an output take the place of another of its kind: what that had not delivered is the new one's.
+func (f *Feed) Replace(was, now Output) {
+	for i, o := range f.outputs {
+		if o == was {
+			was.stop()
+			was.end()
+			f.retire(was)
+			f.outputs[i] = now
+			place := was.held()
+			place.Name = now.Name()
+			now.start(f, place)
+			now.wake()
+		}
+	}
+}
+
+// Remove ends an output and what is held for it.
+func (f *Feed) Remove(was Output) {
+	for i, o := range f.outputs {
+		if o == was {
+			was.stop()
+			was.end()
+			f.retire(was)
+			f.outputs = append(f.outputs[:i:i], f.outputs[i+1:]...)
+			f.ring.Close(was.held())
+			return
+		}
+	}
+}
+
+// Outputs are those attached.
+func (f *Feed) Outputs() []Output { return f.outputs }
+
+// Ring holds what is not delivered yet.
+func (f *Feed) Ring() *telemetry.Ring { return f.ring }
+
+// Recall goes on from what earlier lives have left on disk.
+func (f *Feed) Recall(found *spool.Found) {
+	f.set.Add(found.Totals)
+	f.set.Remember(found.Held)
+	f.Push(found.Periods)
+	for _, o := range f.outputs {
+		f.ring.Skip(o.held(), found.Got[o.Name()])
+	}
+}
+
+// Push takes periods that were closed elsewhere, earlier than any that is closed here.
+func (f *Feed) Push(periods []*telemetry.Period) {
+	for _, p := range periods {
+		f.ring.Push(p)
+		f.last = max(f.last, p.Stamp)
+	}
+}
+
+// Keep has closed periods kept on disk, too.
+func (f *Feed) Keep(s *spool.Spool) { f.spool = s }
+
+// Start begins to close periods and to deliver them.
+func (f *Feed) Start() {
+	if !f.on {
+		f.on = true
+		f.next()
+		for _, o := range f.outputs {
+			o.wake()
+		}
+	}
+}
+
+// Stop ends that; the period at hand stays open, and nothing that is held is lost.
+func (f *Feed) Stop() {
+	f.on = false
+	f.timer.Stop()
+	for _, o := range f.outputs {
+		o.stop()
+	}
+}
+
+// On says whether periods are closed here.
+func (f *Feed) On() bool { return f.on }
+
+// SetEvery changes how long a period lasts, from the next one on.
+func (f *Feed) SetEvery(every float64) {
+	f.options.Every = math.Max(leastEvery, every)
+	if f.on {
+		f.timer.Stop()
+		f.next()
+	}
+}
+
+// next waits for the next full multiple of the period: dispatchers that are graphed together close together.
+func (f *Feed) next() {
+	now, every := f.loop.Now(), f.options.Every
+	f.timer = f.loop.At((math.Floor(now/every+1e-6)+1)*every, func() {
+		f.CloseNow()
+		f.next()
+	})
+}
+
+// CloseNow closes the period at hand. Its stamp is of the system's clock, and later than the one before by a second, or by
+// a millisecond where periods are shorter: receivers drop what goes back, so a clock that is set back is waited for.
+func (f *Feed) CloseNow() {
+	least := int64(1000)
+	if f.options.Every < 1 {
+		least = 1
+	}
+	f.last = max(f.options.Wall().UnixMilli(), f.last+least)
+	p := f.set.Close(f.last, f.options.Every)
+	f.Periods++
+	f.ring.Push(p)
+	if f.spool != nil {
+		f.spool.Period(p, f.set.Held())
+	}
+	for _, o := range f.outputs {
+		o.wake()
+	}
+}
+
+// took notes that a receiver has all up to a period.
+func (f *Feed) took(o Output, n uint64, stamp int64) {
+	f.ring.Got(o.held(), n)
+	f.got[o.Name()] = stamp
+	if f.spool != nil {
+		f.spool.Got(f.got)
+	}
+}
+
+// sender is what all outputs share: their place, and when they try again.
+type sender struct {
+	feed  *Feed
+	place *telemetry.Place
+	state State
+	pause float64 // before the next try
+	timer *transport.Deadline
+	waits bool // for it
+}
+
+const (
+	firstPause = 0.25 // seconds after a break, doubled with each that follows at once
+	mostPause  = 10.0
+)
+
+func (s *sender) State() State           { return s.state }
+func (s *sender) held() *telemetry.Place { return s.place }
+
+// rest ends what is on its way; the place stays.
+func (s *sender) rest() {
+	s.timer.Stop()
+	s.waits = false
+}
+
+// end has the output do nothing any more.
+func (s *sender) end() { s.feed = nil }
+
+func (s *sender) begin(f *Feed, place *telemetry.Place) { s.feed, s.place = f, place }
+
+// again tries later; try is called once.
+func (s *sender) again(try func()) {
+	s.state.Breaks++
+	s.pause = min(max(firstPause, 2*s.pause), mostPause)
+	s.waits = true
+	s.timer.Stop()
+	s.timer = s.feed.loop.At(s.feed.loop.Now()+s.pause, func() {
+		s.waits = false
+		try()
+	})
+}
+
+// free says whether a new try may begin now.
+func (s *sender) free() bool { return s.feed != nil && s.feed.on && !s.waits }
+
+// soon goes on in a turn of its own.
+func (s *sender) soon(wait float64, do func()) {
+	s.timer.Stop()
+	s.timer = s.feed.loop.At(s.feed.loop.Now()+wait, do)
+}
+
+// Delivered says whether every receiver has all that was closed.
+func (f *Feed) Delivered() bool {
+	for _, o := range f.outputs {
+		if f.ring.Waiting(o.held()) > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// Last is the stamp of the last period, After has those to come later than one: two processes share the receivers.
+func (f *Feed) Last() int64 { return f.last }
+
+// After is told of by Last.
+func (f *Feed) After(stamp int64) { f.last = max(f.last, stamp) }
+
+// Past sums up a figure of the outputs of a kind that are gone: totals never fall.
+func (f *Feed) Past(kind string, get func(State) uint64) uint64 { return get(f.past[kind]) }
+
+func (f *Feed) retire(o Output) {
+	kind := o.Name()[:8]
+	s, was := o.State(), f.past[kind]
+	f.past[kind] = State{s.Periods + was.Periods, s.Points + was.Points, s.Breaks + was.Breaks, s.Refused + was.Refused}
+}
--- a/internal/program/config.go
+++ b/internal/program/config.go
@@ -9,6 +9,7 @@
 	"strconv"
 
 	"cinderroad/brain"
+	"cinderroad/internal/operator"
 	"cinderroad/internal/protocol/gearman"
 	"cinderroad/internal/protocol/platform"
 	"cinderroad/internal/settings"
@@ -29,16 +30,14 @@
 	} `json:"limits"`
 	Settings json.RawMessage `json:"settings"`
 
-	Graphite     string  `json:"-"` // address of a Graphite server; empty: off
-	Collectd     string  `json:"-"` // path of collectd's unix socket; empty: off
-	MetricsEvery float64 `json:"-"` // seconds
+	Operator *operator.File `json:"-"` // never nil
+	short    Short
 
 	path, gearmanPath string // where it was read from
 	tmp               string // where files of its own may stand; empty: nowhere
 	listen, discovery netip.AddrPort
 	console           netip.AddrPort
 	inherited         int // descriptor of the clients' socket, where somebody else holds it; 0: we bind it
-	graphite          netip.AddrPort
 	seed              uint64
 	brain             brain.Settings
 	names             names
@@ -72,14 +71,37 @@
 	return err
 }
 
-// SetMetrics names the outputs for the figures; empty ones stay off.
-func (c *Config) SetMetrics(graphite, collectd string, every float64) (err error) {
-	c.Graphite, c.Collectd, c.MetricsEvery = graphite, collectd, every
-	if graphite != "" {
-		if c.graphite, err = netip.ParseAddrPort(graphite); err != nil {
+// Short are the command line's short forms for what the operator's file says at length.
+type Short struct {
+	Operator string  // path of the file; empty: none
+	Graphite string  // address of a Graphite receiver, besides those of the file
+	Collectd string  // path of a collectd's unix socket, likewise
+	Every    float64 // seconds that a period lasts; 0: as the file says
+}
+
+// ReadOperator reads the operator's file and adds the short forms.
+func (c *Config) ReadOperator(s Short) (err error) {
+	f := operator.Default()
+	if s.Operator != "" {
+		if f, err = operator.Read(s.Operator); err != nil {
+			return err
+		}
+	}
+	if s.Graphite != "" {
+		addr, err := netip.ParseAddrPort(s.Graphite)
+		if err != nil {
 			return fmt.Errorf("graphite: %w", err)
 		}
+		f.Graphite = append(f.Graphite, operator.Graphite{Address: s.Graphite, Addr: addr, Form: "plaintext", Prefix: "cinderroad",
+			Confirm: "close", Patience: operator.DefaultPatience})
 	}
+	if s.Collectd != "" {
+		f.Collectd = append(f.Collectd, operator.Collectd{Socket: s.Collectd, Security: "none", Patience: operator.DefaultPatience})
+	}
+	if s.Every > 0 {
+		f.Telemetry.Every = s.Every
+	}
+	c.Operator, c.short = f, s
 	return nil
 }
 
@@ -93,13 +115,16 @@
 
 // ReadConfig reads the configuration file and the environment, which wins, and checks all of it.
 func ReadConfig(path string, env func(string) string) (*Config, error) {
+	if path == "" {
+		return nil, errNoConfig
+	}
 	text, err := os.ReadFile(path)
 	if err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
-	c := Config{path: path, tmp: env("TMPDIR")}
+	c := Config{path: path, tmp: env("TMPDIR"), Operator: operator.Default()}
 	if err := json.Unmarshal(text, &c); err != nil {
-		return nil, fmt.Errorf("config: %s: %w", path, err)
+		return nil, at(path, text, err)
 	}
 	for _, v := range []struct {
 		name string
--- a/internal/program/figures.go
+++ b/internal/program/figures.go
@@ -2,89 +2,144 @@
 
 import (
 	"math"
+	"runtime/metrics"
 
 	"cinderroad/brain"
 	"cinderroad/internal/invariant"
-	"cinderroad/internal/metrics"
+	"cinderroad/internal/protocol/gearman"
+	"cinderroad/internal/routing"
+	"cinderroad/internal/telemetry"
 )
 
-// resultNames are the ends of fetches as the figures name them.
-var resultNames = [...]string{brain.OK: "ok", brain.Error: "error", brain.Full: "full", brain.Timeout: "timeout",
-	brain.ConnectFailed: "connect_failed", brain.Reset: "reset", brain.Cancelled: "cancelled", brain.Moot: "moot"}
+// adder adds figures to a set.
+type adder struct{ set *telemetry.Set }
 
-// figures are what the metrics tell.
-func (p *Program) figures() []metrics.Value {
-	var values []metrics.Value
-	counter := func(name string, v uint64) {
-		values = append(values, metrics.Value{Name: name, Counter: true, V: float64(v)})
-	}
-	gauge := func(name string, v int) { values = append(values, metrics.Value{Name: name, V: float64(v)}) }
-	n := p.core.Counts()
-	counter("reqs.taken", n.Reqs)
-	counter("reqs.served", n.Served)
-	counter("reqs.refused", n.Refused)
-	counter("reqs.failed", n.Failed)
-	counter("reqs.client_gone", n.Gone)
-	counter("reqs.overdue", n.Overdue)
-	counter("reqs.unusable", n.Unusable)
-	gauge("reqs.open", n.OpenReqs)
-	counter("fetches.sent", n.Fetches)
-	counter("fetches.repeats", n.Repeats)
-	counter("fetches.cancels", n.Cancels)
-	gauge("fetches.open", n.OpenFetches)
-	for result, name := range resultNames {
-		counter("fetches.end_"+name, n.Results[result])
+func (a adder) counter(name, unit, help string, get func() uint64) {
+	a.set.Read(telemetry.Doc{Pattern: name, Kind: telemetry.Counter, Unit: unit, Help: help}, func() float64 { return float64(get()) })
+}
+
+func (a adder) gauge(name, unit, help string, get func() float64) {
+	a.set.Read(telemetry.Doc{Pattern: name, Kind: telemetry.Gauge, Unit: unit, Help: help}, get)
+}
+
+// addFigures adds what the parts of the program count themselves. Nothing is asked of p before the end of a period.
+func addFigures(p *Program, set *telemetry.Set) {
+	a := adder{set}
+	core := func(get func(*routing.Counts) uint64) func() uint64 {
+		return func() uint64 { n := p.core.Counts(); return get(&n) }
 	}
-	counter("backends.connections_opened", p.pool.Dialed)
-	counter("backends.worn_connections", p.pool.Worn)
-	counter("backends.stray_news", p.pool.StrayNews)
-	counter("backends.bad_news", p.front.BadNews)
-	counter("clients.sessions_opened", p.front.Sessions)
-	counter("clients.malformed", p.front.Malformed)
-	counter("clients.slow", p.front.Slow)
-	counter("clients.turned_away", p.door.Turned)
-	counter("program.reloads", p.Reloads.Taken)
-	counter("program.reloads_refused", p.Reloads.Refused)
-	counter("upgrade.sessions_passed", p.upgrade.Passed)
-	counter("upgrade.sessions_adopted", p.upgrade.Adopted)
-	counter("upgrade.news_asked", p.upgrade.Asks)
-	gauge("program.evacuated", map[bool]int{true: 1}[p.front.Leaving() > 0])
-	counter("director.refused", p.director.Refused)
-	gauge("members.excluded", p.core.Excluded())
-	counter("director.watches", p.director.Watches)
-	counter("director.bad_lines", p.director.Rejected)
-	gauge("sockets.open", p.loop.Open())
-	counter("invariants.broken", invariant.Broken())
-	if p.console != nil {
-		counter("console.calls", p.console.Calls)
-		counter("console.refused", p.console.Refused)
-		counter("console.gave_way", p.console.GaveWay)
+	a.counter("reqs.taken", "jobs", "Jobs that the core took.", core(func(n *routing.Counts) uint64 { return n.Reqs }))
+	a.counter("reqs.served", "jobs", "Jobs served.", core(func(n *routing.Counts) uint64 { return n.Served }))
+	a.counter("reqs.refused", "jobs", "Jobs refused: they did not run.", core(func(n *routing.Counts) uint64 { return n.Refused }))
+	a.counter("reqs.failed", "jobs", "Jobs failed.", core(func(n *routing.Counts) uint64 { return n.Failed }))
+	a.counter("reqs.client_gone", "jobs", "Jobs whose client left before an answer.", core(func(n *routing.Counts) uint64 { return n.Gone }))
+	a.counter("reqs.overdue", "jobs", "Jobs that the decisions had forgotten and the core failed: must stay 0.", core(func(n *routing.Counts) uint64 { return n.Overdue }))
+	a.counter("reqs.unusable", "jobs", "Jobs failed since two backends could do nothing with them.", core(func(n *routing.Counts) uint64 { return n.Unusable }))
+	a.gauge("reqs.open", "jobs", "Jobs without an answer yet.", func() float64 { return float64(p.core.Counts().OpenReqs) })
+	a.counter("fetches.sent", "attempts", "Attempts begun.", core(func(n *routing.Counts) uint64 { return n.Fetches }))
+	a.counter("fetches.repeats", "attempts", "Those that were not a job's first.", core(func(n *routing.Counts) uint64 { return n.Repeats }))
+	a.counter("fetches.cancels", "attempts", "Attempts called off.", core(func(n *routing.Counts) uint64 { return n.Cancels }))
+	a.gauge("fetches.open", "attempts", "Attempts that are out.", func() float64 { return float64(p.core.Counts().OpenFetches) })
+	for result, name := range telemetry.ResultNames {
+		a.counter("fetches.end_"+name, "attempts", "Attempts that ended as "+name+".", core(func(n *routing.Counts) uint64 { return n.Results[result] }))
 	}
-	if p.gearman != nil {
-		g := p.gearman.Counted()
-		counter("gearman.jobs", g.Jobs)
-		counter("gearman.background", g.Background)
-		counter("gearman.background_ended", g.BackgroundEnded)
-		counter("gearman.coalesced", g.Coalesced)
-		counter("gearman.served", g.Served)
-		counter("gearman.refused", g.Refused)
-		counter("gearman.returned", g.Returned)
-		counter("gearman.failed", g.Failed)
-		counter("gearman.gone", g.Gone)
-		counter("gearman.bad_packets", g.BadPackets)
-		counter("gearman.stray_work", g.StrayWork)
-		counter("gearman.slow", g.Slow)
+	a.counter("fetches.probes", "probes", "Nodes asked for health and load.", core(func(n *routing.Counts) uint64 { return n.Probes }))
+	a.counter("backends.connections_opened", "connections", "Connections opened to backends.", func() uint64 { return p.pool.Dialed })
+	a.counter("backends.worn_connections", "connections", "Connections that had rested and were found dead.", func() uint64 { return p.pool.Worn })
+	a.counter("backends.stray_news", "call-backs", "Call-backs that matched nothing that is out.", func() uint64 { return p.pool.StrayNews })
+	a.counter("backends.bad_news", "call-backs", "Call-backs that made no sense.", func() uint64 { return p.front.BadNews })
+	a.counter("clients.sessions_opened", "sessions", "Connections accepted from clients.", func() uint64 { return p.front.Sessions })
+	a.counter("clients.malformed", "requests", "Requests answered 4xx.", func() uint64 { return p.front.Malformed })
+	a.counter("clients.slow", "sessions", "Sessions closed since a request was not whole in time.", func() uint64 { return p.front.Slow })
+	a.counter("clients.turned_away", "sessions", "Sessions turned away for want of room.", func() uint64 { return p.door.Turned })
+	a.counter("program.reloads", "reloads", "Reloads taken.", func() uint64 { return p.Reloads.Taken })
+	a.counter("program.reloads_refused", "reloads", "Reloads refused, the old configuration kept.", func() uint64 { return p.Reloads.Refused })
+	a.gauge("program.started", "s", "Unix time of the start: where it changes, totals may begin anew.", func() float64 { return math.Floor(p.started) })
+	a.gauge("program.evacuated", "", "1 while the dispatcher is evacuated.", func() float64 { return oneIf(p.front.Leaving() > 0) })
+	a.counter("upgrade.sessions_passed", "sessions", "Client sessions passed to the next process.", func() uint64 { return p.upgrade.Passed })
+	a.counter("upgrade.sessions_adopted", "sessions", "Client sessions taken over from the process before.", func() uint64 { return p.upgrade.Adopted })
+	a.counter("upgrade.news_asked", "call-backs", "Call-backs asked of the other process.", func() uint64 { return p.upgrade.Asks })
+	a.gauge("members.excluded", "nodes", "Members taken out by hand.", func() float64 { return float64(p.core.Excluded()) })
+	a.counter("director.watches", "watches", "Watches opened at discovery.", func() uint64 { return p.director.Watches })
+	a.counter("director.refused", "watches", "Watches that a discovery without room refused.", func() uint64 { return p.director.Refused })
+	a.counter("director.bad_lines", "lines", "Lines of discovery that made no sense: the old list was kept.", func() uint64 { return p.director.Rejected })
+	a.gauge("director.list_revision", "", "Version of the list held.", func() float64 { return float64(p.director.Rev()) })
+	a.gauge("director.silent_s", "s", "Since discovery last said anything: its lag, at most. None before the first word.", func() float64 {
+		if p.director.Last() == 0 {
+			return math.NaN()
+		}
+		return p.loop.Now() - p.director.Last()
+	})
+	a.gauge("sockets.open", "sockets", "Sockets open.", func() float64 { return float64(p.loop.Open()) })
+	a.gauge("sockets.limit", "sockets", "Sockets that may be open.", func() float64 { return float64(p.loop.Limit()) })
+	a.counter("loop.turns", "turns", "Turns of the loop.", func() uint64 {
+		t := p.loop.Turns()
+		p.longest = max(p.longest, t.Longest)
+		return t.Count
+	})
+	a.gauge("loop.longest_turn_ms", "ms", "The longest turn of the period: everybody waited for so long.", func() float64 {
+		longest := p.longest
+		p.longest = 0
+		return 1000 * longest
+	})
+	memory := []metrics.Sample{{Name: "/memory/classes/total:bytes"}, {Name: "/memory/classes/heap/released:bytes"}}
+	a.gauge("memory.bytes", "bytes", "Memory that the process holds, without the program itself.", func() float64 {
+		metrics.Read(memory)
+		return float64(memory[0].Value.Uint64() - memory[1].Value.Uint64())
+	})
+	a.counter("invariants.broken", "", "Things found that must never be: must stay 0.", invariant.Broken)
+	addConsole(a, p)
+	addGearman(a, p)
+}
+
+func oneIf(is bool) float64 {
+	if is {
+		return 1
 	}
-	return values
+	return 0
 }
 
-// startMetrics turns on the outputs that the flags name.
-func (p *Program) startMetrics() {
-	every := math.Max(0.1, p.config.MetricsEvery)
-	if p.config.graphite.IsValid() {
-		metrics.NewGraphite(p.loop, p.log, p.config.graphite, p.config.Name, every, p.figures)
+func addConsole(a adder, p *Program) {
+	part := func(name, unit, help string, get func() uint64) {
+		a.set.Read(telemetry.Doc{Pattern: name, Kind: telemetry.Counter, Unit: unit, Help: help + " None without a second address."}, func() float64 {
+			if p.console == nil {
+				return math.NaN()
+			}
+			return float64(get())
+		})
 	}
-	if p.config.Collectd != "" {
-		metrics.NewCollectd(p.loop, p.log, p.config.Collectd, p.config.Name, every, p.figures)
+	part("console.calls", "calls", "Calls at the second address.", func() uint64 { return p.console.Calls })
+	part("console.refused", "calls", "Those that were refused.", func() uint64 { return p.console.Refused })
+	part("console.gave_way", "calls", "Callers who gave way to newer ones.", func() uint64 { return p.console.GaveWay })
+}
+
+func addGearman(a adder, p *Program) {
+	part := func(name, unit, help string, get func(gearman.Counts) uint64) {
+		a.set.Read(telemetry.Doc{Pattern: "gearman." + name, Kind: telemetry.Counter, Unit: unit, Help: help + " None without a Gearman front."}, func() float64 {
+			if p.gearman == nil {
+				return math.NaN()
+			}
+			return float64(get(p.gearman.Counted()))
+		})
 	}
+	part("jobs", "jobs", "Jobs created.", func(n gearman.Counts) uint64 { return n.Jobs })
+	part("background", "jobs", "Those of them in the background.", func(n gearman.Counts) uint64 { return n.Background })
+	part("background_ended", "jobs", "Jobs in the background that have ended.", func(n gearman.Counts) uint64 { return n.BackgroundEnded })
+	part("coalesced", "submissions", "Submissions that joined a job.", func(n gearman.Counts) uint64 { return n.Coalesced })
+	part("served", "jobs", "Jobs served.", func(n gearman.Counts) uint64 { return n.Served })
+	part("refused", "jobs", "Jobs refused.", func(n gearman.Counts) uint64 { return n.Refused })
+	part("returned", "refusals", "Refusals after which a job in the background came back.", func(n gearman.Counts) uint64 { return n.Returned })
+	part("failed", "jobs", "Jobs failed.", func(n gearman.Counts) uint64 { return n.Failed })
+	part("gone", "jobs", "Jobs that nobody waited for any more.", func(n gearman.Counts) uint64 { return n.Gone })
+	part("bad_packets", "packets", "Packets that made no sense.", func(n gearman.Counts) uint64 { return n.BadPackets })
+	part("stray_work", "packets", "Results of jobs that are over.", func(n gearman.Counts) uint64 { return n.StrayWork })
+	part("slow", "peers", "Peers closed since a message was not whole in time.", func(n gearman.Counts) uint64 { return n.Slow })
+}
+
+// Docs are all series that there can be.
+func Docs() []telemetry.Doc {
+	set := telemetry.New(telemetry.Options{Settings: brain.Settings{}, Nodes: 1})
+	addFigures(nil, set)
+	addBooks(nil, set)
+	return set.Docs()
 }
--- a/internal/program/metrics_test.go
+++ b/internal/program/metrics_test.go
@@ -1,48 +1,45 @@
 package program
 
 import (
-	"bufio"
-	"net"
 	"net/http"
 	"path/filepath"
-	"regexp"
 	"testing"
+
+	"cinderroad/internal/standin"
 )
 
-// Both outputs in their forms, from the started program.
+// Both outputs in their forms, from the started program, by the short forms of the command line.
 func TestMetrics(t *testing.T) {
-	graphite, err := net.Listen("tcp", "127.0.0.1:0")
+	graphite, err := standin.NewCarbon("127.0.0.1:0", false)
 	if err != nil {
 		t.Fatal(err)
 	}
 	path := filepath.Join(t.TempDir(), "collectd.sock")
-	collectd, err := net.Listen("unix", path)
+	collectd, err := standin.NewCollectd(path)
 	if err != nil {
 		t.Fatal(err)
 	}
 	var w *world
 	u := newRunner(t, "s-1", func(n int, rw http.ResponseWriter, r *http.Request) { w.done("s-1", "ok")(n, rw, r) })
-	w = begin(t, options{args: []string{"-graphite", graphite.Addr().String(), "-collectd", path, "-metrics-every", "0.1"}}, u.target("ready", 1))
+	w = begin(t, options{args: []string{"-graphite", graphite.Addr(), "-collectd", path, "-metrics-every", "0.1"}}, u.target("ready", 1))
 	if status, _, _ := w.ask("score", 4000); status != 200 {
 		t.Fatal(status)
 	}
 	for _, tc := range []struct {
-		l    net.Listener
-		want string
+		of     *standin.Store
+		series string
 	}{
-		{graphite, `^cinderroad\.n0\.reqs\.served 1 [0-9]{10}$`},
-		{collectd, `^PUTVAL "n0/cinderroad/derive-reqs_served" interval=0\.1 [0-9]{10}:1$`},
+		{&graphite.Store, "cinderroad.n0.reqs.served"},
+		{&graphite.Store, "cinderroad.n0.classes.score.fetches.end_ok"},
+		{&graphite.Store, "cinderroad.n0.nodes.milano.two-core.1.0.ok"},
+		{&collectd.Store, "n0/cinderroad/derive-reqs_served"},
+		{&collectd.Store, "n0/cinderroad/derive-nodes_milano_two-core_1_0_ok"},
 	} {
-		c, err := tc.l.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		lines, match := bufio.NewScanner(c), regexp.MustCompile(tc.want)
-		for found := false; !found; found = match.MatchString(lines.Text()) {
-			if !lines.Scan() {
-				t.Fatalf("no line %s", tc.want)
-			}
+		w.eventually(tc.series, func() bool { v, ok := tc.of.Last(tc.series); return ok && v == 1 })
+	}
+	for _, s := range []*standin.Store{&graphite.Store, &collectd.Store} {
+		if bad := s.Bad(); len(bad) > 0 {
+			t.Error(bad)
 		}
-		c.Close()
 	}
 }
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -44,7 +44,10 @@
 	door     *door.Door
 	console  *console.Console
 	upgrade  *upgrade
-	serving  bool // takes clients
+	books    *books  // nil: no figures leave, and no request log is kept
+	started  float64 // Unix time
+	longest  float64 // turn of the loop since the last period
+	serving  bool    // takes clients
 	stopping bool
 	err      error // why it ends, if something went wrong
 	Reloads  struct{ Taken, Refused uint64 }
@@ -60,7 +63,6 @@
 	if err != nil {
 		return err
 	}
-	p.startMetrics()
 	go func() {
 		for {
 			select {
@@ -71,7 +73,9 @@
 			}
 		}
 	}()
-	if err := p.loop.Run(); err != nil {
+	err = p.loop.Run()
+	p.books.close()
+	if err != nil {
 		return err
 	}
 	if p.err != nil {
@@ -104,7 +108,7 @@
 	if err != nil {
 		return nil, err
 	}
-	p := &Program{config: config, log: log, loop: loop}
+	p := &Program{config: config, log: log, loop: loop, started: loop.Now()}
 	if p.core, err = routing.New(config.brain, config.seed, clock{loop}); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
@@ -121,6 +125,9 @@
 	}
 	p.director = platform.NewDirector(loop, log, config.discovery, p.core, p.pool, n.FailureDomains, n.Kinds, config.seed)
 	p.core.Director = p.director
+	if p.books, err = newBooks(p); err != nil {
+		return nil, err
+	}
 	p.core.Start()
 	if config.gearman != nil {
 		p.gearman = gearman.New(loop, log, p.core, p.door, config.gearman, config.Name, config.brain.Report)
@@ -142,6 +149,7 @@
 // alone begins with what the configuration and the disk tell.
 func (p *Program) alone() error {
 	p.restore()
+	p.books.begin()
 	if p.config.discovery.IsValid() {
 		p.director.Start(p.config.Known)
 	}
@@ -201,7 +209,7 @@
 
 func (p *Program) exitWhenDone() {
 	if n := p.core.Counts(); n.OpenReqs == 0 && p.front.Quiet() && (p.gearman == nil || p.gearman.Quiet()) &&
-		p.upgrade.done() && (p.console == nil || p.console.Open() == 0) {
+		p.upgrade.done() && (p.console == nil || p.console.Open() == 0) && p.books.finished() {
 		p.loop.Stop()
 		return
 	}
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -14,6 +14,10 @@
 // none of a bad one. It takes the place of nothing that is open: reqs, fetches and the list go on.
 func (p *Program) reload() {
 	next, err := p.reread()
+	var books *rebooked
+	if err == nil {
+		books, err = p.books.prepare(next.Operator)
+	}
 	if err != nil {
 		p.Reloads.Refused++
 		p.log.Error("program: reload refused, old configuration kept", zap.Error(err))
@@ -31,7 +35,9 @@
 	if was.gearman != nil && next.gearman != nil {
 		restart = append(restart, p.gearman.Reload(next.gearman)...)
 	}
+	config.Operator = next.Operator
 	p.config = &config
+	restart = append(restart, p.books.take(books)...)
 	p.limit()
 	if config.discovery.IsValid() {
 		p.director.Move(config.discovery)
@@ -60,6 +66,9 @@
 			return nil, fmt.Errorf("config: %w", err)
 		}
 	}
+	if err := next.ReadOperator(p.config.short); err != nil {
+		return nil, err
+	}
 	return next, nil
 }
 
--- a/internal/program/upgrade.go
+++ b/internal/program/upgrade.go
@@ -32,6 +32,12 @@
 	Learnt     brain.Learnt                 `json:"learnt"`
 	Gearman    bool                         `json:"gearman"` // its listening socket comes along
 	GearmanFor string                       `json:"gearman_listen"`
+	Figures    bool                         `json:"figures,omitempty"` // its totals follow once the newer one has taken the clients
+}
+
+// hello is what a newer process says of itself.
+type hello struct {
+	Figures bool `json:"figures"` // takes totals
 }
 
 // upgrade is a process's part in taking the place of the one before it, and in leaving its own to the next.
@@ -47,6 +53,7 @@
 	took     bool                // next takes the clients
 	moves    int                 // sessions on their way to next
 	gearman  int                 // listening socket that came along; 0 is none
+	figures  bool                // next takes totals
 	deadline *transport.Deadline
 }
 
@@ -86,11 +93,16 @@
 
 // done says whether nothing is owed to the other processes.
 func (u *upgrade) done() bool {
+	if u.took && !u.p.books.handedOn() {
+		return false
+	}
 	return (u.prev == nil || u.prev.Idle()) && (u.next == nil || u.next.Idle()) && (!u.took || u.moves == 0 && u.p.front.Left() == 0)
 }
 
 // Up implements handover.Owner.
-func (u *upgrade) Up(l *handover.Link) { _ = l.Tell(handover.Hello, struct{}{}) }
+func (u *upgrade) Up(l *handover.Link) {
+	_ = l.Tell(handover.Hello, hello{Figures: u.p.books.delivers()})
+}
 
 // Down implements handover.Owner. Whichever process is left has everything again.
 func (u *upgrade) Down(l *handover.Link, err error) {
@@ -101,7 +113,9 @@
 		if !u.heard {
 			u.deadline.Stop()
 			u.open(u.p.alone())
+			break
 		}
+		u.p.books.orphan()
 	case u.next:
 		u.next = nil
 		if !u.took {
@@ -112,6 +126,7 @@
 		u.took, u.moves = false, 0
 		u.p.front.Bequeath(nil)
 		u.p.listener.Suspend(false)
+		u.p.books.resume()
 		if u.p.gearman != nil {
 			u.p.gearman.Retire(false)
 		}
@@ -162,7 +177,14 @@
 func (u *upgrade) Message(l *handover.Link, kind handover.Kind, body []byte) error {
 	switch {
 	case l == u.next && kind == handover.Hello:
+		var h hello
+		if err := json.Unmarshal(body, &h); err != nil {
+			return fmt.Errorf("program: hello: %w", err)
+		}
+		u.figures = h.Figures && u.p.books.delivers()
 		return u.tell()
+	case l == u.prev && kind == handover.Figures && u.heard:
+		return u.p.books.hear(body)
 	case l == u.next && kind == handover.Took && !u.took:
 		u.leave()
 	case l == u.next && kind == handover.Taken && u.took:
@@ -183,7 +205,7 @@
 func (u *upgrade) tell() error {
 	p := u.p
 	addr, list := p.director.Held()
-	s := state{Discovery: addr.String(), List: list, Out: p.core.Exclusions(), Evacuated: p.front.Leaving(), Learnt: p.core.Learnt()}
+	s := state{Discovery: addr.String(), List: list, Out: p.core.Exclusions(), Evacuated: p.front.Leaving(), Learnt: p.core.Learnt(), Figures: u.figures}
 	p.log.Info("program: telling the next process", zap.Int64("rev", list.Rev), zap.Int("members", len(list.Targets)))
 	if p.gearman == nil || !p.serving {
 		return u.next.Tell(handover.State, s)
@@ -210,6 +232,9 @@
 		p.gearman.Retire(true)
 	}
 	p.front.Bequeath(u.move)
+	if u.figures {
+		p.books.bequeath(u.next)
+	}
 }
 
 // move sends a session that rests to the next process.
@@ -260,6 +285,7 @@
 	if s.Evacuated > 0 {
 		p.evacuate(true, min(s.Evacuated, p.loop.Now()))
 	}
+	p.books.expect(s.Figures)
 	if err := p.core.Recall(s.Learnt); err != nil {
 		p.log.Warn("program: what the process before has learnt is of no use", zap.Error(err))
 	}
--- a/internal/protocol/gearman/server.go
+++ b/internal/protocol/gearman/server.go
@@ -79,6 +79,7 @@
 	num, den       string
 	exception      string
 	over           bool
+	returned       bool                // its last refusal was not told to anybody: it comes back
 	output         []packet            // of the fetch that won
 	start          *transport.Deadline // of a job for later, or of one that comes back after a refusal
 	ends           float64             // when the job is given up
@@ -488,7 +489,7 @@
 	}
 	j.queued = true
 	j.req = j.s.core.Take(routing.Job{Class: j.f.class, Skill: j.f.skill, Slots: 1,
-		Deadline: min(j.ends, now+j.f.deadline), Load: j}, j)
+		Deadline: min(j.ends, now+j.f.deadline), Load: j, ID: j.handle, Front: "gearman"}, j)
 }
 
 // returns has a refused job in the background come back when the core said. A caller would; this one is not
@@ -523,7 +524,10 @@
 // Answer implements routing.Asker: the job's one end goes to all who wait for it. Gearman knows no refusal:
 // it is a failure with a warning before it that says when to come back.
 func (j *job) Answer(a routing.Answer) {
-	if j.over || a.Verdict == routing.Refused && j.returns(a.Wait) {
+	if j.over {
+		return
+	}
+	if j.returned = a.Verdict == routing.Refused && j.returns(a.Wait); j.returned {
 		return
 	}
 	var last packet
@@ -562,6 +566,9 @@
 	}
 }
 
+// Returned implements routing.Returner.
+func (j *job) Returned() bool { return j.returned }
+
 func (j *job) close() {
 	invariant.Check(!j.over, "a Gearman job ends once")
 	j.over = true
--- a/internal/protocol/platform/director.go
+++ b/internal/protocol/platform/director.go
@@ -81,8 +81,15 @@
 	retry *transport.Deadline
 	fails int // in a row
 	rng   *rand.Rand
+	last  float64 // when discovery last said anything; 0 is not yet
 }
 
+// Rev is the version of the list held.
+func (d *Director) Rev() int64 { return d.rev }
+
+// Last is when discovery last said anything, if only that nothing has changed; 0 is not yet.
+func (d *Director) Last() float64 { return d.last }
+
 // NewDirector makes a director; Start begins the watch.
 func NewDirector(loop *transport.Loop, log *zap.Logger, addr netip.AddrPort, core *routing.Core, pool *Pool, zones, kinds []string, seed uint64) *Director {
 	return &Director{loop: loop, log: log, addr: addr, core: core, pool: pool, zones: zones, kinds: kinds,
@@ -240,6 +247,7 @@
 // Data implements transport.Handler.
 func (w *watch) Data(*transport.Conn) {
 	w.heard()
+	w.d.last = w.d.loop.Now()
 	read := w.read
 	if w.whole {
 		read = func() error { return w.list(false) }
--- a/internal/protocol/platform/front.go
+++ b/internal/protocol/platform/front.go
@@ -33,6 +33,8 @@
 	sweepEvery    = 0.05 // closing what has come to rest
 	elsewhereTime = 3.0  // seconds that a call-back may wait for the other process
 
+	frontName = "platform" // in the books
+
 	freshGrace = 0.6 // for the first request of a connection that came while the front still looked
 )
 
@@ -61,6 +63,8 @@
 	noted    map[string]float64 // when a kind of bad input was last logged
 	heir     func(State, *transport.Conn) bool
 	comeBack string // of a refusal that the decisions had no part in
+
+	comeBackIn float64 // the same, in seconds
 }
 
 // class is a class of the settings: its place there, and the longest that its clients wait.
@@ -77,7 +81,7 @@
 		f.classes[c.Name] = class{i, c.Deadline}
 	}
 	if wait := min(soon, set.MaxRetryAfter); set.MayRetryAfter && wait > 0 {
-		f.comeBack = retryAfter(wait)
+		f.comeBack, f.comeBackIn = retryAfter(wait), wait
 	}
 	return f
 }
@@ -522,10 +526,10 @@
 		return
 	case s.f.leaving > 0 && s.f.loop.Now() >= s.f.leaving+lastTake:
 		s.last = true
-		s.reply(503, s.f.comeBack, []byte("evacuated\n"))
+		s.refuse(&call, class, routing.Evacuated, "evacuated\n")
 		return
 	case !s.f.door.Hold(len(call.Body)):
-		s.reply(503, s.f.comeBack, nil)
+		s.refuse(&call, class, routing.NoMemory, "")
 		return
 	}
 	hint, _ := strconv.ParseFloat(q.Header.Get("X-Call-Cost"), 64)
@@ -535,7 +539,14 @@
 	s.call, s.held = call.ID, len(call.Body)
 	s.f.calls[call.ID] = true
 	s.req = s.f.core.Take(routing.Job{Class: class.place, Slots: pick("coresNeeded", "slots"), Memory: pick("memory"), Work: hint,
-		Deadline: s.f.loop.Now() + min(budget, class.deadline) - budgetMargin, Load: &call}, &asker{s: s, call: call.ID})
+		Deadline: s.f.loop.Now() + min(budget, class.deadline) - budgetMargin, Load: &call, ID: call.ID, Front: frontName},
+		&asker{s: s, call: call.ID})
+}
+
+// refuse turns a call away without the core, which notes it all the same.
+func (s *session) refuse(call *Call, class class, reason routing.Reason, body string) {
+	s.f.core.Turn(routing.Job{ID: call.ID, Front: frontName, Class: class.place}, routing.Refused, reason, s.f.comeBackIn)
+	s.reply(503, s.f.comeBack, []byte(body))
 }
 
 func retryAfter(wait float64) string { return fmt.Sprintf("Retry-After: %.3f\r\n", wait) }
--- a/internal/routing/exclude.go
+++ b/internal/routing/exclude.go
@@ -78,12 +78,17 @@
 			if x == now || m.Backend == nil {
 				continue
 			}
+			state := m.State
 			c.overlay(m)
+			next := m.State
+			m.State = state
+			c.become(m, next)
 			if x.Back > 0 { // whatever it is now, it is not the process those connections led to
 				m.Backend.Renew()
 			}
 			workers = append(workers, m.Worker)
 		}
+		c.count()
 		if len(workers) > 0 {
 			c.bal.OnList(c.clock.Now(), brain.ListDelta, workers)
 		}
@@ -102,7 +107,7 @@
 		if m.State == brain.Ready {
 			m.State = brain.Draining
 		}
-	case m.Since >= x.At || c.clock.Now() > x.Back+c.warm+1:
+	case m.Since >= x.At || c.clock.Now() > x.Back+c.set.ColdTime+1:
 		delete(c.out, m.Name) // discovery has caught up, or it is warm
 	default:
 		m.Since = x.Back
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -28,9 +28,11 @@
 
 // The final answers.
 const (
-	Served  Verdict = iota
-	Refused         // it did not run, a retry is harmless
-	Failed          // nothing is promised
+	Served   Verdict = iota
+	Refused          // it did not run, a retry is harmless
+	Failed           // nothing is promised
+	Left             // to the books alone: the client has gone before an answer
+	Returned         // to the books alone: a refusal that the front took for itself
 )
 
 // Answer is the one final answer of a req.
@@ -59,6 +61,7 @@
 	Work          float64 // hinted, 0 is no hint
 	Deadline      float64 // clock time at which the client gives up
 	Load          any     // the front's own form of the job, for the backends that understand it
+	ID, Front     string  // how the front names the job and itself, for the books
 }
 
 // Fetch is one attempt as a backend sees it.
@@ -98,6 +101,7 @@
 	Name    string // as given to Number
 
 	told brain.Worker // as its front listed it; Worker is what the decisions see
+	book
 }
 
 // Director asks for the list where it does not come by itself.
@@ -119,6 +123,7 @@
 // Core is the dispatcher between its fronts and its backends.
 type Core struct {
 	Director Director
+	Observer Observer // keeps books; nil is nobody
 	Log      func(line string)
 
 	clock   Clock
@@ -130,7 +135,9 @@
 	members map[brain.WorkerID]*Member
 	byName  map[string]brain.WorkerID
 	out     map[string]Exclusion
-	warm    float64 // seconds after its start at which a worker is warm
+	set     brain.Settings
+	ready   int   // members that are ready
+	last    Final // for the observer, made anew for each req
 	queue   []func()
 	busy    bool
 	counts  Counts
@@ -146,6 +153,7 @@
 	answered bool
 	unusable int // backends that say so
 	guard    Stop
+	arrived  float64
 }
 
 type fetch struct {
@@ -156,6 +164,10 @@
 	deadline Stop
 	ends     float64
 	over     bool
+
+	sent, started, ended float64
+	copy                 bool // another was out when it was sent
+	result               brain.Result
 }
 
 // overdueAfter is how long after a client's deadline the core itself answers, should the decisions not have.
@@ -164,7 +176,7 @@
 // New makes a core; Start begins its life.
 func New(set brain.Settings, seed uint64, clock Clock) (*Core, error) {
 	c := &Core{clock: clock, byID: map[brain.RequestID]*req{}, members: map[brain.WorkerID]*Member{},
-		byName: map[string]brain.WorkerID{}, out: map[string]Exclusion{}, warm: set.ColdTime,
+		byName: map[string]brain.WorkerID{}, out: map[string]Exclusion{}, set: set,
 		Log: func(string) {}}
 	bal, err := brain.New(set, seed, actions{c})
 	if err != nil {
@@ -201,7 +213,7 @@
 
 // Take accepts a job; its one answer goes to asker, perhaps before Take returns.
 func (c *Core) Take(job Job, asker Asker) ReqID {
-	r := &req{job: job, asker: asker}
+	r := &req{job: job, asker: asker, arrived: c.clock.Now()}
 	r.h = c.reqs.Put(r)
 	for r.id = c.nextID + 1; r.id == 0 || r.id == math.MaxUint32 || c.byID[r.id] != nil; r.id++ {
 	} // the last number is the sweep's timer
@@ -228,6 +240,7 @@
 		}
 		c.counts.Gone++
 		c.settle(r)
+		c.observe(r, Left, NoReason, 0, -1)
 		c.bal.OnGone(c.clock.Now(), r.id)
 		c.forget(r)
 	})
@@ -239,13 +252,13 @@
 		return
 	}
 	c.counts.Overdue++
-	c.answer(r, Answer{Verdict: Failed})
+	c.answer(r, Answer{Verdict: Failed}, Overdue, -1)
 	c.bal.OnGone(c.clock.Now(), r.id)
 	c.forget(r)
 }
 
-// answer gives the one final answer.
-func (c *Core) answer(r *req, a Answer) {
+// answer gives the one final answer; won is the attempt that served it.
+func (c *Core) answer(r *req, a Answer, why Reason, won int) {
 	invariant.Check(!r.answered, "a req is answered once")
 	if r.answered {
 		return
@@ -260,6 +273,11 @@
 	}
 	c.settle(r)
 	r.asker.Answer(a)
+	v := a.Verdict
+	if by, ok := r.asker.(Returner); ok && v == Refused && by.Returned() {
+		v = Returned
+	}
+	c.observe(r, v, why, a.Wait, won)
 }
 
 func (c *Core) settle(r *req) {
@@ -284,6 +302,7 @@
 	case f.member.State != brain.Ready:
 		return brain.ConnectFailed, false
 	}
+	f.member.started = c.clock.Now()
 	return brain.OK, true
 }
 
@@ -304,7 +323,12 @@
 }
 
 // Started tells that a fetch's job has begun.
-func (c *Core) Started(id FetchID) { c.note(id, brain.Note{Started: true}) }
+func (c *Core) Started(id FetchID) {
+	if f, ok := c.fetches.Get(slots.Handle(id)); ok && f.started == 0 {
+		f.started = c.clock.Now()
+	}
+	c.note(id, brain.Note{Started: true})
+}
 
 // Progress tells the share of a fetch's job that is done.
 func (c *Core) Progress(id FetchID, share float64) { c.note(id, brain.Note{Share: share}) }
@@ -330,19 +354,27 @@
 // end turns the end of a fetch into the Balancer's one Outcome for the Send.
 func (c *Core) end(f *fetch, e End) {
 	invariant.Check(!f.over, "a fetch ends once")
-	f.over = true
+	f.over, f.ended, f.result = true, c.clock.Now(), e.Result
 	f.deadline.Stop()
 	c.fetches.Drop(f.h)
 	r := f.r
 	r.live--
 	switch {
 	case e.Result == brain.OK && !r.answered:
-		c.answer(r, Answer{Verdict: Served, Body: e.Body})
+		c.answer(r, Answer{Verdict: Served, Body: e.Body}, NoReason, f.attempt)
 	case e.Unusable: // no blame for the backend; a second one that says so settles it, and the client is told
 		e.Result = brain.Cancelled
+		f.result = e.Result
 		if r.unusable++; r.unusable > 1 && !r.answered {
 			c.counts.Unusable++
-			c.answer(r, Answer{Verdict: Failed})
+			c.answer(r, Answer{Verdict: Failed}, Unusable, -1)
+		}
+	}
+	if c.Observer != nil {
+		t := f.try()
+		c.Observer.Tried(&t)
+		if len(e.Report) > 0 {
+			c.Observer.Reported(t.Worker, f.ended, e.Report, false)
 		}
 	}
 	c.counts.Results[e.Result]++
@@ -355,8 +387,15 @@
 func (c *Core) List(kind brain.ListKind, members []Member) {
 	c.do(func() {
 		if kind == brain.ListFull || kind == brain.ListCached {
-			for _, m := range c.members {
-				m.State, m.told.State = brain.Gone, brain.Gone
+			named := make(map[brain.WorkerID]bool, len(members))
+			for i := range members {
+				named[members[i].ID] = true
+			}
+			for id, m := range c.members {
+				m.told.State = brain.Gone
+				if !named[id] {
+					c.become(m, brain.Gone)
+				}
 			}
 		}
 		workers := make([]brain.Worker, 0, len(members))
@@ -366,16 +405,34 @@
 				m = &Member{}
 				c.members[members[i].ID] = m
 			}
+			was := m.State
+			members[i].book = m.book
 			*m = members[i]
 			m.told = m.Worker
 			c.overlay(m)
+			now := m.State
+			m.State = was
+			c.become(m, now)
 			workers = append(workers, m.Worker)
 		}
+		c.count()
+		if c.Observer != nil {
+			c.Observer.Listed(kind, members)
+		}
 		c.bal.OnList(c.clock.Now(), kind, workers)
 		c.prune()
 	})
 }
 
+// become changes a member's state as the decisions see it.
+func (c *Core) become(m *Member, state brain.WorkerState) {
+	was := m.State
+	m.State = state
+	if was == brain.Ready && state != brain.Ready {
+		c.drained(m)
+	}
+}
+
 // manyGone is how many members that left may be kept before all of them are forgotten.
 const manyGone = 64
 
@@ -410,7 +467,7 @@
 	if r == nil {
 		return
 	}
-	f := &fetch{r: r, attempt: len(r.fetches), member: m, ends: r.job.Deadline}
+	f := &fetch{r: r, attempt: len(r.fetches), member: m, ends: r.job.Deadline, sent: c.clock.Now(), copy: r.live > 0}
 	if timeout > 0 {
 		f.ends = math.Min(f.ends, c.clock.Now()+timeout)
 	}
@@ -477,7 +534,7 @@
 
 func (c *Core) final(id brain.RequestID, answer Answer) {
 	if r := c.byID[id]; r != nil && !r.answered {
-		c.answer(r, answer)
+		c.answer(r, answer, c.why(r), -1)
 		c.do(func() { c.forget(r) })
 	}
 }
@@ -491,7 +548,12 @@
 	}
 	c.counts.Probes++
 	m.Backend.Probe(func(result brain.Result, report []float32) {
-		c.do(func() { c.bal.OnProbed(c.clock.Now(), worker, result, report) })
+		c.do(func() {
+			if c.Observer != nil && len(report) > 0 {
+				c.Observer.Reported(worker, c.clock.Now(), report, true)
+			}
+			c.bal.OnProbed(c.clock.Now(), worker, result, report)
+		})
 	})
 }
 
--- /dev/null
+++ b/internal/spool/spool.go
@@ -0,0 +1,379 @@
+// Package spool keeps the closed periods of package telemetry on disk, so that they outlive the process. It owns a
+// goroutine, since a disk may stall: what that has not written yet waits in a bounded queue, and what does not fit is
+// counted and lost, never waited for.
+//
+// A spool is some files in a folder, NAME.1, NAME.2 and so on. Each begins with the eight bytes CRSPOOL1; records
+// follow, each the length of its body (4 bytes, big-endian), its kind (1 byte), its body, and the xxHash64 of kind and
+// body (8 bytes, big-endian). A file can be read alone: it begins with the names of the series and who holds which slot.
+package spool
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync/atomic"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cinderroad/internal/telemetry"
+)
+
+const (
+	magic    = "CRSPOOL1"
+	overhead = 4 + 1 + 8
+	mostBody = 64 << 20
+	files    = 4   // the bound of all files is spread over so many: the oldest goes whole
+	queued   = 256 // records that may wait for the disk
+)
+
+// The kinds of record.
+const (
+	kindNames  = 'N' // names of series: the number of the first, and the names in order
+	kindPeriod = 'P' // a period
+	kindSlots  = 'S' // who holds which slot
+	kindGot    = 'A' // up to which stamp each receiver has the periods
+)
+
+type names struct {
+	From   int                `json:"from"`
+	Series []telemetry.Series `json:"series"`
+}
+
+// Found is what the lives before this one have left.
+type Found struct {
+	Periods []*telemetry.Period // the oldest first, as many as there is room for
+	Totals  map[string]float64  // as of the last of them
+	Held    []telemetry.Held
+	Got     map[string]int64 // by receiver: it has all up to this stamp
+	Torn    int              // files whose end made no sense
+	Strange int              // files that are no spool of this version, and were put aside
+}
+
+// Spool is open for writing. All methods but Failed and Lost belong to one goroutine.
+type Spool struct {
+	dir, name string
+	most      int64 // bytes of all files
+	queue     chan []record
+	done      chan struct{}
+	failed    atomic.Uint64
+	lost      atomic.Uint64
+	report    func(error)
+
+	table *telemetry.Table // of the file at hand
+	named int              // series whose names it has
+	slots []byte
+	gone  int64 // bytes given to the file at hand
+
+	// Of the writing goroutine.
+	file   *os.File
+	size   int64
+	number int
+}
+
+type record struct {
+	fresh bool // begins a file of its own
+	kind  byte
+	body  []byte
+}
+
+// Open reads what is in a folder and begins a file of its own. report hears, on a goroutine of its own, what goes wrong later.
+func Open(dir, name string, most int64, report func(error)) (*Spool, *Found, error) {
+	name = telemetry.Clean(name)
+	found, last, err := read(dir, name, most)
+	if err != nil {
+		return nil, nil, err
+	}
+	probe := filepath.Join(dir, name+".probe")
+	if err := os.WriteFile(probe, nil, 0o600); err != nil {
+		return nil, nil, fmt.Errorf("spool: %w", err)
+	}
+	_ = os.Remove(probe)
+	s := &Spool{dir: dir, name: name, most: most, queue: make(chan []record, queued), done: make(chan struct{}), report: report, number: last}
+	go s.run()
+	return s, found, nil
+}
+
+// Period adds a closed period, with whatever its file needs to be read alone.
+func (s *Spool) Period(p *telemetry.Period, held []telemetry.Held) {
+	var out []record
+	if s.table != p.Table || s.gone >= s.most/files {
+		s.table, s.named, s.slots, s.gone = p.Table, 0, nil, 0
+		out = append(out, record{fresh: true})
+	}
+	if n := p.Table.Len(); n > s.named {
+		body, err := json.Marshal(names{s.named, p.Table.From(s.named)})
+		if err != nil {
+			s.fail(err)
+			return
+		}
+		s.named = n
+		out = append(out, record{kind: kindNames, body: body})
+	}
+	if body, err := json.Marshal(held); err == nil && !bytes.Equal(body, s.slots) {
+		s.slots = body
+		out = append(out, record{kind: kindSlots, body: body})
+	}
+	body := binary.BigEndian.AppendUint64(nil, uint64(p.Stamp))
+	body = binary.BigEndian.AppendUint64(body, uint64(p.Every*1000))
+	out = append(out, record{kind: kindPeriod, body: append(body, p.Body...)})
+	if !s.give(out) { // the next one must not lean on names that are not there
+		s.table = nil
+	}
+}
+
+// Got notes up to which stamp receivers have the periods.
+func (s *Spool) Got(got map[string]int64) {
+	if body, err := json.Marshal(got); err == nil && s.table != nil {
+		s.give([]record{{kind: kindGot, body: body}})
+	}
+}
+
+func (s *Spool) give(out []record) bool {
+	for _, r := range out {
+		s.gone += int64(len(r.body) + overhead)
+	}
+	select {
+	case s.queue <- out:
+		return true
+	default:
+		s.lost.Add(1)
+		return false
+	}
+}
+
+// Failed is how often the disk refused, Lost how often it was too slow: each cost a period's place on disk, not the period.
+func (s *Spool) Failed() uint64 { return s.failed.Load() }
+
+// Lost is told of by Failed.
+func (s *Spool) Lost() uint64 { return s.lost.Load() }
+
+// Close writes what waits and closes the file.
+func (s *Spool) Close() {
+	close(s.queue)
+	<-s.done
+}
+
+func (s *Spool) fail(err error) {
+	s.failed.Add(1)
+	s.report(fmt.Errorf("spool: %w", err))
+}
+
+func (s *Spool) run() {
+	defer close(s.done)
+	broken := false // a record did not get to the disk: what follows in its file would lack it
+	for out := range s.queue {
+		if out[0].fresh {
+			broken = false
+			if err := s.begin(); err != nil {
+				s.fail(err)
+				broken = true
+				continue
+			}
+			out = out[1:]
+		}
+		if broken {
+			s.failed.Add(1)
+			continue
+		}
+		if err := s.write(out); err != nil {
+			s.fail(err)
+			broken = out[0].kind != kindPeriod && out[0].kind != kindGot
+		}
+	}
+	if s.file != nil {
+		s.file.Close()
+	}
+}
+
+// begin begins a file, and lets go of the oldest ones beyond the bound.
+func (s *Spool) begin() error {
+	if s.file != nil {
+		s.file.Close()
+		s.file = nil
+	}
+	all, err := list(s.dir, s.name)
+	if err != nil {
+		return err
+	}
+	total := int64(0)
+	for i := len(all) - 1; i >= 0; i-- {
+		if total += all[i].size; total > s.most-s.most/files {
+			_ = os.Remove(all[i].path)
+		}
+	}
+	s.number++
+	f, err := os.OpenFile(filepath.Join(s.dir, s.name+"."+strconv.Itoa(s.number)), os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+	if err != nil {
+		return err
+	}
+	if _, err := f.WriteString(magic); err != nil {
+		f.Close()
+		return err
+	}
+	s.file, s.size = f, int64(len(magic))
+	return nil
+}
+
+// write adds records, all or none of them.
+func (s *Spool) write(out []record) error {
+	if s.file == nil {
+		return errors.New("no file")
+	}
+	var b []byte
+	for _, r := range out {
+		b = appendRecord(b, r.kind, r.body)
+	}
+	_, err := s.file.WriteAt(b, s.size)
+	if err == nil {
+		s.size += int64(len(b))
+		return s.file.Sync()
+	}
+	_ = s.file.Truncate(s.size)
+	return err
+}
+
+func appendRecord(b []byte, kind byte, body []byte) []byte {
+	b = binary.BigEndian.AppendUint32(b, uint32(len(body)))
+	at := len(b)
+	b = append(append(b, kind), body...)
+	return binary.BigEndian.AppendUint64(b, xxhash.Sum64(b[at:]))
+}
+
+// parseRecord reads the first record of b; n is 0 where it is torn.
+func parseRecord(b []byte) (kind byte, body []byte, n int) {
+	if len(b) < overhead {
+		return 0, nil, 0
+	}
+	size := int(binary.BigEndian.Uint32(b))
+	if size > mostBody || len(b) < overhead+size {
+		return 0, nil, 0
+	}
+	if xxhash.Sum64(b[4:5+size]) != binary.BigEndian.Uint64(b[5+size:]) {
+		return 0, nil, 0
+	}
+	return b[4], b[5 : 5+size], overhead + size
+}
+
+type file struct {
+	path   string
+	number int
+	size   int64
+}
+
+// list finds the files of a spool, the oldest first.
+func list(dir, name string) (all []file, err error) {
+	entries, err := os.ReadDir(dir)
+	if err != nil {
+		return nil, fmt.Errorf("spool: %w", err)
+	}
+	for _, e := range entries {
+		rest, ok := strings.CutPrefix(e.Name(), name+".")
+		n, err := strconv.Atoi(rest)
+		if !ok || err != nil || n <= 0 || strconv.Itoa(n) != rest {
+			continue
+		}
+		info, err := e.Info()
+		if errors.Is(err, fs.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			return nil, fmt.Errorf("spool: %w", err)
+		}
+		all = append(all, file{filepath.Join(dir, e.Name()), n, info.Size()})
+	}
+	slices.SortFunc(all, func(x, y file) int { return cmp.Compare(x.number, y.number) })
+	return all, nil
+}
+
+// read reads a spool, as much of its end as the bound allows.
+func read(dir, name string, most int64) (f *Found, last int, err error) {
+	f = &Found{Totals: map[string]float64{}, Got: map[string]int64{}}
+	all, err := list(dir, name)
+	if err != nil {
+		return nil, 0, err
+	}
+	total := int64(0)
+	for i, file := range all {
+		last = file.number
+		if total += file.size; total > 2*most+mostBody {
+			break
+		}
+		text, err := os.ReadFile(file.path)
+		if err != nil {
+			return nil, 0, fmt.Errorf("spool: %w", err)
+		}
+		if !bytes.HasPrefix(text, []byte(magic)) {
+			if i == len(all)-1 && bytes.HasPrefix([]byte(magic), text) { // torn as it began
+				f.Torn++
+				continue
+			}
+			f.Strange++
+			if err := os.Rename(file.path, file.path+".strange"); err != nil {
+				return nil, 0, fmt.Errorf("spool: %w", err)
+			}
+			continue
+		}
+		if !f.take(text[len(magic):]) {
+			f.Torn++
+		}
+	}
+	for len(f.Periods) > 0 { // the totals are those of the last period that can be read
+		last := f.Periods[len(f.Periods)-1]
+		if f.Totals, err = last.Totals(); err == nil {
+			break
+		}
+		f.Periods = f.Periods[:len(f.Periods)-1]
+		f.Totals = map[string]float64{}
+	}
+	return f, last, nil
+}
+
+// take reads the records of a file; false when it ends in none.
+func (f *Found) take(b []byte) (whole bool) {
+	table := &telemetry.Table{}
+	for len(b) > 0 {
+		kind, body, n := parseRecord(b)
+		if n == 0 {
+			return false
+		}
+		b = b[n:]
+		switch kind {
+		case kindNames:
+			var v names
+			if json.Unmarshal(body, &v) != nil || v.From != table.Len() {
+				return false
+			}
+			table.Append(v.Series...)
+		case kindSlots:
+			var v []telemetry.Held
+			if json.Unmarshal(body, &v) != nil {
+				return false
+			}
+			f.Held = v
+		case kindGot:
+			var v map[string]int64
+			if json.Unmarshal(body, &v) != nil {
+				return false
+			}
+			for name, stamp := range v {
+				f.Got[name] = max(f.Got[name], stamp)
+			}
+		case kindPeriod:
+			if len(body) < 16 {
+				return false
+			}
+			f.Periods = append(f.Periods, &telemetry.Period{Stamp: int64(binary.BigEndian.Uint64(body)), Table: table,
+				Every: float64(binary.BigEndian.Uint64(body[8:])) / 1000, Body: bytes.Clone(body[16:])})
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/standin/collectd.go
@@ -0,0 +1,293 @@
+package standin
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/aes"
+	"crypto/cipher"
+	"crypto/hmac"
+	"crypto/sha1"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+)
+
+func floatOf(bits uint64) float64 { return math.Float64frombits(bits) }
+
+// Collectd is a stand-in for collectd's unixsock plug-in (collectd-unixsock(5)): PUTVAL lines, each of which is answered.
+type Collectd struct {
+	server
+}
+
+// NewCollectd starts one at a path.
+func NewCollectd(path string) (*Collectd, error) {
+	c := &Collectd{server: server{network: "unix", addr: path}}
+	c.serve = func(conn net.Conn) { c.lines(conn, c.reader(conn)) }
+	if err := c.start(); err != nil {
+		return nil, err
+	}
+	return c, nil
+}
+
+func (c *Collectd) lines(conn net.Conn, in *bufio.Reader) {
+	for {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			return
+		}
+		answer := "0 Success: 1 value has been dispatched.\n"
+		if p, err := parsePutval(line); err != nil {
+			c.wrong("%v", err)
+			answer = "-1 " + err.Error() + "\n"
+		} else {
+			c.add(p)
+		}
+		if _, err := conn.Write([]byte(answer)); err != nil {
+			return
+		}
+	}
+}
+
+func parsePutval(line string) (Point, error) {
+	bad := fmt.Errorf("line %q", strings.TrimSpace(line))
+	rest, ok := strings.CutPrefix(strings.TrimSpace(line), `PUTVAL "`)
+	id, rest, ok2 := strings.Cut(rest, `" interval=`)
+	interval, value, ok3 := strings.Cut(rest, " ")
+	stamp, value, ok4 := strings.Cut(value, ":")
+	if !ok || !ok2 || !ok3 || !ok4 || strings.Count(id, "/") != 2 {
+		return Point{}, bad
+	}
+	if _, err := strconv.ParseFloat(interval, 64); err != nil {
+		return Point{}, bad
+	}
+	at, err1 := strconv.ParseFloat(stamp, 64)
+	v, err2 := strconv.ParseFloat(value, 64)
+	if err1 != nil || err2 != nil {
+		return Point{}, bad
+	}
+	return Point{id, at, v}, nil
+}
+
+// The parts of the binary protocol (https://github.com/collectd/collectd/wiki/Binary-protocol).
+const (
+	partHost           = 0x0000
+	partTime           = 0x0001
+	partPlugin         = 0x0002
+	partPluginInstance = 0x0003
+	partType           = 0x0004
+	partTypeInstance   = 0x0005
+	partValues         = 0x0006
+	partInterval       = 0x0007
+	partTimeHR         = 0x0008
+	partIntervalHR     = 0x0009
+	partSign           = 0x0200
+	partEncrypt        = 0x0210
+)
+
+// Network is a stand-in for collectd's network plug-in as a server: UDP, with the securities none, sign and encrypt.
+type Network struct {
+	Store
+	security  string
+	passwords map[string]string
+
+	mu      sync.Mutex
+	socket  *net.UDPConn
+	addr    string
+	largest int
+	packets int
+}
+
+// NewNetwork starts one at an address. It takes packets of at least a security: a user's password is told by name.
+func NewNetwork(addr, security string, passwords map[string]string) (*Network, error) {
+	n := &Network{addr: addr, security: security, passwords: passwords}
+	return n, n.Back()
+}
+
+// Back listens, again at the same address.
+func (n *Network) Back() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	addr, err := net.ResolveUDPAddr("udp", n.addr)
+	if err != nil {
+		return fmt.Errorf("standin: %w", err)
+	}
+	if n.socket, err = net.ListenUDP("udp", addr); err != nil {
+		return fmt.Errorf("standin: %w", err)
+	}
+	_ = n.socket.SetReadBuffer(4 << 20)
+	n.addr = n.socket.LocalAddr().String()
+	go n.serve(n.socket)
+	return nil
+}
+
+// Away listens no more until Back: the system refuses what comes.
+func (n *Network) Away() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.socket.Close()
+}
+
+// Addr is where it listens.
+func (n *Network) Addr() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.addr
+}
+
+// Packets is how many packets came, and the size of the largest.
+func (n *Network) Packets() (count, largest int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.packets, n.largest
+}
+
+func (n *Network) serve(socket *net.UDPConn) {
+	b := make([]byte, 65536)
+	for {
+		size, _, err := socket.ReadFromUDP(b)
+		if err != nil {
+			return
+		}
+		n.mu.Lock()
+		n.packets++
+		n.largest = max(n.largest, size)
+		n.mu.Unlock()
+		points, err := Decode(b[:size], n.security, n.passwords)
+		if err != nil {
+			n.wrong("%v", err)
+			continue
+		}
+		for _, p := range points {
+			n.add(p)
+		}
+	}
+}
+
+var (
+	errShort    = errors.New("standin: packet cut short")
+	errSecurity = errors.New("standin: packet is not protected as it must be")
+	errKey      = errors.New("standin: wrong user or password")
+)
+
+// Decode reads a packet that must have at least a security: none, sign or encrypt. What was unprotected is not taken where
+// it must be.
+func Decode(b []byte, security string, passwords map[string]string) ([]Point, error) {
+	return decode(b, map[string]int{"none": 0, "sign": 1, "encrypt": 2}[security], 0, passwords)
+}
+
+func decode(b []byte, want, have int, passwords map[string]string) (points []Point, err error) {
+	var host, plugin, pluginInstance, kind, instance string
+	at := 0.0
+	for len(b) > 0 {
+		if len(b) < 4 {
+			return points, errShort
+		}
+		part, size := binary.BigEndian.Uint16(b), int(binary.BigEndian.Uint16(b[2:]))
+		if size < 4 || size > len(b) {
+			return points, errShort
+		}
+		body := b[4:size]
+		b = b[size:]
+		if have < want && part != partSign && part != partEncrypt {
+			return points, errSecurity
+		}
+		switch part {
+		case partHost, partPlugin, partPluginInstance, partType, partTypeInstance:
+			text, ok := bytes.CutSuffix(body, []byte{0})
+			if !ok {
+				return points, errShort
+			}
+			*map[uint16]*string{partHost: &host, partPlugin: &plugin, partPluginInstance: &pluginInstance, partType: &kind,
+				partTypeInstance: &instance}[part] = string(text)
+		case partTime, partTimeHR, partInterval, partIntervalHR:
+			if len(body) != 8 {
+				return points, errShort
+			}
+			v := float64(binary.BigEndian.Uint64(body))
+			if part == partTimeHR {
+				v /= 1 << 30
+			}
+			if part == partTime || part == partTimeHR {
+				at = v
+			}
+		case partValues:
+			values, err := decodeValues(body)
+			if err != nil {
+				return points, err
+			}
+			name := host + "/" + plugin
+			if pluginInstance != "" {
+				name += "-" + pluginInstance
+			}
+			for _, v := range values {
+				points = append(points, Point{name + "/" + kind + "-" + instance, at, v})
+			}
+		case partSign:
+			if len(body) < 32 {
+				return points, errShort
+			}
+			password, known := passwords[string(body[32:])]
+			mac := hmac.New(sha256.New, []byte(password))
+			mac.Write(body[32:])
+			mac.Write(b)
+			if !known || !hmac.Equal(mac.Sum(nil), body[:32]) {
+				return points, errKey
+			}
+			more, err := decode(b, want, max(have, 1), passwords)
+			return append(points, more...), err
+		case partEncrypt:
+			if len(body) < 2 || len(body) < 2+int(binary.BigEndian.Uint16(body))+16+20 {
+				return points, errShort
+			}
+			n := int(binary.BigEndian.Uint16(body))
+			password, known := passwords[string(body[2:2+n])]
+			key := sha256.Sum256([]byte(password))
+			block, err := aes.NewCipher(key[:])
+			if err != nil {
+				return points, err
+			}
+			plain := make([]byte, len(body)-2-n-16)
+			cipher.NewOFB(block, body[2+n:2+n+16]).XORKeyStream(plain, body[2+n+16:])
+			if sum := sha1.Sum(plain[20:]); !known || !bytes.Equal(sum[:], plain[:20]) {
+				return points, errKey
+			}
+			more, err := decode(plain[20:], want, 2, passwords)
+			if points = append(points, more...); err != nil {
+				return points, err
+			}
+		default: // parts that are not known are passed over
+		}
+	}
+	return points, nil
+}
+
+func decodeValues(body []byte) (values []float64, err error) {
+	if len(body) < 2 {
+		return nil, errShort
+	}
+	n := int(binary.BigEndian.Uint16(body))
+	if len(body) != 2+9*n {
+		return nil, errShort
+	}
+	kinds, numbers := body[2:2+n], body[2+n:]
+	for i, kind := range kinds {
+		v := numbers[8*i : 8*i+8]
+		switch kind {
+		case 0, 3: // COUNTER, ABSOLUTE
+			values = append(values, float64(binary.BigEndian.Uint64(v)))
+		case 1: // GAUGE, which alone is little-endian
+			values = append(values, floatOf(binary.LittleEndian.Uint64(v)))
+		case 2: // DERIVE
+			values = append(values, float64(int64(binary.BigEndian.Uint64(v))))
+		default:
+			return nil, fmt.Errorf("standin: value of kind %d", kind)
+		}
+	}
+	return values, nil
+}
--- /dev/null
+++ b/internal/telemetry/classes.go
@@ -0,0 +1,215 @@
+package telemetry
+
+import (
+	"cinderroad/brain"
+	"cinderroad/internal/routing"
+)
+
+// ResultNames are the ends of attempts as the figures name them.
+var ResultNames = [brain.Moot + 1]string{brain.OK: "ok", brain.Error: "error", brain.Full: "full", brain.Timeout: "timeout",
+	brain.ConnectFailed: "connect_failed", brain.Reset: "reset", brain.Cancelled: "cancelled", brain.Moot: "moot"}
+
+// Verdict is the end of a job as the figures and the request log tell it.
+type Verdict uint8
+
+// The verdicts. Every job has one of them, once; one that Returned comes again.
+const (
+	InTime Verdict = iota
+	Late
+	Refused
+	Failed
+	Gone
+	Returned
+	Verdicts // how many there are
+)
+
+var verdictNames = [Verdicts]string{"in_time", "late", "refused", "failed", "gone", "returned"}
+
+var verdictHelp = [Verdicts]string{"Jobs served within the class's objective, with its stretch for the hinted work.",
+	"Jobs served after that.", "Jobs refused: they did not run, a repeat is harmless.", "Jobs failed: nothing is promised.",
+	"Jobs whose client had left before an answer.",
+	"Refusals of background jobs that were told to nobody: the job comes again by itself."}
+
+// String is the verdict's name.
+func (v Verdict) String() string { return verdictNames[v] }
+
+// ParseVerdict reads a verdict's name.
+func ParseVerdict(name string) (Verdict, bool) {
+	for v, n := range verdictNames {
+		if n == name {
+			return Verdict(v), true
+		}
+	}
+	return 0, false
+}
+
+// VerdictOf is the verdict of a final answer.
+func VerdictOf(f *routing.Final) Verdict {
+	switch f.Verdict {
+	case routing.Served:
+		if f.Late() {
+			return Late
+		}
+		return InTime
+	case routing.Refused:
+		return Refused
+	case routing.Left:
+		return Gone
+	case routing.Returned:
+		return Returned
+	}
+	return Failed
+}
+
+// AnswersName is the series that counts a class's answers of a verdict; class is as ClassNames gives it.
+func AnswersName(class string, v Verdict) string {
+	return "classes." + class + ".answers." + v.String()
+}
+
+// unknownClass stands for the class of jobs that name none that is known.
+const unknownClass = "unknown"
+
+// ClassNames are the names of classes within series; the last one is of jobs whose class nobody knows.
+func ClassNames(classes []string) []string {
+	return CleanAll(append(classes[:len(classes):len(classes)], unknownClass))
+}
+
+// class is the series of a class, by the numbers of the first ones.
+type class struct {
+	name                string
+	answers             int // by verdict
+	refused, failed     int // by reason
+	sent                int // first, repeats, copies, copies_won
+	ends                int // by result
+	latency, start      latency
+	firsts, copies, won int
+}
+
+func (s *Set) addClasses() {
+	for _, name := range ClassNames(s.options.Classes) {
+		c := class{name: name}
+		prefix := "classes." + name + "."
+		add := func(path string, d Doc) int {
+			d.Pattern = "classes.<class>." + path
+			s.describe(d)
+			return s.add(prefix+path, d.Kind)
+		}
+		first := func(i *int, at, n int) {
+			if n == 0 {
+				*i = at
+			}
+		}
+		for v := range Verdicts {
+			first(&c.answers, add("answers."+v.String(), Doc{Unit: "jobs", Help: verdictHelp[v]}), int(v))
+		}
+		for r := range routing.Reasons {
+			first(&c.refused, add("refused."+reasonName(r), Doc{Unit: "jobs", Help: "Jobs refused or returned because: " + reasonHelp[r] + "."}), int(r))
+		}
+		for r := range routing.Reasons {
+			first(&c.failed, add("failed."+reasonName(r), Doc{Unit: "jobs", Help: "Jobs failed because: " + reasonHelp[r] + "."}), int(r))
+		}
+		for i, d := range []Doc{{Pattern: "first", Help: "First attempts that have ended."},
+			{Pattern: "repeats", Help: "Attempts made after another had ended, that have ended themselves."},
+			{Pattern: "copies", Help: "Attempts made while another was out, that have ended."},
+			{Pattern: "copies_won", Help: "Copies that served their job."}} {
+			first(&c.sent, add("fetches."+d.Pattern, Doc{Unit: "attempts", Help: d.Help}), i)
+		}
+		for r, name := range ResultNames {
+			first(&c.ends, add("fetches.end_"+name, Doc{Unit: "attempts", Help: "Attempts that ended as " + name + "."}), r)
+		}
+		for _, l := range []struct {
+			to         *latency
+			name, help string
+		}{{&c.latency, "latency", "From a job's arrival to its answer, of those served in the period"},
+			{&c.start, "start_wait", "From a job's arrival to its start, of those served in the period whose start was told"}} {
+			for i, q := range quantiles {
+				at := add(l.name+"."+q.name+"_ms", Doc{Kind: Gauge, Unit: "ms", Help: l.help + ": " + q.name + ". None without answers."})
+				if i == 0 {
+					*l.to = *newLatency(at)
+				}
+			}
+		}
+		s.classes = append(s.classes, c)
+	}
+}
+
+// reasonName names a reason in a series; one that was not worked out is "other".
+func reasonName(r routing.Reason) string {
+	if r == routing.NoReason {
+		return "other"
+	}
+	return r.String()
+}
+
+var reasonHelp = [routing.Reasons]string{"no reason was worked out", "the list holds nobody who is ready",
+	"everybody is too full for it to start in time", "the last attempt was turned away", "the last attempt found nobody",
+	"the last attempt was called off before its first byte", "its time was over", "the last attempt failed at the backend",
+	"the last attempt's connection broke", "the last attempt was never answered", "the last attempt was cancelled",
+	"backends could do nothing with it", "nobody knows its class", "the decisions had forgotten it", "the front is evacuated",
+	"there was no memory for its body"}
+
+func (s *Set) class(i int) *class {
+	if i < 0 || i >= len(s.classes)-1 {
+		i = len(s.classes) - 1
+	}
+	return &s.classes[i]
+}
+
+// Answered implements routing.Observer.
+func (s *Set) Answered(f *routing.Final) {
+	c, v := s.class(f.Class), VerdictOf(f)
+	s.values[c.answers+int(v)]++
+	switch v {
+	case Refused, Returned:
+		s.values[c.refused+int(f.Reason)]++
+	case Failed:
+		s.values[c.failed+int(f.Reason)]++
+	case InTime, Late:
+		c.latency.record(f.Answered - f.Arrived)
+		if f.Started > 0 {
+			c.start.record(f.Started - f.Arrived)
+		}
+		if f.Won >= 0 && f.Won < len(f.Tries) && f.Tries[f.Won].Copy {
+			s.values[c.sent+3]++
+		}
+	}
+}
+
+// Tried implements routing.Observer.
+func (s *Set) Tried(t *routing.Try) {
+	c := s.class(t.Class)
+	switch {
+	case t.Attempt == 0:
+		s.values[c.sent]++
+	case t.Copy:
+		s.values[c.sent+2]++
+	default:
+		s.values[c.sent+1]++
+	}
+	s.values[c.ends+int(t.Result)]++
+	s.nodes.tried(s, t)
+}
+
+func (s *Set) addDrains() {
+	add := func(d Doc) int {
+		s.describe(d)
+		return s.add(d.Pattern, d.Kind)
+	}
+	s.drains.told = add(Doc{"drains.told", Counter, "drains", "Members that were ready and then no longer, by the list or by hand."})
+	s.drains.honoured = add(Doc{"drains.honoured", Counter, "drains", "Drains after which no job started later than 300 ms."})
+	s.drains.broken = add(Doc{"drains.broken", Counter, "drains", "Drains after which one did: must stay 0."})
+	s.drains.margin = add(Doc{"drains.margin_least_ms", Gauge, "ms", "What the drains that ended in the period had left of the 300 ms when the last job started, at least. None without a drain."})
+}
+
+// Drained implements routing.Observer.
+func (s *Set) Drained(_ brain.WorkerID, margin float64) {
+	s.values[s.drains.told]++
+	if margin >= 0 {
+		s.values[s.drains.honoured]++
+	} else {
+		s.values[s.drains.broken]++
+	}
+	if ms := margin * 1000; !(s.margin <= ms) {
+		s.margin = ms
+	}
+}
--- /dev/null
+++ b/internal/telemetry/nodes.go
@@ -0,0 +1,308 @@
+package telemetry
+
+import (
+	"fmt"
+	"math"
+
+	"cinderroad/brain"
+	"cinderroad/internal/routing"
+)
+
+// The figures of a node, in the order of their numbers from its first one on.
+const (
+	nodeEnded = iota
+	nodeOK
+	nodeState
+	nodeInFlight
+	nodeUtil
+	nodeReportAge
+	nodeProbed
+	nodeProbeAge
+	nodeOwn
+	nodeCeiling
+	nodeUtilCeil
+	nodeRoom
+	nodePace
+	nodeErrors
+	nodeShunned
+	nodeWarmth
+	nodeColdSent
+	nodeFigures
+)
+
+var nodeDocs = [nodeFigures]Doc{
+	nodeEnded:     {"ended", Counter, "attempts", "Attempts at the node that have ended."},
+	nodeOK:        {"ok", Counter, "attempts", "Those of them that ended well."},
+	nodeState:     {"state", Gauge, "", "1 ready, 2 draining. None while nobody holds the slot."},
+	nodeInFlight:  {"reported_in_flight", Gauge, "jobs", "Jobs the node held by its last report."},
+	nodeUtil:      {"reported_utilization", Gauge, "share", "Share of its cores that was busy by its last report."},
+	nodeReportAge: {"report_age_s", Gauge, "s", "Age of the last report that came with an answer."},
+	nodeProbed:    {"probed_in_flight", Gauge, "jobs", "Jobs the node held by its last probe."},
+	nodeProbeAge:  {"probe_age_s", Gauge, "s", "Age of the last probe."},
+	nodeOwn:       {"own_slots", Gauge, "slots", "Slots that this dispatcher's own jobs take there."},
+	nodeCeiling:   {"ceiling", Gauge, "slots", "Load that the decisions think it bears; 0 is not learnt yet."},
+	nodeUtilCeil:  {"utilization_ceiling", Gauge, "share", "Utilization above which it gets work only if all others are full."},
+	nodeRoom:      {"room", Gauge, "slots", "Spare room as the decisions hold it; below 0 it is over its ceiling."},
+	nodePace:      {"pace", Gauge, "", "Running time for an amount of work: a standard core has 1, a slow one more."},
+	nodeErrors:    {"errors", Gauge, "share", "Running share of attempts that failed."},
+	nodeShunned:   {"set_aside", Gauge, "", "1 while it is set aside for its errors."},
+	nodeWarmth:    {"warmth", Gauge, "share", "Share of its capacity that it is sure to have since its start."},
+	nodeColdSent:  {"cold_budget_used_s", Gauge, "s", "Work sent to it within the fall time: what a cold node's budget is spent on."},
+}
+
+// nodes are the series of the nodes listed.
+type nodes struct {
+	zones, kinds []string
+	handout      *handout
+	slots        map[placement]*slot
+	order        []*slot // by the numbers of their series
+	byWorker     map[brain.WorkerID]*slot
+	fields       struct{ inFlight, util int } // places in a report; -1 is not there
+	unplaced     int                          // number of the series of attempts at nodes without a slot
+	without      int
+}
+
+// slot is a place that nodes hold in turn.
+type slot struct {
+	name   string // as series have it
+	first  int    // number of its first series
+	node   string
+	worker brain.WorkerID
+	state  brain.WorkerState
+
+	reportAt, probedAt     float64 // 0: none since it is held
+	inFlight, util, probed float64
+}
+
+func (s *Set) addNodes() {
+	n := &s.nodes
+	n.zones, n.kinds = CleanAll(s.options.Zones), CleanAll(s.options.Kinds)
+	n.handout, n.slots, n.byWorker = newHandout(), map[placement]*slot{}, map[brain.WorkerID]*slot{}
+	n.fields.inFlight, n.fields.util = -1, -1
+	for i, f := range s.options.Settings.Report {
+		switch f {
+		case brain.FieldInFlight:
+			n.fields.inFlight = i
+		case brain.FieldUtilization:
+			n.fields.util = i
+		}
+	}
+	for _, d := range nodeDocs {
+		d.Pattern = "nodes.<zone>.<kind>.<cell>.<slot>." + d.Pattern
+		s.describe(d)
+	}
+	for _, d := range []struct {
+		to *int
+		d  Doc
+	}{{&n.unplaced, Doc{"nodes_unplaced.ended", Counter, "attempts", "Attempts that ended at a node which holds no slot: it has left, and another has its slot, or there were too many."}},
+		{&n.without, Doc{"nodes_unplaced.nodes", Gauge, "nodes", "Listed nodes without series, since there are too many."}}} {
+		s.describe(d.d)
+		*d.to = s.add(d.d.Pattern, d.d.Kind)
+	}
+}
+
+func (n *nodes) spotName(p spot) string {
+	return fmt.Sprintf("%s.%s.%d", number(p.zone, n.zones, "none"), number(p.kind, n.kinds, "none"), p.cell)
+}
+
+// Listed implements routing.Observer. Those who leave free their slots before those who come take some.
+func (s *Set) Listed(kind brain.ListKind, members []routing.Member) {
+	n := &s.nodes
+	if s.options.Nodes == 0 {
+		return
+	}
+	if kind == brain.ListFull || kind == brain.ListCached {
+		named := map[string]bool{}
+		for i := range members {
+			named[members[i].Name] = true
+		}
+		for node := range n.handout.at {
+			if !named[node] {
+				n.leave(node)
+			}
+		}
+	}
+	entering := map[string]spot{}
+	for i := range members {
+		m := &members[i]
+		at := spot{m.Zone, m.Kind, m.Cell}
+		if p, in := n.handout.at[m.Name]; in && (m.State == brain.Gone || p.spot != at) {
+			n.leave(m.Name)
+		}
+		if m.State != brain.Gone {
+			entering[m.Name] = at
+		}
+	}
+	room := s.options.Nodes - len(n.handout.at)
+	for i := range members { // in the list's order, so that each dispatcher leaves out the same
+		m := &members[i]
+		if _, in := n.handout.at[m.Name]; !in && m.State != brain.Gone {
+			if room--; room < 0 {
+				delete(entering, m.Name)
+			}
+		}
+	}
+	s.values[n.without] = float64(max(0, -room))
+	n.handout.enter(entering)
+	for i := range members {
+		if m := &members[i]; m.State != brain.Gone {
+			if p, in := n.handout.at[m.Name]; in {
+				s.hold(p, m)
+			}
+		}
+	}
+}
+
+// leave has a node let go of its slot. What is still out at it is counted there until somebody else has it.
+func (n *nodes) leave(node string) {
+	if sl := n.slots[n.handout.at[node]]; sl != nil && sl.node == node {
+		sl.state = brain.Gone
+	}
+	n.handout.leave(node)
+}
+
+// hold puts a node into its slot.
+func (s *Set) hold(p placement, m *routing.Member) {
+	n := &s.nodes
+	sl := n.slots[p]
+	if sl == nil {
+		sl = &slot{name: fmt.Sprintf("%s.%d", n.spotName(p.spot), p.slot)}
+		for i, d := range nodeDocs {
+			at := s.add("nodes."+sl.name+"."+d.Pattern, d.Kind)
+			if i == 0 {
+				sl.first = at
+			}
+		}
+		n.slots[p] = sl
+		n.order = append(n.order, sl)
+	}
+	if sl.node != m.Name || sl.worker != m.ID {
+		if n.byWorker[sl.worker] == sl {
+			delete(n.byWorker, sl.worker)
+		}
+		if sl.node != "" {
+			s.options.Log(fmt.Sprintf("slot %s passes from node %s to %s", sl.name, sl.node, m.Name))
+		} else {
+			s.options.Log(fmt.Sprintf("slot %s is of node %s", sl.name, m.Name))
+		}
+		*sl = slot{name: sl.name, first: sl.first, node: m.Name, worker: m.ID}
+		n.byWorker[m.ID] = sl
+	}
+	sl.state = m.State
+}
+
+func (n *nodes) tried(s *Set, t *routing.Try) {
+	if s.options.Nodes == 0 {
+		return
+	}
+	sl := n.byWorker[t.Worker]
+	if sl == nil || sl.node != t.Node {
+		s.values[n.unplaced]++
+		return
+	}
+	s.values[sl.first+nodeEnded]++
+	if t.Result == brain.OK {
+		s.values[sl.first+nodeOK]++
+	}
+}
+
+// Slot is the slot that a worker's node holds, as series have it; empty for none.
+func (s *Set) Slot(worker brain.WorkerID) string {
+	if sl := s.nodes.byWorker[worker]; sl != nil {
+		return sl.name
+	}
+	return ""
+}
+
+// Reported implements routing.Observer.
+func (s *Set) Reported(worker brain.WorkerID, at float64, report []float32, probed bool) {
+	n := &s.nodes
+	sl := n.byWorker[worker]
+	if sl == nil {
+		return
+	}
+	value := func(i int) float64 {
+		if i < 0 || i >= len(report) || report[i] < 0 {
+			return absent
+		}
+		return float64(report[i])
+	}
+	if probed {
+		sl.probedAt, sl.probed = at, value(n.fields.inFlight)
+	} else {
+		sl.reportAt, sl.inFlight, sl.util = at, value(n.fields.inFlight), value(n.fields.util)
+	}
+}
+
+// close writes the gauges of all slots.
+func (n *nodes) close(s *Set) {
+	now := absent
+	if s.options.Now != nil {
+		now = s.options.Now()
+	}
+	for _, sl := range n.order {
+		v := s.values[sl.first : sl.first+nodeFigures]
+		for i := nodeState; i < nodeFigures; i++ {
+			v[i] = absent
+		}
+		if sl.state == brain.Gone {
+			continue
+		}
+		v[nodeState] = float64(sl.state)
+		if sl.reportAt > 0 {
+			v[nodeInFlight], v[nodeUtil], v[nodeReportAge] = sl.inFlight, sl.util, math.Max(0, now-sl.reportAt)
+		}
+		if sl.probedAt > 0 {
+			v[nodeProbed], v[nodeProbeAge] = sl.probed, math.Max(0, now-sl.probedAt)
+		}
+		if s.options.Standing == nil {
+			continue
+		}
+		st, ok := s.options.Standing(sl.worker)
+		if !ok {
+			continue
+		}
+		v[nodeOwn], v[nodeCeiling], v[nodeUtilCeil], v[nodeRoom] = st.Own, st.Ceiling, st.UtilCeil, st.Room
+		v[nodePace], v[nodeErrors], v[nodeWarmth], v[nodeColdSent] = st.Pace, st.Errors, st.Warmth, st.ColdSent
+		if v[nodeShunned] = 0; st.Shunned {
+			v[nodeShunned] = 1
+		}
+	}
+}
+
+// Held tells who holds which slot, for the life that comes after.
+func (s *Set) Held() (held []Held) {
+	n := &s.nodes
+	for _, sl := range n.order {
+		for node, p := range map[string]placement{sl.node: n.handout.at[sl.node]} {
+			if sl.state != brain.Gone && n.slots[p] == sl {
+				held = append(held, Held{n.spotName(p.spot), p.slot, node})
+			}
+		}
+	}
+	return held
+}
+
+// Remember gives nodes the slots back that an earlier life gave them, once they are listed.
+func (s *Set) Remember(held []Held) {
+	n := &s.nodes
+	if s.options.Nodes == 0 {
+		return
+	}
+	spots := map[string]spot{}
+	for z := -1; z < len(n.zones); z++ {
+		for k := -1; k < len(n.kinds); k++ {
+			spots[fmt.Sprintf("%s.%s", number(z, n.zones, "none"), number(k, n.kinds, "none"))] = spot{zone: z, kind: k}
+		}
+	}
+	for _, h := range held {
+		for prefix, at := range spots {
+			if len(h.Spot) <= len(prefix)+1 || h.Spot[:len(prefix)+1] != prefix+"." {
+				continue
+			}
+			if _, err := fmt.Sscanf(h.Spot[len(prefix)+1:], "%d", &at.cell); err == nil && h.Node != "" && h.Slot >= 0 && h.Slot < s.options.Nodes {
+				n.handout.remember(h.Node, at, h.Slot)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/telemetry/set.go
@@ -0,0 +1,193 @@
+package telemetry
+
+import (
+	"maps"
+	"math"
+	"slices"
+
+	"cinderroad/brain"
+)
+
+// Options say what a Set tells of.
+type Options struct {
+	Settings brain.Settings
+	Classes  []string // names by the settings' numbers, as are the next two
+	Zones    []string
+	Kinds    []string
+	Nodes    int // nodes that have series of their own at one time, at most; 0 is none
+	// Standing tells what the decisions hold of a worker, for the series of its node; nil is nothing.
+	Standing func(worker brain.WorkerID) (brain.Standing, bool)
+	Now      func() float64 // the core's clock, for the age of reports; nil leaves ages out
+	Log      func(line string)
+}
+
+// Set is the figures of one dispatcher. It implements routing.Observer.
+type Set struct {
+	options Options
+	table   *Table
+	docs    []Doc
+	known   map[string]bool // patterns in docs
+	byName  map[string]int  // of counters
+	values  []float64
+	reads   []read
+	pending map[string]float64 // totals of an earlier life whose series has not come up yet
+	told    map[int]float64    // counters as of the last Delta
+
+	classes []class // the last one is for jobs of a class that nobody knows
+	drains  struct{ told, honoured, broken, margin int }
+	margin  float64 // the least of the period; absent without a drain
+	nodes   nodes
+}
+
+// read is a figure that is kept elsewhere.
+type read struct {
+	i    int
+	get  func() float64
+	base float64 // what lives before this one had counted
+}
+
+// New makes a Set.
+func New(o Options) *Set {
+	if o.Log == nil {
+		o.Log = func(string) {}
+	}
+	s := &Set{options: o, table: &Table{}, known: map[string]bool{}, byName: map[string]int{}, pending: map[string]float64{},
+		told: map[int]float64{}, margin: absent}
+	s.addClasses()
+	s.addDrains()
+	s.addNodes()
+	return s
+}
+
+// Table is the series so far.
+func (s *Set) Table() *Table { return s.table }
+
+// Docs are the patterns of all series that there are or can be, in the order in which they were added.
+func (s *Set) Docs() []Doc { return s.docs }
+
+func (s *Set) describe(d Doc) {
+	if !s.known[d.Pattern] {
+		s.known[d.Pattern] = true
+		s.docs = append(s.docs, d)
+	}
+}
+
+// add makes a series, of which an earlier life may have had the total.
+func (s *Set) add(name string, kind Kind) int {
+	i := s.table.Len()
+	s.table.Append(Series{Name: name, Kind: kind})
+	s.values = append(s.values, 0)
+	if kind == Counter {
+		s.byName[name] = i
+		s.values[i] = s.pending[name]
+		delete(s.pending, name)
+	} else {
+		s.values[i] = absent
+	}
+	return i
+}
+
+// Read adds a figure that is kept elsewhere and asked for at the end of each period; one that is not a number is left out.
+// A counter is asked for what was counted since the start of the process.
+func (s *Set) Read(d Doc, get func() float64) {
+	s.describe(d)
+	i := s.add(d.Pattern, d.Kind)
+	r := read{i: i, get: get}
+	if d.Kind == Counter {
+		r.base = s.values[i]
+	}
+	s.reads = append(s.reads, r)
+}
+
+// fresh asks for the figures that are kept elsewhere.
+func (s *Set) fresh() {
+	for _, r := range s.reads {
+		s.values[r.i] = r.base + r.get()
+	}
+}
+
+// Close ends a period and returns its values.
+func (s *Set) Close(stamp int64, every float64) *Period {
+	s.fresh()
+	for i := range s.classes {
+		s.classes[i].latency.close(s.values)
+		s.classes[i].start.close(s.values)
+	}
+	s.values[s.drains.margin] = s.margin
+	s.margin = absent
+	s.nodes.close(s)
+	return &Period{Stamp: stamp, Every: every, Table: s.table, Body: appendValues(make([]byte, 0, 2*len(s.values)), s.values)}
+}
+
+// Add goes on from totals of an earlier life, or adds what another process of this dispatcher has counted.
+func (s *Set) Add(totals map[string]float64) {
+	for _, name := range slices.Sorted(maps.Keys(totals)) {
+		v := totals[name]
+		if !(v >= 0) || math.IsInf(v, 0) {
+			continue
+		}
+		i, ok := s.byName[name]
+		if !ok {
+			s.pending[name] += v
+			continue
+		}
+		s.values[i] += v
+		for r := range s.reads {
+			if s.reads[r].i == i {
+				s.reads[r].base += v
+			}
+		}
+	}
+}
+
+// Totals are the counters by name.
+func (s *Set) Totals() map[string]float64 {
+	s.fresh()
+	totals := maps.Clone(s.pending)
+	for name, i := range s.byName {
+		if !math.IsNaN(s.values[i]) {
+			totals[name] = s.values[i]
+		}
+	}
+	return totals
+}
+
+// Spans are latencies by series, as pairs of microseconds and a count.
+type Spans map[string][][2]int64
+
+// Delta is what was counted and measured since the last Delta, or since the start. For one process to hand to another.
+func (s *Set) Delta() (counts map[string]float64, spans Spans) {
+	s.fresh()
+	counts, spans = map[string]float64{}, Spans{}
+	for name, i := range s.byName {
+		if v := s.values[i] - s.told[i]; v > 0 {
+			counts[name] = v
+			s.told[i] = s.values[i]
+		}
+	}
+	for i := range s.classes {
+		c := &s.classes[i]
+		for what, l := range map[string]*latency{"latency": &c.latency, "start_wait": &c.start} {
+			if bars := l.bars(); bars != nil {
+				spans[c.name+"."+what] = bars
+			}
+		}
+	}
+	return counts, spans
+}
+
+// Merge takes the spans of another process into the period at hand.
+func (s *Set) Merge(spans Spans) {
+	for i := range s.classes {
+		c := &s.classes[i]
+		c.latency.merge(spans[c.name+".latency"])
+		c.start.merge(spans[c.name+".start_wait"])
+	}
+}
+
+func number(i int, names []string, none string) string {
+	if i >= 0 && i < len(names) {
+		return names[i]
+	}
+	return none
+}
--- /dev/null
+++ b/internal/transport/listener.go
@@ -0,0 +1,186 @@
+package transport
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"golang.org/x/sys/unix"
+
+	"cinderroad/internal/slots"
+)
+
+// Listener accepts connections.
+type Listener struct {
+	loop   *Loop
+	h      slots.Handle
+	fd     int
+	take   func(c *Conn) Handler
+	paused bool
+
+	suspended bool // others accept
+
+	most int         // connections that may be open of one that stands apart; 0 is one that does not
+	open int         // of them
+	give func() bool // closes one of them
+}
+
+// Listen accepts connections at addr; take names the owner of each.
+func (l *Loop) Listen(addr netip.AddrPort, take func(c *Conn) Handler) (*Listener, error) {
+	family, sa := sockaddr(addr)
+	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("transport: socket: %w", err)
+	}
+	// A restart must get its old address although the last life's connections linger.
+	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
+	if err := unix.Bind(fd, sa); err != nil {
+		unix.Close(fd)
+		return nil, fmt.Errorf("transport: bind %s: %w", addr, err)
+	}
+	if err := unix.Listen(fd, 1024); err != nil {
+		unix.Close(fd)
+		return nil, fmt.Errorf("transport: listen %s: %w", addr, err)
+	}
+	return l.listen(fd, take)
+}
+
+func (l *Loop) listen(fd int, take func(c *Conn) Handler) (*Listener, error) {
+	ln := &Listener{loop: l, fd: fd, take: take}
+	ln.h = l.listeners.Put(ln)
+	if err := l.control(unix.EPOLL_CTL_ADD, fd, ln.h|1<<63, unix.EPOLLIN); err != nil {
+		ln.Close()
+		return nil, err
+	}
+	return ln, nil
+}
+
+// ListenApart accepts connections at addr whatever others hold: at most so many are open, give closes one of them
+// that can be spared, and what happens on them is handled first in each turn.
+func (l *Loop) ListenApart(addr netip.AddrPort, most int, give func() bool, take func(c *Conn) Handler) (*Listener, error) {
+	ln, err := l.Listen(addr, take)
+	if err != nil {
+		return nil, err
+	}
+	ln.most, ln.give = most, give
+	l.apart++
+	return ln, nil
+}
+
+// Inherit accepts connections on a socket that was handed to this process and that others listen on, too.
+func (l *Loop) Inherit(fd int, take func(c *Conn) Handler) (*Listener, error) {
+	if on, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil {
+		return nil, fmt.Errorf("transport: descriptor %d: %w", fd, err)
+	} else if on == 0 {
+		return nil, fmt.Errorf("transport: descriptor %d does not listen", fd)
+	}
+	unix.CloseOnExec(fd)
+	if err := unix.SetNonblock(fd, true); err != nil {
+		return nil, fmt.Errorf("transport: descriptor %d: %w", fd, err)
+	}
+	return l.listen(fd, take)
+}
+
+// Addr is the address the listener has.
+func (ln *Listener) Addr() netip.AddrPort { return address(unix.Getsockname(ln.fd)) }
+
+func address(sa unix.Sockaddr, err error) netip.AddrPort {
+	if err != nil {
+		return netip.AddrPort{}
+	}
+	switch a := sa.(type) {
+	case *unix.SockaddrInet4:
+		return netip.AddrPortFrom(netip.AddrFrom4(a.Addr), uint16(a.Port))
+	case *unix.SockaddrInet6:
+		return netip.AddrPortFrom(netip.AddrFrom16(a.Addr), uint16(a.Port))
+	}
+	return netip.AddrPort{}
+}
+
+// Close stops accepting.
+func (ln *Listener) Close() {
+	if ln.loop.listeners.Drop(ln.h) {
+		if ln.most > 0 {
+			ln.loop.apart--
+		}
+		// Closing alone would not end the events of a socket that others hold, too.
+		_ = ln.loop.control(unix.EPOLL_CTL_DEL, ln.fd, 0, 0)
+		unix.Close(ln.fd)
+	}
+}
+
+// Suspend leaves the callers to others who listen on the same socket, until Resume.
+func (ln *Listener) Suspend(on bool) {
+	if _, open := ln.loop.listeners.Get(ln.h); !open || ln.suspended == on {
+		return
+	}
+	ln.suspended = on
+	events := uint32(unix.EPOLLIN)
+	if on || ln.paused {
+		events = 0
+	}
+	_ = ln.loop.control(unix.EPOLL_CTL_MOD, ln.fd, ln.h|1<<63, events)
+}
+
+// Dup is another descriptor of the socket, to be handed to another process.
+func (ln *Listener) Dup() (int, error) {
+	fd, err := unix.FcntlInt(uintptr(ln.fd), unix.F_DUPFD_CLOEXEC, 0)
+	if err != nil {
+		return -1, fmt.Errorf("transport: dup: %w", err)
+	}
+	return fd, nil
+}
+
+// room makes room for one more connection.
+func (ln *Listener) room() bool {
+	if ln.most == 0 {
+		return ln.loop.room()
+	}
+	return ln.open < ln.most || ln.give()
+}
+
+func (ln *Listener) accept() {
+	for i := 0; i < 64 && !ln.suspended; i++ {
+		if !ln.room() {
+			ln.pause()
+			return
+		}
+		fd, _, err := unix.Accept4(ln.fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
+		switch {
+		case err == nil:
+			c := &Conn{loop: ln.loop, fd: fd}
+			if ln.most > 0 {
+				c.home = ln
+				ln.open++
+				ln.loop.apart++
+			}
+			if c.register(unix.EPOLLIN|unix.EPOLLRDHUP) != nil {
+				continue
+			}
+			c.handler = ln.take(c)
+		case errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE) || errors.Is(err, unix.ENOBUFS) || errors.Is(err, unix.ENOMEM):
+			if !ln.loop.spare() {
+				ln.pause()
+				return
+			}
+		case errors.Is(err, unix.EINTR) || errors.Is(err, unix.ECONNABORTED):
+		default:
+			return
+		}
+	}
+}
+
+// pause leaves callers in the backlog for a moment: with no descriptor to spare the loop would only spin.
+func (ln *Listener) pause() {
+	if ln.paused {
+		return
+	}
+	ln.paused = true
+	_ = ln.loop.control(unix.EPOLL_CTL_MOD, ln.fd, ln.h|1<<63, 0)
+	ln.loop.At(ln.loop.now+0.01, func() {
+		ln.paused = false
+		if _, open := ln.loop.listeners.Get(ln.h); open && !ln.suspended {
+			_ = ln.loop.control(unix.EPOLL_CTL_MOD, ln.fd, ln.h|1<<63, unix.EPOLLIN)
+		}
+	})
+}
--- a/rpcplugin/rpcplugin.go
+++ b/rpcplugin/rpcplugin.go
@@ -188,7 +188,8 @@
 	cc.Connect() // the list comes from the resolver, which an idle ClientConn does not ask
 	c := &call{ctx: ctx, method: method, request: request, reply: reflect.TypeOf(reply).Elem(), cc: cc, invoke: invoke,
 		options: options, answer: make(chan routing.Answer, 1)}
-	job := routing.Job{Class: class, Slots: 1, Deadline: d.Now() + d.options.Settings.Classes[class].Deadline, Load: c}
+	job := routing.Job{Class: class, Slots: 1, Deadline: d.Now() + d.options.Settings.Classes[class].Deadline, Load: c, ID: method,
+		Front: "grpc"}
 	if at, ok := ctx.Deadline(); ok {
 		job.Deadline = math.Min(job.Deadline, d.Now()+time.Until(at).Seconds())
 	}
