The plug-in tells its figures; cost of everything on beside everything off

Need: the plug-in's callers saw routing.Counts alone, and nobody had measured what the books cost a job.

Change: Options.Figures and Dispatcher.Figures give the daemon's series for the plug-in's own traffic. TestCost, run where COST is set, has three processes take turns: off, on (Graphite, collectd, spool, request log), and on with both receivers stalled.

--- /dev/null
+++ b/internal/program/cost_test.go
@@ -0,0 +1,124 @@
+package program
+
+import (
+	"bytes"
+	"fmt"
+	"net/http"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// cpu is what a process has used, in seconds (proc(5), fields 14 and 15, in hundredths).
+func (w *world) cpu() float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", w.cmd.Process.Pid))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	f := bytes.Fields(text[bytes.LastIndexByte(text, ')')+2:])
+	sum := 0.0
+	for _, b := range f[11:13] {
+		v, err := strconv.ParseFloat(string(b), 64)
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		sum += v / 100
+	}
+	return sum
+}
+
+// resident is how much memory a process holds, in MB (proc(5), field 24, in pages).
+func (w *world) resident() float64 {
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", w.cmd.Process.Pid))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	pages, err := strconv.Atoi(string(bytes.Fields(text[bytes.LastIndexByte(text, ')')+2:])[21]))
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	return float64(pages*os.Getpagesize()) / (1 << 20)
+}
+
+// spans asks so many jobs, some at a time, and returns how long each took, sorted.
+func (c *crew) spans(jobs, together int) []float64 {
+	var mu sync.Mutex
+	var all []float64
+	var wg sync.WaitGroup
+	left := atomic.Int64{}
+	left.Store(int64(jobs))
+	for range together {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			for left.Add(-1) >= 0 {
+				began := time.Now()
+				c.w.ask("score", 4000)
+				took := time.Since(began).Seconds()
+				mu.Lock()
+				all = append(all, took)
+				mu.Unlock()
+			}
+		}()
+	}
+	wg.Wait()
+	slices.Sort(all)
+	return all
+}
+
+// TestCost measures, where COST is set, what everything on costs a job beside everything off, and what a stalled receiver
+// does to the slowest jobs. It is no verdict: processes take turns on the same machine, and the medians of their turns
+// are told with the least and the most.
+func TestCost(t *testing.T) {
+	rounds, err := strconv.Atoi(os.Getenv("COST"))
+	if err != nil {
+		t.Skip("set COST to the number of rounds")
+	}
+	s := newStaff(t, false)
+	stalled := newStaff(t, false)
+	crews := map[string]*crew{}
+	names := []string{"off", "on", "stalled"}
+	for _, name := range names {
+		c := newCrew(t, 4, name)
+		o := options{cold: 0.001, memory: 32, sockets: 256}
+		switch name {
+		case "on":
+			o.args = []string{"-operator", s.file("on", ""), "-metrics-every", "1"}
+		case "stalled":
+			o.args = []string{"-operator", stalled.file("stalled", ""), "-metrics-every", "1"}
+		}
+		c.w = begin(t, o, c.targets()...)
+		c.w.client = &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+		c.spans(2000, 6)
+		crews[name] = c
+	}
+	stalled.carbon.Stall(true)
+	stalled.collectd.Stall(true)
+	const jobs = 6000
+	perJob, slowest := map[string][]float64{}, map[string][]float64{}
+	for range rounds {
+		for _, name := range names {
+			c := crews[name]
+			before := c.w.cpu()
+			spans := c.spans(jobs, 6)
+			perJob[name] = append(perJob[name], 1e6*(c.w.cpu()-before)/jobs)
+			slowest[name] = append(slowest[name], 1e3*spans[len(spans)*99/100])
+		}
+	}
+	stalled.carbon.Stall(false)
+	stalled.collectd.Stall(false)
+	var b strings.Builder
+	for _, name := range names {
+		x, y := perJob[name], slowest[name]
+		slices.Sort(x)
+		slices.Sort(y)
+		fmt.Fprintf(&b, "\n%-8s CPU a job %.1f µs (%.1f to %.1f), p99 %.2f ms (%.2f to %.2f), %.1f MB", name, x[len(x)/2], x[0], x[len(x)-1],
+			y[len(y)/2], y[0], y[len(y)-1], crews[name].w.resident())
+	}
+	t.Log(b.String())
+}
--- a/internal/program/world_test.go
+++ b/internal/program/world_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -103,6 +104,7 @@
 	tmp      string   // $TMPDIR
 	loose    bool     // nobody waits until it serves
 	name     string   // n0 if empty
+	memory   int      // MB; 192 if 0
 }
 
 // begin starts the program with the runners in the list that it knows.
@@ -130,7 +132,7 @@
 		o.name = "n0"
 	}
 	w.config = map[string]any{"name": o.name, "listen": w.addr, "discovery": strings.TrimPrefix(w.discovery.URL, "http://"),
-		"seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": 1, "memory_mb": 192, "sockets": o.sockets},
+		"seed": "8c1f30d27a5be964", "limits": map[string]any{"cores": 1, "memory_mb": cmp.Or(o.memory, 192), "sockets": o.sockets},
 		"known":    json.RawMessage(`{"rev":1,"all":true,"targets":[` + strings.Join(targets, ",") + `]}`),
 		"settings": json.RawMessage(fmt.Sprintf(settingsText, o.cold, o.connIdle))}
 	w.start(o)
--- /dev/null
+++ b/rpcplugin/figures_test.go
@@ -0,0 +1,57 @@
+package rpcplugin
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"cinderroad/brain"
+)
+
+// The plug-in's figures are the daemon's, under the same names, for its own traffic; totals go on, latencies begin anew.
+func TestFigures(t *testing.T) {
+	r := newRig(t, brain.Safe, 2)
+	r.script = func(n int, _ *server, _ context.Context) error {
+		if n == 1 {
+			return status.Error(codes.Internal, "once")
+		}
+		return nil
+	}
+	for range 3 {
+		if err := r.check(5 * time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	read := func() map[string]Figure {
+		all := map[string]Figure{}
+		for _, f := range r.d.Figures() {
+			all[f.Name] = f
+		}
+		return all
+	}
+	got := read()
+	answers := got["classes.check.answers.in_time"].Value + got["classes.check.answers.late"].Value
+	ends := got["classes.check.fetches.end_ok"].Value + got["classes.check.fetches.end_error"].Value
+	nodes := got["nodes.here.0.0.0.ended"].Value + got["nodes.here.0.1.0.ended"].Value + got["nodes.here.none.0.0.ended"].Value + got["nodes.here.none.1.0.ended"].Value
+	if answers != 3 || ends != 4 || nodes != 4 || got["classes.check.fetches.repeats"].Value != 1 {
+		t.Errorf("%v answers, %v ends, %v of them by node: %v", answers, ends, nodes, got)
+	}
+	if _, there := got["classes.check.latency.p50_ms"]; !there || !got["classes.check.answers.in_time"].Counter {
+		t.Error("no latency, or a total that is no counter")
+	}
+	again := read()
+	if _, there := again["classes.check.latency.p50_ms"]; there || again["classes.check.fetches.end_ok"].Value != 3 {
+		t.Error("a latency without answers, or a total that did not go on")
+	}
+	off, err := New(Options{Settings: r.d.options.Settings, Class: r.d.options.Class})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer off.Close()
+	if f := off.Figures(); f != nil {
+		t.Errorf("%d figures, and none wanted", len(f))
+	}
+}
--- a/rpcplugin/rpcplugin.go
+++ b/rpcplugin/rpcplugin.go
@@ -24,6 +24,7 @@
 
 	"cinderroad/brain"
 	"cinderroad/internal/routing"
+	"cinderroad/internal/telemetry"
 )
 
 // Trailers that a server may set.
@@ -44,6 +45,8 @@
 	Fields []string
 	// ConnectTimeout is how long a fetch waits for its server's connection; 0 is 250 ms.
 	ConnectTimeout time.Duration
+	// Figures has figures kept, for Dispatcher.Figures to tell; nil is none.
+	Figures *FigureOptions
 }
 
 // Dispatcher serves one ClientConn.
@@ -58,6 +61,7 @@
 	workers map[string]*worker // by address
 	timers  map[*timer]bool
 	closed  bool
+	figures *telemetry.Set // nil: none
 }
 
 // New makes a Dispatcher; pass what DialOptions returns to grpc.NewClient.
@@ -74,6 +78,9 @@
 	if d.core, err = routing.New(o.Settings, o.Seed, d); err != nil {
 		return nil, fmt.Errorf("rpcplugin: %w", err)
 	}
+	if o.Figures != nil {
+		d.observe(o.Figures)
+	}
 	d.name = register(d)
 	d.locked(d.core.Start)
 	return d, nil
--- a/rpcplugin/rpcplugin_test.go
+++ b/rpcplugin/rpcplugin_test.go
@@ -66,7 +66,7 @@
 		Classes: []brain.Class{{Name: "check", Objective: 0.1, Deadline: 5, Window: 5, Worth: 1, Effect: effect, Scope: brain.ScopeCell, Kind: -1}},
 		Zones:   1, Instances: 1, MaxAttempts: 4, Tick: 0.004, ColdTime: 9, ColdShare: 0.34, FallMultiple: 3, FallTime: 2,
 		AnswerSlack: 0.016, MayCancel: true, MayRetryAfter: true, MaxRetryAfter: 2, ParallelTries: true,
-	}, Class: func(m string) (int, bool) { return 0, m == method }})
+	}, Class: func(m string) (int, bool) { return 0, m == method }, Figures: &FigureOptions{Zones: []string{"here"}, Nodes: 10}})
 	if err != nil {
 		t.Fatal(err)
 	}
