A period's end is cut into slices: gauges, copy and encoding take turns of their own

Need: at 5,000 nodes the end of a period held the loop for 0.5 ms on average, and the aim is below 1 ms at any time.

Change: gauges of 500 nodes and 15,000 encoded values a turn. every_s may stand with a Graphite receiver, as one period for all.

--- a/internal/metrics/feed.go
+++ b/internal/metrics/feed.go
@@ -16,10 +16,11 @@
 )
 
 const (
-	leastEvery = 0.1 // seconds
-	diskTime   = 2.0 // seconds that a period waits for the disk before it is delivered all the same
-	gathered   = 500 // nodes whose gauges are gathered in a turn
-	slice      = 300 // points rendered in a turn: some 0.2 ms
+	leastEvery = 0.1   // seconds
+	diskTime   = 2.0   // seconds that a period waits for the disk before it is delivered all the same
+	encoded    = 15000 // values written in a turn
+	gathered   = 500   // nodes whose gauges are gathered in a turn
+	slice      = 300   // points rendered in a turn: some 0.2 ms
 )
 
 // Options say how figures leave the process.
@@ -47,6 +48,7 @@
 	safe    uint64 // number of the last period that may be delivered
 	timer   *transport.Deadline
 	on      bool
+	frozen  bool // the period at hand has ended and is being encoded
 }
 
 // Output delivers to one receiver.
@@ -190,19 +192,49 @@
 		f.loop.At(f.loop.Now(), f.End)
 		return
 	}
-	f.loop.At(f.loop.Now(), f.CloseNow)
+	f.loop.At(f.loop.Now(), func() {
+		f.freeze()
+		f.encode()
+	})
 }
 
-// CloseNow closes the period at hand. Its stamp is of the system's clock, and later than the one before by a second, or by
-// a millisecond where periods are shorter: receivers drop what goes back, so a clock that is set back is waited for.
+// encode writes some of the period's values a turn.
+func (f *Feed) encode() {
+	if !f.frozen {
+		return // CloseNow has
+	}
+	if p := f.set.Encode(encoded); p != nil {
+		f.push(p)
+		return
+	}
+	f.loop.At(f.loop.Now(), f.encode)
+}
+
+// CloseNow closes the period at hand at once.
 func (f *Feed) CloseNow() {
+	f.freeze()
+	f.push(f.set.Encode(math.MaxInt32))
+}
+
+// freeze ends the period at hand. Its stamp is of the system's clock, and later than the one before by a second, or by
+// a millisecond where periods are shorter: receivers drop what goes back, so a clock that is set back is waited for.
+func (f *Feed) freeze() {
+	if f.frozen { // a turn of the one before is late
+		f.push(f.set.Encode(math.MaxInt32))
+	}
 	least := int64(1000)
 	if f.options.Every < 1 {
 		least = 1
 	}
 	f.last = max(f.options.Wall().UnixMilli(), f.last+least)
 	f.Periods++
-	p := f.set.Close(f.last, f.options.Every)
+	f.set.Freeze(f.last, f.options.Every)
+	f.frozen = true
+}
+
+// push holds a closed period for the receivers.
+func (f *Feed) push(p *telemetry.Period) {
+	f.frozen = false
 	f.ring.Push(p)
 	n := f.ring.Newest()
 	if f.spool == nil {
--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -182,6 +182,44 @@
 	return n
 }
 
+// A receiver comes back with an empty disk: what it had is gone, and the totals that come then are right all the same.
+func TestAReceiverThatLostAll(t *testing.T) {
+	c, o := carbon(t, false)
+	b := start(t, 1<<20, NewGraphite(o))
+	b.periods(3)
+	b.eventually("the word that it has them", func() bool { return b.held() == 0 })
+	c.Away()
+	c.Forget()
+	b.periods(2)
+	if err := c.Back(); err != nil {
+		t.Fatal(err)
+	}
+	b.periods(1)
+	b.eventually("three periods", func() bool { return len(c.Stamps(served)) == 3 })
+	if v, _ := c.Last(served); v != 6 {
+		t.Errorf("total %v of 6", v)
+	}
+}
+
+// A period that is being written when the program ends is closed, and the one after it, both whole and in order.
+func TestTheEndWithinAPeriodsEnd(t *testing.T) {
+	c, o := carbon(t, false)
+	b := start(t, 1<<20, NewGraphite(o))
+	b.do(func() { fleet(b.set, 5000) })
+	b.do(func() {
+		b.set.Answered(&routing.Final{Verdict: routing.Served, Won: -1})
+		b.feed.freeze()
+		b.feed.encode() // some of it
+		b.set.Answered(&routing.Final{Verdict: routing.Served, Won: -1})
+		b.wall = b.wall.Add(10 * time.Second)
+		b.feed.CloseNow()
+	})
+	b.eventually("both periods", func() bool { return b.held() == 0 && len(c.Stamps(served)) == 2 })
+	if v, _ := c.Last(served); v != 2 || c.Growth(served) != 2 {
+		t.Errorf("total %v of 2", v)
+	}
+}
+
 // A relay that never closes is served on a connection that stays, if the operator says so.
 func TestARelayThatNeverCloses(t *testing.T) {
 	c, o := carbon(t, false)
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -38,6 +38,7 @@
 	Prefix   string  `toml:"prefix"`
 	Confirm  string  `toml:"confirm"`
 	Patience float64 `toml:"patience_s"`
+	Every    float64 `toml:"every_s"` // short for telemetry.every_s
 
 	Addr netip.AddrPort `toml:"-"`
 }
@@ -223,6 +224,12 @@
 
 func (f *File) check() error {
 	for i := range f.Graphite {
+		if every := f.Graphite[i].Every; every != 0 { // one period for all: each is closed once
+			if t := f.Telemetry.Every; t != 0 && t != every {
+				return f.wrong(fmt.Sprintf("graphite[%d].every_s", i), fmt.Errorf("%v, and %v elsewhere: all receivers share one period", every, t))
+			}
+			f.Telemetry.Every = every
+		}
 		if err := f.Graphite[i].check(func(key string, err error) error {
 			return f.wrong(fmt.Sprintf("graphite[%d].%s", i, key), err)
 		}); err != nil {
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -76,6 +76,8 @@
 		{signed + "password_file = \"empty.key\"\n", ":5", "collectd[0].password_file", "one line"},
 		{signed + "password_file = \"none.key\"\n", ":5", "collectd[0].password_file", "no such file"},
 		{"[telemetry]\nevery_s = 0.5\n", ":2", "telemetry.every_s", "not within"},
+		{"[graphite]\naddress = \"127.0.0.1:1\"\nevery_s = 5\n[telemetry]\nevery_s = 10\n", ":3", "graphite[0].every_s", "share one period"},
+		{"[graphite]\naddress = \"127.0.0.1:1\"\nevery_s = 0.5\n", "", "telemetry.every_s", "not within"},
 		{"[telemetry]\nnode_series = -1\n", ":2", "telemetry.node_series", "not within"},
 		{"[telemetry]\nspool_bytes = 1\n", ":2", "telemetry.spool_bytes", "below"},
 		{"[request_log]\nkeep = 3\n", "", "request_log.path", "must be there"},
--- a/internal/telemetry/period.go
+++ b/internal/telemetry/period.go
@@ -12,7 +12,7 @@
 	Stamp int64   // Unix time in milliseconds, later than that of the period before it
 	Every float64 // seconds that a period lasts
 	Table *Table
-	Body  []byte // the values by number, as appendValues writes them
+	Body  []byte // the values by number, as appendCount and appendValues write them
 }
 
 // The form of a value is a varint: 0 is none, 1 is followed by a little-endian float32, and any other is a whole number
@@ -26,8 +26,9 @@
 // mostWhole is the largest number that a float64 holds with all those below it.
 const mostWhole = 1 << 53
 
+func appendCount(b []byte, n int) []byte { return binary.AppendUvarint(b, uint64(n)) }
+
 func appendValues(b []byte, values []float64) []byte {
-	b = binary.AppendUvarint(b, uint64(len(values)))
 	for _, v := range values {
 		switch {
 		case math.IsNaN(v) || math.IsInf(v, 0):
--- a/internal/telemetry/set.go
+++ b/internal/telemetry/set.go
@@ -29,6 +29,9 @@
 	known   map[string]bool // patterns in docs
 	byName  map[string]int  // of counters
 	values  []float64
+	frozen  []float64 // values of the period that is being encoded
+	encoded int       // how many of them are
+	closing *Period
 	reads   []read
 	pending map[string]float64 // totals of an earlier life whose series has not come up yet
 	told    map[int]float64    // counters as of the last Delta
@@ -106,8 +109,14 @@
 	}
 }
 
-// Close ends a period and returns its values.
+// Close ends a period and returns its values: Freeze and all of Encode at once.
 func (s *Set) Close(stamp int64, every float64) *Period {
+	s.Freeze(stamp, every)
+	return s.Encode(math.MaxInt32)
+}
+
+// Freeze ends a period: what is counted from here on is the next one's. Encode must have ended the one before.
+func (s *Set) Freeze(stamp int64, every float64) {
 	s.fresh()
 	for i := range s.classes {
 		s.classes[i].latency.close(s.values)
@@ -118,7 +127,18 @@
 	for s.Gather(math.MaxInt32) {
 	}
 	s.nodes.gathered = 0
-	return &Period{Stamp: stamp, Every: every, Table: s.table, Body: appendValues(make([]byte, 0, 2*len(s.values)), s.values)}
+	s.frozen, s.encoded = append(s.frozen[:0], s.values...), 0
+	s.closing = &Period{Stamp: stamp, Every: every, Table: s.table, Body: appendCount(make([]byte, 0, 2*len(s.values)), len(s.values))}
+}
+
+// Encode writes so many values of the period that was frozen, and returns it once all are written; nil before.
+func (s *Set) Encode(most int) *Period {
+	end := min(s.encoded+most, len(s.frozen))
+	s.closing.Body = appendValues(s.closing.Body, s.frozen[s.encoded:end])
+	if s.encoded = end; end < len(s.frozen) {
+		return nil
+	}
+	return s.closing
 }
 
 // Add goes on from totals of an earlier life, or adds what another process of this dispatcher has counted.
--- a/internal/telemetry/telemetry_test.go
+++ b/internal/telemetry/telemetry_test.go
@@ -31,7 +31,7 @@
 			table.Append(Series{Name: fmt.Sprint(i)})
 			values = append(values, v)
 		}
-		p := Period{Table: &table, Body: appendValues(nil, values)}
+		p := Period{Table: &table, Body: appendValues(appendCount(nil, len(values)), values)}
 		r := p.Read()
 		for i, want := range values {
 			if math.IsNaN(want) {
