--- a/internal/metrics/metrics_test.go
+++ b/internal/metrics/metrics_test.go
@@ -468,3 +468,72 @@
 		}
 	}
 }
+
+// BenchmarkSlices is the work of each kind of turn at 5,000 nodes: no turn does more than one of them.
+func BenchmarkSlices(b *testing.B) {
+	set := telemetry.New(telemetry.Options{Classes: []string{"score"}, Zones: []string{"milano"}, Kinds: []string{"k"}, Nodes: 5000,
+		Now: func() float64 { return 2 }, Standing: func(brain.WorkerID) (brain.Standing, bool) {
+			return brain.Standing{Room: 1.25, Ceiling: 4.4, Pace: 1.01}, true
+		}})
+	fleet(set, 5000)
+	p := set.Close(1_700_000_000_000, 10)
+	b.Run("gather", func(b *testing.B) {
+		for b.Loop() {
+			if !set.Gather(gathered) {
+				b.StopTimer()
+				set.Close(1, 1)
+				b.StartTimer()
+			}
+		}
+	})
+	b.Run("freeze", func(b *testing.B) {
+		for b.Loop() {
+			b.StopTimer()
+			for set.Gather(gathered) {
+			}
+			b.StartTimer()
+			set.Freeze(1, 1)
+		}
+	})
+	b.Run("encode", func(b *testing.B) {
+		set.Freeze(1, 1)
+		for b.Loop() {
+			if set.Encode(encoded) != nil {
+				b.StopTimer()
+				set.Freeze(1, 1)
+				b.StartTimer()
+			}
+		}
+	})
+	for _, pickle := range []bool{false, true} {
+		b.Run(fmt.Sprintf("render, pickle %v", pickle), func(b *testing.B) {
+			g := NewGraphite(GraphiteOptions{Pickle: pickle})
+			g.feed, g.prefix, g.period, g.reader = &Feed{log: zap.NewNop()}, "cinderroad.n0.", p, p.Read()
+			for b.Loop() {
+				if _, _, done := g.render(nil); done {
+					g.reader = p.Read()
+				}
+			}
+		})
+	}
+	b.Run("packets, encrypted", func(b *testing.B) {
+		q, err := newPacket("n0", Encrypt, "u", "p")
+		if err != nil {
+			b.Fatal(err)
+		}
+		r := p.Read()
+		for b.Loop() {
+			for range slice {
+				s, v, ok := r.Next()
+				if !ok {
+					r = p.Read()
+					break
+				}
+				if !q.add(s, p.Stamp, p.Every, v) {
+					q.seal()
+					q.clear()
+				}
+			}
+		}
+	})
+}
