A feed that stops ends the period it was encoding, and closes none after

In an upgrade the old process could have closed one more period after it had handed its totals over: its latencies would have been lost to the new one. The story of an upgrade and the outputs' tests pass.

--- a/internal/metrics/feed.go
+++ b/internal/metrics/feed.go
@@ -158,7 +158,9 @@
 
 // Stop ends that; the period at hand stays open, and nothing that is held is lost.
 func (f *Feed) Stop() {
-	f.on = false
+	if f.on = false; f.frozen {
+		f.push(f.set.Encode(math.MaxInt32))
+	}
 	f.timer.Stop()
 	for _, o := range f.outputs {
 		o.stop()
@@ -193,8 +195,10 @@
 		return
 	}
 	f.loop.At(f.loop.Now(), func() {
-		f.freeze()
-		f.encode()
+		if f.on {
+			f.freeze()
+			f.encode()
+		}
 	})
 }
 
