--- a/brain/standing.go
+++ b/brain/standing.go
@@ -16,20 +16,13 @@
 	ColdSent float64 // work sent within the fall time, in seconds; what a cold worker's budget is spent on
 }
 
-// Standing tells what is held of a worker at a time; false of one that is not known. It changes nothing.
+// Standing tells what is held of a worker at a time; false of one that is not known. It changes nothing that is decided.
 func (b *Balancer) Standing(now float64, id WorkerID) (Standing, bool) {
 	w := b.byID[id]
 	if w == nil {
 		return Standing{}, false
 	}
 	s := Standing{Room: w.room, Ceiling: w.loadCeil, UtilCeil: w.utilCeil, Own: w.own, Others: math.Max(0, w.others), Pace: w.pace,
-		Errors: w.errors, Shunned: now < w.shunUntil, Warmth: b.warmth(now, w)}
-	if span := int64(math.Floor(now / (b.FallTime / 3))); span-w.span < int64(len(w.sent)) {
-		for back := range int64(len(w.sent)) {
-			if at := span - back; at <= w.span && w.span-at < int64(len(w.sent)) {
-				s.ColdSent += w.sent[at&3]
-			}
-		}
-	}
+		Errors: w.errors, Shunned: now < w.shunUntil, Warmth: b.warmth(now, w), ColdSent: b.spent(now, w)}
 	return s, true
 }
--- a/internal/metrics/collectd.go
+++ b/internal/metrics/collectd.go
@@ -56,6 +56,9 @@
 // Name implements Output.
 func (o *Collectd) Name() string { return "collectd " + o.path }
 
+// Kind implements Output.
+func (o *Collectd) Kind() string { return "collectd" }
+
 func (o *Collectd) start(f *Feed, place *telemetry.Place) {
 	o.begin(f, place)
 	o.host = telemetry.Clean(f.options.Host)
@@ -121,9 +124,7 @@
 	for o.reader != nil && o.waiting < mostUnanswered {
 		s, v, ok := o.reader.Next()
 		if !ok {
-			if err := o.reader.Err(); err != nil {
-				o.feed.log.Error("metrics: the rest of a period makes no sense, left out", zap.Error(err))
-			}
+			o.ended(o.reader)
 			o.reader, o.written = nil, true
 			break
 		}
--- a/internal/metrics/feed.go
+++ b/internal/metrics/feed.go
@@ -55,6 +55,8 @@
 type Output interface {
 	// Name tells it from others, over lives: what it got is kept by it.
 	Name() string
+	// Kind is graphite or collectd.
+	Kind() string
 	// State is what it has done so far.
 	State() State
 	start(f *Feed, place *telemetry.Place)
@@ -81,7 +83,7 @@
 	return &Feed{loop: loop, log: log, set: set, ring: telemetry.NewRing(o.Bytes), options: o, got: map[string]int64{}, past: map[string]State{}}
 }
 
-// Attach adds an output, before Start.
+// Attach adds an output, which gets what is held and what comes.
 func (f *Feed) Attach(o Output) {
 	f.outputs = append(f.outputs, o)
 	o.start(f, f.ring.Open(o.Name()))
@@ -91,8 +93,6 @@
 func (f *Feed) Replace(was, now Output) {
 	for i, o := range f.outputs {
 		if o == was {
-			was.stop()
-			was.end()
 			f.retire(was)
 			f.outputs[i] = now
 			place := was.held()
@@ -107,8 +107,6 @@
 func (f *Feed) Remove(was Output) {
 	for i, o := range f.outputs {
 		if o == was {
-			was.stop()
-			was.end()
 			f.retire(was)
 			f.outputs = append(f.outputs[:i:i], f.outputs[i+1:]...)
 			f.ring.Close(was.held())
@@ -127,19 +125,14 @@
 func (f *Feed) Recall(found *spool.Found) {
 	f.set.Add(found.Totals)
 	f.set.Remember(found.Held)
-	f.Push(found.Periods)
-	for _, o := range f.outputs {
-		f.ring.Skip(o.held(), found.Got[o.Name()])
-	}
-}
-
-// Push takes periods that were closed elsewhere, earlier than any that is closed here.
-func (f *Feed) Push(periods []*telemetry.Period) {
-	for _, p := range periods {
+	for _, p := range found.Periods {
 		f.ring.Push(p)
 		f.last = max(f.last, p.Stamp)
 	}
 	f.safe = f.ring.Newest()
+	for _, o := range f.outputs {
+		f.ring.Skip(o.held(), found.Got[o.Name()])
+	}
 }
 
 // Keep has closed periods kept on disk, too.
@@ -323,6 +316,13 @@
 // free says whether a new try may begin now.
 func (s *sender) free() bool { return s.feed != nil && s.feed.on && !s.waits }
 
+// ended logs why a period's values ended early, if they did.
+func (s *sender) ended(r *telemetry.Reader) {
+	if err := r.Err(); err != nil {
+		s.feed.log.Error("metrics: the rest of a period makes no sense, left out", zap.Error(err))
+	}
+}
+
 // soon goes on in a turn of its own.
 func (s *sender) soon(wait float64, do func()) {
 	s.timer.Stop()
@@ -345,11 +345,24 @@
 // After is told of by Last.
 func (f *Feed) After(stamp int64) { f.last = max(f.last, stamp) }
 
-// Past sums up a figure of the outputs of a kind that are gone: totals never fall.
-func (f *Feed) Past(kind string, get func(State) uint64) uint64 { return get(f.past[kind]) }
+// Total sums up what the outputs of a kind have done, with those that are gone: it never falls.
+func (f *Feed) Total(kind string) State {
+	total := f.past[kind]
+	for _, o := range f.outputs {
+		if o.Kind() == kind {
+			total = total.plus(o.State())
+		}
+	}
+	return total
+}
+
+func (s State) plus(o State) State {
+	return State{s.Periods + o.Periods, s.Points + o.Points, s.Breaks + o.Breaks, s.Refused + o.Refused}
+}
 
+// retire ends an output for good; what it has done stays in the totals.
 func (f *Feed) retire(o Output) {
-	kind := o.Name()[:8]
-	s, was := o.State(), f.past[kind]
-	f.past[kind] = State{s.Periods + was.Periods, s.Points + was.Points, s.Breaks + was.Breaks, s.Refused + was.Refused}
+	o.stop()
+	o.end()
+	f.past[o.Kind()] = f.past[o.Kind()].plus(o.State())
 }
--- a/internal/metrics/graphite.go
+++ b/internal/metrics/graphite.go
@@ -64,6 +64,9 @@
 // Name implements Output.
 func (g *Graphite) Name() string { return "graphite " + g.options.Address.String() }
 
+// Kind implements Output.
+func (g *Graphite) Kind() string { return "graphite" }
+
 func (g *Graphite) start(f *Feed, place *telemetry.Place) {
 	g.begin(f, place)
 	if g.options.Prefix != "" {
@@ -175,7 +178,7 @@
 	for ; points < slice; points++ {
 		s, v, ok := g.reader.Next()
 		if !ok {
-			g.unreadable()
+			g.ended(g.reader)
 			return b, points, true
 		}
 		b = append(append(b, g.prefix...), s.Name...)
@@ -185,12 +188,6 @@
 	return b, points, false
 }
 
-func (g *Graphite) unreadable() {
-	if err := g.reader.Err(); err != nil {
-		g.feed.log.Error("metrics: the rest of a period makes no sense, left out", zap.Error(err))
-	}
-}
-
 // pickle writes the next points as one message.
 func (g *Graphite) pickle(b []byte) (out []byte, points int, done bool) {
 	stamp := g.period.Stamp / 1000
@@ -198,7 +195,7 @@
 	for len(list) < pickleSlice && !done {
 		s, v, ok := g.reader.Next()
 		if !ok {
-			g.unreadable()
+			g.ended(g.reader)
 			done = true
 			break
 		}
--- a/internal/metrics/network.go
+++ b/internal/metrics/network.go
@@ -57,6 +57,9 @@
 // Name implements Output.
 func (o *Network) Name() string { return "collectd " + o.options.Address.String() }
 
+// Kind implements Output.
+func (o *Network) Kind() string { return "collectd" }
+
 func (o *Network) start(f *Feed, place *telemetry.Place) { o.begin(f, place) }
 
 func (o *Network) stop() {
@@ -123,9 +126,7 @@
 	for range slice {
 		if !o.more {
 			if o.series, o.v, o.more = o.reader.Next(); !o.more {
-				if err := o.reader.Err(); err != nil {
-					o.feed.log.Error("metrics: the rest of a period makes no sense, left out", zap.Error(err))
-				}
+				o.ended(o.reader)
 				return true, o.seal()
 			}
 			o.state.Points++
--- a/internal/program/books.go
+++ b/internal/program/books.go
@@ -42,7 +42,6 @@
 	expected bool                      // the process before this one owes its totals
 	given    *handover.Link            // the next process has them, and gets what is counted since
 	told     bool                      // it has the totals
-	flush    *transport.Deadline
 	hand     *transport.Deadline
 	limit    float64 // when the last period must be delivered; 0: it is not closed yet
 }
@@ -50,6 +49,9 @@
 // newBooks opens the books; nil where the operator wants none.
 func newBooks(p *Program) (*books, error) {
 	f := p.config.Operator
+	if len(f.Graphite)+len(f.Collectd) == 0 && f.Telemetry.SpoolDir == "" && f.RequestLog == nil {
+		return nil, nil
+	}
 	b := &books{p: p, file: f, outputs: map[string]metrics.Output{}}
 	b.set = telemetry.New(telemetry.Options{Settings: p.config.brain, Classes: p.config.classes(), Zones: p.config.names.FailureDomains,
 		Kinds: p.config.names.Kinds, Nodes: *f.Telemetry.NodeSeries, Standing: p.core.Standing, Now: p.loop.Now,
@@ -60,9 +62,6 @@
 		return nil, err
 	}
 	b.install(next)
-	if !b.delivers() && b.log == nil {
-		return nil, nil
-	}
 	addFigures(p, b.set)
 	addBooks(p, b.set)
 	p.core.Observer = b
@@ -98,7 +97,7 @@
 func (b *books) Drained(worker brain.WorkerID, margin float64) { b.set.Drained(worker, margin) }
 
 func (b *books) flushLog() {
-	b.flush = b.p.loop.At(b.p.loop.Now()+requestlog.FlushEvery, func() {
+	b.p.loop.At(b.p.loop.Now()+requestlog.FlushEvery, func() {
 		if b.log != nil {
 			b.log.Flush()
 		}
@@ -168,14 +167,13 @@
 // install puts outputs and log in force. A receiver that is new gets what one that has gone had not got, if there is one of
 // its kind: it has moved.
 func (b *books) install(r *rebooked) {
-	kind := func(o metrics.Output) string { return o.Name()[:8] }
 	for key, o := range r.outputs {
 		if b.outputs[key] != nil {
 			continue
 		}
 		moved := false
 		for oldKey, old := range b.outputs {
-			if r.outputs[oldKey] == nil && kind(old) == kind(o) {
+			if r.outputs[oldKey] == nil && old.Kind() == o.Kind() {
 				b.feed.Replace(old, o)
 				delete(b.outputs, oldKey)
 				moved = true
@@ -476,16 +474,6 @@
 	})
 	a.counter("telemetry.periods_dropped", "periods", "Periods that had to go before every receiver had them: their points are missing, totals go on.",
 		func() uint64 { return p.books.feed.Ring().Dropped })
-	sum := func(kind string, get func(metrics.State) uint64) func() uint64 {
-		return func() (n uint64) {
-			for _, o := range p.books.outputs {
-				if o.Name()[:8] == kind {
-					n += get(o.State())
-				}
-			}
-			return n + p.books.feed.Past(kind, get)
-		}
-	}
 	for _, kind := range []string{"graphite", "collectd"} {
 		of := map[string]string{"graphite": "Graphite receivers", "collectd": "collectds"}[kind]
 		for _, f := range []struct {
@@ -495,7 +483,7 @@
 			{"points", "points", "Points sent to " + of + ", some again after a break.", func(s metrics.State) uint64 { return s.Points }},
 			{"breaks", "tries", "Tries to deliver to " + of + " that came to nothing.", func(s metrics.State) uint64 { return s.Breaks }},
 			{"refused", "points", "Points that " + of + " would not have.", func(s metrics.State) uint64 { return s.Refused }}} {
-			a.counter("telemetry."+kind+"."+f.name, f.unit, f.help, sum(kind, f.get))
+			a.counter("telemetry."+kind+"."+f.name, f.unit, f.help, func() uint64 { return f.get(p.books.feed.Total(kind)) })
 		}
 	}
 	disk := func(name, unit, help string, has func() bool, get func() uint64) {
--- a/internal/program/books_test.go
+++ b/internal/program/books_test.go
@@ -26,12 +26,13 @@
 type staff struct {
 	t        *testing.T
 	carbon   *standin.Carbon
+	pickle   bool // its form
 	collectd *standin.Collectd
 	dir      string
 }
 
 func newStaff(t *testing.T, pickle bool) *staff {
-	s := &staff{t: t, dir: t.TempDir()}
+	s := &staff{t: t, dir: t.TempDir(), pickle: pickle}
 	var err error
 	if s.carbon, err = standin.NewCarbon("127.0.0.1:0", pickle); err != nil {
 		t.Fatal(err)
@@ -43,16 +44,16 @@
 	return s
 }
 
-// file writes a dispatcher's operator's file; more is added to its end.
-func (s *staff) file(name, more string) (path string) {
+// file writes a dispatcher's operator's file.
+func (s *staff) file(name string) (path string) {
 	path = filepath.Join(s.dir, name+".toml")
 	spool := filepath.Join(s.dir, name+".spool")
 	if err := os.MkdirAll(spool, 0o700); err != nil {
 		s.t.Fatal(err)
 	}
-	form := map[bool]string{true: "pickle", false: "plaintext"}[strings.HasPrefix(more, "pickle")]
-	text := fmt.Sprintf("[graphite]\naddress = %q\nform = %q\npatience_s = 1\n[collectd]\nsocket = %q\npatience_s = 1\n[telemetry]\nspool_dir = %q\nmemory_bytes = 4194304\n[request_log]\npath = %q\n%s",
-		s.carbon.Addr(), form, s.collectd.Addr(), spool, s.log(name), strings.TrimPrefix(more, "pickle"))
+	form := map[bool]string{true: "pickle", false: "plaintext"}[s.pickle]
+	text := fmt.Sprintf("[graphite]\naddress = %q\nform = %q\npatience_s = 1\n[collectd]\nsocket = %q\npatience_s = 1\n[telemetry]\nspool_dir = %q\nmemory_bytes = 4194304\n[request_log]\npath = %q\n",
+		s.carbon.Addr(), form, s.collectd.Addr(), spool, s.log(name))
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		s.t.Fatal(err)
 	}
@@ -63,7 +64,7 @@
 
 // args are the command line's; periods are short, so that many end in a story.
 func (s *staff) args(name string) []string {
-	return []string{"-operator", s.file(name, ""), "-metrics-every", "0.2"}
+	return []string{"-operator", s.file(name), "-metrics-every", "0.2"}
 }
 
 // answers are the totals of a receiver over dispatchers, classes and verdicts.
@@ -170,16 +171,23 @@
 
 // ask hands in jobs, some at a time, and counts the answers by status.
 func (c *crew) ask(jobs, together int, tally *[600]atomic.Int64) {
+	each(jobs, together, func(n int64) {
+		status, _, _ := c.w.ask([]string{"score", "charge", "once"}[n%3], 4000)
+		tally[status].Add(1)
+	})
+}
+
+// each does something so often, some at a time, with numbers that count down to 0.
+func each(times, together int, do func(n int64)) {
 	var wg sync.WaitGroup
 	left := atomic.Int64{}
-	left.Store(int64(jobs))
+	left.Store(int64(times))
 	for range together {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
 			for n := left.Add(-1); n >= 0; n = left.Add(-1) {
-				status, _, _ := c.w.ask([]string{"score", "charge", "once"}[n%3], 4000)
-				tally[status].Add(1)
+				do(n)
 			}
 		}()
 	}
@@ -359,7 +367,7 @@
 func TestTotalsOutliveTheProcess(t *testing.T) {
 	s := newStaff(t, false)
 	c := newCrew(t, 2, "r")
-	o := options{args: []string{"-operator", s.file("n0", ""), "-metrics-every", "0.2"}, cold: 0.001, tmp: t.TempDir()}
+	o := options{args: []string{"-operator", s.file("n0"), "-metrics-every", "0.2"}, cold: 0.001, tmp: t.TempDir()}
 	c.w = begin(t, o, c.targets()...)
 	var tally [600]atomic.Int64
 	c.ask(50, 4, &tally)
@@ -421,7 +429,7 @@
 func TestReloadMovesTheReceiver(t *testing.T) {
 	s := newStaff(t, true)
 	c := newCrew(t, 2, "r")
-	path := s.file("n0", "pickle")
+	path := s.file("n0")
 	c.w = begin(t, options{args: []string{"-operator", path, "-metrics-every", "0.2"}, cold: 0.001}, c.targets()...)
 	var tally [600]atomic.Int64
 	c.ask(20, 2, &tally)
@@ -467,7 +475,7 @@
 func TestAStalledDiskAndReceiver(t *testing.T) {
 	s := newStaff(t, false)
 	c := newCrew(t, 2, "r")
-	path := s.file("n0", "")
+	path := s.file("n0")
 	pipe := s.log("n0")
 	if err := syscall.Mkfifo(pipe, 0o600); err != nil {
 		t.Skip(err)
@@ -497,7 +505,7 @@
 func TestFoldersThatCannotBeUsed(t *testing.T) {
 	s := newStaff(t, false)
 	c := newCrew(t, 1, "r")
-	path := s.file("n0", "")
+	path := s.file("n0")
 	if err := os.Remove(filepath.Join(s.dir, "n0.spool")); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/program/cost_test.go
+++ b/internal/program/cost_test.go
@@ -9,7 +9,6 @@
 	"strconv"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 )
@@ -49,24 +48,14 @@
 func (c *crew) spans(jobs, together int) []float64 {
 	var mu sync.Mutex
 	var all []float64
-	var wg sync.WaitGroup
-	left := atomic.Int64{}
-	left.Store(int64(jobs))
-	for range together {
-		wg.Add(1)
-		go func() {
-			defer wg.Done()
-			for left.Add(-1) >= 0 {
-				began := time.Now()
-				c.w.ask("score", 4000)
-				took := time.Since(began).Seconds()
-				mu.Lock()
-				all = append(all, took)
-				mu.Unlock()
-			}
-		}()
-	}
-	wg.Wait()
+	each(jobs, together, func(int64) {
+		began := time.Now()
+		c.w.ask("score", 4000)
+		took := time.Since(began).Seconds()
+		mu.Lock()
+		all = append(all, took)
+		mu.Unlock()
+	})
 	slices.Sort(all)
 	return all
 }
@@ -88,9 +77,9 @@
 		o := options{cold: 0.001, memory: 32, sockets: 256}
 		switch name {
 		case "on":
-			o.args = []string{"-operator", s.file("on", ""), "-metrics-every", "1"}
+			o.args = []string{"-operator", s.file("on"), "-metrics-every", "1"}
 		case "stalled":
-			o.args = []string{"-operator", stalled.file("stalled", ""), "-metrics-every", "1"}
+			o.args = []string{"-operator", stalled.file("stalled"), "-metrics-every", "1"}
 		}
 		c.w = begin(t, o, c.targets()...)
 		c.w.client = &http.Client{Timeout: 20 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
--- a/internal/requestlog/requestlog.go
+++ b/internal/requestlog/requestlog.go
@@ -41,7 +41,7 @@
 	Report func(error)
 }
 
-// Log implements routing.Observer. All but Lost and Failed belongs to the core's goroutine.
+// Log is open for writing. All but Lost and Failed belongs to the core's goroutine.
 type Log struct {
 	Lines uint64
 
@@ -86,7 +86,7 @@
 // Failed is told of by Lost.
 func (l *Log) Failed() uint64 { return l.failed.Load() }
 
-// Answered implements routing.Observer.
+// Answered adds a line.
 func (l *Log) Answered(f *routing.Final) {
 	b := l.buffer
 	if b == nil {
@@ -161,18 +161,6 @@
 	return append(b, '}')
 }
 
-// Tried, Listed, Reported and Drained are of no concern here.
-func (l *Log) Tried(*routing.Try) {}
-
-// Listed implements routing.Observer.
-func (l *Log) Listed(brain.ListKind, []routing.Member) {}
-
-// Reported implements routing.Observer.
-func (l *Log) Reported(brain.WorkerID, float64, []float32, bool) {}
-
-// Drained implements routing.Observer.
-func (l *Log) Drained(brain.WorkerID, float64) {}
-
 // Flush gives the lines so far to the writer. It never waits.
 func (l *Log) Flush() {
 	if len(l.buffer) == 0 {
--- a/internal/routing/exclude.go
+++ b/internal/routing/exclude.go
@@ -70,25 +70,22 @@
 // Apply puts exclusions in force in place of those there were: the decisions see them before anything else is sent.
 func (c *Core) Apply(out map[string]Exclusion) {
 	c.do(func() {
-		was := c.out
+		old := c.out
 		c.out = maps.Clone(out)
 		var workers []brain.Worker
 		for _, m := range c.members {
-			x, now := c.out[m.Name], was[m.Name]
-			if x == now || m.Backend == nil {
+			x, before := c.out[m.Name], old[m.Name]
+			if x == before || m.Backend == nil {
 				continue
 			}
-			state := m.State
+			was := m.State
 			c.overlay(m)
-			next := m.State
-			m.State = state
-			c.become(m, next)
+			c.became(m, was)
 			if x.Back > 0 { // whatever it is now, it is not the process those connections led to
 				m.Backend.Renew()
 			}
 			workers = append(workers, m.Worker)
 		}
-		c.count()
 		if len(workers) > 0 {
 			c.bal.OnList(c.clock.Now(), brain.ListDelta, workers)
 		}
--- a/internal/routing/observe.go
+++ b/internal/routing/observe.go
@@ -14,7 +14,7 @@
 	Answered(f *Final)
 	// Tried hears the end of each attempt.
 	Tried(t *Try)
-	// Listed hears the members of a list event as the decisions see them.
+	// Listed hears the members of a list event as their front lists them.
 	Listed(kind brain.ListKind, members []Member)
 	// Reported hears a load report, in the order of the settings' fields; probed says that a probe brought it.
 	Reported(worker brain.WorkerID, at float64, report []float32, probed bool)
@@ -161,16 +161,6 @@
 var ends = [brain.Moot + 1]Reason{brain.Error: BackendError, brain.Full: Full, brain.Timeout: Silent,
 	brain.ConnectFailed: Unreachable, brain.Reset: Broken, brain.Cancelled: Cancelled, brain.Moot: Withdrawn}
 
-// count counts who is ready.
-func (c *Core) count() {
-	c.ready = 0
-	for _, m := range c.members {
-		if m.State == brain.Ready {
-			c.ready++
-		}
-	}
-}
-
 // drained notes that a member no longer wants new work; it was ready before.
 func (c *Core) drained(m *Member) {
 	now := c.clock.Now()
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -394,7 +394,9 @@
 			for id, m := range c.members {
 				m.told.State = brain.Gone
 				if !named[id] {
-					c.become(m, brain.Gone)
+					was := m.State
+					m.State = brain.Gone
+					c.became(m, was)
 				}
 			}
 		}
@@ -410,12 +412,9 @@
 			*m = members[i]
 			m.told = m.Worker
 			c.overlay(m)
-			now := m.State
-			m.State = was
-			c.become(m, now)
+			c.became(m, was)
 			workers = append(workers, m.Worker)
 		}
-		c.count()
 		if c.Observer != nil {
 			c.Observer.Listed(kind, members)
 		}
@@ -424,11 +423,14 @@
 	})
 }
 
-// become changes a member's state as the decisions see it.
-func (c *Core) become(m *Member, state brain.WorkerState) {
-	was := m.State
-	m.State = state
-	if was == brain.Ready && state != brain.Ready {
+// became notes that the decisions see a member in another state than before.
+func (c *Core) became(m *Member, was brain.WorkerState) {
+	switch {
+	case was == m.State:
+	case m.State == brain.Ready:
+		c.ready++
+	case was == brain.Ready:
+		c.ready--
 		c.drained(m)
 	}
 }
--- a/internal/telemetry/classes.go
+++ b/internal/telemetry/classes.go
@@ -61,11 +61,6 @@
 	return Failed
 }
 
-// AnswersName is the series that counts a class's answers of a verdict; class is as ClassNames gives it.
-func AnswersName(class string, v Verdict) string {
-	return "classes." + class + ".answers." + v.String()
-}
-
 // unknownClass stands for the class of jobs that name none that is known.
 const unknownClass = "unknown"
 
@@ -76,13 +71,12 @@
 
 // class is the series of a class, by the numbers of the first ones.
 type class struct {
-	name                string
-	answers             int // by verdict
-	refused, failed     int // by reason
-	sent                int // first, repeats, copies, copies_won
-	ends                int // by result
-	latency, start      latency
-	firsts, copies, won int
+	name            string
+	answers         int // by verdict
+	refused, failed int // by reason
+	sent            int // first, repeats, copies, copies_won
+	ends            int // by result
+	latency, start  latency
 }
 
 func (s *Set) addClasses() {
--- a/internal/telemetry/nodes.go
+++ b/internal/telemetry/nodes.go
@@ -3,6 +3,9 @@
 import (
 	"fmt"
 	"math"
+	"slices"
+	"strconv"
+	"strings"
 
 	"cinderroad/brain"
 	"cinderroad/internal/routing"
@@ -102,8 +105,18 @@
 	}
 }
 
+// nowhere is the name of a zone or kind that the settings do not have.
+const nowhere = "none"
+
+func nameOf(i int, names []string) string {
+	if i >= 0 && i < len(names) {
+		return names[i]
+	}
+	return nowhere
+}
+
 func (n *nodes) spotName(p spot) string {
-	return fmt.Sprintf("%s.%s.%d", number(p.zone, n.zones, "none"), number(p.kind, n.kinds, "none"), p.cell)
+	return fmt.Sprintf("%s.%s.%d", nameOf(p.zone, n.zones), nameOf(p.kind, n.kinds), p.cell)
 }
 
 // Listed implements routing.Observer. Those who leave free their slots before those who come take some.
@@ -284,10 +297,8 @@
 func (s *Set) Held() (held []Held) {
 	n := &s.nodes
 	for _, sl := range n.order {
-		for node, p := range map[string]placement{sl.node: n.handout.at[sl.node]} {
-			if sl.state != brain.Gone && n.slots[p] == sl {
-				held = append(held, Held{n.spotName(p.spot), p.slot, node})
-			}
+		if p := n.handout.at[sl.node]; sl.state != brain.Gone && n.slots[p] == sl {
+			held = append(held, Held{n.spotName(p.spot), p.slot, sl.node})
 		}
 	}
 	return held
@@ -299,20 +310,18 @@
 	if s.options.Nodes == 0 {
 		return
 	}
-	spots := map[string]spot{}
-	for z := -1; z < len(n.zones); z++ {
-		for k := -1; k < len(n.kinds); k++ {
-			spots[fmt.Sprintf("%s.%s", number(z, n.zones, "none"), number(k, n.kinds, "none"))] = spot{zone: z, kind: k}
-		}
-	}
 	for _, h := range held {
-		for prefix, at := range spots {
-			if len(h.Spot) <= len(prefix)+1 || h.Spot[:len(prefix)+1] != prefix+"." {
-				continue
-			}
-			if _, err := fmt.Sscanf(h.Spot[len(prefix)+1:], "%d", &at.cell); err == nil && h.Node != "" && h.Slot >= 0 && h.Slot < s.options.Nodes {
-				n.handout.remember(h.Node, at, h.Slot)
-			}
+		parts := strings.Split(h.Spot, ".")
+		if len(parts) != 3 {
+			continue
+		}
+		at := spot{zone: slices.Index(n.zones, parts[0]), kind: slices.Index(n.kinds, parts[1])}
+		cell, err := strconv.Atoi(parts[2])
+		if at.cell = cell; err != nil || at.zone < 0 && parts[0] != nowhere || at.kind < 0 && parts[1] != nowhere {
+			continue
+		}
+		if h.Node != "" && h.Slot >= 0 && h.Slot < s.options.Nodes {
+			n.handout.remember(h.Node, at, h.Slot)
 		}
 	}
 }
--- a/internal/telemetry/set.go
+++ b/internal/telemetry/set.go
@@ -3,7 +3,6 @@
 import (
 	"maps"
 	"math"
-	"slices"
 
 	"cinderroad/brain"
 )
@@ -118,10 +117,7 @@
 // Freeze ends a period: what is counted from here on is the next one's. Encode must have ended the one before.
 func (s *Set) Freeze(stamp int64, every float64) {
 	s.fresh()
-	for i := range s.classes {
-		s.classes[i].latency.close(s.values)
-		s.classes[i].start.close(s.values)
-	}
+	s.latencies(func(_ string, l *latency) { l.close(s.values) })
 	s.values[s.drains.margin] = s.margin
 	s.margin = absent
 	for s.Gather(math.MaxInt32) {
@@ -143,21 +139,18 @@
 
 // Add goes on from totals of an earlier life, or adds what another process of this dispatcher has counted.
 func (s *Set) Add(totals map[string]float64) {
-	for _, name := range slices.Sorted(maps.Keys(totals)) {
-		v := totals[name]
-		if !(v >= 0) || math.IsInf(v, 0) {
-			continue
-		}
-		i, ok := s.byName[name]
-		if !ok {
+	usable := func(v float64) bool { return v >= 0 && !math.IsInf(v, 0) }
+	for name, v := range totals {
+		if i, ok := s.byName[name]; usable(v) && ok {
+			s.values[i] += v
+		} else if usable(v) {
 			s.pending[name] += v
-			continue
 		}
-		s.values[i] += v
-		for r := range s.reads {
-			if s.reads[r].i == i {
-				s.reads[r].base += v
-			}
+	}
+	for i := range s.reads {
+		r := &s.reads[i]
+		if told := s.table.At(r.i); told.Kind == Counter && usable(totals[told.Name]) {
+			r.base += totals[told.Name]
 		}
 	}
 }
@@ -187,29 +180,24 @@
 			s.told[i] = s.values[i]
 		}
 	}
-	for i := range s.classes {
-		c := &s.classes[i]
-		for what, l := range map[string]*latency{"latency": &c.latency, "start_wait": &c.start} {
-			if bars := l.bars(); bars != nil {
-				spans[c.name+"."+what] = bars
-			}
+	s.latencies(func(name string, l *latency) {
+		if bars := l.bars(); bars != nil {
+			spans[name] = bars
 		}
-	}
+	})
 	return counts, spans
 }
 
 // Merge takes the spans of another process into the period at hand.
 func (s *Set) Merge(spans Spans) {
-	for i := range s.classes {
-		c := &s.classes[i]
-		c.latency.merge(spans[c.name+".latency"])
-		c.start.merge(spans[c.name+".start_wait"])
-	}
+	s.latencies(func(name string, l *latency) { l.merge(spans[name]) })
 }
 
-func number(i int, names []string, none string) string {
-	if i >= 0 && i < len(names) {
-		return names[i]
+// latencies goes through all of them.
+func (s *Set) latencies(do func(name string, l *latency)) {
+	for i := range s.classes {
+		c := &s.classes[i]
+		do(c.name+".latency", &c.latency)
+		do(c.name+".start_wait", &c.start)
 	}
-	return none
 }
