A few long queues no longer make every worker look full to a dispatcher

A dispatcher that refuses, traced (its plan at the refusal, one line a worker): now=...26.77 class=1 period=1.330 run=0.218 limit=0.050 id= room=-26.02 others=66.18 trust=0.29 age=5.98 infl=67 id= room=-7.02 own=0.0 others=0.18 trust=0.33 slots=2 age=3.92 infl=0 wait=0.481 id= room=-8.25 own=0.0 others=0.97 trust=0.26 slots=2 age=7.97 infl=1 wait=1.032 Six workers with queues of 55 to 69 jobs, reported 4 to 6 s ago, pull the mean room to -11.5; in a crowd every worker's own report counts 0.4 at most against that mean, so idle workers look eight slots over, the wait looks longer than five times the tightest objective and all is refused. Who refuses all sends nothing and is told nothing new; the reports' weights fade together, so their weighted mean stays. At fault: rebuild (brain.go), sum of w.room*w.trust over n of w.trust. Ruled out: size of the refusals' bound (the idle worker's own room is above 0), cold budgets (all warm by then), zones. Change: in the mean a queue counts up to what is refused anyway (waitLimit x limit x size / run); a mean below nothing is taken over the heard workers' full weights, so that it fades with the reports. A mean above nothing is as before.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -89,7 +89,8 @@
 	age, was := math.Min((now-b.planAt)/b.recover, 1), math.Min((now-b.planAt)/b.period, 1)
 	b.planAt = now
 	b.measure(now)
-	sum, n, own := 0.0, 0.0, 0.0
+	sum, n, heard, own := 0.0, 0.0, 0.0, 0.0
+	fresh := 1 - crowdShare*(1-1/float64(b.Instances))
 	for _, w := range b.workers {
 		own += w.own
 		mean(&w.jobsThen, w.jobs, was)
@@ -106,9 +107,13 @@
 		w.room = ceiling*b.warmth(now, w) - math.Max(0, w.others)*b.perJob
 		// A report loses weight with age: an old one would draw every job to a worker or lock it out.
 		// What others send on the same report is unseen: if all believed all of it, all would choose alike.
-		w.trust = 1 - crowdShare*(1-1/float64(b.Instances))
-		w.trust *= math.Max(0, 1-(now-w.reportAt)/(2*staleAfter*b.period))
-		sum, n = sum+w.room*w.trust, n+w.trust
+		w.trust = fresh * math.Max(0, 1-(now-w.reportAt)/(2*staleAfter*b.period))
+		// In the mean a queue counts up to what is refused: one of sixty jobs would have the idle look full.
+		deep := waitLimit * b.limit * b.sizeOf(w) / math.Max(b.run, b.Tick)
+		sum, n, heard = sum+math.Max(w.room, -deep)*w.trust, n+w.trust, heard+fresh
+	}
+	if sum < 0 { // and it fades: who refuses all is told nothing new
+		n = heard
 	}
 	mean(&b.demand, own, age)
 	for _, w := range b.workers {
--- a/brain/learnt_test.go
+++ b/brain/learnt_test.go
@@ -112,3 +112,27 @@
 		t.Errorf("sends %v; want a refusal", r.sends)
 	}
 }
+
+// Guards against a few long queues, known from reports that are old by now, having a balancer of a large fleet refuse all
+// that comes: the mean which stands in for what is not known of the others was of the queues, the reports that it was
+// weighed with grew old together, and who refuses everything is told nothing new.
+func TestAFewJamsDoNotRefuseForAll(t *testing.T) {
+	s := testSettings()
+	s.Instances = 60
+	for _, after := range []float64{0, 4, 8} { // seconds
+		r := newRecorder(t, s, 1)
+		r.list(ListFull, ready(12)...)
+		for id, w := range r.b.byID {
+			w.run = 0.4
+			if r.b.learnReport(r.now, w, []float32{0, 0, 4}); id <= 4 {
+				w.others, w.inFlight = 66, 66
+			}
+		}
+		r.b.run = 0.4
+		r.runTo(r.now + after)
+		r.b.rebuild(r.now)
+		if r.request(1, 0, 0.05); r.refused[1] || len(r.sends) != 1 || r.sends[0].worker <= 4 {
+			t.Errorf("after %v s: refused %v, sends %v; eight of twelve workers were idle", after, r.refused[1], r.sends)
+		}
+	}
+}
