Second copies that are saved up are the fleet's, not each dispatcher's

At fault: copyStock, ten copies that each dispatcher may save up for the trouble of one worker: 600 of 60, 3,000 of 300, and all see the same trouble at the same time. Ruled out: repeats after errors (err 94 to 216 a second) and clients that leave (10% of 1,000 a second) do not make up the rest. Change: the stock is 30 over all, so ten each at three dispatchers as before, one at least. copyShare stays.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -25,7 +25,7 @@
 	fullShare  = 0.25 // share of the longest deadline that a worker which takes nothing is set aside at first
 	coldTurn   = 0.4  // share of the cold budget for one turn: parts of two may fall into one fall time
 	copyShare  = 0.10 // second copies for each first try: under overload copies feed the jam
-	copyStock  = 10   // copies that may be saved up for the trouble of one worker
+	copyStock  = 30   // copies that all together may save up for one worker that stands: all see it at once
 	waitShare  = 0.4  // part of a request's time that may pass before its start without a warning
 	probeShare = 1.0  // probes for each first try
 	sweepTicks = 2    // the monitoring period is at least this many ticks: cheap enough
@@ -258,7 +258,7 @@
 		return
 	}
 	r := b.enter(now, q)
-	b.copies = math.Min(b.copies+copyShare, copyStock)
+	b.copies = math.Min(b.copies+copyShare, b.stock)
 	b.probes = math.Min(b.probes+probeShare, float64(len(b.workers)))
 	b.act.SetTimer(uint32(r.ID), r.Deadline-2*b.Tick)
 	b.try(now, r)
--- a/brain/crowd_test.go
+++ b/brain/crowd_test.go
@@ -181,3 +181,33 @@
 		t.Errorf("it was tried %d times in 2 s; %d of 100 jobs were answered", tried, len(r.done))
 	}
 }
+
+// Guards against second copies saved up by each of many instances: where a part of the workers stands still all see it at
+// the same time, and what is a few copies for each was hundreds on the workers that are left.
+func TestSavedCopiesAreTheFleets(t *testing.T) {
+	for _, instances := range []int{3, 60, 300} {
+		s := testSettings()
+		s.Instances = instances
+		r := newRecorder(t, s, 1)
+		r.list(ListFull, ready(30)...)
+		id := RequestID(0)
+		for range 400 { // a quiet time saves up
+			id++
+			r.request(id, 0, 0.05)
+			r.start(id, 0)
+			r.runTo(r.now + 0.02)
+			r.outcome(id, 0, OK, 0, float32(id%7)/10, 4) // news each time
+		}
+		quiet := len(r.sends)
+		for range 20 { // none of these starts
+			id++
+			r.request(id, 0, 0.05)
+		}
+		r.runTo(r.now + 1)
+		first := 20
+		copies, want := len(r.sends)-quiet-first, copyShare*float64(first)+math.Max(1, copyStock/float64(instances))
+		if copies < 1 || float64(copies) > want {
+			t.Errorf("%d instances: one sent %d copies of %d jobs that wait, of %.1f that it may", instances, copies, first, want)
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -95,6 +95,7 @@
 	period    float64 // mean time between new reports of a worker
 	demand    float64 // mean slots of own jobs in flight
 	copies    float64 // second copies that may still be sent
+	stock     float64 // and that may be saved up
 	probes    float64 // probes that may still be sent
 	lastAsk   float64
 	askEvery  float64
@@ -114,7 +115,8 @@
 	b := &Balancer{Settings: s, act: act, rng: seed, byID: map[WorkerID]*worker{}, pace: 1, perJob: 1,
 		requests: map[RequestID]*request{}, work: make([]float64, len(s.Classes)), limit: math.Inf(1),
 		far: make([]float64, s.Zones), kinds: map[int]*kind{},
-		copies: copyStock / 2, leastSize: 1, meanSize: 1}
+		stock: math.Max(1, copyStock/float64(s.Instances)), leastSize: 1, meanSize: 1}
+	b.copies = b.stock / 2
 	for i := range s.Classes {
 		b.limit = math.Min(b.limit, s.Classes[i].Objective)
 		b.recover = math.Max(b.recover, s.Classes[i].Deadline)
