A bad entry of the list is dropped and the rest of its line taken; settings errors name the field

Seen by reading and by a story: a line with one entry that makes no sense (unknown state, no uid, no address) was rejected whole. The news beside it, a drain perhaps, was lost until the watch had been opened anew, and as long as discovery told that entry every dispatcher asked again and again. At fault: ParseList (bodies.go), take (director.go). Change: the entry is dropped, counted (director.bad_entries) and logged, one log line for a line of discovery; its backend stays as it was, in a whole list too.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -539,7 +539,7 @@
 	case c.Effect == Unsafe || now >= a.sent+c.Window:
 		return false
 	case c.Scope == ScopeZone:
-		return w.Zone == a.w.Zone
+		return w.Zone == a.w.Zone && w.Zone >= 0 // two zones that nobody knows are not known to be the same
 	case c.Scope == ScopeCell:
 		return w.Cell == a.w.Cell
 	}
--- a/brain/learnt_test.go
+++ b/brain/learnt_test.go
@@ -136,3 +136,21 @@
 		}
 	}
 }
+
+// Guards against workers of zones that the settings don't know being taken for one zone: a job that may have run in one
+// must not be repeated in the other.
+func TestUnknownZonesAreNotOneZone(t *testing.T) {
+	r := newRecorder(t, testSettings(), 1)
+	r.list(ListFull, Worker{ID: 1, Zone: -1, State: Ready}, Worker{ID: 2, Zone: -1, State: Ready})
+	r.request(1, 4, 0.05)
+	r.outcome(1, 0, Reset)
+	r.runTo(r.now + 1)
+	if len(r.sends) != 1 {
+		t.Errorf("a job that may have run in an unknown zone was sent again: %v", r.sends)
+	}
+	r.list(ListDelta, Worker{ID: 1, Zone: 1, State: Ready}, Worker{ID: 2, Zone: 1, State: Ready})
+	r.request(2, 4, 0.05)
+	if r.outcome(2, 0, Reset); len(r.sends) != 3 {
+		t.Errorf("sends %v; in a zone that is known it may be repeated", r.sends)
+	}
+}
--- a/internal/program/figures.go
+++ b/internal/program/figures.go
@@ -63,6 +63,7 @@
 	a.counter("director.watches", "watches", "Watches opened at discovery.", func() uint64 { return p.director.Watches })
 	a.counter("director.refused", "watches", "Watches that a discovery without room refused.", func() uint64 { return p.director.Refused })
 	a.counter("director.bad_lines", "lines", "Lines of discovery that made no sense: the old list was kept.", func() uint64 { return p.director.Rejected })
+	a.counter("director.bad_entries", "entries", "Entries of the list that made no sense: the rest was taken.", func() uint64 { return p.director.BadEntries })
 	a.gauge("director.list_revision", "", "Version of the list held.", func() float64 { return float64(p.director.Rev()) })
 	a.gauge("director.silent_s", "s", "Since discovery last said anything: its lag, at most. None before the first word.", func() float64 {
 		if p.director.Last() == 0 {
--- a/internal/protocol/platform/director.go
+++ b/internal/protocol/platform/director.go
@@ -68,11 +68,12 @@
 
 // Director watches discovery's list for ever and hands every change to the core at once.
 type Director struct {
-	Rejected uint64 // lines that made no sense: the old list was kept
-	Watches  uint64
-	Refused  uint64 // tries that a discovery without room answered so
-	Fleet    int    // dispatchers that ask the same discovery
-	Spoke    func() // discovery has spoken for the first time since the start
+	Rejected   uint64 // lines that made no sense: the old list was kept
+	BadEntries uint64 // entries of a line that made no sense: the rest was taken
+	Watches    uint64
+	Refused    uint64 // tries that a discovery without room answered so
+	Fleet      int    // dispatchers that ask the same discovery
+	Spoke      func() // discovery has spoken for the first time since the start
 
 	loop  *transport.Loop
 	log   *zap.Logger
@@ -271,7 +272,7 @@
 	if r.Status != 200 {
 		return refusal(strconv.Itoa(r.Status), r.Header)
 	}
-	list, err := ParseList(r.Body)
+	list, bad, err := ParseList(r.Body)
 	if err == nil && !list.All {
 		err = errors.New("platform: list is not whole")
 	}
@@ -286,6 +287,7 @@
 	d.on, d.next, d.fails = w, nil, 0
 	w.whole = false
 	d.log.Info("director: moved", zap.Stringer("discovery", w.addr), zap.Int64("rev", list.Rev))
+	d.drop(bad)
 	d.apply(list, brain.ListFull)
 	d.spoke()
 	if r.Close || ended {
@@ -348,7 +350,7 @@
 // old list kept; but a change may have been in it, so what has changed since that list is asked for anew.
 func (w *watch) take(line []byte) error {
 	d := w.d
-	list, err := ParseList(line)
+	list, bad, err := ParseList(line)
 	if err == nil && list.Rev < w.rev {
 		err = fmt.Errorf("platform: list: version %d after %d", list.Rev, w.rev)
 	}
@@ -357,6 +359,7 @@
 		d.log.Warn("director: bad line, old list kept", zap.Error(err), zap.Int("bytes", len(line)))
 		return err
 	}
+	d.drop(bad)
 	w.rev, d.fails = list.Rev, 0
 	kind := brain.ListDelta
 	if list.All {
@@ -367,6 +370,16 @@
 	return nil
 }
 
+// drop counts entries that made no sense, and names the first: one line of the log for a line of discovery.
+func (d *Director) drop(bad []error) {
+	if len(bad) == 0 {
+		return
+	}
+	d.BadEntries += uint64(len(bad))
+	d.log.Warn("director: bad entry dropped, the rest taken", zap.Error(bad[0]), zap.Int("entries", len(bad)),
+		zap.Uint64("so_far", d.BadEntries))
+}
+
 func (d *Director) apply(list List, kind brain.ListKind) {
 	d.rev = list.Rev
 	if kind == brain.ListFull {
@@ -375,6 +388,9 @@
 		for _, t := range list.Targets {
 			delete(missing, t.UID)
 		}
+		for _, uid := range list.dropped { // named, though nobody knows as what: it stays as it was
+			delete(missing, uid)
+		}
 		for _, uid := range slices.Sorted(maps.Keys(missing)) {
 			list.Targets = append(list.Targets, Target{UID: uid, State: "gone"})
 		}
--- a/internal/protocol/platform/director_test.go
+++ b/internal/protocol/platform/director_test.go
@@ -95,3 +95,50 @@
 		}
 	}
 }
+
+// Guards against dispatchers that start together and crowd out each other at discovery for good: it answers so many
+// questions a second, in turn, and refuses what has waited 2 s. Over virtual time, with the director's own pauses.
+func TestAllAreInformedByASmallDiscovery(t *testing.T) {
+	const patience, perSecond = 2.0, 12.0 // seconds, answers
+	for _, fleet := range []int{3, 60, 300} {
+		for seed := range uint64(5) {
+			type question struct{ at, who int }
+			due := map[int][]int{} // by tick of 1/perSecond: who asks then
+			var queue []question
+			directors := make([]*Director, fleet)
+			for i := range directors {
+				directors[i] = &Director{Fleet: fleet, rng: rand.New(rand.NewPCG(seed, uint64(i)))}
+				due[0] = append(due[0], i)
+			}
+			informed, tick := 0, 0
+			calls := map[int]int{} // by second
+			for ; informed < fleet && tick < 3600*perSecond; tick++ {
+				for _, who := range due[tick] {
+					queue = append(queue, question{tick, who})
+					calls[tick/perSecond]++
+				}
+				for len(queue) > 0 && float64(tick-queue[0].at) >= patience*perSecond {
+					pause := directors[queue[0].who].pause(refusal("503", nil))
+					again := tick + 1 + int(pause*perSecond)
+					due[again] = append(due[again], queue[0].who)
+					queue = queue[1:]
+				}
+				if len(queue) > 0 {
+					queue, informed = queue[1:], informed+1
+				}
+			}
+			busiest := 0
+			for second, n := range calls {
+				if second >= patience {
+					busiest = max(busiest, n)
+				}
+			}
+			took, least := float64(tick)/perSecond, float64(fleet)/perSecond
+			if took > 3*least+afterRefusal(fleet).first || float64(busiest) > 3*perSecond {
+				t.Errorf("%d dispatchers: all informed after %.1f s of %.1f at least, %d questions in the busiest second after the start",
+					fleet, took, least, busiest)
+			}
+			t.Logf("%d dispatchers: all informed after %.1f s of %.1f at least, at most %d questions a second", fleet, took, least, busiest)
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -82,6 +82,12 @@
 		ColdTime: d.Guarantees.ColdS, ColdShare: d.Guarantees.ColdShare,
 		FallMultiple: d.Guarantees.FallMultiple, FallTime: d.Guarantees.FallS, OverShareWorth: d.OverShareWorth,
 	}
+	if d.NInstances < 1 {
+		return s, fmt.Errorf("settings: bad nInstances: %d; it is how many dispatchers share the workers, 1 at least", d.NInstances)
+	}
+	if d.Me < 0 || d.Me >= d.NInstances {
+		return s, fmt.Errorf("settings: bad me: %d; it counts from 0 and stays below nInstances, %d", d.Me, d.NInstances)
+	}
 	for i, c := range d.Categories {
 		effect, known := effects[c.Repeat]
 		if !known {
