--- a/brain/crowd_test.go
+++ b/brain/crowd_test.go
@@ -96,6 +96,21 @@
 	}
 }
 
+// replaceHalf is the news that half of the workers have gone, and that as many cold ones have come at a time.
+func replaceHalf(workers int, at float64) (news []Worker, colds []WorkerID) {
+	for i := 1; i <= workers/2; i++ {
+		colds = append(colds, WorkerID(1000+i))
+		news = append(news, Worker{ID: WorkerID(i), State: Gone}, Worker{ID: WorkerID(1000 + i), State: Ready, Since: at})
+	}
+	return news, colds
+}
+
+// worst is the most work that a worker which came cold at a time was sent within a fall time, as a share of what it bears.
+func (c *crowd) worst(s Settings, cold WorkerID, at, work float64) float64 {
+	return worstSpan(s, c.sent[cold], func(RequestID) float64 { return work },
+		func(from float64) float64 { return c.size * warmAt(s, from-(at-1000)) })
+}
+
 // Guards against a cold worker that many instances leave idle while the warm ones are full: each knows little of it, and
 // what the turns leave to each is less than a slot. However many there are, all together must use it well and keep the rule.
 func TestAColdWorkerIsGivenWorkHoweverManyShareIt(t *testing.T) {
@@ -109,12 +124,7 @@
 			load := busy * size * float64(workers)
 			c := newCrowd(t, s, instances, size, ready(workers))
 			c.run(1003, load, work, rng, &id)
-			var news []Worker // half are replaced, and the rest are full
-			var colds []WorkerID
-			for i := 1; i <= workers/2; i++ {
-				colds = append(colds, WorkerID(1000+i))
-				news = append(news, Worker{ID: WorkerID(i), State: Gone}, Worker{ID: WorkerID(1000 + i), State: Ready, Since: 1003})
-			}
+			news, colds := replaceHalf(workers, 1003) // and the rest are full
 			c.list(news...)
 			c.run(1009, load, work, rng, &id)
 			able, got, least, most := 0.0, 0.0, math.Inf(1), 0.0
@@ -122,8 +132,7 @@
 				able += 0.01 * size * warmAt(s, at-3)
 			}
 			for _, cold := range colds {
-				most = max(most, worstSpan(s, c.sent[cold], func(RequestID) float64 { return work },
-					func(from float64) float64 { return size * warmAt(s, from-3) }))
+				most = max(most, c.worst(s, cold, 1003, work))
 				share := work * float64(len(c.sent[cold])) / able
 				got, least = got+share/float64(len(colds)), min(least, share)
 			}
@@ -241,10 +250,7 @@
 			}
 		}
 		c.run(1002, load, work, rng, &id)
-		var news []Worker
-		for i := 1; i <= workers/2; i++ {
-			news = append(news, Worker{ID: WorkerID(i), State: Gone}, Worker{ID: WorkerID(1000 + i), State: Ready, Since: 1002})
-		}
+		news, colds := replaceHalf(workers, 1002)
 		for me, r := range c.r {
 			if me%3 != 1 {
 				r.list(ListDelta, news...)
@@ -258,13 +264,11 @@
 		}
 		c.run(1006, load, work, rng, &id)
 		most, sum := 0.0, 0
-		for i := 1; i <= workers/2; i++ {
-			got := c.sent[WorkerID(1000+i)]
-			sum += len(got)
-			most = max(most, worstSpan(s, got, func(RequestID) float64 { return work },
-				func(from float64) float64 { return size * warmAt(s, from-2) }))
+		for _, cold := range colds {
+			sum += len(c.sent[cold])
+			most = max(most, c.worst(s, cold, 1002, work))
 		}
-		used := float64(sum) * work / (4 * size * float64(workers/2) * warmAt(s, 1002)) // of what a worker this cold does in 4 s
+		used := float64(sum) * work / (4 * size * float64(len(colds)) * warmAt(s, 1002)) // of what a worker this cold does in 4 s
 		if most > 1 || used < 0.3 {
 			t.Errorf("%d instances, seed %d: a cold worker was sent %.2f of what it bears; all got %.2f of what they do cold",
 				tc.instances, tc.seed, most, used)
--- a/internal/protocol/platform/parse_test.go
+++ b/internal/protocol/platform/parse_test.go
@@ -77,7 +77,8 @@
 	}
 }
 
-// Guards against a half-sensible list replacing a good one, and against call-backs taken for what they are not.
+// Guards against one bad entry costing the news beside it, against a list of nothing but such emptying a good one, and against
+// call-backs taken for what they are not.
 func TestParseBodies(t *testing.T) {
 	good := func(uid, state string) string {
 		return `{"uid":"` + uid + `","endpoint":"127.0.0.1:1","state":"` + state + `"}`
