The decisions' place among the dispatchers can be set while they run

Need: nInstances and me are written by hand and stay for a life. Whoever takes them from a view needs one setter.

Checked: with (me - first) mod n two dispatchers that count different n hold one turn together with chance 1/n each, and nothing bounds the sum.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -565,12 +565,12 @@
 	return budget/float64(holders) - b.spent(now, w)
 }
 
-// coldBudget is the work that all may send to a cold worker within the fall time, in one turn. Capacity: the
-// smallest size seen of its kind, or of all; mean pace.
+// coldBudget is the work that all may send to a cold worker within the fall time, in one turn; a part of it
+// while others may not count us. Capacity: the smallest size seen of its kind, or of all; mean pace.
 func (b *Balancer) coldBudget(now float64, w *worker) float64 {
 	kind := b.kind(w)
 	capacity := b.warmth(now, w) * cmp.Or(kind.size, b.leastSize) / math.Max(b.pace, kind.pace)
-	return coldTurn * b.FallMultiple * capacity * b.FallTime
+	return b.part * coldTurn * b.FallMultiple * capacity * b.FallTime
 }
 
 // turn says how many instances hold a cold worker's turn and whether this is one of them, from a place drawn
@@ -584,8 +584,7 @@
 	}
 	holders = int(math.Max(1, most))
 	turn := uint64(int64((now - w.Since) / b.FallTime)) // a start told ahead of our clock is below 0
-	first := int(scatter(uint64(w.ID)+scatter(turn)) % uint64(b.Instances))
-	return holders, (b.Me+b.Instances-first)%b.Instances < holders
+	return holders, b.order(w, turn) < holders
 }
 
 // send is the one gate.
--- a/brain/state.go
+++ b/brain/state.go
@@ -34,6 +34,9 @@
 	shunUntil, shunFor float64
 	sent               [4]float64 // work sent in the last spans of a third of the fall time
 	span               int64
+	turnAt             uint64 // the turn that place was worked out for
+	placed             uint64 // and among which peers
+	place              int
 }
 
 // kind is what is known of a machine kind; size is the fewest slots that one of its workers has shown, 0 if none has.
@@ -104,6 +107,9 @@
 	meanSize  float64 // mean slots of the workers
 	arrivals  float64 // since the view was chosen
 	viewAt    float64
+	part      float64                    // of a cold worker's budget that is ours to share in
+	peers     []uint64                   // keys of the instances; nil: Me and Instances say all
+	peered    uint64                     // counts the changes of peers
 	recalled  map[WorkerID]*LearntWorker // of a Balancer before this one, until the list names them
 }
 
@@ -114,8 +120,7 @@
 	}
 	b := &Balancer{Settings: s, act: act, rng: seed, byID: map[WorkerID]*worker{}, pace: 1, perJob: 1,
 		requests: map[RequestID]*request{}, work: make([]float64, len(s.Classes)), limit: math.Inf(1),
-		far: make([]float64, s.Zones), kinds: map[int]*kind{},
-		stock: math.Max(1, copyStock/float64(s.Instances)), leastSize: 1, meanSize: 1}
+		far: make([]float64, s.Zones), kinds: map[int]*kind{}, stock: stock(s.Instances), part: 1, leastSize: 1, meanSize: 1}
 	b.copies = b.stock / 2
 	for i := range s.Classes {
 		b.limit = math.Min(b.limit, s.Classes[i].Objective)
@@ -127,6 +132,49 @@
 	return b, nil
 }
 
+// stock is how many second copies one of so many instances may save up.
+func stock(instances int) float64 { return math.Max(1, copyStock/float64(instances)) }
+
+// Place is an instance's place among those that share the workers, where it is not the settings' for good.
+type Place struct {
+	Instances int
+	Me        int
+	Part      float64  // of a cold worker's budget, above 0: less than 1 while others may not count this instance
+	Keys      []uint64 // of all instances by their numbers, drawn from their names; nil: turns go by the numbers alone
+}
+
+// SetPlace sets the place; it is called between events, and decides nothing itself. One that makes no sense changes nothing.
+func (b *Balancer) SetPlace(p Place) error {
+	if p.Instances < 1 || p.Me < 0 || p.Me >= p.Instances || !(p.Part > 0 && p.Part <= 1) || p.Keys != nil && len(p.Keys) != p.Instances {
+		return fmt.Errorf("brain: bad place: %d of %d, part %v, %d keys", p.Me, p.Instances, p.Part, len(p.Keys))
+	}
+	b.Instances, b.Me, b.part, b.peers = p.Instances, p.Me, p.Part, p.Keys
+	b.peered++
+	b.stock = stock(p.Instances)
+	b.copies = math.Min(b.copies, b.stock)
+	return nil
+}
+
+// order is this instance's place, from 0 on, in the order of a worker's turn. By the keys, whoever knows of more
+// instances comes no earlier: so the holders by views that differ are never more than by one view.
+func (b *Balancer) order(w *worker, turn uint64) int {
+	draw := scatter(uint64(w.ID) + scatter(turn))
+	if b.peers == nil {
+		first := int(draw % uint64(b.Instances))
+		return (b.Me + b.Instances - first) % b.Instances
+	}
+	if w.placed != b.peered || w.turnAt != turn {
+		w.placed, w.turnAt, w.place = b.peered, turn, 0
+		mine := scatter(draw ^ b.peers[b.Me])
+		for _, key := range b.peers {
+			if scatter(draw^key) < mine {
+				w.place++
+			}
+		}
+	}
+	return w.place
+}
+
 // reading is a load report with its fields in place; -1 is not told.
 type reading struct{ inFlight, util, free float64 }
 
--- a/internal/routing/exclude.go
+++ b/internal/routing/exclude.go
@@ -119,3 +119,10 @@
 	c.do(func() { err = c.bal.Recall(c.clock.Now(), l) })
 	return err
 }
+
+// SetPlace has the decisions know their place among the dispatchers that share the workers; one that makes no sense changes
+// nothing.
+func (c *Core) SetPlace(p brain.Place) (err error) {
+	c.do(func() { err = c.bal.SetPlace(p) })
+	return err
+}
