The loop takes UDP sockets, and tells when it was woken late

Need: the fleet's datagrams on the one loop, and a process that was stopped must know it before it sends anything: SIGCONT wakes epoll with clients' events first, and deadlines run last in a turn.

Socket reads 64 datagrams a turn at most; its handles are numbers below 2^32, which no slot has. Overslept is called first in a turn that begins later than its wait allows.

--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -38,10 +38,17 @@
 	Deadlines
 	Shed func() bool // frees a descriptor that can be spared; false when there is none
 
+	// Overslept is told when a turn comes so many seconds later than it was due, before anything else is done in it: the
+	// process was stopped, or got no processor. SleptAfter is how late that is.
+	Overslept  func(late float64)
+	SleptAfter float64
+
 	epoll, wake int
 	limit       int // sockets that may be open at once
 	conns       slots.Table[*Conn]
 	listeners   slots.Table[*Listener]
+	sockets     map[uint32]*Socket // of datagrams
+	lastSocket  uint32
 	urgent      []*Conn
 	lingering   []*Conn // the oldest first
 	held        int     // bytes that have come and were not consumed, over all connections
@@ -68,7 +75,7 @@
 		unix.Close(epoll)
 		return nil, fmt.Errorf("transport: eventfd: %w", err)
 	}
-	l := &Loop{epoll: epoll, wake: wake, limit: limit, scratch: make([]byte, readSize)}
+	l := &Loop{epoll: epoll, wake: wake, limit: limit, scratch: make([]byte, readSize), sockets: map[uint32]*Socket{}}
 	// Unix time at the start, then the monotonic clock: boot_ms compares, and time never goes back.
 	l.anchor = time.Now()
 	l.start = float64(l.anchor.UnixMicro()) / 1e6
@@ -127,7 +134,11 @@
 		if err != nil && !errors.Is(err, unix.EINTR) {
 			return fmt.Errorf("transport: epoll wait: %w", err)
 		}
+		due := l.now + float64(max(wait, 0))/1000
 		l.tick()
+		if late := l.now - due; wait >= 0 && l.Overslept != nil && late > l.SleptAfter {
+			l.Overslept(late)
+		}
 		for _, c := range l.urgent { // whatever the director has written counts as told: read it before anything can send
 			if !c.connecting {
 				c.readable()
@@ -164,6 +175,9 @@
 	}
 }
 
+// socketHandle names a socket of datagrams in events: slots have a generation in the upper half, which is never 0.
+func socketHandle(id uint32) slots.Handle { return slots.Handle(id) }
+
 func handleOf(e *unix.EpollEvent) slots.Handle {
 	return slots.Handle(uint64(uint32(e.Pad))<<32 | uint64(uint32(e.Fd)))
 }
@@ -199,6 +213,12 @@
 		}
 		return
 	}
+	if h>>32 == 0 {
+		if s := l.sockets[uint32(h)]; s != nil {
+			s.readable()
+		}
+		return
+	}
 	if c, ok := l.conns.Get(h); ok {
 		c.event(e.Events)
 	}
@@ -215,6 +235,9 @@
 func (l *Loop) closeAll() {
 	l.conns.Each(func(_ slots.Handle, c *Conn) { c.Close() })
 	l.listeners.Each(func(_ slots.Handle, ln *Listener) { ln.Close() })
+	for _, s := range l.sockets {
+		s.Close()
+	}
 	unix.Close(l.wake)
 	unix.Close(l.epoll)
 }
--- /dev/null
+++ b/internal/transport/socket.go
@@ -0,0 +1,85 @@
+package transport
+
+import (
+	"errors"
+	"fmt"
+	"net/netip"
+
+	"golang.org/x/sys/unix"
+)
+
+const (
+	datagramSize   = 2048 // bytes that are read of one; a longer one arrives cut to this, which is more than anybody may send
+	datagramRounds = 64   // read in a turn: the jobs must not wait for more
+)
+
+// Socket is a bound UDP socket: datagrams come from anybody and go to anybody. It counts as none of the loop's sockets.
+type Socket struct {
+	loop *Loop
+	id   uint32
+	fd   int
+	take func(b []byte)
+}
+
+// ListenDatagrams binds a UDP socket; take gets each datagram and keeps nothing of b. What several sockets of one process
+// would share, the address, is refused to the second: errors wrap the system's.
+func (l *Loop) ListenDatagrams(addr netip.AddrPort, take func(b []byte)) (*Socket, error) {
+	family, sa := sockaddr(addr)
+	fd, err := unix.Socket(family, unix.SOCK_DGRAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
+	if err != nil {
+		return nil, fmt.Errorf("transport: socket: %w", err)
+	}
+	if err := unix.Bind(fd, sa); err != nil {
+		unix.Close(fd)
+		return nil, fmt.Errorf("transport: bind %s: %w", addr, err)
+	}
+	l.lastSocket++ // handles of slots are above these numbers
+	s := &Socket{loop: l, id: l.lastSocket, fd: fd, take: take}
+	if err := l.control(unix.EPOLL_CTL_ADD, fd, socketHandle(s.id), unix.EPOLLIN); err != nil {
+		unix.Close(fd)
+		return nil, err
+	}
+	l.sockets[s.id] = s
+	return s, nil
+}
+
+// Addr is the address the socket has.
+func (s *Socket) Addr() netip.AddrPort { return address(unix.Getsockname(s.fd)) }
+
+// Take changes who gets the datagrams.
+func (s *Socket) Take(take func(b []byte)) { s.take = take }
+
+// SendTo sends one datagram. With no room for it in the system it is dropped, and the error says so.
+func (s *Socket) SendTo(addr netip.AddrPort, b []byte) error {
+	_, sa := sockaddr(addr)
+	if err := unix.Sendto(s.fd, b, unix.MSG_DONTWAIT, sa); err != nil {
+		return fmt.Errorf("transport: send: %w", err)
+	}
+	return nil
+}
+
+// Close closes the socket; closing it again does nothing.
+func (s *Socket) Close() {
+	if s.loop.sockets[s.id] == s {
+		delete(s.loop.sockets, s.id)
+		unix.Close(s.fd)
+	}
+}
+
+func (s *Socket) readable() {
+	var b [datagramSize]byte
+	for range datagramRounds {
+		if s.loop.sockets[s.id] != s {
+			return // closed by what it took
+		}
+		n, _, err := unix.Recvfrom(s.fd, b[:], unix.MSG_DONTWAIT)
+		switch {
+		case errors.Is(err, unix.EINTR):
+		case errors.Is(err, unix.ECONNREFUSED): // what was sent to one that has gone
+		case err != nil:
+			return
+		default:
+			s.take(b[:n])
+		}
+	}
+}
