Fleet membership by SWIM and Lifeguard, its divisor, and fleets in virtual time

Need: each dispatcher learns alone; none can know that another has gone, nor among how many a cold worker is shared.

membership is pure: probes in shuffled order, indirect ones, suspicion that witnesses shorten, local health, digests of 64 parts before pages, lives and claims of a name. divisor draws the place from the view: who may be sending counts; one cut off or not counted takes an eighth. virtual plays the same machines over a network from a seed.

--- /dev/null
+++ b/internal/fleet/divisor/crowd_test.go
@@ -0,0 +1,339 @@
+package divisor_test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"cinderroad/brain"
+	"cinderroad/internal/fleet/divisor"
+	"cinderroad/internal/fleet/membership"
+	"cinderroad/internal/standin/virtual"
+)
+
+// settings are those of one class whose jobs fit a cold worker's share many times over.
+func settings(told, me int) brain.Settings {
+	return brain.Settings{Classes: []brain.Class{{Name: "score", Objective: 0.5, Deadline: 5, Worth: 1, Effect: brain.Safe, Kind: -1}},
+		Zones: 1, Instances: told, Me: me, Report: []brain.Field{brain.FieldInFlight, brain.FieldUtilization, brain.FieldFreeSlots},
+		MaxAttempts: 4, MaxRetryAfter: 2, Tick: 0.004, AnswerSlack: 0.016, AskWithin: 10, ColdTime: 9, ColdShare: 0.34, FallMultiple: 3,
+		FallTime: 2, MayCancel: true, TellsStart: true, MayRetryAfter: true}
+}
+
+const work = 0.01 // seconds of a job
+
+// dispatcher is a member's decisions: it gets more jobs than its share of the one worker, which is cold, bears.
+type dispatcher struct {
+	node    *virtual.Node
+	bal     *brain.Balancer
+	div     *divisor.Divisor
+	place   divisor.Place
+	net     *virtual.Net
+	sum     *sum
+	next    brain.RequestID
+	out     []sent
+	timers  []float64
+	off     bool
+	slept   bool
+	stopped bool // hands in nothing more
+}
+
+type sent struct {
+	id brain.RequestID
+	at float64
+}
+
+// sum is what the worker gets from all.
+type sum struct {
+	since float64
+	sends []float64
+	worst float64 // of what it bears in a fall time
+	at    float64
+	all   int
+}
+
+// Log and the rest implement brain.Actions.
+func (d *dispatcher) Log(string)                        {}
+func (d *dispatcher) Refuse(brain.RequestID, float64)   {}
+func (d *dispatcher) Fail(brain.RequestID)              {}
+func (d *dispatcher) Cancel(brain.RequestID, int)       {}
+func (d *dispatcher) Probe(brain.WorkerID)              {}
+func (d *dispatcher) Watch(bool)                        {}
+func (d *dispatcher) Fetch()                            {}
+func (d *dispatcher) SetTimer(token uint32, at float64) {}
+func (d *dispatcher) Send(id brain.RequestID, _ brain.WorkerID, _ float64) {
+	now := d.net.Now
+	d.out = append(d.out, sent{id, now})
+	d.sum.book(now)
+}
+
+func (s *sum) book(now float64) {
+	s.all++
+	s.sends = append(s.sends, now)
+	for len(s.sends) > 0 && now-s.sends[0] >= 2 {
+		s.sends = s.sends[1:]
+	}
+	// what it bears by its state at the start of the span, when it was coldest
+	warmth := min(1, 0.34+0.66*max(0, s.sends[0]-s.since)/9)
+	if share := work * float64(len(s.sends)) / (3 * warmth * 2); share > s.worst {
+		s.worst, s.at = share, now
+	}
+}
+
+// fleet is a virtual fleet of dispatchers round one worker that is cold all the time.
+type fleet struct {
+	t    *testing.T
+	net  *virtual.Net
+	all  map[*virtual.Node]*dispatcher
+	list []*dispatcher
+	sum  sum
+	told int
+	off  bool
+	rng  *rand.Rand
+}
+
+func newFleet(t *testing.T, seed uint64, n, told int, off bool) *fleet {
+	f := &fleet{t: t, net: virtual.New(virtual.Options{Seed: seed, Drop: 0.05, Delay: 0.002, Jitter: 0.02, Period: 0.5}, n), told: told, off: off,
+		all: map[*virtual.Node]*dispatcher{}, rng: rand.New(rand.NewPCG(seed, 3))}
+	f.net.Each = func(node *virtual.Node) {
+		if d := f.all[node]; d != nil {
+			d.divide()
+		}
+	}
+	f.sum.since = f.net.Now
+	for at := f.net.Now; at < f.net.Now+400; at += 0.005 {
+		f.net.At(at, f.step)
+	}
+	return f
+}
+
+func (f *fleet) start(i int) {
+	node := f.net.Nodes[i]
+	d := &dispatcher{node: node, net: f.net, sum: &f.sum, off: f.off}
+	bal, err := brain.New(settings(f.told, i%f.told), uint64(i), d)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	d.bal = bal
+	d.div = divisor.New(divisor.Rules{Instances: f.told, Me: i % f.told, Period: f.net.Period, LastSends: 2, Whole: true})
+	bal.OnStart(f.net.Now)
+	bal.OnList(f.net.Now, brain.ListFull, []brain.Worker{{ID: 7, State: brain.Ready, Since: f.sum.since}})
+	for j, old := range f.list {
+		if old.node == node {
+			f.list = append(f.list[:j], f.list[j+1:]...)
+			break
+		}
+	}
+	f.list = append(f.list, d)
+	f.all[node] = d
+	f.net.Start(node, f.net.Nodes[0], f.net.Nodes[1])
+}
+
+func (d *dispatcher) divide() {
+	if d.off || d.node.Machine == nil {
+		return
+	}
+	v := d.node.Machine.View()
+	p := d.div.Place(d.net.Now, &v)
+	if p.Equal(&d.place) {
+		return
+	}
+	d.place = p
+	if err := d.bal.SetPlace(brain.Place{Instances: p.Instances, Me: p.Me, Part: p.Part, Keys: p.Keys}); err != nil {
+		panic(err)
+	}
+}
+
+// step hands jobs in everywhere, and has the worker be cold anew every 9 s.
+func (f *fleet) step() {
+	now := f.net.Now
+	if now >= f.sum.since+9 {
+		f.sum.since, f.sum.sends = now, nil
+		for _, d := range f.list {
+			if d.node.Machine != nil {
+				d.bal.OnList(now, brain.ListDelta, []brain.Worker{{ID: 7, State: brain.Ready, Since: now}})
+			}
+		}
+	}
+	for _, d := range f.list {
+		if d.node.Machine == nil || d.node.Paused || d.stopped {
+			continue
+		}
+		if d.slept { // the loop tells it before anything else
+			d.slept = false
+			d.node.Machine.Slept(now)
+			d.divide()
+			f.net.Flush(d.node)
+		}
+		for len(d.out) > 0 && now >= d.out[0].at+work {
+			x := d.out[0]
+			d.out = d.out[1:]
+			d.bal.OnNote(now, &brain.Note{Request: x.id, Started: true})
+			d.bal.OnOutcome(now, &brain.Outcome{Request: x.id, Worker: 7, Result: brain.OK, Report: []float32{1, 1, 0}, Closed: true})
+		}
+		d.bal.OnTimer(now, 1<<32-1)
+		if f.rng.Float64() < 0.5 {
+			d.next++
+			d.bal.OnRequest(now, &brain.Request{ID: d.next, Work: work, Slots: 0.01, Deadline: now + 5})
+		}
+	}
+}
+
+func (f *fleet) run(seconds float64) { f.net.Run(f.net.Now + seconds) }
+
+func (f *fleet) check(what string) {
+	f.t.Helper()
+	if f.sum.worst > 1 {
+		f.t.Errorf("%s: a cold worker was sent %.2f of what it bears at %.2f", what, f.sum.worst, f.sum.at)
+	}
+	f.t.Logf("%s: at most %.2f of what it bears, %d jobs", what, f.sum.worst, f.sum.all)
+	f.sum.worst = 0
+}
+
+// F4: whatever the members' views, what they give a cold worker together stays in what it bears: while they join, one after
+// another and all at once, while some are cut off, stalled, killed, and come back.
+func TestSharesOfDifferingViewsStayUnderTheBound(t *testing.T) {
+	for seed := uint64(1); seed <= 12; seed++ {
+		t.Run(fmt.Sprint("seed=", seed), func(t *testing.T) {
+			t.Parallel()
+			n := []int{3, 5, 8, 12}[seed%4]
+			f := newFleet(t, seed, n, n, false)
+			for i := range n {
+				f.start(i)
+				f.run(0.4 * f.rng.Float64())
+			}
+			f.run(20)
+			f.check("joining")
+			side := 1 + f.rng.IntN(n-1)
+			in := func(node *virtual.Node) bool {
+				for _, o := range f.net.Nodes[:side] {
+					if o == node {
+						return true
+					}
+				}
+				return false
+			}
+			f.net.Cut = func(a, b *virtual.Node) bool { return in(a) != in(b) }
+			f.run(90)
+			f.check(fmt.Sprintf("cut %d to %d", side, n-side))
+			f.net.Cut = nil
+			f.run(30)
+			f.check("healed")
+			stalled := f.all[f.net.Nodes[f.rng.IntN(n)]]
+			f.net.Pause(stalled.node)
+			f.run([]float64{2, 8, 60}[seed%3])
+			stalled.slept = true
+			f.net.Resume(stalled.node)
+			f.run(20)
+			f.check("one that slept")
+			for i := range n {
+				if f.rng.Float64() < 0.4 {
+					f.net.Kill(f.net.Nodes[i])
+				}
+			}
+			f.run(20)
+			for i := range n {
+				if f.net.Nodes[i].Machine == nil {
+					f.start(i)
+				}
+			}
+			f.run(20)
+			f.check("killed and started again")
+		})
+	}
+}
+
+// What the fleet gains: where three in eight have left, the five that stay give a cold worker what the eight did; with the
+// number of the settings alone it gets what five of eight shares are.
+func TestAColdWorkerOfADwindledFleetIsGivenMore(t *testing.T) {
+	given := map[bool]int{}
+	for _, off := range []bool{true, false} {
+		f := newFleet(t, 5, 8, 8, off)
+		for i := range 8 {
+			f.start(i)
+		}
+		f.run(20)
+		for _, node := range f.net.Nodes[5:] {
+			f.all[node].stopped = true
+			node.Machine.Leave(f.net.Now)
+			f.net.Flush(node)
+		}
+		f.run(20)
+		f.sum.all = 0
+		f.run(90)
+		given[off] = f.sum.all
+		f.check(fmt.Sprintf("fleet off: %v", off))
+	}
+	t.Logf("given in 90 s: %d by the settings' number, %d by the view", given[true], given[false])
+	if float64(given[false]) < 1.3*float64(given[true]) {
+		t.Errorf("a cold worker is given %d jobs by the view, %d by the settings' number", given[false], given[true])
+	}
+}
+
+// F1: one that has heard nobody decides by the settings alone.
+func TestAloneIsAsConfigured(t *testing.T) {
+	d := divisor.New(divisor.Rules{Instances: 7, Me: 3, Period: 1, LastSends: 2, Whole: true})
+	m := membership.New(membership.Options{Fleet: "f", Name: "a", Addr: virtual.New(virtual.Options{}, 1).Nodes[0].Addr, Period: 1, Life: 1})
+	m.Start(0)
+	v := m.View()
+	if p := d.Place(0, &v); p.Instances != 7 || p.Me != 3 || p.Part != 1 || p.Keys != nil {
+		t.Errorf("%+v", p)
+	}
+}
+
+// seen makes a view of members in states, the first of which is oneself.
+func seen(counted bool, states ...membership.State) *membership.View {
+	v := &membership.View{Met: true, Counted: counted}
+	for i, s := range states {
+		name := fmt.Sprint("m", i)
+		v.Members = append(v.Members, membership.Seen{Record: membership.Record{Name: name, Life: 1, State: s}, Key: membership.Key(name), Me: i == 0})
+	}
+	return v
+}
+
+// Who counts, and by how much, for each kind of view.
+func TestPlaces(t *testing.T) {
+	const alive, suspect, dead, left = membership.Alive, membership.Suspect, membership.Dead, membership.Left
+	for _, tc := range []struct {
+		name      string
+		view      *membership.View
+		told      int
+		whole     bool
+		instances int
+		part      float64
+		why       divisor.Why
+	}{
+		{"all alive", seen(true, alive, alive, alive), 9, true, 3, 1, divisor.Full},
+		{"one left", seen(true, alive, alive, left), 9, true, 2, 1, divisor.Full},
+		{"one suspect", seen(true, alive, alive, suspect), 9, true, 3, 1, divisor.Full},
+		{"one dead within the lease", seen(true, alive, alive, dead), 9, true, 3, 1, divisor.Full},
+		{"half of two", seen(true, alive, dead), 2, true, 2, 1, divisor.Waiting},
+		{"a third", seen(true, alive, dead, dead), 3, true, 3, divisor.Cautious, divisor.CutOff},
+		{"not counted", seen(false, alive, alive, alive), 3, true, 3, divisor.Cautious, divisor.Uncounted},
+		{"not counted, and more are told of", seen(false, alive, alive), 8, true, 8, divisor.Cautious, divisor.Uncounted},
+		{"not all are members", seen(true, alive, alive), 8, false, 8, 1, divisor.Partial},
+		{"not all are members, and more than told", seen(true, alive, alive, alive), 2, false, 3, 1, divisor.Full},
+	} {
+		d := divisor.New(divisor.Rules{Instances: tc.told, Me: 1, Period: 1, LastSends: 2, Whole: tc.whole})
+		p := d.Place(10, tc.view)
+		if p.Instances != tc.instances || p.Part != tc.part || p.Why != tc.why || p.Keys != nil && len(p.Keys) != p.Instances {
+			t.Errorf("%s: %+v", tc.name, p)
+		}
+	}
+	d := divisor.New(divisor.Rules{Instances: 1, Period: 1, LastSends: 2, Whole: true})
+	v := seen(true, alive, alive, dead)
+	lease := d.Lease(3)
+	if p := d.Place(lease-0.1, v); p.Instances != 3 {
+		t.Errorf("one that is dead leaves the count before its lease is over: %+v", p)
+	}
+	if p := d.Place(lease+0.1, v); p.Instances != 2 {
+		t.Errorf("one that is dead stays in the count for ever: %+v", p)
+	}
+	v.Members[1].State, v.Members[1].Since = dead, 10*lease // now it is heard by less than half: who left the count stays out, nobody else leaves it
+	if p := d.Place(10*lease, v); p.Instances != 2 || p.Part != divisor.Cautious {
+		t.Errorf("cut off: %+v", p)
+	}
+	v.Members[2].State = alive
+	if p := d.Place(10*lease, v); p.Instances != 3 {
+		t.Errorf("one that is back does not count at once: %+v", p)
+	}
+}
--- /dev/null
+++ b/internal/fleet/divisor/divisor.go
@@ -0,0 +1,156 @@
+// Package divisor works out, from the fleet's view, among whom cold workers are shared: the place that the decisions take
+// for nInstances and me. It is pure, and errs to one side: members whose views differ never give out more together than
+// the rule allows.
+//
+// The rule (F4). Of the members that a dispatcher counts, the holders of a cold worker's turn are those that come first in an
+// order drawn from the worker, the turn and the names alone. Whoever counts more members than another comes no earlier in
+// its own order. So as long as everybody counts all that may be sending, the holders' shares sum to one budget at most, however
+// the views differ beyond that. Hence
+//
+//   - a member that leaves by word leaves the count at once: it says so when it has stopped;
+//   - one that is found dead may be cut off and sending. It leaves the count after the lease, and only at members that hear
+//     more than half of all that are known, those that were found dead among them;
+//   - one that hears less than half, for which a half that hears each other may stand in, takes an eighth of its share:
+//     all such together take an eighth of a budget;
+//   - one that joins, comes back or has slept takes an eighth of its share until enough others have told that they count it.
+//
+// One that has heard nobody since its start decides by the configured numbers.
+package divisor
+
+import (
+	"slices"
+	"strconv"
+
+	"cinderroad/internal/fleet/membership"
+)
+
+const (
+	leaseSuspicions = 2.0  // longest suspicions in a lease: each side of a cut notices it within one
+	leasePeriods    = 10.0 // and periods, for the probes and the news of it
+	// Cautious is the part of its share that a member takes which others may not count. A turn's budget is four tenths of
+	// what a worker bears, and two turns may fall into one span: a quarter more would be all that is left, and half of that
+	// is for what is on its way.
+	Cautious = 0.125
+)
+
+// Rules are what the place is worked out by.
+type Rules struct {
+	Instances int     // as configured
+	Me        int     // likewise
+	Period    float64 // of the membership, in seconds
+	LastSends float64 // seconds for which what was sent last still counts: the fall time
+	Whole     bool    // all dispatchers are members; else the configured number is the least
+}
+
+// Why says what a place rests on.
+type Why string
+
+// The reasons.
+const (
+	Alone     Why = "alone"     // nobody was heard from: the configured numbers
+	Partial   Why = "partial"   // not all dispatchers are members: likewise
+	Full      Why = "full"      // the members that may be sending
+	Waiting   Why = "waiting"   // the same, not lessened: too few are heard to say who has stopped
+	Uncounted Why = "uncounted" // others may not count this one
+	CutOff    Why = "cut off"   // less than half are heard: the others may go on without this one
+)
+
+// Place is among whom cold workers are shared.
+type Place struct {
+	Instances int
+	Me        int
+	Part      float64  // of its share that is taken
+	Keys      []uint64 // of all that are counted, this one at Me; nil: places are as configured
+	Why       Why
+}
+
+// Equal says whether two places decide alike.
+func (p *Place) Equal(o *Place) bool {
+	return p.Instances == o.Instances && p.Me == o.Me && p.Part == o.Part && p.Why == o.Why && slices.Equal(p.Keys, o.Keys)
+}
+
+// Divisor remembers who has left the count.
+type Divisor struct {
+	Rules Rules
+	out   map[string]uint64 // found dead, and out of the count; by name, the life that is
+}
+
+// New makes a Divisor.
+func New(r Rules) *Divisor { return &Divisor{Rules: r, out: map[string]uint64{}} }
+
+// Lease is how long after one was found dead it has surely stopped, or taken to its cautious part: each side of a cut finds
+// the other dead within a suspicion's longest time, and what was sent last lasts for a fall time.
+func (d *Divisor) Lease(known int) float64 {
+	return leaseSuspicions*membership.LongestSuspicion(known, d.Rules.Period) + leasePeriods*d.Rules.Period + d.Rules.LastSends
+}
+
+// Place works out the place by a view at a time.
+func (d *Divisor) Place(now float64, v *membership.View) Place {
+	configured := Place{Instances: d.Rules.Instances, Me: d.Rules.Me, Part: 1, Why: Alone}
+	if !v.Met {
+		return configured
+	}
+	known, heard := 0, 0
+	for i := range v.Members {
+		switch s := &v.Members[i]; s.State {
+		case membership.Alive:
+			known, heard = known+1, heard+1
+		case membership.Suspect, membership.Dead:
+			known++
+		}
+	}
+	p := Place{Part: 1, Why: Full}
+	switch {
+	case v.Withdrawn || v.Gone || 2*heard < known:
+		p.Part, p.Why = Cautious, CutOff
+	case !v.Counted:
+		p.Part, p.Why = Cautious, Uncounted
+	case 2*heard == known:
+		p.Why = Waiting
+	}
+	lease := d.Lease(known)
+	for i := range v.Members {
+		s := &v.Members[i]
+		if s.Me {
+			p.Me = len(p.Keys)
+		} else if !d.counts(now, s, p.Why == Full, lease) {
+			continue
+		}
+		p.Keys = append(p.Keys, s.Key)
+	}
+	p.Instances = len(p.Keys)
+	if p.Instances >= d.Rules.Instances {
+		return p
+	}
+	if !d.Rules.Whole { // those that are no members count, too, and know nothing of keys
+		configured.Part, configured.Why = p.Part, Partial
+		return configured
+	}
+	if p.Part < 1 { // others that are not known yet may be as many as was configured
+		for i := p.Instances; i < d.Rules.Instances; i++ {
+			p.Keys = append(p.Keys, membership.Key("\x00"+strconv.Itoa(i)))
+		}
+		p.Instances = len(p.Keys)
+	}
+	return p
+}
+
+// counts says whether a member may be sending.
+func (d *Divisor) counts(now float64, s *membership.Seen, full bool, lease float64) bool {
+	switch s.State {
+	case membership.Left:
+		delete(d.out, s.Name)
+		return false
+	case membership.Dead:
+		if d.out[s.Name] == s.Life {
+			return false
+		}
+		if full && now >= s.Since+lease {
+			d.out[s.Name] = s.Life
+			return false
+		}
+		return true
+	}
+	delete(d.out, s.Name)
+	return true
+}
--- /dev/null
+++ b/internal/fleet/membership/machine.go
@@ -0,0 +1,476 @@
+package membership
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"strings"
+)
+
+// Options are what a member starts with.
+type Options struct {
+	Fleet  string
+	Name   string
+	Addr   netip.AddrPort // where others reach it
+	Seeds  []netip.AddrPort
+	Period float64 // seconds between two probes
+	Forget float64 // seconds after which one that is dead is forgotten; 0: an hour
+	Life   uint64  // Unix time of the start, in microseconds
+	Seed   uint64
+	Facts  Facts // its own, without a sequence
+	Plain  bool  // SWIM as first published, without what came since: to be measured beside
+}
+
+// The constants of the protocol, in periods unless said otherwise.
+const (
+	steps        = 5    // of a period: deadlines are looked at so often
+	askAfter     = 0.4  // until others are asked to ask
+	askOthers    = 3    // how many are
+	nackAfter    = 0.3  // until one that was asked says that it has no answer either
+	mostHealth   = 8    // the local health multiplier's bound, as in Lifeguard
+	suspectLeast = 4.0  // a suspicion lasts this many periods, times the decimal logarithm of the members
+	suspectMost  = 6.0  // times the least, where nobody else confirms it
+	confirms     = 3    // witnesses besides the first that bring it down to the least
+	spread       = 4.0  // times that a piece of news is told, times the logarithm
+	fanout       = 2    // members that get news alone in each step
+	reaskDead    = 10.0 // between two questions to one that is dead, and to seeds that nobody known stands at
+	factsEvery   = 10.0 // between two exchanges of parts where facts alone differ
+	pagesEvery   = 32   // pages that one member answers within a period
+	sleptAfter   = 3.0  // a step that comes so late is a process that slept
+	claimTries   = 4    // questions to one that claims the own name, before the claim is taken as empty
+	regainAfter  = 20.0 // until one that withdrew looks whether the name is free again
+	forgetAfter  = 3600 // seconds
+)
+
+// Packet is a message and where it goes.
+type Packet struct {
+	To  netip.AddrPort
+	Msg *Message
+}
+
+// Change is a member's change of state, with what caused it.
+type Change struct {
+	Name     string
+	From, To State
+	New      bool // it was not known before
+	Inc      uint64
+	Cause    string
+}
+
+// Counts are what a member has counted since its start.
+type Counts struct {
+	Probes, Unanswered  uint64 // probes, and those that ended without an answer
+	Suspicions, Refuted uint64 // of others; and those that were taken back
+	SelfRefuted         uint64 // suspicions of oneself that were answered
+	Deaths              uint64
+	Repeated, Stale     uint64 // messages dropped: heard before; of an earlier life
+	Own                 uint64 // messages of oneself that came back
+	Syncs, Pages        uint64
+	Claims, Withdrawals uint64 // of the own name by another process
+	Slept               uint64
+}
+
+// member is what is known of another one.
+type member struct {
+	Record
+	key       uint64
+	since     float64 // of the state
+	heardAt   float64
+	changed   float64 // when the one that is dead was last asked
+	witnesses []string
+	suspected float64
+	ends      float64 // of the suspicion
+	window    window
+	agreed    uint64 // the machine's epoch in which it last told the same view
+	sameNames uint64 // and the same names
+}
+
+// window drops what was heard before: messages may come late by 64 numbers.
+type window struct {
+	life, last, seen uint64
+}
+
+func (w *window) fresh(life, n uint64) bool {
+	if life != w.life {
+		*w = window{life, n, 1}
+		return true
+	}
+	switch {
+	case n > w.last:
+		if shift := n - w.last; shift < 64 {
+			w.seen = w.seen<<shift | 1
+		} else {
+			w.seen = 1
+		}
+		w.last = n
+		return true
+	case w.last-n >= 64 || w.seen>>(w.last-n)&1 == 1:
+		return false
+	}
+	w.seen |= 1 << (w.last - n)
+	return true
+}
+
+// Machine is one member's state.
+type Machine struct {
+	Options
+	Counts
+
+	me      member
+	members []*member // the others, by name
+	byName  map[string]*member
+	rng     *rand.Rand
+	out     []Packet
+	changes []Change
+	sent    uint64 // messages in this life
+	seq     uint64
+
+	now, stepAt float64
+	started     bool
+	gone        bool // has left by word
+	met         bool
+	counted     bool
+	withdrawn   bool // another process has the name
+	regainAt    float64
+
+	view, names, facts     uint64 // digests
+	viewEpoch, namesEpoch  uint64
+	viewAgree, namesAgree  int     // members that have told the same since the last change
+	differAt, namesAt      float64 // when another view, or other names, were last told or the own ones changed
+	unsettledAt            float64
+	alive, suspects, deads int // of the others
+	settled                bool
+
+	health   int // the local health multiplier, less one
+	order    []string
+	probe    probe
+	relays   []relay
+	doubts   []*member // under suspicion
+	news     []item
+	syncAt   float64
+	factsAt  float64
+	pages    int
+	pagesAt  float64
+	seedsAt  float64
+	claim    claim
+	settling []float64 // how long each settling took
+}
+
+// probe is the question at hand.
+type probe struct {
+	name         string
+	seq          uint64
+	at, ends     float64
+	asked, acked bool
+	nacks, owed  int
+}
+
+// relay is a question asked in another one's place.
+type relay struct {
+	seq, theirs uint64
+	to          netip.AddrPort
+	about       Record
+	at          float64
+	nacked      bool
+}
+
+// item is a piece of news: the record of a member, and how often it was told.
+type item struct {
+	name string
+	told int
+}
+
+// New makes a member that knows nobody.
+func New(o Options) *Machine {
+	if o.Forget == 0 {
+		o.Forget = forgetAfter
+	}
+	o.Facts.Seq = 1
+	m := &Machine{Options: o, byName: map[string]*member{}, rng: rand.New(rand.NewPCG(o.Seed, o.Life)), viewEpoch: 1, namesEpoch: 1}
+	facts := o.Facts
+	m.me = member{Record: Record{Name: o.Name, Addr: o.Addr, Life: o.Life, FactsOf: &facts}, key: Key(o.Name)}
+	m.digestSelf(true)
+	return m
+}
+
+// Start begins: seeds are asked at once.
+func (m *Machine) Start(now float64) {
+	m.now, m.started = now, true
+	m.me.since, m.differAt, m.unsettledAt = now, now, now
+	m.stepAt = now + m.Period/steps*(0.5+m.rng.Float64()) // members that start together do not step together
+	m.probe.ends = now + m.Period*m.rng.Float64()
+	m.tell(m.me.Name)
+	m.askSeeds()
+	m.unsettle()
+}
+
+// Next is when Tick is due.
+func (m *Machine) Next() float64 { return m.stepAt }
+
+// Out takes the messages to be sent.
+func (m *Machine) Out() []Packet {
+	out := m.out
+	m.out = nil
+	return out
+}
+
+// Changes takes the changes since the last call.
+func (m *Machine) Changes() []Change {
+	changes := m.changes
+	m.changes = nil
+	return changes
+}
+
+// Tick does what is due.
+func (m *Machine) Tick(now float64) {
+	if late := now - m.stepAt; late > sleptAfter*m.Period {
+		m.Slept(now)
+	}
+	m.now = now
+	if now < m.stepAt || m.gone {
+		m.stepAt = math.Max(m.stepAt, now+m.Period/steps)
+		return
+	}
+	m.stepAt = now + m.Period/steps
+	if m.withdrawn {
+		m.regain()
+		return
+	}
+	m.judge()
+	m.relayed()
+	m.stepProbe()
+	m.pressClaim()
+	if now >= m.seedsAt {
+		m.askSeeds()
+		m.askDead()
+		m.forget()
+	}
+	m.gossip()
+	m.settle()
+}
+
+// Slept tells that the process has stood still: what it waited for meanwhile says nothing of others, and what it knew
+// is to be looked at again before it is relied on.
+func (m *Machine) Slept(now float64) {
+	late := math.Max(0, now-m.now)
+	m.Counts.Slept++
+	m.now = now
+	m.probe = probe{ends: now}
+	m.relays = m.relays[:0]
+	m.stepAt = now
+	for _, d := range m.doubts {
+		d.suspected, d.ends = d.suspected+late, d.ends+late
+	}
+	m.uncount()
+	m.viewChanged()
+	m.askSeeds()
+}
+
+// SetFacts sets the member's own facts.
+func (m *Machine) SetFacts(now float64, f Facts) {
+	was := *m.me.FactsOf
+	f.Seq = was.Seq
+	if f == was {
+		return
+	}
+	f.Seq++
+	m.now = now
+	m.facts ^= m.me.factsDigest(m.me.key)
+	m.me.FactsOf = &f
+	m.facts ^= m.me.factsDigest(m.me.key)
+	m.tell(m.me.Name)
+}
+
+// Counted says whether enough others have told that they count this member.
+func (m *Machine) Counted() bool { return m.counted }
+
+// Leave says to the others that this member has stopped: its shares are theirs.
+func (m *Machine) Leave(now float64) {
+	if m.gone || m.withdrawn || !m.started {
+		return
+	}
+	m.now = now
+	m.digestSelf(false)
+	m.me.State, m.me.since = Left, now
+	m.gone = true
+	m.tell(m.me.Name)
+	for _, o := range m.some(spreadTimes(spread, len(m.members)), "") {
+		m.send(o.Addr, &Message{Kind: News})
+	}
+}
+
+// Rejoin takes a Leave back.
+func (m *Machine) Rejoin(now float64) {
+	if !m.gone {
+		return
+	}
+	m.gone, m.counted = false, false
+	m.me.State, m.me.Inc, m.me.since = Alive, m.me.Inc+1, now
+	m.now, m.stepAt, m.probe = now, now, probe{ends: now}
+	m.digestSelf(true)
+	m.tell(m.me.Name)
+	m.askSeeds()
+}
+
+// Declare has one that is dead count as one that has left: somebody knows that its process has ended.
+func (m *Machine) Declare(now float64, name string) error {
+	o := m.byName[name]
+	switch {
+	case o == nil:
+		return fmt.Errorf("membership: nobody has the name %s", name)
+	case o.State == Left:
+		return nil
+	case o.State != Dead:
+		return fmt.Errorf("membership: %s is %s: only one that is dead can be declared gone", name, o.State)
+	}
+	m.now = now
+	r := o.Record
+	r.State = Left
+	m.adopt(o, r, "declared gone by hand")
+	return nil
+}
+
+// Seek sets other seeds.
+func (m *Machine) Seek(now float64, seeds []netip.AddrPort) {
+	m.now, m.Seeds = now, seeds
+	m.askSeeds()
+}
+
+// ---- messages ----
+
+// send finishes a message: who it is from, what is held, and what is new.
+func (m *Machine) send(to netip.AddrPort, msg *Message) {
+	if to == m.me.Addr {
+		return
+	}
+	m.sent++
+	msg.Fleet, msg.N = m.Fleet, m.sent
+	msg.From = m.me.Record
+	msg.From.FactsOf = nil
+	msg.View, msg.Names, msg.Facts = m.view, m.names, m.facts
+	if msg.Kind != Page && msg.Kind != Parts {
+		m.addNews(msg)
+	}
+	m.out = append(m.out, Packet{to, msg})
+}
+
+// Receive takes a message.
+func (m *Machine) Receive(now float64, msg *Message) {
+	m.now = math.Max(m.now, now)
+	if m.gone || !m.started {
+		return
+	}
+	from := &msg.From
+	if from.Name == m.me.Name {
+		if from.Life == m.me.Life {
+			m.Own++
+			return
+		}
+		m.claimed(from, msg)
+		return
+	}
+	if m.withdrawn {
+		return
+	}
+	o := m.byName[from.Name]
+	if o != nil && from.Life < o.Life {
+		m.Stale++
+		m.send(from.Addr, &Message{Kind: News, Tell: []Record{o.told(now)}}) // it has a namesake that began later
+		return
+	}
+	if o != nil && !o.window.fresh(from.Life, msg.N) {
+		m.Repeated++
+		return
+	}
+	m.learn(*from, from.Name)
+	if o = m.byName[from.Name]; o == nil {
+		return
+	}
+	if o.window.life != from.Life {
+		o.window.fresh(from.Life, msg.N)
+	}
+	o.heardAt = now
+	m.met = true
+	var stale []Record
+	for i := range msg.Tell {
+		if known := m.learn(msg.Tell[i], from.Name); known != nil && msg.Kind == Page {
+			stale = append(stale, *known)
+		}
+	}
+	if o.State != Alive && from.State == Alive && from.compare(&o.Record) < 0 {
+		stale = append(stale, o.told(now)) // told early that it is suspected, or held to be dead
+	}
+	m.answer(o, msg)
+	if len(stale) > 0 {
+		m.page(from.Addr, stale)
+	}
+	m.compareViews(o, msg)
+}
+
+// answer does what a message asks for.
+func (m *Machine) answer(o *member, msg *Message) {
+	switch msg.Kind {
+	case Ping:
+		if msg.About != nil && msg.About.Name != m.me.Name {
+			return // whoever was here before
+		}
+		if msg.About != nil && msg.About.State != Alive {
+			m.learn(*msg.About, o.Name) // told early
+		}
+		self := m.bare()
+		m.send(msg.From.Addr, &Message{Kind: Ack, Seq: msg.Seq, About: &self})
+	case PingReq:
+		m.seq++
+		m.relays = append(m.relays, relay{seq: m.seq, theirs: msg.Seq, to: msg.From.Addr, about: *msg.About, at: m.now})
+		m.send(msg.About.Addr, &Message{Kind: Ping, Seq: m.seq, About: msg.About})
+	case Ack:
+		m.acked(msg)
+	case Nack:
+		if msg.Seq == m.probe.seq && !m.probe.acked {
+			m.probe.nacks++
+		}
+	case Parts:
+		m.differing(msg)
+	}
+}
+
+// bare is the own record without what rides along.
+func (m *Machine) bare() Record {
+	r := m.me.Record
+	r.FactsOf = nil
+	return r
+}
+
+// told is a record as it goes out.
+func (o *member) told(now float64) Record {
+	r := o.Record
+	if r.State == Dead {
+		r.Ago = float32(math.Max(0, now-o.since))
+	}
+	if r.State != Suspect {
+		r.By = ""
+	}
+	return r
+}
+
+func (m *Machine) find(name string) (int, bool) {
+	return slices.BinarySearchFunc(m.members, name, func(o *member, name string) int { return strings.Compare(o.Name, name) })
+}
+
+// some draws members that are alive, at most n, without the one named.
+func (m *Machine) some(n int, but string) (picked []*member) {
+	if len(m.members) == 0 {
+		return nil
+	}
+	for range 3 * n { // a draw may meet one that is not alive, or was drawn
+		o := m.members[m.rng.IntN(len(m.members))]
+		if o.State == Alive && o.Name != but && !slices.Contains(picked, o) {
+			if picked = append(picked, o); len(picked) == n {
+				break
+			}
+		}
+	}
+	return picked
+}
--- /dev/null
+++ b/internal/fleet/membership/virtual_test.go
@@ -0,0 +1,338 @@
+package membership_test
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+
+	"cinderroad/internal/fleet/membership"
+	"cinderroad/internal/standin/virtual"
+)
+
+var seed = flag.Uint64("fleet.seed", 0, "play this seed alone")
+
+// seeds has a test played with several seeds, each named, or with the one of the flag.
+func seeds(t *testing.T, n uint64, play func(t *testing.T, seed uint64)) {
+	first := uint64(1)
+	if *seed != 0 {
+		first, n = *seed, 1
+	}
+	for s := first; s < first+n; s++ {
+		t.Run(fmt.Sprint("seed=", s), func(t *testing.T) { play(t, s) })
+	}
+}
+
+// settled waits for one view that has so many living members.
+func settled(t *testing.T, net *virtual.Net, alive int, periods float64) float64 {
+	t.Helper()
+	took, ok := net.Until(periods*net.Period, net.Period/2, func() bool {
+		one, n := net.Agreed()
+		return one && n == alive
+	})
+	if !ok {
+		for _, n := range net.Nodes {
+			if n.Machine != nil {
+				a, s, d := n.Machine.Census()
+				t.Logf("%s: digest %x, %d alive, %d suspect, %d dead, %+v", n.Name, n.Machine.Digest(), a, s, d, n.Machine.Counts)
+			}
+		}
+		t.Fatalf("no one view of %d after %v periods", alive, periods)
+	}
+	return took / net.Period
+}
+
+func deaths(net *virtual.Net, name string) (n int) {
+	for _, node := range net.Nodes {
+		for _, c := range node.Changes {
+			if c.To == membership.Dead && (name == "" || c.Name == name) {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func lossy(seed uint64, n int) *virtual.Net {
+	return virtual.New(virtual.Options{Seed: seed, Drop: 0.05, Delay: 0.002, Jitter: 0.01, Repeat: 0.01}, n)
+}
+
+// F3: whatever the size, members that start together find each other by one seed.
+func TestAllFindEachOther(t *testing.T) {
+	for _, n := range []int{2, 3, 10, 60, 300} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			seeds(t, 3, func(t *testing.T, seed uint64) {
+				net := lossy(seed, n)
+				net.StartAll(1)
+				t.Logf("one view after %.1f periods", settled(t, net, n, 60))
+				if _, ok := net.Until(60, 0.5, func() bool {
+					for _, node := range net.Nodes {
+						if v := node.Machine.View(); !v.Settled || !v.Counted {
+							return false
+						}
+					}
+					return true
+				}); !ok {
+					t.Error("a member does not know that its view is everybody's")
+				}
+				if d := deaths(net, ""); d > 0 {
+					t.Errorf("%d members were given up that run", d)
+				}
+			})
+		})
+	}
+}
+
+// The only seed comes up last: those that wait for it must ask again.
+func TestTheSeedComesLast(t *testing.T) {
+	seeds(t, 3, func(t *testing.T, seed uint64) {
+		net := lossy(seed, 8)
+		for _, n := range net.Nodes[1:] {
+			net.Start(n, net.Nodes[0])
+		}
+		net.Run(net.Now + 20)
+		net.Start(net.Nodes[0])
+		settled(t, net, 8, 30)
+	})
+}
+
+// A process that is killed is found, by all, and its restart under the name is taken as itself.
+func TestKilledAndStartedAgain(t *testing.T) {
+	seeds(t, 5, func(t *testing.T, seed uint64) {
+		net := lossy(seed, 12)
+		net.StartAll(1)
+		settled(t, net, 12, 40)
+		net.Kill(net.Nodes[3])
+		t.Logf("found after %.1f periods", settled(t, net, 11, 60))
+		net.Start(net.Nodes[3], net.Nodes[0])
+		settled(t, net, 12, 30)
+		net.Kill(net.Nodes[5]) // and within one period
+		net.Run(net.Now + 0.5)
+		net.Start(net.Nodes[5], net.Nodes[0])
+		settled(t, net, 12, 30)
+	})
+}
+
+// Stopped for 2, 8 and 60 s, stopped again while suspected; it comes back as itself, and blames nobody for its sleep.
+func TestAProcessThatSleeps(t *testing.T) {
+	for _, span := range []float64{2, 8, 60} {
+		t.Run(fmt.Sprint(span), func(t *testing.T) {
+			seeds(t, 5, func(t *testing.T, seed uint64) {
+				net := lossy(seed, 9)
+				net.StartAll(1)
+				settled(t, net, 9, 40)
+				sleeper := net.Nodes[4]
+				life := sleeper.Machine.Life
+				net.Pause(sleeper)
+				net.Run(net.Now + span)
+				net.Resume(sleeper)
+				net.Run(net.Now + 0.3)
+				net.Pause(sleeper) // while it may be suspected
+				net.Run(net.Now + 2)
+				net.Resume(sleeper)
+				settled(t, net, 9, 60)
+				if sleeper.Machine.Life != life {
+					t.Error("it came back as another")
+				}
+				for _, c := range sleeper.Changes {
+					if c.To == membership.Dead {
+						t.Errorf("it gave up %s, which ran", c.Name)
+					}
+				}
+			})
+		})
+	}
+}
+
+// One way cut: A hears B, B does not hear A. Neither is lost, since others hear both.
+func TestOneWayCut(t *testing.T) {
+	seeds(t, 5, func(t *testing.T, seed uint64) {
+		net := lossy(seed, 6)
+		net.StartAll(1)
+		settled(t, net, 6, 40)
+		a, b := net.Nodes[1], net.Nodes[2]
+		net.Cut = func(from, to *virtual.Node) bool { return from == a && to == b }
+		net.Run(net.Now + 300)
+		if d := deaths(net, ""); d > 0 {
+			t.Errorf("%d times one was given up that others heard", d)
+		}
+		net.Cut = nil
+		settled(t, net, 6, 30)
+	})
+}
+
+// A half-open triangle: of three, A and B do not hear each other at all, C hears both.
+func TestHalfOpenTriangle(t *testing.T) {
+	seeds(t, 5, func(t *testing.T, seed uint64) {
+		net := virtual.New(virtual.Options{Seed: seed, Delay: 0.002, Jitter: 0.01}, 3)
+		net.StartAll(1)
+		settled(t, net, 3, 40)
+		a, b := net.Nodes[0], net.Nodes[1]
+		net.Cut = func(from, to *virtual.Node) bool { return from == a && to == b || from == b && to == a }
+		net.Run(net.Now + 120)
+		if d := deaths(net, ""); d > 0 {
+			t.Errorf("%d times one was given up that another heard", d)
+		}
+		net.Cut = nil
+		settled(t, net, 3, 30)
+	})
+}
+
+// Three islands that heal in turn, after hours: all are one fleet again.
+func TestIslandsHeal(t *testing.T) {
+	seeds(t, 3, func(t *testing.T, seed uint64) {
+		net := lossy(seed, 15)
+		net.StartAll(1)
+		settled(t, net, 15, 60)
+		bridged := 0
+		island := func(n *virtual.Node) int {
+			for i, o := range net.Nodes {
+				if o == n {
+					return max(i%3, bridged)
+				}
+			}
+			return -1
+		}
+		net.Cut = func(from, to *virtual.Node) bool { return island(from) != island(to) }
+		net.Run(net.Now + 1800)
+		for _, n := range net.Nodes {
+			if a, _, _ := n.Machine.Census(); a != 5 {
+				t.Fatalf("%s holds %d of its 5 alive", n.Name, a)
+			}
+		}
+		bridged = 1
+		net.Run(net.Now + 60)
+		bridged = 2
+		t.Logf("one view %.1f periods after the last heal", settled(t, net, 15, 120))
+	})
+}
+
+// A flapping link, and 30% loss: nobody that answers is lost for good, and the view settles after it.
+func TestFlappingAndLoss(t *testing.T) {
+	seeds(t, 3, func(t *testing.T, seed uint64) {
+		net := virtual.New(virtual.Options{Seed: seed, Drop: 0.3, Delay: 0.002, Jitter: 0.05}, 12)
+		net.StartAll(1)
+		settled(t, net, 12, 120)
+		net.Cut = func(from, to *virtual.Node) bool {
+			return int(net.Now/3)%2 == 0 && (from == net.Nodes[2]) != (to == net.Nodes[2])
+		}
+		net.Run(net.Now + 120)
+		net.Cut, net.Drop = nil, 0
+		settled(t, net, 12, 60)
+	})
+}
+
+// One member at a hundredth of its CPU: it sees everything 1.5 s late. The others are not blamed by it, and are not lost.
+func TestASlowMember(t *testing.T) {
+	seeds(t, 5, func(t *testing.T, seed uint64) {
+		net := lossy(seed, 10)
+		net.StartAll(1)
+		settled(t, net, 10, 40)
+		slow := net.Nodes[6]
+		slow.Slow = 1.5
+		net.Run(net.Now + 120)
+		for _, n := range net.Nodes {
+			for _, c := range n.Changes {
+				if c.To == membership.Dead && c.Name != slow.Name {
+					t.Errorf("%s held %s for dead: %s", n.Name, c.Name, c.Cause)
+				}
+			}
+		}
+		slow.Slow = 0
+		settled(t, net, 10, 60)
+	})
+}
+
+// Seven in ten are killed at once, and come back.
+func TestSevenInTenKilled(t *testing.T) {
+	seeds(t, 3, func(t *testing.T, seed uint64) {
+		net := lossy(seed, 50)
+		net.StartAll(1)
+		settled(t, net, 50, 60)
+		for _, n := range net.Nodes[15:] {
+			net.Kill(n)
+		}
+		t.Logf("found after %.1f periods", settled(t, net, 15, 200))
+		for _, n := range net.Nodes[15:] {
+			net.Start(n, net.Nodes[0])
+		}
+		settled(t, net, 50, 60)
+	})
+}
+
+// Leaving by word: nobody is suspected, and the name is gone within periods.
+func TestLeaving(t *testing.T) {
+	seeds(t, 5, func(t *testing.T, seed uint64) {
+		net := lossy(seed, 10)
+		net.StartAll(1)
+		settled(t, net, 10, 40)
+		n := net.Nodes[7]
+		n.Machine.Leave(net.Now)
+		net.Flush(n)
+		net.Kill(n)
+		settled(t, net, 9, 15)
+		net.Run(net.Now + 60)
+		if d := deaths(net, n.Name); d > 0 {
+			t.Errorf("%d hold it for dead", d)
+		}
+	})
+}
+
+// Two processes under one name: the later start stays, the other says so and takes no part.
+func TestTwoUnderOneName(t *testing.T) {
+	seeds(t, 5, func(t *testing.T, seed uint64) {
+		net := lossy(seed, 6)
+		net.StartAll(1)
+		settled(t, net, 6, 40)
+		twin := net.Add("m0002")
+		net.Start(twin, net.Nodes[0])
+		first := net.Nodes[2]
+		if _, ok := net.Until(20, 0.5, first.Machine.Withdrawn); !ok || twin.Machine.Withdrawn() {
+			t.Fatal("the earlier start does not withdraw")
+		}
+		settled(t, net, 6, 30)
+		net.Kill(twin) // the name is free again
+		if _, ok := net.Until(60, 0.5, func() bool { return !first.Machine.Withdrawn() }); !ok {
+			t.Fatal("it does not come back")
+		}
+		settled(t, net, 6, 60)
+	})
+}
+
+// A restart after the clock was put back by a minute: its life is earlier than the one it follows. It stands at the same
+// address, so the other one cannot be there.
+func TestClockSteps(t *testing.T) {
+	for _, skew := range []float64{-60, 60} {
+		seeds(t, 3, func(t *testing.T, seed uint64) {
+			net := lossy(seed, 6)
+			net.StartAll(1)
+			settled(t, net, 6, 40)
+			net.Kill(net.Nodes[1])
+			net.Nodes[1].Skew = skew
+			net.Start(net.Nodes[1], net.Nodes[0])
+			settled(t, net, 6, 30)
+			if net.Nodes[1].Machine.Withdrawn() {
+				t.Error("it withdrew before itself")
+			}
+		})
+	}
+}
+
+// The same address under another name: the old name is found to be gone, the new one is there.
+func TestAnotherNameAtTheAddress(t *testing.T) {
+	seeds(t, 3, func(t *testing.T, seed uint64) {
+		net := lossy(seed, 6)
+		net.StartAll(1)
+		settled(t, net, 6, 40)
+		n := net.Nodes[4]
+		net.Kill(n)
+		n.Name = "renamed"
+		net.Start(n, net.Nodes[0])
+		if _, ok := net.Until(60, 0.5, func() bool {
+			alive, suspect, dead := net.Nodes[0].Machine.Census()
+			one, _ := net.Agreed()
+			return one && alive == 6 && suspect == 0 && dead == 1
+		}); !ok {
+			t.Error("the old name lives on")
+		}
+	})
+}
