[fleet] of the operator's file joins the dispatcher to its fleet; cinderroad fleet shows it

One UDP socket and one deadline on the loop; the place goes to the core by SetPlace, its number to the director's pauses. GET /api/fleet, PUT /api/fleet/gone, fleet members, check and gone, figures fleet.*, log lines with causes.

Off unless the section is there. A reload switches it on, off, to other seeds or addresses, all or nothing; SIGTERM and evacuation leave by word once nothing is out; an upgrade's older process yields name and address to the newer.

--- /dev/null
+++ b/cmd/cinderroad/fleet.go
@@ -0,0 +1,246 @@
+package main
+
+import (
+	"cmp"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"cinderroad/internal/fleet"
+)
+
+const (
+	askTime    = 3 * time.Second // for a member to answer at its second address
+	mostAnswer = 8 << 20         // bytes of an answer
+)
+
+// asked is who the fleet's commands ask.
+type asked struct {
+	console string
+	asJSON  bool
+}
+
+func fleetCommand() *cobra.Command {
+	a := &asked{}
+	c := &cobra.Command{Use: "fleet", Short: "What the dispatchers hold of one another", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
+	c.PersistentFlags().StringVar(&a.console, "console", os.Getenv("ROUTER_CONSOLE"), "second `ADDRESS` of a dispatcher; $ROUTER_CONSOLE is the default")
+	c.AddCommand(a.members(), a.check(), a.gone())
+	return c
+}
+
+func (a *asked) members() *cobra.Command {
+	watch, every := false, time.Second
+	c := &cobra.Command{Use: "members", Short: "List the members as one dispatcher holds them", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			for {
+				s, err := a.status(a.console)
+				if err != nil && !watch {
+					return err
+				}
+				if watch && !a.asJSON {
+					fmt.Fprint(c.OutOrStdout(), "\x1b[H\x1b[2J")
+				}
+				if err != nil { // it may be back
+					fmt.Fprintln(c.ErrOrStderr(), err)
+				} else if err := a.print(c.OutOrStdout(), s); err != nil {
+					return err
+				}
+				if !watch {
+					return nil
+				}
+				time.Sleep(every)
+			}
+		}}
+	c.Flags().BoolVar(&a.asJSON, "json", false, "as the dispatcher answers it")
+	c.Flags().BoolVar(&watch, "watch", false, "again and again, until stopped")
+	c.Flags().DurationVar(&every, "every", every, "pause of --watch")
+	return c
+}
+
+func (a *asked) print(to io.Writer, s *fleet.Status) error {
+	if a.asJSON {
+		return json.NewEncoder(to).Encode(s)
+	}
+	settled := "settled"
+	if !s.Settled {
+		settled = "not settled"
+	}
+	fmt.Fprintf(to, "fleet %s as %s holds it: %s, digest %s, %s\n", s.Fleet, s.Me, s.String(), s.Digest, settled)
+	fmt.Fprintf(to, "cold workers are shared among %d (%s, part %v)\n\n", s.Place.Instances, s.Place.Why, s.Place.Part)
+	t := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "NAME\tSTATE\tFOR\tSERVING\tZONE\tADDRESS\tCONSOLE\tINC\tPROGRAM")
+	for _, m := range s.Members {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%d\t%s\n", m.Name, m.State, time.Since(time.UnixMilli(m.SinceMS)).Round(time.Second),
+			cmp.Or(m.Serving, "-"), cmp.Or(m.Zone, "-"), m.Address, cmp.Or(m.Console, "-"), m.Incarnation, cmp.Or(m.Version["program"], "-"))
+	}
+	return t.Flush()
+}
+
+func (a *asked) check() *cobra.Command {
+	patience := 10 * time.Second
+	c := &cobra.Command{Use: "check", Short: "Ask every member whether it holds the same view; status 1 if one does not",
+		Long: `Ask every member whether it holds the same view.
+
+The dispatcher at --console names the members; each that is alive and has a second address is asked there. Views that move are
+asked again for as long as --patience says. Names those that disagree or do not answer, and ends with status 1 if there are any.`,
+		Args: cobra.NoArgs, RunE: func(c *cobra.Command, _ []string) error {
+			for end := time.Now().Add(patience); ; time.Sleep(250 * time.Millisecond) {
+				rows, err := a.compare()
+				if err != nil {
+					return err
+				}
+				bad := slices.ContainsFunc(rows, func(r row) bool { return r.wrong != "" })
+				if bad && time.Now().Before(end) {
+					continue
+				}
+				if err := a.tell(c.OutOrStdout(), rows); err != nil {
+					return err
+				}
+				if bad {
+					return errors.New("fleet: not all members hold one view")
+				}
+				return nil
+			}
+		}}
+	c.Flags().BoolVar(&a.asJSON, "json", false, "one line of JSON")
+	c.Flags().DurationVar(&patience, "patience", patience, "how long views that move are asked again")
+	return c
+}
+
+// row is what came of asking a member.
+type row struct {
+	Name   string `json:"name"`
+	Digest string `json:"digest,omitempty"`
+	View   string `json:"view,omitempty"`
+	Wrong  string `json:"wrong,omitempty"`
+	wrong  string
+}
+
+func (a *asked) compare() ([]row, error) {
+	first, err := a.status(a.console)
+	if err != nil {
+		return nil, err
+	}
+	rows := []row{{Name: first.Me, Digest: first.Digest, View: first.String()}}
+	if !first.Settled {
+		rows[0].wrong = "its view is not settled"
+	}
+	for _, m := range first.Members {
+		if m.Name == first.Me || m.State != "alive" && m.State != "suspect" {
+			continue
+		}
+		r := row{Name: m.Name}
+		switch s, err := a.status(m.Console); {
+		case m.Console == "":
+			r.wrong = "has no second address to be asked at"
+		case err != nil:
+			r.wrong = err.Error()
+		case s.Me != m.Name:
+			r.wrong = "at its address is " + s.Me
+		default:
+			r.Digest, r.View = s.Digest, s.String()
+			if s.Digest != first.Digest {
+				r.wrong = "disagrees" + difference(first, s)
+			}
+		}
+		rows = append(rows, r)
+	}
+	for i := range rows {
+		rows[i].Wrong = rows[i].wrong
+	}
+	return rows, nil
+}
+
+// difference names the members of which two hold different things.
+func difference(x, y *fleet.Status) string {
+	held := map[string]string{}
+	for _, m := range x.Members {
+		held[m.Name] = fmt.Sprint(m.State, " ", m.Incarnation)
+	}
+	var names []string
+	for _, m := range y.Members {
+		if is := fmt.Sprint(m.State, " ", m.Incarnation); held[m.Name] != is {
+			names = append(names, fmt.Sprintf("%s is %s here and %s there", m.Name, cmp.Or(held[m.Name], "not known"), is))
+		}
+		delete(held, m.Name)
+	}
+	for name := range held {
+		names = append(names, name+" is not known there")
+	}
+	slices.Sort(names)
+	if len(names) > 5 {
+		names = append(names[:5], fmt.Sprintf("and %d more", len(names)-5))
+	}
+	return ": " + strings.Join(names, "; ")
+}
+
+func (a *asked) tell(to io.Writer, rows []row) error {
+	if a.asJSON {
+		return json.NewEncoder(to).Encode(rows)
+	}
+	t := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	for _, r := range rows {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\n", r.Name, cmp.Or(r.Digest, "-"), cmp.Or(r.View, "-"), cmp.Or(r.wrong, "agrees"))
+	}
+	return t.Flush()
+}
+
+func (a *asked) gone() *cobra.Command {
+	return &cobra.Command{Use: "gone NAME", Short: "Declare that a member held dead has ended for good, for all members", Args: cobra.ExactArgs(1),
+		Long: `Declare that a member held dead has ended for good.
+
+Only say so when you know that its process has ended: its share of cold workers is given to the others at once.`,
+		RunE: func(c *cobra.Command, args []string) error {
+			body, _ := json.Marshal(map[string]string{"member": args[0]})
+			_, err := callConsole(a.console, "PUT", "/api/fleet/gone", string(body))
+			return err
+		}}
+}
+
+// status asks a dispatcher what it holds.
+func (a *asked) status(console string) (*fleet.Status, error) {
+	text, err := callConsole(console, "GET", "/api/fleet", "")
+	if err != nil {
+		return nil, err
+	}
+	s := &fleet.Status{}
+	if err := json.Unmarshal(text, s); err != nil {
+		return nil, fmt.Errorf("fleet: %s: %w", console, err)
+	}
+	return s, nil
+}
+
+// callConsole makes one call at a second address.
+func callConsole(console, method, path, body string) ([]byte, error) {
+	if console == "" {
+		return nil, errors.New("fleet: name a dispatcher's second address by --console ADDRESS or in $ROUTER_CONSOLE")
+	}
+	q, err := http.NewRequest(method, "http://"+console+path, strings.NewReader(body))
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	client := http.Client{Timeout: askTime, Transport: &http.Transport{DisableKeepAlives: true}}
+	r, err := client.Do(q)
+	if err != nil {
+		return nil, fmt.Errorf("fleet: no answer: %w", err)
+	}
+	defer r.Body.Close()
+	text, err := io.ReadAll(io.LimitReader(r.Body, mostAnswer))
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %s: %w", console, err)
+	}
+	if r.StatusCode != 200 {
+		return nil, fmt.Errorf("fleet: %s says no: %s", console, strings.TrimSpace(string(text)))
+	}
+	return text, nil
+}
--- a/cmd/cinderroad/main.go
+++ b/cmd/cinderroad/main.go
@@ -32,7 +32,7 @@
 	for _, c := range []*cobra.Command{root, serve, check} {
 		s.flags(c)
 	}
-	root.AddCommand(serve, check, figuresCommand(), auditCommand(), &cobra.Command{Use: "version", Short: "Print the version",
+	root.AddCommand(serve, check, figuresCommand(), auditCommand(), fleetCommand(), &cobra.Command{Use: "version", Short: "Print the version",
 		Args: cobra.NoArgs, Run: func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), version()) }})
 	root.CompletionOptions.HiddenDefaultCmd = true
 	return root
--- /dev/null
+++ b/internal/fleet/fleet.go
@@ -0,0 +1,431 @@
+// Package fleet joins the fleet's state machines to the loop: one UDP socket, one deadline, no goroutine of its own. What
+// they decide goes to the core by one call.
+package fleet
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"net/netip"
+	"slices"
+	"strings"
+
+	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
+
+	"cinderroad/internal/fleet/divisor"
+	"cinderroad/internal/fleet/membership"
+	"cinderroad/internal/transport"
+)
+
+const (
+	bindAgain  = 0.1  // seconds between two tries at an address that the process before this one still holds
+	tellDrops  = 60.0 // seconds between two lines about datagrams that were dropped
+	sleptLeast = 0.5  // seconds of a sleep that counts, at least
+	sleptShare = 2.0  // and periods
+)
+
+// Options are what a member is told.
+type Options struct {
+	Fleet, Name     string
+	Bind, Advertise netip.AddrPort
+	Seeds           []netip.AddrPort
+	Period, Forget  float64 // seconds
+	Seed            uint64
+	Facts           membership.Facts
+	Rules           divisor.Rules
+}
+
+// Fleet is this dispatcher's part in its fleet.
+type Fleet struct {
+	Sent, Received, Unsent uint64
+	BytesSent              uint64
+	Drops                  [drops]uint64
+
+	loop    *transport.Loop
+	log     *zap.Logger
+	options Options
+	use     func(divisor.Place) // who decides by the place
+	machine *membership.Machine
+	divisor *divisor.Divisor
+	socket  *transport.Socket
+	timer   *transport.Deadline
+	place   divisor.Place
+	placeAt float64
+	counted bool
+	waits   bool // for the address
+	closed  bool
+	told    [drops]uint64 // of Drops, in the log
+	toldAt  float64
+	settled float64 // how long the last settling took
+}
+
+// Reasons for which datagrams are dropped.
+const (
+	dropForeign = iota
+	dropBroken
+	dropFormat
+	dropOversized
+	drops
+)
+
+// DropNames name them.
+var DropNames = [drops]string{"foreign", "broken", "format", "oversized"}
+
+// Bind opens the socket of a member ahead of its start, so that an address that cannot be had refuses a reload. The
+// address of a process that still runs is waited for: nil without an error.
+func Bind(loop *transport.Loop, addr netip.AddrPort) (*transport.Socket, error) {
+	socket, err := loop.ListenDatagrams(addr, func([]byte) {})
+	if errors.Is(err, unix.EADDRINUSE) {
+		return nil, nil
+	}
+	if err != nil {
+		return nil, fmt.Errorf("fleet: %w", err)
+	}
+	return socket, nil
+}
+
+// Start begins; socket is of Bind, nil if the address was not to be had yet. use is called at once and with each change.
+func Start(loop *transport.Loop, log *zap.Logger, o Options, socket *transport.Socket, use func(divisor.Place)) *Fleet {
+	f := &Fleet{loop: loop, log: log, options: o, use: use, socket: socket}
+	loop.SleptAfter = math.Max(sleptLeast, sleptShare*o.Period)
+	loop.Overslept = f.slept
+	f.begin()
+	return f
+}
+
+// begin starts a life as a member.
+func (f *Fleet) begin() {
+	o := &f.options
+	f.machine = membership.New(membership.Options{Fleet: o.Fleet, Name: o.Name, Addr: o.Advertise, Seeds: o.Seeds, Period: o.Period,
+		Forget: o.Forget, Life: uint64(f.loop.Now() * 1e6), Seed: o.Seed, Facts: o.Facts})
+	f.divisor = divisor.New(o.Rules)
+	f.divide()
+	if f.socket == nil {
+		f.rebind()
+		return
+	}
+	f.open()
+}
+
+// rebind tries for the address until the process that holds it lets go.
+func (f *Fleet) rebind() {
+	if f.closed {
+		return
+	}
+	socket, err := Bind(f.loop, f.options.Bind)
+	if socket == nil {
+		if !f.waits || err != nil {
+			f.log.Warn("fleet: the address is taken, waiting for it", zap.Stringer("bind", f.options.Bind), zap.Error(err))
+		}
+		f.waits = true
+		f.timer = f.loop.At(f.loop.Now()+bindAgain, f.rebind)
+		return
+	}
+	f.waits, f.socket = false, socket
+	f.open()
+}
+
+func (f *Fleet) open() {
+	f.socket.Take(f.receive)
+	f.log.Info("fleet: member", zap.String("fleet", f.options.Fleet), zap.String("name", f.options.Name),
+		zap.Stringer("bind", f.options.Bind), zap.Stringer("advertise", f.options.Advertise), zap.Uint64("life", f.machine.Life))
+	f.machine.Start(f.loop.Now())
+	f.pump()
+	f.arm()
+}
+
+func (f *Fleet) arm() {
+	f.timer.Stop()
+	f.timer = f.loop.At(f.machine.Next(), func() {
+		f.machine.Tick(f.loop.Now())
+		if f.loop.Now() >= f.placeAt+f.options.Period {
+			f.divide()
+		}
+		f.pump()
+		f.tellDrops()
+		f.arm()
+	})
+}
+
+func (f *Fleet) receive(b []byte) {
+	f.Received++
+	msg, err := membership.Decode(f.options.Fleet, b)
+	switch {
+	case err == nil:
+		f.machine.Receive(f.loop.Now(), msg)
+		f.pump()
+	case errors.Is(err, membership.ErrForeign):
+		f.Drops[dropForeign]++
+	case errors.Is(err, membership.ErrFormat):
+		f.Drops[dropFormat]++
+	case errors.Is(err, membership.ErrOversized):
+		f.Drops[dropOversized]++
+	default:
+		f.Drops[dropBroken]++
+	}
+}
+
+// slept is told before anything else is done in a turn that comes late.
+func (f *Fleet) slept(late float64) {
+	if f.closed || f.waits {
+		return
+	}
+	f.log.Warn("fleet: this process has stood still; what it knew is looked at again", zap.Float64("late_s", late))
+	f.machine.Slept(f.loop.Now())
+	f.pump()
+	f.arm()
+}
+
+// pump sends what the machine has to send, tells what has changed, and has the decisions know.
+func (f *Fleet) pump() {
+	for _, p := range f.machine.Out() {
+		b, err := membership.Encode(p.Msg)
+		if err == nil {
+			if err = f.socket.SendTo(p.To, b); err == nil {
+				f.Sent++
+				f.BytesSent += uint64(len(b))
+				continue
+			}
+		}
+		f.Unsent++ // a full buffer, no way there: as good as lost on the way
+		f.log.Debug("fleet: not sent", zap.Stringer("to", p.To), zap.Error(err))
+	}
+	changes := f.machine.Changes()
+	for _, c := range changes {
+		f.tell(c)
+	}
+	for _, s := range f.machine.Settlings() {
+		f.settled = s
+		alive, suspect, dead := f.machine.Census()
+		f.log.Info("fleet: settled", zap.Float64("after_s", s), zap.Int("alive", alive), zap.Int("suspect", suspect), zap.Int("dead", dead),
+			zap.String("digest", digest(f.machine.Digest())))
+	}
+	if len(changes) > 0 || f.counted != f.machine.Counted() {
+		f.divide()
+	}
+}
+
+func (f *Fleet) tell(c membership.Change) {
+	fields := []zap.Field{zap.String("member", c.Name), zap.Stringer("is", c.To), zap.Uint64("incarnation", c.Inc), zap.String("cause", c.Cause)}
+	if !c.New {
+		fields = append(fields, zap.Stringer("was", c.From))
+	}
+	if c.Name == f.options.Name {
+		f.log.Error("fleet: "+c.Cause, zap.String("member", c.Name))
+		return
+	}
+	f.log.Info("fleet: change", fields...)
+}
+
+// divide works the place out anew.
+func (f *Fleet) divide() {
+	f.placeAt, f.counted = f.loop.Now(), f.machine.Counted()
+	v := f.machine.View()
+	p := f.divisor.Place(f.loop.Now(), &v)
+	if p.Equal(&f.place) {
+		return
+	}
+	was := f.place
+	f.place = p
+	f.use(p)
+	if was.Instances == p.Instances && was.Part == p.Part && was.Why == p.Why {
+		return // other names alone
+	}
+	f.log.Info("fleet: cold workers are shared", zap.Int("among", p.Instances), zap.Int("me", p.Me), zap.Float64("part", p.Part), zap.String("why", string(p.Why)))
+}
+
+// tellDrops says once in a while what was dropped.
+func (f *Fleet) tellDrops() {
+	if f.Drops == f.told || f.loop.Now() < f.toldAt+tellDrops {
+		return
+	}
+	f.toldAt, f.told = f.loop.Now(), f.Drops
+	fields := []zap.Field{}
+	for i, n := range f.Drops {
+		fields = append(fields, zap.Uint64(DropNames[i], n))
+	}
+	f.log.Warn("fleet: datagrams dropped so far", fields...)
+}
+
+// SetFacts sets what is told of this member.
+func (f *Fleet) SetFacts(facts membership.Facts) {
+	f.options.Facts = facts
+	f.machine.SetFacts(f.loop.Now(), facts)
+}
+
+// Leave tells the others that this dispatcher has stopped sending; Rejoin that it begins again.
+func (f *Fleet) Leave() {
+	if f.socket == nil {
+		return
+	}
+	f.machine.Leave(f.loop.Now())
+	f.divide()
+	f.pump()
+}
+
+// Rejoin takes a Leave back.
+func (f *Fleet) Rejoin() {
+	f.machine.Rejoin(f.loop.Now())
+	f.divide()
+	if f.socket != nil {
+		f.pump()
+		f.arm()
+	}
+}
+
+// Declare has a member that is dead count as one that has left, everywhere.
+func (f *Fleet) Declare(name string) error {
+	if f.socket == nil {
+		return errors.New("fleet: not joined yet")
+	}
+	err := f.machine.Declare(f.loop.Now(), name)
+	f.divide()
+	f.pump()
+	return err
+}
+
+// Yield leaves the name and the address to the process that takes this one's place, without a word; Resume takes both back.
+func (f *Fleet) Yield() {
+	f.timer.Stop()
+	if f.socket != nil {
+		f.socket.Close()
+		f.socket = nil
+	}
+	f.waits = true
+	f.place.Part, f.place.Why = divisor.Cautious, divisor.CutOff // the next one has the share
+	f.use(f.place)
+}
+
+// Resume begins a new life under the name.
+func (f *Fleet) Resume() { f.begin() }
+
+// Yielded says whether the name is another process's for now.
+func (f *Fleet) Yielded() bool { return f.waits }
+
+// Same says whether a member started by o would be this one but for seeds and rules, which Change takes.
+func (f *Fleet) Same(o *Options) bool {
+	w := &f.options
+	return w.Fleet == o.Fleet && w.Name == o.Name && w.Bind == o.Bind && w.Advertise == o.Advertise && w.Period == o.Period && w.Forget == o.Forget
+}
+
+// SameBind says whether the address is this one's.
+func (f *Fleet) SameBind(o *Options) bool { return f.options.Bind == o.Bind }
+
+// Change takes other seeds and rules.
+func (f *Fleet) Change(o Options) {
+	f.options.Rules, f.divisor.Rules = o.Rules, o.Rules
+	if !slices.Equal(f.options.Seeds, o.Seeds) {
+		f.options.Seeds = o.Seeds
+		f.machine.Seek(f.loop.Now(), o.Seeds)
+		if f.socket != nil {
+			f.pump()
+		}
+	}
+	f.divide()
+}
+
+// Release ends this member by word and gives its socket to whoever has the address next; nil where it had none.
+func (f *Fleet) Release() *transport.Socket {
+	f.Leave()
+	socket := f.socket
+	f.socket, f.closed = nil, true
+	f.timer.Stop()
+	f.loop.Overslept = nil
+	return socket
+}
+
+// Close ends this member by word.
+func (f *Fleet) Close() {
+	if s := f.Release(); s != nil {
+		s.Close()
+	}
+}
+
+// Census counts the members by state, this one among the living.
+func (f *Fleet) Census() (alive, suspect, dead int) { return f.machine.Census() }
+
+// Counts are what the membership has counted.
+func (f *Fleet) Counts() membership.Counts { return f.machine.Counts }
+
+// LastSettling is how long the view took to settle the last time, in seconds; 0: it has not yet.
+func (f *Fleet) LastSettling() float64 { return f.settled }
+
+// Place is among whom cold workers are shared.
+func (f *Fleet) Place() divisor.Place { return f.place }
+
+func digest(d uint64) string { return fmt.Sprintf("%016x", d) }
+
+// Member is one as /api/fleet shows it.
+type Member struct {
+	Name        string            `json:"name"`
+	Address     string            `json:"address"`
+	Zone        string            `json:"zone"`
+	State       string            `json:"state"`
+	Incarnation uint64            `json:"incarnation"`
+	SinceMS     int64             `json:"since_ms"` // Unix time of the state's begin, as this member saw it
+	Serving     string            `json:"serving"`
+	Console     string            `json:"console"`
+	Life        uint64            `json:"life"`
+	Version     map[string]string `json:"version"`
+}
+
+// Status is what GET /api/fleet answers.
+type Status struct {
+	Fleet   string            `json:"fleet"`
+	Me      string            `json:"me"`
+	Digest  string            `json:"digest"`
+	Settled bool              `json:"settled"`
+	Members []Member          `json:"members"`
+	Place   StatusPlace       `json:"place"`
+	Health  int               `json:"health"` // 1 is well; times are stretched by it
+	Drops   map[string]uint64 `json:"drops"`
+}
+
+// StatusPlace is among whom cold workers are shared.
+type StatusPlace struct {
+	Instances int     `json:"instances"`
+	Me        int     `json:"me"`
+	Part      float64 `json:"part"`
+	Why       string  `json:"why"`
+}
+
+// Status tells all that is shown.
+func (f *Fleet) Status() Status {
+	v := f.machine.View()
+	s := Status{Fleet: f.options.Fleet, Me: f.options.Name, Digest: digest(v.Digest), Settled: v.Settled && !v.Withdrawn && !f.waits, Health: v.Health,
+		Place: StatusPlace{f.place.Instances, f.place.Me, f.place.Part, string(f.place.Why)}, Drops: map[string]uint64{}, Members: []Member{}}
+	for i, n := range f.Drops {
+		s.Drops[DropNames[i]] = n
+	}
+	c := f.machine.Counts
+	maps.Copy(s.Drops, map[string]uint64{"repeated": c.Repeated, "stale": c.Stale, "own": c.Own})
+	for _, m := range v.Members {
+		out := Member{Name: m.Name, Address: m.Addr.String(), State: m.State.String(), Incarnation: m.Inc, SinceMS: int64(m.Since * 1000),
+			Life: m.Life, Version: map[string]string{}}
+		if k := m.FactsOf; k != nil {
+			out.Zone, out.Serving, out.Console = k.Zone, k.Serving, k.Console
+			if k.Version != "" {
+				out.Version["program"] = k.Version
+			}
+		}
+		s.Members = append(s.Members, out)
+	}
+	return s
+}
+
+// String is a status in one line.
+func (s *Status) String() string {
+	count := map[string]int{}
+	for _, m := range s.Members {
+		count[m.State]++
+	}
+	var parts []string
+	for _, state := range []string{"alive", "suspect", "dead", "left"} {
+		if count[state] > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", count[state], state))
+		}
+	}
+	return strings.Join(parts, ", ")
+}
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -22,6 +22,7 @@
 	Collectd   []Collectd  `toml:"-"`
 	Telemetry  Telemetry   `toml:"telemetry"`
 	RequestLog *RequestLog `toml:"request_log"`
+	Fleet      *Fleet      `toml:"fleet"`
 
 	// One receiver may be a table, several are an array of tables.
 	RawGraphite toml.Primitive `toml:"graphite"`
@@ -255,6 +256,11 @@
 		}
 		l.Path = f.in(l.Path)
 	}
+	if f.Fleet != nil {
+		if err := f.Fleet.check(func(key string, err error) error { return f.wrong("fleet."+key, err) }); err != nil {
+			return err
+		}
+	}
 	return f.apart()
 }
 
--- a/internal/program/describe.go
+++ b/internal/program/describe.go
@@ -41,6 +41,9 @@
 
 // Describe writes what is in force.
 func (c *Config) Describe(w io.Writer) error {
+	if _, err := c.fleetOptions(); err != nil {
+		return err
+	}
 	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', 0)
 	line := func(name string, format string, a ...any) {
 		fmt.Fprintf(t, "%s\t%s\n", name, fmt.Sprintf(format, a...))
@@ -83,6 +86,16 @@
 		line("figures", "every %v s, %d bytes held in memory, series of %d nodes", f.Telemetry.Every, f.Telemetry.MemoryBytes, *f.Telemetry.NodeSeries)
 	}
 	line("spool", "%s", or(f.Telemetry.SpoolDir, "off: totals begin at 0 with each start"))
+	if m := f.Fleet; m != nil {
+		whole := "all dispatchers are members"
+		if !*m.Whole {
+			whole = "not all dispatchers are members: nInstances is the least"
+		}
+		line("fleet", "%s as %s, %s over UDP, others reach it at %s, seeds %s, a probe every %v s, %s", m.Name, c.Name, m.BindAddr, m.AdvertiseAddr,
+			or(strings.Join(m.Seeds, ", "), "none"), m.Period, whole)
+	} else {
+		line("fleet", "off")
+	}
 	if l := f.RequestLog; l != nil {
 		line("request log", "%s, %d bytes, %d older files", l.Path, l.MaxBytes, *l.Keep)
 	} else {
--- a/internal/program/figures.go
+++ b/internal/program/figures.go
@@ -90,6 +90,7 @@
 	})
 	a.counter("invariants.broken", "", "Things found that must never be: must stay 0.", invariant.Broken)
 	addConsole(a, p)
+	addFleet(a, p)
 	addGearman(a, p)
 }
 
--- /dev/null
+++ b/internal/program/fleet.go
@@ -0,0 +1,278 @@
+package program
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"runtime/debug"
+
+	"go.uber.org/zap"
+
+	"cinderroad/brain"
+	"cinderroad/internal/console"
+	"cinderroad/internal/fleet"
+	"cinderroad/internal/fleet/divisor"
+	"cinderroad/internal/fleet/membership"
+	"cinderroad/internal/telemetry"
+	"cinderroad/internal/transport"
+)
+
+// factsEvery is how often what is told of this dispatcher is looked at, in seconds.
+const factsEvery = 0.1
+
+// Version is the program's, short: what the fleet shows of each member.
+func Version() string {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return "unknown"
+	}
+	version := info.Main.Version
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" && len(s.Value) >= 12 {
+			version = s.Value[:12]
+		}
+	}
+	return version[:min(len(version), 40)]
+}
+
+// fleetOptions are what the files say of the fleet; nil is none.
+func (c *Config) fleetOptions() (*fleet.Options, error) {
+	f := c.Operator.Fleet
+	if f == nil {
+		return nil, nil
+	}
+	if c.Name == "" || len(c.Name) > membership.MostName {
+		return nil, fmt.Errorf("config: name: %q: a member of a fleet needs one of 1 to %d bytes", c.Name, membership.MostName)
+	}
+	zone := ""
+	if z := c.brain.Zone; z < len(c.names.FailureDomains) {
+		zone = c.names.FailureDomains[z]
+	}
+	return &fleet.Options{Fleet: f.Name, Name: c.Name, Bind: f.BindAddr, Advertise: f.AdvertiseAddr, Seeds: f.SeedAddrs,
+		Period: f.Period, Forget: f.Forget, Seed: c.seed, Facts: membership.Facts{Zone: zone[:min(len(zone), 48)], Version: Version(), Console: c.Console},
+		Rules: divisor.Rules{Instances: c.brain.Instances, Me: c.brain.Me, Period: f.Period, LastSends: c.brain.FallTime, Whole: *f.Whole}}, nil
+}
+
+// startFleet has this dispatcher be a member, where the operator's file says so.
+func (p *Program) startFleet() error {
+	o, err := p.config.fleetOptions()
+	if err != nil || o == nil {
+		return err
+	}
+	socket, err := fleet.Bind(p.loop, o.Bind)
+	if err != nil {
+		return err
+	}
+	p.joinFleet(o, socket)
+	return nil
+}
+
+func (p *Program) joinFleet(o *fleet.Options, socket *transport.Socket) {
+	o.Facts.Serving = p.standing()
+	p.fleet = fleet.Start(p.loop, p.log, *o, socket, p.setPlace)
+	if !p.factsOn {
+		p.factsOn = true
+		p.tellFacts()
+	}
+}
+
+// setPlace has all who count the dispatchers know their number.
+func (p *Program) setPlace(place divisor.Place) {
+	if err := p.core.SetPlace(brain.Place{Instances: place.Instances, Me: place.Me, Part: place.Part, Keys: place.Keys}); err != nil {
+		p.log.Error("program: place not taken", zap.Error(err))
+		return
+	}
+	p.director.Fleet = place.Instances
+}
+
+// standing is how this dispatcher serves, for the others to see.
+func (p *Program) standing() string {
+	switch {
+	case p.stopping || p.upgrade != nil && p.upgrade.left():
+		return "stopping"
+	case !p.serving:
+		return "starting"
+	case p.front.Leaving() > 0:
+		return "evacuated"
+	}
+	return "serving"
+}
+
+// tellFacts has the fleet know how this dispatcher serves. One that is evacuated leaves once it has nothing out any more,
+// and joins again when it is called back.
+func (p *Program) tellFacts() {
+	if p.fleet == nil {
+		p.factsOn = false
+		return
+	}
+	o, err := p.config.fleetOptions()
+	if err == nil && o != nil {
+		o.Facts.Serving = p.standing()
+		p.fleet.SetFacts(o.Facts)
+	}
+	if out := p.core.Counts(); p.front.Leaving() > 0 && out.OpenReqs == 0 && out.OpenFetches == 0 {
+		if !p.fleetLeft {
+			p.fleetLeft = true
+			p.fleet.Leave()
+		}
+	} else if p.fleetLeft && p.front.Leaving() == 0 {
+		p.fleetLeft = false
+		p.fleet.Rejoin()
+	}
+	p.loop.At(p.loop.Now()+factsEvery, p.tellFacts)
+}
+
+// leaveFleet says that this dispatcher has stopped: it is called when nothing is out any more.
+func (p *Program) leaveFleet() {
+	if p.fleet != nil {
+		p.fleet.Close()
+		p.fleet = nil
+	}
+}
+
+// yieldFleet leaves the name to the process that takes this one's place; resumeFleet takes it back.
+func (p *Program) yieldFleet() {
+	if p.fleet != nil {
+		p.fleet.Yield()
+	}
+}
+
+func (p *Program) resumeFleet() {
+	if p.fleet != nil {
+		p.fleet.Resume()
+	}
+}
+
+// refleeted is what a reload would change of the fleet.
+type refleeted struct {
+	options *fleet.Options
+	socket  *transport.Socket // a new address'
+}
+
+// prepareFleet checks what a reload says of the fleet and opens an address that is new; nothing changes before takeFleet.
+func (p *Program) prepareFleet(next *Config) (*refleeted, error) {
+	running := *next
+	running.Name, running.brain = p.config.Name, p.config.brain // what needs a restart
+	o, err := running.fleetOptions()
+	if err != nil || o == nil {
+		return &refleeted{}, err
+	}
+	r := &refleeted{options: o}
+	if p.fleet == nil || !p.fleet.SameBind(o) {
+		if r.socket, err = fleet.Bind(p.loop, o.Bind); err != nil {
+			return nil, err
+		}
+	}
+	return r, nil
+}
+
+// drop closes what was opened for a reload that is refused.
+func (r *refleeted) drop() {
+	if r != nil && r.socket != nil {
+		r.socket.Close()
+	}
+}
+
+// takeFleet carries a reload's change out: the fleet is joined, left, or joined anew.
+func (p *Program) takeFleet(r *refleeted) {
+	o := r.options
+	switch {
+	case p.upgrade.left(): // the name is the next process's, which reads the files itself
+		r.drop()
+	case o == nil && p.fleet == nil:
+	case o == nil:
+		p.leaveFleet()
+		p.setPlace(divisor.Place{Instances: p.config.brain.Instances, Me: p.config.brain.Me, Part: 1})
+		p.log.Info("program: fleet switched off; places are as configured")
+	case p.fleet == nil:
+		p.joinFleet(o, r.socket)
+	case p.fleet.Same(o):
+		p.fleet.Change(*o)
+	default:
+		socket := p.fleet.Release()
+		if !p.fleet.SameBind(o) {
+			if socket != nil {
+				socket.Close()
+			}
+			socket = r.socket
+		}
+		p.joinFleet(o, socket)
+	}
+}
+
+// showFleet answers GET /api/fleet.
+func (p *Program) showFleet(reply console.Reply) {
+	if p.fleet == nil {
+		reply(404, "no [fleet] in the operator's file")
+		return
+	}
+	text, err := json.Marshal(p.fleet.Status())
+	if err != nil {
+		reply(500, err.Error())
+		return
+	}
+	reply(200, string(text))
+}
+
+// goneFromFleet has a member that is dead count as one that has left.
+func (p *Program) goneFromFleet(member string, reply console.Reply) {
+	if p.fleet == nil {
+		reply(404, "no [fleet] in the operator's file")
+		return
+	}
+	if err := p.fleet.Declare(member); err != nil {
+		reply(409, err.Error())
+		return
+	}
+	p.log.Info("program: a member was declared gone", zap.String("member", member))
+	reply(200, "done")
+}
+
+// addFleet adds the figures of the fleet; none are told while the section is off.
+func addFleet(a adder, p *Program) {
+	read := func(kind telemetry.Kind, name, unit, help string, get func(f *fleet.Fleet) float64) {
+		a.set.Read(telemetry.Doc{Pattern: "fleet." + name, Kind: kind, Unit: unit, Help: help + " None without a fleet."}, func() float64 {
+			if p.fleet == nil {
+				return math.NaN()
+			}
+			return get(p.fleet)
+		})
+	}
+	gauge := func(name, unit, help string, get func(f *fleet.Fleet) float64) {
+		read(telemetry.Gauge, name, unit, help, get)
+	}
+	counter := func(name, unit, help string, get func(f *fleet.Fleet) uint64) {
+		past, last := 0.0, 0.0 // a member that joins anew counts from 0
+		read(telemetry.Counter, name, unit, help, func(f *fleet.Fleet) float64 {
+			v := float64(get(f))
+			if v < last {
+				past += last
+			}
+			last = v
+			return past + v
+		})
+	}
+	gauge("members_alive", "members", "Members held alive, this one among them.", func(f *fleet.Fleet) float64 { n, _, _ := f.Census(); return float64(n) })
+	gauge("members_suspect", "members", "Members under suspicion.", func(f *fleet.Fleet) float64 { _, n, _ := f.Census(); return float64(n) })
+	gauge("members_dead", "members", "Members held dead and not forgotten yet.", func(f *fleet.Fleet) float64 { _, _, n := f.Census(); return float64(n) })
+	gauge("instances", "members", "Dispatchers among whom cold workers are shared.", func(f *fleet.Fleet) float64 { return float64(f.Place().Instances) })
+	gauge("part", "", "Part of its share of cold workers that this one takes; below 1 while others may not count it.", func(f *fleet.Fleet) float64 { return f.Place().Part })
+	gauge("settle_s", "s", "How long the view took to settle the last time.", (*fleet.Fleet).LastSettling)
+	counter("suspicions", "suspicions", "Members that came under suspicion.", func(f *fleet.Fleet) uint64 { return f.Counts().Suspicions })
+	counter("suspicions_refuted", "suspicions", "Suspicions that were taken back.", func(f *fleet.Fleet) uint64 { return f.Counts().Refuted })
+	counter("suspected", "suspicions", "Suspicions of this member that it answered.", func(f *fleet.Fleet) uint64 { return f.Counts().SelfRefuted })
+	counter("deaths", "members", "Members found dead.", func(f *fleet.Fleet) uint64 { return f.Counts().Deaths })
+	counter("probes", "questions", "Members asked whether they are there.", func(f *fleet.Fleet) uint64 { return f.Counts().Probes })
+	counter("probes_unanswered", "questions", "Those that ended without an answer.", func(f *fleet.Fleet) uint64 { return f.Counts().Unanswered })
+	counter("slept", "", "Times that this process stood still.", func(f *fleet.Fleet) uint64 { return f.Counts().Slept })
+	counter("name_claims", "", "Times that another process was found under this name.", func(f *fleet.Fleet) uint64 { return f.Counts().Claims })
+	counter("datagrams_sent", "datagrams", "Datagrams sent.", func(f *fleet.Fleet) uint64 { return f.Sent })
+	counter("datagrams_received", "datagrams", "Datagrams that came.", func(f *fleet.Fleet) uint64 { return f.Received })
+	counter("datagrams_unsent", "datagrams", "Datagrams that the system did not take.", func(f *fleet.Fleet) uint64 { return f.Unsent })
+	counter("bytes_sent", "bytes", "Bytes of the datagrams sent.", func(f *fleet.Fleet) uint64 { return f.BytesSent })
+	for i, name := range fleet.DropNames {
+		counter("dropped_"+name, "datagrams", "Datagrams dropped: "+name+".", func(f *fleet.Fleet) uint64 { return f.Drops[i] })
+	}
+	counter("dropped_repeated", "datagrams", "Datagrams dropped: heard before.", func(f *fleet.Fleet) uint64 { return f.Counts().Repeated })
+	counter("dropped_stale", "datagrams", "Datagrams dropped: of an earlier life.", func(f *fleet.Fleet) uint64 { return f.Counts().Stale })
+}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"cinderroad/internal/console"
+	"cinderroad/internal/fleet"
 	"cinderroad/internal/protocol/door"
 	"cinderroad/internal/protocol/gearman"
 	"cinderroad/internal/protocol/platform"
@@ -32,25 +33,27 @@
 
 // Program is one dispatcher.
 type Program struct {
-	config   *Config
-	log      *zap.Logger
-	loop     *transport.Loop
-	core     *routing.Core
-	pool     *platform.Pool
-	front    *platform.Front
-	director *platform.Director
-	listener *transport.Listener
-	gearman  *gearman.Server
-	door     *door.Door
-	console  *console.Console
-	upgrade  *upgrade
-	books    *books  // nil: no figures leave, and no request log is kept
-	started  float64 // Unix time
-	longest  float64 // turn of the loop since the last period
-	serving  bool    // takes clients
-	stopping bool
-	err      error // why it ends, if something went wrong
-	Reloads  struct{ Taken, Refused uint64 }
+	config             *Config
+	log                *zap.Logger
+	loop               *transport.Loop
+	core               *routing.Core
+	pool               *platform.Pool
+	front              *platform.Front
+	director           *platform.Director
+	listener           *transport.Listener
+	gearman            *gearman.Server
+	door               *door.Door
+	console            *console.Console
+	upgrade            *upgrade
+	fleet              *fleet.Fleet // nil: no member of one
+	books              *books       // nil: no figures leave, and no request log is kept
+	started            float64      // Unix time
+	longest            float64      // turn of the loop since the last period
+	serving            bool         // takes clients
+	stopping           bool
+	factsOn, fleetLeft bool  // the fleet is told how it serves; and that it does not any more
+	err                error // why it ends, if something went wrong
+	Reloads            struct{ Taken, Refused uint64 }
 }
 
 // Run serves until it is told to stop.
@@ -141,6 +144,9 @@
 	}
 	p.upgrade = newUpgrade(p)
 	p.limit()
+	if err := p.startFleet(); err != nil {
+		return nil, err
+	}
 	if p.upgrade.begin() {
 		return p, nil
 	}
@@ -211,6 +217,7 @@
 func (p *Program) exitWhenDone() {
 	if n := p.core.Counts(); n.OpenReqs == 0 && p.front.Quiet() && (p.gearman == nil || p.gearman.Quiet()) &&
 		p.upgrade.done() && (p.console == nil || p.console.Open() == 0) && p.books.finished() {
+		p.leaveFleet()
 		p.loop.Stop()
 		return
 	}
--- a/internal/program/reload.go
+++ b/internal/program/reload.go
@@ -14,11 +14,16 @@
 // none of a bad one. It takes the place of nothing that is open: reqs, fetches and the list go on.
 func (p *Program) reload() {
 	next, err := p.reread()
+	var members *refleeted
+	if err == nil {
+		members, err = p.prepareFleet(next)
+	}
 	var books *rebooked
 	if err == nil {
 		books, err = p.books.prepare(next.Operator)
 	}
 	if err != nil {
+		members.drop()
 		p.Reloads.Refused++
 		p.log.Error("program: reload refused, old configuration kept", zap.Error(err))
 		return
@@ -38,6 +43,7 @@
 	config.Operator = next.Operator
 	p.config = &config
 	restart = append(restart, p.books.take(books)...)
+	p.takeFleet(members)
 	p.limit()
 	if config.discovery.IsValid() {
 		p.director.Move(config.discovery)
--- a/internal/program/upgrade.go
+++ b/internal/program/upgrade.go
@@ -127,6 +127,7 @@
 		u.p.front.Bequeath(nil)
 		u.p.listener.Suspend(false)
 		u.p.books.resume()
+		u.p.resumeFleet()
 		if u.p.gearman != nil {
 			u.p.gearman.Retire(false)
 		}
@@ -228,6 +229,7 @@
 		u.door = nil
 	}
 	p.listener.Suspend(true)
+	p.yieldFleet()
 	if p.gearman != nil {
 		p.gearman.Retire(true)
 	}
