--- /dev/null
+++ b/internal/program/fleet_test.go
@@ -0,0 +1,403 @@
+package program
+
+import (
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"cinderroad/internal/fleet/membership"
+	"cinderroad/internal/standin"
+	"cinderroad/internal/standin/rig"
+)
+
+var fleetN = flag.Int("fleet.n", 5, "processes of a fleet test")
+
+func fleetOf(t *testing.T, o rig.Options) *rig.Rig {
+	t.Parallel()
+	o.Program = program
+	if o.Members == 0 {
+		o.Members = *fleetN
+	}
+	if o.Runners == 0 {
+		o.Runners = 4
+	}
+	return rig.Start(t, o)
+}
+
+// holdAll says whether all members that run hold one in a state.
+func holdAll(r *rig.Rig, name, state string) func() bool {
+	return func() bool {
+		for _, m := range r.Running() {
+			if m.Name != name && m.Holds(name) != state {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// A fleet that starts together, loses one that is killed, takes it back, and is told by one that ends.
+func TestFleetJoinKillLeave(t *testing.T) {
+	r := fleetOf(t, rig.Options{})
+	n := len(r.Members)
+	r.Settled(n)
+	killed := r.Members[1]
+	killed.Kill()
+	t.Logf("found dead by all after %v", r.Eventually("found dead", holdAll(r, killed.Name, "dead")))
+	r.Settled(n - 1)
+	killed.Start()
+	killed.Serves()
+	r.Settled(n)
+	killed.Kill() // and again within a period
+	killed.Start()
+	killed.Serves()
+	r.Settled(n)
+	leaver := r.Members[2]
+	leaver.Terminate()
+	t.Logf("held to have left by all after %v", r.Eventually("left", holdAll(r, leaver.Name, "left")))
+	for _, m := range r.Running() {
+		if text := m.Text(); strings.Contains(text, fmt.Sprintf(`"member": %q, "is": "dead"`, leaver.Name)) {
+			t.Errorf("%s held %s for dead, which had said that it leaves", m.Name, leaver.Name)
+		}
+	}
+	r.Settled(n - 1)
+	r.Check()
+}
+
+// A process that is stopped is found; continued, it comes back as itself, and has given nobody up.
+func TestFleetStopAndContinue(t *testing.T) {
+	r := fleetOf(t, rig.Options{})
+	n := len(r.Members)
+	r.Settled(n)
+	m := r.Members[3]
+	life := lifeOf(m, m.Name)
+	m.Pause()
+	others := []*rig.Member{r.Members[0], r.Members[1], r.Members[2]}
+	r.Eventually("found dead", func() bool {
+		for _, o := range others {
+			if o.Holds(m.Name) != "dead" {
+				return false
+			}
+		}
+		return true
+	})
+	m.Continue()
+	r.Settled(n)
+	if got := lifeOf(m, m.Name); got != life || life == 0 {
+		t.Errorf("it came back as another: life %d, not %d", got, life)
+	}
+	if text := m.Text(); !strings.Contains(text, "this process has stood still") || strings.Contains(text, `"is": "dead"`) {
+		t.Error("the sleeper did not know that it slept, or gave others up for it")
+	}
+	r.Check()
+}
+
+func lifeOf(m *rig.Member, name string) uint64 {
+	if s := m.Status(); s != nil {
+		for _, o := range s.Members {
+			if o.Name == name {
+				return o.Life
+			}
+		}
+	}
+	return 0
+}
+
+// One way is cut between two: neither is lost. An island finds the others dead, and all are one fleet again when it heals.
+func TestFleetOneWayCutAndIsland(t *testing.T) {
+	r := fleetOf(t, rig.Options{})
+	n := len(r.Members)
+	r.Settled(n)
+	a, b := r.Members[0], r.Members[1]
+	r.Link(a, b, standin.Link{Silent: true})
+	r.Link(b, a, standin.Link{Delay: 20 * time.Millisecond})
+	time.Sleep(10 * time.Second) // 50 periods: what must never happen would have
+	for _, m := range r.Members {
+		if strings.Contains(m.Text(), `"is": "dead"`) {
+			t.Errorf("%s gave somebody up whom others heard", m.Name)
+		}
+	}
+	r.Heal()
+	r.Settled(n)
+	island := []*rig.Member{a, b}
+	r.Island(island...)
+	r.Eventually("two fleets", func() bool {
+		return r.Agree(island, 2) && r.Agree(r.Members[2:], n-2)
+	})
+	for _, m := range island {
+		if s := m.Status(); s == nil || s.Place.Why != "cut off" || s.Place.Part >= 1 {
+			t.Errorf("%s, of fewer than half, shares cold workers as if it were the fleet: %+v", m.Name, s)
+		}
+	}
+	r.Heal()
+	r.Settled(n)
+	r.Eventually("all count one another", func() bool {
+		for _, m := range r.Members {
+			if s := m.Status(); s == nil || s.Place.Instances != n || s.Place.Part != 1 {
+				return false
+			}
+		}
+		return true
+	})
+	r.Check()
+}
+
+// A fifth of the datagrams lost, the rest late, repeated and out of order: nobody that answers is given up for good, and the
+// view is one once it is over.
+func TestFleetLossAndDelay(t *testing.T) {
+	r := fleetOf(t, rig.Options{})
+	n := len(r.Members)
+	r.Settled(n)
+	r.Everywhere(standin.Link{Drop: 0.2, Delay: 5 * time.Millisecond, Jitter: 20 * time.Millisecond, Repeat: 0.05, Reorder: 0.05})
+	time.Sleep(15 * time.Second)
+	refuted, dead := 0, 0
+	for _, m := range r.Members {
+		refuted += strings.Count(m.Text(), `"is": "alive"`)
+		dead += strings.Count(m.Text(), `"is": "dead"`)
+	}
+	t.Logf("under loss: %d records of life, %d of death, at %d members in 75 periods", refuted, dead, n)
+	if dead > 0 {
+		t.Error("a member that answers was given up")
+	}
+	r.Heal()
+	r.Settled(n)
+	repeated := uint64(0)
+	for _, m := range r.Members {
+		repeated += m.Status().Drops["repeated"]
+	}
+	if repeated == 0 {
+		t.Error("no datagram was dropped as heard before")
+	}
+	r.Check()
+}
+
+// All are restarted in turn, as a release does.
+func TestFleetRollingRestart(t *testing.T) {
+	r := fleetOf(t, rig.Options{})
+	n := len(r.Members)
+	r.Settled(n)
+	for _, m := range r.Members {
+		m.Terminate()
+		m.Start()
+		m.Serves()
+	}
+	r.Settled(n)
+	r.Check()
+}
+
+// An upgrade: two processes under one name and one address. The newer one is the member from then on.
+func TestFleetUpgrade(t *testing.T) {
+	r := fleetOf(t, rig.Options{Members: 3, Inherit: true})
+	r.Settled(3)
+	m := r.Members[1]
+	life := lifeOf(m, m.Name)
+	m.Upgrade()
+	r.Settled(3)
+	for _, o := range r.Members {
+		if got := lifeOf(o, m.Name); got <= life {
+			t.Errorf("%s holds life %d of %s, which was %d before the upgrade", o.Name, got, m.Name, life)
+		}
+		if strings.Contains(o.Text(), `"is": "dead"`) {
+			t.Errorf("%s held somebody for dead over an upgrade", o.Name)
+		}
+	}
+	r.Check()
+}
+
+// Two processes that share a name by mistake: the one that began later stays, the other says so and serves on by itself.
+func TestFleetTwoUnderOneName(t *testing.T) {
+	r := fleetOf(t, rig.Options{Members: 3})
+	r.Settled(3)
+	first := r.Members[2]
+	twin := r.Add()
+	twin.Name = first.Name
+	r.Discovery.Tell()
+	twin.Start()
+	twin.Serves()
+	r.Eventually("the earlier start says that it withdraws", func() bool {
+		return strings.Contains(first.Text(), "another process has this name")
+	})
+	r.Eventually("the later one is the member", func() bool {
+		return r.Agree([]*rig.Member{r.Members[0], r.Members[1], twin}, 3) && lifeOf(r.Members[0], twin.Name) == lifeOf(twin, twin.Name)
+	})
+	r.Check()
+}
+
+// A cold runner is shared by members that hold different views: some join, some are cut off, one is stopped. It stands; and
+// once three in eight have left, the rest give it more than by the number in their settings.
+func TestFleetColdRunner(t *testing.T) {
+	for _, off := range []bool{true, false} {
+		t.Run(fmt.Sprint("off=", off), func(t *testing.T) {
+			r := fleetOf(t, rig.Options{Members: 8, Runners: 1, Jobs: 60, WorkS: 0.02, SlotsOf: 2, Off: off})
+			cold := r.Runners[0]
+			time.Sleep(2 * time.Second) // while it is warm they learn what a job is
+			span := func(what string) {
+				cold.Set("gone")
+				r.Discovery.Tell()
+				r.Eventually("it has nothing to do any more", cold.Idle)
+				cold.Boot()
+				r.Discovery.Tell()
+				time.Sleep(9 * time.Second)
+				worst, work, fell := cold.Borne()
+				t.Logf("%s: at most %.2f of what it bears, %.2f s of work in 9 s", what, worst, work)
+				if fell {
+					t.Errorf("%s: a cold runner fell over", what)
+				}
+			}
+			span("all start")
+			if !off {
+				r.Settled(8)
+				r.Island(r.Members[:3]...)
+				span("three are cut off")
+				r.Members[4].Pause()
+				span("and one is stopped")
+				r.Members[4].Continue()
+				r.Heal()
+				span("and all are back")
+				r.Settled(8)
+			}
+			for _, m := range r.Members[5:] {
+				m.Terminate()
+			}
+			if !off {
+				r.Settled(5)
+			}
+			span("three have left")
+		})
+	}
+}
+
+// A reload switches the fleet off, on, to another address, to other seeds, and to another name; a bad one changes nothing.
+func TestFleetReload(t *testing.T) {
+	r := fleetOf(t, rig.Options{Members: 3})
+	r.Settled(3)
+	m := r.Members[2]
+	with := m.Operator()
+	m.Configure("")
+	m.Reload("fleet switched off")
+	r.Eventually("the others know that it has left", func() bool {
+		return r.Members[0].Holds(m.Name) == "left" && r.Members[1].Holds(m.Name) == "left"
+	})
+	if code, _ := m.Call("GET", "/api/fleet", ""); code != 404 {
+		t.Errorf("/api/fleet answers %d though the section is off", code)
+	}
+	m.Configure(with)
+	m.Reload("program: reloaded")
+	r.Settled(3)
+	m.Configure(strings.Replace(with, "period_s", "priod_s", 1))
+	m.Reload("reload refused")
+	if !strings.Contains(m.Text(), "fleet.priod_s: unknown key") {
+		t.Error("the bad key is not named")
+	}
+	m.Configure(strings.Replace(with, m.Bind, "203.0.113.9:7946", 1))
+	m.Reload("cannot assign requested address")
+	r.Settled(3)
+	m.Fleet = "other"
+	m.Configure(m.Operator())
+	m.Reload("program: reloaded")
+	r.Eventually("a fleet of its own", func() bool { s := m.Status(); return s != nil && s.Fleet == "other" && len(s.Members) == 1 })
+	m.Fleet = r.Fleet
+	m.Configure(strings.Replace(m.Operator(), m.Bind, m.Bind+`0"#`, 1)) // a port that makes no sense
+	m.Reload("reload refused")
+	m.Configure(m.Operator())
+	m.Reload("program: reloaded")
+	r.Settled(3)
+	r.Check()
+}
+
+// Datagrams that make no sense, of another fleet, of a newer format, too long, and played again are dropped and counted, and
+// change nothing.
+func TestFleetNonsense(t *testing.T) {
+	r := fleetOf(t, rig.Options{Members: 3})
+	r.Settled(3)
+	m := r.Members[0]
+	conn, err := net.Dial("udp", m.Bind)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	rng := rand.New(rand.NewPCG(1, 2))
+	foreign := datagram(t, "elsewhere", "x")
+	newer := datagram(t, r.Fleet, "x")
+	newer[8]++ // the checksum is over the format, too
+	for range 200 {
+		junk := make([]byte, rng.IntN(2000))
+		for i := range junk {
+			junk[i] = byte(rng.Uint32())
+		}
+		for _, b := range [][]byte{junk, foreign, newer, make([]byte, 1500)} {
+			if _, err := conn.Write(b); err != nil {
+				t.Log(err)
+			}
+		}
+		time.Sleep(time.Millisecond)
+	}
+	r.Eventually("drops are counted", func() bool {
+		s := m.Status()
+		return s != nil && s.Drops["foreign"] > 0 && s.Drops["broken"] > 0 && s.Drops["oversized"] > 0
+	})
+	r.Settled(3)
+	if text := m.Text(); strings.Count(text, "datagrams dropped so far") > 2 {
+		t.Error("what is dropped is told more than once a minute")
+	}
+	r.Check()
+}
+
+func addrOf(text string) netip.AddrPort { return netip.MustParseAddrPort(text) }
+
+func datagram(t *testing.T, fleet, name string) []byte {
+	b, err := membership.Encode(&membership.Message{Kind: membership.News, Fleet: fleet, N: 1, From: membership.Record{Name: name, Life: 1,
+		Addr: addrOf("127.0.0.1:9")}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// A member that lies: that others have left, died, stand elsewhere, or have begun later. No process ends, jobs are served,
+// and the view is the true one once it has gone.
+func TestFleetLies(t *testing.T) {
+	r := fleetOf(t, rig.Options{})
+	n := len(r.Members)
+	r.Settled(n)
+	conn, err := net.ListenPacket("udp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	here := addrOf(conn.LocalAddr().String())
+	life := uint64(time.Now().UnixMicro())
+	for i := range 150 {
+		var lies []membership.Record
+		for _, m := range r.Members {
+			victim := membership.Record{Name: m.Name, Addr: addrOf(m.Relay.Addr()), Life: lifeOf(m, m.Name), Inc: uint64(i), State: membership.State(1 + i%3), By: "liar"}
+			if i%5 == 4 {
+				victim.Life, victim.Addr, victim.State = life*2, here, membership.Alive
+			}
+			lies = append(lies, victim)
+		}
+		b, err := membership.Encode(&membership.Message{Kind: membership.News, Fleet: r.Fleet, N: uint64(i + 1), Tell: lies,
+			From: membership.Record{Name: "liar", Life: life, Addr: here}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, m := range r.Members {
+			_, _ = conn.WriteTo(b, net.UDPAddrFromAddrPort(addrOf(m.Bind)))
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	conn.Close()
+	for _, m := range r.Members {
+		if !m.Running() {
+			t.Errorf("%s has ended", m.Name)
+		}
+	}
+	r.Eventually("the liar is found dead", holdAll(r, "liar", "dead"))
+	r.Settled(n)
+	r.Check()
+}
