--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -122,8 +122,9 @@
 func (l *Loop) Run() error {
 	defer l.closeAll()
 	events := make([]unix.EpollEvent, 256)
+	began := l.now // the turn at hand
 	for !l.stopped {
-		wait := -1
+		wait, before := -1, began
 		if len(l.later) > 0 {
 			wait = 0
 		} else if at, any := l.next(); any {
@@ -134,9 +135,10 @@
 		if err != nil && !errors.Is(err, unix.EINTR) {
 			return fmt.Errorf("transport: epoll wait: %w", err)
 		}
-		due := l.now + float64(max(wait, 0))/1000
 		l.tick()
-		if late := l.now - due; wait >= 0 && l.Overslept != nil && late > l.SleptAfter {
+		began = l.now
+		// the turn before counts, too: a process may be stopped at any place
+		if late := l.now - before - float64(wait)/1000; wait >= 0 && l.Overslept != nil && late > l.SleptAfter {
 			l.Overslept(late)
 		}
 		for _, c := range l.urgent { // whatever the director has written counts as told: read it before anything can send
