A relay's question is no longer changed under a message; tests of any messages

Found by rapid: a Nack named its target by a pointer into the list of relays, which moves when one is dropped; and facts set by a member that has left were booked in its digest. Lines at fault: judge.go relayed, machine.go SetFacts; both mended.

--- /dev/null
+++ b/brain/place_test.go
@@ -0,0 +1,108 @@
+package brain
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+)
+
+// placed makes the balancer of one of several instances.
+func placed(t *testing.T, p Place) *Balancer {
+	b := newRecorder(t, testSettings(), 1).b
+	if err := b.SetPlace(p); err != nil {
+		t.Fatal(err)
+	}
+	return b
+}
+
+// Whoever counts all that send gets, with all of them together, no more than one turn's budget, whatever else each counts.
+func TestHoldersByDifferingViewsShareOneBudget(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(rt, "seed"), 1))
+		senders := make([]uint64, rapid.IntRange(1, 12).Draw(rt, "senders"))
+		for i := range senders {
+			senders[i] = rng.Uint64()
+		}
+		others := make([]uint64, 12)
+		for i := range others {
+			others[i] = rng.Uint64()
+		}
+		// The budget in largest jobs is the most that hold a turn: few, some, all.
+		work := rapid.SampledFrom([]float64{0.05, 0.3, 0.8}).Draw(rt, "work")
+		now, sum, budget := 1000.5+2*rng.Float64(), 0.0, 0.0
+		for i := range senders {
+			keys := append([]uint64{}, senders...)
+			for _, o := range others {
+				if rng.Float64() < 0.4 {
+					keys = append(keys, o)
+				}
+			}
+			b := placed(t, Place{Instances: len(keys), Me: i, Part: 1, Keys: keys})
+			for j := range b.work {
+				b.work[j] = work
+			}
+			w := &worker{Worker: Worker{ID: 5, State: Ready, Since: 999}, pace: 1}
+			sum += b.coldRoom(now, w)
+			budget = b.coldBudget(now, w)
+		}
+		if sum > budget*1.0001 {
+			rt.Fatalf("%d senders give %.3f of a budget of %.3f", len(senders), sum, budget)
+		}
+	})
+}
+
+// F1: a place that is the settings' own changes no decision, whatever places were set in between.
+func TestThePlaceOfTheSettingsDecidesAsBefore(t *testing.T) {
+	play := func(set bool) (sends []string) {
+		s := testSettings()
+		s.Instances, s.Me = 5, 2
+		r := newRecorder(t, s, 1)
+		own := Place{Instances: 5, Me: 2, Part: 1}
+		if set {
+			if err := r.b.SetPlace(Place{Instances: 3, Me: 1, Part: 0.5, Keys: []uint64{1, 2, 3}}); err != nil {
+				t.Fatal(err)
+			}
+			if err := r.b.SetPlace(own); err != nil {
+				t.Fatal(err)
+			}
+		}
+		r.b.copies = r.b.stock / 2 // what a balancer begins with
+		workers := ready(6)
+		for i := range workers[:4] {
+			workers[i].Since = r.now - float64(i)
+		}
+		r.list(ListFull, workers...)
+		for id := RequestID(1); id <= 400; id++ {
+			r.runTo(r.now + 0.01)
+			if set && id%7 == 0 {
+				if err := r.b.SetPlace(own); err != nil {
+					t.Fatal(err)
+				}
+			}
+			r.request(id, 0, 0.05)
+		}
+		for _, x := range r.sends {
+			sends = append(sends, fmt.Sprint(x))
+		}
+		return sends
+	}
+	if d := cmp.Diff(play(false), play(true)); d != "" {
+		t.Error(d)
+	}
+}
+
+func TestPlacesThatMakeNoSense(t *testing.T) {
+	b := newRecorder(t, testSettings(), 1).b
+	for _, p := range []Place{{}, {Instances: 1, Part: 0}, {Instances: 2, Me: 2, Part: 1}, {Instances: 2, Me: -1, Part: 1},
+		{Instances: 2, Part: 2}, {Instances: 2, Part: 1, Keys: []uint64{1}}} {
+		if b.SetPlace(p) == nil {
+			t.Errorf("%+v is taken", p)
+		}
+	}
+	if b.Instances != testSettings().Instances || b.part != 1 {
+		t.Error("a place that makes no sense has changed something")
+	}
+}
--- a/internal/fleet/membership/judge.go
+++ b/internal/fleet/membership/judge.go
@@ -118,7 +118,8 @@
 		if r := &m.relays[i]; !r.nacked && m.now >= r.at+nackAfter*m.Period {
 			r.nacked = true
 			if !m.Plain {
-				m.send(r.to, &Message{Kind: Nack, Seq: r.theirs, About: &r.about})
+				about := r.about // the slice moves, and a message must not change once it is given out
+				m.send(r.to, &Message{Kind: Nack, Seq: r.theirs, About: &about})
 			}
 		}
 	}
--- a/internal/fleet/membership/machine.go
+++ b/internal/fleet/membership/machine.go
@@ -277,6 +277,10 @@
 	}
 	f.Seq++
 	m.now = now
+	if m.gone { // its digest counts nowhere
+		m.me.FactsOf = &f
+		return
+	}
 	m.facts ^= m.me.factsDigest(m.me.key)
 	m.me.FactsOf = &f
 	m.facts ^= m.me.factsDigest(m.me.key)
--- /dev/null
+++ b/internal/fleet/membership/measure_test.go
@@ -0,0 +1,224 @@
+package membership_test
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"cinderroad/internal/standin/virtual"
+)
+
+var (
+	measure      = flag.String("fleet.measure", "", "write the table of measurements to this `file`, and the plot beside it")
+	measureSeeds = flag.Int("fleet.seeds", 200, "seeds of each row of the table")
+	measureSizes = flag.String("fleet.sizes", "10,100,300,1000", "sizes of the fleets in the table")
+)
+
+// trial is what one seed shows.
+type trial struct {
+	join, found     float64 // periods until one view: after a start of all at once; after one in ten was killed
+	wrong           int     // members held dead that ran
+	hours           float64 // member-hours watched
+	messages, bytes float64 // a member a period, while nothing happens
+	cpu             float64 // seconds of processor a member a period
+	memory          float64 // bytes a member
+}
+
+const never = math.MaxInt32
+
+// play plays a fleet of n: all start within a period, run for a while, one in ten is killed.
+func play(seed uint64, n int, loss float64, plain bool) (r trial) {
+	net := virtual.New(virtual.Options{Seed: seed, Drop: loss, Delay: 0.002, Jitter: 0.01, Plain: plain, Bytes: 7}, n)
+	until := func(alive int, limit float64) float64 {
+		took, ok := net.Until(limit, 0.5, func() bool { one, a := net.Agreed(); return one && a == alive })
+		if !ok {
+			return never
+		}
+		return took
+	}
+	net.StartAll(1)
+	r.join = until(n, 120)
+	wrong := func() (n int) {
+		for _, node := range net.Nodes {
+			n += int(node.Machine.Deaths)
+		}
+		return n
+	}
+	before, sent, bytes := wrong(), 0, 0.0
+	for _, node := range net.Nodes {
+		sent, bytes = sent-node.Sent, bytes-node.Bytes
+	}
+	from, began := net.Now, time.Now()
+	span := 60.0
+	net.Run(net.Now + span)
+	r.cpu = time.Since(began).Seconds() / span / float64(n)
+	for _, node := range net.Nodes {
+		sent, bytes = sent+node.Sent, bytes+node.Bytes
+	}
+	r.messages, r.bytes = float64(sent)/span/float64(n), bytes/span/float64(n)
+	r.wrong, r.hours = wrong()-before, float64(n)*(net.Now-from)/3600
+	for i, node := range net.Nodes {
+		if i%10 == 9 {
+			net.Kill(node)
+		}
+	}
+	r.found = until(n-n/10, 300)
+	return r
+}
+
+// memory is what a member's machine takes for each other one it knows, in bytes.
+func memory(n int) float64 {
+	net := virtual.New(virtual.Options{Seed: 1}, n)
+	net.StartAll(1)
+	net.Run(net.Now + 60)
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	kept := net.Nodes[1].Machine
+	for i, node := range net.Nodes {
+		if i != 1 {
+			net.Kill(node)
+		}
+	}
+	net.Nodes[1].Changes = nil
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(kept)
+	return float64(before.HeapAlloc-after.HeapAlloc) / float64(n-1) / float64(n)
+}
+
+// row plays all seeds of a row, side by side.
+func row(n int, loss float64, plain bool) []trial {
+	all := make([]trial, *measureSeeds)
+	var wait sync.WaitGroup
+	turn := make(chan bool, runtime.NumCPU())
+	for i := range all {
+		wait.Add(1)
+		go func() {
+			defer wait.Done()
+			turn <- true
+			all[i] = play(uint64(i+1), n, loss, plain)
+			<-turn
+		}()
+	}
+	wait.Wait()
+	return all
+}
+
+func pick(all []trial, get func(*trial) float64) (median, worst float64) {
+	var v []float64
+	for i := range all {
+		v = append(v, get(&all[i]))
+	}
+	slices.Sort(v)
+	return v[len(v)/2], v[len(v)-1]
+}
+
+// TestMeasure writes the table of the design note: go test ./internal/fleet/membership -run TestMeasure -timeout 2h -fleet.measure FILE
+func TestMeasure(t *testing.T) {
+	if *measure == "" {
+		t.Skip("by hand, with -fleet.measure")
+	}
+	var sizes []int
+	for _, s := range strings.Split(*measureSizes, ",") {
+		n := 0
+		if _, err := fmt.Sscan(s, &n); err != nil {
+			t.Fatal(err)
+		}
+		sizes = append(sizes, n)
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, "%d seeds a row. Periods to one view, median and worst; members held dead that ran, for each member-hour.\n\n", *measureSeeds)
+	b.WriteString("| members | loss | | join | one in ten killed | wrong deaths | messages | bytes | processor, µs |\n| --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	shown := func(v float64) string {
+		if v >= never {
+			return "never"
+		}
+		return fmt.Sprintf("%.1f", v)
+	}
+	lines := map[string][]point{}
+	for _, n := range sizes {
+		for _, loss := range []float64{0, 0.05, 0.2} {
+			for _, plain := range []bool{true, false} {
+				all := row(n, loss, plain)
+				name := "as built"
+				if plain {
+					name = "plain SWIM"
+				}
+				join, joinWorst := pick(all, func(r *trial) float64 { return r.join })
+				found, foundWorst := pick(all, func(r *trial) float64 { return r.found })
+				wrong, hours, messages, bytes, cpu := 0, 0.0, 0.0, 0.0, 0.0
+				for _, r := range all {
+					wrong, hours = wrong+r.wrong, hours+r.hours
+					messages, bytes, cpu = messages+r.messages/float64(len(all)), bytes+r.bytes/float64(len(all)), cpu+r.cpu/float64(len(all))
+				}
+				fmt.Fprintf(&b, "| %d | %.0f%% | %s | %s, %s | %s, %s | %.3f | %.1f | %.0f | %.0f |\n", n, 100*loss, name, shown(join), shown(joinWorst),
+					shown(found), shown(foundWorst), float64(wrong)/hours, messages, bytes, 1e6*cpu)
+				if loss == 0.05 {
+					lines[name+", join"] = append(lines[name+", join"], point{float64(n), join})
+					lines[name+", found dead"] = append(lines[name+", found dead"], point{float64(n), found})
+				}
+				t.Log(n, loss, name)
+			}
+		}
+	}
+	b.WriteString("\n| members | bytes of memory for each other one known |\n| --- | --- |\n")
+	for _, n := range sizes {
+		fmt.Fprintf(&b, "| %d | %.0f |\n", n, memory(n))
+	}
+	if err := os.WriteFile(*measure, []byte(b.String()), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.WriteFile(strings.TrimSuffix(*measure, ".md")+".svg", []byte(plot(lines)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+type point struct{ x, y float64 }
+
+// plot draws periods to one view over the size of the fleet, both on logarithmic scales.
+func plot(lines map[string][]point) string {
+	const width, height, left, top = 640, 400, 60, 20
+	x := func(v float64) float64 { return left + (width-left-180)*(math.Log10(v)-0.5)/3 }
+	y := func(v float64) float64 {
+		return height - 40 - (height-40-top)*math.Log10(math.Min(math.Max(v, 1), 1000))/3
+	}
+	var b strings.Builder
+	fmt.Fprintf(&b, `<svg xmlns="http://www.w3.org/2000/svg" viewBox="0 0 %d %d" font-family="sans-serif" font-size="11">`, width, height)
+	b.WriteString("\n<rect width=\"100%\" height=\"100%\" fill=\"white\"/>\n")
+	for _, v := range []float64{1, 10, 100, 1000} {
+		fmt.Fprintf(&b, `<path d="M%d %.0fH%d" stroke="#ddd"/><text x="%d" y="%.0f" text-anchor="end">%.0f</text>`+"\n", left, y(v), width-180, left-6, y(v)+4, v)
+		if v > 1 {
+			fmt.Fprintf(&b, `<text x="%.0f" y="%d" text-anchor="middle">%.0f</text>`+"\n", x(v), height-22, v)
+		}
+	}
+	fmt.Fprintf(&b, `<text x="%d" y="%d" text-anchor="middle">members</text><text x="14" y="%d" transform="rotate(-90 14 %d)" text-anchor="middle">periods to one view, median, 5%% loss</text>`+"\n",
+		(left+width-180)/2, height-6, height/2, height/2)
+	var names []string
+	for name := range lines {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	colours := []string{"#1b6ca8", "#c0392b", "#1b6ca8", "#c0392b"}
+	for i, name := range names {
+		dash := ""
+		if strings.HasPrefix(name, "plain") {
+			dash = ` stroke-dasharray="5 4"`
+		}
+		var path []string
+		for _, p := range lines[name] {
+			path = append(path, fmt.Sprintf("%.1f %.1f", x(p.x), y(p.y)))
+		}
+		fmt.Fprintf(&b, `<path d="M%s" fill="none" stroke="%s" stroke-width="2"%s/><path d="M%d %dh24" stroke="%s" stroke-width="2"%s/><text x="%d" y="%d">%s</text>`+"\n",
+			strings.Join(path, "L"), colours[i%4], dash, width-170, 40+20*i, colours[i%4], dash, width-140, 44+20*i, name)
+	}
+	b.WriteString("</svg>\n")
+	return b.String()
+}
--- a/internal/fleet/membership/message.go
+++ b/internal/fleet/membership/message.go
@@ -80,16 +80,20 @@
 	if err != nil {
 		return nil, fmt.Errorf("membership: %w", err)
 	}
-	b := make([]byte, headBytes, headBytes+len(body))
-	b[8] = Format
-	b = append(b, body...)
-	binary.LittleEndian.PutUint64(b, xxhash.Sum64(b[8:]))
+	b := seal(append(make([]byte, headBytes, headBytes+len(body)), body...))
 	if len(b) > MostBytes {
 		return nil, ErrOversized
 	}
 	return b, nil
 }
 
+// seal fills the head of a datagram.
+func seal(b []byte) []byte {
+	b[8] = Format
+	binary.LittleEndian.PutUint64(b, xxhash.Sum64(b[8:]))
+	return b
+}
+
 // Decode reads a datagram of a fleet.
 func Decode(fleet string, b []byte) (*Message, error) {
 	switch {
