--- /dev/null
+++ b/cmd/cinderroad/fleet_test.go
@@ -0,0 +1,73 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"cinderroad/internal/fleet"
+)
+
+// member stands in for the second address of a dispatcher.
+func member(t *testing.T, name, digest string, settled bool, members *[]fleet.Member) string {
+	s := httptest.NewServer(http.HandlerFunc(func(rw http.ResponseWriter, r *http.Request) {
+		switch r.Method + " " + r.URL.Path {
+		case "GET /api/fleet":
+			_ = json.NewEncoder(rw).Encode(fleet.Status{Fleet: "f", Me: name, Digest: digest, Settled: settled, Members: *members,
+				Place: fleet.StatusPlace{Instances: 3, Part: 1, Why: "full"}})
+		case "PUT /api/fleet/gone":
+			rw.WriteHeader(409)
+			fmt.Fprintln(rw, "membership: a is alive: only one that is dead can be declared gone")
+		}
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// The fleet's commands: a table, JSON, and a check that names who disagrees, who does not answer and who cannot be asked.
+func TestFleetCommands(t *testing.T) {
+	var members, others []fleet.Member
+	one := member(t, "a", "1", true, &members)
+	same := member(t, "b", "1", true, &members)
+	differs := member(t, "c", "2", true, &others)
+	of := func(names ...string) (list []fleet.Member) {
+		for _, n := range names {
+			console := map[string]string{"a": one, "b": same, "c": differs, "gone": "127.0.0.1:1", "mute": ""}[n]
+			list = append(list, fleet.Member{Name: n, State: "alive", Console: console, Address: "127.0.0.1:7946", Zone: "milano"})
+		}
+		return list
+	}
+	others = of("a", "c")
+	for _, tc := range []struct {
+		name    string
+		members []fleet.Member
+		args    []string
+		says    []string
+		fails   string // empty: status 0
+	}{
+		{"table", of("a", "b"), []string{"members"}, []string{"NAME", "a ", "b ", "2 alive", "settled", "milano", "shared among 3"}, ""},
+		{"json", of("a", "b"), []string{"members", "--json"}, []string{`"digest":"1"`, `"since_ms"`, `"version"`}, ""},
+		{"agree", of("a", "b"), []string{"check"}, []string{"a ", "b ", "agrees"}, ""},
+		{"disagree", of("a", "b", "c"), []string{"check", "--patience", "10ms"}, []string{"disagrees: b is not known there"}, "not all members hold one view"},
+		{"no answer", of("a", "gone"), []string{"check", "--patience", "10ms"}, []string{"no answer"}, "not all members hold one view"},
+		{"cannot be asked", of("a", "mute"), []string{"check", "--patience", "10ms", "--json"}, []string{"no second address"}, "not all members hold one view"},
+		{"not dead", of("a"), []string{"gone", "a"}, nil, "only one that is dead"},
+	} {
+		members = tc.members
+		out, err := call(append([]string{"fleet", "--console", one}, tc.args...)...)
+		for _, want := range tc.says {
+			if !strings.Contains(out, want) {
+				t.Errorf("%s: no %q in\n%s", tc.name, want, out)
+			}
+		}
+		if (err == nil) != (tc.fails == "") || err != nil && !strings.Contains(err.Error(), tc.fails) {
+			t.Errorf("%s: %v\n%s", tc.name, err, out)
+		}
+	}
+	if _, err := call("fleet", "members", "--console", ""); err == nil || !strings.Contains(err.Error(), "--console ADDRESS") {
+		t.Error(err)
+	}
+}
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -16,7 +16,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(f.Graphite)+len(f.Collectd) > 0 || f.RequestLog != nil || f.Telemetry.SpoolDir != "" {
+	if f.Fleet != nil || len(f.Graphite)+len(f.Collectd) > 0 || f.RequestLog != nil || f.Telemetry.SpoolDir != "" {
 		t.Error("something is on")
 	}
 	text, err := os.ReadFile(path)
@@ -29,11 +29,15 @@
 	}
 	all := regexp.MustCompile(`(?m)^# (\[.*|[a-z_]+ = .*)$`).ReplaceAllString(string(text), "$1")
 	all = regexp.MustCompile(`(?m)^(address = "127.0.0.1:25826"|security|username|password_file).*\n`).ReplaceAllString(all, "")
+	all = strings.Replace(all, `advertise = "127.0.0.1:7946"`, "", 1)
 	f, err = Parse(filepath.Join(dir, "operator.toml"), all)
 	if err != nil {
 		t.Fatal(err)
 	}
 	d := Default()
+	if m := f.Fleet; m == nil || m.Period != DefaultPeriod || m.Forget != DefaultForget || !*m.Whole || m.AdvertiseAddr != m.BindAddr || len(m.SeedAddrs) != 1 {
+		t.Errorf("fleet: %+v", f.Fleet)
+	}
 	if len(f.Graphite) != 1 || len(f.Collectd) != 1 || f.Telemetry.Every != d.Telemetry.Every || f.Telemetry.MemoryBytes != d.Telemetry.MemoryBytes ||
 		f.Telemetry.SpoolBytes != d.Telemetry.SpoolBytes || *f.Telemetry.NodeSeries != *d.Telemetry.NodeSeries ||
 		f.RequestLog.MaxBytes != DefaultLogBytes || *f.RequestLog.Keep != DefaultLogKeep || f.RequestLog.Path != filepath.Join(dir, "requests.log") ||
@@ -58,6 +62,16 @@
 		{"", "", "", ""},
 		{"[graphite]\naddress = \"127.0.0.1:2003\"\nform = \"pickle\"\n", "", "", ""},
 		{"[[graphite]]\naddress = \"127.0.0.1:2003\"\n[[graphite]]\naddress = \"127.0.0.1:2004\"\n", "", "", ""},
+		{"[fleet]\nname = \"f\"\nbind = \"127.0.0.1:7946\"\n", "", "", ""},
+		{"[fleet]\nbind = \"127.0.0.1:7946\"\n", "", "fleet.name", "must be there"},
+		{"[fleet]\nname = \"f\"\n", "", "fleet.bind", "must be there"},
+		{"[fleet]\nname = \"f\"\nbind = \"here:7946\"\n", ":3", "fleet.bind", "no IP address and port"},
+		{"[fleet]\nname = \"f\"\nbind = \"0.0.0.0:7946\"\n", ":3", "fleet.bind", "name one in advertise"},
+		{"[fleet]\nname = \"f\"\nbind = \"0.0.0.0:7946\"\nadvertise = \"0.0.0.0:7946\"\n", ":4", "fleet.advertise", "no address that others can reach"},
+		{"[fleet]\nname = \"f\"\nbind = \"0.0.0.0:7946\"\nadvertise = \"127.0.0.1:7946\"\n", "", "", ""},
+		{"[fleet]\nname = \"f\"\nbind = \"127.0.0.1:7946\"\nseeds = [\"127.0.0.1:7947\", \"b\"]\n", ":4", "fleet.seeds", "\"b\" is no IP address"},
+		{"[fleet]\nname = \"f\"\nbind = \"127.0.0.1:7946\"\nperiod_s = 0.01\n", ":4", "fleet.period_s", "not within 0.1 and 10"},
+		{"[fleet]\nname = \"f\"\nbind = \"127.0.0.1:7946\"\nperiod = 1\n", ":4", "fleet.period", "unknown key"},
 		{signed + "password_file = \"good.key\"\n", "", "", ""},
 		{"[graphite\n", ":", "", "table name"},
 		{"\n[graphite]\naddress = 7\n", ":3", "graphite.address", "incompatible types"},
--- a/internal/program/fleet_test.go
+++ b/internal/program/fleet_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/netip"
+	"os/exec"
 	"strings"
 	"testing"
 	"time"
@@ -46,6 +47,9 @@
 	r := fleetOf(t, rig.Options{})
 	n := len(r.Members)
 	r.Settled(n)
+	if out, err := checkFleet(r.Members[0]); err != nil || strings.Count(out, "agrees") != n {
+		t.Errorf("fleet check: %v\n%s", err, out)
+	}
 	killed := r.Members[1]
 	killed.Kill()
 	t.Logf("found dead by all after %v", r.Eventually("found dead", holdAll(r, killed.Name, "dead")))
@@ -69,6 +73,12 @@
 	r.Check()
 }
 
+// checkFleet runs the operators' command.
+func checkFleet(m *rig.Member) (string, error) {
+	out, err := exec.Command(program, "fleet", "check", "--console", m.Console, "--patience", "10s").CombinedOutput()
+	return string(out), err
+}
+
 // A process that is stopped is found; continued, it comes back as itself, and has given nobody up.
 func TestFleetStopAndContinue(t *testing.T) {
 	r := fleetOf(t, rig.Options{})
@@ -86,6 +96,15 @@
 		}
 		return true
 	})
+	// its socket's buffer is full when it wakes, of what is no word for it
+	flood, err := net.Dial("udp", m.Bind)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer flood.Close()
+	for range 20000 {
+		_, _ = flood.Write(make([]byte, 700))
+	}
 	m.Continue()
 	r.Settled(n)
 	if got := lifeOf(m, m.Name); got != life || life == 0 {
@@ -129,6 +148,9 @@
 	r.Eventually("two fleets", func() bool {
 		return r.Agree(island, 2) && r.Agree(r.Members[2:], n-2)
 	})
+	if out, err := checkFleet(a); err != nil { // those that it holds dead are not asked
+		t.Errorf("fleet check on an island that agrees: %v\n%s", err, out)
+	}
 	for _, m := range island {
 		if s := m.Status(); s == nil || s.Place.Why != "cut off" || s.Place.Part >= 1 {
 			t.Errorf("%s, of fewer than half, shares cold workers as if it were the fleet: %+v", m.Name, s)
@@ -297,6 +319,13 @@
 	m.Configure(strings.Replace(with, m.Bind, "203.0.113.9:7946", 1))
 	m.Reload("cannot assign requested address")
 	r.Settled(3)
+	moved := m.Move()
+	m.Configure(moved)
+	m.Reload("program: reloaded")
+	r.Settled(3)
+	if !strings.Contains(moved, m.Bind) || m.Status().Members[2].Address != m.Relay.Addr() {
+		t.Errorf("it did not move: %+v", m.Status().Members[2])
+	}
 	m.Fleet = "other"
 	m.Configure(m.Operator())
 	m.Reload("program: reloaded")
--- a/internal/standin/rig/rig.go
+++ b/internal/standin/rig/rig.go
@@ -281,6 +281,18 @@
 		quoted(m.rig.seeds(m)), m.rig.Period)
 }
 
+// Move gives the member another address to bind, with a relay of its own, and returns the text of the operator's file that
+// names both.
+func (m *Member) Move() string {
+	m.Bind = m.rig.freePort()
+	m.Relay.Close()
+	var err error
+	m.Relay, err = standin.NewDatagrams(m.Name, netip.MustParseAddrPort(m.Bind), m.rig.Seed, m.rig.Log)
+	m.rig.must(err)
+	m.Relay.From = m.rig.sender
+	return m.Operator()
+}
+
 func quoted(list []string) string {
 	out := make([]string, len(list))
 	for i, s := range list {
