--- a/internal/fleet/divisor/crowd_test.go
+++ b/internal/fleet/divisor/crowd_test.go
@@ -344,6 +344,7 @@
 		{"not counted, and more are told of", seen(false, alive, alive), 8, true, 8, divisor.Cautious, divisor.Uncounted},
 		{"just begun, and fewer are known than told of", begun(seen(true, alive, alive), 9), 8, true, 8, divisor.Cautious, divisor.Uncounted},
 		{"begun a while ago, and fewer are known than told of", begun(seen(true, alive, alive), -16), 8, true, 2, 1, divisor.Full},
+		{"just begun, and those that are missing have left", begun(seen(true, alive, alive, left), 9), 3, true, 2, 1, divisor.Full},
 		{"just begun, and as many are known", begun(seen(true, alive, alive), 9), 2, true, 2, 1, divisor.Full},
 		{"not all are members", seen(true, alive, alive), 8, false, 8, 1, divisor.Partial},
 		{"not all are members, and more than told", seen(true, alive, alive, alive), 2, false, 3, 1, divisor.Full},
--- a/internal/fleet/divisor/divisor.go
+++ b/internal/fleet/divisor/divisor.go
@@ -28,7 +28,7 @@
 const (
 	leaseSuspicions = 2.0  // longest suspicions in a lease: each side of a cut notices it within one
 	leasePeriods    = 10.0 // and periods, for the probes and the news of it
-	// A member that has begun and knows fewer than are configured may have met only others that have just begun, too. All
+	// A member that has begun and has known fewer than are configured, those that left among them, may have met only others that have just begun, too. All
 	// that run ask seeds and the dead within 12.5 periods: after twice that somebody would have been heard.
 	joinPeriods = 25.0
 	// Cautious is the part of its share that a member takes which others may not count. A turn's budget is four tenths of
@@ -108,7 +108,7 @@
 	switch {
 	case v.Withdrawn || v.Gone || 2*heard < known:
 		p.Part, p.Why = Cautious, CutOff
-	case !v.Counted, known < d.Rules.Instances && now < v.Began+joinPeriods*d.Rules.Period:
+	case !v.Counted, len(v.Members) < d.Rules.Instances && now < v.Began+joinPeriods*d.Rules.Period:
 		p.Part, p.Why = Cautious, Uncounted
 	case 2*heard == known:
 		p.Why = Waiting
--- a/internal/fleet/membership/judge.go
+++ b/internal/fleet/membership/judge.go
@@ -141,6 +141,10 @@
 		if r.State == Left || r.State == Dead && float64(r.Ago) >= 0.9*m.Forget || m.Plain && r.State == Dead {
 			return nil
 		}
+		if len(m.members) >= mostMembers {
+			m.NoRoom++
+			return nil
+		}
 		o = m.insert(r)
 		m.enter(o, r, "told by "+by, true)
 		return nil
--- a/internal/fleet/membership/machine.go
+++ b/internal/fleet/membership/machine.go
@@ -44,6 +44,8 @@
 	claimTries   = 4    // questions to one that claims the own name, before the claim is taken as empty
 	regainAfter  = 20.0 // until one that withdrew looks whether the name is free again
 	forgetAfter  = 3600 // seconds
+	mostMembers  = 4096 // known at one time: names that somebody makes up must not take the memory
+	mostRelays   = 256  // questions under way in others' place
 )
 
 // Packet is a message and where it goes.
@@ -68,6 +70,7 @@
 	SelfRefuted         uint64 // suspicions of oneself that were answered
 	Deaths              uint64
 	Repeated, Stale     uint64 // messages dropped: heard before; of an earlier life
+	NoRoom              uint64 // names not taken in, since too many are known
 	Own                 uint64 // messages of oneself that came back
 	Syncs, Pages        uint64
 	Claims, Withdrawals uint64 // of the own name by another process
@@ -431,6 +434,9 @@
 		self := m.bare()
 		m.send(msg.From.Addr, &Message{Kind: Ack, Seq: msg.Seq, About: &self})
 	case PingReq:
+		if len(m.relays) == mostRelays {
+			return
+		}
 		m.seq++
 		m.relays = append(m.relays, relay{seq: m.seq, theirs: msg.Seq, to: msg.From.Addr, about: *msg.About, at: m.now})
 		m.send(msg.About.Addr, &Message{Kind: Ping, Seq: m.seq, About: msg.About})
--- a/internal/fleet/membership/machine_test.go
+++ b/internal/fleet/membership/machine_test.go
@@ -178,6 +178,32 @@
 	})
 }
 
+// Names that somebody makes up take a bounded room, and the loop's time stays bounded with it.
+func TestMadeUpNames(t *testing.T) {
+	m := membership.New(membership.Options{Fleet: "f", Name: "me", Addr: someAddrs[0], Period: 1, Life: 3})
+	m.Start(0)
+	for i := range uint64(1000) {
+		msg := &membership.Message{Kind: membership.PingReq, Fleet: "f", N: i, From: membership.Record{Name: "liar", Addr: someAddrs[1], Life: 1},
+			About: &membership.Record{Name: "x", Addr: someAddrs[2], Life: 1}}
+		for j := range 20 {
+			msg.Tell = append(msg.Tell, membership.Record{Name: fmt.Sprint("made up ", i, j), Addr: someAddrs[2], Life: 1})
+		}
+		m.Receive(1, msg)
+	}
+	if n := len(m.View().Members); n > 4097 || m.NoRoom < 15000 {
+		t.Errorf("%d members, %d names not taken", n, m.NoRoom)
+	}
+	sent := 0
+	for _, p := range m.Out() {
+		if p.Msg.Kind == membership.Ping {
+			sent++
+		}
+	}
+	if sent > 256 {
+		t.Errorf("%d questions in another's place", sent)
+	}
+}
+
 // What was heard before is dropped, what comes late by a little is not; an earlier life's is dropped.
 func TestRepeatsAndReplays(t *testing.T) {
 	m := membership.New(membership.Options{Fleet: "f", Name: "me", Addr: someAddrs[0], Period: 1, Life: 3})
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -275,5 +275,6 @@
 		counter("dropped_"+name, "datagrams", "Datagrams dropped: "+name+".", func(f *fleet.Fleet) uint64 { return f.Drops[i] })
 	}
 	counter("dropped_repeated", "datagrams", "Datagrams dropped: heard before.", func(f *fleet.Fleet) uint64 { return f.Counts().Repeated })
+	counter("dropped_no_room", "names", "Names not taken in, since 4,096 are known.", func(f *fleet.Fleet) uint64 { return f.Counts().NoRoom })
 	counter("dropped_stale", "datagrams", "Datagrams dropped: of an earlier life.", func(f *fleet.Fleet) uint64 { return f.Counts().Stale })
 }
--- a/internal/program/fleet_test.go
+++ b/internal/program/fleet_test.go
@@ -212,6 +212,24 @@
 	r.Check()
 }
 
+// One that is evacuated leaves once nothing of it is out any more, and is back when it is called.
+func TestFleetEvacuation(t *testing.T) {
+	r := fleetOf(t, rig.Options{Members: 3})
+	r.Settled(3)
+	m := r.Members[2]
+	m.Rest()
+	if code, text := m.Call("PUT", "/api/evacuate", ""); code != 200 {
+		t.Fatal(code, text)
+	}
+	r.Eventually("it has left", holdAll(r, m.Name, "left"))
+	if code, text := m.Call("PUT", "/api/rejoin", ""); code != 200 {
+		t.Fatal(code, text)
+	}
+	r.Settled(3)
+	m.Serves()
+	r.Check()
+}
+
 // An upgrade: two processes under one name and one address. The newer one is the member from then on.
 func TestFleetUpgrade(t *testing.T) {
 	r := fleetOf(t, rig.Options{Members: 3, Inherit: true})
