--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -156,7 +156,11 @@
 		return nil, e
 	}
 	if unknown := meta.Undecoded(); len(unknown) > 0 {
-		return nil, f.wrong(unknown[0].String(), errors.New("unknown key"))
+		text := "unknown key"
+		if unknown[0][0] == "fleet" {
+			text += "; [fleet] has name, bind, advertise, seeds, period_s, forget_s and whole"
+		}
+		return nil, f.wrong(unknown[0].String(), errors.New(text))
 	}
 	if err := f.check(); err != nil {
 		return nil, err
@@ -293,7 +297,7 @@
 	a, err := netip.ParseAddrPort(text)
 	switch {
 	case err != nil:
-		return a, fmt.Errorf("%q is no IP address and port", text)
+		return a, fmt.Errorf("%q is no IP address and port, like 127.0.0.1:7946", text)
 	case a.Port() == 0:
 		return a, fmt.Errorf("%s has no port", text)
 	}
--- a/internal/program/fleet_test.go
+++ b/internal/program/fleet_test.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"encoding/binary"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -11,6 +12,8 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"cinderroad/internal/fleet/membership"
 	"cinderroad/internal/standin"
 	"cinderroad/internal/standin/rig"
@@ -377,7 +380,8 @@
 	rng := rand.New(rand.NewPCG(1, 2))
 	foreign := datagram(t, "elsewhere", "x")
 	newer := datagram(t, r.Fleet, "x")
-	newer[8]++ // the checksum is over the format, too
+	newer[8]++
+	binary.LittleEndian.PutUint64(newer, xxhash.Sum64(newer[8:]))
 	for range 200 {
 		junk := make([]byte, rng.IntN(2000))
 		for i := range junk {
@@ -392,7 +396,7 @@
 	}
 	r.Eventually("drops are counted", func() bool {
 		s := m.Status()
-		return s != nil && s.Drops["foreign"] > 0 && s.Drops["broken"] > 0 && s.Drops["oversized"] > 0
+		return s != nil && s.Drops["foreign"] > 0 && s.Drops["format"] > 0 && s.Drops["broken"] > 0 && s.Drops["oversized"] > 0
 	})
 	r.Settled(3)
 	if text := m.Text(); strings.Count(text, "datagrams dropped so far") > 2 {
