A drain that peers know binds a dispatcher whose own list is older; a sleeper looks again first

Need, measured from outside before: one of three that lost discovery sent 223 jobs in 12 s to a worker that the others knew to be draining; and a process that was stopped goes on by the list that it had.

versions (pure) keeps who holds which list (source, line of descent, rev) and facts of workers newer than the own list; they ride on the view's messages, ahead of their turn, and one that is behind asks for the rest.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -16,6 +16,7 @@
 
 	"cinderroad/internal/fleet/divisor"
 	"cinderroad/internal/fleet/membership"
+	"cinderroad/internal/fleet/versions"
 	"cinderroad/internal/transport"
 )
 
@@ -35,6 +36,8 @@
 	Seed            uint64
 	Facts           membership.Facts
 	Rules           divisor.Rules
+	Board           *versions.Board // who holds which list; not nil
+	Slept           func()          // this process has stood still; called before anything else in that turn
 }
 
 // Fleet is this dispatcher's part in its fleet.
@@ -99,7 +102,7 @@
 func (f *Fleet) begin() {
 	o := &f.options
 	f.machine = membership.New(membership.Options{Fleet: o.Fleet, Name: o.Name, Addr: o.Advertise, Seeds: o.Seeds, Period: o.Period,
-		Forget: o.Forget, Life: uint64(f.loop.Now() * 1e6), Seed: o.Seed, Facts: o.Facts})
+		Forget: o.Forget, Life: uint64(f.loop.Now() * 1e6), Seed: o.Seed, Facts: o.Facts, Rider: o.Board})
 	f.divisor = divisor.New(o.Rules)
 	f.divide()
 	if f.socket == nil {
@@ -173,6 +176,9 @@
 		return
 	}
 	f.log.Warn("fleet: this process has stood still; what it knew is looked at again", zap.Float64("late_s", late))
+	if f.options.Slept != nil {
+		f.options.Slept()
+	}
 	f.machine.Slept(f.loop.Now())
 	f.pump()
 	f.arm()
@@ -249,6 +255,14 @@
 	f.log.Warn("fleet: datagrams dropped so far", fields...)
 }
 
+// Urge sends what the Board has to tell without waiting for the next step.
+func (f *Fleet) Urge() {
+	if f.socket != nil && !f.waits && f.options.Board.Eager() {
+		f.machine.Urge(f.loop.Now())
+		f.pump()
+	}
+}
+
 // SetFacts sets what is told of this member.
 func (f *Fleet) SetFacts(facts membership.Facts) {
 	f.options.Facts = facts
@@ -369,6 +383,8 @@
 	Console     string            `json:"console"`
 	Life        uint64            `json:"life"`
 	Version     map[string]string `json:"version"`
+	List        *versions.List    `json:"list,omitempty"`    // the version of discovery's list that it says it has
+	ListMS      int64             `json:"list_ms,omitempty"` // Unix time at which it came to have it, as this member saw it
 }
 
 // Status is what GET /api/fleet answers.
@@ -381,6 +397,15 @@
 	Place   StatusPlace       `json:"place"`
 	Health  int               `json:"health"` // 1 is well; times are stretched by it
 	Drops   map[string]uint64 `json:"drops"`
+	Held    []StatusHeld      `json:"held"` // workers that get less than the own list says, on peers' words
+}
+
+// StatusHeld is a worker that is withheld.
+type StatusHeld struct {
+	Worker string `json:"worker"`
+	State  string `json:"state"`
+	Rev    int64  `json:"rev"`
+	From   string `json:"from"`
 }
 
 // StatusPlace is among whom cold workers are shared.
@@ -395,7 +420,11 @@
 func (f *Fleet) Status() Status {
 	v := f.machine.View()
 	s := Status{Fleet: f.options.Fleet, Me: f.options.Name, Digest: digest(v.Digest), Settled: v.Settled && !v.Withdrawn && !f.waits, Health: v.Health,
-		Place: StatusPlace{f.place.Instances, f.place.Me, f.place.Part, string(f.place.Why)}, Drops: map[string]uint64{}, Members: []Member{}}
+		Place: StatusPlace{f.place.Instances, f.place.Me, f.place.Part, string(f.place.Why)}, Drops: map[string]uint64{}, Members: []Member{}, Held: []StatusHeld{}}
+	held := f.options.Board.Held()
+	for _, worker := range slices.Sorted(maps.Keys(held)) {
+		s.Held = append(s.Held, StatusHeld{worker, held[worker].State.String(), held[worker].Rev, held[worker].From})
+	}
 	for i, n := range f.Drops {
 		s.Drops[DropNames[i]] = n
 	}
@@ -406,10 +435,17 @@
 			Life: m.Life, Version: map[string]string{}}
 		if k := m.FactsOf; k != nil {
 			out.Zone, out.Serving, out.Console = k.Zone, k.Serving, k.Console
-			if k.Version != "" {
-				out.Version["program"] = k.Version
+			for name, v := range map[string]string{"program": k.Version, "settings": k.Settings, "operator": k.Operator} {
+				if v != "" {
+					out.Version[name] = v
+				}
 			}
 		}
+		if p, told := f.options.Board.Peers()[m.Name]; told && m.State != membership.Left {
+			out.List, out.ListMS = &p.List, int64(p.Since*1000)
+		} else if own, has := f.options.Board.List(); has && m.Me {
+			out.List, out.ListMS = &own, int64(f.options.Board.OwnSince()*1000)
+		}
 		s.Members = append(s.Members, out)
 	}
 	return s
--- a/internal/fleet/membership/machine.go
+++ b/internal/fleet/membership/machine.go
@@ -20,9 +20,19 @@
 	Life   uint64  // Unix time of the start, in microseconds
 	Seed   uint64
 	Facts  Facts // its own, without a sequence
+	Rider  Rider // nil: nobody
 	Plain  bool  // SWIM as first published, without what came since: to be measured beside
 }
 
+// Rider has something to tell along with the view's messages, and hears what the others' has. It is as pure as the machine.
+type Rider interface {
+	Ride(now float64, room int) []byte
+	// Hear takes what came along, and returns what is to be answered, each in a message of its own.
+	Hear(now float64, from string, ride []byte) (answers [][]byte)
+	Eager() bool // something should not wait for a message to ride on
+	Tick(now float64)
+}
+
 // The constants of the protocol, in periods unless said otherwise.
 const (
 	steps        = 5    // of a period: deadlines are looked at so often
@@ -255,6 +265,9 @@
 		m.askDead()
 		m.forget()
 	}
+	if m.Rider != nil {
+		m.Rider.Tick(now)
+	}
 	m.gossip()
 	m.settle()
 }
@@ -298,6 +311,14 @@
 // Counted says whether enough others have told that they count this member.
 func (m *Machine) Counted() bool { return m.counted }
 
+// Urge tells what the rider has at once, and not with the next step.
+func (m *Machine) Urge(now float64) {
+	if m.started && !m.gone && !m.withdrawn {
+		m.now = math.Max(m.now, now)
+		m.gossip()
+	}
+}
+
 // Leave says to the others that this member has stopped: its shares are theirs.
 func (m *Machine) Leave(now float64) {
 	if m.gone || m.withdrawn || !m.started {
@@ -362,8 +383,11 @@
 	msg.From = m.me.Record
 	msg.From.FactsOf = nil
 	msg.View, msg.Names, msg.Facts = m.view, m.names, m.facts
-	if msg.Kind != Page && msg.Kind != Parts {
+	if msg.Kind != Page && msg.Kind != Parts && msg.Ride == nil {
 		m.addNews(msg)
+		if m.Rider != nil {
+			msg.Ride = m.Rider.Ride(m.now, roomToRide)
+		}
 	}
 	m.out = append(m.out, Packet{to, msg})
 }
@@ -419,6 +443,11 @@
 		m.page(from.Addr, stale)
 	}
 	m.compareViews(o, msg)
+	if m.Rider != nil && len(msg.Ride) > 0 {
+		for _, ride := range m.Rider.Hear(m.now, o.Name, msg.Ride) {
+			m.send(from.Addr, &Message{Kind: News, Ride: ride})
+		}
+	}
 }
 
 // answer does what a message asks for.
--- a/internal/fleet/membership/message.go
+++ b/internal/fleet/membership/message.go
@@ -38,6 +38,7 @@
 	Parts  []uint64 `cbor:"10,keyasint,omitempty"`
 	Return bool     `cbor:"11,keyasint,omitempty"` // Parts: I have records for you, too
 	Tell   []Record `cbor:"12,keyasint,omitempty"`
+	Ride   []byte   `cbor:"13,keyasint,omitempty"` // what others than the view have to tell along with it
 }
 
 const (
@@ -46,10 +47,12 @@
 	// MostBytes is the size of a datagram at most: one that goes through any network in one piece.
 	MostBytes = 1400
 
-	headBytes  = 9  // checksum and format
-	partCount  = 64 // parts of a view: 512 bytes of digests, and a part of 1,000 members fits a page
-	mostTold   = 32 // records in a message
-	roomToTell = 1000
+	headBytes  = 9   // checksum and format
+	partCount  = 64  // parts of a view: 512 bytes of digests, and a part of 1,000 members fits a page
+	mostTold   = 32  // records in a message
+	roomToTell = 800 // bytes of records in a message, with those of About; rides have the rest
+	roomToRide = 300
+	mostRide   = 1100 // of one that goes alone
 	mostFleet  = 64
 )
 
@@ -127,6 +130,9 @@
 	if (m.Kind == Ack || m.Kind == PingReq || m.Kind == Nack) && m.About == nil {
 		return errors.New("membership: it names nobody")
 	}
+	if len(m.Ride) > mostRide {
+		return errors.New("membership: a ride that is too long")
+	}
 	if m.About != nil {
 		if err := m.About.check(); err != nil {
 			return err
@@ -147,7 +153,7 @@
 func (r *Record) room() int {
 	n := 52 + len(r.Name) + len(r.By)
 	if f := r.FactsOf; f != nil {
-		n += 28 + len(f.Zone) + len(f.Version) + len(f.Serving) + len(f.Console)
+		n += 34 + len(f.Settings) + len(f.Operator) + len(f.Zone) + len(f.Version) + len(f.Serving) + len(f.Console)
 	}
 	return n
 }
--- a/internal/fleet/membership/record.go
+++ b/internal/fleet/membership/record.go
@@ -43,6 +43,9 @@
 	Version string `cbor:"3,keyasint,omitempty"` // of the program
 	Serving string `cbor:"4,keyasint,omitempty"` // starting, serving, evacuated or stopping
 	Console string `cbor:"5,keyasint,omitempty"` // its second address
+	// Hashes of what is in force, of 8 hexadecimal digits.
+	Settings string `cbor:"6,keyasint,omitempty"`
+	Operator string `cbor:"7,keyasint,omitempty"`
 }
 
 // Record is what is told of a member.
@@ -64,6 +67,7 @@
 	mostVersion = 64
 	mostServing = 16
 	mostConsole = 64
+	mostHash    = 16
 	mostInc     = 1 << 48 // refuting takes one more than what is told: nobody may drive it to its end
 )
 
@@ -81,7 +85,8 @@
 	case !(r.Ago >= 0 && r.Ago < 1e9):
 		return errors.New("membership: a time that makes no sense")
 	}
-	if f := r.FactsOf; f != nil && (len(f.Zone) > mostZone || len(f.Version) > mostVersion || len(f.Serving) > mostServing || len(f.Console) > mostConsole) {
+	if f := r.FactsOf; f != nil && (len(f.Zone) > mostZone || len(f.Version) > mostVersion || len(f.Serving) > mostServing || len(f.Console) > mostConsole ||
+		len(f.Settings) > mostHash || len(f.Operator) > mostHash) {
 		return errors.New("membership: a fact that is too long")
 	}
 	return nil
--- a/internal/fleet/membership/view.go
+++ b/internal/fleet/membership/view.go
@@ -178,7 +178,7 @@
 		m.pagesAt, m.pages = m.now+m.Period, 0
 	}
 	for len(records) > 0 && m.pages < pagesEvery {
-		n, room := 0, roomToTell+100
+		n, room := 0, roomToTell+300
 		for n < min(len(records), mostTold) {
 			if room -= records[n].room(); room < 0 && n > 0 {
 				break
@@ -237,11 +237,12 @@
 
 // gossip tells news to a few members without waiting for a question to ride on.
 func (m *Machine) gossip() {
-	if m.Plain || len(m.news) == 0 {
+	has := func() bool { return len(m.news) > 0 || m.Rider != nil && m.Rider.Eager() }
+	if m.Plain || !has() {
 		return
 	}
 	for _, o := range m.some(fanout, "") {
-		if len(m.news) == 0 {
+		if !has() {
 			return
 		}
 		m.send(o.Addr, &Message{Kind: News})
--- /dev/null
+++ b/internal/fleet/versions/versions.go
@@ -0,0 +1,436 @@
+// Package versions keeps who holds which version of discovery's list, and what peers know of workers that this dispatcher's own
+// list is too old to know. It is pure.
+//
+// Peers' words only ever withhold (F2). What they tell of a worker binds here where it is newer than the own list, of the same
+// source and line of descent: a worker that drains or has gone gets nothing new, and one that has started anew counts as cold. The
+// next word of the own director that is as new wins over all of it. Nothing that is heard makes a worker ready that the own
+// list does not call so, and a worker that the own list does not name stays unknown: addresses are never taken from a peer.
+package versions
+
+import (
+	"cmp"
+	"errors"
+	"fmt"
+	"maps"
+	"math"
+	"slices"
+
+	"github.com/fxamacker/cbor/v2"
+)
+
+// State is what a list says of a worker.
+type State uint8
+
+// The states, the graver later.
+const (
+	Ready State = iota
+	Draining
+	Gone
+	states
+)
+
+// String is the state as logs show it.
+func (s State) String() string {
+	if s >= states {
+		return fmt.Sprintf("state %d", uint8(s))
+	}
+	return [...]string{"ready", "draining", "gone"}[s]
+}
+
+// List is a version of the list. Versions of two sources, or of two lines of descent of one, do not compare.
+type List struct {
+	Source  string `cbor:"1,keyasint" json:"source"`
+	Descent uint64 `cbor:"2,keyasint,omitempty" json:"descent"` // how often its versions have gone back
+	Rev     int64  `cbor:"3,keyasint" json:"rev"`
+}
+
+// Behind says by how many versions a list is behind another one; ok is false where they do not compare.
+func (l List) Behind(o List) (by int64, ok bool) {
+	return o.Rev - l.Rev, l.Source == o.Source && l.Descent == o.Descent
+}
+
+// Fact is what a version of the list says of a worker.
+type Fact struct {
+	Worker string `cbor:"1,keyasint"`
+	State  State  `cbor:"2,keyasint,omitempty"`
+	Start  int64  `cbor:"3,keyasint,omitempty"` // of its process, Unix milliseconds
+	Rev    int64  `cbor:"4,keyasint"`
+}
+
+// Held is how a worker is to be taken whatever the own list says.
+type Held struct {
+	State State
+	Start int64
+	From  string // who told it
+	Rev   int64
+}
+
+// Entry is a worker as the own director tells it.
+type Entry struct {
+	Worker string
+	State  State
+	Start  int64
+}
+
+// Peer is what another member holds.
+type Peer struct {
+	List  List
+	At    float64 // when it said so last
+	Since float64 // when it came to hold it, as seen from here
+}
+
+const (
+	mostFacts  = 1024
+	mostPeers  = 4096
+	mostInRide = 64
+	mostSource = 64
+	mostWorker = 256
+	mostRev    = 1 << 53
+
+	tellTimes  = 12   // that a fact goes out by itself: more than a fleet's logarithm
+	headRoom   = 96   // bytes of a ride without facts
+	pageRoom   = 1000 // and of an answer to one that asks
+	mostPages  = 4    // of them for one question
+	askEvery   = 1.0  // seconds between two questions of one that is behind
+	liveGap    = 5.0  // seconds without a word of the director after which it counts as silent
+	doubtAfter = 30.0 // seconds for which a director that speaks may lag behind what peers tell; then that is no version of its
+	keepFor    = 3600 // seconds
+)
+
+// ride is what goes along with a member's messages.
+type ride struct {
+	List  List   `cbor:"1,keyasint"`
+	Ask   bool   `cbor:"2,keyasint,omitempty"` // I am behind: what do you know that is newer?
+	Facts []Fact `cbor:"3,keyasint,omitempty"`
+}
+
+// fact is a Fact and what became of it here.
+type fact struct {
+	Fact
+	from  string // empty: the own director
+	at    float64
+	told  int
+	doubt bool // the own director has had the time to confirm it and did not
+}
+
+// Board is one member's.
+type Board struct {
+	Changed func() // what is withheld may have changed
+	Heard   func() // a peer has told what it knows: nothing that is newer than the own list, or facts
+	Log     func(line string)
+
+	me       string
+	own      List
+	ownAt    float64 // since when it has it
+	has      bool
+	states   map[string]Entry // by the own list
+	facts    map[string]*fact
+	peers    map[string]Peer
+	descents map[string]uint64 // the latest that was heard of, by source
+	held     map[string]Held
+	askAt    float64
+	heardAt  float64 // the own director
+	liveFrom float64 // since when it has been speaking without a gap
+	cursor   int
+	eager    int // facts that still go out by themselves
+	Counts   Counts
+}
+
+// Counts are what a Board has counted.
+type Counts struct{ Told, Taken, Bad, Asked, Answered, Doubted uint64 }
+
+// New makes a Board.
+func New(me string) *Board {
+	return &Board{Changed: func() {}, Heard: func() {}, Log: func(string) {}, me: me, states: map[string]Entry{}, facts: map[string]*fact{}, peers: map[string]Peer{},
+		descents: map[string]uint64{}, held: map[string]Held{}}
+}
+
+// List is the version that the own list has; false before there is one.
+func (b *Board) List() (List, bool) { return b.own, b.has }
+
+// BehindBy is by how many versions the own list is behind the newest that somebody says it has.
+func (b *Board) BehindBy() (most int64) {
+	for _, p := range b.peers {
+		if by, ok := b.own.Behind(p.List); ok {
+			most = max(most, by)
+		}
+	}
+	return most
+}
+
+// OwnSince is when the own list came to have its version.
+func (b *Board) OwnSince() float64 { return b.ownAt }
+
+// Peers are what the others hold, by name.
+func (b *Board) Peers() map[string]Peer { return b.peers }
+
+// Held is what is withheld here on peers' words, by worker. It is not to be changed.
+func (b *Board) Held() map[string]Held { return b.held }
+
+// Live tells that the own director has said something, if only that nothing has changed.
+func (b *Board) Live(now float64) {
+	if now > b.heardAt+liveGap {
+		b.liveFrom = now
+	}
+	b.heardAt = now
+}
+
+// Own takes a version of the own list: the entries that it changes, with those that it no longer names as gone. One that is cached
+// is of an earlier life.
+func (b *Board) Own(now float64, source string, rev int64, cached bool, entries []Entry) {
+	switch {
+	case !b.has || source != b.own.Source:
+		b.own = List{Source: source, Descent: b.descents[source], Rev: rev}
+		b.forget()
+	case rev < b.own.Rev: // a new line of descent: others may have met it before
+		b.own.Descent = max(b.own.Descent+1, b.descents[source])
+		b.own.Rev = rev
+		b.forget()
+		b.Log(fmt.Sprintf("the list's version has gone back to %d: line of descent %d", rev, b.own.Descent))
+	default:
+		b.own.Rev = rev
+	}
+	b.has, b.ownAt = true, now
+	b.descents[source] = max(b.descents[source], b.own.Descent)
+	if !cached {
+		b.Live(now)
+	}
+	for _, e := range entries {
+		was, known := b.states[e.Worker]
+		if e.State == Gone {
+			delete(b.states, e.Worker)
+		} else {
+			b.states[e.Worker] = e
+		}
+		f := b.facts[e.Worker]
+		news := e.State != Ready && (!known || was.State != e.State) || e.State == Ready && (known && (was.State != Ready || was.Start != e.Start) || f != nil)
+		if f != nil && f.Rev > rev { // a peer's word is newer: nothing is ready meanwhile that it calls draining
+			continue
+		}
+		if news && !cached {
+			b.put(&fact{Fact: Fact{e.Worker, e.State, e.Start, rev}, at: now})
+		}
+	}
+	b.hold()
+}
+
+// forget drops what compares with the own list no longer.
+func (b *Board) forget() {
+	clear(b.facts)
+	b.eager = 0
+}
+
+// put keeps a fact in place of an older one; with no room the oldest goes.
+func (b *Board) put(f *fact) {
+	if b.facts[f.Worker] == nil && len(b.facts) >= mostFacts {
+		var oldest *fact
+		for _, name := range slices.Sorted(maps.Keys(b.facts)) {
+			if o := b.facts[name]; oldest == nil || o.Rev < oldest.Rev {
+				oldest = o
+			}
+		}
+		if oldest.Rev >= f.Rev {
+			return
+		}
+		delete(b.facts, oldest.Worker)
+	}
+	b.facts[f.Worker] = f
+	b.eager++
+}
+
+// Eager says whether there is something that should not wait for a message to ride on.
+func (b *Board) Eager() bool { return b.eager > 0 }
+
+// Ride is what goes along with a message; nil is nothing.
+func (b *Board) Ride(now float64, room int) []byte {
+	if !b.has {
+		return nil
+	}
+	r := ride{List: b.own}
+	if room -= headRoom; b.eager > 0 {
+		r.Facts = b.pick(func(f *fact) bool { return f.told < tellTimes && !f.doubt })
+		r.Facts = r.Facts[:fit(r.Facts, room)]
+		b.eager = 0
+		for _, f := range r.Facts {
+			b.facts[f.Worker].told++
+		}
+		for _, f := range b.facts {
+			if f.told < tellTimes && !f.doubt {
+				b.eager++
+			}
+		}
+	}
+	return b.encode(&r)
+}
+
+// pick orders facts: drains before the rest, those told least often first.
+func (b *Board) pick(of func(*fact) bool) (picked []Fact) {
+	var all []*fact
+	for _, f := range b.facts {
+		if of(f) {
+			all = append(all, f)
+		}
+	}
+	slices.SortFunc(all, func(x, y *fact) int {
+		return cmp.Or(cmp.Compare(min(y.State, Draining), min(x.State, Draining)), cmp.Compare(x.told, y.told), cmp.Compare(x.Worker, y.Worker))
+	})
+	for _, f := range all {
+		picked = append(picked, f.Fact)
+	}
+	return picked
+}
+
+// fit is how many of some facts have room in a ride.
+func fit(all []Fact, room int) (n int) {
+	for n < min(len(all), mostInRide) {
+		if room -= 24 + len(all[n].Worker); room < 0 {
+			break
+		}
+		n++
+	}
+	return n
+}
+
+func (b *Board) encode(r *ride) []byte {
+	out, err := cbor.Marshal(r)
+	if err != nil {
+		return nil // of numbers and strings: it cannot fail
+	}
+	b.Counts.Told += uint64(len(r.Facts))
+	return out
+}
+
+var decoding = func() cbor.DecMode {
+	mode, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, MaxNestedLevels: 5, MaxArrayElements: 128,
+		MaxMapPairs: 16, ExtraReturnErrors: cbor.ExtraDecErrorUnknownField, TagsMd: cbor.TagsForbidden}.DecMode()
+	if err != nil {
+		panic(err) // of constants
+	}
+	return mode
+}()
+
+func decode(text []byte) (*ride, error) {
+	r := &ride{}
+	if err := decoding.Unmarshal(text, r); err != nil {
+		return nil, fmt.Errorf("versions: %w", err)
+	}
+	if r.List.Source == "" || len(r.List.Source) > mostSource || r.List.Rev < 0 || r.List.Rev > mostRev || r.List.Descent > mostRev {
+		return nil, errors.New("versions: a version that makes no sense")
+	}
+	for _, f := range r.Facts {
+		if f.Worker == "" || len(f.Worker) > mostWorker || f.State >= states || f.Rev < 0 || f.Rev > mostRev || f.Start < 0 || f.Start > math.MaxInt64/2 {
+			return nil, errors.New("versions: a fact that makes no sense")
+		}
+	}
+	return r, nil
+}
+
+// Hear takes what came along with a member's message, and returns what is to be answered.
+func (b *Board) Hear(now float64, from string, text []byte) (answers [][]byte) {
+	r, err := decode(text)
+	if err != nil {
+		b.Counts.Bad++
+		return nil
+	}
+	if p, known := b.peers[from]; known || len(b.peers) < mostPeers {
+		if p.List != r.List {
+			p.Since = now
+		}
+		p.List, p.At = r.List, now
+		b.peers[from] = p
+	}
+	b.descents[r.List.Source] = max(b.descents[r.List.Source], min(r.List.Descent, b.descents[r.List.Source]+1))
+	by, ok := b.own.Behind(r.List)
+	if !b.has || !ok {
+		return nil
+	}
+	taken := false
+	for _, f := range r.Facts {
+		taken = b.take(now, from, f) || taken
+	}
+	if taken {
+		b.hold()
+	}
+	if by <= 0 || len(r.Facts) > 0 {
+		b.Heard()
+	}
+	if r.Ask {
+		answers = b.answer(r.List.Rev)
+	}
+	if by > 0 && now >= b.askAt {
+		b.askAt = now + askEvery
+		b.Counts.Asked++
+		answers = append(answers, b.encode(&ride{List: b.own, Ask: true}))
+	}
+	return answers
+}
+
+// take keeps a peer's fact that is newer than what is known.
+func (b *Board) take(now float64, from string, f Fact) bool {
+	if f.Rev <= b.own.Rev {
+		return false // the own director has had its say
+	}
+	if o := b.facts[f.Worker]; o != nil && (f.Rev < o.Rev || f.Rev == o.Rev && f.State <= o.State) {
+		return false
+	}
+	b.Counts.Taken++
+	b.put(&fact{Fact: f, from: from, at: now})
+	return true
+}
+
+// answer is what is newer than a version, in pages; where they do not hold all, the next question begins further on.
+func (b *Board) answer(rev int64) (pages [][]byte) {
+	b.Counts.Answered++
+	all := b.pick(func(f *fact) bool { return f.Rev > rev && !f.doubt })
+	if total := len(all); total > 0 {
+		at := b.cursor % total
+		all = append(all[at:total:total], all[:at]...)
+		b.cursor = at
+		defer func() { b.cursor = (b.cursor + total - len(all)) % total }()
+	}
+	for range mostPages {
+		n := fit(all, pageRoom)
+		if n == 0 {
+			break
+		}
+		pages = append(pages, b.encode(&ride{List: b.own, Facts: all[:n]}))
+		all = all[n:]
+	}
+	return pages
+}
+
+// Tick drops what is old, and doubts what a director that speaks does not confirm.
+func (b *Board) Tick(now float64) {
+	live := now <= b.heardAt+liveGap
+	changed := false
+	for _, name := range slices.Sorted(maps.Keys(b.facts)) {
+		f := b.facts[name]
+		switch {
+		case now > f.at+keepFor && f.Rev <= b.own.Rev:
+			delete(b.facts, name)
+		case live && !f.doubt && f.from != "" && f.Rev > b.own.Rev && now > max(f.at, b.liveFrom)+doubtAfter:
+			f.doubt, changed = true, true
+			b.Counts.Doubted++
+			b.Log(fmt.Sprintf("%s told that %s is %s at version %d, which discovery has not told for %.0f s: taken back", f.from, name, f.State, f.Rev, doubtAfter))
+		}
+	}
+	if changed {
+		b.hold()
+	}
+}
+
+// hold works out what is withheld.
+func (b *Board) hold() {
+	held := map[string]Held{}
+	for name, f := range b.facts {
+		own, listed := b.states[name]
+		if f.Rev > b.own.Rev && !f.doubt && listed && (f.State > own.State || f.Start > own.Start) {
+			held[name] = Held{f.State, max(f.Start, own.Start), f.from, f.Rev}
+		}
+	}
+	if maps.Equal(held, b.held) {
+		return
+	}
+	b.held = held
+	b.Changed()
+}
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -15,6 +15,7 @@
 	Period    float64  `toml:"period_s"`
 	Forget    float64  `toml:"forget_s"`
 	Whole     *bool    `toml:"whole"`
+	Discovery string   `toml:"discovery"`
 
 	BindAddr      netip.AddrPort   `toml:"-"`
 	AdvertiseAddr netip.AddrPort   `toml:"-"`
@@ -71,6 +72,9 @@
 	if err := seconds(&f.Forget, DefaultForget, 60, 7*24*3600); err != nil {
 		return wrong("forget_s", err)
 	}
+	if len(f.Discovery) > mostFleetName {
+		return wrong("discovery", fmt.Errorf("has %d bytes; %d at most", len(f.Discovery), mostFleetName))
+	}
 	if f.Whole == nil {
 		whole := true
 		f.Whole = &whole
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -158,7 +158,7 @@
 	if unknown := meta.Undecoded(); len(unknown) > 0 {
 		text := "unknown key"
 		if unknown[0][0] == "fleet" {
-			text += "; [fleet] has name, bind, advertise, seeds, period_s, forget_s and whole"
+			text += "; [fleet] has name, bind, advertise, seeds, period_s, forget_s, whole and discovery"
 		}
 		return nil, f.wrong(unknown[0].String(), errors.New(text))
 	}
@@ -452,5 +452,8 @@
 	return nil
 }
 
+// Text is what the file says; empty is none.
+func (f *File) Text() string { return f.text }
+
 // Path is where the file was read from; empty is none.
 func (f *File) Path() string { return f.path }
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -4,9 +4,11 @@
 	"encoding/json"
 	"fmt"
 	"math"
+	"net/netip"
 	"runtime/debug"
 	"sync"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"cinderroad/brain"
@@ -14,6 +16,9 @@
 	"cinderroad/internal/fleet"
 	"cinderroad/internal/fleet/divisor"
 	"cinderroad/internal/fleet/membership"
+	"cinderroad/internal/fleet/versions"
+	"cinderroad/internal/protocol/platform"
+	"cinderroad/internal/routing"
 	"cinderroad/internal/telemetry"
 	"cinderroad/internal/transport"
 )
@@ -50,7 +55,8 @@
 		zone = c.names.FailureDomains[z]
 	}
 	return &fleet.Options{Fleet: f.Name, Name: c.Name, Bind: f.BindAddr, Advertise: f.AdvertiseAddr, Seeds: f.SeedAddrs,
-		Period: f.Period, Forget: f.Forget, Seed: c.seed, Facts: membership.Facts{Zone: zone[:min(len(zone), 48)], Version: version(), Console: c.Console},
+		Period: f.Period, Forget: f.Forget, Seed: c.seed, Facts: membership.Facts{Zone: zone[:min(len(zone), 48)], Version: version(), Console: c.Console,
+			Settings: hash(canonical(c.Settings)), Operator: hash([]byte(c.Operator.Text()))},
 		Rules: divisor.Rules{Instances: c.brain.Instances, Me: c.brain.Me, Period: f.Period, LastSends: c.brain.FallTime, Whole: *f.Whole}}, nil
 }
 
@@ -69,6 +75,8 @@
 }
 
 func (p *Program) joinFleet(o *fleet.Options, socket *transport.Socket) {
+	p.keepVersions()
+	o.Board, o.Slept = p.board, p.slept
 	o.Facts.Serving = p.standing()
 	p.fleet = fleet.Start(p.loop, p.log, *o, socket, p.setPlace)
 	if !p.factsOn {
@@ -77,6 +85,107 @@
 	}
 }
 
+// hash is a short mark of a text.
+func hash(text []byte) string { return fmt.Sprintf("%08x", uint32(xxhash.Sum64(text))) }
+
+// keepVersions has what discovery tells kept for the fleet, from the list held now on.
+func (p *Program) keepVersions() {
+	if p.board != nil {
+		return
+	}
+	b := versions.New(p.config.Name)
+	p.board = b
+	b.Log = func(line string) { p.log.Warn("versions: " + line) }
+	b.Changed = p.withhold
+	tell := func(addr netip.AddrPort, rev int64, cached bool, changed []platform.Target) {
+		entries := make([]versions.Entry, 0, len(changed))
+		for _, t := range changed {
+			entries = append(entries, versions.Entry{Worker: t.UID, State: states[t.State], Start: int64(max(t.BootMs, 0))})
+		}
+		b.Own(p.loop.Now(), p.source(addr), rev, cached, entries)
+		if p.fleet != nil {
+			p.fleet.Urge()
+		}
+	}
+	if addr, list := p.director.Held(); list.Rev > 0 {
+		tell(addr, list.Rev, true, list.Targets)
+	}
+	p.director.Listed = tell
+	p.director.Heard = func() {
+		b.Live(p.loop.Now())
+		p.looked()
+	}
+	b.Heard = p.looked
+}
+
+// dropVersions has nothing withheld any more: the own list alone says.
+func (p *Program) dropVersions() {
+	p.board, p.director.Listed, p.director.Heard = nil, nil, nil
+	p.core.Withhold(nil)
+	p.wake()
+}
+
+const (
+	wakeLeast = 0.05 // seconds after waking for which what comes may have waited in a buffer since before the sleep
+	wakeMost  = 1.0  // and after which a process that nobody tells anything goes on as it is
+)
+
+// slept has a process that stood still send nothing by what it knew before: director, then peers, then sends.
+func (p *Program) slept() {
+	if !p.serving {
+		return
+	}
+	p.core.Pause(true)
+	p.woke = p.loop.Now()
+	p.waking.Stop()
+	p.waking = p.loop.At(p.woke+wakeMost, p.wake)
+}
+
+// looked tells that the director or a peer has spoken. What it says is in force before anything is sent.
+func (p *Program) looked() {
+	if p.woke > 0 && p.loop.Now() >= p.woke+wakeLeast {
+		p.loop.Later(p.wake)
+	}
+}
+
+// wake has a process that slept send again.
+func (p *Program) wake() {
+	if p.woke > 0 {
+		p.waking.Stop()
+		p.log.Info("program: looked again after a sleep", zap.Float64("after_s", p.loop.Now()-p.woke))
+		p.woke = 0
+		p.core.Pause(false)
+	}
+}
+
+// states are the list's, for the fleet; what is not known there is not told as ready.
+var states = map[string]versions.State{"ready": versions.Ready, "draining": versions.Draining, "gone": versions.Gone}
+
+// source is what the fleet calls a discovery.
+func (p *Program) source(addr netip.AddrPort) string {
+	if f := p.config.Operator.Fleet; f != nil && f.Discovery != "" {
+		return f.Discovery
+	}
+	return addr.String()
+}
+
+// withhold has the core take workers for what peers know of them.
+func (p *Program) withhold() {
+	held := map[string]routing.Held{}
+	for worker, h := range p.board.Held() {
+		state := brain.Ready
+		if h.State != versions.Ready {
+			state = brain.Draining
+		}
+		held[worker] = routing.Held{State: state, Since: float64(h.Start) / 1000}
+		p.log.Info("versions: withheld on a peer's word", zap.String("worker", worker), zap.Stringer("state", h.State), zap.Int64("rev", h.Rev), zap.String("from", h.From))
+	}
+	if len(held) == 0 {
+		p.log.Info("versions: nothing is withheld any more")
+	}
+	p.core.Withhold(held)
+}
+
 // setPlace has all who count the dispatchers know their number.
 func (p *Program) setPlace(place divisor.Place) {
 	if err := p.core.SetPlace(brain.Place{Instances: place.Instances, Me: place.Me, Part: place.Part, Keys: place.Keys}); err != nil {
@@ -183,6 +292,7 @@
 	case o == nil && p.fleet == nil:
 	case o == nil:
 		p.leaveFleet()
+		p.dropVersions()
 		p.setPlace(divisor.Place{Instances: p.config.brain.Instances, Me: p.config.brain.Me, Part: 1})
 		p.log.Info("program: fleet switched off; places are as configured")
 	case p.fleet == nil:
@@ -267,6 +377,10 @@
 	counter("probes_unanswered", "questions", "Those that ended without an answer.", func(f *fleet.Fleet) uint64 { return f.Counts().Unanswered })
 	counter("slept", "", "Times that this process stood still.", func(f *fleet.Fleet) uint64 { return f.Counts().Slept })
 	counter("name_claims", "", "Times that another process was found under this name.", func(f *fleet.Fleet) uint64 { return f.Counts().Claims })
+	gauge("list_behind", "versions", "Versions that the own list is behind the newest that a member says it has; none compares: 0.", func(*fleet.Fleet) float64 { return float64(p.board.BehindBy()) })
+	gauge("workers_withheld", "nodes", "Workers that get less than the own list says, on peers' words.", func(*fleet.Fleet) float64 { return float64(p.core.Withheld()) })
+	counter("facts_taken", "facts", "What peers told of workers that the own list was too old to know.", func(*fleet.Fleet) uint64 { return p.board.Counts.Taken })
+	counter("facts_doubted", "facts", "Of it, what the own discovery did not tell in time: taken back.", func(*fleet.Fleet) uint64 { return p.board.Counts.Doubted })
 	counter("datagrams_sent", "datagrams", "Datagrams sent.", func(f *fleet.Fleet) uint64 { return f.Sent })
 	counter("datagrams_received", "datagrams", "Datagrams that came.", func(f *fleet.Fleet) uint64 { return f.Received })
 	counter("datagrams_unsent", "datagrams", "Datagrams that the system did not take.", func(f *fleet.Fleet) uint64 { return f.Unsent })
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -12,6 +12,7 @@
 
 	"cinderroad/internal/console"
 	"cinderroad/internal/fleet"
+	"cinderroad/internal/fleet/versions"
 	"cinderroad/internal/protocol/door"
 	"cinderroad/internal/protocol/gearman"
 	"cinderroad/internal/protocol/platform"
@@ -46,10 +47,13 @@
 	console            *console.Console
 	upgrade            *upgrade
 	fleet              *fleet.Fleet // nil: no member of one
-	books              *books       // nil: no figures leave, and no request log is kept
-	started            float64      // Unix time
-	longest            float64      // turn of the loop since the last period
-	serving            bool         // takes clients
+	woke               float64      // after a sleep, until it has looked again; 0: it has
+	waking             *transport.Deadline
+	board              *versions.Board // nil while fleet is
+	books              *books          // nil: no figures leave, and no request log is kept
+	started            float64         // Unix time
+	longest            float64         // turn of the loop since the last period
+	serving            bool            // takes clients
 	stopping           bool
 	factsOn, fleetLeft bool  // the fleet is told how it serves; and that it does not any more
 	err                error // why it ends, if something went wrong
--- a/internal/protocol/platform/director.go
+++ b/internal/protocol/platform/director.go
@@ -71,9 +71,11 @@
 	Rejected   uint64 // lines that made no sense: the old list was kept
 	BadEntries uint64 // entries of a line that made no sense: the rest was taken
 	Watches    uint64
-	Refused    uint64 // tries that a discovery without room answered so
-	Fleet      int    // dispatchers that ask the same discovery
-	Spoke      func() // discovery has spoken for the first time since the start
+	Refused    uint64                                                              // tries that a discovery without room answered so
+	Fleet      int                                                                 // dispatchers that ask the same discovery
+	Listed     func(addr netip.AddrPort, rev int64, cached bool, changed []Target) // a version was taken; nil: nobody asks
+	Heard      func()                                                              // discovery has said something, if only that nothing has changed; nil: nobody asks
+	Spoke      func()                                                              // discovery has spoken for the first time since the start
 
 	loop  *transport.Loop
 	log   *zap.Logger
@@ -120,7 +122,7 @@
 
 // StartFrom is Start with a list that another process was told by addr.
 func (d *Director) StartFrom(addr netip.AddrPort, known List) {
-	d.apply(known, brain.ListCached)
+	d.apply(addr, known, brain.ListCached)
 	if addr == d.addr { // at once: the upgrade waits for it
 		d.on = d.open(false)
 	} else { // its version means nothing here
@@ -250,6 +252,9 @@
 func (w *watch) Data(*transport.Conn) {
 	w.heard()
 	w.d.last = w.d.loop.Now()
+	if w.d.Heard != nil {
+		w.d.Heard()
+	}
 	read := w.read
 	if w.whole {
 		read = func() error { return w.list(false) }
@@ -288,7 +293,7 @@
 	w.whole = false
 	d.log.Info("director: moved", zap.Stringer("discovery", w.addr), zap.Int64("rev", list.Rev))
 	d.drop(bad)
-	d.apply(list, brain.ListFull)
+	d.apply(w.addr, list, brain.ListFull)
 	d.spoke()
 	if r.Close || ended {
 		w.close()
@@ -365,7 +370,7 @@
 	if list.All {
 		kind = brain.ListFull
 	}
-	d.apply(list, kind)
+	d.apply(w.addr, list, kind)
 	d.spoke()
 	return nil
 }
@@ -380,8 +385,11 @@
 		zap.Uint64("so_far", d.BadEntries))
 }
 
-func (d *Director) apply(list List, kind brain.ListKind) {
+// apply hands a version of the list over, which addr has told. Whoever asks for versions hears of it last: what it withheld on
+// others' word stays so until what this version says is in force.
+func (d *Director) apply(addr netip.AddrPort, list List, kind brain.ListKind) {
 	d.rev = list.Rev
+	cached := kind == brain.ListCached
 	if kind == brain.ListFull {
 		// Whole as far as discovery goes: workers that another front lists stay, so what is missing is named.
 		missing := maps.Clone(d.known)
@@ -414,6 +422,9 @@
 	}
 	d.log.Info("director: list", zap.Int64("rev", list.Rev), zap.Bool("all", list.All), zap.Int("entries", len(members)))
 	d.core.List(kind, members)
+	if d.Listed != nil {
+		d.Listed(addr, list.Rev, cached, list.Targets)
+	}
 	d.pool.keep(listed)
 }
 
--- a/internal/routing/exclude.go
+++ b/internal/routing/exclude.go
@@ -96,6 +96,7 @@
 // it comes back with is news to them: its own if it has been told since, else the call back.
 func (c *Core) overlay(m *Member) {
 	m.Worker = m.told
+	c.withhold(m)
 	x, had := c.out[m.Name]
 	switch {
 	case !had:
--- a/internal/routing/routing.go
+++ b/internal/routing/routing.go
@@ -135,6 +135,8 @@
 	members map[brain.WorkerID]*Member
 	byName  map[string]brain.WorkerID
 	out     map[string]Exclusion
+	held    map[string]Held // by what others know
+	paused  bool            // nobody gets anything new
 	set     brain.Settings
 	ready   int   // members that are ready
 	last    Final // for the observer, made anew for each req
--- /dev/null
+++ b/internal/routing/withhold.go
@@ -0,0 +1,91 @@
+package routing
+
+import (
+	"maps"
+	"slices"
+
+	"cinderroad/brain"
+)
+
+// Held says how a member is to be taken although its own list says more of it: others know a newer version.
+type Held struct {
+	State brain.WorkerState // Ready where its start alone is news
+	Since float64           // its start; 0 is not told
+}
+
+// Withhold puts in force what others know of members, in place of what was: the decisions see it before anything else is sent.
+// It never makes a member ready, nor anybody known that the list does not name.
+func (c *Core) Withhold(held map[string]Held) {
+	c.do(func() {
+		old := c.held
+		c.held = maps.Clone(held)
+		var workers []brain.Worker
+		names := slices.Sorted(maps.Keys(old))
+		for name := range held {
+			if _, had := old[name]; !had {
+				names = append(names, name)
+			}
+		}
+		slices.Sort(names)
+		for _, name := range names {
+			id, known := c.byName[name]
+			m := c.members[id]
+			if !known || m == nil || m.Backend == nil || old[name] == held[name] {
+				continue
+			}
+			was := m.Worker
+			c.overlay(m)
+			c.became(m, was.State)
+			if m.Since > was.Since {
+				m.Backend.Renew() // another process has its place
+			}
+			workers = append(workers, m.Worker)
+		}
+		if len(workers) > 0 {
+			c.bal.OnList(c.clock.Now(), brain.ListDelta, workers)
+		}
+	})
+}
+
+// Pause has no member get anything new until it is lifted: jobs wait, as they do where nobody may be sent to. For a process that
+// slept and has to look again first.
+func (c *Core) Pause(on bool) {
+	c.do(func() {
+		if c.paused == on {
+			return
+		}
+		c.paused = on
+		var workers []brain.Worker
+		for _, name := range slices.Sorted(maps.Keys(c.byName)) {
+			m := c.members[c.byName[name]]
+			if m == nil || m.Backend == nil || m.told.State != brain.Ready {
+				continue
+			}
+			was := m.State
+			c.overlay(m)
+			c.became(m, was)
+			workers = append(workers, m.Worker)
+		}
+		if len(workers) > 0 {
+			c.bal.OnList(c.clock.Now(), brain.ListDelta, workers)
+		}
+	})
+}
+
+// Withheld is how many members are taken for less than the own list says.
+func (c *Core) Withheld() int { return len(c.held) }
+
+// withhold works what others know into what the decisions see of a member.
+func (c *Core) withhold(m *Member) {
+	if c.paused && m.State == brain.Ready {
+		m.State = brain.Draining
+	}
+	h, had := c.held[m.Name]
+	if !had {
+		return
+	}
+	if h.State != brain.Ready && m.State == brain.Ready {
+		m.State = brain.Draining
+	}
+	m.Since = max(m.Since, h.Since)
+}
--- a/internal/standin/rig/rig.go
+++ b/internal/standin/rig/rig.go
@@ -277,7 +277,7 @@
 	if m.rig.Off {
 		return ""
 	}
-	return fmt.Sprintf("[fleet]\nname = %q\nbind = %q\nadvertise = %q\nseeds = [%s]\nperiod_s = %v\n", m.Fleet, m.Bind, m.Relay.Addr(),
+	return fmt.Sprintf("[fleet]\nname = %q\nbind = %q\nadvertise = %q\nseeds = [%s]\nperiod_s = %v\ndiscovery = \"rig\"\n", m.Fleet, m.Bind, m.Relay.Addr(),
 		quoted(m.rig.seeds(m)), m.rig.Period)
 }
 
@@ -435,8 +435,9 @@
 // Pause stops the process (SIGSTOP), Continue has it go on. Its clients wait, as they would.
 func (m *Member) Pause() { m.deaths.Add(1); m.signal(syscall.SIGSTOP) }
 
-// Continue has a process that was stopped go on.
-func (m *Member) Continue() { m.signal(syscall.SIGCONT) }
+// Continue has a process that was stopped go on. Jobs that came meanwhile count as those that were there: more may wait at the
+// door than one address may have open.
+func (m *Member) Continue() { m.deaths.Add(1); m.signal(syscall.SIGCONT) }
 
 // Terminate takes the member from the clients, tells it to stop, and waits until it has ended.
 func (m *Member) Terminate() {
--- a/internal/standin/rig/world.go
+++ b/internal/standin/rig/world.go
@@ -66,6 +66,13 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.rev++
+	for _, u := range d.rig.Runners { // what is lifted is lifted for all, whoever has heard of it
+		if entry, listed := u.entry(""); !listed || entry["state"] != "draining" {
+			for _, m := range d.rig.Members {
+				delete(d.told, m.Name+" "+u.Name)
+			}
+		}
+	}
 	close(d.changed)
 	d.changed = make(chan struct{})
 	d.rig.Log(fmt.Sprintf("discovery: version %d", d.rev))
@@ -185,6 +192,13 @@
 	u.state = state
 }
 
+// Took is how many jobs of a member the runner has taken since its start.
+func (u *Runner) Took(m *Member) int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return int(u.By[m.Name]/u.rig.WorkS + 0.5)
+}
+
 // Idle says whether no job is there, and none has come for half a second.
 func (u *Runner) Idle() bool {
 	u.mu.Lock()
