Members say how much they know by others' words; cinderroad fleet versions; pages

Cause: a member that knew it by a peer's word told only its own list's version, so nobody asked it, and it went on asking itself. It now tells up to where it knows all, an answer says how much there is.

--- a/cmd/cinderroad/fleet.go
+++ b/cmd/cinderroad/fleet.go
@@ -34,7 +34,7 @@
 	c := &cobra.Command{Use: "fleet", Short: "What the dispatchers hold of one another", Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error { return c.Help() }}
 	c.PersistentFlags().StringVar(&a.console, "console", os.Getenv("ROUTER_CONSOLE"), "second `ADDRESS` of a dispatcher; $ROUTER_CONSOLE is the default")
-	c.AddCommand(a.members(), a.check(), a.gone())
+	c.AddCommand(a.members(), a.versions(), a.check(), a.gone())
 	return c
 }
 
@@ -86,6 +86,71 @@
 	return t.Flush()
 }
 
+func (a *asked) versions() *cobra.Command {
+	c := &cobra.Command{Use: "versions", Short: "Who holds which version of discovery's list, settings, operator's file and program; the oldest first", Args: cobra.NoArgs,
+		RunE: func(c *cobra.Command, _ []string) error {
+			s, err := a.status(a.console)
+			if err != nil {
+				return err
+			}
+			if a.asJSON {
+				return json.NewEncoder(c.OutOrStdout()).Encode(byAge(s.Members))
+			}
+			return printVersions(c.OutOrStdout(), s)
+		}}
+	c.Flags().BoolVar(&a.asJSON, "json", false, "the members as the dispatcher answers them, the oldest first")
+	return c
+}
+
+// byAge orders members by what they hold: sources together, within one the older version first; those that have told none come
+// first of all.
+func byAge(members []fleet.Member) []fleet.Member {
+	out := slices.Clone(members)
+	slices.SortStableFunc(out, func(x, y fleet.Member) int {
+		if x.List == nil || y.List == nil {
+			return cmp.Compare(min(1, len(listOf(x))), min(1, len(listOf(y))))
+		}
+		return cmp.Or(cmp.Compare(x.List.Source, y.List.Source), cmp.Compare(x.List.Descent, y.List.Descent), cmp.Compare(x.List.Rev, y.List.Rev))
+	})
+	return out
+}
+
+// listOf is a version of the list as shown: source, line of descent where there was more than one, version.
+func listOf(m fleet.Member) string {
+	if m.List == nil {
+		return ""
+	}
+	if m.List.Descent > 0 {
+		return fmt.Sprintf("%s#%d/%d", m.List.Source, m.List.Descent, m.List.Rev)
+	}
+	return fmt.Sprintf("%s/%d", m.List.Source, m.List.Rev)
+}
+
+func printVersions(to io.Writer, s *fleet.Status) error {
+	t := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
+	fmt.Fprintln(t, "NAME\tSTATE\tLIST\tBEHIND\tSINCE\tSETTINGS\tOPERATOR\tPROGRAM")
+	for _, m := range byAge(s.Members) {
+		behind, since := "-", "-"
+		if m.List != nil {
+			most := int64(0)
+			for _, o := range s.Members {
+				if o.List != nil {
+					if by, ok := m.List.Behind(*o.List); ok {
+						most = max(most, by)
+					}
+				}
+			}
+			behind, since = fmt.Sprint(most), time.Since(time.UnixMilli(m.ListMS)).Round(time.Second).String()
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", m.Name, m.State, cmp.Or(listOf(m), "-"), behind, since, cmp.Or(m.Version["settings"], "-"),
+			cmp.Or(m.Version["operator"], "-"), cmp.Or(m.Version["program"], "-"))
+	}
+	for _, h := range s.Held {
+		fmt.Fprintf(t, "\n%s withholds %s: %s says that it is %s at version %d\n", s.Me, h.Worker, h.From, h.State, h.Rev)
+	}
+	return t.Flush()
+}
+
 func (a *asked) check() *cobra.Command {
 	patience := 10 * time.Second
 	c := &cobra.Command{Use: "check", Short: "Ask every member whether it holds the same view; status 1 if one does not",
--- a/cmd/cinderroad/fleet_test.go
+++ b/cmd/cinderroad/fleet_test.go
@@ -9,6 +9,7 @@
 	"testing"
 
 	"cinderroad/internal/fleet"
+	list "cinderroad/internal/fleet/versions"
 )
 
 // member stands in for the second address of a dispatcher.
@@ -27,6 +28,16 @@
 	return strings.TrimPrefix(s.URL, "http://")
 }
 
+// versions gives members versions of the list in turn; below 0 is none.
+func versions(members []fleet.Member, revs ...int64) []fleet.Member {
+	for i, rev := range revs {
+		if rev >= 0 {
+			members[i].List = &list.List{Source: "here", Rev: rev}
+		}
+	}
+	return members
+}
+
 // The fleet's commands: a table, JSON, and a check that names who disagrees, who does not answer and who cannot be asked.
 func TestFleetCommands(t *testing.T) {
 	var members, others []fleet.Member
@@ -50,6 +61,8 @@
 	}{
 		{"table", of("a", "b"), []string{"members"}, []string{"NAME", "a ", "b ", "2 alive", "settled", "milano", "shared among 3"}, ""},
 		{"json", of("a", "b"), []string{"members", "--json"}, []string{`"digest":"1"`, `"since_ms"`, `"version"`}, ""},
+		{"versions", versions(of("b", "a", "mute"), 7, 5, -1), []string{"versions"}, []string{"mute  alive  -", "a     alive  here/5  2", "b     alive  here/7  0"}, ""},
+		{"versions of two lines", versions(of("a", "b"), 7, 5), []string{"versions", "--json"}, []string{`"rev":5`}, ""},
 		{"agree", of("a", "b"), []string{"check"}, []string{"a ", "b ", "agrees"}, ""},
 		{"disagree", of("a", "b", "c"), []string{"check", "--patience", "10ms"}, []string{"disagrees: b is not known there"}, "not all members hold one view"},
 		{"no answer", of("a", "gone"), []string{"check", "--patience", "10ms"}, []string{"no answer"}, "not all members hold one view"},
--- /dev/null
+++ b/internal/fleet/versions/fleet_test.go
@@ -0,0 +1,99 @@
+package versions_test
+
+import (
+	"flag"
+	"fmt"
+	"slices"
+	"testing"
+
+	"cinderroad/internal/fleet/membership"
+	"cinderroad/internal/fleet/versions"
+	"cinderroad/internal/standin/virtual"
+)
+
+var large = flag.Bool("fleet.large", false, "fleets of 300 and 1,000, too, and more seeds")
+
+const src = "10.0.0.9:8500"
+
+// fleet is members of a virtual fleet that hold one list of some ready workers.
+func fleet(t *testing.T, seed uint64, n int, loss float64) (*virtual.Net, map[*virtual.Node]*versions.Board) {
+	net := virtual.New(virtual.Options{Seed: seed, Drop: loss, Delay: 0.002, Jitter: 0.01}, n)
+	boards := map[*virtual.Node]*versions.Board{}
+	net.Rider = func(node *virtual.Node) membership.Rider {
+		b := versions.New(node.Name)
+		b.Own(net.Now, src, 5, false, []versions.Entry{{Worker: "x"}, {Worker: "y"}})
+		boards[node] = b
+		return b
+	}
+	net.StartAll(1)
+	if _, ok := net.Until(120, 0.5, func() bool { one, alive := net.Agreed(); return loss > 0.1 || one && alive == n }); !ok {
+		t.Fatal("no fleet")
+	}
+	net.Run(net.Now + 15)
+	return net, boards
+}
+
+// A drain that one member is told of is known to all in rounds that grow with the fleet's logarithm, also at 20% loss; and
+// those who sleep or are cut off meanwhile know it as soon as they are back.
+func TestADrainReachesAll(t *testing.T) {
+	sizes, seeds := []int{5, 50}, uint64(5)
+	if *large {
+		sizes, seeds = []int{10, 100, 300, 1000}, 20
+	}
+	for _, n := range sizes {
+		for _, loss := range []float64{0, 0.05, 0.2} {
+			t.Run(fmt.Sprintf("%d/%v", n, loss), func(t *testing.T) {
+				var took []float64
+				answered := uint64(0)
+				for seed := uint64(1); seed <= seeds; seed++ {
+					net, boards := fleet(t, seed, n, loss)
+					sleeper := net.Nodes[n-1]
+					net.Pause(sleeper)
+					first := net.Nodes[seed%uint64(n-1)]
+					boards[first].Own(net.Now, src, 6, false, []versions.Entry{{Worker: "x", State: versions.Draining}})
+					first.Machine.Urge(net.Now)
+					net.Flush(first)
+					known := func(nodes []*virtual.Node) bool {
+						for _, node := range nodes {
+							if node != first && boards[node].Held()["x"].State != versions.Draining {
+								return false
+							}
+						}
+						return true
+					}
+					span, ok := net.Until(60, 0.02, func() bool { return known(net.Nodes[:n-1]) })
+					if !ok {
+						t.Fatalf("seed %d: not known to all after 60 periods", seed)
+					}
+					took = append(took, span)
+					net.Run(net.Now + 30)
+					net.Resume(sleeper)
+					if span, ok := net.Until(30, 0.02, func() bool { return known(net.Nodes) }); !ok {
+						t.Errorf("seed %d: one that slept does not know it after 30 periods", seed)
+					} else if loss == 0 && span > 3 {
+						t.Errorf("seed %d: one that slept knows it after %.2f periods", seed, span)
+					}
+					for _, b := range boards {
+						answered = max(answered, b.Counts.Answered)
+					}
+				}
+				slices.Sort(took)
+				t.Logf("known to all after %.2f periods (median), %.2f (worst of %d); at most %d questions answered by one", took[len(took)/2], took[len(took)-1], seeds, answered)
+				if loss == 0 && took[len(took)-1] > 5 {
+					t.Errorf("%.2f periods", took[len(took)-1])
+				}
+			})
+		}
+	}
+}
+
+// Discovery is down for all: nobody is behind anybody, and nothing is withheld.
+func TestAllAreBehind(t *testing.T) {
+	net, boards := fleet(t, 3, 12, 0.05)
+	net.Run(net.Now + 300)
+	for node, b := range boards {
+		if len(b.Held()) > 0 || b.BehindBy() != 0 {
+			t.Errorf("%s withholds %v, behind by %d", node.Name, b.Held(), b.BehindBy())
+		}
+	}
+}
--- a/internal/fleet/versions/versions.go
+++ b/internal/fleet/versions/versions.go
@@ -100,8 +100,10 @@
 // ride is what goes along with a member's messages.
 type ride struct {
 	List  List   `cbor:"1,keyasint"`
-	Ask   bool   `cbor:"2,keyasint,omitempty"` // I am behind: what do you know that is newer?
+	Ask   bool   `cbor:"2,keyasint,omitempty"` // what do you know that is newer than my list?
 	Facts []Fact `cbor:"3,keyasint,omitempty"`
+	Knows int64  `cbor:"4,keyasint,omitempty"` // the newest version of which I know all facts, if that is more than my list
+	Count int    `cbor:"5,keyasint,omitempty"` // of an answer: so many facts are newer than your list, and one more
 }
 
 // fact is a Fact and what became of it here.
@@ -129,6 +131,8 @@
 	descents map[string]uint64 // the latest that was heard of, by source
 	held     map[string]Held
 	askAt    float64
+	caughtAt float64
+	caught   int64   // the version up to which a peer has told all that it knows
 	heardAt  float64 // the own director
 	liveFrom float64 // since when it has been speaking without a gap
 	cursor   int
@@ -214,8 +218,12 @@
 	b.hold()
 }
 
+// knows is the newest version of which all facts are known here.
+func (b *Board) knows() int64 { return max(b.own.Rev, b.caught) }
+
 // forget drops what compares with the own list no longer.
 func (b *Board) forget() {
+	b.caught = 0
 	clear(b.facts)
 	b.eager = 0
 }
@@ -246,7 +254,7 @@
 	if !b.has {
 		return nil
 	}
-	r := ride{List: b.own}
+	r := ride{List: b.own, Knows: b.knows()}
 	if room -= headRoom; b.eager > 0 {
 		r.Facts = b.pick(func(f *fact) bool { return f.told < tellTimes && !f.doubt })
 		r.Facts = r.Facts[:fit(r.Facts, room)]
@@ -314,7 +322,7 @@
 	if err := decoding.Unmarshal(text, r); err != nil {
 		return nil, fmt.Errorf("versions: %w", err)
 	}
-	if r.List.Source == "" || len(r.List.Source) > mostSource || r.List.Rev < 0 || r.List.Rev > mostRev || r.List.Descent > mostRev {
+	if r.List.Source == "" || len(r.List.Source) > mostSource || r.List.Rev < 0 || r.List.Rev > mostRev || r.Knows < 0 || r.Knows > mostRev || r.Count < 0 || r.List.Descent > mostRev {
 		return nil, errors.New("versions: a version that makes no sense")
 	}
 	for _, f := range r.Facts {
@@ -340,10 +348,10 @@
 		b.peers[from] = p
 	}
 	b.descents[r.List.Source] = max(b.descents[r.List.Source], min(r.List.Descent, b.descents[r.List.Source]+1))
-	by, ok := b.own.Behind(r.List)
-	if !b.has || !ok {
+	if _, ok := b.own.Behind(r.List); !b.has || !ok {
 		return nil
 	}
+	theirs := max(r.Knows, r.List.Rev)
 	taken := false
 	for _, f := range r.Facts {
 		taken = b.take(now, from, f) || taken
@@ -351,20 +359,33 @@
 	if taken {
 		b.hold()
 	}
-	if by <= 0 || len(r.Facts) > 0 {
+	if r.Count > 0 && b.newer() >= r.Count-1 { // every page of it has come
+		b.caught, b.caughtAt = max(b.caught, theirs), now
+	}
+	if theirs <= b.knows() || len(r.Facts) > 0 {
 		b.Heard()
 	}
 	if r.Ask {
 		answers = b.answer(r.List.Rev)
 	}
-	if by > 0 && now >= b.askAt {
+	if theirs > b.knows() && now >= b.askAt {
 		b.askAt = now + askEvery
 		b.Counts.Asked++
-		answers = append(answers, b.encode(&ride{List: b.own, Ask: true}))
+		answers = append(answers, b.encode(&ride{List: b.own, Knows: b.knows(), Ask: true}))
 	}
 	return answers
 }
 
+// newer counts the facts that are newer than the own list.
+func (b *Board) newer() (n int) {
+	for _, f := range b.facts {
+		if f.Rev > b.own.Rev {
+			n++
+		}
+	}
+	return n
+}
+
 // take keeps a peer's fact that is newer than what is known.
 func (b *Board) take(now float64, from string, f Fact) bool {
 	if f.Rev <= b.own.Rev {
@@ -382,7 +403,8 @@
 func (b *Board) answer(rev int64) (pages [][]byte) {
 	b.Counts.Answered++
 	all := b.pick(func(f *fact) bool { return f.Rev > rev && !f.doubt })
-	if total := len(all); total > 0 {
+	total := len(all)
+	if total > 0 {
 		at := b.cursor % total
 		all = append(all[at:total:total], all[:at]...)
 		b.cursor = at
@@ -390,17 +412,19 @@
 	}
 	for range mostPages {
 		n := fit(all, pageRoom)
-		if n == 0 {
+		pages = append(pages, b.encode(&ride{List: b.own, Knows: b.knows(), Facts: all[:n], Count: total + 1}))
+		if all = all[n:]; len(all) == 0 {
 			break
 		}
-		pages = append(pages, b.encode(&ride{List: b.own, Facts: all[:n]}))
-		all = all[n:]
 	}
 	return pages
 }
 
 // Tick drops what is old, and doubts what a director that speaks does not confirm.
 func (b *Board) Tick(now float64) {
+	if b.caught > b.own.Rev && now > b.caughtAt+doubtAfter { // it may have been said by one that knows nothing: ask again
+		b.caught = 0
+	}
 	live := now <= b.heardAt+liveGap
 	changed := false
 	for _, name := range slices.Sorted(maps.Keys(b.facts)) {
--- a/internal/fleet/versions/versions_test.go
+++ b/internal/fleet/versions/versions_test.go
@@ -186,6 +186,21 @@
 	expect(t, "the own director is silent", c, "x draining 0")
 }
 
+// One that says it knows all of a version nobody issued does not keep another from asking for good.
+func TestALieOnWhatIsKnown(t *testing.T) {
+	a, b := told("a", 5, "x"), told("b", 5, "x")
+	b.Hear(20, "liar", b.encode(&ride{List: List{src, 0, 5}, Knows: 1 << 40, Count: 1}))
+	a.Own(20, src, 6, false, entries(Draining, "x"))
+	for range 50 { // told to others
+		a.Ride(20, 300)
+	}
+	for at := 21.0; at < 60 && len(b.Held()) == 0; at += 2 {
+		b.Tick(at)
+		carry(at, a, b)
+	}
+	expect(t, "asked in the end", b, "x draining 0")
+}
+
 // F2, whatever comes: only what the own list names and calls more than the fact is withheld, only by newer versions of its own
 // line, and nothing grows without bounds.
 func TestAnyWords(t *testing.T) {
--- a/internal/standin/virtual/virtual.go
+++ b/internal/standin/virtual/virtual.go
@@ -53,6 +53,8 @@
 	Cut func(from, to *Node) bool
 	// Loss is the share that gets lost from one to another; nil: Drop everywhere.
 	Loss func(from, to *Node) float64
+	// Rider makes what rides along with a member's messages, for each of its processes; nil: nothing does.
+	Rider func(n *Node) membership.Rider
 	// Each is called after each thing that a member did.
 	Each func(n *Node)
 
@@ -123,6 +125,9 @@
 func (net *Net) Start(node *Node, seeds ...*Node) {
 	o := membership.Options{Fleet: "virtual", Name: node.Name, Addr: node.Addr, Period: net.Period, Life: uint64((net.Now + node.Skew) * 1e6),
 		Seed: net.rng.Uint64(), Plain: net.Plain, Facts: membership.Facts{Zone: "z", Version: "v1", Serving: "serving"}}
+	if net.Rider != nil {
+		o.Rider = net.Rider(node)
+	}
 	for _, s := range seeds {
 		o.Seeds = append(o.Seeds, s.Addr)
 	}
