One that begins after discovery's restart knows its line of descent; facts are not worked out ten times a second

Read again: a list of an earlier life with a higher version began a line of descent of its own at each restart, so that facts of the others never compared (versions.Own); now the fleet's number is taken where the line began before the own source spoke. What is told of a member had the settings parsed anew each 0.1 s (tellFacts). One that has left or withdrawn asked seeds after a sleep.

--- a/internal/fleet/membership/machine.go
+++ b/internal/fleet/membership/machine.go
@@ -281,6 +281,9 @@
 	m.probe = probe{ends: now}
 	m.relays = m.relays[:0]
 	m.stepAt = now
+	if m.gone || m.withdrawn {
+		return
+	}
 	for _, d := range m.doubts {
 		d.suspected, d.ends = d.suspected+late, d.ends+late
 	}
--- a/internal/fleet/versions/versions.go
+++ b/internal/fleet/versions/versions.go
@@ -99,11 +99,12 @@
 
 // ride is what goes along with a member's messages.
 type ride struct {
-	List  List   `cbor:"1,keyasint"`
-	Ask   bool   `cbor:"2,keyasint,omitempty"` // what do you know that is newer than my list?
-	Facts []Fact `cbor:"3,keyasint,omitempty"`
-	Knows int64  `cbor:"4,keyasint,omitempty"` // the newest version of which I know all facts, if that is more than my list
-	Count int    `cbor:"5,keyasint,omitempty"` // of an answer: so many facts are newer than your list, and one more
+	List  List    `cbor:"1,keyasint"`
+	Ask   bool    `cbor:"2,keyasint,omitempty"` // what do you know that is newer than my list?
+	Facts []Fact  `cbor:"3,keyasint,omitempty"`
+	Knows int64   `cbor:"4,keyasint,omitempty"` // the newest version of which I know all facts, if that is more than my list
+	Age   float32 `cbor:"6,keyasint,omitempty"` // seconds since the list's line of descent began
+	Count int     `cbor:"5,keyasint,omitempty"` // of an answer: so many facts are newer than your list, and one more
 }
 
 // fact is a Fact and what became of it here.
@@ -131,6 +132,9 @@
 	descents map[string]uint64 // the latest that was heard of, by source
 	held     map[string]Held
 	askAt    float64
+	cached   bool    // the own list is of an earlier life: nobody has told it in this one
+	liveAt   float64 // when the own source first told a list in this life
+	beganAt  float64 // when the line of descent began; 0 is not known
 	caughtAt float64
 	caught   int64   // the version up to which a peer has told all that it knows
 	heardAt  float64 // the own director
@@ -185,16 +189,24 @@
 	switch {
 	case !b.has || source != b.own.Source:
 		b.own = List{Source: source, Descent: b.descents[source], Rev: rev}
+		b.liveAt, b.beganAt = 0, 0
+		b.forget()
+	case rev < b.own.Rev && b.cached: // of an earlier life, perhaps of an earlier line: it says nothing
+		b.own.Rev = rev
 		b.forget()
 	case rev < b.own.Rev: // a new line of descent: others may have met it before
 		b.own.Descent = max(b.own.Descent+1, b.descents[source])
 		b.own.Rev = rev
+		b.beganAt = now
 		b.forget()
 		b.Log(fmt.Sprintf("the list's version has gone back to %d: line of descent %d", rev, b.own.Descent))
 	default:
 		b.own.Rev = rev
 	}
-	b.has, b.ownAt = true, now
+	b.has, b.ownAt, b.cached = true, now, cached
+	if !cached && b.liveAt == 0 {
+		b.liveAt = now
+	}
 	b.descents[source] = max(b.descents[source], b.own.Descent)
 	if !cached {
 		b.Live(now)
@@ -254,7 +266,7 @@
 	if !b.has {
 		return nil
 	}
-	r := ride{List: b.own, Knows: b.knows()}
+	r := ride{List: b.own, Knows: b.knows(), Age: b.age(now)}
 	if room -= headRoom; b.eager > 0 {
 		r.Facts = b.pick(func(f *fact) bool { return f.told < tellTimes && !f.doubt })
 		r.Facts = r.Facts[:fit(r.Facts, room)]
@@ -322,7 +334,7 @@
 	if err := decoding.Unmarshal(text, r); err != nil {
 		return nil, fmt.Errorf("versions: %w", err)
 	}
-	if r.List.Source == "" || len(r.List.Source) > mostSource || r.List.Rev < 0 || r.List.Rev > mostRev || r.Knows < 0 || r.Knows > mostRev || r.Count < 0 || r.List.Descent > mostRev {
+	if r.List.Source == "" || len(r.List.Source) > mostSource || r.List.Rev < 0 || r.List.Rev > mostRev || r.Knows < 0 || r.Knows > mostRev || r.Count < 0 || !(r.Age >= 0 && r.Age < 1e9) || r.List.Descent > mostRev {
 		return nil, errors.New("versions: a version that makes no sense")
 	}
 	for _, f := range r.Facts {
@@ -348,6 +360,7 @@
 		b.peers[from] = p
 	}
 	b.descents[r.List.Source] = max(b.descents[r.List.Source], min(r.List.Descent, b.descents[r.List.Source]+1))
+	b.adopt(now, r)
 	if _, ok := b.own.Behind(r.List); !b.has || !ok {
 		return nil
 	}
@@ -376,6 +389,26 @@
 	return answers
 }
 
+// age is how long ago the own line of descent began, in seconds; 0 is not known.
+func (b *Board) age(now float64) float32 {
+	if b.beganAt == 0 {
+		return 0
+	}
+	return float32(now - b.beganAt)
+}
+
+// adopt takes the fleet's number for a line of descent that began before the own source spoke in this life: the own list is of
+// that line, though this member was not there to see it begin.
+func (b *Board) adopt(now float64, r *ride) {
+	began := now - float64(r.Age)
+	if b.has && r.List.Source == b.own.Source && r.List.Descent > b.own.Descent && b.liveAt > began+1 && r.Age > 0 {
+		b.own.Descent, b.beganAt = r.List.Descent, began
+		b.descents[b.own.Source] = max(b.descents[b.own.Source], b.own.Descent)
+		b.forget()
+		b.hold()
+	}
+}
+
 // newer counts the facts that are newer than the own list.
 func (b *Board) newer() (n int) {
 	for _, f := range b.facts {
--- a/internal/fleet/versions/versions_test.go
+++ b/internal/fleet/versions/versions_test.go
@@ -136,6 +136,24 @@
 	expect(t, "the same line of descent", b, "x draining 0")
 }
 
+// One that begins after discovery was restarted takes the fleet's number for the line of descent; one whose list is older than the
+// line does not. A list of an earlier life says nothing of a line.
+func TestWhoeverBeginsLater(t *testing.T) {
+	a := told("a", 50, "x")
+	a.Own(20, src, 3, false, nil)
+	late, before := New("late"), told("before", 50, "x")
+	late.Own(30, src, 90, true, entries(Ready, "x"))
+	late.Own(31, src, 3, false, nil)
+	if l, _ := late.List(); l.Descent != 0 || l.Rev != 3 {
+		t.Errorf("a list of an earlier life began a line: %+v", l)
+	}
+	a.Own(40, src, 4, false, entries(Draining, "x"))
+	carry(40, a, late)
+	carry(40, a, before)
+	expect(t, "begun later", late, "x draining 0")
+	expect(t, "of the line before", before)
+}
+
 // One that comes late to a page of news asks for what it lacks, again and again, until it has all of it, though news of it
 // goes out by itself no more.
 func TestOneThatIsBehindIsBroughtUp(t *testing.T) {
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -78,6 +78,7 @@
 	p.keepVersions()
 	o.Board, o.Slept = p.board, p.slept
 	o.Facts.Serving = p.standing()
+	p.facts = o.Facts
 	p.fleet = fleet.Start(p.loop, p.log, *o, socket, p.setPlace)
 	if !p.factsOn {
 		p.factsOn = true
@@ -215,11 +216,8 @@
 		p.factsOn = false
 		return
 	}
-	o, err := p.config.fleetOptions()
-	if err == nil && o != nil {
-		o.Facts.Serving = p.standing()
-		p.fleet.SetFacts(o.Facts)
-	}
+	p.facts.Serving = p.standing()
+	p.fleet.SetFacts(p.facts)
 	if out := p.core.Counts(); p.front.Leaving() > 0 && out.OpenReqs == 0 && out.OpenFetches == 0 {
 		if !p.fleetLeft {
 			p.fleetLeft = true
@@ -299,6 +297,7 @@
 		p.joinFleet(o, r.socket)
 	case p.fleet.Same(o):
 		p.fleet.Change(*o)
+		p.facts = o.Facts
 	default:
 		socket := p.fleet.Release()
 		if !p.fleet.SameBind(o) {
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -12,6 +12,7 @@
 
 	"cinderroad/internal/console"
 	"cinderroad/internal/fleet"
+	"cinderroad/internal/fleet/membership"
 	"cinderroad/internal/fleet/versions"
 	"cinderroad/internal/protocol/door"
 	"cinderroad/internal/protocol/gearman"
@@ -46,8 +47,9 @@
 	door               *door.Door
 	console            *console.Console
 	upgrade            *upgrade
-	fleet              *fleet.Fleet // nil: no member of one
-	woke               float64      // after a sleep, until it has looked again; 0: it has
+	fleet              *fleet.Fleet     // nil: no member of one
+	facts              membership.Facts // what the fleet is told of this dispatcher
+	woke               float64          // after a sleep, until it has looked again; 0: it has
 	waking             *transport.Deadline
 	board              *versions.Board // nil while fleet is
 	books              *books          // nil: no figures leave, and no request log is kept
