--- a/internal/fleet/membership/measure_test.go
+++ b/internal/fleet/membership/measure_test.go
@@ -171,9 +171,10 @@
 				}
 				fmt.Fprintf(&b, "| %d | %.0f%% | %s | %s, %s | %s, %s | %.3f | %.1f | %.0f | %.0f |\n", n, 100*loss, name, shown(join), shown(joinWorst),
 					shown(found), shown(foundWorst), float64(wrong)/hours, messages, bytes, 1e6*cpu)
-				if loss == 0.05 {
-					lines[name+", join"] = append(lines[name+", join"], point{float64(n), join})
-					lines[name+", found dead"] = append(lines[name+", found dead"], point{float64(n), found})
+				for what, v := range map[string]float64{"join": join, "found dead": found} {
+					if loss == 0.05 && v < never {
+						lines[name+", "+what] = append(lines[name+", "+what], point{float64(n), v})
+					}
 				}
 				t.Log(n, loss, name)
 			}
@@ -204,7 +205,7 @@
 
 type point struct{ x, y float64 }
 
-// plot draws periods to one view over the size of the fleet, both on logarithmic scales.
+// plot draws periods to one view over the size of the fleet, both on logarithmic scales. A line ends where there was none.
 func plot(lines map[string][]point) string {
 	const width, height, left, top = 640, 400, 60, 20
 	x := func(v float64) float64 { return left + (width-left-180)*(math.Log10(v)-0.5)/3 }
