--- a/internal/fleet/membership/judge.go
+++ b/internal/fleet/membership/judge.go
@@ -361,9 +361,9 @@
 // claimed takes word of a process with the own name; msg is that process's own message, or nil where others tell of it.
 func (m *Machine) claimed(r *Record, msg *Message) {
 	if r.Life < m.me.Life {
-		if msg != nil { // it does not know yet
+		if msg != nil { // it does not know yet, or asks whether we are here
 			self := m.bare()
-			m.send(r.Addr, &Message{Kind: News, Tell: []Record{self}})
+			m.send(r.Addr, &Message{Kind: Ack, Seq: msg.Seq, About: &self})
 			m.Claims++
 		}
 		return
@@ -375,7 +375,7 @@
 		m.outlive(r.Life)
 		return
 	}
-	if msg != nil && (msg.From.Name == m.me.Name || m.claim.seq != 0 && msg.Seq == m.claim.seq) {
+	if msg != nil && msg.Kind == Ack && m.claim.seq != 0 && msg.Seq == m.claim.seq { // it has answered us
 		m.withdraw(r)
 		return
 	}
@@ -387,7 +387,8 @@
 	m.pressClaim()
 }
 
-// pressClaim asks the one that claims the name: word of others may be a lie, or of a clock that was wrong.
+// pressClaim asks the one that claims the name: a word may be a lie, or of a clock that was wrong, and is cheap; an answer from
+// its address is not.
 func (m *Machine) pressClaim() {
 	c := &m.claim
 	if c.life == 0 || m.now < c.at {
--- a/internal/fleet/membership/machine_test.go
+++ b/internal/fleet/membership/machine_test.go
@@ -178,6 +178,38 @@
 	})
 }
 
+// Word of a later start under one's own name, even as if from it, is not enough to withdraw: only an answer from there is.
+func TestAClaimIsAskedFirst(t *testing.T) {
+	start := func() *membership.Machine {
+		m := membership.New(membership.Options{Fleet: "f", Name: "me", Addr: someAddrs[0], Period: 1, Life: 3})
+		m.Start(0)
+		m.Receive(1, &membership.Message{Kind: membership.News, Fleet: "f", N: 1, From: membership.Record{Name: "me", Addr: someAddrs[1], Life: 9}})
+		return m
+	}
+	m := start()
+	if m.Withdrawn() {
+		t.Error("it withdrew before a datagram that anybody could have sent")
+	}
+	asked := uint64(0)
+	for _, p := range m.Out() {
+		if p.Msg.Kind == membership.Ping && p.To == someAddrs[1] {
+			asked = p.Msg.Seq
+		}
+	}
+	m.Receive(1.1, &membership.Message{Kind: membership.Ack, Fleet: "f", N: 2, Seq: asked, About: &membership.Record{Name: "me", Addr: someAddrs[1], Life: 9},
+		From: membership.Record{Name: "me", Addr: someAddrs[1], Life: 9}})
+	if asked == 0 || !m.Withdrawn() {
+		t.Error("it does not withdraw before one that answers")
+	}
+	m = start()
+	for now := 1.0; now < 10; now += 0.2 {
+		m.Tick(now)
+	}
+	if m.Withdrawn() || m.Life != 10 {
+		t.Errorf("nobody answers: life %d", m.Life)
+	}
+}
+
 // Names that somebody makes up take a bounded room, and the loop's time stays bounded with it.
 func TestMadeUpNames(t *testing.T) {
 	m := membership.New(membership.Options{Fleet: "f", Name: "me", Addr: someAddrs[0], Period: 1, Life: 3})
