lease_s in the operator's file, and fleet tests that wait side by side

Need: the lease was 15 s or 20 periods and nothing else, and the fleet's tests took 191 s, since four of them held up the rest while their parts ran. Checked: 25 of 35 tests wait more than they work (one core of six was busy).

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -34,6 +34,7 @@
 	Bind, Advertise netip.AddrPort
 	Seeds           []netip.AddrPort
 	Period, Forget  float64 // seconds
+	Lease           float64 // seconds
 	Seed            uint64
 	Facts           membership.Facts
 	Rules           divisor.Rules
@@ -114,7 +115,7 @@
 	f.machine = membership.New(membership.Options{Fleet: o.Fleet, Name: o.Name, Addr: o.Advertise, Seeds: o.Seeds, Period: o.Period,
 		Forget: o.Forget, Life: uint64(f.loop.Now() * 1e6), Seed: o.Seed, Facts: o.Facts, Rider: o.Board})
 	f.divisor = divisor.New(o.Rules)
-	o.Board.Lease.Period = o.Period
+	o.Board.Lease.Period, o.Board.Lease.Term = o.Period, o.Lease
 	f.divide()
 	if f.socket == nil {
 		f.rebind()
@@ -265,8 +266,8 @@
 // Met says whether anybody else was heard from.
 func (f *Fleet) Met() bool { return f.machine.Met() }
 
-// Period is the membership's, in seconds.
-func (f *Fleet) Period() float64 { return f.options.Period }
+// Lease is how long a lease lasts without a fresh word, in seconds.
+func (f *Fleet) Lease() float64 { return f.options.Lease }
 
 // WordAge is how long ago a word of discovery last confirmed what is known here, in seconds; -1: never.
 func (f *Fleet) WordAge() float64 {
@@ -385,7 +386,7 @@
 // Same says whether a member started by o would be this one but for seeds and rules, which Change takes.
 func (f *Fleet) Same(o *Options) bool {
 	w := &f.options
-	return w.Fleet == o.Fleet && w.Name == o.Name && w.Bind == o.Bind && w.Advertise == o.Advertise && w.Period == o.Period && w.Forget == o.Forget
+	return w.Fleet == o.Fleet && w.Name == o.Name && w.Bind == o.Bind && w.Advertise == o.Advertise && w.Period == o.Period && w.Forget == o.Forget && w.Lease == o.Lease
 }
 
 // SameBind says whether the address is this one's.
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -33,15 +33,19 @@
 }
 
 const (
-	leastTerm = 15.0 // seconds: three times the silence after which a watch of discovery counts as dead
+	silences  = 3.0  // of a watch of discovery, after which it counts as dead, in a term
 	periods   = 20.0 // and periods of the view: a word passes the fleet in a few, also where much gets lost
 	waits     = 6.0  // periods that one whose lease has lapsed waits: the others' laments have come by then
 	silent    = 6.0  // seconds after which discovery has said something new to whoever hears it
 	witnesses = 2    // members that must have a fresh word: one alone may be wrong
 )
 
-// Term is how long a lease lasts without a fresh word, in seconds.
-func Term(period float64) float64 { return math.Max(leastTerm, periods*period) }
+// Term is how long a lease lasts without a fresh word where nobody says otherwise, in seconds, by the watch's silence and the
+// view's period.
+func Term(silence, period float64) float64 { return math.Max(silences*silence, periods*period) }
+
+// Least is how short it may be: discovery's pauses must not end it, nor the way of a word through the fleet.
+func Least(silence, period float64) float64 { return math.Max(silence+1, periods*period) }
 
 // Member is another one as this one knows it.
 type Member struct {
@@ -67,8 +71,9 @@
 
 // Lease is one member's.
 type Lease struct {
-	Period float64
-	Why    string // of the state, for people
+	Period float64 // of the view, in seconds
+	Term   float64 // seconds
+	Why    string  // of the state, for people
 
 	state  State
 	lapsed float64 // since when
@@ -97,7 +102,7 @@
 		}
 		return Held, "shut out by hand, but a third of the members are already"
 	}
-	term := Term(l.Period)
+	term := l.Term
 	if in.Me.Word == 0 || in.Now <= in.Me.Word+term {
 		return Held, ""
 	}
@@ -137,7 +142,7 @@
 		if m := &in.Others[i]; m.Dead > 0 && m.Dead <= contact { // before: else it is this one that was lost
 			dead++
 		}
-		if m := &in.Others[i]; m.Heard > 0 && m.Heard >= contact-Term(l.Period) {
+		if m := &in.Others[i]; m.Heard > 0 && m.Heard >= contact-l.Term {
 			if m.Dead > 0 && m.Dead <= contact {
 				continue
 			}
--- a/internal/fleet/lease/lease_test.go
+++ b/internal/fleet/lease/lease_test.go
@@ -23,7 +23,7 @@
 	w := &world{now: 1000, director: make([]float64, n), word: make([]float64, n), deaf: make([]bool, n), order: make([]bool, n)}
 	for i := range n {
 		w.members = append(w.members, Member{Name: fmt.Sprint("m", i), Key: uint64(7 * (i + 3) % 101)})
-		w.leases = append(w.leases, &Lease{Period: 1})
+		w.leases = append(w.leases, &Lease{Period: 1, Term: Term(5, 1)})
 		w.director[i], w.word[i] = w.now, w.now
 	}
 	return w
@@ -106,7 +106,7 @@
 	for w.leases[2].State() != Out && w.now < at+60 {
 		w.step(silent)
 	}
-	if took := w.now - at; took != Term(1)+1 {
+	if took := w.now - at; took != Term(5, 1)+1 {
 		t.Errorf("out after %v s, %v", took, w.leases[2].Why)
 	}
 	if w.run(100, silent) != 1 {
@@ -216,7 +216,7 @@
 					if w.order[i] {
 						ordered++
 					}
-					if l.State() == Out && !w.order[i] && w.now <= w.word[i]+Term(1) {
+					if l.State() == Out && !w.order[i] && w.now <= w.word[i]+Term(5, 1) {
 						t.Fatalf("%d is out with a fresh word", i)
 					}
 				}
--- a/internal/fleet/versions/lease_test.go
+++ b/internal/fleet/versions/lease_test.go
@@ -159,7 +159,7 @@
 		}
 		t.Logf("%s", l.boards[one].Lease.Why)
 		t.Logf("%d members: out after %.0f periods", n, l.net.Now-from)
-		if l.net.Now > from+lease.Term(1)+5 || l.most != 1 {
+		if l.net.Now > from+lease.Term(5, 1)+5 || l.most != 1 {
 			t.Errorf("%d members: out after %.0f periods, %d at most", n, l.net.Now-from, l.most)
 		}
 		l.group[one] = 0
--- a/internal/operator/fleet.go
+++ b/internal/operator/fleet.go
@@ -4,6 +4,8 @@
 	"errors"
 	"fmt"
 	"net/netip"
+
+	"cinderroad/internal/fleet/lease"
 )
 
 // Fleet is how the dispatcher is a member of its fleet.
@@ -17,6 +19,7 @@
 	Whole     *bool    `toml:"whole"`
 	Discovery string   `toml:"discovery"`
 	Ledger    string   `toml:"ledger"`
+	Lease     float64  `toml:"lease_s"`
 
 	BindAddr      netip.AddrPort   `toml:"-"`
 	AdvertiseAddr netip.AddrPort   `toml:"-"`
@@ -27,6 +30,7 @@
 const (
 	DefaultPeriod = 1.0
 	DefaultForget = 3600.0
+	watchSilence  = 5.0 // seconds after which a watch of discovery counts as dead
 	mostSeeds     = 64
 	mostFleetName = 64
 )
@@ -73,6 +77,10 @@
 	if err := seconds(&f.Forget, DefaultForget, 60, 7*24*3600); err != nil {
 		return wrong("forget_s", err)
 	}
+	least := lease.Least(watchSilence, f.Period)
+	if err := seconds(&f.Lease, lease.Term(watchSilence, f.Period), least, 3600); err != nil {
+		return wrong("lease_s", err)
+	}
 	if len(f.Discovery) > mostFleetName {
 		return wrong("discovery", fmt.Errorf("has %d bytes; %d at most", len(f.Discovery), mostFleetName))
 	}
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -15,7 +15,6 @@
 	"cinderroad/internal/console"
 	"cinderroad/internal/fleet"
 	"cinderroad/internal/fleet/divisor"
-	"cinderroad/internal/fleet/lease"
 	"cinderroad/internal/fleet/ledger"
 	"cinderroad/internal/fleet/membership"
 	"cinderroad/internal/fleet/versions"
@@ -57,7 +56,7 @@
 		zone = c.names.FailureDomains[z]
 	}
 	return &fleet.Options{Fleet: f.Name, Name: c.Name, Bind: f.BindAddr, Advertise: f.AdvertiseAddr, Seeds: f.SeedAddrs,
-		Period: f.Period, Forget: f.Forget, Seed: c.seed, Facts: membership.Facts{Zone: zone[:min(len(zone), 48)], Version: version(), Console: c.Console,
+		Period: f.Period, Forget: f.Forget, Lease: f.Lease, Seed: c.seed, Facts: membership.Facts{Zone: zone[:min(len(zone), 48)], Version: version(), Console: c.Console,
 			Settings: hash(canonical(c.Settings)), Operator: hash([]byte(c.Operator.Text()))},
 		Rules: divisor.Rules{Instances: c.brain.Instances, Me: c.brain.Me, Period: f.Period, LastSends: c.brain.FallTime, Whole: *f.Whole}}, nil
 }
@@ -167,7 +166,7 @@
 		p.dazed = true
 		p.pause()
 		// Whoever slept alone is heard from by then: if not, the lease has the say.
-		p.waking = p.loop.At(p.woke+lease.Term(p.fleet.Period()), p.wake)
+		p.waking = p.loop.At(p.woke+p.fleet.Lease(), p.wake)
 	})
 }
 
--- a/internal/program/fleet_lease_test.go
+++ b/internal/program/fleet_lease_test.go
@@ -92,7 +92,7 @@
 	r.Settled(n)
 	cut, drains := r.Members[n-1], r.Runners[2]
 	cut.ListWay().Set(standin.Link{Silent: true})
-	time.Sleep(20 * time.Second) // longer than a lease: the peers' words renew it
+	time.Sleep(rig.LeaseS*time.Second + 4*time.Second) // longer than a lease: the peers' words renew it
 	if out := shutOut(r); out > 0 {
 		t.Errorf("%d are out while their peers have discovery's word", out)
 	}
@@ -129,7 +129,7 @@
 	r.Settled(n)
 	served := func() {
 		t.Helper()
-		for end := time.Now().Add(18 * time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
+		for end := time.Now().Add(rig.LeaseS*time.Second + 4*time.Second); time.Now().Before(end); time.Sleep(200 * time.Millisecond) {
 			if out := shutOut(r); out > 0 {
 				t.Fatalf("%d are out", out)
 			}
@@ -162,6 +162,7 @@
 // A straggler that nobody but one peer reaches, and whose discovery is silent, is brought up through that one. So is one whose
 // discovery goes on telling an old list, for as long as it does.
 func TestFleetBroughtUpByOne(t *testing.T) {
+	t.Parallel()
 	for name, fault := range map[string]func(r *rig.Rig, m *rig.Member){
 		"one peer": func(r *rig.Rig, m *rig.Member) {
 			m.ListWay().Set(standin.Link{Silent: true})
--- a/internal/program/fleet_test.go
+++ b/internal/program/fleet_test.go
@@ -300,6 +300,7 @@
 // A cold runner is shared by members that hold different views: some join, some are cut off, one is stopped. It stands; and
 // once three in eight have left, the rest give it more than by the number in their settings.
 func TestFleetColdRunner(t *testing.T) {
+	t.Parallel()
 	for _, off := range []bool{true, false} {
 		t.Run(fmt.Sprint("off=", off), func(t *testing.T) {
 			r := fleetOf(t, rig.Options{Members: 8, Runners: 1, Jobs: 60, WorkS: 0.02, SlotsOf: 2, Off: off})
--- a/internal/program/fleet_versions_test.go
+++ b/internal/program/fleet_versions_test.go
@@ -27,6 +27,7 @@
 // One of five has lost discovery when a worker drains. Its peers tell it; nothing is sent there from then on; and when its
 // own director is back the two agree.
 func TestFleetDrainReachesOneThatLostDiscovery(t *testing.T) {
+	t.Parallel()
 	for name, fault := range map[string]standin.Link{"silent": {Silent: true}, "reset": {Resets: true}} {
 		t.Run(name, func(t *testing.T) {
 			r := fleetOf(t, rig.Options{Jobs: 60})
@@ -71,42 +72,45 @@
 // A process that is stopped while a worker drains, and is cut off from discovery when it wakes, sends nothing by its old list,
 // however long it was stopped and however late a peer tells what it knows: jobs wait, or are refused.
 func TestFleetSleepsOverADrain(t *testing.T) {
-	r := fleetOf(t, rig.Options{Jobs: 60})
-	n := len(r.Members)
-	r.Settled(n)
-	sleeper, drains := r.Members[0], r.Runners[2] // of its zone
+	t.Parallel()
 	for _, span := range []time.Duration{3 * time.Second, 8 * time.Second, 20 * time.Second} {
-		at := drains.Took(sleeper)
-		r.Eventually("it gets jobs", func() bool { return drains.Took(sleeper) > at+5 })
-		sleeper.Pause()
-		sleeper.ListWay().Set(standin.Link{Silent: true})
-		r.Island(sleeper) // nothing of it waits in a buffer when it wakes
-		drains.Set("draining")
-		r.Discovery.Tell()
-		r.Eventually("the others have nothing there any more", drains.Idle)
-		time.Sleep(span)
-		before, woke := drains.Took(sleeper), strings.Count(sleeper.Text(), lookedAgain)
-		sleeper.Continue()
-		time.Sleep(2 * time.Second) // nobody speaks: longer than jobs wait
-		if strings.Count(sleeper.Text(), lookedAgain) == woke && health(sleeper) != 503 {
-			t.Error("it knows nothing new, and its health is well")
-		}
-		r.Heal()
-		sleeper.Relay.Set("", standin.Link{Delay: 100 * time.Millisecond})
-		r.Eventually("it has looked again", func() bool { return strings.Count(sleeper.Text(), lookedAgain) > woke })
-		r.Eventually("it is withheld", func() bool { return withholds(sleeper, drains.Name) })
-		r.Eventually("it serves again", func() bool { return health(sleeper) == 200 })
-		time.Sleep(time.Second)
-		if sent := drains.Took(sleeper) - before; sent > 0 {
-			t.Errorf("after %v: %d jobs were sent by the old list", span, sent)
-		}
-		r.Heal()
-		sleeper.ListWay().Set(standin.Link{})
-		drains.Set("ready")
-		r.Discovery.Tell()
-		r.Settled(n)
+		t.Run(span.String(), func(t *testing.T) {
+			r := fleetOf(t, rig.Options{Jobs: 60})
+			n := len(r.Members)
+			r.Settled(n)
+			sleeper, drains := r.Members[0], r.Runners[2] // of its zone
+			at := drains.Took(sleeper)
+			r.Eventually("it gets jobs", func() bool { return drains.Took(sleeper) > at+5 })
+			sleeper.Pause()
+			sleeper.ListWay().Set(standin.Link{Silent: true})
+			r.Island(sleeper) // nothing of it waits in a buffer when it wakes
+			drains.Set("draining")
+			r.Discovery.Tell()
+			r.Eventually("the others have nothing there any more", drains.Idle)
+			time.Sleep(span)
+			before, woke := drains.Took(sleeper), strings.Count(sleeper.Text(), lookedAgain)
+			sleeper.Continue()
+			time.Sleep(2 * time.Second) // nobody speaks: longer than jobs wait
+			if strings.Count(sleeper.Text(), lookedAgain) == woke && health(sleeper) != 503 {
+				t.Error("it knows nothing new, and its health is well")
+			}
+			r.Heal()
+			sleeper.Relay.Set("", standin.Link{Delay: 100 * time.Millisecond})
+			r.Eventually("it has looked again", func() bool { return strings.Count(sleeper.Text(), lookedAgain) > woke })
+			r.Eventually("it is withheld", func() bool { return withholds(sleeper, drains.Name) })
+			r.Eventually("it serves again", func() bool { return health(sleeper) == 200 })
+			time.Sleep(time.Second)
+			if sent := drains.Took(sleeper) - before; sent > 0 {
+				t.Errorf("after %v: %d jobs were sent by the old list", span, sent)
+			}
+			r.Heal()
+			sleeper.ListWay().Set(standin.Link{})
+			drains.Set("ready")
+			r.Discovery.Tell()
+			r.Settled(n)
+			r.Check()
+		})
 	}
-	r.Check()
 }
 
 const lookedAgain = "looked again after a sleep"
--- a/internal/program/world_test.go
+++ b/internal/program/world_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"cmp"
 	"encoding/json"
+	"flag"
 	"fmt"
 	"io"
 	"maps"
@@ -14,6 +15,8 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -40,6 +43,10 @@
 	if out, err := exec.Command("go", append(args, "cinderroad/cmd/cinderroad")...).CombinedOutput(); err != nil {
 		panic(string(out))
 	}
+	flag.Parse()
+	if f := flag.Lookup("test.parallel"); f.Value.String() == strconv.Itoa(runtime.GOMAXPROCS(0)) { // nobody has said otherwise
+		_ = f.Value.Set(strconv.Itoa(2 * runtime.GOMAXPROCS(0))) // these tests wait most of the time
+	}
 	code := m.Run()
 	os.RemoveAll(dir)
 	os.Exit(code)
--- a/internal/standin/rig/rig.go
+++ b/internal/standin/rig/rig.go
@@ -32,6 +32,9 @@
 	"cinderroad/internal/standin"
 )
 
+// LeaseS is how long members hold a lease, in seconds: the shortest that may be.
+const LeaseS = 6.0
+
 // Options are a rig's.
 type Options struct {
 	Program  string
@@ -261,8 +264,8 @@
 	if m.rig.Off {
 		return ""
 	}
-	return fmt.Sprintf("[fleet]\nname = %q\nbind = %q\nadvertise = %q\nseeds = [%s]\nperiod_s = %v\ndiscovery = \"rig\"\n[request_log]\npath = %q\n", m.Fleet, m.Bind, m.Relay.Addr(),
-		quoted(m.rig.seeds(m)), m.rig.Period, m.path+".requests")
+	return fmt.Sprintf("[fleet]\nname = %q\nbind = %q\nadvertise = %q\nseeds = [%s]\nperiod_s = %v\ndiscovery = \"rig\"\nlease_s = %v\n[request_log]\npath = %q\n", m.Fleet, m.Bind, m.Relay.Addr(),
+		quoted(m.rig.seeds(m)), m.rig.Period, LeaseS, m.path+".requests")
 }
 
 // Move gives the member another address to bind, with a relay of its own, and returns the text of the operator's file that
