--- a/cmd/cinderroad/fleet.go
+++ b/cmd/cinderroad/fleet.go
@@ -128,7 +128,7 @@
 
 func printVersions(to io.Writer, s *fleet.Status) error {
 	t := tabwriter.NewWriter(to, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(t, "NAME\tSTATE\tLIST\tBEHIND\tSINCE\tSETTINGS\tOPERATOR\tPROGRAM")
+	fmt.Fprintln(t, "NAME\tSTATE\tLIST\tBEHIND\tSINCE\tSETTINGS\tOPERATOR\tEXCLUDED\tPROGRAM")
 	for _, m := range byAge(s.Members) {
 		behind, since := "-", "-"
 		if m.List != nil {
@@ -142,8 +142,8 @@
 			}
 			behind, since = fmt.Sprint(most), time.Since(time.UnixMilli(m.ListMS)).Round(time.Second).String()
 		}
-		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", m.Name, m.State, cmp.Or(listOf(m), "-"), behind, since, cmp.Or(m.Version["settings"], "-"),
-			cmp.Or(m.Version["operator"], "-"), cmp.Or(m.Version["program"], "-"))
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\t%s\n", m.Name, m.State, cmp.Or(listOf(m), "-"), behind, since, cmp.Or(m.Version["settings"], "-"),
+			cmp.Or(m.Version["operator"], "-"), cmp.Or(m.Version["excluded"], "-"), cmp.Or(m.Version["program"], "-"))
 	}
 	for _, h := range s.Held {
 		fmt.Fprintf(t, "\n%s withholds %s: %s says that it is %s at version %d\n", s.Me, h.Worker, h.From, h.State, h.Rev)
--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -515,7 +515,7 @@
 			Life: m.Life, Version: map[string]string{}}
 		if k := m.FactsOf; k != nil {
 			out.Zone, out.Serving, out.Console = k.Zone, k.Serving, k.Console
-			for name, v := range map[string]string{"program": k.Version, "settings": k.Settings, "operator": k.Operator} {
+			for name, v := range map[string]string{"program": k.Version, "settings": k.Settings, "operator": k.Operator, "excluded": k.Excluded} {
 				if v != "" {
 					out.Version[name] = v
 				}
--- a/internal/fleet/membership/record.go
+++ b/internal/fleet/membership/record.go
@@ -49,6 +49,8 @@
 	Settings string `cbor:"6,keyasint,omitempty"`
 	Operator string `cbor:"7,keyasint,omitempty"`
 
+	Excluded string `cbor:"9,keyasint,omitempty"` // of who is out by hand here; empty: nobody
+
 	Lease lease.State `cbor:"8,keyasint,omitempty"` // how it stands to its lease
 }
 
@@ -90,7 +92,7 @@
 		return errors.New("membership: a time that makes no sense")
 	}
 	if f := r.FactsOf; f != nil && (f.Lease > lease.Out || len(f.Zone) > mostZone || len(f.Version) > mostVersion || len(f.Serving) > mostServing || len(f.Console) > mostConsole ||
-		len(f.Settings) > mostHash || len(f.Operator) > mostHash) {
+		len(f.Settings) > mostHash || len(f.Operator) > mostHash || len(f.Excluded) > mostHash) {
 		return errors.New("membership: a fact that is too long or unknown")
 	}
 	return nil
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -267,6 +267,10 @@
 		return
 	}
 	p.facts.Serving = p.standing()
+	if out := p.excluded(); out != p.facts.Excluded {
+		p.facts.Excluded = out
+		p.record(ledger.Entry{What: ledger.Excluded, Digest: out, Members: len(p.core.Exclusions())})
+	}
 	p.fleet.SetFacts(p.facts)
 	p.tendLedger()
 	if out := p.core.Counts(); p.front.Leaving() > 0 && out.OpenReqs == 0 && out.OpenFetches == 0 {
@@ -358,6 +362,7 @@
 	case p.fleet.Same(o):
 		p.fleet.Change(*o)
 		other := o.Facts.Settings != p.facts.Settings || o.Facts.Operator != p.facts.Operator
+		o.Facts.Excluded = p.facts.Excluded
 		p.facts = o.Facts
 		p.keepLedger(r.book, p.config.Operator)
 		if other {
--- a/internal/program/ledger.go
+++ b/internal/program/ledger.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"go.uber.org/zap"
 
@@ -100,18 +101,21 @@
 	if p.ledger == nil {
 		return
 	}
-	if out := hash([]byte(fmt.Sprint(slices.Sorted(maps.Keys(p.core.Exclusions()))))); out != p.excluded {
-		if p.excluded != "" {
-			p.record(ledger.Entry{What: ledger.Excluded, Digest: out, Members: len(p.core.Exclusions())})
-		}
-		p.excluded = out
-	}
 	if p.ledger.Still(p.loop.Now()) {
 		p.record(ledger.Entry{What: ledger.Still})
 	}
 	p.ledger.Flush()
 }
 
+// excluded is a mark of who is out by hand; empty: nobody.
+func (p *Program) excluded() string {
+	out := p.core.Exclusions()
+	if len(out) == 0 {
+		return ""
+	}
+	return hash([]byte(strings.Join(slices.Sorted(maps.Keys(out)), "\x00")))
+}
+
 var noteKinds = map[versions.NoteKind]string{versions.ListTaken: ledger.List, versions.FactsTold: ledger.Told, versions.AllKnown: ledger.Knows,
 	versions.NewerKnown: ledger.Behind, versions.FactDoubted: ledger.Doubt, versions.FellSilent: ledger.Mute, versions.SpeaksAgain: ledger.Speaks,
 	versions.ClockHeard: ledger.Clock}
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -59,7 +59,6 @@
 	ledger             *ledger.Book    // nil: none is kept
 	marked             uint64          // the last entry's number in this life
 	ledgerAt           linelog.Options // where it stands
-	excluded           string          // mark of who is out by hand, as the ledger has it
 	books              *books          // nil: no figures leave, and no request log is kept
 	started            float64         // Unix time
 	longest            float64         // turn of the loop since the last period
