A lifting is told by those whose list holds it, and hard cases of versions have tests

Cause: a member whose list goes from version 5 to 7 past a drain at 6 and its lifting at 7 has never held the drain and told nobody of the lifting; all others withheld the worker until their own discovery spoke (seen in all of 20 virtual fleets). Board.rebut: one that is told an older drain than its own list tells its own word on it.

Tests: clocks up to 2 s off, 20 of 24 members awake at once before a list of 2,000 (100 of 120 and 10,000 with -fleet.large), a peer that dies in the midst of its answer, drain and lifting that cross, two discoveries moved between while one is away.

--- /dev/null
+++ b/internal/fleet/versions/hard_test.go
@@ -0,0 +1,214 @@
+package versions_test
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"cinderroad/internal/fleet/lease"
+	"cinderroad/internal/fleet/membership"
+	"cinderroad/internal/fleet/versions"
+	"cinderroad/internal/standin/virtual"
+)
+
+// skewed is a Board whose clock is off: of a member whose machine's is.
+type skewed struct {
+	*versions.Board
+	by float64
+}
+
+func (s skewed) Ride(now float64, room int) []byte { return s.Board.Ride(now+s.by, room) }
+func (s skewed) Tick(now float64)                  { s.Board.Tick(now + s.by) }
+func (s skewed) Hear(now float64, from string, ride []byte) [][]byte {
+	return s.Board.Hear(now+s.by, from, ride)
+}
+
+// Clocks that are up to two seconds off: one that loses discovery is kept in its lease by its peers, whoever's clock is ahead, and
+// what each hears of the others' clocks is never less than the truth, and little more.
+func TestClocksThatAreOff(t *testing.T) {
+	for seed := uint64(1); seed <= 5; seed++ {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		boards, skews := map[*virtual.Node]*versions.Board{}, map[string]float64{}
+		net := virtual.New(virtual.Options{Seed: seed, Drop: 0.05, Delay: 0.002, Jitter: 0.01}, 8)
+		best := map[[2]string]float64{}
+		net.Rider = func(node *virtual.Node) membership.Rider {
+			b, by := versions.New(node.Name), 4*rng.Float64()-2
+			boards[node], skews[node.Name] = b, by
+			b.Own(net.Now+by, src, 5, false, nil)
+			b.Note = func(now float64, n *versions.Note) {
+				if n.Kind == versions.ClockHeard {
+					best[[2]string{node.Name, n.From}] = now - n.Theirs
+				}
+			}
+			return skewed{b, by}
+		}
+		net.StartAll(1)
+		for s := range 90 {
+			net.Run(net.Now + 1)
+			for i, node := range net.Nodes {
+				b, by := boards[node], skews[node.Name]
+				if i > 2 && s%2 == 0 {
+					b.Live(net.Now + by)
+				}
+				v := node.Machine.View()
+				if b.Judge(net.Now+by, &v); s > 20 && b.Lease.State() != lease.Held {
+					t.Fatalf("seed %d: %s is %v: %s", seed, node.Name, b.Lease.State(), b.Lease.Why)
+				}
+			}
+		}
+		for pair, lead := range best {
+			if over := lead - (skews[pair[0]] - skews[pair[1]]); over < 0 || over > 0.03 {
+				t.Errorf("seed %d: %s hears a lead before %s that is %.4f s over the truth", seed, pair[0], pair[1], over)
+			}
+		}
+		if len(best) < 8*7 {
+			t.Errorf("%d pairs of clocks compared", len(best))
+		}
+	}
+}
+
+// A list of 10,000 workers of which 900 drain while a hundred members of 120 are stopped: awake, all of them ask at once, are brought up
+// by many peers, and none of these has to answer for all.
+func TestAHundredStragglers(t *testing.T) {
+	n, workers, drains := 24, 2000, 300
+	if *large {
+		n, workers, drains = 120, 10000, 900
+	}
+	var all, drained []versions.Entry
+	for i := range workers {
+		e := versions.Entry{Worker: fmt.Sprintf("worker-%05d", i)}
+		if all = append(all, e); i%(workers/drains) == 0 && len(drained) < drains {
+			e.State = versions.Draining
+			drained = append(drained, e)
+		}
+	}
+	net, boards := fleet(t, 7, n, 0.05)
+	for node, b := range boards {
+		b.Own(net.Now, src, 6, false, all)
+		_ = node
+	}
+	awake, asleep := net.Nodes[:n/6], net.Nodes[n/6:]
+	for _, node := range asleep {
+		net.Pause(node)
+	}
+	for _, node := range awake {
+		boards[node].Own(net.Now, src, 7, false, drained)
+	}
+	net.Run(net.Now + 60) // news of it goes out by itself no more
+	before := map[*virtual.Node]uint64{}
+	for node, b := range boards {
+		before[node] = b.Counts.Answered
+	}
+	for _, node := range asleep {
+		net.Resume(node)
+	}
+	took, ok := net.Until(300, 0.1, func() bool {
+		return !slices.ContainsFunc(asleep, func(node *virtual.Node) bool { return len(boards[node].Held()) < drains })
+	})
+	if !ok {
+		t.Fatal("not all were brought up after 300 periods")
+	}
+	most, sum := uint64(0), uint64(0)
+	for node, b := range boards {
+		most, sum = max(most, b.Counts.Answered-before[node]), sum+b.Counts.Answered-before[node]
+	}
+	t.Logf("%d stragglers, %d of %d workers: brought up after %.1f periods; %d questions answered, %d by one at most", len(asleep), drains, workers, took, sum, most)
+	if most*4 > sum {
+		t.Errorf("one answered %d of %d questions", most, sum)
+	}
+}
+
+// Whoever is asked dies in the midst of its answer: others bring the one that asked up.
+func TestAPeerThatDiesInTheMidstOfAPage(t *testing.T) {
+	net, boards := fleet(t, 9, 5, 0)
+	var drained []versions.Entry
+	var all []versions.Entry
+	for i := range 400 {
+		name := fmt.Sprintf("worker-%04d", i)
+		all, drained = append(all, versions.Entry{Worker: name}), append(drained, versions.Entry{Worker: name, State: versions.Draining})
+	}
+	for _, b := range boards {
+		b.Own(net.Now, src, 6, false, all)
+	}
+	straggler := net.Nodes[4]
+	net.Pause(straggler)
+	for _, node := range net.Nodes[:4] {
+		boards[node].Own(net.Now, src, 7, false, drained)
+	}
+	net.Run(net.Now + 90)
+	net.Resume(straggler)
+	killed := 0
+	answered := map[*virtual.Node]uint64{}
+	for node, b := range boards {
+		answered[node] = b.Counts.Answered
+	}
+	net.Each = func(node *virtual.Node) { // an answer has gone out, and not all of it
+		if node != straggler && node.Machine != nil && killed < 2 && boards[node].Counts.Answered > answered[node] {
+			killed++
+			net.At(net.Now, func() { net.Kill(node) })
+		}
+	}
+	took, ok := net.Until(120, 0.1, func() bool { return len(boards[straggler].Held()) == 400 })
+	if !ok || killed != 2 {
+		t.Fatalf("%d of 400 known after %.0f periods; %d killed", len(boards[straggler].Held()), took, killed)
+	}
+	t.Logf("all of 400 known after %.1f periods, two that answered having died", took)
+}
+
+// A drain and its lifting that cross on their ways: the newer one stands, whichever comes first, everywhere.
+func TestADrainAndItsLiftingThatCross(t *testing.T) {
+	for seed := uint64(1); seed <= 20; seed++ {
+		net, boards := fleet(t, seed, 8, 0.2)
+		a, b := net.Nodes[1], net.Nodes[5]
+		boards[a].Own(net.Now, src, 6, false, []versions.Entry{{Worker: "x", State: versions.Draining}})
+		boards[b].Own(net.Now, src, 7, false, []versions.Entry{{Worker: "x"}, {Worker: "y", State: versions.Draining}})
+		a.Machine.Urge(net.Now)
+		b.Machine.Urge(net.Now)
+		net.Flush(b)
+		net.Flush(a)
+		net.Run(net.Now + 60)
+		for node, board := range boards {
+			want := map[string]versions.State{"y": versions.Draining}
+			got := map[string]versions.State{}
+			for name, h := range board.Held() {
+				got[name] = h.State
+			}
+			if node == b {
+				want = map[string]versions.State{}
+			}
+			if !maps.Equal(got, want) {
+				t.Errorf("seed %d: %s withholds %v", seed, node.Name, got)
+			}
+		}
+	}
+}
+
+// Two discoveries are moved between while a member is away: what it hears of the other one's versions binds it no more than its own
+// binds them, until it has moved, too.
+func TestMovedWhileOneIsAway(t *testing.T) {
+	const other = "10.0.0.8:8500"
+	net, boards := fleet(t, 3, 6, 0.05)
+	away := net.Nodes[2]
+	net.Pause(away)
+	for node, b := range boards {
+		if node != away {
+			b.Own(net.Now, other, 90, false, []versions.Entry{{Worker: "x"}, {Worker: "y"}})
+			b.Own(net.Now, other, 91, false, []versions.Entry{{Worker: "x", State: versions.Draining}})
+		}
+	}
+	net.Run(net.Now + 40)
+	net.Resume(away)
+	boards[away].Own(net.Now, src, 6, false, []versions.Entry{{Worker: "y", State: versions.Gone}})
+	net.Run(net.Now + 40)
+	for node, b := range boards {
+		if len(b.Held()) > 0 {
+			t.Errorf("%s withholds %v across sources", node.Name, b.Held())
+		}
+	}
+	boards[away].Own(net.Now, other, 90, false, []versions.Entry{{Worker: "x"}, {Worker: "y"}}) // a little behind
+	if _, ok := net.Until(60, 0.1, func() bool { return boards[away].Held()["x"].State == versions.Draining }); !ok {
+		t.Error("moved, and not brought up")
+	}
+}
--- a/internal/fleet/versions/versions.go
+++ b/internal/fleet/versions/versions.go
@@ -516,10 +516,20 @@
 	return n
 }
 
+// rebut has others know that the own list calls a worker ready which an older version did not: it may never have held that one, and
+// has told nobody that it is lifted.
+func (b *Board) rebut(now float64, f Fact) {
+	own, listed := b.states[f.Worker]
+	if was := b.facts[f.Worker]; listed && own.State == Ready && f.State != Ready && f.Rev < b.own.Rev && !b.cached && (was == nil || was.Rev < b.own.Rev) {
+		b.put(&fact{Fact: Fact{f.Worker, Ready, own.Start, b.own.Rev}, at: now})
+	}
+}
+
 // take keeps a peer's fact that is newer than what is known.
 func (b *Board) take(now float64, from string, f Fact) bool {
-	if f.Rev <= b.own.Rev {
-		return false // the own director has had its say
+	if f.Rev <= b.own.Rev { // the own director has had its say
+		b.rebut(now, f)
+		return false
 	}
 	if o := b.facts[f.Worker]; o != nil && (f.Rev < o.Rev || f.Rev == o.Rev && f.State <= o.State) {
 		return false
