--- a/internal/program/fleet_lease_test.go
+++ b/internal/program/fleet_lease_test.go
@@ -204,3 +204,34 @@
 		})
 	}
 }
+
+// The next process of an upgrade is stopped in the midst of it, while a worker drains: awake, it sends nothing there, and the upgrade
+// comes to its end.
+func TestFleetStoppedDuringAnUpgrade(t *testing.T) {
+	r := fleetOf(t, rig.Options{Members: 3, Inherit: true, Jobs: 40})
+	n := len(r.Members)
+	r.Settled(n)
+	m, drains := r.Members[0], r.Runners[2]
+	for _, after := range []time.Duration{0, 30 * time.Millisecond, 100 * time.Millisecond} {
+		at := drains.Took(m)
+		r.Eventually("it gets jobs", func() bool { return drains.Took(m) > at+5 })
+		before := 0
+		m.Upgrade(func() {
+			time.Sleep(after)
+			m.Pause()
+			drains.Set("draining")
+			r.Discovery.Tell()
+			r.Eventually("the others have nothing there any more", drains.Idle)
+			time.Sleep(3 * time.Second)
+			before = drains.Took(m)
+			m.Continue()
+		})
+		if sent := drains.Took(m) - before; sent > 0 {
+			t.Errorf("%d jobs were sent to a worker that drains", sent)
+		}
+		r.Settled(n)
+		drains.Set("ready")
+		r.Discovery.Tell()
+	}
+	r.Check()
+}
--- a/internal/standin/rig/rig.go
+++ b/internal/standin/rig/rig.go
@@ -359,13 +359,17 @@
 	}
 }
 
-// Upgrade starts another process that takes the place of the member's, waits until it has, and has the older one end.
-func (m *Member) Upgrade() {
+// Upgrade starts another process that takes the place of the member's, waits until it has, and has the older one end. Between the
+// start and the wait comes what is to happen meanwhile.
+func (m *Member) Upgrade(meanwhile ...func()) {
 	m.rig.T.Helper()
 	old, exited := m.cmd, m.exited
 	m.before, m.gone = old, exited
 	m.Console = m.rig.freePort()
 	m.Start()
+	for _, do := range meanwhile {
+		do()
+	}
 	m.rig.Eventually(m.Name+": the next process has the clients", func() bool {
 		code, _ := m.Call("GET", "/api/ready", "")
 		return code == 200
