--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -68,7 +68,7 @@
 	place   divisor.Place
 	placeAt float64
 	counted bool
-	waits   bool // for the address
+	waits   bool // for the address, or for the process that has the name to give it back
 	closed  bool
 	told    [drops]uint64 // of Drops, in the log
 	toldAt  float64
@@ -380,9 +380,6 @@
 // Resume begins a new life under the name.
 func (f *Fleet) Resume() { f.begin() }
 
-// Yielded says whether the name is another process's for now.
-func (f *Fleet) Yielded() bool { return f.waits }
-
 // Same says whether a member started by o would be this one but for seeds and rules, which Change takes.
 func (f *Fleet) Same(o *Options) bool {
 	w := &f.options
--- a/internal/fleet/membership/judge.go
+++ b/internal/fleet/membership/judge.go
@@ -287,9 +287,9 @@
 		if r.Inc+1 >= mostInc {
 			return
 		}
-		m.digestSelf(false)
+		m.digestSelf()
 		m.me.Inc = r.Inc + 1
-		m.digestSelf(true)
+		m.digestSelf()
 		if r.State >= Dead { // those who held us so may have divided our share among themselves
 			m.uncount()
 		}
@@ -413,10 +413,10 @@
 	if life+1 == 0 || m.withdrawn {
 		return
 	}
-	m.digestSelf(false)
+	m.digestSelf()
 	m.me.Life, m.me.Inc = life+1, 0
 	m.Life = m.me.Life
-	m.digestSelf(true)
+	m.digestSelf()
 	m.changes = append(m.changes, Change{Name: m.me.Name, Cause: "a later start under this name is known, and nobody stands there: begun anew after it"})
 	m.tell(m.me.Name)
 }
--- a/internal/fleet/membership/machine.go
+++ b/internal/fleet/membership/machine.go
@@ -209,7 +209,7 @@
 	m := &Machine{Options: o, byName: map[string]*member{}, rng: rand.New(rand.NewPCG(o.Seed, o.Life)), viewEpoch: 1, namesEpoch: 1}
 	facts := o.Facts
 	m.me = member{Record: Record{Name: o.Name, Addr: o.Addr, Life: o.Life, FactsOf: &facts}, key: Key(o.Name)}
-	m.digestSelf(true)
+	m.digestSelf()
 	return m
 }
 
@@ -328,7 +328,7 @@
 		return
 	}
 	m.now = now
-	m.digestSelf(false)
+	m.digestSelf()
 	m.me.State, m.me.since = Left, now
 	m.gone = true
 	m.tell(m.me.Name)
@@ -345,7 +345,7 @@
 	m.gone, m.counted = false, false
 	m.me.State, m.me.Inc, m.me.since = Alive, m.me.Inc+1, now
 	m.now, m.began, m.stepAt, m.probe = now, now, now, probe{ends: now}
-	m.digestSelf(true)
+	m.digestSelf()
 	m.tell(m.me.Name)
 	m.askSeeds()
 }
--- a/internal/fleet/membership/view.go
+++ b/internal/fleet/membership/view.go
@@ -9,7 +9,7 @@
 // This file is how the view is kept equal everywhere: digests, news, and pages of what differs.
 
 // digestSelf books the own record in the digests, or takes it out.
-func (m *Machine) digestSelf(bool) { // both are the same exclusive or
+func (m *Machine) digestSelf() { // both are the same exclusive or
 	m.view ^= m.me.Record.digest(m.me.key)
 	m.facts ^= m.me.factsDigest(m.me.key)
 	m.names ^= m.me.key
--- a/internal/routing/exclude.go
+++ b/internal/routing/exclude.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 
 	"cinderroad/brain"
 )
@@ -72,24 +73,48 @@
 	c.do(func() {
 		old := c.out
 		c.out = maps.Clone(out)
-		var workers []brain.Worker
-		for _, m := range c.members {
-			x, before := c.out[m.Name], old[m.Name]
-			if x == before || m.Backend == nil {
-				continue
-			}
-			was := m.State
-			c.overlay(m)
-			c.became(m, was)
-			if x.Back > 0 { // whatever it is now, it is not the process those connections led to
+		c.revise(changed(old, c.out), func(m *Member, _ brain.Worker) {
+			if out[m.Name].Back > 0 { // whatever it is now, it is not the process those connections led to
 				m.Backend.Renew()
 			}
-			workers = append(workers, m.Worker)
+		})
+	})
+}
+
+// changed names, in order, what two maps do not say alike.
+func changed[V comparable](old, new map[string]V) (names []string) {
+	for name, v := range old {
+		if w, still := new[name]; !still || v != w {
+			names = append(names, name)
 		}
-		if len(workers) > 0 {
-			c.bal.OnList(c.clock.Now(), brain.ListDelta, workers)
+	}
+	for name := range new {
+		if _, had := old[name]; !had {
+			names = append(names, name)
 		}
-	})
+	}
+	slices.Sort(names)
+	return names
+}
+
+// revise has the decisions see members as what lies over their lists' word says now; after hears of each what it was.
+func (c *Core) revise(names []string, after func(m *Member, was brain.Worker)) {
+	var workers []brain.Worker
+	for _, name := range names {
+		id, known := c.byName[name]
+		m := c.members[id]
+		if !known || m == nil || m.Backend == nil {
+			continue
+		}
+		was := m.Worker
+		c.overlay(m)
+		c.became(m, was.State)
+		after(m, was)
+		workers = append(workers, m.Worker)
+	}
+	if len(workers) > 0 {
+		c.bal.OnList(c.clock.Now(), brain.ListDelta, workers)
+	}
 }
 
 // overlay works out what the decisions see of a member. One that is out drains and keeps its start, so that the start
--- a/internal/routing/withhold.go
+++ b/internal/routing/withhold.go
@@ -19,31 +19,11 @@
 	c.do(func() {
 		old := c.held
 		c.held = maps.Clone(held)
-		var workers []brain.Worker
-		names := slices.Sorted(maps.Keys(old))
-		for name := range held {
-			if _, had := old[name]; !had {
-				names = append(names, name)
-			}
-		}
-		slices.Sort(names)
-		for _, name := range names {
-			id, known := c.byName[name]
-			m := c.members[id]
-			if !known || m == nil || m.Backend == nil || old[name] == held[name] {
-				continue
-			}
-			was := m.Worker
-			c.overlay(m)
-			c.became(m, was.State)
+		c.revise(changed(old, held), func(m *Member, was brain.Worker) {
 			if m.Since > was.Since {
 				m.Backend.Renew() // another process has its place
 			}
-			workers = append(workers, m.Worker)
-		}
-		if len(workers) > 0 {
-			c.bal.OnList(c.clock.Now(), brain.ListDelta, workers)
-		}
+		})
 	})
 }
 
@@ -55,20 +35,13 @@
 			return
 		}
 		c.paused = on
-		var workers []brain.Worker
+		var names []string
 		for _, name := range slices.Sorted(maps.Keys(c.byName)) {
-			m := c.members[c.byName[name]]
-			if m == nil || m.Backend == nil || m.told.State != brain.Ready {
-				continue
+			if m := c.members[c.byName[name]]; m != nil && m.told.State == brain.Ready {
+				names = append(names, name)
 			}
-			was := m.State
-			c.overlay(m)
-			c.became(m, was)
-			workers = append(workers, m.Worker)
-		}
-		if len(workers) > 0 {
-			c.bal.OnList(c.clock.Now(), brain.ListDelta, workers)
 		}
+		c.revise(names, func(*Member, brain.Worker) {})
 	})
 }
 
