--- a/internal/fleet/versions/standing.go
+++ b/internal/fleet/versions/standing.go
@@ -22,6 +22,9 @@
 		switch p, told := b.peers[s.Name]; {
 		case s.Me:
 			m.Word, m.State = b.wordAt, b.Lease.State()
+			if m.Word == 0 { // of an earlier life is the list, and nobody has confirmed it: as old as its taking up
+				m.Word = b.ownAt
+			}
 			in.Me = m
 			continue
 		case s.State == membership.Left:
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -159,7 +159,7 @@
 	p.pause()
 	p.waking.Stop()
 	p.waking = p.loop.At(p.woke+wakeMost, func() {
-		if !p.fleet.Met() { // nobody will
+		if p.fleet == nil || !p.fleet.Met() { // nobody will
 			p.wake()
 			return
 		}
@@ -468,6 +468,7 @@
 	gauge("workers_withheld", "nodes", "Workers that get less than the own list says, on peers' words.", func(*fleet.Fleet) float64 { return float64(p.core.Withheld()) })
 	counter("facts_taken", "facts", "What peers told of workers that the own list was too old to know.", func(*fleet.Fleet) uint64 { return p.board.Counts.Taken })
 	counter("facts_doubted", "facts", "Of it, what the own discovery did not tell in time: taken back.", func(*fleet.Fleet) uint64 { return p.board.Counts.Doubted })
+	counter("rides_bad", "", "What came along with members' messages and made no sense.", func(*fleet.Fleet) uint64 { return p.board.Counts.Bad })
 	counter("datagrams_sent", "datagrams", "Datagrams sent.", func(f *fleet.Fleet) uint64 { return f.Sent })
 	counter("datagrams_received", "datagrams", "Datagrams that came.", func(f *fleet.Fleet) uint64 { return f.Received })
 	counter("datagrams_unsent", "datagrams", "Datagrams that the system did not take.", func(f *fleet.Fleet) uint64 { return f.Unsent })
