Near peers are asked first and none answers for all; marks that compare; causes by what lasted longest

- One that is behind waits a second for a member of its zone to tell of more; a member answers eight questions a second.
- The marks of settings and operator's file are the same where members are set alike: they held each member's own place and addresses, and compared nothing. /api/fleet tells when each came into force.
- The audit's cause of a straggler is what lasted longest: one cut off for 8 s was told 'told and slow' for its last second.
Tests: files that differ on purpose, the one dispatcher of a zone cut off.

--- a/internal/fleet/fleet.go
+++ b/internal/fleet/fleet.go
@@ -114,6 +114,7 @@
 	o := &f.options
 	f.machine = membership.New(membership.Options{Fleet: o.Fleet, Name: o.Name, Addr: o.Advertise, Seeds: o.Seeds, Period: o.Period,
 		Forget: o.Forget, Life: uint64(f.loop.Now() * 1e6), Seed: o.Seed, Facts: o.Facts, Rider: o.Board})
+	o.Board.Near = func(member string) bool { return f.machine.Zone(member) == o.Facts.Zone }
 	f.divisor = divisor.New(o.Rules)
 	o.Board.Lease.Period, o.Board.Lease.Term = o.Period, o.Lease
 	f.divide()
@@ -445,6 +446,7 @@
 	Console     string            `json:"console"`
 	Life        uint64            `json:"life"`
 	Version     map[string]string `json:"version"`
+	VersionMS   map[string]int64  `json:"version_ms"`        // Unix time at which each came into force, by the member's clock
 	List        *versions.List    `json:"list,omitempty"`    // the version of discovery's list that it says it has
 	ListMS      int64             `json:"list_ms,omitempty"` // Unix time at which it came to have it, as this member saw it
 }
@@ -509,7 +511,7 @@
 	maps.Copy(s.Drops, map[string]uint64{"repeated": c.Repeated, "stale": c.Stale, "own": c.Own})
 	for _, m := range v.Members {
 		out := Member{Name: m.Name, Address: m.Addr.String(), State: m.State.String(), Incarnation: m.Inc, SinceMS: int64(m.Since * 1000),
-			Life: m.Life, Version: map[string]string{}}
+			Life: m.Life, Version: map[string]string{}, VersionMS: map[string]int64{}}
 		if k := m.FactsOf; k != nil {
 			out.Zone, out.Serving, out.Console = k.Zone, k.Serving, k.Console
 			for name, v := range map[string]string{"program": k.Version, "settings": k.Settings, "operator": k.Operator, "excluded": k.Excluded} {
@@ -517,6 +519,12 @@
 					out.Version[name] = v
 				}
 			}
+			started := int64(m.Life / 1000) // a life is its start in microseconds
+			for name, at := range map[string]int64{"program": started, "settings": started, "operator": int64(k.OperatorAt) * 1000, "excluded": int64(k.ExcludedAt) * 1000} {
+				if at > 0 && out.Version[name] != "" {
+					out.VersionMS[name] = at
+				}
+			}
 		}
 		if m.State == membership.Alive && m.Shut() {
 			out.State = shutOut
--- a/internal/fleet/ledger/audit.go
+++ b/internal/fleet/ledger/audit.go
@@ -283,12 +283,16 @@
 	case longest(l.asleep, from, to) > half:
 		return Asleep
 	}
+	heard := to // of a newer version
 	for _, b := range l.behind {
-		if b.line == of && b.knows >= rev && b.at < to-half {
-			return Slow
+		if b.line == of && b.knows >= rev {
+			heard = min(heard, max(b.at, from))
 		}
 	}
-	if longest(l.mute, from, to) > half {
+	switch mute := longest(l.mute, from, heard); { // what lasted longer
+	case to-heard > half && to-heard >= mute:
+		return Slow
+	case mute > half:
 		return CutOff
 	}
 	return NotTold
--- a/internal/fleet/membership/record.go
+++ b/internal/fleet/membership/record.go
@@ -50,6 +50,9 @@
 	Operator string `cbor:"7,keyasint,omitempty"`
 
 	Excluded string `cbor:"9,keyasint,omitempty"` // of who is out by hand here; empty: nobody
+	// When the last two came into force, Unix seconds; program and settings are as old as the life.
+	OperatorAt uint32 `cbor:"10,keyasint,omitempty"`
+	ExcludedAt uint32 `cbor:"11,keyasint,omitempty"`
 
 	Lease lease.State `cbor:"8,keyasint,omitempty"` // how it stands to its lease
 }
--- a/internal/fleet/membership/view.go
+++ b/internal/fleet/membership/view.go
@@ -311,3 +311,11 @@
 
 // Met says whether anybody else was heard from.
 func (m *Machine) Met() bool { return m.met }
+
+// Zone is a member's, as it says; empty: not known.
+func (m *Machine) Zone(member string) string {
+	if o := m.byName[member]; o != nil && o.FactsOf != nil {
+		return o.FactsOf.Zone
+	}
+	return ""
+}
--- a/internal/fleet/versions/versions.go
+++ b/internal/fleet/versions/versions.go
@@ -96,6 +96,10 @@
 	pageBytes  = 1090 // of an answer to one that asks
 	mostPages  = 4    // of them for one question
 	askEvery   = 1.0  // seconds between two questions of one that is behind
+	askFar     = 1.0  // seconds for which it waits for a member of its own zone to tell of more, before it asks any
+	answersIn  = 1.0  // seconds in which one answers so many questions at most: who gets no answer asks another
+	answersOf  = 8
+	forgotten  = 1e6  // seconds by which all words are old to one that slept
 	liveGap    = 5.0  // seconds without a word of the director after which it counts as silent
 	doubtAfter = 30.0 // seconds for which a director that speaks may lag behind what peers tell; then that is no version of its
 	keepFor    = 3600 // seconds
@@ -117,36 +121,40 @@
 	Log     func(line string)
 	// Ordering hears each order that is new here.
 	Ordering func(o Order)
+	Near     func(member string) bool   // is of the own zone
 	Note     func(now float64, n *Note) // hears what is taken up
 	Lease    *lease.Lease               // the own
 
-	me       string
-	own      List
-	ownAt    float64 // since when it has it
-	has      bool
-	states   map[string]Entry // by the own list
-	facts    map[string]*fact
-	peers    map[string]Peer
-	descents map[string]uint64 // the latest that was heard of, by source
-	held     map[string]Held
-	askAt    float64
-	cached   bool    // the own list is of an earlier life: nobody has told it in this one
-	liveAt   float64 // when the own source first told a list in this life
-	beganAt  float64 // when the line of descent began; 0 is not known
-	caughtAt float64
-	caught   int64   // the version up to which a peer has told all that it knows
-	heardAt  float64 // the own director
-	liveFrom float64 // since when it has been speaking without a gap
-	cursor   int
-	eager    int     // facts that still go out by themselves
-	wordAt   float64 // when a word of discovery last confirmed all that is known here
-	word     uint64  // the newest
-	direct   bool    // the own discovery has said so
-	orders   orders
-	clockAt  float64 // when the own clock was last told
-	newest   int64   // version of the own line that was noted as newer
-	muted    bool    // that the own discovery is silent was noted
-	Counts   Counts
+	me        string
+	own       List
+	ownAt     float64 // since when it has it
+	has       bool
+	states    map[string]Entry // by the own list
+	facts     map[string]*fact
+	peers     map[string]Peer
+	descents  map[string]uint64 // the latest that was heard of, by source
+	held      map[string]Held
+	askAt     float64
+	cached    bool    // the own list is of an earlier life: nobody has told it in this one
+	liveAt    float64 // when the own source first told a list in this life
+	beganAt   float64 // when the line of descent began; 0 is not known
+	caughtAt  float64
+	caught    int64   // the version up to which a peer has told all that it knows
+	heardAt   float64 // the own director
+	liveFrom  float64 // since when it has been speaking without a gap
+	cursor    int
+	eager     int     // facts that still go out by themselves
+	wordAt    float64 // when a word of discovery last confirmed all that is known here
+	word      uint64  // the newest
+	direct    bool    // the own discovery has said so
+	orders    orders
+	clockAt   float64 // when the own clock was last told
+	newest    int64   // version of the own line that was noted as newer
+	newestAt  float64 // since when one is known
+	answersAt float64 // when the time began for which answers are counted
+	answers   int
+	muted     bool // that the own discovery is silent was noted
+	Counts    Counts
 }
 
 // Counts are what a Board has counted.
@@ -154,7 +162,7 @@
 
 // New makes a Board.
 func New(me string) *Board {
-	return &Board{Changed: func() {}, Heard: func() {}, Log: func(string) {}, Ordering: func(Order) {}, Note: func(float64, *Note) {}, me: me, states: map[string]Entry{},
+	return &Board{Changed: func() {}, Heard: func() {}, Log: func(string) {}, Ordering: func(Order) {}, Note: func(float64, *Note) {}, Near: func(string) bool { return true }, me: me, states: map[string]Entry{},
 		facts: map[string]*fact{}, peers: map[string]Peer{}, descents: map[string]uint64{}, held: map[string]Held{},
 		Lease: &lease.Lease{Period: 1, Term: lease.Term(liveGap, 1)}, orders: orders{by: map[string]*order{}}}
 }
@@ -370,6 +378,9 @@
 	}
 	theirs := max(r.Knows, r.List.Rev)
 	if theirs > max(b.knows(), b.newest) {
+		if b.newest <= b.knows() {
+			b.newestAt = now
+		}
 		b.newest = theirs
 		b.Note(now, &Note{Kind: NewerKnown, From: from, List: List{b.own.Source, b.own.Descent, theirs}})
 	}
@@ -392,10 +403,11 @@
 	if theirs <= b.knows() || len(r.Facts) > 0 {
 		b.Heard()
 	}
-	if r.Ask {
+	if r.Ask && b.mayAnswer(now) {
 		answers = append(answers, b.answer(now, r.List.Rev)...)
 	}
-	if theirs > b.knows() && now >= b.askAt {
+	// Whoever tells of more is asked, and members speak to each other at random: so questions are spread, and the near come soon.
+	if theirs > b.knows() && now >= b.askAt && (b.Near(from) || now >= b.newestAt+askFar || b.wordAt < now-b.Lease.Term) {
 		b.askAt = now + askEvery
 		b.Counts.Asked++
 		ask := b.ride(now)
@@ -405,6 +417,15 @@
 	return answers
 }
 
+// mayAnswer says whether there is room for an answer.
+func (b *Board) mayAnswer(now float64) bool {
+	if now >= b.answersAt+answersIn {
+		b.answersAt, b.answers = now, 0
+	}
+	b.answers++
+	return b.answers <= answersOf
+}
+
 // age is how long ago the own line of descent began, in seconds; 0 is not known.
 func (b *Board) age(now float64) float32 {
 	if b.beganAt == 0 {
--- a/internal/fleet/versions/versions_test.go
+++ b/internal/fleet/versions/versions_test.go
@@ -296,3 +296,42 @@
 		t.Errorf("%d facts", len(b.facts))
 	}
 }
+
+// One that is behind waits a moment for a member of its zone to tell of more, then asks any; one that has slept asks the first. Who is
+// asked by many answers some, and the rest ask others.
+func TestWhomToAsk(t *testing.T) {
+	ahead := &ride{List: List{src, 0, 9}, Knows: 9}
+	asks := func(b *Board, now float64, from string) bool {
+		before := b.Counts.Asked
+		b.Hear(now, from, b.encode(ahead))
+		return b.Counts.Asked > before
+	}
+	b := told("b", 5, "x")
+	b.Near = func(member string) bool { return member == "near" }
+	b.Live(19.5)
+	if asks(b, 20, "far") || !asks(b, 20.5, "near") {
+		t.Error("the near one is not asked first")
+	}
+	b = told("b", 5, "x")
+	b.Near = func(member string) bool { return member == "near" }
+	b.Live(19.5)
+	if asks(b, 20, "far"); !asks(b, 21.5, "far") {
+		t.Error("nobody near has told, and nobody is asked")
+	}
+	b = told("b", 5, "x")
+	b.Near = func(member string) bool { return false }
+	b.Forget(20)
+	if !asks(b, 20, "far") {
+		t.Error("one that slept waits")
+	}
+	a := told("a", 9, "x")
+	answered := 0
+	for i := range 50 {
+		if len(a.Hear(30, fmt.Sprint("m", i), a.encode(&ride{List: List{src, 0, 5}, Ask: true}))) > 0 {
+			answered++
+		}
+	}
+	if answered != answersOf || len(a.Hear(31.5, "m1", a.encode(&ride{List: List{src, 0, 5}, Ask: true}))) == 0 {
+		t.Errorf("%d of 50 answered", answered)
+	}
+}
--- a/internal/fleet/versions/word.go
+++ b/internal/fleet/versions/word.go
@@ -16,7 +16,7 @@
 func (b *Board) Spoke() float64 { return b.heardAt }
 
 // Forget takes it that whatever was heard before now is old.
-func (b *Board) Forget(now float64) { b.wordAt, b.direct = min(b.wordAt, now-1e6), false }
+func (b *Board) Forget(now float64) { b.wordAt, b.direct = min(b.wordAt, now-forgotten), false }
 
 // speak takes it that the own discovery has spoken. One that tells an old list confirms nothing.
 func (b *Board) speak(now float64) {
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -11,6 +11,7 @@
 	"os"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 
 	"github.com/BurntSushi/toml"
@@ -461,5 +462,21 @@
 // Text is what the file says; empty is none.
 func (f *File) Text() string { return f.text }
 
+// own are the keys that say where a member's own things are.
+var own = []string{"bind", "advertise", "seeds", "ledger", "path", "spool_dir"}
+
+// Common is what the file says but for comments and where the member's own things are, so that members whose files say the same show it.
+func (f *File) Common() string {
+	var out strings.Builder
+	for _, line := range strings.Split(f.text, "\n") {
+		line = strings.TrimSpace(line)
+		key, _, _ := strings.Cut(line, "=")
+		if line != "" && line[0] != '#' && !slices.Contains(own, strings.TrimSpace(key)) {
+			out.WriteString(line + "\n")
+		}
+	}
+	return out.String()
+}
+
 // Path is where the file was read from; empty is none.
 func (f *File) Path() string { return f.path }
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -57,7 +57,7 @@
 	}
 	return &fleet.Options{Fleet: f.Name, Name: c.Name, Bind: f.BindAddr, Advertise: f.AdvertiseAddr, Seeds: f.SeedAddrs,
 		Period: f.Period, Forget: f.Forget, Lease: f.Lease, Seed: c.seed, Facts: membership.Facts{Zone: zone[:min(len(zone), 48)], Version: version(), Console: c.Console,
-			Settings: hash(canonical(c.Settings)), Operator: hash([]byte(c.Operator.Text()))},
+			Settings: hash(common(c.Settings)), Operator: hash([]byte(c.Operator.Common()))},
 		Rules: divisor.Rules{Instances: c.brain.Instances, Me: c.brain.Me, Period: f.Period, LastSends: c.brain.FallTime, Whole: *f.Whole}}, nil
 }
 
@@ -82,7 +82,7 @@
 func (p *Program) joinFleet(o *fleet.Options, socket *transport.Socket, book *ledger.Book) {
 	p.keepVersions()
 	o.Board, o.Slept, o.Leased, o.Settled = p.board, p.slept, p.leased, p.settled
-	o.Facts.Serving = p.standing()
+	o.Facts.Serving, o.Facts.OperatorAt = p.standing(), uint32(p.loop.Now())
 	p.facts = o.Facts
 	p.keepLedger(book, p.config.Operator)
 	p.fleet = fleet.Start(p.loop, p.log, *o, socket, p.setPlace)
@@ -92,6 +92,21 @@
 	}
 }
 
+// common is what settings say but for the member's own place, so that members that are set alike show it.
+func common(settings json.RawMessage) []byte {
+	var all map[string]json.RawMessage
+	if json.Unmarshal(settings, &all) != nil {
+		return settings
+	}
+	delete(all, "me")
+	delete(all, "zone")
+	out, err := json.Marshal(all)
+	if err != nil {
+		return settings
+	}
+	return canonical(out)
+}
+
 // hash is a short mark of a text.
 func hash(text []byte) string { return fmt.Sprintf("%08x", uint32(xxhash.Sum64(text))) }
 
@@ -268,7 +283,7 @@
 	}
 	p.facts.Serving = p.standing()
 	if out := p.excluded(); out != p.facts.Excluded {
-		p.facts.Excluded = out
+		p.facts.Excluded, p.facts.ExcludedAt = out, uint32(p.loop.Now())
 		p.record(ledger.Entry{What: ledger.Excluded, Digest: out, Members: len(p.core.Exclusions())})
 	}
 	p.fleet.SetFacts(p.facts)
@@ -362,7 +377,10 @@
 	case p.fleet.Same(o):
 		p.fleet.Change(*o)
 		other := o.Facts.Settings != p.facts.Settings || o.Facts.Operator != p.facts.Operator
-		o.Facts.Excluded = p.facts.Excluded
+		o.Facts.Excluded, o.Facts.ExcludedAt = p.facts.Excluded, p.facts.ExcludedAt
+		if o.Facts.OperatorAt = uint32(p.loop.Now()); o.Facts.Operator == p.facts.Operator {
+			o.Facts.OperatorAt = p.facts.OperatorAt
+		}
 		p.facts = o.Facts
 		p.keepLedger(r.book, p.config.Operator)
 		if other {
--- a/internal/program/fleet_lease_test.go
+++ b/internal/program/fleet_lease_test.go
@@ -87,10 +87,16 @@
 // One loses discovery, as its peers see, and then its peers, while a worker drains: its lease ends, it takes no new work, and every
 // job there has its answer. Back in contact it is in again.
 func TestFleetCutOffIsShutOut(t *testing.T) {
-	r := fleetOf(t, rig.Options{Jobs: 40})
-	n := len(r.Members)
+	t.Parallel()
+	for name, which := range map[string][2]int{"one of many": {*fleetN, *fleetN - 1}, "its zone's only one": {3, 1}} {
+		t.Run(name, func(t *testing.T) { cutOffIsShutOut(t, which[0], which[1]) })
+	}
+}
+
+func cutOffIsShutOut(t *testing.T, n, which int) {
+	r := fleetOf(t, rig.Options{Members: n, Jobs: 40})
 	r.Settled(n)
-	cut, drains := r.Members[n-1], r.Runners[2]
+	cut, drains := r.Members[which], r.Runners[2]
 	cut.ListWay().Set(standin.Link{Silent: true})
 	time.Sleep(rig.LeaseS*time.Second + 4*time.Second) // longer than a lease: the peers' words renew it
 	if out := shutOut(r); out > 0 {
@@ -235,3 +241,61 @@
 	}
 	r.Check()
 }
+
+// Files that differ on purpose while a change rolls through the fleet: each member tells its own, all agree, nobody is out.
+func TestFleetFilesThatDiffer(t *testing.T) {
+	r := fleetOf(t, rig.Options{Members: 3})
+	n := len(r.Members)
+	r.Settled(n)
+	marks := func(m *rig.Member, what string) map[string]bool {
+		all := map[string]bool{}
+		if s := m.Status(); s != nil {
+			for _, o := range s.Members {
+				all[o.Version[what]] = true
+				if o.VersionMS[what] == 0 {
+					t.Errorf("%s has no time of its %s", o.Name, what)
+				}
+			}
+		}
+		return all
+	}
+	for _, m := range r.Members {
+		if kinds := marks(m, "settings"); len(kinds) != 1 {
+			t.Errorf("%s sees %d kinds of the same settings", m.Name, len(kinds))
+		}
+	}
+	r.Told++ // of the settings, for whoever starts from now on
+	first := r.Members[0]
+	first.Terminate()
+	first.Start()
+	first.Serves()
+	r.Settled(n)
+	for _, m := range r.Members {
+		r.Eventually("two kinds of settings are seen", func() bool { return len(marks(m, "settings")) == 2 })
+		if kinds := marks(m, "operator"); len(kinds) != 1 {
+			t.Errorf("%s sees %d kinds of one operator's file", m.Name, len(kinds))
+		}
+	}
+	reloaded := r.Members[1]
+	mark := func(at *rig.Member) string {
+		if s := at.Status(); s != nil {
+			for _, o := range s.Members {
+				if o.Name == reloaded.Name {
+					return o.Version["operator"]
+				}
+			}
+		}
+		return ""
+	}
+	before := mark(reloaded)
+	reloaded.Configure(reloaded.Operator() + "[telemetry]\nevery_s = 5\n")
+	reloaded.Reload("program: reloaded")
+	for _, m := range r.Members {
+		r.Eventually("another operator's file is seen", func() bool { return mark(m) != "" && mark(m) != before })
+	}
+	if out := shutOut(r); out > 0 {
+		t.Errorf("%d are out", out)
+	}
+	r.Settled(n)
+	r.Check()
+}
