--- a/internal/program/world_test.go
+++ b/internal/program/world_test.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"cmp"
 	"encoding/json"
-	"flag"
 	"fmt"
 	"io"
 	"maps"
@@ -15,8 +14,6 @@
 	"os"
 	"os/exec"
 	"path/filepath"
-	"runtime"
-	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -43,10 +40,6 @@
 	if out, err := exec.Command("go", append(args, "cinderroad/cmd/cinderroad")...).CombinedOutput(); err != nil {
 		panic(string(out))
 	}
-	flag.Parse()
-	if f := flag.Lookup("test.parallel"); f.Value.String() == strconv.Itoa(runtime.GOMAXPROCS(0)) { // nobody has said otherwise
-		_ = f.Value.Set(strconv.Itoa(2 * runtime.GOMAXPROCS(0))) // these tests wait most of the time
-	}
 	code := m.Run()
 	os.RemoveAll(dir)
 	os.Exit(code)
