--- a/internal/fleet/versions/fleet_test.go
+++ b/internal/fleet/versions/fleet_test.go
@@ -41,6 +41,9 @@
 		sizes, seeds = []int{10, 100, 300, 1000}, 20
 	}
 	for _, n := range sizes {
+		if n >= 300 { // a minute each
+			seeds = uint64(1800 / n)
+		}
 		for _, loss := range []float64{0, 0.05, 0.2} {
 			t.Run(fmt.Sprintf("%d/%v", n, loss), func(t *testing.T) {
 				var took []float64
