--- a/internal/fleet/versions/lease_test.go
+++ b/internal/fleet/versions/lease_test.go
@@ -1,6 +1,7 @@
 package versions_test
 
 import (
+	"flag"
 	"math/rand/v2"
 	"slices"
 	"testing"
@@ -11,6 +12,11 @@
 	"cinderroad/internal/standin/virtual"
 )
 
+var (
+	size      = flag.Int("fleet.size", 0, "fleets of this size alone")
+	sizeSeeds = flag.Int("fleet.sizeseeds", 10, "and so many of them")
+)
+
 // life plays discovery and the leases of a virtual fleet on, a second at a time.
 type life struct {
 	net    *virtual.Net
@@ -80,14 +86,17 @@
 // Whatever of discovery, members and ways between them is lost for a while, nobody is shut out to whom discovery's words have a way,
 // nobody who is among others of whom none has one, and never more than a third.
 func TestNobodyIsShutOutWrongly(t *testing.T) {
-	seeds := uint64(24)
+	seeds, sizes := uint64(24), []int{3, 5, 12, 30}
 	if *large {
 		seeds = 200
 	}
+	if *size > 0 {
+		seeds, sizes = uint64(*sizeSeeds), []int{*size}
+	}
 	outs := 0
 	for seed := uint64(1); seed <= seeds; seed++ {
 		rng := rand.New(rand.NewPCG(seed, 7))
-		n := []int{3, 5, 12, 30}[rng.IntN(4)]
+		n := sizes[rng.IntN(len(sizes))]
 		l := newLife(t, seed, n, []float64{0, 0.05, 0.2}[rng.IntN(3)])
 		for range 4 {
 			few := rng.Float64()
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -71,6 +71,8 @@
 		{"[fleet]\nname = \"f\"\nbind = \"0.0.0.0:7946\"\nadvertise = \"127.0.0.1:7946\"\n", "", "", ""},
 		{"[fleet]\nname = \"f\"\nbind = \"127.0.0.1:7946\"\nseeds = [\"127.0.0.1:7947\", \"b\"]\n", ":4", "fleet.seeds", "\"b\" is no IP address"},
 		{"[fleet]\nname = \"f\"\nbind = \"127.0.0.1:7946\"\nperiod_s = 0.01\n", ":4", "fleet.period_s", "not within 0.1 and 10"},
+		{"[fleet]\nname = \"f\"\nbind = \"127.0.0.1:7946\"\nlease_s = 10\n", ":4", "fleet.lease_s", "not within 20 and 3600"},
+		{"[fleet]\nname = \"f\"\nbind = \"127.0.0.1:7946\"\nperiod_s = 0.2\nlease_s = 6\n", "", "", ""},
 		{"[fleet]\nname = \"f\"\nbind = \"127.0.0.1:7946\"\nperiod = 1\n", ":4", "fleet.period", "unknown key"},
 		{signed + "password_file = \"good.key\"\n", "", "", ""},
 		{"[graphite\n", ":", "", "table name"},
@@ -117,3 +119,28 @@
 		t.Error(err)
 	}
 }
+
+// Where a member's ledger stands, how long its lease lasts, and what its mark is drawn from, where the file does not say.
+func TestAMembersDefaults(t *testing.T) {
+	const head = "[fleet]\nname = \"f\"\nbind = \"127.0.0.1:7946\"\n"
+	for text, want := range map[string]string{
+		head: "",
+		head + "[request_log]\npath = \"requests\"\n":                          "/etc/requests.ledger",
+		head + "ledger = \"books\"\n":                                          "/etc/books",
+		head + "ledger = \"/var/books\"\n[request_log]\npath = \"requests\"\n": "/var/books",
+	} {
+		f, err := Parse("/etc/operator.toml", text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if f.Fleet.Ledger != want || f.Fleet.Lease != 20 {
+			t.Errorf("%q: ledger %q, lease %v", text, f.Fleet.Ledger, f.Fleet.Lease)
+		}
+	}
+	x, errX := Parse("/etc/a.toml", head+"[request_log]\npath = \"x\" # here\n")
+	y, errY := Parse("/etc/b.toml", "# another\n[fleet]\nname = \"f\"\nbind = \"127.0.0.1:7947\"\n\n[request_log]\npath = \"y\"\n")
+	z, errZ := Parse("/etc/c.toml", head+"forget_s = 90\n[request_log]\npath = \"x\"\n")
+	if errX != nil || errY != nil || errZ != nil || x.Common() != y.Common() || x.Common() == z.Common() {
+		t.Errorf("%v %v %v:\n%s\n%s\n%s", errX, errY, errZ, x.Common(), y.Common(), z.Common())
+	}
+}
--- a/internal/program/describe.go
+++ b/internal/program/describe.go
@@ -93,6 +93,8 @@
 		}
 		line("fleet", "%s as %s, %s over UDP, others reach it at %s, seeds %s, a probe every %v s, %s", m.Name, c.Name, m.BindAddr, m.AdvertiseAddr,
 			or(strings.Join(m.Seeds, ", "), "none"), m.Period, whole)
+		line("lease", "%v s without a word of discovery", m.Lease)
+		line("ledger", "%s", or(m.Ledger, "off: no request log, and ledger names no file"))
 	} else {
 		line("fleet", "off")
 	}
