--- a/internal/standin/rig/rig.go
+++ b/internal/standin/rig/rig.go
@@ -374,6 +374,9 @@
 		code, _ := m.Call("GET", "/api/ready", "")
 		return code == 200
 	})
+	if len(meanwhile) > 0 { // it may have failed, and the one before have gone on: then it ends as one that is stopped, without clients
+		m.out.Store(true)
+	}
 	m.rig.must(old.Process.Signal(syscall.SIGTERM))
 	select {
 	case <-exited:
@@ -381,6 +384,9 @@
 		m.rig.T.Fatalf("%s: the process before did not end", m.Name)
 	}
 	m.before = nil
+	if len(meanwhile) > 0 {
+		m.Serves()
+	}
 }
 
 // Running says whether the process runs.
