--- a/cmd/cinderroad/fleet_audit.go
+++ b/cmd/cinderroad/fleet_audit.go
@@ -62,46 +62,31 @@
 	return c
 }
 
-// auditFiles reads all files twice: what the members held first, then what they sent by it.
+// auditFiles audits files, and warns of what is left out.
 func auditFiles(rules ledger.Rules, files []string, warn io.Writer) (*ledger.Report, error) {
-	a := ledger.NewAudit(rules)
-	pass := func(entry func(*ledger.Entry), send func(*ledger.Send), tell bool) error {
-		for _, name := range files {
-			f, err := os.Open(name)
-			if err != nil {
-				if tell { // the rest may say enough
-					fmt.Fprintf(warn, "not read: %v\n", err)
-				}
-				continue
-			}
-			bad := 0
-			err = ledger.Read(f, entry, send, func(line int, err error) {
-				if bad++; tell && bad <= mostBad {
-					fmt.Fprintf(warn, "%s: line %d left out: %v\n", name, line, err)
-				}
-			})
-			f.Close()
-			if tell && bad > mostBad {
-				fmt.Fprintf(warn, "%s: %d lines left out in all\n", name, bad)
-			}
-			if err != nil {
-				return fmt.Errorf("%s: %w", name, err)
-			}
+	file, bad := "", 0
+	sum := func() {
+		if bad > mostBad {
+			fmt.Fprintf(warn, "%s: %d lines left out in all\n", file, bad)
 		}
-		return nil
-	}
-	entries := 0
-	if err := pass(func(e *ledger.Entry) { entries++; a.Entry(e) }, nil, true); err != nil {
-		return nil, err
-	}
-	if entries == 0 {
-		return nil, errors.New("fleet: no ledger among these files")
 	}
-	a.Close()
-	if err := pass(nil, a.Send, false); err != nil {
-		return nil, err
+	r, err := ledger.Files(rules, files, func(name string, line int, err error) {
+		if name != file {
+			sum()
+			file, bad = name, 0
+		}
+		switch bad++; {
+		case line == 0:
+			fmt.Fprintf(warn, "not read: %v\n", err)
+		case bad <= mostBad:
+			fmt.Fprintf(warn, "%s: line %d left out: %v\n", name, line, err)
+		}
+	})
+	sum()
+	if errors.Is(err, ledger.ErrNone) {
+		return nil, fmt.Errorf("fleet: %w", err)
 	}
-	return a.Report(), nil
+	return r, err
 }
 
 func clockOf(at float64) string {
--- a/internal/fleet/lease/lease.go
+++ b/internal/fleet/lease/lease.go
@@ -66,7 +66,6 @@
 	Me       Member   // Heard says nothing; Word is the last that confirmed all that is known here
 	Director float64  // when the own discovery last spoke; 0: never
 	Others   []Member // all that may be sending
-	Order    bool     // this one is shut out by hand
 }
 
 // Lease is one member's.
@@ -96,8 +95,8 @@
 }
 
 func (l *Lease) judge(in *Input) (State, string) {
-	if in.Order {
-		if first(in, in.Me.Name, func(m *Member) bool { return m.Order || m.State == Out }) {
+	if in.Me.Order {
+		if first(in, func(m *Member) bool { return m.Order || m.State == Out }) {
 			return Out, "shut out by hand"
 		}
 		return Held, "shut out by hand, but a third of the members are already"
@@ -124,11 +123,9 @@
 		return l.alone(in, contact)
 	case fresher < witnesses:
 		return Held, "nobody has a fresh word"
-	case l.state == Held:
+	case l.state == Held, in.Now < l.lapsed+waits*l.Period:
 		return Lapsed, "others have a fresh word"
-	case in.Now < l.lapsed+waits*l.Period:
-		return Lapsed, "others have a fresh word"
-	case l.state == Out || first(in, in.Me.Name, func(m *Member) bool { return m.State != Held || m.Order }):
+	case l.state == Out || first(in, func(m *Member) bool { return m.State != Held || m.Order }):
 		return Out, "others have a fresh word"
 	}
 	return Lapsed, "others have a fresh word, and a third of the members are out"
@@ -180,12 +177,10 @@
 	return place
 }
 
-// first says whether a member is among those that the quota has room for: those that are out already go before, then by an order
+// first says whether this member is among those that the quota has room for: those that are out already go before, then by an order
 // that is the same everywhere.
-func first(in *Input, name string, wants func(*Member) bool) bool {
-	me := in.Me
-	me.Name = name
-	all := []Member{me}
+func first(in *Input, wants func(*Member) bool) bool {
+	all := []Member{in.Me}
 	for i := range in.Others {
 		if in.Others[i].Dead > 0 || wants(&in.Others[i]) {
 			all = append(all, in.Others[i])
@@ -194,7 +189,7 @@
 	slices.SortFunc(all, func(x, y Member) int {
 		return cmp.Or(cmp.Compare(out(&y), out(&x)), cmp.Compare(x.Key, y.Key), cmp.Compare(x.Name, y.Name))
 	})
-	return slices.IndexFunc(all, func(m Member) bool { return m.Name == name }) < Quota(1+len(in.Others))
+	return slices.IndexFunc(all, func(m Member) bool { return m.Name == in.Me.Name }) < Quota(1+len(in.Others))
 }
 
 func out(m *Member) int {
--- a/internal/fleet/lease/lease_test.go
+++ b/internal/fleet/lease/lease_test.go
@@ -46,8 +46,8 @@
 	}
 	var ins []Input
 	for i := range w.members {
-		in := Input{Now: w.now, Me: w.members[i], Director: w.director[i], Order: w.order[i]}
-		in.Me.Word, in.Me.State = w.word[i], w.leases[i].State()
+		in := Input{Now: w.now, Me: w.members[i], Director: w.director[i]}
+		in.Me.Word, in.Me.State, in.Me.Order = w.word[i], w.leases[i].State(), w.order[i]
 		for j, m := range w.members {
 			if j == i {
 				continue
--- a/internal/fleet/ledger/read.go
+++ b/internal/fleet/ledger/read.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"io"
 	"math"
+	"os"
 	"strconv"
 	"strings"
 )
@@ -127,4 +128,39 @@
 	return nil
 }
 
+// ErrNone is that no file holds an entry.
+var ErrNone = errors.New("no ledger among these files")
+
+// Files audits ledgers and request logs. Each is read twice: what the members held first, then what they sent by it. left hears,
+// in the first, of each line that is left out, and of each file that cannot be opened as of its line 0: the rest may say enough.
+func Files(rules Rules, files []string, left func(file string, line int, err error)) (*Report, error) {
+	a := NewAudit(rules)
+	pass := func(entry func(*Entry), send func(*Send), left func(file string, line int, err error)) error {
+		for _, name := range files {
+			f, err := os.Open(name)
+			if err != nil {
+				left(name, 0, err)
+				continue
+			}
+			err = Read(f, entry, send, func(line int, err error) { left(name, line, err) })
+			f.Close()
+			if err != nil {
+				return fmt.Errorf("%s: %w", name, err)
+			}
+		}
+		return nil
+	}
+	if err := pass(a.Entry, nil, left); err != nil {
+		return nil, err
+	}
+	if len(a.byName) == 0 {
+		return nil, ErrNone
+	}
+	a.Close()
+	if err := pass(nil, a.Send, func(string, int, error) {}); err != nil {
+		return nil, err
+	}
+	return a.Report(), nil
+}
+
 func sane(t float64) bool { return t > 0 && t < 1e11 && !math.IsNaN(t) }
--- a/internal/fleet/membership/message.go
+++ b/internal/fleet/membership/message.go
@@ -66,10 +66,15 @@
 
 var (
 	encoding = must(cbor.EncOptions{Sort: cbor.SortNone}.EncMode())
-	decoding = must(cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, MaxNestedLevels: 6,
-		MaxArrayElements: 128, MaxMapPairs: 32, ExtraReturnErrors: cbor.ExtraDecErrorUnknownField, TagsMd: cbor.TagsForbidden}.DecMode())
+	decoding = Strict(6, 32)
 )
 
+// Strict reads CBOR that holds nothing but what is asked for, so deep at most and with so many fields.
+func Strict(nested, fields int) cbor.DecMode {
+	return must(cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, MaxNestedLevels: nested,
+		MaxArrayElements: 128, MaxMapPairs: fields, ExtraReturnErrors: cbor.ExtraDecErrorUnknownField, TagsMd: cbor.TagsForbidden}.DecMode())
+}
+
 func must[T any](mode T, err error) T {
 	if err != nil {
 		panic(err) // of constants
--- a/internal/fleet/versions/ride.go
+++ b/internal/fleet/versions/ride.go
@@ -6,6 +6,8 @@
 	"math"
 
 	"github.com/fxamacker/cbor/v2"
+
+	"cinderroad/internal/fleet/membership"
 )
 
 // This file is what goes along with the membership's messages, and how it is read.
@@ -28,8 +30,7 @@
 
 // ride is one without facts.
 func (b *Board) ride(now float64) *ride {
-	r := &ride{List: b.own, Knows: b.knows(), Age: b.age(now), Word: b.word, Direct: b.direct && now <= b.heardAt+liveGap, Holds: b.orders.digest}
-	return r
+	return &ride{List: b.own, Knows: b.knows(), Age: b.age(now), Word: b.word, Direct: b.direct && now <= b.heardAt+liveGap, Holds: b.orders.digest}
 }
 
 // fit is how many of some facts have room in a ride.
@@ -57,14 +58,7 @@
 	return out
 }
 
-var decoding = func() cbor.DecMode {
-	mode, err := cbor.DecOptions{DupMapKey: cbor.DupMapKeyEnforcedAPF, IndefLength: cbor.IndefLengthForbidden, MaxNestedLevels: 5, MaxArrayElements: 128,
-		MaxMapPairs: 16, ExtraReturnErrors: cbor.ExtraDecErrorUnknownField, TagsMd: cbor.TagsForbidden}.DecMode()
-	if err != nil {
-		panic(err) // of constants
-	}
-	return mode
-}()
+var decoding = membership.Strict(5, 16)
 
 func decode(text []byte) (*ride, error) {
 	r := &ride{}
--- a/internal/fleet/versions/standing.go
+++ b/internal/fleet/versions/standing.go
@@ -9,7 +9,7 @@
 
 // Judge has the lease judged by what is known here and in the view, and says whether it is another than before.
 func (b *Board) Judge(now float64, v *membership.View) (changed bool) {
-	in := lease.Input{Now: now, Director: b.heardAt, Order: b.Ordered(b.me)}
+	in := lease.Input{Now: now, Director: b.heardAt}
 	for i := range v.Members {
 		s := &v.Members[i]
 		m := lease.Member{Name: s.Name, Key: s.Key, Heard: s.HeardAt, Order: b.Ordered(s.Name)}
--- a/internal/fleet/versions/versions.go
+++ b/internal/fleet/versions/versions.go
@@ -73,8 +73,6 @@
 // Peer is what another member holds.
 type Peer struct {
 	List   List
-	Knows  int64   // the newest version of which it knows all
-	At     float64 // when it said so last
 	Since  float64 // when it came to hold the list, as seen from here
 	Word   float64 // when it last told a new word of discovery; 0: never
 	Direct bool    // which was its own discovery's
@@ -353,10 +351,7 @@
 		if p.List != r.List {
 			p.Since = now
 		}
-		p.List, p.At = r.List, now
-		if r.Knows > 0 {
-			p.Knows = r.Knows
-		}
+		p.List = r.List
 		b.passed(now, &p, r)
 		b.hearClock(now, from, &p, r.Clock)
 		b.peers[from] = p
--- a/internal/program/fleet.go
+++ b/internal/program/fleet.go
@@ -15,6 +15,7 @@
 	"cinderroad/internal/console"
 	"cinderroad/internal/fleet"
 	"cinderroad/internal/fleet/divisor"
+	"cinderroad/internal/fleet/lease"
 	"cinderroad/internal/fleet/ledger"
 	"cinderroad/internal/fleet/membership"
 	"cinderroad/internal/fleet/versions"
@@ -153,7 +154,6 @@
 func (p *Program) dropVersions() {
 	p.board, p.director.Listed, p.director.Heard = nil, nil, nil
 	p.core.Withhold(nil)
-	p.unleased = false
 	p.wake()
 	p.pause()
 }
@@ -188,19 +188,21 @@
 // pause has nothing new sent while this dispatcher looks again or is out of its lease, and new jobs refused where that
 // takes longer than jobs may wait. What is out ends as it would.
 func (p *Program) pause() {
-	p.core.Pause(p.woke > 0 || p.unleased)
-	shut := p.dazed || p.unleased
+	p.core.Pause(p.woke > 0 || p.unleased())
+	shut := p.dazed || p.unleased()
 	p.front.Shut(shut)
 	if p.gearman != nil {
 		p.gearman.Shut(shut)
 	}
 }
 
+// unleased says whether this dispatcher is out of its lease.
+func (p *Program) unleased() bool { return p.board != nil && p.board.Lease.State() == lease.Out }
+
 // leased has new jobs refused while this dispatcher is out of its lease.
 func (p *Program) leased(out bool, why string) {
 	p.log.Warn("program: lease", zap.Bool("out", out), zap.String("why", why))
 	p.record(ledger.Entry{What: ledger.Lease, Out: out, Why: why})
-	p.unleased = out
 	p.pause()
 }
 
@@ -268,7 +270,7 @@
 		return "starting"
 	case p.front.Leaving() > 0:
 		return "evacuated"
-	case p.unleased:
+	case p.unleased():
 		return "out of lease"
 	}
 	return "serving"
@@ -481,7 +483,7 @@
 	counter("slept", "", "Times that this process stood still.", func(f *fleet.Fleet) uint64 { return f.Counts().Slept })
 	counter("name_claims", "", "Times that another process was found under this name.", func(f *fleet.Fleet) uint64 { return f.Counts().Claims })
 	gauge("list_behind", "versions", "Versions that the own list is behind the newest that a member says it has; none compares: 0.", func(*fleet.Fleet) float64 { return float64(p.board.BehindBy()) })
-	gauge("out_of_lease", "", "1 while this member is out of its lease and takes no new work.", func(f *fleet.Fleet) float64 { return oneIf(p.unleased) })
+	gauge("out_of_lease", "", "1 while this member is out of its lease and takes no new work.", func(f *fleet.Fleet) float64 { return oneIf(p.unleased()) })
 	gauge("word_age_s", "s", "Since a word of discovery last confirmed what is known here; -1: never.", func(f *fleet.Fleet) float64 { return f.WordAge() })
 	gauge("workers_withheld", "nodes", "Workers that get less than the own list says, on peers' words.", func(*fleet.Fleet) float64 { return float64(p.core.Withheld()) })
 	counter("facts_taken", "facts", "What peers told of workers that the own list was too old to know.", func(*fleet.Fleet) uint64 { return p.board.Counts.Taken })
--- a/internal/program/program.go
+++ b/internal/program/program.go
@@ -54,7 +54,6 @@
 	woke               float64          // after a sleep, until it has looked again; 0: it has
 	waking             *transport.Deadline
 	dazed              bool            // nobody has spoken for so long after a sleep that new jobs are refused
-	unleased           bool            // out of the lease: likewise
 	board              *versions.Board // nil while fleet is
 	ledger             *ledger.Book    // nil: none is kept
 	marked             uint64          // the last entry's number in this life
--- a/internal/standin/rig/audit.go
+++ b/internal/standin/rig/audit.go
@@ -1,6 +1,7 @@
 package rig
 
 import (
+	"errors"
 	"os"
 	"time"
 
@@ -23,19 +24,17 @@
 // Audit reads what the members have written so far.
 func (r *Rig) Audit() *ledger.Report {
 	time.Sleep(time.Duration(2 * linelog.FlushEvery * float64(time.Second)))
-	a := ledger.NewAudit(ledger.DefaultRules)
-	pass := func(entry func(*ledger.Entry), send func(*ledger.Send)) {
-		for _, name := range r.Files() {
-			f, err := os.Open(name)
+	report, err := ledger.Files(ledger.DefaultRules, r.Files(), func(file string, line int, err error) {
+		if line == 0 {
 			r.must(err)
-			r.must(ledger.Read(f, entry, send, func(line int, err error) { r.Log(name + ": " + err.Error()) }))
-			f.Close()
 		}
+		r.Log(file + ": " + err.Error())
+	})
+	if errors.Is(err, ledger.ErrNone) {
+		return &ledger.Report{}
 	}
-	pass(a.Entry, nil)
-	a.Close()
-	pass(nil, a.Send)
-	return a.Report()
+	r.must(err)
+	return report
 }
 
 // audit has every test's run audited: no member may have acted against what it knew.
