--- /dev/null
+++ b/internal/configuration/configuration.go
@@ -0,0 +1,70 @@
+// Package configuration is the operator's configuration: its model, how it is read and checked, altered by items and
+// written again. Every finding names its place, and all findings of a document come together. Fields that are not known
+// are kept and written back.
+package configuration
+
+import "time"
+
+// RouteType says what may be repeated.
+type RouteType uint8
+
+// The types of route.
+const (
+	ReadOnly  RouteType = iota // may run more than once
+	Writes                     // runs at most once a try
+	Streaming                  // answers with events; to be treated as Writes unless it is resumable
+)
+
+// Route sends the requests of a host and path prefix to services.
+type Route struct {
+	Name        string
+	Host        string
+	PathStart   string // begins and ends with a slash
+	Type        RouteType
+	Timeout     time.Duration // longest that a request is held
+	Target      time.Duration // an answer within it earns its full worth; for streams, the first event
+	GapAim      time.Duration // longest pause between events that is still in time; 0: not told
+	Rank        int           // 0 is the most urgent
+	Shares      []Share       // at least one; of a route that names a single service, that one with weight 1
+	Tries       int           // runners that one request may be sent to
+	PinCache    bool          // prompts whose kept parts matter
+	Resumable   bool
+	HomeRegions []string // empty: anywhere
+}
+
+// Idempotent says whether a request of the route may run more than once.
+func (r *Route) Idempotent() bool {
+	return r.Type == ReadOnly || r.Type == Streaming && r.Resumable
+}
+
+// Share is a service's part of a route's requests.
+type Share struct {
+	Service string
+	Weight  float64
+}
+
+// Service is a group of runners.
+type Service struct {
+	Name       string
+	HealthPath string
+	MaxConns   int           // connections that a runner takes from all callers together
+	ColdFor    time.Duration // after a start
+	ColdRate   float64       // requests a second that a cold runner bears; 0: no bound
+	Backend    *Backend      // nil: not an engine
+}
+
+// Backend describes the engine of a service's runners.
+type Backend struct {
+	Capacity        int     // requests at once
+	CacheTokens     int     // tokens shared by running requests and kept parts
+	TokenCacheBytes float64 // of one token
+	LinkMbps        float64
+	Stride          int // tokens in an event
+	Models          []string
+}
+
+// Limits bound what a client may send.
+type Limits struct {
+	MaxHeaderBytes, MaxBodyBytes int
+	HeaderWait, IdleLimit        time.Duration
+}
--- /dev/null
+++ b/internal/consensus/types.go
@@ -0,0 +1,145 @@
+// Package consensus has replicas agree on a sequence of entries: leader election with pre-votes, log replication,
+// single-step changes of membership with learners, snapshots, linearizable reads and transfer of leadership. It is a pure
+// state machine after the Raft protocol (Ongaro and Ousterhout, 2014): messages and time go in, messages and writes come
+// out. It does no I/O, has no clock, and draws its random numbers from a given seed.
+package consensus
+
+import "time"
+
+// ReplicaID names one life of a replica's disk: a replica that lost its disk comes back under another one.
+type ReplicaID uint64
+
+// EntryKind says what an entry holds.
+type EntryKind uint8
+
+// The kinds of entry.
+const (
+	EntryCommand    EntryKind = iota // of the state machine; a new leader's first entry is a command without data
+	EntryMembership                  // Data is an encoded Membership that holds from the append on
+)
+
+// Entry is a place in the log.
+type Entry struct {
+	Index, Term uint64
+	Kind        EntryKind
+	Data        []byte
+}
+
+// Member is a replica of a group.
+type Member struct {
+	ID      ReplicaID
+	Node    string // machine
+	Zone    string
+	Address string // of its control RPC, host:port
+	Voter   bool   // false: a learner, which is sent the log and has no vote
+}
+
+// Membership is who takes part in a group.
+type Membership struct{ Members []Member }
+
+// HardState is what a replica must not forget; it is written before any message that rests on it is sent.
+type HardState struct {
+	Term   uint64
+	Vote   ReplicaID
+	Commit uint64
+}
+
+// Snapshot stands for the log up to and including Index.
+type Snapshot struct {
+	Index, Term uint64
+	Membership  Membership
+	Data        []byte
+}
+
+// Stored is what a replica finds on its disk when it starts.
+type Stored struct {
+	Hard     HardState
+	Snapshot Snapshot // Index 0: none, Membership is then the founding one
+	Entries  []Entry  // contiguous, the first one after the snapshot
+}
+
+// Options are a replica's. Times are steady.
+type Options struct {
+	ID        ReplicaID
+	Heartbeat time.Duration // between two messages of an idle leader
+	Election  time.Duration // without a leader after which a replica stands for election, at least; up to twice as long
+	Seed      uint64
+	// MaxAppendBytes bounds the data of entries in one message; MaxInflight the unanswered appends to one replica.
+	MaxAppendBytes, MaxInflight int
+	// SnapshotAfter is how many applied entries are kept before the driver is asked to compact (see Ready.Compact).
+	SnapshotAfter uint64
+}
+
+// MessageKind says what a message is for.
+type MessageKind uint8
+
+// The kinds of message.
+const (
+	PreVote MessageKind = iota
+	PreVoteReply
+	Vote
+	VoteReply
+	Append // entries, or a heartbeat without any
+	AppendReply
+	InstallSnapshot
+	SnapshotReply
+	TimeoutNow // asks its receiver to stand for election at once
+)
+
+// Message goes from one replica to another of the same group.
+type Message struct {
+	Kind     MessageKind
+	From, To ReplicaID
+	Term     uint64
+	Index    uint64 // last log index of a candidate; index before Entries; last matching index of a reply
+	LogTerm  uint64 // term of the entry at Index
+	Commit   uint64
+	Entries  []Entry
+	Snapshot *Snapshot
+	Reject   bool
+	Hint     uint64 // of a rejected append: where to try next
+	Round    uint64 // of an append: number that its reply repeats, which confirms leadership for reads and leases
+}
+
+// Role is what a replica is at present.
+type Role uint8
+
+// The roles.
+const (
+	Follower Role = iota
+	PreCandidate
+	Candidate
+	Leader
+)
+
+// Ready is what is to be done, in this order: write Snapshot, HardState and Entries and sync them (entries replace
+// whatever stands at their indexes and beyond), send Messages, apply Snapshot and Committed, answer Reads, compact.
+type Ready struct {
+	HardState *HardState
+	Snapshot  *Snapshot // received from the leader: replaces log and state
+	Entries   []Entry
+	Messages  []Message
+	Committed []Entry
+	Reads     []ReadState
+	Compact   uint64 // above 0: make a snapshot at this applied index and call Compacted
+	MustSync  bool
+}
+
+// ReadState says that the state machine may be read for Token once Index is applied.
+type ReadState struct {
+	Token uint64
+	Index uint64
+	Err   error // *NotLeaderError: leadership was not confirmed
+}
+
+// NotLeaderError says that the replica does not lead; Leader is who does, 0 if that is not known.
+type NotLeaderError struct{ Leader ReplicaID }
+
+// Error says what happened.
+func (e *NotLeaderError) Error() string { return "consensus: this replica does not lead its group" }
+
+// BusyMembershipError says that a change of membership is under way.
+type BusyMembershipError struct{}
+
+// Error says what happened.
+func (e *BusyMembershipError) Error() string { return "consensus: a change of membership is under way" }
--- /dev/null
+++ b/internal/environment/environment.go
@@ -0,0 +1,81 @@
+// Package environment reads the settings that the platform hands to each process of the system: who it is, where it
+// listens, what it may use, and the bounds that hold for it. The file is JSON; fields that are not known are ignored.
+package environment
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Variable is the environment variable that holds the path of the settings file.
+const Variable = "CINDERROAD_SETTINGS"
+
+// Settings describe one process and its machine.
+type Settings struct {
+	Node         string            // name of the machine, unique in the system
+	Role         string            // name of the role in the deploy file
+	MachineClass string            // "edge" or "core"
+	ServesRoles  []string          // "edge", "control_plane", "directory"
+	IP           netip.Addr        // address of the machine
+	Zone, Region string            // where the machine stands
+	Zones        map[string]string // region of each zone
+	ListenOn     Listen
+	FreePorts    PortRange
+	SeedNodes    []netip.AddrPort // control addresses of up to three machines; hints only
+	FirstBoot    bool             // true only at the very first start of the whole system
+	CountsAsLoss bool             // the machine is one of those whose loss Survive counts
+	Limits       Limits
+	StateDir     string // folder that outlives the process; empty: there is no disk
+	Survive      Survive
+	Timing       Timing
+	CloudAPI     CloudAPI
+}
+
+// Listen holds the addresses that the process serves; one that it does not serve is the zero value.
+type Listen struct {
+	Front, Ready, Control, Directory netip.AddrPort
+}
+
+// PortRange is the range of ports, both ends included, that processes of the system use among themselves.
+type PortRange struct{ First, Last uint16 }
+
+// Ports within FreePorts, as offsets from its first one.
+const (
+	ControlRPC    = 0 // TCP on the machine's address: control replicas, to one another and to agents
+	GossipPort    = 1 // UDP on the machine's address: membership
+	AgentFeedPort = 2 // TCP on loopback: agent to proxy
+	AgentRPC      = 3 // TCP on the machine's address: agents to one another
+)
+
+// Port is the port with the given offset from the first free one.
+func (s *Settings) Port(offset uint16) uint16 { return s.FreePorts.First + offset }
+
+// Limits are what the process may use.
+type Limits struct {
+	CPUFraction float64 // of one core
+	RAMMB       int
+	OpenFiles   int
+	LinkMbps    float64
+	StorageMB   int
+}
+
+// Survive says what may be lost at once while every guarantee still holds.
+type Survive struct{ MachineLosses, Zones, RegionLosses int }
+
+// Timing holds the bounds of the deployment; a field that the file lacks has the default given by Parse.
+type Timing struct {
+	SeedLag, ReuseAfter, InTouch, AckWithin, CatchUp, DrainWithin, GracePeriod, LostSlack time.Duration
+	ConfigWithin, GoBack, Stretch, Evacuate, Recovery, Pass, TTLMax                       time.Duration
+	RetryRatio                                                                            float64       // retries for each request
+	RetryWindow                                                                           time.Duration // in which they are counted
+	RetryExtra                                                                            float64       // retries beyond the ratio, over all proxies
+	ColdExcess                                                                            float64       // multiple of a service's cold rate that a runner bears
+	ColdSlack                                                                             float64       // requests a second beyond that
+}
+
+// CloudAPI is the platform's list of runners.
+type CloudAPI struct {
+	Address  netip.AddrPort
+	RatePerS float64       // calls a second, over the whole system
+	MaxLag   time.Duration // how old the list may be
+}
--- /dev/null
+++ b/internal/feed/feed.go
@@ -0,0 +1,66 @@
+// Package feed holds keyed items with numbered changes, and the messages by which followers are kept up to date.
+// A partition numbers its changes; an item carries the number of its last change. Whoever follows says up to which
+// number it holds a partition and gets every item that changed since, each once and at its newest, or a snapshot.
+package feed
+
+import "time"
+
+// Partition numbers a part of the control state that is agreed on by itself.
+type Partition uint16
+
+// ConfigurationPartition holds the operator's configuration and the evacuations; the others hold runners, by the hash
+// of their service's name (see PartitionOf).
+const ConfigurationPartition Partition = 0
+
+// Keys of items. In the configuration partition: KeyVersion (decimal), KeyLimits (JSON), KeyRoute+name, KeyService+name
+// (8 bytes big-endian ordinal, then the JSON as the operator sent it), KeyExtra+field (JSON), KeyEvacuation+zone (empty
+// value). In the other partitions: KeyRunner+id (discovery.Encode). Values are not to be changed once stored.
+const (
+	KeyVersion    = "version"
+	KeyLimits     = "limits"
+	KeyRoute      = "route/"
+	KeyService    = "service/"
+	KeyExtra      = "extra/"
+	KeyEvacuation = "evacuation/"
+	KeyRunner     = "runner/"
+)
+
+// Item is a key's state.
+type Item struct {
+	Key     string
+	Index   uint64 // of the change that made it so
+	Value   []byte
+	Deleted bool
+	Age     time.Duration // since the change, as far as the sender knows; steady clock
+}
+
+// Batch brings a follower from the index it named to To. A snapshot replaces all that the follower holds of the
+// partition.
+type Batch struct {
+	Partition Partition
+	Snapshot  bool
+	To        uint64
+	Items     []Item
+}
+
+// Position is how far a follower holds a partition; 0: nothing.
+type Position struct {
+	Partition Partition
+	Index     uint64
+}
+
+// FollowRequest asks for what changed since the positions. The answer comes at once if there is anything, and after
+// Wait at the latest. It is served as Feed.Follow by control replicas and by agents.
+type FollowRequest struct {
+	Node      string
+	Positions []Position // partitions that are not named are wanted from the start
+	Wait      time.Duration
+}
+
+// FollowReply holds the changes. Fresh is how long ago the sender knew itself to be up to date with a majority; agents
+// pass on what they were told, with the time since.
+type FollowReply struct {
+	Batches []Batch
+	Fresh   time.Duration
+	Proxies int // proxies that may be serving, at least 1; an upper estimate where the sender is not sure; 0: not known
+}
