--- /dev/null
+++ b/internal/replica/replica.go
@@ -0,0 +1,49 @@
+// Package replica runs this machine's replicas of all partitions: it joins each consensus machine to its storage, to the
+// other machines over RPC, and to the state machine that the agreed commands drive.
+package replica
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"cinderroad/internal/consensus"
+	"cinderroad/internal/feed"
+)
+
+// StateMachine is the state that agreed commands make. Its methods are called one at a time for a partition.
+type StateMachine interface {
+	// Apply takes an agreed command and returns what its proposer is to be told. It is deterministic.
+	Apply(index uint64, command []byte) []byte
+	Snapshot() []byte
+	Restore(index uint64, snapshot []byte) error
+}
+
+// Replicas is what the control process asks of its replicas.
+type Replicas interface {
+	// Propose has a command agreed and applied, through whichever machine leads the partition, and returns what Apply
+	// returned there. An error does not say that the command was not agreed on, except *UnavailableError.
+	Propose(ctx context.Context, partition feed.Partition, command []byte) ([]byte, error)
+	// Barrier returns once the local state machine holds all that was acknowledged before the call.
+	Barrier(ctx context.Context, partition feed.Partition) error
+	// Leads says whether this machine surely leads the partition for the time returned, confirmed by a majority.
+	Leads(partition feed.Partition) (time.Duration, bool)
+	// Fresh is how long ago this replica last heard a leader that a majority follows.
+	Fresh(partition feed.Partition) time.Duration
+	// Status describes each partition's replica, for operators.
+	Status() []PartitionStatus
+}
+
+// PartitionStatus is a partition's replica as operators see it.
+type PartitionStatus struct {
+	Partition feed.Partition
+	Status    consensus.Status
+}
+
+// UnavailableError says that a partition had no leader to take a command: nothing was proposed.
+type UnavailableError struct{ Partition feed.Partition }
+
+// Error says what happened and what to do.
+func (e *UnavailableError) Error() string {
+	return fmt.Sprintf("replica: partition %d has no leader that a majority follows; check which control machines are up", e.Partition)
+}
