--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,384 @@
+package engine
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// small is an engine whose times are easy to reckon: a step of 10 ms, and 10 prompt tokens a millisecond.
+func small() Options {
+	return Options{Slots: 2, Queue: 2, MemoryTokens: 1000, BlockTokens: 10, Step: 10 * time.Millisecond,
+		PrefillPerMS: 10, ChunkTokens: 100, StrideTokens: 2}
+}
+
+func newEngine(t *testing.T, o Options) *Engine {
+	t.Helper()
+	e, err := New(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return e
+}
+
+func submit(t *testing.T, m Machine, at time.Duration, r *Request) *Task {
+	t.Helper()
+	task, taken := m.Submit(at, r)
+	if !taken {
+		t.Fatalf("at %v: not taken", at)
+	}
+	return task
+}
+
+// play runs a machine until nothing is left to happen.
+func play(m Machine) (events []Event) {
+	for {
+		at, is := m.Next()
+		if !is {
+			return events
+		}
+		events = append(events, m.Advance(at)...)
+	}
+}
+
+// when is the time of a task's first event of a kind, or -1.
+func when(events []Event, t *Task, kind Kind) time.Duration {
+	for _, e := range events {
+		if e.Task == t && e.Kind == kind {
+			return e.At
+		}
+	}
+	return -1
+}
+
+func count(events []Event, t *Task, kind Kind) (n int) {
+	for _, e := range events {
+		if e.Task == t && e.Kind == kind {
+			n++
+		}
+	}
+	return n
+}
+
+func ms(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
+func TestARequestAloneReadsItsPromptAndGenerates(t *testing.T) {
+	e := newEngine(t, small())
+	task := submit(t, e, 0, &Request{Parts: []Part{{1, 100}, {2, 50}}, Out: 5, Priority: 5})
+	events := play(e)
+	// 100 tokens: 10 + 10 ms; 50 tokens: 10 + 5 ms and the first token; then 4 steps.
+	if at := when(events, task, Started); at != ms(35) {
+		t.Errorf("started at %v, want 35 ms", at)
+	}
+	if at := when(events, task, Finished); at != ms(75) {
+		t.Errorf("finished at %v, want 75 ms", at)
+	}
+	if n := count(events, task, Emitted); n != 3 {
+		t.Errorf("%d events, want 3 for 5 tokens by 2", n)
+	}
+}
+
+func TestKeptPartsAreNotReadAgain(t *testing.T) {
+	e := newEngine(t, small())
+	submit(t, e, 0, &Request{Parts: []Part{{1, 100}, {2, 50}}, Out: 1})
+	play(e)
+	second := submit(t, e, ms(100), &Request{Parts: []Part{{1, 100}, {3, 20}}, Out: 1})
+	events := play(e)
+	if second.Cached != 100 {
+		t.Errorf("%d tokens were kept, want 100", second.Cached)
+	}
+	if at := when(events, second, Started); at != ms(112) {
+		t.Errorf("started at %v, want 112 ms", at)
+	}
+	other := submit(t, e, ms(200), &Request{Model: "other", Parts: []Part{{1, 100}}, Out: 1})
+	play(e)
+	if other.Cached != 0 {
+		t.Errorf("a part kept for another model was used")
+	}
+}
+
+func TestAPartIsOfUseOnlyBehindTheSameParts(t *testing.T) {
+	e := newEngine(t, small())
+	submit(t, e, 0, &Request{Parts: []Part{{1, 100}, {2, 50}}, Out: 1})
+	play(e)
+	task := submit(t, e, ms(100), &Request{Parts: []Part{{2, 50}}, Out: 1})
+	play(e)
+	if task.Cached != 0 {
+		t.Errorf("%d tokens were kept, want none", task.Cached)
+	}
+}
+
+func TestPartsUnusedForLongestGiveWay(t *testing.T) {
+	o := small()
+	o.MemoryTokens = 300
+	e := newEngine(t, o)
+	at := time.Duration(0)
+	for _, id := range []uint64{1, 2, 1, 3} { // 3 needs the room of 2
+		submit(t, e, at, &Request{Parts: []Part{{id, 100}}, Out: 1})
+		play(e)
+		at += time.Second
+	}
+	for _, want := range []struct {
+		id     uint64
+		cached int
+	}{{1, 100}, {3, 100}, {2, 0}} {
+		task := submit(t, e, at, &Request{Parts: []Part{{want.id, 100}}, Out: 1})
+		play(e)
+		if task.Cached != want.cached {
+			t.Errorf("part %d: %d tokens were kept, want %d", want.id, task.Cached, want.cached)
+		}
+		at += time.Second
+	}
+}
+
+func TestTheNewestOfTheLeastUrgentIsPreemptedWhenMemoryRunsOut(t *testing.T) {
+	o := small()
+	o.Slots, o.MemoryTokens = 3, 240
+	e := newEngine(t, o)
+	urgent := submit(t, e, 0, &Request{Parts: []Part{{1, 50}}, Out: 60, Priority: 1})
+	older := submit(t, e, 0, &Request{Parts: []Part{{2, 50}}, Out: 60, Priority: 5})
+	newest := submit(t, e, 0, &Request{Parts: []Part{{3, 50}}, Out: 60, Priority: 5})
+	events := play(e)
+	if urgent.Preempted != 0 || older.Preempted != 0 || newest.Preempted == 0 {
+		t.Errorf("preempted %d, %d and %d times, want only the last", urgent.Preempted, older.Preempted, newest.Preempted)
+	}
+	for _, task := range []*Task{urgent, older, newest} {
+		if n := count(events, task, Emitted); n != 30 {
+			t.Errorf("%d events, want 30", n)
+		}
+	}
+}
+
+func TestAnUrgentRequestTakesThePlaceOfALessUrgentOne(t *testing.T) {
+	e := newEngine(t, small())
+	a := submit(t, e, 0, &Request{Parts: []Part{{1, 10}}, Out: 50, Priority: 5})
+	b := submit(t, e, 0, &Request{Parts: []Part{{2, 10}}, Out: 50, Priority: 5})
+	urgent := submit(t, e, ms(100), &Request{Parts: []Part{{3, 10}}, Out: 1, Priority: 0})
+	same := submit(t, e, ms(100), &Request{Parts: []Part{{4, 10}}, Out: 1, Priority: 5})
+	events := play(e)
+	if a.Preempted != 0 || b.Preempted != 1 {
+		t.Errorf("preempted %d and %d times, want the newer once", a.Preempted, b.Preempted)
+	}
+	if at := when(events, urgent, Finished); at > ms(150) {
+		t.Errorf("the urgent one finished at %v", at)
+	}
+	if when(events, same, Started) < when(events, a, Finished) {
+		t.Errorf("one that is as urgent and newer went first")
+	}
+}
+
+func TestDeadlines(t *testing.T) {
+	e := newEngine(t, small())
+	for range 2 {
+		submit(t, e, 0, &Request{Parts: []Part{{1, 10}}, Out: 20})
+	}
+	waits := submit(t, e, 0, &Request{Parts: []Part{{3, 10}}, Out: 1, Deadline: ms(50)})
+	runs := submit(t, e, 0, &Request{Parts: []Part{{4, 10}}, Out: 500, Deadline: ms(700)})
+	events := play(e)
+	if when(events, waits, Expired) < 0 || waits.Ran {
+		t.Errorf("the one that waited has not expired")
+	}
+	if when(events, runs, CutOff) < 0 || !runs.Ran {
+		t.Errorf("the one that ran was not cut off")
+	}
+}
+
+func TestFullEngineRejects(t *testing.T) {
+	e := newEngine(t, small())
+	for i := range 4 {
+		submit(t, e, 0, &Request{Parts: []Part{{uint64(i), 10}}, Out: 5})
+	}
+	if _, taken := e.Submit(0, &Request{Parts: []Part{{9, 10}}, Out: 5}); taken {
+		t.Error("one more than the places was taken")
+	}
+	play(e)
+	if _, taken := e.Submit(time.Second, &Request{Parts: []Part{{9, 2000}}, Out: 5}); taken {
+		t.Error("a request larger than the memory was taken")
+	}
+}
+
+func TestAContinuedRequestSendsOnlyTheRest(t *testing.T) {
+	e := newEngine(t, small())
+	task := submit(t, e, 0, &Request{Parts: []Part{{1, 10}}, Out: 10, Done: 6})
+	events := play(e)
+	if n := count(events, task, Emitted); n != 2 {
+		t.Errorf("%d events, want 2", n)
+	}
+	for _, e := range events {
+		if e.Kind == Emitted && e.Index < 4 {
+			t.Errorf("event %d was sent before", e.Index)
+		}
+	}
+}
+
+func TestStopLosesEverything(t *testing.T) {
+	e := newEngine(t, small())
+	task := submit(t, e, 0, &Request{Parts: []Part{{1, 10}}, Out: 10})
+	events := e.Stop(ms(30))
+	if when(events, task, Lost) != ms(30) {
+		t.Error("the task was not lost")
+	}
+	if _, is := e.Next(); is {
+		t.Error("a stopped engine goes on")
+	}
+}
+
+// TestEngineKeepsItsBooks submits, cancels and lets time pass at random: memory never exceeds its size and comes back
+// whole, every task ends, and the events of each are complete and in order.
+func TestEngineKeepsItsBooks(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		o := small()
+		o.Slots = rapid.IntRange(1, 5).Draw(t, "slots")
+		o.MemoryTokens = rapid.IntRange(150, 600).Draw(t, "memory")
+		o.StepPerSlot, o.StepPerKilo, o.PairsPerMega = ms(1), ms(1), ms(1)
+		e, err := New(o)
+		if err != nil {
+			t.Fatal(err)
+		}
+		now := time.Duration(0)
+		var tasks []*Task
+		var events []Event
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			switch rapid.IntRange(0, 3).Draw(t, "what") {
+			case 0, 1:
+				r := drawRequest(t, now)
+				if task, taken := e.Submit(now, r); taken {
+					tasks = append(tasks, task)
+				}
+			case 2:
+				if len(tasks) > 0 {
+					e.Cancel(now, rapid.SampledFrom(tasks).Draw(t, "task"))
+				}
+			default:
+				now += ms(rapid.IntRange(0, 200).Draw(t, "ms"))
+			}
+			events = append(events, e.Advance(now)...)
+			checkMemory(t, e)
+		}
+		events = append(events, play(e)...)
+		checkMemory(t, e)
+		if e.memory.pinned != 0 {
+			t.Fatalf("%d tokens are held by nobody", e.memory.pinned)
+		}
+		for _, task := range tasks {
+			checkTask(t, e, events, task)
+		}
+	})
+}
+
+func drawRequest(t *rapid.T, now time.Duration) *Request {
+	r := &Request{Out: rapid.IntRange(1, 40).Draw(t, "out"), Priority: rapid.IntRange(0, 9).Draw(t, "priority")}
+	for range rapid.IntRange(1, 3).Draw(t, "parts") {
+		id := rapid.Uint64Range(1, 4).Draw(t, "part")
+		r.Parts = append(r.Parts, Part{id, int(id) * 17})
+	}
+	if rapid.Bool().Draw(t, "deadline") {
+		r.Deadline = now + ms(rapid.IntRange(1, 500).Draw(t, "left"))
+	}
+	r.Done = min(r.Out-1, rapid.IntRange(0, 3).Draw(t, "done")*2)
+	r.Done -= r.Done % 2
+	return r
+}
+
+func checkMemory(t *rapid.T, e *Engine) {
+	own, kept, pinned := 0, 0, 0
+	for _, task := range e.running {
+		own += task.holds.own
+	}
+	var walk func(n *node)
+	walk = func(n *node) {
+		for _, child := range n.children {
+			if child.users == 0 {
+				kept += child.room
+			} else {
+				pinned += child.room
+			}
+			walk(child)
+		}
+	}
+	for _, root := range e.memory.models {
+		walk(root)
+	}
+	if e.memory.kept != kept || e.memory.pinned != pinned+own {
+		t.Fatalf("kept %d and pinned %d, but the tree has %d and %d, and tasks %d", e.memory.kept, e.memory.pinned, kept, pinned, own)
+	}
+	if kept+pinned+own > e.memory.size {
+		t.Fatalf("%d tokens in a memory of %d", kept+pinned+own, e.memory.size)
+	}
+	if len(e.running) > e.options.Slots {
+		t.Fatalf("%d tasks run in %d slots", len(e.running), e.options.Slots)
+	}
+}
+
+func checkTask(t *rapid.T, e *Engine, events []Event, task *Task) {
+	if !task.Ended {
+		t.Fatalf("a task has not ended: %+v", task.Request)
+	}
+	next := task.Request.Done/e.options.StrideTokens + 1
+	finished := false
+	for _, event := range events {
+		if event.Task != task {
+			continue
+		}
+		if finished {
+			t.Fatalf("%v after the end", event.Kind)
+		}
+		switch event.Kind {
+		case Emitted:
+			if event.Index != next {
+				t.Fatalf("event %d comes where %d should", event.Index, next)
+			}
+			next++
+		case Finished:
+			finished = true
+			if next != e.EventsOf(task.Request.Out)+1 {
+				t.Fatalf("finished before event %d of %d", next, e.EventsOf(task.Request.Out))
+			}
+		case Expired, CutOff:
+			finished = true
+			if (event.Kind == CutOff) != task.Ran {
+				t.Fatalf("%v, though ran is %v", event.Kind, task.Ran)
+			}
+		}
+	}
+}
+
+func TestWorkers(t *testing.T) {
+	w, err := NewWorkers(1, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	first := submit(t, w, 0, &Request{Work: ms(10)})
+	second := submit(t, w, ms(1), &Request{Work: ms(10), Deadline: ms(15)})
+	if _, taken := w.Submit(ms(2), &Request{Work: ms(10)}); taken {
+		t.Error("a third was taken")
+	}
+	events := play(w)
+	if when(events, first, Finished) != ms(10) || when(events, second, CutOff) != ms(15) {
+		t.Errorf("events: %+v", events)
+	}
+	third := submit(t, w, ms(20), &Request{Work: ms(10)})
+	late := submit(t, w, ms(20), &Request{Work: ms(10), Deadline: ms(25)})
+	events = play(w)
+	if when(events, third, Finished) != ms(30) || when(events, late, Expired) != ms(30) || late.Ran {
+		t.Errorf("events: %+v", events)
+	}
+}
+
+func TestColdRunnerCountsWhatComes(t *testing.T) {
+	c := Cold{Rate: 2, Excess: 1.5, Slack: 1, Falls: 4}
+	c.Begin(10 * time.Second)
+	fell := 0
+	for i := range 9 {
+		if c.Arrive(ms(i)) {
+			fell++
+		}
+	}
+	if c.Worst() != 9 || c.Broken() != 5 || fell != 1 {
+		t.Errorf("worst %d, broken %d, fell %d; want 9, 5 and 1", c.Worst(), c.Broken(), fell)
+	}
+	if c.Arrive(11 * time.Second); c.Worst() != 9 {
+		t.Error("counted while warm")
+	}
+}
