--- /dev/null
+++ b/internal/experiment/policy.go
@@ -0,0 +1,31 @@
+// Package experiment compares placement policies: several proxies, each with a policy of its own, send drawn traffic to
+// the same modelled runners in virtual time. Every policy sees the same traffic for the same seed, so that differences are
+// the policies' own.
+package experiment
+
+import (
+	"time"
+
+	"cinderroad/internal/configuration"
+	"cinderroad/internal/placement"
+)
+
+// Policy decides for one proxy. It is what placement.Placer offers a proxy; times are since the start of the run.
+type Policy interface {
+	SetServices(now time.Duration, services []*configuration.Service)
+	SetRunners(now time.Duration, runners []placement.Runner)
+	SetProxies(now time.Duration, n int)
+	Place(now time.Duration, r *placement.Request) (placement.Choice, *placement.Refusal)
+	Sent(now time.Duration, r *placement.Request, c placement.Choice) *placement.Attempt
+	FirstEvent(now time.Duration, a *placement.Attempt)
+	Event(now time.Duration, a *placement.Attempt)
+	Ended(now time.Duration, a *placement.Attempt, o placement.Outcome, p placement.Progress)
+	MayRetry(now time.Duration, r *placement.Request) bool
+	Tick(now time.Duration) time.Duration
+}
+
+// Contestant makes the policies of a run, one for each proxy.
+type Contestant struct {
+	Name string
+	New  func(o placement.Options, seed uint64) (Policy, error)
+}
--- /dev/null
+++ b/internal/experiment/rivals.go
@@ -0,0 +1,173 @@
+package experiment
+
+import (
+	"encoding/binary"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cinderroad/internal/configuration"
+	"cinderroad/internal/placement"
+)
+
+// Rivals are simple policies that know no more than a proxy's own requests in flight and the prompts.
+func Rivals() []Contestant {
+	return []Contestant{
+		rival("least-in-flight", (*simple).leastInFlight),
+		rival("two-choices", (*simple).twoChoices),
+		rival("prompt-hash", (*simple).promptHash),
+		rival("bounded-hash", (*simple).boundedHash),
+	}
+}
+
+func rival(name string, pick picker) Contestant {
+	return Contestant{Name: name, New: func(o placement.Options, seed uint64) (Policy, error) {
+		return &simple{options: o, pick: pick, random: rand.New(rand.NewPCG(seed, 2)), inFlight: make(map[string]int)}, nil
+	}}
+}
+
+// boundOver is how far above the mean a runner's requests may be under bounded-hash.
+const boundOver = 1.25
+
+// picker picks one of at least one runner.
+type picker func(s *simple, r *placement.Request, runners []*placement.Runner) *placement.Runner
+
+// simple is a policy without ceilings: it sends to any serving runner of the service that the route's homes allow, and
+// never refuses while there is one.
+type simple struct {
+	options  placement.Options
+	pick     picker
+	random   *rand.Rand
+	runners  []placement.Runner
+	inFlight map[string]int
+	attempts uint64
+}
+
+var _ Policy = (*simple)(nil)
+
+func (s *simple) SetServices(time.Duration, []*configuration.Service) {}
+
+func (s *simple) SetRunners(_ time.Duration, runners []placement.Runner) { s.runners = runners }
+
+func (s *simple) SetProxies(time.Duration, int) {}
+
+func (s *simple) Place(_ time.Duration, r *placement.Request) (placement.Choice, *placement.Refusal) {
+	allowed := s.allowed(r)
+	if len(allowed) == 0 {
+		return placement.Choice{}, &placement.Refusal{RetryAfter: time.Second, Reason: "no runner"}
+	}
+	chosen := s.pick(s, r, allowed)
+	return placement.Choice{Runner: chosen.ID, Address: chosen.Address, Priority: -1}, nil
+}
+
+// allowed are the runners that may take a request; those that it was sent to already only if there are no others.
+func (s *simple) allowed(r *placement.Request) []*placement.Runner {
+	var fresh, tried []*placement.Runner
+	for i := range s.runners {
+		runner := &s.runners[i]
+		if runner.Service != r.Service || runner.Draining {
+			continue
+		}
+		if homes := r.Route.HomeRegions; len(homes) > 0 && !slices.Contains(homes, runner.Region) {
+			continue
+		}
+		if slices.Contains(r.Tried, runner.ID) {
+			tried = append(tried, runner)
+		} else {
+			fresh = append(fresh, runner)
+		}
+	}
+	if len(fresh) > 0 {
+		return fresh
+	}
+	return tried
+}
+
+func (s *simple) Sent(_ time.Duration, r *placement.Request, c placement.Choice) *placement.Attempt {
+	s.attempts++
+	s.inFlight[c.Runner]++
+	return &placement.Attempt{ID: s.attempts, Runner: c.Runner, Request: r}
+}
+
+func (s *simple) FirstEvent(time.Duration, *placement.Attempt) {}
+
+func (s *simple) Event(time.Duration, *placement.Attempt) {}
+
+func (s *simple) Ended(_ time.Duration, a *placement.Attempt, _ placement.Outcome, _ placement.Progress) {
+	s.inFlight[a.Runner]--
+}
+
+func (s *simple) MayRetry(now time.Duration, r *placement.Request) bool {
+	return len(r.Tried) < r.Route.Tries && now < r.Deadline && (!r.MayHaveRun || r.Route.Idempotent())
+}
+
+func (s *simple) Tick(now time.Duration) time.Duration { return now + time.Second }
+
+func (s *simple) leastInFlight(_ *placement.Request, runners []*placement.Runner) *placement.Runner {
+	var best *placement.Runner
+	ties := 0
+	for _, runner := range runners {
+		switch {
+		case best == nil || s.inFlight[runner.ID] < s.inFlight[best.ID]:
+			best, ties = runner, 1
+		case s.inFlight[runner.ID] == s.inFlight[best.ID]:
+			ties++
+			if s.random.IntN(ties) == 0 {
+				best = runner
+			}
+		}
+	}
+	return best
+}
+
+func (s *simple) twoChoices(_ *placement.Request, runners []*placement.Runner) *placement.Runner {
+	a := runners[s.random.IntN(len(runners))]
+	b := runners[s.random.IntN(len(runners))]
+	if s.inFlight[b.ID] < s.inFlight[a.ID] {
+		return b
+	}
+	return a
+}
+
+func (s *simple) promptHash(r *placement.Request, runners []*placement.Runner) *placement.Runner {
+	if len(r.Parts) < 2 {
+		return runners[s.random.IntN(len(runners))]
+	}
+	return slices.MaxFunc(runners, byWeight(r))
+}
+
+func (s *simple) boundedHash(r *placement.Request, runners []*placement.Runner) *placement.Runner {
+	if len(r.Parts) < 2 {
+		return s.leastInFlight(r, runners)
+	}
+	total := 1
+	for _, runner := range runners {
+		total += s.inFlight[runner.ID]
+	}
+	bound := boundOver * float64(total) / float64(len(runners))
+	order := byWeight(r)
+	slices.SortFunc(runners, func(a, b *placement.Runner) int { return order(b, a) })
+	for _, runner := range runners {
+		if float64(s.inFlight[runner.ID]+1) <= max(1, bound) {
+			return runner
+		}
+	}
+	return s.leastInFlight(r, runners)
+}
+
+// byWeight orders runners by rendezvous hashing of the last shared part of a prompt.
+func byWeight(r *placement.Request) func(a, b *placement.Runner) int {
+	subject := r.Parts[len(r.Parts)-2].ID
+	weight := func(runner *placement.Runner) uint64 {
+		key := binary.BigEndian.AppendUint64(nil, subject)
+		return xxhash.Sum64(append(key, runner.ID...))
+	}
+	return func(a, b *placement.Runner) int {
+		if weight(a) < weight(b) {
+			return -1
+		}
+		return 1
+	}
+}
