--- a/internal/placement/api.go
+++ b/internal/placement/api.go
@@ -44,6 +44,8 @@
 	Deadline   time.Duration // the earlier of the client's and the route's
 	Tried      []string      // runners that attempts were sent to
 	MayHaveRun bool          // an attempt was sent whole to a runner that did not say that it had not run
+
+	unreached int // attempts of which no connection came up: they never arrived, and cost no retry budget
 }
 
 // Choice is where a request goes.
@@ -79,6 +81,8 @@
 	ID      uint64
 	Runner  string
 	Request *Request
+
+	booking
 }
 
 // Progress is what an attempt has shown when it ends.
@@ -96,6 +100,7 @@
 //	func (p *Placer) SetRunners(now, runners []Runner)       // the whole set; ids are incarnations
 //	func (p *Placer) SetEvacuated(now, zones map[string]bool)
 //	func (p *Placer) SetProxies(now, n int)                   // proxies that may be sending, for the shared budgets
+//	func (p *Placer) SetPeers(now, self uint64, peers []uint64) // their keys, self among them; instead of SetProxies
 //	func (p *Placer) Place(now, *Request) (Choice, *Refusal)  // one of them; a choice is not booked yet
 //	func (p *Placer) Sent(now, *Request, Choice) *Attempt     // books room, tokens, budgets
 //	func (p *Placer) FirstEvent(now, *Attempt); Event(now, *Attempt)
--- /dev/null
+++ b/internal/placement/cold.go
@@ -0,0 +1,59 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"cinderroad/internal/capacity"
+)
+
+// A cold runner may get ColdRate*ColdExcess+ColdSlack requests in any second from all proxies together. Each proxy has an
+// even share, which it spends evenly spaced: so in no second it sends more than its share, whatever the others do. Where
+// there are more proxies than the runner bears requests, only those use it that come first in an order drawn from the
+// runner and the proxies' keys: whoever knows of more proxies than another comes no earlier.
+
+// isCold says whether a runner is cold.
+func (w *runner) isCold(now time.Duration) bool { return now < w.ColdUntil }
+
+// coldRoom says whether this proxy may send to a cold runner now.
+func (p *Placer) coldRoom(now time.Duration, w *runner) bool {
+	return now >= w.coldNext && p.coldSpacing(now, w) > 0
+}
+
+// coldSpacing is the time between two sends to a cold runner; 0: nothing may be sent.
+func (p *Placer) coldSpacing(now time.Duration, w *runner) time.Duration {
+	if p.proxies == 0 || now < p.started+joinHold {
+		return 0 // the others may not count this one yet, and its last life may have sent just now
+	}
+	bound := coldShare * (w.service.ColdRate*p.options.ColdExcess + p.options.ColdSlack)
+	n := float64(p.proxies)
+	share := math.Floor(math.Min(bound/(n+1), math.Max(w.service.ColdRate/n, 1)))
+	if share < 1 && p.isHolder(w, int(bound)) {
+		share = 1
+	}
+	if share < 1 {
+		return 0
+	}
+	return time.Duration(coldSpan / share * float64(time.Second))
+}
+
+// isHolder says whether this proxy is one of the few that may use a cold runner.
+func (p *Placer) isHolder(w *runner, holders int) bool {
+	if len(p.peers) == 0 {
+		return false
+	}
+	mine, place := capacity.Scatter(w.key^p.self), 0
+	for _, key := range p.peers {
+		if capacity.Scatter(w.key^key) < mine {
+			place++
+		}
+	}
+	return place < holders
+}
+
+// coldSent books a send to a cold runner.
+func (p *Placer) coldSent(now time.Duration, w *runner) {
+	if w.isCold(now) {
+		w.coldNext = now + p.coldSpacing(now, w)
+	}
+}
--- /dev/null
+++ b/internal/placement/load.go
@@ -0,0 +1,202 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"cinderroad/internal/capacity"
+)
+
+// booking is what an attempt takes of its runner.
+type booking struct {
+	runner     *runner
+	sent       time.Duration
+	load       float64 // of the runner when it was sent
+	weight     float64 // slots: 1, and more while its prompt is read
+	reading    float64 // the part of weight that goes with the first event
+	tokens     float64 // of the runner's memory
+	prefill    float64 // tokens of its prompt that are likely to be read
+	first      bool    // something has come
+	ended      bool
+	prev, next *Attempt // among those of which nothing has come yet
+}
+
+// attemptList holds attempts in the order in which they were sent.
+type attemptList struct{ head, tail *Attempt }
+
+func (l *attemptList) push(a *Attempt) {
+	a.prev, a.next = l.tail, nil
+	if l.tail != nil {
+		l.tail.next = a
+	} else {
+		l.head = a
+	}
+	l.tail = a
+}
+
+func (l *attemptList) remove(a *Attempt) {
+	if a.prev != nil {
+		a.prev.next = a.next
+	} else {
+		l.head = a.next
+	}
+	if a.next != nil {
+		a.next.prev = a.prev
+	} else {
+		l.tail = a.prev
+	}
+	a.prev, a.next = nil, nil
+}
+
+// demand is what a request asks of a runner.
+type demand struct {
+	own    float64 // prompt tokens that no other request shares
+	shared float64 // prompt tokens that may be kept
+	out    float64 // tokens that come
+	chain  uint64  // of the shared parts; 0: none
+}
+
+// unit is how many prompt tokens weigh as much as a slot: an engine's memory divided by its slots.
+func (s *service) unit() float64 {
+	if s.Backend == nil || s.Backend.Capacity <= 0 || s.Backend.CacheTokens <= 0 {
+		return math.Inf(1)
+	}
+	return float64(s.Backend.CacheTokens) / float64(s.Backend.Capacity)
+}
+
+// isEngine says whether the runners of the service have a memory of tokens.
+func (s *service) isEngine() bool { return s.Backend != nil && s.Backend.CacheTokens > 0 }
+
+// demandOf works out what a request asks of a service's runners.
+func (p *Placer) demandOf(s *service, r *Request) (d demand) {
+	if !s.isEngine() {
+		return d
+	}
+	for i, part := range r.Parts {
+		if i < len(r.Parts)-1 {
+			d.shared += float64(part.Tokens)
+		} else {
+			d.own += float64(part.Tokens)
+		}
+	}
+	if in := float64(r.TokensIn); in > d.own+d.shared {
+		d.own = in - d.shared
+	}
+	if r.Route != nil && r.Route.PinCache {
+		d.chain = chainOf(r.Parts)
+	}
+	if r.Route != nil {
+		d.out = float64(r.TokensOut) * p.route(r.Route).outShare
+	}
+	return d
+}
+
+// Tick rebuilds the plan of a monitoring period and says when it wants to be called again.
+func (p *Placer) Tick(now time.Duration) (next time.Duration) {
+	p.begin(now)
+	p.settle(now)
+	if elapsed := now - p.planAt; elapsed >= planPeriod {
+		p.rebuild(now, elapsed.Seconds())
+	}
+	return p.planAt + planPeriod
+}
+
+// rebuild makes the capacity plan of a period: spare room is the load ceiling less the derived load. There are no load
+// reports: the load is this proxy's own, what the others are likely to have there, and what waits have shown.
+func (p *Placer) rebuild(now time.Duration, elapsed float64) {
+	p.planAt = now
+	for _, s := range p.services {
+		p.measure(now, s, elapsed)
+		p.plan(now, s)
+	}
+}
+
+// measure moves the running means of a service's runners.
+func (p *Placer) measure(now time.Duration, s *service, elapsed float64) {
+	rate, fade := 1-math.Exp(-elapsed/meanSpan), math.Exp(-elapsed/waitFade)
+	recovered := math.Min(elapsed/p.longest, 1)
+	s.mean, s.token, s.errors = 0, 0, 0
+	judged := 0.0
+	for _, w := range s.runners {
+		capacity.Mean(&w.mean, w.own, rate)
+		capacity.Mean(&w.meanToken, w.ownTokens, rate)
+		capacity.Mean(&w.prefill, 0, rate)
+		w.wait *= fade
+		if a := w.pending.head; a != nil { // it has been waiting for longer than is usual: fresher news than any end
+			w.wait = math.Max(w.wait, (now-a.sent).Seconds()-p.expected(s, w, a.prefill))
+		}
+		w.ceilings.Recover(w.size, recovered)
+		s.mean += w.mean / float64(len(s.runners))
+		s.token += w.meanToken / float64(len(s.runners))
+		if w.standing.Judged {
+			s.errors, judged = s.errors+w.standing.Errors, judged+1
+		}
+	}
+	s.errors /= math.Max(judged, 1)
+}
+
+// plan works out the room of a service's runners.
+func (p *Placer) plan(now time.Duration, s *service) {
+	others, sum, n := p.others(), 0.0, 0.0
+	for _, w := range s.runners {
+		w.load = w.own + others*(ownWeight*w.mean+(1-ownWeight)*s.mean) + s.backlog(w)
+		w.util = p.utilization(s, w)
+		w.room = w.ceilings.Load*warmth(now, w) - w.load
+		w.tokens = math.Inf(1)
+		if s.isEngine() {
+			held := w.ownTokens + others*(ownWeight*w.meanToken+(1-ownWeight)*s.token)
+			w.tokens = memoryShare*float64(s.Backend.CacheTokens) - held
+		}
+		if w.standing.Judged && !w.Draining {
+			sum, n = sum+w.room, n+1
+		}
+	}
+	for _, w := range s.runners {
+		if !w.standing.Judged && n > 0 { // not heard from yet: the mean room of the others
+			w.room = math.Min(w.ceilings.Load*warmth(now, w), sum/n) - w.own
+		}
+		if w.util >= w.ceilings.Util {
+			w.room = math.Min(w.room, 0)
+		}
+	}
+}
+
+// backlog is the load that waits have shown, in slots.
+func (s *service) backlog(w *runner) float64 {
+	if w.wait <= 0 {
+		return 0
+	}
+	if s.isEngine() && s.speed > 0 {
+		return w.wait * s.speed / s.unit()
+	}
+	return 0
+}
+
+// utilization is the share of its time that a runner is derived to be busy: an engine with reading prompts, any other
+// runner with the slots that are taken.
+func (p *Placer) utilization(s *service, w *runner) float64 {
+	if !s.isEngine() {
+		return w.load / w.size
+	}
+	if s.speed <= 0 {
+		return 0
+	}
+	return w.prefill * (1 + p.others()) / s.speed
+}
+
+// warmth is the share of its ceiling that a runner is held to bear.
+func warmth(now time.Duration, w *runner) float64 {
+	if w.isCold(now) {
+		return coldLoad
+	}
+	return 1
+}
+
+// expected is how long a first answer of a runner without a backlog takes, in seconds.
+func (p *Placer) expected(s *service, w *runner, prefill float64) float64 {
+	least := p.region(w.Region).far
+	if s.speed > 0 {
+		return least + prefill/s.speed
+	}
+	return least + p.target*lateShare
+}
--- /dev/null
+++ b/internal/placement/outcome.go
@@ -0,0 +1,259 @@
+package placement
+
+import (
+	"math"
+	"time"
+
+	"cinderroad/internal/capacity"
+)
+
+// Sent books an attempt: room, tokens and budgets. A runner that has left meanwhile books nothing but the budgets.
+func (p *Placer) Sent(now time.Duration, r *Request, c Choice) *Attempt {
+	p.begin(now)
+	p.attempts++
+	a := &Attempt{ID: p.attempts, Runner: c.Runner, Request: r}
+	a.sent = now
+	s := p.serviceOf(r.Service)
+	s.budget.sent(now, p.options.RetryWindow, r.repeats())
+	w := p.runners[c.Runner]
+	if w == nil {
+		a.ended = true
+		return a
+	}
+	d := p.demandOf(s, r)
+	a.runner = w
+	p.weigh(now, s, a, &d)
+	p.coldSent(now, w)
+	w.take(a)
+	s.kept.note(now, d.chain, w.key)
+	if w.suspect && w.probing == nil {
+		w.probing = a
+	}
+	return a
+}
+
+// weigh works out what an attempt takes of its runner.
+func (p *Placer) weigh(now time.Duration, s *service, a *Attempt, d *demand) {
+	w := a.runner
+	o := p.ownersOf(now, s, a.Request, d)
+	kept := o.keeps(w) || d.chain != 0 && s.kept.has(d.chain, w.key)
+	a.weight = 1
+	if s.isEngine() {
+		a.tokens, a.prefill = d.need(kept), d.own
+		if !kept {
+			a.prefill += d.shared
+		}
+		a.reading = a.prefill / s.unit()
+		a.weight += a.reading
+	}
+	a.load = w.load + a.weight
+}
+
+// take books an attempt on its runner.
+func (w *runner) take(a *Attempt) {
+	w.own, w.load, w.room = w.own+a.weight, w.load+a.weight, w.room-a.weight
+	w.ownTokens, w.tokens = w.ownTokens+a.tokens, w.tokens-a.tokens
+	w.prefill += a.prefill / meanSpan
+	w.ownJobs++
+	w.pending.push(a)
+}
+
+// lighten takes the weight of reading off: the prompt has been read.
+func (w *runner) lighten(a *Attempt) {
+	w.own, w.load, w.room = w.own-a.reading, w.load-a.reading, w.room+a.reading
+	a.weight -= a.reading
+	a.reading = 0
+	w.pending.remove(a)
+}
+
+// give books the end of an attempt.
+func (w *runner) give(a *Attempt) {
+	if !a.first {
+		w.lighten(a)
+	}
+	w.own, w.load, w.room = w.own-a.weight, w.load-a.weight, w.room+a.weight
+	w.ownTokens, w.tokens = w.ownTokens-a.tokens, w.tokens+a.tokens
+	w.ownJobs--
+	if w.ownJobs == 0 {
+		w.own, w.ownTokens = 0, 0 // whatever rounding has left
+	}
+	if w.probing == a {
+		w.probing = nil
+	}
+}
+
+// FirstEvent takes the first event or byte of an answer: how long it took shows what waits there.
+func (p *Placer) FirstEvent(now time.Duration, a *Attempt) {
+	if a.ended || a.first {
+		return
+	}
+	w := a.runner
+	a.first = true
+	w.lighten(a)
+	w.clear()
+	p.learnFirst(a, (now - a.sent).Seconds())
+}
+
+// Event takes another event of a stream.
+func (p *Placer) Event(now time.Duration, a *Attempt) {}
+
+// learnFirst draws on the time to a first answer: how far the region is, how fast prompts are read, what waits.
+func (p *Placer) learnFirst(a *Attempt, took float64) {
+	w, s := a.runner, a.runner.service
+	far := &p.region(w.Region).far
+	if *far == 0 || took < *far {
+		*far = took
+	}
+	excess := took - p.expected(s, w, a.prefill)
+	capacity.Mean(&w.wait, math.Max(excess, 0), 2*capacity.LearnRate)
+	if s.isEngine() && a.prefill > s.unit()/16 && took > *far {
+		s.learnSpeed(a.prefill / (took - *far))
+	}
+	if a.Request.Route != nil && took > lateShare*a.Request.Route.Target.Seconds() {
+		w.ceilings.Strike(a.load, w.size) // a late start is the early warning of a late end
+	}
+}
+
+// learnSpeed moves the speed of reading towards the one that speedAt of all prompts stay below: those that waited for
+// others say little.
+func (s *service) learnSpeed(sample float64) {
+	switch {
+	case s.speed == 0:
+		s.speed = sample
+	case sample > s.speed:
+		s.speed *= 1 + speedStep*speedAt
+	default:
+		s.speed *= 1 - speedStep*(1-speedAt)
+	}
+}
+
+// Ended takes the end of an attempt.
+func (p *Placer) Ended(now time.Duration, a *Attempt, outcome Outcome, progress Progress) {
+	if outcome == Unreached {
+		a.Request.unreached++
+	}
+	if a.ended {
+		return
+	}
+	a.ended = true
+	w := a.runner
+	if !a.first && outcome == Served {
+		p.firstKnown(a, progress)
+	}
+	w.give(a)
+	p.learn(now, a, outcome, progress)
+}
+
+// firstKnown takes the first answer where nobody told of it when it came.
+func (p *Placer) firstKnown(a *Attempt, progress Progress) {
+	after := progress.FirstAfter
+	if after <= 0 {
+		after = progress.Took
+	}
+	a.first = true
+	a.runner.lighten(a)
+	a.runner.clear()
+	p.learnFirst(a, after.Seconds())
+}
+
+// learn draws on an outcome.
+func (p *Placer) learn(now time.Duration, a *Attempt, outcome Outcome, progress Progress) {
+	w := a.runner
+	switch outcome {
+	case Served:
+		p.learnServed(now, a, progress)
+		p.blame(now, w, 0)
+	case NotRun:
+		w.ceilings.Strike(math.Max(a.load, w.ceilings.Load), w.size)
+		w.fullUntil = now + time.Duration(fullSpan*p.target*float64(time.Second))
+	case Failed, Broken:
+		w.ceilings.Strike(a.load, w.size)
+		p.blame(now, w, 1)
+	case Silent, Unreached:
+		w.ceilings.Strike(a.load, w.size)
+		w.doubt(now)
+		p.blame(now, w, 1)
+	case WrongRunner: // whoever has the address now is not the runner that was meant
+		w.doubt(now)
+	}
+}
+
+// learnServed draws on a whole answer.
+func (p *Placer) learnServed(now time.Duration, a *Attempt, progress Progress) {
+	w, r := a.runner, a.Request
+	if r.Route == nil {
+		return
+	}
+	stats, took := p.route(r.Route), progress.Took.Seconds()
+	if took <= 0 {
+		took = (now - a.sent).Seconds()
+	}
+	capacity.Mean(&stats.spread, math.Abs(took-stats.took), learnSlow)
+	capacity.Mean(&stats.took, took, learnSlow)
+	if s := w.service; s.isEngine() && r.TokensOut > 0 && progress.Events > 0 {
+		out := float64(progress.Events*max(s.Backend.Stride, 1)) / float64(r.TokensOut)
+		capacity.Mean(&stats.outShare, math.Min(out, 1), learnSlow)
+	}
+	if inTime(r, progress) {
+		w.ceilings.Clean(a.load, w.size)
+	} else {
+		w.ceilings.Strike(a.load, w.size)
+	}
+}
+
+// inTime says whether an answer earns its full worth.
+func inTime(r *Request, progress Progress) bool {
+	first := progress.FirstAfter
+	if first <= 0 || r.Route.GapAim == 0 {
+		first = progress.Took
+	}
+	return first <= r.Route.Target && (r.Route.GapAim == 0 || progress.LongestGap <= r.Route.GapAim)
+}
+
+// blame counts a failure, 1, or a success, 0, and sets a runner aside whose attempts fail more than those of its peers.
+func (p *Placer) blame(now time.Duration, w *runner, bad float64) {
+	if w.standing.Blame(bad, w.service.peerErrors(w)) {
+		w.standing.SetAside(now.Seconds(), p.target, p.longest)
+	}
+}
+
+// peerErrors is the mean error share of the other runners that have been judged.
+func (s *service) peerErrors(w *runner) float64 {
+	sum, n := 0.0, 0.0
+	for _, peer := range s.runners {
+		if peer != w && peer.standing.Judged {
+			sum, n = sum+peer.standing.Errors, n+1
+		}
+	}
+	return sum / math.Max(n, 1)
+}
+
+// doubt notes that a connection or an answer never came.
+func (w *runner) doubt(now time.Duration) {
+	if w.suspect && now < w.suspectUntil {
+		return
+	}
+	w.suspect = true
+	w.suspectFor = min(max(2*w.suspectFor, suspectFirst), suspectMost)
+	w.suspectUntil = now + w.suspectFor
+}
+
+// clear notes that the runner answers.
+func (w *runner) clear() { w.suspect, w.suspectFor, w.probing = false, 0, nil }
+
+// doubtful says whether a runner is set aside, or suspect and not to be tried now: once its span is over, a single
+// request finds out whether it is back.
+func (w *runner) doubtful(now time.Duration) bool {
+	return w.standing.Shunned(now.Seconds()) || w.suspect && (now < w.suspectUntil || w.probing != nil)
+}
+
+// sharedCause says that so many runners of the service are suspect at once that they are not to blame.
+func (s *service) sharedCause() bool {
+	suspect := 0
+	for _, w := range s.runners {
+		if w.suspect {
+			suspect++
+		}
+	}
+	return suspect > 1 && float64(suspect) > suspectAll*float64(len(s.runners))
+}
