--- /dev/null
+++ b/cmd/cinderroad-emulator/policies.go
@@ -0,0 +1,103 @@
+package main
+
+import (
+	"fmt"
+	"os"
+	"runtime"
+	"sync"
+	"time"
+
+	"cinderroad/internal/experiment"
+)
+
+// policies compares placement policies.
+type policies struct {
+	Scenario string        `default:"screening" enum:"screening,parcels" help:"Deployment: ${enum}."`
+	Load     float64       `default:"1" help:"Multiple of every rate."`
+	Length   time.Duration `default:"34s" help:"Of the traffic."`
+	Seed     uint64        `default:"1" help:"Of the traffic and of the policies."`
+	Seeds    int           `default:"1" help:"Runs of each policy, with seeds that follow each other."`
+	Burst    string        `help:"Class whose rate is multiplied by 2.5 from 10 s on, for 10 s."`
+	Crash    int           `help:"Runners that crash at 12 s, for 4.5 s."`
+	Dark     bool          `help:"Runners that crash say nothing, instead of losing their connections."`
+	Only     []string      `help:"Names of policies; all if there are none."`
+	Jobs     int           `help:"Runs at once; half of the processors if there is none."`
+}
+
+const (
+	burstFactor = 2.5
+	burstFrom   = 10 * time.Second
+	burstFor    = 10 * time.Second
+	crashAt     = 12 * time.Second
+	crashFor    = 4500 * time.Millisecond
+)
+
+// Run implements the command.
+func (p *policies) Run() error {
+	contestants, err := p.contestants()
+	if err != nil {
+		return err
+	}
+	jobs := make(chan struct{}, p.jobs())
+	results := make([]*experiment.Result, len(contestants)*p.Seeds)
+	errs := make([]error, len(results))
+	var group sync.WaitGroup
+	for i := range results {
+		group.Add(1)
+		jobs <- struct{}{}
+		go func() {
+			defer group.Done()
+			defer func() { <-jobs }()
+			results[i], errs[i] = experiment.Run(p.scenario(), contestants[i/p.Seeds], p.Seed+uint64(i%p.Seeds))
+		}()
+	}
+	group.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	return experiment.Print(os.Stdout, results)
+}
+
+func (p *policies) jobs() int {
+	if p.Jobs > 0 {
+		return p.Jobs
+	}
+	return max(1, runtime.NumCPU()/2)
+}
+
+func (p *policies) contestants() ([]experiment.Contestant, error) {
+	all := experiment.Contestants()
+	if len(p.Only) == 0 {
+		return all, nil
+	}
+	var chosen []experiment.Contestant
+	for _, name := range p.Only {
+		found := false
+		for _, c := range all {
+			if c.Name == name {
+				chosen, found = append(chosen, c), true
+			}
+		}
+		if !found {
+			return nil, fmt.Errorf("there is no policy %q", name)
+		}
+	}
+	return chosen, nil
+}
+
+func (p *policies) scenario() *experiment.Scenario {
+	s := experiment.Screening()
+	if p.Scenario == "parcels" {
+		s = experiment.Parcels()
+	}
+	s.Length, s.Load = p.Length, p.Load
+	if p.Burst != "" {
+		s.Bursts = []experiment.Burst{{Class: p.Burst, Factor: burstFactor, From: burstFrom, For: burstFor}}
+	}
+	for i := range p.Crash {
+		s.Crashes = append(s.Crashes, experiment.Crash{Service: "llm", Runner: i * 3, At: crashAt, For: crashFor, Dark: p.Dark})
+	}
+	return s
+}
