--- /dev/null
+++ b/internal/standin/runner/runner.go
@@ -0,0 +1,249 @@
+// Package runner stands in for the runners of a service: HTTP/1.1 servers on loopback, each around a machine of package
+// engine that it plays in real time. A runner answers requests, health checks and reports as the protocol says, and
+// misbehaves as its script of faults tells it.
+package runner
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"cinderroad/internal/standin/engine"
+	"cinderroad/internal/standin/referee"
+)
+
+// Options describe a runner.
+type Options struct {
+	referee.Runner
+	Address    string         // to listen on
+	Machine    engine.Machine // that does the work
+	Stride     int            // tokens in an event; 0: the service has no streams
+	Models     []Model
+	HealthPath string
+	MaxConns   int           // connections from all callers; 0: no bound
+	IdleFor    time.Duration // after which an idle connection is closed; 0: never
+	CloseShare float64       // of answers that end their connection
+	ReportLag  time.Duration
+	Cold       engine.Cold
+	Work       func(random *rand.Rand) time.Duration // of a plain request; nil: none
+	BodyBytes  int                                   // of a plain answer
+	Referee    *referee.Referee                      // nil: none
+	Seed       uint64
+}
+
+// Model is what a runner serves.
+type Model struct {
+	Name    string `json:"name"`
+	Version int    `json:"version"`
+}
+
+// Runner is one incarnation of a server, from Start until Close, Crash or GoDark.
+type Runner struct {
+	options  Options
+	address  netip.AddrPort
+	server   *http.Server
+	listener *listener
+	epoch    time.Time
+	wake     chan struct{}
+	done     chan struct{}
+
+	mutex    sync.Mutex
+	random   *rand.Rand
+	faults   Faults
+	draining bool
+	dark     bool
+	ended    bool
+	orders   map[*engine.Task]*order
+	reports  []report
+	stats    Stats
+}
+
+// Stats count what a runner has seen.
+type Stats struct {
+	Requests   int // that got in, health checks and reports apart
+	Misplaced  int // answered with 421
+	Rejected   int
+	Finished   int
+	Connected  int // connections that were taken
+	TurnedAway int // connections that were reset for being too many
+	Probes     int // health checks and reports
+	Faults     int // played
+	Unanswered int // requests that came while it was dark
+	Fell       bool
+	ColdWorst  int
+	ColdBroken int
+	Machine    engine.State
+}
+
+// Start starts a runner.
+func Start(o Options) (*Runner, error) {
+	inner, err := net.Listen("tcp", o.Address)
+	if err != nil {
+		return nil, fmt.Errorf("runner %s: %w", o.ID, err)
+	}
+	r := &Runner{options: o, address: inner.Addr().(*net.TCPAddr).AddrPort(), epoch: time.Now(),
+		wake: make(chan struct{}, 1), done: make(chan struct{}), random: rand.New(rand.NewPCG(o.Seed, 4)),
+		orders: make(map[*engine.Task]*order)}
+	r.listener = &listener{Listener: inner, most: o.MaxConns, conns: make(map[*conn]struct{})}
+	r.server = &http.Server{Handler: http.HandlerFunc(r.serve), IdleTimeout: o.IdleFor,
+		ErrorLog: log.New(io.Discard, "", 0), ConnState: r.connState,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }}
+	go r.server.Serve(r.listener)
+	go r.run()
+	return r, nil
+}
+
+// connKey is the key of a request's connection in its context.
+type connKey struct{}
+
+// ID is the incarnation's.
+func (r *Runner) ID() string { return r.options.ID }
+
+// Address is where it listens.
+func (r *Runner) Address() netip.AddrPort { return r.address }
+
+// now is the machine's time.
+func (r *Runner) now() time.Duration { return time.Since(r.epoch) }
+
+// Drain lets it say that it is leaving.
+func (r *Runner) Drain() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.draining = true
+}
+
+// Chill makes it cold for a while.
+func (r *Runner) Chill(span time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.options.Cold.Begin(r.now() + span)
+}
+
+// ColdLeft is how much longer it stays cold.
+func (r *Runner) ColdLeft() time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.options.Cold.Left(r.now())
+}
+
+// Script sets the faults that it plays from now on.
+func (r *Runner) Script(f Faults) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.faults = f
+}
+
+// GoDark makes it say nothing any more: its work stops, its connections stay and new ones come up unanswered.
+func (r *Runner) GoDark() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.dark = true
+	r.machineStop()
+}
+
+// Crash ends it: connections are reset, its work is lost.
+func (r *Runner) Crash() { r.end(true) }
+
+// Close ends it; connections are closed.
+func (r *Runner) Close() { r.end(false) }
+
+func (r *Runner) end(reset bool) {
+	r.mutex.Lock()
+	if r.ended {
+		r.mutex.Unlock()
+		return
+	}
+	r.ended = true
+	r.machineStop()
+	r.mutex.Unlock()
+	close(r.done)
+	if reset {
+		r.listener.resetAll()
+	}
+	r.server.Close()
+}
+
+// machineStop loses all work.
+func (r *Runner) machineStop() {
+	for _, event := range r.options.Machine.Stop(r.now()) {
+		r.handle(event)
+	}
+}
+
+// Stats returns the counts so far.
+func (r *Runner) Stats() Stats {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	s := r.stats
+	s.Machine = r.options.Machine.State()
+	s.ColdWorst, s.ColdBroken = r.options.Cold.Worst(), r.options.Cold.Broken()
+	s.Connected, s.TurnedAway = r.listener.counts()
+	return s
+}
+
+// run plays the machine.
+func (r *Runner) run() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		if next, is := r.play(); is {
+			timer.Reset(max(0, next-r.now()))
+		}
+		select {
+		case <-timer.C:
+		case <-r.wake:
+		case <-r.done:
+			return
+		}
+	}
+}
+
+// play lets everything happen that is due.
+func (r *Runner) play() (next time.Duration, is bool) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for _, event := range r.options.Machine.Advance(r.now()) {
+		r.handle(event)
+	}
+	r.noteReport()
+	return r.options.Machine.Next()
+}
+
+// poke has run look at the machine again.
+func (r *Runner) poke() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// handle passes an event of the machine on to the request that waits for it.
+func (r *Runner) handle(event engine.Event) {
+	o := r.orders[event.Task]
+	if o == nil {
+		return
+	}
+	switch event.Kind {
+	case engine.Started:
+		r.ran(o)
+	case engine.Preempted, engine.PartRead:
+		return
+	case engine.Finished, engine.Expired, engine.CutOff, engine.Lost:
+		delete(r.orders, event.Task)
+	}
+	o.push(event)
+}
+
+// ran notes that work on a request has begun.
+func (r *Runner) ran(o *order) {
+	if r.options.Referee != nil {
+		r.options.Referee.Ran(&r.options.Runner, o.try)
+	}
+}
--- /dev/null
+++ b/internal/standin/runner/runner_test.go
@@ -0,0 +1,366 @@
+package runner
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"cinderroad/internal/standin/answer"
+	"cinderroad/internal/standin/engine"
+	"cinderroad/internal/standin/referee"
+)
+
+// long bounds what should take milliseconds.
+const long = 20 * time.Second
+
+func engineOptions() engine.Options {
+	return engine.Options{Slots: 4, Queue: 4, MemoryTokens: 1000, Step: time.Millisecond, PrefillPerMS: 100, StrideTokens: 2}
+}
+
+func start(t *testing.T, alter func(*Options)) *Runner {
+	t.Helper()
+	machine, err := engine.New(engineOptions())
+	if err != nil {
+		t.Fatal(err)
+	}
+	o := Options{Runner: referee.Runner{ID: "i-1", Service: "llm", Zone: "a", Region: "r"}, Address: "127.0.0.1:0",
+		Machine: machine, Stride: 2, Models: []Model{{Name: "m", Version: 3}}, HealthPath: "/health"}
+	if alter != nil {
+		alter(&o)
+	}
+	r, err := Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return r
+}
+
+func plain(o *Options) {
+	o.Machine, _ = engine.NewWorkers(1, 1)
+	o.Stride, o.BodyBytes = 0, 100
+}
+
+// caller is a connection to a runner.
+type caller struct {
+	net.Conn
+	reader *bufio.Reader
+}
+
+func dial(t *testing.T, r *Runner) *caller {
+	t.Helper()
+	c, err := net.Dial("tcp", r.Address().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { c.Close() })
+	c.SetDeadline(time.Now().Add(long))
+	return &caller{c, bufio.NewReader(c)}
+}
+
+// ask sends a request and reads the head of the answer.
+func (c *caller) ask(method, path string, headers ...string) (*http.Response, error) {
+	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n%s\r\nx", method, path, strings.Join(append(headers, ""), "\r\n"))
+	return http.ReadResponse(c.reader, nil)
+}
+
+func (c *caller) mustAsk(t *testing.T, headers ...string) *http.Response {
+	t.Helper()
+	resp, err := c.ask("POST", "/a/b", headers...)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return resp
+}
+
+func events(t *testing.T, body io.Reader) (list []answer.Event, err error) {
+	t.Helper()
+	lines := bufio.NewReader(body)
+	id := ""
+	for {
+		line, err := lines.ReadString('\n')
+		if err == io.EOF {
+			return list, nil
+		}
+		if err != nil {
+			return list, err
+		}
+		line = strings.TrimSuffix(line, "\n")
+		if rest, is := strings.CutPrefix(line, "id: "); is {
+			id = rest
+		}
+		if rest, is := strings.CutPrefix(line, "data: "); is {
+			event, err := answer.ParseEvent(id, rest)
+			if err != nil {
+				t.Fatal(err)
+			}
+			list = append(list, event)
+		}
+	}
+}
+
+const prompt = "X-Model: m\r\nX-Token-Counts: 30,12\r\nX-Prompt-Start: a:20,b:10"
+
+func TestAStreamIsWholeAndInOrder(t *testing.T) {
+	r := start(t, nil)
+	resp := dial(t, r).mustAsk(t, "X-Try-Id: 1", prompt, "X-Wanted-Server: i-1")
+	seal, err := answer.ParseSeal(resp.Header.Get(answer.SealHeader))
+	if err != nil || seal.Try != "1" || !seal.Stream {
+		t.Fatalf("seal %+v: %v", seal, err)
+	}
+	if resp.Header.Get(answer.TryID) != "1" || resp.Header.Get(answer.Versions) != "3" {
+		t.Errorf("head: %v", resp.Header)
+	}
+	list, err := events(t, resp.Body)
+	if err != nil || len(list) != seal.Size {
+		t.Fatalf("%d events of %d: %v", len(list), seal.Size, err)
+	}
+	for i, event := range list {
+		if event.Index != i+1 || event.Of != seal.Size || event.Run != seal.Run {
+			t.Errorf("event %d is %+v", i+1, event)
+		}
+	}
+}
+
+func TestAStreamGoesOnWhereItWasCut(t *testing.T) {
+	r := start(t, nil)
+	whole, err := events(t, dial(t, r).mustAsk(t, "X-Try-Id: 1", prompt).Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rest, err := events(t, dial(t, r).mustAsk(t, "X-Try-Id: 2", prompt, "Last-Event-Id: 2").Body)
+	if err != nil || len(rest) != len(whole)-2 || rest[0].Index != 3 || rest[0].Of != len(whole) {
+		t.Errorf("after 2 of %d events came %+v: %v", len(whole), rest, err)
+	}
+}
+
+func TestWhatARunnerDoesNotRun(t *testing.T) {
+	r := start(t, nil)
+	for _, test := range []struct {
+		name, headers string
+		status        int
+		notRun        string
+	}{
+		{"for another runner", "X-Try-Id: 1\r\nX-Wanted-Server: i-2", 421, ""},
+		{"for another version", "X-Try-Id: 1\r\nExpect-Version: 4", 421, ""},
+		{"without an id", prompt, 400, "1"},
+		{"larger than the memory", "X-Try-Id: 2\r\nX-Token-Counts: 2000,1\r\nX-Prompt-Start: a:2000", 503, "1"},
+		{"too late", "X-Try-Id: 3\r\nX-Time-Left-Ms: 0\r\n" + prompt, 503, "1"},
+	} {
+		resp := dial(t, r).mustAsk(t, test.headers)
+		if resp.StatusCode != test.status || resp.Header.Get(answer.NotRun) != test.notRun {
+			t.Errorf("%s: %d, not run %q", test.name, resp.StatusCode, resp.Header.Get(answer.NotRun))
+		}
+	}
+}
+
+func TestAPlainAnswerIsSealed(t *testing.T) {
+	r := start(t, plain)
+	resp := dial(t, r).mustAsk(t, "X-Try-Id: 7")
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	seal, err := answer.ParseSeal(resp.Header.Get(answer.SealHeader))
+	if err != nil || seal.CheckBody("7", body) != nil {
+		t.Errorf("seal: %v, %v", err, seal.CheckBody("7", body))
+	}
+}
+
+func TestHealthAndReport(t *testing.T) {
+	r := start(t, nil)
+	r.Chill(long)
+	c := dial(t, r)
+	resp, err := c.ask("GET", "/health")
+	if err != nil || resp.StatusCode != 200 || resp.Header.Get(answer.ServerID) != "i-1" || resp.Header.Get(answer.ColdLeft) == "" {
+		t.Fatalf("health: %v %+v", err, resp)
+	}
+	resp, err = c.ask("GET", "/-/report")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got reportBody
+	if err := json.NewDecoder(resp.Body).Decode(&got); err != nil || got.CacheSize != 992 && got.CacheSize != 1000 || got.Models[0].Name != "m" {
+		t.Errorf("report: %v %+v", err, got)
+	}
+	r.Drain()
+	resp, err = dial(t, r).ask("GET", "/health")
+	if err != nil || resp.StatusCode != 503 || !resp.Close {
+		t.Errorf("health of one that drains: %v %+v", err, resp)
+	}
+}
+
+func TestFaults(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		faults Faults
+		alter  func(*Options)
+		check  func(t *testing.T, c *caller, resp *http.Response, err error)
+	}{
+		{"broken off stream", Faults{BreakOff: 1}, nil, func(t *testing.T, c *caller, resp *http.Response, err error) {
+			if err != nil {
+				t.Fatal(err)
+			}
+			if list, err := events(t, resp.Body); err == nil || len(list) == 0 {
+				t.Errorf("%d events, %v", len(list), err)
+			}
+		}},
+		{"broken off body", Faults{BreakOff: 1}, plain, func(t *testing.T, c *caller, resp *http.Response, err error) {
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := io.ReadAll(resp.Body); !errors.Is(err, io.ErrUnexpectedEOF) {
+				t.Errorf("body ended with %v", err)
+			}
+		}},
+		{"extra", Faults{Extra: 1}, plain, func(t *testing.T, c *caller, resp *http.Response, err error) {
+			if err != nil {
+				t.Fatal(err)
+			}
+			io.Copy(io.Discard, resp.Body)
+			if extra, err := http.ReadResponse(c.reader, nil); err != nil || extra.Header.Get(answer.TryID) != "1" {
+				t.Errorf("extra: %v", err)
+			}
+		}},
+		{"extra late", Faults{ExtraLate: 1}, plain, func(t *testing.T, c *caller, resp *http.Response, err error) {
+			if err != nil {
+				t.Fatal(err)
+			}
+			io.Copy(io.Discard, resp.Body)
+			next, err := c.ask("POST", "/a/b", "X-Try-Id: 2")
+			if err != nil || next.Header.Get(answer.TryID) != "1" {
+				t.Errorf("the next answer: %v", err)
+			}
+		}},
+		{"garbage", Faults{Garbage: 1}, plain, func(t *testing.T, c *caller, resp *http.Response, err error) {
+			if err == nil {
+				t.Error("garbage was an answer")
+			}
+		}},
+		{"reset", Faults{Reset: 1}, plain, func(t *testing.T, c *caller, resp *http.Response, err error) {
+			if err == nil {
+				t.Error("an answer came")
+			}
+		}},
+		{"close", Faults{Close: 1}, plain, func(t *testing.T, c *caller, resp *http.Response, err error) {
+			if err == nil {
+				t.Error("an answer came")
+			}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			r := start(t, test.alter)
+			r.Script(test.faults)
+			c := dial(t, r)
+			resp, err := c.ask("POST", "/a/b", "X-Try-Id: 1", prompt)
+			test.check(t, c, resp, err)
+		})
+	}
+}
+
+func TestSilence(t *testing.T) {
+	r := start(t, plain)
+	r.Script(Faults{Silent: 1})
+	c := dial(t, r)
+	fmt.Fprint(c, "POST /a HTTP/1.1\r\nHost: h\r\nX-Try-Id: 1\r\nContent-Length: 0\r\n\r\n")
+	await(t, func() bool { return r.Stats().Machine.Running == 0 && r.Stats().Requests == 1 })
+	c.Close()
+}
+
+// await waits for a state.
+func await(t *testing.T, ok func() bool) {
+	t.Helper()
+	tick := time.NewTicker(time.Millisecond)
+	defer tick.Stop()
+	for end := time.Now().Add(long); !ok(); <-tick.C {
+		if time.Now().After(end) {
+			t.Fatal("the state did not come")
+		}
+	}
+}
+
+func TestACallerThatLeavesEndsTheWork(t *testing.T) {
+	r := start(t, func(o *Options) {
+		options := engineOptions()
+		options.MemoryTokens, options.Step = 1<<30, 10*time.Millisecond
+		o.Machine, _ = engine.New(options)
+	})
+	c := dial(t, r)
+	c.mustAsk(t, "X-Try-Id: 1", "X-Token-Counts: 10,1000000", "X-Prompt-Start: a:10")
+	c.Close()
+	await(t, func() bool { return r.Stats().Machine.Running == 0 })
+}
+
+func TestConnectionsBeyondTheMostAreReset(t *testing.T) {
+	r := start(t, func(o *Options) { o.MaxConns = 1 })
+	if _, err := dial(t, r).ask("GET", "/health"); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := dial(t, r).ask("GET", "/health"); err == nil {
+		t.Error("a second connection was served")
+	}
+	if r.Stats().TurnedAway != 1 {
+		t.Errorf("%+v", r.Stats())
+	}
+}
+
+func TestCrashAndDark(t *testing.T) {
+	r := start(t, nil)
+	c := dial(t, r)
+	if _, err := c.ask("GET", "/health"); err != nil {
+		t.Fatal(err)
+	}
+	r.Crash()
+	if _, err := c.ask("GET", "/health"); err == nil {
+		t.Error("a crashed runner answers")
+	}
+	dark := start(t, nil)
+	c = dial(t, dark)
+	dark.GoDark()
+	fmt.Fprint(c, "GET /health HTTP/1.1\r\nHost: h\r\n\r\n")
+	await(t, func() bool { return dark.Stats().Unanswered == 1 })
+	dark.Close()
+	if _, err := http.ReadResponse(c.reader, nil); err == nil {
+		t.Error("a dark runner answers")
+	}
+}
+
+func TestAColdRunnerFallsOver(t *testing.T) {
+	r := start(t, func(o *Options) { o.Cold = engine.Cold{Rate: 1, Falls: 2} })
+	r.Chill(long)
+	for i := range 3 {
+		resp, err := dial(t, r).ask("POST", "/a/b", fmt.Sprintf("X-Try-Id: %d", i), prompt)
+		if (err == nil) != (i < 2) {
+			t.Errorf("request %d: %v", i, err)
+		}
+		if err == nil {
+			io.Copy(io.Discard, resp.Body)
+		}
+	}
+	if !r.Stats().Fell {
+		t.Error("it has not fallen over")
+	}
+}
+
+func TestPartsThatAreNone(t *testing.T) {
+	for _, text := range []string{"a", "x:1", "a:", "a:-1", "a:1,,"} {
+		if _, err := parseParts(text); err == nil {
+			t.Errorf("%q was read", text)
+		}
+	}
+	parts, err := parseParts("5c1e07a2:800,91bd3f06:410")
+	if err != nil || len(parts) != 2 || parts[0] != (engine.Part{ID: 0x5c1e07a2, Tokens: 800}) {
+		t.Errorf("%+v, %v", parts, err)
+	}
+	if !bytes.Contains(spare("7"), []byte("X-Try-Id: 7\r\n")) {
+		t.Error("the spare answer has no id")
+	}
+}
--- /dev/null
+++ b/internal/standin/runner/serve.go
@@ -0,0 +1,256 @@
+package runner
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"cinderroad/internal/standin/answer"
+	"cinderroad/internal/standin/engine"
+	"cinderroad/internal/standin/referee"
+)
+
+// reportPath is where a runner tells its state.
+const reportPath = "/-/report"
+
+// report is the state that a runner tells, some time ago.
+type report struct {
+	at                    time.Duration
+	queued, running       int
+	memoryUsed, memoryAll int
+}
+
+// reportBody is a report on the wire.
+type reportBody struct {
+	Phase       string        `json:"phase"`
+	Models      []reportModel `json:"models"`
+	IsBusy      bool          `json:"is_busy"`
+	CallCount   int           `json:"call_count"`
+	Queued      int           `json:"queued"`
+	Running     int           `json:"running"`
+	CacheUsed   int           `json:"cache_used"`
+	CacheSize   int           `json:"cache_size"`
+	OpenHandles int           `json:"open_handles"`
+}
+
+type reportModel struct {
+	Model
+	Adapters []string `json:"adapters"`
+}
+
+// noteReport keeps the state, for reports that come late.
+func (r *Runner) noteReport() {
+	const most = 64
+	s := r.options.Machine.State()
+	now := r.now()
+	r.reports = append(r.reports, report{at: now, queued: s.Queued, running: s.Running, memoryUsed: s.MemoryUsed, memoryAll: s.MemorySize})
+	for len(r.reports) > 1 && r.reports[1].at <= now-r.options.ReportLag || len(r.reports) > most {
+		r.reports = r.reports[1:]
+	}
+}
+
+// serve answers one request.
+func (r *Runner) serve(w http.ResponseWriter, q *http.Request) {
+	c := q.Context().Value(connKey{}).(*conn)
+	r.sendLate(c)
+	if r.isDark() {
+		r.count(func(s *Stats) { s.Unanswered++ })
+		<-q.Context().Done()
+		return
+	}
+	r.head(w)
+	switch {
+	case q.Method == http.MethodGet && q.URL.Path == reportPath:
+		r.serveReport(w)
+	case q.Method == http.MethodGet && q.URL.Path == r.options.HealthPath:
+		r.serveHealth(w)
+	default:
+		r.serveRequest(w, q, c)
+	}
+}
+
+func (r *Runner) isDark() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.dark
+}
+
+// head sets the headers that every answer has.
+func (r *Runner) head(w http.ResponseWriter) {
+	r.mutex.Lock()
+	ends := r.draining || r.random.Float64() < r.options.CloseShare
+	r.mutex.Unlock()
+	for _, model := range r.options.Models {
+		w.Header().Set(answer.Versions, strconv.Itoa(model.Version))
+	}
+	if ends {
+		w.Header().Set("Connection", "close")
+		return
+	}
+	if r.options.IdleFor > 0 {
+		w.Header().Set("Keep-Alive", "timeout="+strconv.Itoa(int(r.options.IdleFor/time.Second)))
+	}
+}
+
+func (r *Runner) serveReport(w http.ResponseWriter) {
+	r.mutex.Lock()
+	r.stats.Probes++
+	r.noteReport()
+	old := r.reports[0]
+	body := reportBody{Phase: "both", Models: []reportModel{}, Queued: old.queued, Running: old.running,
+		CacheUsed: old.memoryUsed, CacheSize: old.memoryAll}
+	r.mutex.Unlock()
+	for _, model := range r.options.Models {
+		body.Models = append(body.Models, reportModel{Model: model, Adapters: []string{}})
+	}
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(body)
+}
+
+func (r *Runner) serveHealth(w http.ResponseWriter) {
+	r.mutex.Lock()
+	r.stats.Probes++
+	s := r.options.Machine.State()
+	full := s.Queued > 0 && s.Running+s.Queued >= r.options.MaxConns && r.options.MaxConns > 0
+	cold := r.options.Cold.Left(r.now())
+	draining := r.draining
+	r.mutex.Unlock()
+	w.Header().Set(answer.ServerID, r.options.ID)
+	if cold > 0 {
+		w.Header().Set(answer.ColdLeft, strconv.FormatInt(cold.Milliseconds(), 10))
+	}
+	switch {
+	case draining:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case full:
+		r.turnAway(w, http.StatusServiceUnavailable)
+	}
+}
+
+// turnAway says that a request has not run.
+func (r *Runner) turnAway(w http.ResponseWriter, status int) {
+	w.Header().Set(answer.NotRun, "1")
+	w.WriteHeader(status)
+}
+
+func (r *Runner) serveRequest(w http.ResponseWriter, q *http.Request, c *conn) {
+	try := q.Header.Get(answer.TryID)
+	if try != "" {
+		w.Header().Set(answer.TryID, try)
+	}
+	if wanted := q.Header.Get(answer.WantedServer); wanted != "" && wanted != r.options.ID || !r.hasVersion(q) {
+		r.count(func(s *Stats) { s.Misplaced++ })
+		w.Header().Set(answer.ServerID, r.options.ID)
+		w.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		return // the caller broke off
+	}
+	if try == "" {
+		r.turnAway(w, http.StatusBadRequest)
+		return
+	}
+	if r.options.Referee != nil {
+		r.options.Referee.Arrived(referee.Arrival{Runner: &r.options.Runner, ID: try, Method: q.Method, Host: q.Host,
+			URI: q.RequestURI, Body: referee.Hash(body)})
+	}
+	o, ok := r.submit(q, try)
+	if !ok {
+		r.turnAway(w, http.StatusServiceUnavailable)
+		return
+	}
+	if o == nil { // it fell over
+		reset(c.Conn)
+		return
+	}
+	o.w, o.conn = w, c
+	r.follow(o, q)
+}
+
+func (r *Runner) hasVersion(q *http.Request) bool {
+	expected := q.Header.Get(answer.Version)
+	if expected == "" {
+		return true
+	}
+	for _, model := range r.options.Models {
+		if strconv.Itoa(model.Version) == expected {
+			return true
+		}
+	}
+	return false
+}
+
+func (r *Runner) count(alter func(*Stats)) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	alter(&r.stats)
+}
+
+// submit hands a request to the machine; false: it is full. No order: the runner has fallen over.
+func (r *Runner) submit(q *http.Request, try string) (*order, bool) {
+	request, err := r.request(q)
+	if err != nil {
+		return nil, false
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.now()
+	if r.options.Cold.Arrive(now) {
+		r.stats.Fell = true
+		go r.Crash()
+		return nil, true
+	}
+	o := newOrder(r, try, request)
+	o.fault = r.faults.draw(r.random)
+	if o.fault == faultClose {
+		o.push(engine.Event{Kind: engine.Lost})
+		return o, true
+	}
+	if request.Work == 0 && r.options.Work != nil {
+		request.Work = r.options.Work(r.random)
+	}
+	if left, err := strconv.Atoi(q.Header.Get(answer.TimeLeft)); err == nil {
+		request.Deadline = now + time.Duration(left)*time.Millisecond
+	}
+	task, taken := r.options.Machine.Submit(now, request)
+	if !taken {
+		r.stats.Rejected++
+		return nil, false
+	}
+	r.stats.Requests++
+	o.task = task
+	r.orders[task] = o
+	r.poke()
+	return o, true
+}
+
+// sendLate sends an extra answer that was held back for the next request of a connection.
+func (r *Runner) sendLate(c *conn) {
+	if c.late != nil {
+		c.Conn.Write(c.late)
+		c.late = nil
+	}
+}
+
+// connState sends extra bytes when a connection has sent a whole answer.
+func (r *Runner) connState(c net.Conn, state http.ConnState) {
+	if state != http.StateIdle {
+		return
+	}
+	if c, is := c.(*conn); is && c.extra != nil {
+		c.Conn.Write(c.extra)
+		c.extra = nil
+	}
+}
+
+// spare is an answer that nobody asked for.
+func spare(try string) []byte {
+	return fmt.Appendf(nil, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: b.0.00000000.%s.spare\r\nContent-Length: 0\r\n\r\n",
+		answer.TryID, try, answer.SealHeader, try)
+}
