--- /dev/null
+++ b/internal/standin/client/client_test.go
@@ -0,0 +1,304 @@
+package client
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"cinderroad/internal/standin/answer"
+	"cinderroad/internal/standin/engine"
+	"cinderroad/internal/standin/referee"
+	"cinderroad/internal/standin/runner"
+)
+
+// world is a directory that names one address, and clients.
+type world struct {
+	load    *Load
+	referee *referee.Referee
+	lookups atomic.Int32
+}
+
+func newWorld(t *testing.T, front string) *world {
+	t.Helper()
+	w := &world{referee: referee.New(referee.Bounds{}, nil)}
+	directory := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, q *http.Request) {
+		w.lookups.Add(1)
+		if q.URL.Query().Get("zone") != "a" || q.URL.Query().Get("region") != "r" || q.URL.Query().Get("name") != "h.example" {
+			t.Errorf("the directory was asked for %v", q.URL)
+		}
+		json.NewEncoder(out).Encode(lookupAnswer{Addresses: []string{front}, TTL: 60})
+	}))
+	t.Cleanup(directory.Close)
+	address := netip.MustParseAddrPort(directory.Listener.Addr().String())
+	w.load = New(Options{Zones: map[string]string{"a": "r"}, Clients: 1, Referee: w.referee,
+		Directories: func(string) []netip.AddrPort { return []netip.AddrPort{address} }})
+	return w
+}
+
+func streams() *Route {
+	return &Route{Name: "streams", Host: "h.example", Path: "/s/1", Stream: true, Target: 10 * time.Second, Deadline: 20 * time.Second,
+		Referee: &referee.Route{Name: "streams", Services: []string{"llm"}}}
+}
+
+func bodies() *Route {
+	return &Route{Name: "bodies", Host: "h.example", Path: "/b/1", ReadOnly: true, Target: 10 * time.Second, Deadline: 20 * time.Second,
+		Referee: &referee.Route{Name: "bodies", Services: []string{"llm", "api"}, Idempotent: true}}
+}
+
+func callOf(route *Route) *Call {
+	c := &Call{Route: route, Zone: "a", Bytes: 300}
+	if route.Stream {
+		c.Model, c.Prompt, c.TokensIn, c.TokensOut = "m", "a:20,b:10", 30, 12
+	}
+	return c
+}
+
+func (w *world) call(route *Route) Outcome {
+	return w.load.Call(context.Background(), w.load.Client("a", 0), callOf(route))
+}
+
+func startRunner(t *testing.T, w *world, service string) *runner.Runner {
+	t.Helper()
+	o := runner.Options{Runner: referee.Runner{ID: "i-1", Service: service}, Address: "127.0.0.1:0", BodyBytes: 100, Referee: w.referee}
+	o.Machine, _ = engine.NewWorkers(2, 2)
+	if service == "llm" {
+		o.Stride = 2
+		o.Machine, _ = engine.New(engine.Options{Slots: 4, Queue: 4, MemoryTokens: 1000, Step: time.Millisecond, PrefillPerMS: 100, StrideTokens: 2})
+	}
+	r, err := runner.Start(o)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(r.Close)
+	return r
+}
+
+// withRunner is a world whose dispatcher passes everything on to one runner.
+func withRunner(t *testing.T, service string) (*world, *runner.Runner) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	w := newWorld(t, l.Addr().String())
+	r := startRunner(t, w, service)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go pass(c, r.Address().String())
+		}
+	}()
+	return w, r
+}
+
+func pass(c net.Conn, to string) {
+	other, err := net.Dial("tcp", to)
+	if err != nil {
+		c.Close()
+		return
+	}
+	go func() {
+		io.Copy(other, c)
+		other.Close()
+	}()
+	io.Copy(c, other)
+	c.Close()
+}
+
+func (w *world) rules() (rules []referee.Rule) {
+	for _, b := range w.referee.Close() {
+		rules = append(rules, b.Rule)
+	}
+	return rules
+}
+
+func TestCallsAreServed(t *testing.T) {
+	for _, test := range []struct {
+		service string
+		route   *Route
+	}{{"llm", streams()}, {"api", bodies()}} {
+		w, _ := withRunner(t, test.service)
+		for range 5 {
+			if got := w.call(test.route); got != InTime {
+				t.Errorf("%s: outcome %d", test.route.Name, got)
+			}
+		}
+		if rules := w.rules(); len(rules) > 0 {
+			t.Errorf("%s: %v", test.route.Name, w.referee.Breaches())
+		}
+		if n := w.lookups.Load(); n != 1 {
+			t.Errorf("the directory was asked %d times", n)
+		}
+		if tally := w.load.Tally(); tally.Served != 5 || tally.Routes[0].InTime != 5 || tally.Routes[0].First(0.5) == 0 {
+			t.Errorf("%+v", tally)
+		}
+	}
+}
+
+func TestAResumableStreamGoesOnAfterACut(t *testing.T) {
+	w, r := withRunner(t, "llm")
+	route := streams()
+	route.Resumable, route.Retries, route.Referee.Idempotent = true, 1, true
+	r.Script(runner.Faults{BreakOff: 1, Most: 1})
+	if got := w.call(route); got != InTime {
+		t.Errorf("outcome %d", got)
+	}
+	if s := r.Stats(); s.Faults != 1 || s.Requests != 2 {
+		t.Errorf("%+v", s)
+	}
+	if rules := w.rules(); len(rules) > 0 {
+		t.Errorf("%v", w.referee.Breaches())
+	}
+}
+
+func TestExtraBytesAreFound(t *testing.T) {
+	for name, faults := range map[string]runner.Faults{"extra": {Extra: 1}, "extra late": {ExtraLate: 1}, "garbage": {Garbage: 1}} {
+		w, r := withRunner(t, "api")
+		r.Script(faults)
+		for range 20 { // extra bytes come a moment after the answer
+			w.call(bodies())
+		}
+		if rules := w.rules(); len(rules) == 0 || rules[0] != referee.Mixed {
+			t.Errorf("%s: %v", name, rules)
+		}
+	}
+}
+
+// edge is a dispatcher that answers as a test wants.
+func edge(t *testing.T, handler http.HandlerFunc) *world {
+	t.Helper()
+	server := httptest.NewUnstartedServer(handler)
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.Start()
+	t.Cleanup(server.Close)
+	return newWorld(t, server.Listener.Addr().String())
+}
+
+func seal(w http.ResponseWriter, s answer.Seal) { w.Header().Set(answer.SealHeader, s.String()) }
+
+// pieces answers with a stream of pieces of one run.
+func pieces(of int, indices ...int) http.HandlerFunc {
+	return func(w http.ResponseWriter, q *http.Request) {
+		seal(w, answer.Seal{Stream: true, Size: of, Try: q.Header.Get(answer.TryID), Run: "r"})
+		for _, i := range indices {
+			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", i, answer.Event{Index: i, Of: of, Run: "r"}.Data())
+		}
+	}
+}
+
+func TestWrongAnswersAreFound(t *testing.T) {
+	other := func(w http.ResponseWriter, q *http.Request) {
+		body := []byte("x")
+		seal(w, answer.Seal{Size: 1, Sum: answer.Sum(body), Try: "another", Run: "r"})
+		w.Write(body)
+	}
+	changed := func(w http.ResponseWriter, q *http.Request) {
+		seal(w, answer.Seal{Size: 1, Sum: answer.Sum([]byte("x")), Try: q.Header.Get(answer.TryID), Run: "r"})
+		w.Write([]byte("y"))
+	}
+	twoRuns := func(w http.ResponseWriter, q *http.Request) {
+		seal(w, answer.Seal{Stream: true, Size: 2, Try: q.Header.Get(answer.TryID), Run: "r"})
+		fmt.Fprintf(w, "id: 1\ndata: r 1 2\n\nid: 2\ndata: s 2 2\n\n")
+	}
+	for _, test := range []struct {
+		name    string
+		route   *Route
+		handler http.HandlerFunc
+		want    referee.Rule
+	}{
+		{"no seal", bodies(), func(w http.ResponseWriter, q *http.Request) {}, referee.Mixed},
+		{"another's answer", bodies(), other, referee.Mixed},
+		{"a changed body", bodies(), changed, referee.Mixed},
+		{"a whole stream", streams(), pieces(2, 1, 2), ""},
+		{"a missing piece", streams(), pieces(3, 1, 3), referee.Order},
+		{"a piece twice", streams(), pieces(2, 1, 1, 2), referee.Order},
+		{"an end before the last piece", streams(), pieces(3, 1, 2), referee.Order},
+		{"two runs in one", streams(), twoRuns, referee.Order},
+	} {
+		w := edge(t, test.handler)
+		got := w.call(test.route)
+		rules := w.rules()
+		if test.want == "" {
+			if got != InTime || len(rules) > 0 {
+				t.Errorf("%s: outcome %d, %v", test.name, got, rules)
+			}
+			continue
+		}
+		if got == InTime || len(rules) != 1 || rules[0] != test.want {
+			t.Errorf("%s: outcome %d, %v, want %s", test.name, got, rules, test.want)
+		}
+	}
+}
+
+func TestRetries(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		route  *Route
+		status int
+		tries  int32
+	}{
+		{"a refused stream", streams(), 503, 2},
+		{"a refused body", bodies(), 429, 2},
+		{"a failed body", bodies(), 502, 2},
+		{"a failed stream", streams(), 502, 1},
+		{"an unknown path", bodies(), 404, 1},
+	} {
+		var tries atomic.Int32
+		w := edge(t, func(w http.ResponseWriter, q *http.Request) {
+			tries.Add(1)
+			w.Header().Set("Retry-After", "0.001")
+			w.WriteHeader(test.status)
+		})
+		test.route.Retries = 1
+		w.call(test.route)
+		if n := tries.Load(); n != test.tries {
+			t.Errorf("%s: %d tries, want %d", test.name, n, test.tries)
+		}
+		if rules := w.rules(); len(rules) > 0 {
+			t.Errorf("%s: %v", test.name, rules)
+		}
+	}
+}
+
+func TestRetryAfterIsHonouredUpToAThirdOfTheTimeLeft(t *testing.T) {
+	w := edge(t, func(w http.ResponseWriter, q *http.Request) {
+		w.Header().Set("Retry-After", "60")
+		w.WriteHeader(503)
+	})
+	route := bodies()
+	route.Retries, route.Deadline = 1, 300*time.Millisecond
+	began := time.Now()
+	if got := w.call(route); got != Refused {
+		t.Errorf("outcome %d", got)
+	}
+	if took := time.Since(began); took < 90*time.Millisecond {
+		t.Errorf("it took %v", took)
+	}
+}
+
+func TestRunMakesEveryCall(t *testing.T) {
+	w, _ := withRunner(t, "api")
+	var calls []*Call
+	for i := range 20 {
+		c := callOf(bodies())
+		c.At = time.Duration(i) * time.Millisecond
+		calls = append(calls, c)
+	}
+	w.load.Run(context.Background(), calls)
+	if tally := w.load.Tally(); tally.Calls != 20 {
+		t.Errorf("%s", tally.String())
+	}
+}
--- a/internal/standin/runner/faults.go
+++ b/internal/standin/runner/faults.go
@@ -11,6 +11,7 @@
 	Silent    float64 // no answer comes
 	Reset     float64 // the connection is reset before an answer, and after the work
 	Close     float64 // the connection is closed before an answer, and without work
+	Most      int     // requests that are spoilt at most; 0: any number
 }
 
 // fault is a way to spoil a request.
--- a/internal/standin/runner/runner.go
+++ b/internal/standin/runner/runner.go
@@ -57,6 +57,7 @@
 	mutex    sync.Mutex
 	random   *rand.Rand
 	faults   Faults
+	spoilt   int // requests, under the present script
 	draining bool
 	dark     bool
 	ended    bool
@@ -137,7 +138,7 @@
 func (r *Runner) Script(f Faults) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	r.faults = f
+	r.faults, r.spoilt = f, 0
 }
 
 // GoDark makes it say nothing any more: its work stops, its connections stay and new ones come up unanswered.
--- a/internal/standin/runner/serve.go
+++ b/internal/standin/runner/serve.go
@@ -207,7 +207,7 @@
 		return nil, true
 	}
 	o := newOrder(r, try, request)
-	o.fault = r.faults.draw(r.random)
+	o.fault = r.drawFault()
 	if o.fault == faultClose {
 		o.push(engine.Event{Kind: engine.Lost})
 		return o, true
@@ -230,6 +230,18 @@
 	return o, true
 }
 
+// drawFault draws what happens to a request, as the script says.
+func (r *Runner) drawFault() fault {
+	if r.faults.Most > 0 && r.spoilt >= r.faults.Most {
+		return faultNone
+	}
+	drawn := r.faults.draw(r.random)
+	if drawn != faultNone {
+		r.spoilt++
+	}
+	return drawn
+}
+
 // sendLate sends an extra answer that was held back for the next request of a connection.
 func (r *Runner) sendLate(c *conn) {
 	if c.late != nil {
