--- a/cmd/cinderroad-emulator/main.go
+++ b/cmd/cinderroad-emulator/main.go
@@ -1,10 +1,11 @@
-// Command cinderroad-emulator plays deployments of the system on one machine: it compares placement policies over
-// modelled runners in virtual time.
+// Command cinderroad-emulator plays deployments of the system on one machine. It serves a short day with the real programs
+// and stand-ins for everything else, or compares placement policies over modelled runners in virtual time.
 package main
 
 import "github.com/alecthomas/kong"
 
 type commands struct {
+	Day      day      `cmd:"" default:"withargs" help:"Serve a short day with the real programs on loopback."`
 	Policies policies `cmd:"" help:"Compare placement policies over modelled runners in virtual time."`
 }
 
--- a/cmd/cinderroad-emulator/policies.go
+++ b/cmd/cinderroad-emulator/policies.go
@@ -88,10 +88,7 @@
 }
 
 func (p *policies) scenario() *experiment.Scenario {
-	s := experiment.Screening()
-	if p.Scenario == "parcels" {
-		s = experiment.Parcels()
-	}
+	s := scenarioNamed(p.Scenario)
 	s.Length, s.Load = p.Length, p.Load
 	if p.Burst != "" {
 		s.Bursts = []experiment.Burst{{Class: p.Burst, Factor: burstFactor, From: burstFrom, For: burstFor}}
--- /dev/null
+++ b/internal/emulator/operator.go
@@ -0,0 +1,227 @@
+package emulator
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"cinderroad/internal/configuration"
+	"cinderroad/internal/experiment"
+)
+
+// document is a whole configuration.
+type document struct {
+	Version  int              `json:"version"`
+	Routes   []routeDocument  `json:"routes"`
+	Services []map[string]any `json:"services"`
+	Limits   map[string]int   `json:"limits"`
+}
+
+type routeDocument struct {
+	Name        string   `json:"name"`
+	Host        string   `json:"host"`
+	PathStart   string   `json:"path_start"`
+	Type        string   `json:"type"`
+	TimeoutMS   int64    `json:"timeout_ms"`
+	TargetMS    int64    `json:"target_ms"`
+	Rank        int      `json:"rank"`
+	Service     string   `json:"service"`
+	Tries       int      `json:"tries"`
+	PinCache    bool     `json:"pin_cache,omitempty"`
+	Resumable   bool     `json:"resumable,omitempty"`
+	GapAimMS    int64    `json:"gap_aim_ms,omitempty"`
+	HomeRegions []string `json:"home_regions"`
+}
+
+// change alters items by name.
+type change struct {
+	Version int       `json:"version"`
+	Replace changeSet `json:"replace"`
+}
+
+type changeSet struct {
+	Routes []routeDocument `json:"routes"`
+}
+
+// host is that of all routes.
+const host = "screening.example"
+
+func pathStart(c *experiment.Class) string { return "/" + c.Name + "/" }
+
+// typeName is a route's type on the wire.
+func typeName(t configuration.RouteType) string {
+	switch t {
+	case configuration.ReadOnly:
+		return "read_only"
+	case configuration.Writes:
+		return "writes"
+	}
+	return "streaming"
+}
+
+func routeOf(c *experiment.Class) routeDocument {
+	r := routeDocument{Name: "r-" + c.Name, Host: host, PathStart: pathStart(c), Type: typeName(c.Type), TimeoutMS: c.Deadline.Milliseconds(),
+		TargetMS: c.Target.Milliseconds(), Rank: c.Rank, Service: c.Service, Tries: c.Tries, HomeRegions: []string{}}
+	if c.Type == configuration.Streaming {
+		r.PinCache, r.Resumable, r.GapAimMS = true, c.Resume, c.Gap.Milliseconds()
+	}
+	r.HomeRegions = append(r.HomeRegions, c.Homes...)
+	return r
+}
+
+func serviceOf(s *experiment.Service) map[string]any {
+	service := map[string]any{"name": s.Name, "health_path": healthPath, "max_conns": s.MaxConns, "protocol": "h1", "use_tls": false,
+		"cold_for_s": s.ColdFor.Seconds(), "cold_rate_s": s.ColdRate}
+	if e := s.Engine; e != nil {
+		service["backend"] = map[string]any{"capacity": e.Slots, "cache_tokens": e.MemoryTokens, "token_cache_bytes": 327680,
+			"link_mbps": 550000.0, "stride": e.StrideTokens, "models": []map[string]string{{"name": modelName}}}
+	}
+	return service
+}
+
+func documentOf(s *experiment.Scenario, version int) document {
+	d := document{Version: version, Limits: map[string]int{"max_header_bytes": 16384, "max_body_bytes": 4 << 20, "header_wait_ms": 3000,
+		"idle_limit_ms": 15000}}
+	for i := range s.Classes {
+		d.Routes = append(d.Routes, routeOf(&s.Classes[i]))
+	}
+	for i := range s.Services {
+		d.Services = append(d.Services, serviceOf(&s.Services[i]))
+	}
+	return d
+}
+
+// Paths of the operator's interface.
+const (
+	replacePath  = "/-/Settings.Replace"
+	changePath   = "/-/Settings.Change"
+	readPath     = "/-/Settings.Read"
+	beginPath    = "/-/DrainZone.Begin/"
+	finishPath   = "/-/DrainZone.Finish/"
+	basedOn      = "X-Based-On"
+	operatorWait = time.Second
+	backoffFirst = 50 * time.Millisecond
+	backoffMost  = time.Second
+)
+
+// operator sends orders to the control machines.
+type operator struct {
+	addresses []string
+	client    http.Client
+	next      int
+}
+
+func (d *deployment) operator() *operator {
+	return &operator{addresses: d.seeds(), client: http.Client{Timeout: operatorWait}}
+}
+
+// orderError says that an order was turned down.
+type orderError struct {
+	Path   string
+	Status int
+	Text   string
+}
+
+// Error says what was answered.
+func (e *orderError) Error() string {
+	return fmt.Sprintf("operator: %s was answered with %d: %s", e.Path, e.Status, e.Text)
+}
+
+// order sends an order until it has a clear answer.
+func (o *operator) order(ctx context.Context, method, path string, base int, body []byte) ([]byte, error) {
+	wait := backoffFirst
+	for {
+		text, status, err := o.once(ctx, method, path, base, body)
+		switch {
+		case err == nil && status >= http.StatusOK && status < http.StatusMultipleChoices:
+			return text, nil
+		case err == nil && clear(status):
+			return nil, &orderError{Path: path, Status: status, Text: string(text)}
+		}
+		o.next++
+		timer := time.NewTimer(wait)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+			return nil, fmt.Errorf("operator: %s got no clear answer: last status %d, %w", path, status, ctx.Err())
+		}
+		wait = min(2*wait, backoffMost)
+	}
+}
+
+// clear says whether a status ends an order.
+func clear(status int) bool {
+	switch status {
+	case http.StatusBadRequest, http.StatusConflict, http.StatusPreconditionFailed, http.StatusRequestEntityTooLarge,
+		http.StatusUnprocessableEntity:
+		return true
+	}
+	return false
+}
+
+func (o *operator) once(ctx context.Context, method, path string, base int, body []byte) (text []byte, status int, err error) {
+	url := "http://" + o.addresses[o.next%len(o.addresses)] + path
+	q, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
+	if err != nil {
+		return nil, 0, err
+	}
+	if body != nil {
+		q.Header.Set("Content-Type", "application/json")
+		q.Header.Set(basedOn, fmt.Sprint(base))
+	}
+	resp, err := o.client.Do(q)
+	if err != nil {
+		return nil, 0, err
+	}
+	defer resp.Body.Close()
+	text, err = io.ReadAll(resp.Body)
+	return text, resp.StatusCode, err
+}
+
+// replace sends a whole configuration.
+func (o *operator) replace(ctx context.Context, d document, base int) error {
+	body, err := json.Marshal(d)
+	if err != nil {
+		return err
+	}
+	_, err = o.order(ctx, http.MethodPost, replacePath, base, body)
+	return err
+}
+
+// alter sends a change of items.
+func (o *operator) alter(ctx context.Context, c change, base int) error {
+	body, err := json.Marshal(c)
+	if err != nil {
+		return err
+	}
+	_, err = o.order(ctx, http.MethodPost, changePath, base, body)
+	return err
+}
+
+// read reads the configuration in force.
+func (o *operator) read(ctx context.Context) (*document, error) {
+	text, err := o.order(ctx, http.MethodGet, readPath, 0, nil)
+	if err != nil {
+		return nil, err
+	}
+	var d document
+	if err := json.Unmarshal(text, &d); err != nil {
+		return nil, fmt.Errorf("operator: the configuration that was read: %w", err)
+	}
+	return &d, nil
+}
+
+// evacuate empties a zone, or takes that back.
+func (o *operator) evacuate(ctx context.Context, zone string, begin bool) error {
+	path := finishPath
+	if begin {
+		path = beginPath
+	}
+	_, err := o.order(ctx, http.MethodPost, path+zone, 0, nil)
+	return err
+}
--- a/internal/standin/client/client.go
+++ b/internal/standin/client/client.go
@@ -44,6 +44,7 @@
 type Options struct {
 	Zones       map[string]string // region of each zone
 	Directories func(zone string) []netip.AddrPort
+	Front       string        // address of the dispatcher that all calls go to; empty: the directory tells
 	Clients     int           // in each zone; 0: 10
 	TTLMax      time.Duration // longest that an answer of the directory counts
 	Referee     *referee.Referee
--- a/internal/standin/client/lookup.go
+++ b/internal/standin/client/lookup.go
@@ -25,6 +25,9 @@
 
 // address picks where a new connection goes.
 func (c *client) address(ctx context.Context, host string) (string, error) {
+	if front := c.load.options.Front; front != "" {
+		return front, nil
+	}
 	c.refresh(ctx, host)
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
