--- a/internal/fleet/membership/machine.go
+++ b/internal/fleet/membership/machine.go
@@ -16,6 +16,7 @@
 	Addr   netip.AddrPort // where others reach it
 	Seeds  []netip.AddrPort
 	Period float64 // seconds between two probes
+	Steps  int     // times in a period that deadlines are looked at; 0: five
 	Forget float64 // seconds after which one that is dead is forgotten; 0: an hour
 	Life   uint64  // Unix time of the start, in microseconds
 	Seed   uint64
@@ -35,7 +36,7 @@
 
 // The constants of the protocol, in periods unless said otherwise.
 const (
-	steps        = 5    // of a period: deadlines are looked at so often
+	defaultSteps = 5    // of a period: deadlines are looked at so often, unless the options say otherwise
 	askAfter     = 0.4  // until others are asked to ask
 	askAgain     = 0.2  // between two questions to one that has not answered, from then on
 	askOthers    = 3    // how many are
@@ -206,6 +207,9 @@
 	if o.Forget == 0 {
 		o.Forget = forgetAfter
 	}
+	if o.Steps <= 0 {
+		o.Steps = defaultSteps
+	}
 	o.Facts.Seq = 1
 	m := &Machine{Options: o, byName: map[string]*member{}, rng: rand.New(rand.NewPCG(o.Seed, o.Life)), viewEpoch: 1, namesEpoch: 1}
 	facts := o.Facts
@@ -218,13 +222,16 @@
 func (m *Machine) Start(now float64) {
 	m.now, m.began, m.started = now, now, true
 	m.me.since, m.differAt, m.unsettledAt = now, now, now
-	m.stepAt = now + m.Period/steps*(0.5+m.rng.Float64()) // members that start together do not step together
+	m.stepAt = now + m.step()*(0.5+m.rng.Float64()) // members that start together do not step together
 	m.probe.ends = now + m.Period*m.rng.Float64()
 	m.tell(m.me.Name)
 	m.askSeeds()
 	m.unsettle()
 }
 
+// step is the time between two looks at the deadlines.
+func (m *Machine) step() float64 { return m.Period / float64(m.Steps) }
+
 // Next is when Tick is due.
 func (m *Machine) Next() float64 { return m.stepAt }
 
@@ -249,10 +256,10 @@
 	}
 	m.now = now
 	if now < m.stepAt || m.gone {
-		m.stepAt = math.Max(m.stepAt, now+m.Period/steps)
+		m.stepAt = math.Max(m.stepAt, now+m.step())
 		return
 	}
-	m.stepAt = now + m.Period/steps
+	m.stepAt = now + m.step()
 	if m.withdrawn {
 		m.regain()
 		return
@@ -323,6 +330,19 @@
 	}
 }
 
+// Announce sends the news at once to all members that are not known to be gone and for which to holds.
+func (m *Machine) Announce(now float64, to func(*Record) bool) {
+	if !m.started || m.gone || m.withdrawn {
+		return
+	}
+	m.now = math.Max(m.now, now)
+	for _, o := range m.members {
+		if o.State <= Suspect && to(&o.Record) {
+			m.send(o.Addr, &Message{Kind: News})
+		}
+	}
+}
+
 // Leave says to the others that this member has stopped: its shares are theirs.
 func (m *Machine) Leave(now float64) {
 	if m.gone || m.withdrawn || !m.started {
--- a/internal/fleet/membership/message.go
+++ b/internal/fleet/membership/message.go
@@ -168,7 +168,7 @@
 func (r *Record) room() int {
 	n := 52 + len(r.Name) + len(r.By)
 	if f := r.FactsOf; f != nil {
-		n += 48 + len(f.Settings) + len(f.Operator) + len(f.Excluded) + len(f.Zone) + len(f.Version) + len(f.Serving) + len(f.Console)
+		n += 54 + len(f.Role) + len(f.Front) + len(f.Settings) + len(f.Operator) + len(f.Excluded) + len(f.Zone) + len(f.Version) + len(f.Serving) + len(f.Console)
 	}
 	return n
 }
--- a/internal/fleet/membership/record.go
+++ b/internal/fleet/membership/record.go
@@ -55,6 +55,9 @@
 	ExcludedAt uint32 `cbor:"11,keyasint,omitempty"`
 
 	Lease lease.State `cbor:"8,keyasint,omitempty"` // how it stands to its lease
+
+	Role  string `cbor:"12,keyasint,omitempty"` // what the member does; empty: a dispatcher that has no roles
+	Front string `cbor:"13,keyasint,omitempty"` // address that clients use; empty: none
 }
 
 // Record is what is told of a member.
@@ -77,6 +80,8 @@
 	mostServing = 16
 	mostConsole = 64
 	mostHash    = 16
+	mostRole    = 16
+	mostFront   = 64
 	mostInc     = 1 << 48 // refuting takes one more than what is told: nobody may drive it to its end
 )
 
@@ -95,7 +100,8 @@
 		return errors.New("membership: a time that makes no sense")
 	}
 	if f := r.FactsOf; f != nil && (f.Lease > lease.Out || len(f.Zone) > mostZone || len(f.Version) > mostVersion || len(f.Serving) > mostServing || len(f.Console) > mostConsole ||
-		len(f.Settings) > mostHash || len(f.Operator) > mostHash || len(f.Excluded) > mostHash) {
+		len(f.Settings) > mostHash || len(f.Operator) > mostHash || len(f.Excluded) > mostHash ||
+		len(f.Role) > mostRole || len(f.Front) > mostFront) {
 		return errors.New("membership: a fact that is too long or unknown")
 	}
 	return nil
--- a/internal/fleet/membership/view.go
+++ b/internal/fleet/membership/view.go
@@ -303,6 +303,9 @@
 // Digest is the view's digest alone.
 func (m *Machine) Digest() uint64 { return m.view }
 
+// FactsDigest is the digest of the view with all facts.
+func (m *Machine) FactsDigest() uint64 { return m.facts }
+
 // Names is the digest of the names that may be sending, whatever else is held of them.
 func (m *Machine) Names() uint64 { return m.names }
 
--- /dev/null
+++ b/internal/gossip/gossip.go
@@ -0,0 +1,391 @@
+// Package gossip keeps the list of the system's processes: it joins the membership machine to a UDP socket, with one
+// goroutine that receives and wakes when the machine's next step is due.
+package gossip
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cinderroad/internal/environment"
+	"cinderroad/internal/fleet/membership"
+)
+
+const (
+	fleetName = "cinderroad"
+
+	// DefaultPeriod is the time between two probes.
+	DefaultPeriod = 450 * time.Millisecond
+
+	stepsInPeriod  = 2                // looks at deadlines in a period: each one is a wake-up
+	forgetAfter    = 10 * time.Minute // until a member that is dead or has left is dropped
+	sleptPeriods   = 2.0              // a step that is so many periods late: the process stood still
+	readBufferSize = 64 << 10         // bytes of datagrams that may wait for a process that stands still
+	clockOffset    = 1.0              // seconds on the machine's clock at the start, where 0 has a meaning
+	retryReadAfter = 50 * time.Millisecond
+	longestName    = membership.MostName
+)
+
+// Role is what a member does.
+type Role string
+
+// The roles.
+const (
+	Edge    Role = "edge"    // an agent, beside a proxy
+	Control Role = "control" // a control replica
+)
+
+// Serving says whether a member's process takes work from clients.
+type Serving string
+
+// The states of serving.
+const (
+	Starting   Serving = "starting"
+	ServingNow Serving = "serving"
+	Stopping   Serving = "stopping"
+)
+
+// Options are what a member starts with.
+type Options struct {
+	Node    string
+	Role    Role
+	Zone    string
+	Zones   map[string]string // region of each zone
+	Version string            // of the program
+	Front   string            // address that clients use, if it is known at the start
+
+	Listen      netip.AddrPort   // address of the socket, by which others reach it; port 0: one that the kernel picks
+	Seeds       []netip.AddrPort // gossip addresses of members that may be there
+	ControlPort uint16           // of control replicas, for agents
+	AgentPort   uint16           // of agents, for other agents
+
+	Period   time.Duration // 0: DefaultPeriod
+	DeadFor  time.Duration // that a dead edge counts among the proxies that may be sending; 0: DefaultDeadFor
+	Log      *zap.Logger   // nil: none
+	OnChange func()        // called on the gossip goroutine after the view or its facts changed; it must not block
+}
+
+// FromSettings returns the options of a process on a machine.
+func FromSettings(settings *environment.Settings, role Role) Options {
+	port := settings.Port(environment.GossipPort)
+	return Options{
+		Node:        settings.Node,
+		Role:        role,
+		Zone:        settings.Zone,
+		Zones:       settings.Zones,
+		Listen:      netip.AddrPortFrom(settings.IP, port),
+		Seeds:       SeedAddresses(settings),
+		ControlPort: settings.Port(environment.ControlRPC),
+		AgentPort:   settings.Port(environment.AgentRPC),
+	}
+}
+
+// SeedAddresses returns the gossip addresses of the settings' seeds.
+func SeedAddresses(settings *environment.Settings) []netip.AddrPort {
+	port := settings.Port(environment.GossipPort)
+	addresses := make([]netip.AddrPort, 0, len(settings.SeedNodes))
+	for _, seed := range settings.SeedNodes {
+		addresses = append(addresses, netip.AddrPortFrom(seed.Addr(), port))
+	}
+	return addresses
+}
+
+// Stats count datagrams since the start.
+type Stats struct {
+	Sent, BytesSent, Unsent uint64
+	Received, Dropped       uint64
+	Slept                   uint64
+}
+
+// Gossip is a member of the system. Its methods may be called from any goroutine.
+type Gossip struct {
+	options Options
+	log     *zap.Logger
+	conn    *net.UDPConn
+	address netip.AddrPort
+	epoch   time.Time // of the machine's clock
+	done    chan struct{}
+
+	mutex    sync.Mutex
+	machine  *membership.Machine
+	facts    membership.Facts
+	stats    Stats
+	closed   bool
+	deadline float64 // that the socket has, on the machine's clock
+	counted  bool    // the view has been complete once
+	snapshot snapshot
+	notified digests // of the view that OnChange was last called for
+}
+
+// Start opens the socket and joins.
+func Start(options Options) (*Gossip, error) {
+	if options.Period <= 0 {
+		options.Period = DefaultPeriod
+	}
+	if options.DeadFor <= 0 {
+		options.DeadFor = DefaultDeadFor
+	}
+	if options.Log == nil {
+		options.Log = zap.NewNop()
+	}
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(options.Listen))
+	if err != nil {
+		return nil, &ListenError{Address: options.Listen, Err: err}
+	}
+	_ = conn.SetReadBuffer(readBufferSize) // the kernel's own bound does as well
+	g := &Gossip{
+		options: options,
+		log:     options.Log,
+		conn:    conn,
+		address: conn.LocalAddr().(*net.UDPAddr).AddrPort(),
+		epoch:   time.Now(),
+		done:    make(chan struct{}),
+	}
+	g.facts = membership.Facts{
+		Role:    string(options.Role),
+		Zone:    options.Zone,
+		Version: options.Version,
+		Serving: string(Starting),
+		Front:   options.Front,
+	}
+	g.machine = membership.New(g.machineOptions())
+	g.machine.Start(g.now())
+	g.pump()
+	go g.run()
+	return g, nil
+}
+
+func (g *Gossip) machineOptions() membership.Options {
+	return membership.Options{
+		Fleet:  fleetName,
+		Name:   memberName(g.options.Node, g.options.Role),
+		Addr:   g.address,
+		Seeds:  slices.Clone(g.options.Seeds),
+		Period: g.options.Period.Seconds(),
+		Steps:  stepsInPeriod,
+		Forget: forgetAfter.Seconds(),
+		Life:   uint64(max(1, g.epoch.UnixMicro())), // told apart only: the machine outlives a clock that was ahead
+		Seed:   rand.Uint64(),
+		Facts:  g.facts,
+	}
+}
+
+// memberName names a process of a machine; a name that is too long is told apart by its end.
+func memberName(node string, role Role) string {
+	name := node + nameSeparator + string(role)
+	if len(name) <= longestName {
+		return name
+	}
+	return fmt.Sprintf("%016x", membership.Key(node)) + name[len(name)-longestName+16:]
+}
+
+// ListenError says that the socket could not be opened.
+type ListenError struct {
+	Address netip.AddrPort
+	Err     error
+}
+
+// Error says what happened and what to do.
+func (e *ListenError) Error() string {
+	return fmt.Sprintf("gossip: cannot listen on UDP %s, check that no other process has the address: %v", e.Address, e.Err)
+}
+
+// Unwrap returns the cause.
+func (e *ListenError) Unwrap() error { return e.Err }
+
+// now is the machine's clock: steady, in seconds.
+func (g *Gossip) now() float64 { return time.Since(g.epoch).Seconds() + clockOffset }
+
+func (g *Gossip) timeOf(at float64) time.Time {
+	return g.epoch.Add(time.Duration((at - clockOffset) * float64(time.Second)))
+}
+
+// run receives, and does the machine's steps when they are due.
+func (g *Gossip) run() {
+	defer close(g.done)
+	buffer := make([]byte, membership.MostBytes+1)
+	for {
+		g.armDeadline()
+		n, _, err := g.conn.ReadFromUDPAddrPort(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		var timeout net.Error
+		if err != nil && !(errors.As(err, &timeout) && timeout.Timeout()) {
+			g.log.Debug("gossip receive failed", zap.Error(err))
+			time.Sleep(retryReadAfter) // not for each turn of an error that lasts
+		}
+		var datagram []byte
+		if err == nil {
+			datagram = buffer[:n]
+		}
+		if g.turn(datagram) && g.options.OnChange != nil {
+			g.options.OnChange()
+		}
+	}
+}
+
+// armDeadline has the read end when the machine's next step is due.
+func (g *Gossip) armDeadline() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	next := g.machine.Next()
+	if next == g.deadline {
+		return
+	}
+	g.deadline = next
+	_ = g.conn.SetReadDeadline(g.timeOf(next)) // fails on a closed socket only, as the read will
+}
+
+// turn takes a datagram, if there is one, and does the step that is due. It says whether the view changed.
+func (g *Gossip) turn(datagram []byte) bool {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	now := g.now()
+	if now > g.machine.Next()+sleptPeriods*g.options.Period.Seconds() {
+		g.slept(now)
+	}
+	if datagram != nil {
+		g.receive(now, datagram)
+	}
+	if now >= g.machine.Next() {
+		g.machine.Tick(now)
+	}
+	if g.machine.Counted() {
+		g.counted = true
+	}
+	g.pump()
+	return g.changed()
+}
+
+// slept has the machine look again at all that it was waiting for while the process stood still.
+func (g *Gossip) slept(now float64) {
+	g.stats.Slept++
+	g.log.Warn("process stood still, membership is checked again", zap.Float64("late_s", now-g.machine.Next()))
+	g.machine.Slept(now)
+}
+
+func (g *Gossip) receive(now float64, datagram []byte) {
+	g.stats.Received++
+	message, err := membership.Decode(fleetName, datagram)
+	if err != nil {
+		g.stats.Dropped++
+		g.log.Debug("datagram dropped", zap.Error(err))
+		return
+	}
+	g.machine.Receive(now, message)
+}
+
+// pump sends what the machine has to send and logs what it found.
+func (g *Gossip) pump() {
+	for _, packet := range g.machine.Out() {
+		g.send(packet)
+	}
+	for _, change := range g.machine.Changes() {
+		g.logChange(change)
+	}
+	g.machine.Settlings()
+}
+
+func (g *Gossip) send(packet membership.Packet) {
+	datagram, err := membership.Encode(packet.Msg)
+	if err == nil {
+		_, err = g.conn.WriteToUDPAddrPort(datagram, packet.To)
+	}
+	if err != nil { // as good as lost on the way: the machine asks again
+		g.stats.Unsent++
+		return
+	}
+	g.stats.Sent++
+	g.stats.BytesSent += uint64(len(datagram))
+}
+
+func (g *Gossip) logChange(change membership.Change) {
+	if change.New && change.To == membership.Alive {
+		g.log.Debug("member joined", zap.String("member", change.Name))
+		return
+	}
+	g.log.Info("member changed", zap.String("member", change.Name), zap.Stringer("was", change.From),
+		zap.Stringer("is", change.To), zap.String("cause", change.Cause))
+}
+
+// SetServing tells the others whether this process takes work from clients; control replicas hear it at once.
+func (g *Gossip) SetServing(serving Serving) {
+	g.setFacts(func(facts *membership.Facts) { facts.Serving = string(serving) })
+}
+
+// SetFront tells the others the address that clients use.
+func (g *Gossip) SetFront(front string) {
+	g.setFacts(func(facts *membership.Facts) { facts.Front = front })
+}
+
+func (g *Gossip) setFacts(alter func(*membership.Facts)) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	was := g.facts
+	alter(&g.facts)
+	if g.facts == was || g.closed {
+		return
+	}
+	now := g.now()
+	g.machine.SetFacts(now, g.facts)
+	g.machine.Announce(now, isControl)
+	g.pump()
+}
+
+func isControl(record *membership.Record) bool {
+	return record.FactsOf != nil && record.FactsOf.Role == string(Control)
+}
+
+// Seek sets other seeds; members that are known stay so.
+func (g *Gossip) Seek(seeds []netip.AddrPort) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.closed || slices.Equal(seeds, g.options.Seeds) {
+		return
+	}
+	g.options.Seeds = slices.Clone(seeds)
+	g.machine.Seek(g.now(), slices.Clone(seeds))
+	g.pump()
+}
+
+// Address is where others reach this member.
+func (g *Gossip) Address() netip.AddrPort { return g.address }
+
+// Stats returns the counts.
+func (g *Gossip) Stats() Stats {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.stats
+}
+
+// Leave tells the others that this process ends, and closes the socket.
+func (g *Gossip) Leave() { g.close(true) }
+
+// Close closes the socket without a word: the others find the member dead.
+func (g *Gossip) Close() { g.close(false) }
+
+func (g *Gossip) close(tell bool) {
+	g.mutex.Lock()
+	if g.closed {
+		g.mutex.Unlock()
+		return
+	}
+	g.closed = true
+	if tell {
+		now := g.now()
+		g.machine.Announce(now, isControl)
+		g.machine.Leave(now)
+		g.pump()
+	}
+	g.conn.Close()
+	g.mutex.Unlock()
+	<-g.done
+}
--- /dev/null
+++ b/internal/gossip/view.go
@@ -0,0 +1,229 @@
+package gossip
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"cinderroad/internal/fleet/membership"
+)
+
+// DefaultDeadFor is how long an edge that is held to be dead counts among the proxies that may be sending.
+const DefaultDeadFor = 10 * time.Second
+
+const nameSeparator = "/"
+
+// State is what a member is held to be.
+type State = membership.State
+
+// The states.
+const (
+	Alive   = membership.Alive
+	Suspect = membership.Suspect
+	Dead    = membership.Dead
+	Left    = membership.Left
+)
+
+// Member is a process as this one knows it. Role and what follows it are empty until the member's facts have come.
+type Member struct {
+	Node    string
+	Address netip.Addr // of its machine, for calls
+	State   State
+	Since   time.Time // of the state, by the steady clock
+	Me      bool
+	Role    Role
+	Zone    string
+	Front   string // address that clients use; empty: none or not told
+	Serving Serving
+	Version string
+}
+
+// Usable says whether clients may be sent to the member.
+func (m *Member) Usable() bool {
+	return m.Role == Edge && m.State <= Suspect && m.Serving == ServingNow && m.Front != ""
+}
+
+// digests tell one view from another.
+type digests struct{ view, facts uint64 }
+
+// snapshot is the view as it was last asked for.
+type snapshot struct {
+	of      digests
+	members []Member
+}
+
+// changed says whether the view is another one than when this was last asked.
+func (g *Gossip) changed() bool {
+	now := g.digests()
+	if now == g.notified {
+		return false
+	}
+	g.notified = now
+	return true
+}
+
+func (g *Gossip) digests() digests {
+	return digests{view: g.machine.Digest(), facts: g.machine.FactsDigest()}
+}
+
+// refresh makes the snapshot anew if the view has changed.
+func (g *Gossip) refresh() {
+	now := g.digests()
+	if g.snapshot.members != nil && g.snapshot.of == now {
+		return
+	}
+	seen := g.machine.View()
+	members := make([]Member, 0, len(seen.Members))
+	for i := range seen.Members {
+		members = append(members, g.member(&seen.Members[i]))
+	}
+	g.snapshot = snapshot{of: now, members: members}
+}
+
+func (g *Gossip) member(seen *membership.Seen) Member {
+	member := Member{
+		Node:    nodeName(seen.Name),
+		Address: seen.Addr.Addr(),
+		State:   seen.State,
+		Since:   g.timeOf(seen.Since),
+		Me:      seen.Me,
+	}
+	if facts := seen.FactsOf; facts != nil {
+		member.Role = Role(facts.Role)
+		member.Zone = facts.Zone
+		member.Front = facts.Front
+		member.Serving = Serving(facts.Serving)
+		member.Version = facts.Version
+	}
+	return member
+}
+
+// nodeName is the machine's part of a member's name.
+func nodeName(member string) string {
+	if i := strings.LastIndex(member, nameSeparator); i >= 0 {
+		return member[:i]
+	}
+	return member
+}
+
+// View returns the members, by name, this one among them. The slice is shared and not to be changed.
+func (g *Gossip) View() []Member {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.refresh()
+	return g.snapshot.members
+}
+
+// Proxies is how many proxies may be sending: those that are dead to this process may be cut off from it only, and count
+// for a while. A member whose role is not known counts. 0: this process does not know the others yet.
+func (g *Gossip) Proxies() int {
+	members := g.View()
+	g.mutex.Lock()
+	counted := g.counted
+	g.mutex.Unlock()
+	if !counted {
+		return 0
+	}
+	n := 0
+	for i := range members {
+		if g.maySend(&members[i]) {
+			n++
+		}
+	}
+	return max(1, n)
+}
+
+func (g *Gossip) maySend(member *Member) bool {
+	if member.Role != Edge && member.Role != "" {
+		return false
+	}
+	return member.State <= Suspect || member.State == Dead && time.Since(member.Since) < g.options.DeadFor
+}
+
+// ControlAddresses returns where control replicas serve, in the order in which to try them: those that are alive before
+// suspected ones, seeds nothing is known of and dead ones; then the nearest; then by a number that differs between
+// members, so that they spread.
+func (g *Gossip) ControlAddresses() []netip.AddrPort {
+	g.mutex.Lock()
+	port, seeds := g.options.ControlPort, g.options.Seeds
+	g.mutex.Unlock()
+	candidates := g.candidates(Control)
+	for _, seed := range seeds {
+		known := slices.ContainsFunc(candidates, func(c candidate) bool { return c.address == seed.Addr() })
+		if !known && seed.Addr() != g.address.Addr() {
+			candidates = append(candidates, candidate{address: seed.Addr(), class: classUnknown, spread: g.spread(seed.Addr())})
+		}
+	}
+	return ordered(candidates, port)
+}
+
+// AgentAddresses returns where other agents serve, in the order in which to try them.
+func (g *Gossip) AgentAddresses() []netip.AddrPort {
+	return ordered(g.candidates(Edge), g.options.AgentPort)
+}
+
+// Classes of members, by how likely they are to answer.
+const (
+	classAlive = iota
+	classSuspect
+	classUnknown
+	classDead
+)
+
+type candidate struct {
+	address  netip.Addr
+	class    int
+	distance int
+	spread   uint64
+}
+
+// candidates are the other members of a role that have not left.
+func (g *Gossip) candidates(role Role) []candidate {
+	var candidates []candidate
+	for _, member := range g.View() {
+		if member.Role != role || member.Me || member.State == Left {
+			continue
+		}
+		c := candidate{address: member.Address, distance: g.distance(member.Zone), spread: g.spread(member.Address)}
+		switch member.State {
+		case Alive:
+			c.class = classAlive
+		case Suspect:
+			c.class = classSuspect
+		default:
+			c.class = classDead
+		}
+		candidates = append(candidates, c)
+	}
+	return candidates
+}
+
+// distance is 0 within the zone, 1 within the region, 2 beyond.
+func (g *Gossip) distance(zone string) int {
+	switch {
+	case zone == g.options.Zone:
+		return 0
+	case zone != "" && g.options.Zones[zone] == g.options.Zones[g.options.Zone]:
+		return 1
+	}
+	return 2
+}
+
+func (g *Gossip) spread(address netip.Addr) uint64 {
+	return xxhash.Sum64String(g.options.Node + nameSeparator + address.String())
+}
+
+func ordered(candidates []candidate, port uint16) []netip.AddrPort {
+	slices.SortFunc(candidates, func(a, b candidate) int {
+		return cmp.Or(cmp.Compare(a.class, b.class), cmp.Compare(a.distance, b.distance), cmp.Compare(a.spread, b.spread))
+	})
+	addresses := make([]netip.AddrPort, 0, len(candidates))
+	for _, c := range candidates {
+		addresses = append(addresses, netip.AddrPortFrom(c.address, port))
+	}
+	return addresses
+}
