--- /dev/null
+++ b/internal/environment/parse.go
@@ -0,0 +1,279 @@
+package environment
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"time"
+
+	"cinderroad/internal/findings"
+	"cinderroad/internal/jsonfield"
+)
+
+// Load reads the settings file that the environment names.
+func Load() (*Settings, error) {
+	path := os.Getenv(Variable)
+	if path == "" {
+		return nil, &MissingPathError{}
+	}
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("environment: read the settings that %s names: %w", Variable, err)
+	}
+	settings, err := Parse(data)
+	if err != nil {
+		return nil, fmt.Errorf("environment: settings in %s: %w", path, err)
+	}
+	return settings, nil
+}
+
+// MissingPathError says that the environment names no settings file.
+type MissingPathError struct{}
+
+// Error says what to do.
+func (e *MissingPathError) Error() string {
+	return "environment: set " + Variable + " to the path of the settings file"
+}
+
+// Parse reads settings. All that is wrong with them comes together, in a *findings.Error.
+func Parse(data []byte) (*Settings, error) {
+	var list findings.List
+	settings := &Settings{Timing: defaultTiming(), Zones: map[string]string{}}
+	root, ok := jsonfield.Read(data, &list)
+	if ok {
+		root.Object(settings.readField)
+		settings.require(&list)
+	}
+	if err := list.Err(); err != nil {
+		return nil, err
+	}
+	return settings, nil
+}
+
+// defaultTiming holds for fields that the file lacks: the shorter of plausible bounds, and no budget that is not given.
+func defaultTiming() Timing {
+	return Timing{
+		SeedLag: 3 * time.Second, ReuseAfter: 2 * time.Second, InTouch: 4 * time.Second,
+		AckWithin: 5 * time.Second, CatchUp: 4 * time.Second, DrainWithin: 3 * time.Second,
+		GracePeriod: 8 * time.Second, LostSlack: 200 * time.Millisecond,
+		ConfigWithin: 2500 * time.Millisecond, GoBack: 250 * time.Millisecond, Stretch: 6 * time.Second,
+		Evacuate: 5 * time.Second, Recovery: 12 * time.Second, Pass: 250 * time.Millisecond, TTLMax: 5 * time.Second,
+		RetryRatio: 0.1, RetryWindow: 10 * time.Second, RetryExtra: 0, ColdExcess: 1, ColdSlack: 0,
+	}
+}
+
+func (s *Settings) require(list *findings.List) {
+	if s.Node == "" {
+		list.Add("node", "is missing or empty")
+	}
+	if !s.IP.IsValid() {
+		list.Add("ip", "is missing or not an IP address")
+	}
+	if s.FreePorts.First == 0 || s.FreePorts.Last < s.FreePorts.First {
+		list.Add("free_ports", "must be the first and the last port of a range")
+	}
+}
+
+func (s *Settings) readField(name string, value jsonfield.Value) {
+	if value.IsNull() {
+		return
+	}
+	switch name {
+	case "node":
+		s.Node, _ = value.Text()
+	case "role":
+		s.Role, _ = value.Text()
+	case "machine_class":
+		s.MachineClass, _ = value.Text()
+	case "serves_roles":
+		s.ServesRoles, _ = value.Texts()
+	case "ip":
+		s.IP, _ = value.Address()
+	case "zone":
+		s.Zone, _ = value.Text()
+	case "region":
+		s.Region, _ = value.Text()
+	case "zones":
+		value.Object(s.readZone)
+	case "listen_on":
+		value.Object(s.ListenOn.readField)
+	case "free_ports":
+		value.Array(s.FreePorts.readEnd)
+	case "seed_nodes":
+		value.Array(s.readSeed)
+	case "first_boot":
+		s.FirstBoot, _ = value.Bool()
+	case "counts_as_loss":
+		s.CountsAsLoss, _ = value.Bool()
+	case "limits":
+		value.Object(s.Limits.readField)
+	case "state_dir":
+		s.StateDir, _ = value.Text()
+	case "survive":
+		value.Object(s.Survive.readField)
+	case "timing":
+		value.Object(s.Timing.readField)
+	case "cloud_api":
+		value.Object(s.CloudAPI.readField)
+	}
+}
+
+func (s *Settings) readZone(zone string, value jsonfield.Value) {
+	if region, ok := value.Text(); ok {
+		s.Zones[zone] = region
+	}
+}
+
+func (s *Settings) readSeed(_ int, value jsonfield.Value) {
+	if address, ok := value.AddressPort(); ok {
+		s.SeedNodes = append(s.SeedNodes, address)
+	}
+}
+
+func (l *Listen) readField(name string, value jsonfield.Value) {
+	if value.IsNull() {
+		return
+	}
+	switch name {
+	case "front":
+		l.Front, _ = value.AddressPort()
+	case "ready":
+		l.Ready, _ = value.AddressPort()
+	case "control":
+		l.Control, _ = value.AddressPort()
+	case "directory":
+		l.Directory, _ = value.AddressPort()
+	}
+}
+
+func (p *PortRange) readEnd(index int, value jsonfield.Value) {
+	port, ok := value.Int()
+	if !ok {
+		return
+	}
+	if port < 1 || port > 65535 {
+		value.Fail("must be a port, 1 to 65535")
+		return
+	}
+	switch index {
+	case 0:
+		p.First = uint16(port)
+	case 1:
+		p.Last = uint16(port)
+	}
+}
+
+func (l *Limits) readField(name string, value jsonfield.Value) {
+	switch name {
+	case "cpu_fraction":
+		l.CPUFraction = amount(value)
+	case "ram_mb":
+		l.RAMMB = int(amount(value))
+	case "open_files":
+		l.OpenFiles = int(amount(value))
+	case "link_mbps":
+		l.LinkMbps = amount(value)
+	case "storage_mb":
+		l.StorageMB = int(amount(value))
+	}
+}
+
+func (s *Survive) readField(name string, value jsonfield.Value) {
+	switch name {
+	case "machine_losses":
+		s.MachineLosses = int(amount(value))
+	case "zones":
+		s.Zones = int(amount(value))
+	case "region_losses":
+		s.RegionLosses = int(amount(value))
+	}
+}
+
+func (t *Timing) readField(name string, value jsonfield.Value) {
+	if value.IsNull() {
+		return
+	}
+	if figure := t.figure(name); figure != nil {
+		*figure = amount(value)
+		return
+	}
+	base, unit := splitUnit(name)
+	if bound := t.bound(base); bound != nil && unit > 0 {
+		*bound = span(value, unit)
+	}
+}
+
+func (t *Timing) figure(name string) *float64 {
+	switch name {
+	case "retry_ratio":
+		return &t.RetryRatio
+	case "retry_extra":
+		return &t.RetryExtra
+	case "cold_excess":
+		return &t.ColdExcess
+	case "cold_slack":
+		return &t.ColdSlack
+	}
+	return nil
+}
+
+func (t *Timing) bound(base string) *time.Duration {
+	bounds := map[string]*time.Duration{
+		"seed_lag": &t.SeedLag, "reuse_after": &t.ReuseAfter, "in_touch": &t.InTouch, "ack_within": &t.AckWithin,
+		"catch_up": &t.CatchUp, "drain_within": &t.DrainWithin, "grace_period": &t.GracePeriod,
+		"lost_slack": &t.LostSlack, "config_within": &t.ConfigWithin, "go_back": &t.GoBack, "stretch": &t.Stretch,
+		"evacuate": &t.Evacuate, "recovery": &t.Recovery, "pass": &t.Pass, "ttl_max": &t.TTLMax,
+		"retry_window": &t.RetryWindow,
+	}
+	return bounds[base]
+}
+
+func (c *CloudAPI) readField(name string, value jsonfield.Value) {
+	if value.IsNull() {
+		return
+	}
+	base, unit := splitUnit(name)
+	switch {
+	case name == "address":
+		c.Address, _ = value.AddressPort()
+	case name == "rate_per_s":
+		c.RatePerS = amount(value)
+	case base == "max_lag" && unit > 0:
+		c.MaxLag = span(value, unit)
+	}
+}
+
+// splitUnit cuts the unit off the name of a time; the unit of a name without one is 0.
+func splitUnit(name string) (string, time.Duration) {
+	if base, found := strings.CutSuffix(name, "_ms"); found {
+		return base, time.Millisecond
+	}
+	if base, found := strings.CutSuffix(name, "_s"); found {
+		return base, time.Second
+	}
+	return name, 0
+}
+
+// span is a time in the given unit.
+func span(value jsonfield.Value, unit time.Duration) time.Duration {
+	const longest = 1 << 62
+	length := amount(value) * float64(unit)
+	if length > longest {
+		value.Fail("is too long")
+		return 0
+	}
+	return time.Duration(length)
+}
+
+// amount is a number that is not negative.
+func amount(value jsonfield.Value) float64 {
+	if value.IsNull() {
+		return 0
+	}
+	number, ok := value.Float()
+	if ok && number < 0 {
+		value.Fail("must not be negative")
+		return 0
+	}
+	return number
+}
--- /dev/null
+++ b/internal/jsonfield/jsonfield.go
@@ -0,0 +1,274 @@
+// Package jsonfield reads JSON documents field by field with jx. A value that is not what its reader expects becomes a
+// finding with the value's place and byte offset, and reading goes on, so that all findings of a document come together.
+package jsonfield
+
+import (
+	"errors"
+	"io"
+	"math"
+	"net/netip"
+	"strconv"
+
+	"github.com/go-faster/jx"
+
+	"cinderroad/internal/findings"
+)
+
+// document is what all values of one document share.
+type document struct {
+	source []byte
+	list   *findings.List
+}
+
+// Value is a JSON value of a document. Its methods that read it return false, and note a finding, if it is not of the
+// kind that they read.
+type Value struct {
+	document *document
+	parent   *Value
+	name     string // within an object, or the place of the document's root
+	index    int    // within an array; noIndex elsewhere
+	raw      []byte
+}
+
+const noIndex = -1
+
+// Read checks the syntax of a whole document and returns its value. Anything but one JSON value with white space around
+// it is a finding.
+func Read(source []byte, list *findings.List) (Value, bool) {
+	decoder := jx.DecodeBytes(source)
+	raw, err := decoder.Raw()
+	if err != nil {
+		list.Add("", "is not JSON that can be read whole: "+syntaxProblem(err))
+		return Value{}, false
+	}
+	raw = trimSpace(raw)
+	root := Value{document: &document{source: source, list: list}, index: noIndex, raw: raw}
+	end := root.Offset() + len(raw)
+	if rest := trimSpace(source[end:]); len(rest) > 0 {
+		list.AddAt("", len(source)-len(rest), "has bytes after its end")
+		return Value{}, false
+	}
+	return root, true
+}
+
+// ReadAt reads a value that is known to be valid JSON and stands at the given place of a document that is not at hand.
+// Offsets of findings count from the value's first byte.
+func ReadAt(place string, raw []byte, list *findings.List) Value {
+	return Value{document: &document{source: raw, list: list}, name: place, index: noIndex, raw: raw}
+}
+
+func syntaxProblem(err error) string {
+	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+		return "it is cut short"
+	}
+	return err.Error()
+}
+
+// Raw is the value as it is written. It shares its bytes with the document.
+func (v Value) Raw() []byte { return v.raw }
+
+// Offset is where the value begins in its document, in bytes.
+func (v Value) Offset() int {
+	// Values are subslices of the source, and jx does not cut their capacity.
+	return cap(v.document.source) - cap(v.raw)
+}
+
+// Place names the value within its document, such as routes[3].timeout_ms.
+func (v Value) Place() string {
+	if v.parent == nil {
+		return v.name
+	}
+	place := v.parent.Place()
+	if v.index != noIndex {
+		return place + "[" + strconv.Itoa(v.index) + "]"
+	}
+	if place == "" {
+		return v.name
+	}
+	return place + "." + v.name
+}
+
+// Fail notes a finding about the value.
+func (v Value) Fail(problem string) {
+	v.document.list.AddAt(v.Place(), v.Offset(), problem)
+}
+
+// IsNull says whether the value is null.
+func (v Value) IsNull() bool { return v.kind() == jx.Null }
+
+// IsObject says whether the value is an object.
+func (v Value) IsObject() bool { return v.kind() == jx.Object }
+
+// IsArray says whether the value is an array.
+func (v Value) IsArray() bool { return v.kind() == jx.Array }
+
+func (v Value) kind() jx.Type { return jx.Raw(v.raw).Type() }
+
+// Object calls field for each field of an object, in order.
+func (v Value) Object(field func(name string, value Value)) bool {
+	if !v.IsObject() {
+		v.Fail("must be an object")
+		return false
+	}
+	err := jx.DecodeBytes(v.raw).Obj(func(decoder *jx.Decoder, name string) error {
+		raw, err := decoder.Raw()
+		if err != nil {
+			return err
+		}
+		field(name, Value{document: v.document, parent: &v, name: name, index: noIndex, raw: trimSpace(raw)})
+		return nil
+	})
+	return v.finish(err)
+}
+
+// Array calls element for each element of an array, in order.
+func (v Value) Array(element func(index int, value Value)) bool {
+	if !v.IsArray() {
+		v.Fail("must be a list")
+		return false
+	}
+	index := 0
+	err := jx.DecodeBytes(v.raw).Arr(func(decoder *jx.Decoder) error {
+		raw, err := decoder.Raw()
+		if err != nil {
+			return err
+		}
+		element(index, Value{document: v.document, parent: &v, index: index, raw: trimSpace(raw)})
+		index++
+		return nil
+	})
+	return v.finish(err)
+}
+
+func (v Value) finish(err error) bool {
+	if err != nil {
+		v.Fail("cannot be read: " + syntaxProblem(err))
+		return false
+	}
+	return true
+}
+
+// Text is a string.
+func (v Value) Text() (string, bool) {
+	if v.kind() != jx.String {
+		v.Fail("must be a string")
+		return "", false
+	}
+	text, err := jx.DecodeBytes(v.raw).Str()
+	return text, v.finish(err)
+}
+
+// Texts is a list of strings.
+func (v Value) Texts() ([]string, bool) {
+	var texts []string
+	whole := true
+	read := v.Array(func(_ int, element Value) {
+		text, ok := element.Text()
+		whole = whole && ok
+		texts = append(texts, text)
+	})
+	return texts, read && whole
+}
+
+// Bool is true or false.
+func (v Value) Bool() (bool, bool) {
+	if v.kind() != jx.Bool {
+		v.Fail("must be true or false")
+		return false, false
+	}
+	value, err := jx.DecodeBytes(v.raw).Bool()
+	return value, v.finish(err)
+}
+
+// Float is a number of any notation that a float64 can hold.
+func (v Value) Float() (float64, bool) {
+	if v.kind() != jx.Number {
+		v.Fail("must be a number")
+		return 0, false
+	}
+	value, err := strconv.ParseFloat(string(v.raw), 64)
+	if err != nil {
+		v.Fail("must be a number within the range of a 64-bit float")
+		return 0, false
+	}
+	return value, true
+}
+
+// Int is a whole number of any notation, so that 3, 3.0 and 3e0 are the same.
+func (v Value) Int() (int, bool) {
+	if value, err := strconv.ParseInt(string(v.raw), 10, 0); err == nil {
+		return int(value), true
+	}
+	value, ok := v.Float()
+	if !ok {
+		return 0, false
+	}
+	const beyond = 1 << 63
+	if value != math.Trunc(value) || value >= beyond || value < -beyond {
+		v.Fail("must be a whole number")
+		return 0, false
+	}
+	return int(value), true
+}
+
+// Uint64 is a whole number that is not negative.
+func (v Value) Uint64() (uint64, bool) {
+	if value, err := strconv.ParseUint(string(v.raw), 10, 64); err == nil {
+		return value, true
+	}
+	value, ok := v.Float()
+	if !ok {
+		return 0, false
+	}
+	const beyond = 1 << 64
+	if value != math.Trunc(value) || value >= beyond || value < 0 {
+		v.Fail("must be a whole number that is not negative")
+		return 0, false
+	}
+	return uint64(value), true
+}
+
+// Address is a string of an IP address.
+func (v Value) Address() (netip.Addr, bool) {
+	text, ok := v.Text()
+	if !ok {
+		return netip.Addr{}, false
+	}
+	address, err := netip.ParseAddr(text)
+	if err != nil {
+		v.Fail("must be an IP address")
+		return netip.Addr{}, false
+	}
+	return address, true
+}
+
+// AddressPort is a string of an IP address and port.
+func (v Value) AddressPort() (netip.AddrPort, bool) {
+	text, ok := v.Text()
+	if !ok {
+		return netip.AddrPort{}, false
+	}
+	address, err := netip.ParseAddrPort(text)
+	if err != nil {
+		v.Fail("must be IP:PORT")
+		return netip.AddrPort{}, false
+	}
+	return address, true
+}
+
+func trimSpace(raw []byte) []byte {
+	for len(raw) > 0 && isSpace(raw[0]) {
+		raw = raw[1:]
+	}
+	return raw[:len(raw)-trailingSpace(raw)]
+}
+
+func trailingSpace(raw []byte) int {
+	count := 0
+	for count < len(raw) && isSpace(raw[len(raw)-1-count]) {
+		count++
+	}
+	return count
+}
+
+func isSpace(b byte) bool { return b == ' ' || b == '\t' || b == '\n' || b == '\r' }
