--- /dev/null
+++ b/internal/discovery/client.go
@@ -0,0 +1,254 @@
+package discovery
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"net/url"
+	"strconv"
+	"sync"
+	"time"
+)
+
+const (
+	// maxPages bounds the pages of one list.
+	maxPages = 1000
+	// maxPageBytes bounds the body of one page.
+	maxPageBytes = 4 << 20
+	// bufferBytes is the size of the connection's read buffer, and so the longest line of an answer's head.
+	bufferBytes = 4 << 10
+	// defaultTimeout bounds one call if the options say nothing.
+	defaultTimeout = time.Second
+)
+
+// RateLimitedError says that the platform refuses further calls for now.
+type RateLimitedError struct{ RetryAfter time.Duration } // 0: not told
+
+// Error says what happened and what to do.
+func (e *RateLimitedError) Error() string {
+	return fmt.Sprintf("discovery: the platform takes no more calls for now (429); wait %v and call less often", e.RetryAfter)
+}
+
+// StatusError says that the platform answered with a failure.
+type StatusError struct{ Status int }
+
+// Error says what happened.
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("discovery: the platform answered %d instead of its list", e.Status)
+}
+
+// EndlessListError says that the pages of the list do not come to an end.
+type EndlessListError struct{ Token string }
+
+// Error says what happened.
+func (e *EndlessListError) Error() string {
+	return fmt.Sprintf("discovery: the pages of the platform's list do not end; the token %q came again or too many came", e.Token)
+}
+
+// ClientOptions are a client's.
+type ClientOptions struct {
+	Address netip.AddrPort
+	Timeout time.Duration // of one call, connecting included; 0: one second
+	// Dropped is told of entries that made no sense and were left out of a list; nil: nobody is. It is called while List
+	// runs.
+	Dropped func(*DroppedEntriesError)
+}
+
+// Client asks the platform for its list, over one connection that it keeps. It is safe for concurrent use; calls wait for
+// one another.
+type Client struct {
+	options ClientOptions
+
+	mutex      sync.Mutex
+	connection net.Conn
+	reader     *bufio.Reader
+	calls      uint64
+}
+
+// NewClient makes a client. It connects with its first call.
+func NewClient(options ClientOptions) *Client {
+	if options.Timeout <= 0 {
+		options.Timeout = defaultTimeout
+	}
+	return &Client{options: options}
+}
+
+// List is the whole list, all pages of it. Each page is a call of its own.
+func (c *Client) List(ctx context.Context) ([]Runner, error) { return c.ListZone(ctx, "") }
+
+// ListZone is the list of one zone; empty: of all of them.
+func (c *Client) ListZone(ctx context.Context, zone string) ([]Runner, error) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	var runners []Runner
+	token := ""
+	seen := map[string]bool{}
+	for range maxPages {
+		body, err := c.page(ctx, zone, token)
+		if err != nil {
+			return nil, err
+		}
+		page, next, err := DecodeList(body)
+		if err := c.tolerate(err); err != nil {
+			return nil, err
+		}
+		runners = append(runners, page...)
+		if next == "" {
+			return unique(runners), nil
+		}
+		if seen[next] {
+			return nil, &EndlessListError{Token: next}
+		}
+		seen[next] = true
+		token = next
+	}
+	return nil, &EndlessListError{Token: token}
+}
+
+// Calls is how many calls were sent to the platform so far.
+func (c *Client) Calls() uint64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.calls
+}
+
+// Close closes the kept connection. The client may be used again.
+func (c *Client) Close() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.disconnect()
+}
+
+func (c *Client) tolerate(err error) error {
+	var dropped *DroppedEntriesError
+	if !errors.As(err, &dropped) {
+		return err
+	}
+	if c.options.Dropped != nil {
+		c.options.Dropped(dropped)
+	}
+	return nil
+}
+
+// unique leaves of entries with the same id the last one: a runner may move to a later page while the pages are fetched.
+func unique(runners []Runner) []Runner {
+	places := make(map[string]int, len(runners))
+	kept := runners[:0]
+	for _, runner := range runners {
+		if place, known := places[runner.ID]; known {
+			kept[place] = runner
+			continue
+		}
+		places[runner.ID] = len(kept)
+		kept = append(kept, runner)
+	}
+	return kept
+}
+
+// page fetches a page. A kept connection that the platform closed before it began to answer is replaced once.
+func (c *Client) page(ctx context.Context, zone, token string) ([]byte, error) {
+	deadline := time.Now().Add(c.options.Timeout)
+	if earlier, ok := ctx.Deadline(); ok && earlier.Before(deadline) {
+		deadline = earlier
+	}
+	kept := c.connection != nil
+	answer, begun, err := c.call(ctx, deadline, target(zone, token))
+	if err != nil && kept && !begun && ctx.Err() == nil && time.Now().Before(deadline) {
+		answer, _, err = c.call(ctx, deadline, target(zone, token))
+	}
+	if err != nil {
+		return nil, fmt.Errorf("discovery: call the platform at %v: %w", c.options.Address, err)
+	}
+	switch {
+	case answer.status == statusTooMany:
+		return nil, &RateLimitedError{RetryAfter: answer.retryAfter}
+	case answer.status != statusOK:
+		return nil, &StatusError{Status: answer.status}
+	}
+	return answer.body, nil
+}
+
+func target(zone, token string) string {
+	query := url.Values{}
+	if zone != "" {
+		query.Set("zone", zone)
+	}
+	if token != "" {
+		query.Set("page_token", token)
+	}
+	if len(query) == 0 {
+		return "/servers"
+	}
+	return "/servers?" + query.Encode()
+}
+
+// call sends a request and reads its answer. begun says whether anything of the answer came.
+func (c *Client) call(ctx context.Context, deadline time.Time, target string) (answer, bool, error) {
+	if err := c.connect(ctx, deadline); err != nil {
+		return answer{}, false, err
+	}
+	connection := c.connection
+	if err := connection.SetDeadline(deadline); err != nil {
+		c.disconnect()
+		return answer{}, false, err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = connection.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	c.calls++
+	got, begun, err := c.exchange(target)
+	if err != nil || got.closes {
+		c.disconnect()
+	}
+	if err != nil && ctx.Err() != nil {
+		err = ctx.Err()
+	}
+	return got, begun, err
+}
+
+func (c *Client) exchange(target string) (answer, bool, error) {
+	request := "GET " + target + " HTTP/1.1\r\nHost: " + c.options.Address.String() + "\r\n\r\n"
+	if _, err := c.connection.Write([]byte(request)); err != nil {
+		return answer{}, false, err
+	}
+	if _, err := c.reader.Peek(1); err != nil {
+		return answer{}, false, err
+	}
+	got, err := readAnswer(c.reader)
+	return got, true, err
+}
+
+func (c *Client) connect(ctx context.Context, deadline time.Time) error {
+	if c.connection != nil {
+		return nil
+	}
+	dialer := net.Dialer{Deadline: deadline}
+	connection, err := dialer.DialContext(ctx, "tcp", c.options.Address.String())
+	if err != nil {
+		return err
+	}
+	c.connection = connection
+	c.reader = bufio.NewReaderSize(connection, bufferBytes)
+	return nil
+}
+
+func (c *Client) disconnect() {
+	if c.connection == nil {
+		return
+	}
+	_ = c.connection.Close()
+	c.connection = nil
+	c.reader = nil
+}
+
+func parseSeconds(text string) time.Duration {
+	const longest = 1 << 62
+	seconds, err := strconv.ParseFloat(text, 64)
+	length := seconds * float64(time.Second)
+	if err != nil || !(length > 0 && length < longest) {
+		return 0
+	}
+	return time.Duration(length)
+}
--- /dev/null
+++ b/internal/discovery/client_test.go
@@ -0,0 +1,199 @@
+package discovery
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// generous bounds what takes no time unless something is wrong.
+const generous = time.Minute
+
+func clientOf(t *testing.T, handler http.Handler) (*Client, *atomic.Int64) {
+	t.Helper()
+	var connections atomic.Int64
+	server := httptest.NewUnstartedServer(handler)
+	server.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			connections.Add(1)
+		}
+	}
+	server.Start()
+	t.Cleanup(server.Close)
+	address := netip.MustParseAddrPort(server.Listener.Addr().String())
+	client := NewClient(ClientOptions{Address: address, Timeout: generous})
+	t.Cleanup(client.Close)
+	return client, &connections
+}
+
+func instance(id string) string {
+	return fmt.Sprintf(`{"id":%q,"service":"s","address":"10.0.0.1:80","state":"serving"}`, id)
+}
+
+func TestClientFollowsPagesOverOneConnection(t *testing.T) {
+	client, connections := clientOf(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path != "/servers" || r.URL.Query().Get("zone") != "a b" {
+			t.Errorf("asked for %v", r.URL)
+		}
+		switch r.URL.Query().Get("page_token") {
+		case "":
+			fmt.Fprintf(w, `{"instances":[%s,%s],"next_token":"p&2"}`, instance("a"), instance("b"))
+		case "p&2":
+			w.(http.Flusher).Flush() // comes in chunks
+			fmt.Fprintf(w, `{"instances":[%s,%s],"next_token":null}`, instance("b"), instance("c"))
+		default:
+			t.Errorf("asked for %v", r.URL)
+		}
+	}))
+	for range 3 {
+		runners, err := client.ListZone(context.Background(), "a b")
+		if err != nil || len(runners) != 3 {
+			t.Fatalf("got %+v, %v", runners, err)
+		}
+	}
+	if connections.Load() != 1 || client.Calls() != 6 {
+		t.Fatalf("%d connections and %d calls", connections.Load(), client.Calls())
+	}
+}
+
+func TestClientTellsARefusalByRate(t *testing.T) {
+	client, _ := clientOf(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Retry-After", "0.25")
+		w.WriteHeader(http.StatusTooManyRequests)
+	}))
+	var limited *RateLimitedError
+	if _, err := client.List(context.Background()); !errors.As(err, &limited) || limited.RetryAfter != 250*time.Millisecond {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestClientTellsOtherFailures(t *testing.T) {
+	client, _ := clientOf(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusInternalServerError)
+	}))
+	var failure *StatusError
+	if _, err := client.List(context.Background()); !errors.As(err, &failure) || failure.Status != 500 {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestClientStopsAtPagesWithoutEnd(t *testing.T) {
+	client, _ := clientOf(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"instances":[],"next_token":"again"}`)
+	}))
+	var endless *EndlessListError
+	if _, err := client.List(context.Background()); !errors.As(err, &endless) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestClientReportsEntriesThatWereLeftOut(t *testing.T) {
+	client, _ := clientOf(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, `{"instances":[{},%s]}`, instance("a"))
+	}))
+	told := 0
+	client.options.Dropped = func(dropped *DroppedEntriesError) { told += dropped.Dropped }
+	runners, err := client.List(context.Background())
+	if err != nil || len(runners) != 1 || told != 1 {
+		t.Fatalf("got %+v, %v, told of %d", runners, err, told)
+	}
+}
+
+func TestClientConnectsAgainWhenTheKeptConnectionWasClosed(t *testing.T) {
+	listener := listen(t)
+	go func() {
+		for {
+			connection, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			readRequest(connection)
+			body := `{"instances":[]}`
+			fmt.Fprintf(connection, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+			_ = connection.Close()
+		}
+	}()
+	client := NewClient(ClientOptions{Address: addressOf(listener), Timeout: generous})
+	defer client.Close()
+	for range 3 {
+		if _, err := client.List(context.Background()); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestClientGivesUpWhenItsCallerDoes(t *testing.T) {
+	listener := listen(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	go func() {
+		connection, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		readRequest(connection)
+		cancel()
+	}()
+	client := NewClient(ClientOptions{Address: addressOf(listener), Timeout: generous})
+	defer client.Close()
+	if _, err := client.List(ctx); !errors.Is(err, context.Canceled) {
+		t.Fatalf("got %v", err)
+	}
+}
+
+func TestReadAnswerRefusesWhatIsCutOrMalformed(t *testing.T) {
+	const head = "HTTP/1.1 200 OK\r\n"
+	for _, text := range []string{
+		"", "HTTP/1.1", "SSH-2.0\r\n\r\n", head, head + "Content-Length: 5\r\n\r\nfour", head + "Content-Length: -1\r\n\r\n",
+		head + "no colon\r\n\r\n", head + "Transfer-Encoding: gzip\r\n\r\n", head + "Transfer-Encoding: chunked\r\n\r\nx\r\n",
+		head + "Transfer-Encoding: chunked\r\n\r\n2\r\nabc\r\n0\r\n\r\n", head + "Content-Length: 99999999\r\n\r\n",
+	} {
+		if got, err := readAnswer(bufio.NewReader(bytes.NewReader([]byte(text)))); err == nil {
+			t.Errorf("%q was read as %+v", text, got)
+		}
+	}
+}
+
+func FuzzReadAnswer(f *testing.F) {
+	f.Add([]byte("HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"))
+	f.Add([]byte("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2;x=y\r\n{}\r\n0\r\nA: b\r\n\r\n"))
+	f.Add([]byte("HTTP/1.0 429 No\nRetry-After: 3\n\n"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		got, err := readAnswer(bufio.NewReaderSize(bytes.NewReader(text), bufferBytes))
+		if err == nil && len(got.body) > len(text) {
+			t.Fatalf("%d bytes of body out of %d", len(got.body), len(text))
+		}
+	})
+}
+
+func listen(t *testing.T) net.Listener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = listener.Close() })
+	return listener
+}
+
+func addressOf(listener net.Listener) netip.AddrPort {
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func readRequest(connection net.Conn) {
+	reader := bufio.NewReader(connection)
+	for {
+		line, err := reader.ReadString('\n')
+		if err != nil || line == "\r\n" {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/discovery/discovery_test.go
@@ -0,0 +1,152 @@
+package discovery
+
+import (
+	"errors"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const page = `{"instances":[
+ {"service":"engine","address":"10.128.0.9:8080","zone":"north-a","version":"v1","capacity":64,"state":"serving",
+  "cold_left_ms":1500.5,"phase":"both","models":[{"name":"m","version":3,"adapters":[]}],"id":"i-1"},
+ {"service":"engine","address":"10.128.0.10:8080","zone":"north-a","capacity":64,"state":"draining","id":"i-2",
+  "time_left_ms":2500,"cold_left_ms":0,"models":null}],"next_token":"p-50","unknown":[1,{"a":null}]}`
+
+func TestDecodeListReadsAPage(t *testing.T) {
+	runners, next, err := DecodeList([]byte(page))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := []Runner{
+		{
+			ID: "i-1", Service: "engine", Address: netip.MustParseAddrPort("10.128.0.9:8080"), Zone: "north-a",
+			Capacity: 64, ColdLeft: 1500500 * time.Microsecond, Phase: "both", Models: []Model{{Name: "m", Version: 3}},
+		},
+		{
+			ID: "i-2", Service: "engine", Address: netip.MustParseAddrPort("10.128.0.10:8080"), Zone: "north-a",
+			Capacity: 64, Draining: true, TimeLeft: 2500 * time.Millisecond,
+		},
+	}
+	if !reflect.DeepEqual(runners, want) || next != "p-50" {
+		t.Fatalf("got %+v and %q", runners, next)
+	}
+}
+
+func TestDecodeListLeavesOutEntriesThatMakeNoSense(t *testing.T) {
+	const body = `{"instances":[7,{"id":"a"},{"id":"b","service":"s","address":"nowhere","state":"serving"},
+	 {"id":"c","service":"s","address":"10.0.0.1:80","state":"serving","capacity":"many"},
+	 {"id":"d","service":"s","address":"10.0.0.1:80","state":"serving"}],"next_token":null}`
+	runners, next, err := DecodeList([]byte(body))
+	var dropped *DroppedEntriesError
+	if !errors.As(err, &dropped) || dropped.Dropped != 4 {
+		t.Fatalf("got %v, want four entries left out", err)
+	}
+	if len(runners) != 1 || runners[0].ID != "d" || next != "" {
+		t.Fatalf("got %+v and %q", runners, next)
+	}
+}
+
+func TestDecodeListTakesAnUnknownStateForDraining(t *testing.T) {
+	const body = `{"instances":[{"id":"a","service":"s","address":"10.0.0.1:80","state":"resting"}]}`
+	runners, _, err := DecodeList([]byte(body))
+	if err != nil || !runners[0].Draining {
+		t.Fatalf("got %+v, %v", runners, err)
+	}
+}
+
+func TestDecodeListKeepsATimeLeftOfNothingApartFromNone(t *testing.T) {
+	const body = `{"instances":[
+	 {"id":"a","service":"s","address":"10.0.0.1:80","state":"serving","time_left_ms":0}]}`
+	runners, _, err := DecodeList([]byte(body))
+	if err != nil || !runners[0].Draining || runners[0].TimeLeft <= 0 {
+		t.Fatalf("got %+v, %v", runners, err)
+	}
+}
+
+func TestDecodeListRefusesWhatIsNoList(t *testing.T) {
+	for _, body := range []string{"", "[]", "{}", `{"instances":3}`, `{"instances":[]`, `{"instances":[],"next_token":1}`} {
+		var unreadable *UnreadableListError
+		if runners, _, err := DecodeList([]byte(body)); !errors.As(err, &unreadable) || runners != nil {
+			t.Errorf("%q: got %v, %v", body, runners, err)
+		}
+	}
+}
+
+func drawRunner(t *rapid.T) Runner {
+	runner := Runner{
+		ID:       rapid.String().Draw(t, "id"),
+		Service:  rapid.String().Draw(t, "service"),
+		Zone:     rapid.String().Draw(t, "zone"),
+		Capacity: rapid.Int().Draw(t, "capacity"),
+		Draining: rapid.Bool().Draw(t, "draining"),
+		ColdLeft: time.Duration(rapid.Int64().Draw(t, "cold")),
+		TimeLeft: time.Duration(rapid.Int64().Draw(t, "left")),
+		Phase:    rapid.String().Draw(t, "phase"),
+	}
+	octets := rapid.SampledFrom([]int{0, 4, 16}).Draw(t, "octets")
+	if address, ok := netip.AddrFromSlice(rapid.SliceOfN(rapid.Byte(), octets, octets).Draw(t, "address")); ok {
+		runner.Address = netip.AddrPortFrom(address, rapid.Uint16().Draw(t, "port"))
+	}
+	for range rapid.IntRange(0, 3).Draw(t, "models") {
+		model := Model{Name: rapid.String().Draw(t, "model"), Version: rapid.Int().Draw(t, "version")}
+		runner.Models = append(runner.Models, model)
+	}
+	return runner
+}
+
+func TestDecodeReadsWhatEncodeWrote(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		want := drawRunner(t)
+		data := Encode(want)
+		got, err := Decode(data)
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Fatalf("got %+v, %v, want %+v", got, err, want)
+		}
+		cut := rapid.IntRange(0, len(data)-1).Draw(t, "cut")
+		if _, err := Decode(data[:cut]); err == nil {
+			t.Fatalf("%d bytes of %d were accepted", cut, len(data))
+		}
+		if _, err := Decode(append(data, 0)); err == nil {
+			t.Fatal("a byte too many was accepted")
+		}
+	})
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(Encode(Runner{}))
+	f.Add(Encode(Runner{
+		ID: "i-1", Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Capacity: 3,
+		Models: []Model{{Name: "m", Version: 1}},
+	}))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		runner, err := Decode(data)
+		if err != nil {
+			return
+		}
+		again, err := Decode(Encode(runner))
+		if err != nil || !reflect.DeepEqual(again, runner) {
+			t.Fatalf("%+v came back as %+v, %v", runner, again, err)
+		}
+	})
+}
+
+func FuzzDecodeList(f *testing.F) {
+	f.Add([]byte(page))
+	f.Add([]byte(`{"instances":[]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		runners, _, err := DecodeList(body)
+		var unreadable *UnreadableListError
+		if errors.As(err, &unreadable) && runners != nil {
+			t.Fatal("a page that cannot be read has runners")
+		}
+		for _, runner := range runners {
+			if runner.ID == "" || runner.Service == "" || !runner.Address.IsValid() || runner.ColdLeft < 0 {
+				t.Fatalf("%+v makes no sense", runner)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/discovery/list.go
@@ -0,0 +1,170 @@
+package discovery
+
+import (
+	"fmt"
+	"time"
+
+	"cinderroad/internal/findings"
+	"cinderroad/internal/jsonfield"
+)
+
+// UnreadableListError says that a page of the list cannot be read at all.
+type UnreadableListError struct{ Findings error }
+
+// Error says what happened.
+func (e *UnreadableListError) Error() string {
+	return fmt.Sprintf("discovery: the platform's list cannot be read: %v", e.Findings)
+}
+
+// Unwrap is the error with the findings.
+func (e *UnreadableListError) Unwrap() error { return e.Findings }
+
+// DroppedEntriesError stands beside a page of which some entries made no sense and were left out.
+type DroppedEntriesError struct {
+	Dropped  int
+	Findings error
+}
+
+// Error says what happened.
+func (e *DroppedEntriesError) Error() string {
+	return fmt.Sprintf("discovery: %d entries of the platform's list were left out: %v", e.Dropped, e.Findings)
+}
+
+// Unwrap is the error with the findings.
+func (e *DroppedEntriesError) Unwrap() error { return e.Findings }
+
+// DecodeList reads a page of the platform's list. next is the token of the page that follows, empty on the last one. An
+// entry that makes no sense is left out and reported in a *DroppedEntriesError beside the rest of the page; any other
+// error is an *UnreadableListError, and there is no page then.
+func DecodeList(body []byte) (page []Runner, next string, err error) {
+	var decoder listDecoder
+	root, ok := jsonfield.Read(body, &decoder.list)
+	if !ok || !root.Object(decoder.readField) || !decoder.sawEntries || decoder.failed {
+		if !decoder.sawEntries {
+			decoder.list.Add("instances", "is missing")
+		}
+		return nil, "", &UnreadableListError{Findings: decoder.list.Err()}
+	}
+	if decoder.dropped > 0 {
+		err = &DroppedEntriesError{Dropped: decoder.dropped, Findings: decoder.list.Err()}
+	}
+	return decoder.page, decoder.next, err
+}
+
+type listDecoder struct {
+	list       findings.List
+	page       []Runner
+	next       string
+	dropped    int
+	sawEntries bool
+	failed     bool
+}
+
+func (d *listDecoder) readField(name string, value jsonfield.Value) {
+	switch name {
+	case "instances":
+		d.sawEntries = value.Array(d.readEntry)
+	case "next_token":
+		if value.IsNull() {
+			return
+		}
+		token, ok := value.Text()
+		d.next = token
+		d.failed = d.failed || !ok
+	}
+}
+
+func (d *listDecoder) readEntry(_ int, value jsonfield.Value) {
+	before := d.list.Len()
+	runner := entry{}
+	if value.Object(runner.readField) {
+		runner.require(value)
+	}
+	if d.list.Len() > before {
+		d.dropped++
+		return
+	}
+	d.page = append(d.page, runner.Runner)
+}
+
+type entry struct {
+	Runner
+	state string
+}
+
+func (e *entry) readField(name string, value jsonfield.Value) {
+	if value.IsNull() {
+		return
+	}
+	switch name {
+	case "id":
+		e.ID, _ = value.Text()
+	case "service":
+		e.Service, _ = value.Text()
+	case "address":
+		e.Address, _ = value.AddressPort()
+	case "zone":
+		e.Zone, _ = value.Text()
+	case "capacity":
+		e.Capacity, _ = value.Int()
+	case "state":
+		e.state, _ = value.Text()
+	case "cold_left_ms":
+		e.ColdLeft = milliseconds(value)
+	case "time_left_ms":
+		e.TimeLeft = max(milliseconds(value), shortest) // 0 would be one that is not told
+		e.Draining = true
+	case "phase":
+		e.Phase, _ = value.Text()
+	case "models":
+		value.Array(e.readModel)
+	}
+}
+
+func (e *entry) readModel(_ int, value jsonfield.Value) {
+	var model Model
+	value.Object(func(name string, value jsonfield.Value) {
+		switch name {
+		case "name":
+			model.Name, _ = value.Text()
+		case "version":
+			model.Version, _ = value.Int()
+		}
+	})
+	e.Models = append(e.Models, model)
+}
+
+// require checks what no runner can do without. A state other than serving, also one that is not known, gets nothing new.
+func (e *entry) require(value jsonfield.Value) {
+	e.Draining = e.Draining || e.state != "serving"
+	if e.ID == "" {
+		value.Fail("has no id")
+	}
+	if e.Service == "" {
+		value.Fail("has no service")
+	}
+	if !e.Address.IsValid() || e.Address.Port() == 0 {
+		value.Fail("has no address")
+	}
+	if e.Capacity < 0 {
+		value.Fail("has a negative capacity")
+	}
+}
+
+// shortest is the time left of a runner that is told to have none.
+const shortest = time.Nanosecond
+
+// milliseconds reads a time that is not negative; one that has run out may be told as a little below 0.
+func milliseconds(value jsonfield.Value) time.Duration {
+	const longest = 1 << 62
+	number, ok := value.Float()
+	if !ok {
+		return 0
+	}
+	length := number * float64(time.Millisecond)
+	if length > longest {
+		value.Fail("is too long")
+		return 0
+	}
+	return max(time.Duration(length), 0)
+}
