--- /dev/null
+++ b/internal/control/api/answer.go
@@ -0,0 +1,113 @@
+package api
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-faster/jx"
+
+	"cinderroad/internal/findings"
+)
+
+// retryAfter is what callers are asked to wait before they ask again.
+const retryAfter = 300 * time.Millisecond
+
+// Codes of errors, as operators' tools read them.
+const (
+	codeInvalid     = "invalid"
+	codeConflict    = "version_conflict"
+	codeUnavailable = "no_majority"
+	codeTooLarge    = "too_large"
+	codeNotFound    = "not_found"
+	codeBusy        = "busy"
+)
+
+// refusal is an answer other than success.
+type refusal struct {
+	status   int
+	code     string
+	message  string
+	findings []findings.Finding
+}
+
+// Error returns the message.
+func (r *refusal) Error() string { return "api: " + r.message }
+
+func invalid(message string, list ...findings.Finding) *refusal {
+	return &refusal{status: http.StatusBadRequest, code: codeInvalid, message: message, findings: list}
+}
+
+func conflict(current uint64) *refusal {
+	return &refusal{status: http.StatusPreconditionFailed, code: codeConflict,
+		message: "another version is in force: " + strconv.FormatUint(current, 10)}
+}
+
+func unavailable(message string) *refusal {
+	return &refusal{status: http.StatusServiceUnavailable, code: codeUnavailable, message: message}
+}
+
+func notFound(message string) *refusal {
+	return &refusal{status: http.StatusNotFound, code: codeNotFound, message: message}
+}
+
+// write answers with the refusal.
+func (r *refusal) write(w http.ResponseWriter) {
+	if r.status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
+	}
+	writeJSON(w, r.status, r.encode())
+}
+
+func (r *refusal) encode() []byte {
+	var e jx.Encoder
+	e.ObjStart()
+	e.FieldStart("error")
+	e.ObjStart()
+	e.FieldStart("code")
+	e.Str(r.code)
+	e.FieldStart("message")
+	e.Str(r.message)
+	e.FieldStart("findings")
+	e.ArrStart()
+	for _, finding := range r.findings {
+		e.ObjStart()
+		e.FieldStart("place")
+		e.Str(finding.Place)
+		e.FieldStart("problem")
+		e.Str(finding.Problem)
+		e.ObjEnd()
+	}
+	e.ArrEnd()
+	e.ObjEnd()
+	e.ObjEnd()
+	return e.Bytes()
+}
+
+func writeVersion(w http.ResponseWriter, version uint64) {
+	var e jx.Encoder
+	e.ObjStart()
+	e.FieldStart("version")
+	e.UInt64(version)
+	e.ObjEnd()
+	writeJSON(w, http.StatusOK, e.Bytes())
+}
+
+func writeZone(w http.ResponseWriter, zone string, evacuated bool) {
+	var e jx.Encoder
+	e.ObjStart()
+	e.FieldStart("zone")
+	e.Str(zone)
+	e.FieldStart("evacuated")
+	e.Bool(evacuated)
+	e.ObjEnd()
+	writeJSON(w, http.StatusOK, e.Bytes())
+}
+
+func writeJSON(w http.ResponseWriter, status int, body []byte) {
+	header := w.Header()
+	header.Set("Content-Type", "application/json")
+	header.Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	w.Write(body)
+}
--- /dev/null
+++ b/internal/control/duty/diff.go
@@ -0,0 +1,112 @@
+// Package duty keeps the runners' partitions equal to the platform's list. One machine of the system does so: the one
+// that leads partition 0, and only while a majority grants it that.
+package duty
+
+import (
+	"slices"
+	"time"
+
+	"cinderroad/internal/control/state"
+	"cinderroad/internal/discovery"
+	"cinderroad/internal/feed"
+)
+
+// Bounds of what counts as a change of a time that runs down by itself.
+const (
+	tolerance    = 400 * time.Millisecond // between what is listed and what the item's age lets expect
+	settledAfter = 2 * time.Second        // after its end, a cold time is written as 0: ages are lost with a restart
+)
+
+// held is a runner as the partition holds it.
+type held struct {
+	runner discovery.Runner
+	at     time.Duration // steady time of the item's change
+}
+
+// expected is what is left of a time that ran down since the item was written.
+func (h *held) expected(left, now time.Duration) time.Duration { return max(0, left-(now-h.at)) }
+
+// differs says whether the list's entry is to be written.
+func (h *held) differs(listed *discovery.Runner, now time.Duration) bool {
+	if !sameButTimes(&h.runner, listed) {
+		return true
+	}
+	if deviates(h.expected(h.runner.ColdLeft, now), listed.ColdLeft) {
+		return true
+	}
+	if (h.runner.TimeLeft > 0) != (listed.TimeLeft > 0) && listed.TimeLeft > 0 {
+		return true
+	}
+	if listed.TimeLeft > 0 && deviates(h.expected(h.runner.TimeLeft, now), listed.TimeLeft) {
+		return true
+	}
+	return listed.ColdLeft == 0 && h.runner.ColdLeft > 0 && now-h.at > h.runner.ColdLeft+settledAfter
+}
+
+func deviates(a, b time.Duration) bool {
+	return a-b > tolerance || b-a > tolerance
+}
+
+// sameButTimes compares all that does not change by itself.
+func sameButTimes(a, b *discovery.Runner) bool {
+	return a.ID == b.ID && a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone &&
+		a.Capacity == b.Capacity && a.Draining == b.Draining && a.Phase == b.Phase && slices.Equal(a.Models, b.Models)
+}
+
+// view is a partition's runners as the local replica holds them, kept up to date from its feed.
+type view struct {
+	index   uint64
+	runners map[string]held // by key
+}
+
+// follow takes the changes since the view's index.
+func (v *view) follow(batch feed.Batch, now time.Duration) {
+	if batch.To <= v.index {
+		return
+	}
+	if batch.Snapshot || v.runners == nil {
+		v.runners = make(map[string]held, len(batch.Items))
+	}
+	v.index = batch.To
+	for i := range batch.Items {
+		v.take(&batch.Items[i], now)
+	}
+}
+
+func (v *view) take(item *feed.Item, now time.Duration) {
+	if item.Deleted {
+		delete(v.runners, item.Key)
+		return
+	}
+	runner, err := discovery.Decode(item.Value)
+	if err != nil {
+		delete(v.runners, item.Key) // the list has it written anew
+		return
+	}
+	v.runners[item.Key] = held{runner: runner, at: now - item.Age}
+}
+
+// writes returns what brings the view to the list, in the order of keys. Runners that are held and not listed are
+// deleted if gone says so.
+func (v *view) writes(listed map[string]*discovery.Runner, now time.Duration, gone func(key string) bool) []state.Write {
+	var out []state.Write
+	for key, runner := range listed {
+		h, known := v.runners[key]
+		if known && !h.differs(runner, now) {
+			continue
+		}
+		out = append(out, state.Write{Key: key, Value: discovery.Encode(*runner)})
+	}
+	for key := range v.runners {
+		if listed[key] == nil && gone(key) {
+			out = append(out, state.Write{Key: key, Deleted: true})
+		}
+	}
+	slices.SortFunc(out, func(a, b state.Write) int {
+		if a.Key < b.Key {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
--- /dev/null
+++ b/internal/control/duty/duty.go
@@ -0,0 +1,277 @@
+package duty
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cinderroad/internal/control/state"
+	"cinderroad/internal/discovery"
+	"cinderroad/internal/feed"
+	"cinderroad/internal/replica"
+)
+
+// The duty's pace.
+const (
+	pollEvery    = 450 * time.Millisecond
+	lookEvery    = 200 * time.Millisecond // for the lease, while another machine has the duty
+	leaseMargin  = 100 * time.Millisecond // that must be left of the lease when a call begins
+	listTimeout  = 2 * time.Second
+	writeTimeout = 1 * time.Second
+	longestPause = 2 * time.Second // between two calls of a platform that refuses them
+	rateShare    = 0.5             // of the platform's rate that the duty takes; agents that are cut off share the rest
+)
+
+// Lister asks the platform for its whole list.
+type Lister interface {
+	// List returns all pages. Permit is asked right before each call to the platform and ends the list by an error.
+	List(ctx context.Context, permit func() error) ([]discovery.Runner, error)
+}
+
+// Partition is the local state of a runners' partition.
+type Partition interface {
+	Since(index uint64) feed.Batch
+	Changed() uint64 // what a command must have seen, see state.WriteRunners
+}
+
+// Options are a duty's.
+type Options struct {
+	Lister     Lister
+	Replicas   replica.Replicas
+	Partitions []Partition // the first one is partition 1
+	RatePerS   float64     // that the platform takes from the whole system; 0: not told
+	Now        func() time.Duration
+	Log        *zap.Logger
+}
+
+// Duty polls the list. Run is called once.
+type Duty struct {
+	options Options
+	views   []view
+	behind  []bool // partitions whose local replica must catch up before the next comparison
+	missing map[string]int
+	pages   int // calls that the last list took, at least 1
+	pause   time.Duration
+	active  bool
+	failing bool
+}
+
+// New returns a duty.
+func New(options Options) *Duty {
+	return &Duty{
+		options: options,
+		views:   make([]view, len(options.Partitions)),
+		behind:  make([]bool, len(options.Partitions)),
+		missing: map[string]int{},
+		pages:   1,
+	}
+}
+
+// Run does the duty whenever this machine has it, until the context ends.
+func (d *Duty) Run(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		timer.Reset(d.Step(ctx))
+	}
+}
+
+// lostLeaseError says that the lease does not reach for another call.
+type lostLeaseError struct{}
+
+func (lostLeaseError) Error() string { return "duty: the lease ended; another machine has the duty now" }
+
+// permit says whether a call may begin now.
+func (d *Duty) permit() error {
+	left, leads := d.options.Replicas.Leads(feed.ConfigurationPartition)
+	if !leads || left <= leaseMargin {
+		return lostLeaseError{}
+	}
+	return nil
+}
+
+// Step polls once if this machine has the duty, and returns how long to wait until the next step.
+func (d *Duty) Step(ctx context.Context) time.Duration {
+	if d.permit() != nil {
+		d.lapse()
+		return lookEvery
+	}
+	d.begin()
+	started := d.options.Now()
+	calls := 0
+	list, err := d.list(ctx, &calls)
+	if err != nil {
+		return d.failed(ctx, err)
+	}
+	d.succeeded()
+	d.pages = max(1, calls)
+	d.write(ctx, list)
+	return max(0, d.interval()-(d.options.Now()-started))
+}
+
+func (d *Duty) list(ctx context.Context, calls *int) ([]discovery.Runner, error) {
+	ctx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	return d.options.Lister.List(ctx, func() error {
+		*calls++
+		return d.permit()
+	})
+}
+
+// begin starts the duty anew: what was seen while another machine had it does not count.
+func (d *Duty) begin() {
+	if d.active {
+		return
+	}
+	d.active = true
+	clear(d.missing)
+	for i := range d.behind {
+		d.behind[i] = true
+	}
+	d.options.Log.Info("discovery taken up")
+}
+
+func (d *Duty) lapse() {
+	if !d.active {
+		return
+	}
+	d.active = false
+	d.options.Log.Info("discovery given up")
+}
+
+func (d *Duty) succeeded() {
+	d.pause = 0
+	if d.failing {
+		d.failing = false
+		d.options.Log.Info("list of runners is answered again")
+	}
+}
+
+// failed logs the first of a series of failures, and returns a pause that grows with them.
+func (d *Duty) failed(ctx context.Context, err error) time.Duration {
+	if ctx.Err() != nil || err == error(lostLeaseError{}) {
+		return lookEvery
+	}
+	if !d.failing {
+		d.failing = true
+		d.options.Log.Warn("list of runners is not answered, what is known is kept", zap.Error(err))
+	}
+	d.pause = min(longestPause, max(pollEvery, d.pause*2))
+	return d.pause
+}
+
+// interval is the time between two polls: longer where the platform takes few calls, or the list has many pages.
+func (d *Duty) interval() time.Duration {
+	if d.options.RatePerS <= 0 {
+		return pollEvery
+	}
+	least := time.Duration(float64(d.pages) / (d.options.RatePerS * rateShare) * float64(time.Second))
+	return max(pollEvery, least)
+}
+
+// write brings all partitions to the list, each by itself: one without a leader does not hold up the others.
+func (d *Duty) write(ctx context.Context, list []discovery.Runner) {
+	listed := d.byPartition(list)
+	d.noteMissing(listed)
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	var running sync.WaitGroup
+	for i := range d.options.Partitions {
+		running.Go(func() { d.writePartition(ctx, i, listed[i]) })
+	}
+	running.Wait()
+}
+
+// byPartition sorts the list's entries by partition and key.
+func (d *Duty) byPartition(list []discovery.Runner) []map[string]*discovery.Runner {
+	out := make([]map[string]*discovery.Runner, len(d.options.Partitions))
+	for i := range out {
+		out[i] = map[string]*discovery.Runner{}
+	}
+	for i := range list {
+		partition := int(feed.PartitionOf(list[i].Service)) - 1
+		out[partition][feed.KeyRunner+list[i].ID] = &list[i]
+	}
+	return out
+}
+
+// noteMissing counts for each runner that was held how many lists in a row lacked it.
+func (d *Duty) noteMissing(listed []map[string]*discovery.Runner) {
+	now := make(map[string]int)
+	for i := range d.views {
+		for key := range d.views[i].runners {
+			if listed[i][key] == nil {
+				now[key] = d.missing[key] + 1
+			}
+		}
+	}
+	d.missing = now
+}
+
+// gone says whether a runner that is held and not listed is gone. A list of several pages may lack one that moved from
+// one page to another between two calls: there it takes two lists in a row.
+func (d *Duty) gone(key string) bool { return d.pages == 1 || d.missing[key] >= 2 }
+
+// writePartition proposes what differs; after a conflict it looks again, once.
+func (d *Duty) writePartition(ctx context.Context, i int, listed map[string]*discovery.Runner) {
+	for range 2 {
+		if err := d.catchUp(ctx, i); err != nil {
+			return
+		}
+		settled, err := d.propose(ctx, i, listed)
+		if err != nil {
+			d.behind[i] = true
+			d.options.Log.Debug("change of runners was not agreed on", zap.Int("partition", i+1), zap.Error(err))
+			return
+		}
+		if settled {
+			return
+		}
+	}
+}
+
+// catchUp has the local replica hold what was agreed on before, where that is not sure.
+func (d *Duty) catchUp(ctx context.Context, i int) error {
+	if !d.behind[i] {
+		return nil
+	}
+	if err := d.options.Replicas.Barrier(ctx, feed.Partition(i+1)); err != nil {
+		return fmt.Errorf("duty: catch up with partition %d: %w", i+1, err)
+	}
+	d.behind[i] = false
+	return nil
+}
+
+// propose compares and proposes. It says whether the partition is settled with the list.
+func (d *Duty) propose(ctx context.Context, i int, listed map[string]*discovery.Runner) (bool, error) {
+	partition, v := d.options.Partitions[i], &d.views[i]
+	seen := partition.Changed()
+	now := d.options.Now()
+	v.follow(partition.Since(v.index), now)
+	writes := v.writes(listed, now, d.gone)
+	if len(writes) == 0 {
+		return true, nil
+	}
+	if err := d.permit(); err != nil {
+		return false, err
+	}
+	command := state.WriteRunners{Seen: seen, Writes: writes}
+	answer, err := d.options.Replicas.Propose(ctx, feed.Partition(i+1), command.Encode())
+	if err != nil {
+		return false, fmt.Errorf("duty: propose to partition %d: %w", i+1, err)
+	}
+	result, err := state.DecodeResult(answer)
+	if err != nil {
+		return false, err
+	}
+	d.behind[i] = partition.Changed() < result.Number
+	return result.Outcome == state.Accepted, nil
+}
