--- /dev/null
+++ b/internal/control/api/api.go
@@ -0,0 +1,215 @@
+// Package api is the operator's API of the control machines, over HTTP. Every control machine serves it: orders go to
+// whichever machine leads, and are acknowledged once a majority has agreed on them.
+package api
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cinderroad/internal/control/state"
+	"cinderroad/internal/feed"
+	"cinderroad/internal/replica"
+)
+
+// Paths of the calls.
+const (
+	PathReplace     = "/-/Settings.Replace"
+	PathChange      = "/-/Settings.Change"
+	PathRead        = "/-/Settings.Read"
+	PathDrainBegin  = "/-/DrainZone.Begin/"
+	PathDrainFinish = "/-/DrainZone.Finish/"
+	PathStatus      = "/-/status"
+)
+
+// HeaderBasedOn names the version that a change builds on; 0 for the first.
+const HeaderBasedOn = "X-Based-On"
+
+// Bounds of calls.
+const (
+	MostBodyBytes = 16 << 20
+	// AnswerWithin is how long after the whole request its answer comes at the latest: callers take a second of
+	// silence for a failure.
+	AnswerWithin = 850 * time.Millisecond
+	mostCalls    = 64 // at once; more are told to come back
+	mostChanges  = 2  // that are compared at once: each holds two documents
+)
+
+// Options are the API's.
+type Options struct {
+	Replicas  replica.Replicas
+	State     *state.Configuration
+	KnownZone func(zone string) bool
+	Status    func() []byte // JSON for operators
+	Log       *zap.Logger
+}
+
+// API serves the calls.
+type API struct {
+	options   Options
+	committer committer
+	calls     chan struct{}
+	changes   chan struct{}
+	mux       *http.ServeMux
+}
+
+// New returns the API.
+func New(options Options) *API {
+	a := &API{
+		options:   options,
+		committer: committer{replicas: options.Replicas, state: options.State, prepare: prepare},
+		calls:     make(chan struct{}, mostCalls),
+		changes:   make(chan struct{}, mostChanges),
+		mux:       http.NewServeMux(),
+	}
+	a.mux.HandleFunc("POST "+PathReplace, a.change(replaceWhole))
+	a.mux.HandleFunc("POST "+PathChange, a.change(changeItems))
+	a.mux.HandleFunc("GET "+PathRead, a.read)
+	a.mux.HandleFunc("POST "+PathDrainBegin+"{zone}", a.evacuate(true))
+	a.mux.HandleFunc("POST "+PathDrainFinish+"{zone}", a.evacuate(false))
+	a.mux.HandleFunc("GET "+PathStatus, a.status)
+	return a
+}
+
+// ServeHTTP answers a call.
+func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	select {
+	case a.calls <- struct{}{}:
+		defer func() { <-a.calls }()
+	default:
+		busy := &refusal{status: http.StatusServiceUnavailable, code: codeBusy, message: "too many calls at once"}
+		busy.write(w)
+		return
+	}
+	a.mux.ServeHTTP(w, r)
+}
+
+func (a *API) change(kind kind) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		version, size, err := a.take(w, r, kind)
+		if err != nil {
+			a.refuse(w, err)
+			return
+		}
+		a.options.Log.Info("configuration accepted", zap.Uint64("version", version), zap.Int("bytes", size))
+		writeVersion(w, version)
+	}
+}
+
+// take reads a change and has it agreed on.
+func (a *API) take(w http.ResponseWriter, r *http.Request, kind kind) (version uint64, size int, err error) {
+	basedOn, err := readBasedOn(r)
+	if err != nil {
+		return 0, 0, err
+	}
+	body, err := readBody(w, r)
+	if err != nil {
+		return 0, 0, err
+	}
+	ctx, cancel := context.WithTimeout(r.Context(), AnswerWithin)
+	defer cancel()
+	select {
+	case a.changes <- struct{}{}:
+		defer func() { <-a.changes }()
+	case <-ctx.Done():
+		return 0, 0, unavailable("too many changes at once")
+	}
+	version, err = a.committer.commit(ctx, &request{kind: kind, basedOn: basedOn, body: body})
+	return version, len(body), err
+}
+
+func readBasedOn(r *http.Request) (uint64, error) {
+	text := strings.TrimSpace(r.Header.Get(HeaderBasedOn))
+	if text == "" {
+		return 0, invalid("header " + HeaderBasedOn + " is missing: it names the version that the change builds on, 0 for the first")
+	}
+	version, err := strconv.ParseUint(text, 10, 64)
+	if err != nil {
+		return 0, invalid("header " + HeaderBasedOn + " is not a version number: " + strconv.Quote(text))
+	}
+	return version, nil
+}
+
+func readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, MostBodyBytes))
+	var tooLarge *http.MaxBytesError
+	switch {
+	case errors.As(err, &tooLarge):
+		return nil, &refusal{status: http.StatusRequestEntityTooLarge, code: codeTooLarge,
+			message: "the body is longer than " + strconv.Itoa(MostBodyBytes) + " bytes"}
+	case err != nil:
+		return nil, &refusal{status: http.StatusRequestTimeout, code: codeUnavailable,
+			message: "the body did not arrive whole: " + err.Error()}
+	}
+	return body, nil
+}
+
+func (a *API) read(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), AnswerWithin)
+	defer cancel()
+	if err := a.barrier(ctx); err != nil {
+		a.refuse(w, err)
+		return
+	}
+	base := a.options.State.Base()
+	if base.Version == 0 {
+		a.refuse(w, notFound("there is no configuration yet"))
+		return
+	}
+	version := strconv.FormatUint(base.Version, 10)
+	w.Header().Set("ETag", strconv.Quote(version))
+	w.Header().Set("X-Version", version)
+	writeJSON(w, http.StatusOK, document(&base))
+}
+
+// barrier waits until the local state holds what was acknowledged before, for as long as the context lasts.
+func (a *API) barrier(ctx context.Context) error {
+	for {
+		if a.options.Replicas.Barrier(ctx, feed.ConfigurationPartition) == nil {
+			return nil
+		}
+		if !pause(ctx, retryEvery) {
+			return unavailable("no majority of the control machines answers")
+		}
+	}
+}
+
+func (a *API) evacuate(on bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		zone := r.PathValue("zone")
+		if !a.options.KnownZone(zone) {
+			a.refuse(w, notFound("there is no zone "+strconv.Quote(zone)))
+			return
+		}
+		ctx, cancel := context.WithTimeout(r.Context(), AnswerWithin)
+		defer cancel()
+		if err := a.committer.evacuate(ctx, zone, on); err != nil {
+			a.refuse(w, err)
+			return
+		}
+		a.options.Log.Info("evacuation acknowledged", zap.String("zone", zone), zap.Bool("evacuated", on))
+		writeZone(w, zone, on)
+	}
+}
+
+func (a *API) status(w http.ResponseWriter, _ *http.Request) {
+	writeJSON(w, http.StatusOK, a.options.Status())
+}
+
+func (a *API) refuse(w http.ResponseWriter, err error) {
+	var refused *refusal
+	if !errors.As(err, &refused) {
+		refused = unavailable(err.Error())
+	}
+	if refused.status == http.StatusBadRequest || refused.status == http.StatusServiceUnavailable {
+		a.options.Log.Info("call refused", zap.Int("status", refused.status), zap.String("cause", refused.message),
+			zap.Int("findings", len(refused.findings)))
+	}
+	refused.write(w)
+}
--- /dev/null
+++ b/internal/control/api/commit.go
@@ -0,0 +1,175 @@
+package api
+
+import (
+	"context"
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"time"
+
+	"cinderroad/internal/control/state"
+	"cinderroad/internal/feed"
+	"cinderroad/internal/findings"
+	"cinderroad/internal/replica"
+)
+
+// retryEvery is the pause between two attempts of an order whose outcome is not known.
+const retryEvery = 50 * time.Millisecond
+
+// kind is what a change of the configuration is.
+type kind uint8
+
+const (
+	replaceWhole kind = 1 + iota
+	changeItems
+)
+
+// request is a change of the configuration as the operator sent it.
+type request struct {
+	kind    kind
+	basedOn uint64
+	body    []byte
+}
+
+// digest is that of all that makes the request what it is.
+func (r *request) digest() state.Digest {
+	hash := sha256.New()
+	var head [9]byte
+	head[0] = byte(r.kind)
+	binary.BigEndian.PutUint64(head[1:], r.basedOn)
+	hash.Write(head[:])
+	hash.Write(r.body)
+	var digest state.Digest
+	copy(digest[:], hash.Sum(nil))
+	return digest
+}
+
+// change is what a valid request does to the configuration.
+type change struct {
+	version uint64
+	writes  []state.Write
+}
+
+// committer has orders agreed on.
+type committer struct {
+	replicas replica.Replicas
+	state    *state.Configuration
+	prepare  func(request *request, base *state.Base) (change, error)
+}
+
+// commit has the request agreed on and returns its version. The error is a *refusal. It tries again while the outcome
+// of an attempt is not known, until the context ends: the digest keeps the request from being taken twice.
+func (c *committer) commit(ctx context.Context, request *request) (uint64, error) {
+	digest := request.digest()
+	for {
+		version, err := c.attempt(ctx, request, digest)
+		var refused *refusal
+		if err == nil || errors.As(err, &refused) {
+			return version, err
+		}
+		if !pause(ctx, retryEvery) {
+			return 0, unavailable("no majority of the control machines answers; the order may be sent again unchanged")
+		}
+	}
+}
+
+// attempt is one try. An error that is not a *refusal says that the outcome is not known.
+func (c *committer) attempt(ctx context.Context, request *request, digest state.Digest) (uint64, error) {
+	if err := c.replicas.Barrier(ctx, feed.ConfigurationPartition); err != nil {
+		return 0, err
+	}
+	if version, ok := c.state.Accepted(digest); ok {
+		return version, nil
+	}
+	base := c.state.Base()
+	if base.Version != request.basedOn {
+		return 0, conflict(base.Version)
+	}
+	change, err := c.prepare(request, &base)
+	if err != nil {
+		return 0, refuse(err)
+	}
+	command := state.CommitConfiguration{BasedOn: request.basedOn, Version: change.version, Digest: digest,
+		Writes: change.writes}
+	result, err := propose(ctx, c.replicas, command.Encode())
+	if err != nil {
+		return 0, err
+	}
+	return settled(result)
+}
+
+func settled(result state.Result) (uint64, error) {
+	switch result.Outcome {
+	case state.Accepted, state.AlreadyAccepted:
+		return result.Number, nil
+	case state.Conflict:
+		return 0, conflict(result.Number)
+	}
+	return 0, unavailable("control machines run releases that do not understand each other; update all of them")
+}
+
+// refuse turns what is wrong with a request into an answer.
+func refuse(err error) *refusal {
+	var found *findings.Error
+	if errors.As(err, &found) {
+		return invalid("the configuration is invalid; nothing was changed", found.Findings...)
+	}
+	return invalid("the configuration can't be read: " + err.Error())
+}
+
+// evacuate has a zone emptied or taken back. The error is a *refusal.
+func (c *committer) evacuate(ctx context.Context, zone string, on bool) error {
+	for {
+		err := c.attemptEvacuation(ctx, zone, on)
+		var refused *refusal
+		if err == nil || errors.As(err, &refused) {
+			return err
+		}
+		if !pause(ctx, retryEvery) {
+			return unavailable("no majority of the control machines answers; the order may be sent again")
+		}
+	}
+}
+
+// errLookAgain says that the state changed between look and order.
+var errLookAgain = errors.New("api: another order came first")
+
+func (c *committer) attemptEvacuation(ctx context.Context, zone string, on bool) error {
+	if err := c.replicas.Barrier(ctx, feed.ConfigurationPartition); err != nil {
+		return err
+	}
+	evacuated, seen := c.state.Evacuated(zone)
+	if evacuated == on {
+		return nil
+	}
+	command := state.SetEvacuation{Zone: zone, On: on, Seen: seen}
+	result, err := propose(ctx, c.replicas, command.Encode())
+	if err != nil {
+		return err
+	}
+	if result.Outcome == state.Conflict {
+		return errLookAgain
+	}
+	_, err = settled(result)
+	return err
+}
+
+func propose(ctx context.Context, replicas replica.Replicas, command []byte) (state.Result, error) {
+	answer, err := replicas.Propose(ctx, feed.ConfigurationPartition, command)
+	if err != nil {
+		return state.Result{}, err
+	}
+	return state.DecodeResult(answer)
+}
+
+// pause waits and says whether the context goes on.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- a/internal/control/directory/directory.go
+++ b/internal/control/directory/directory.go
@@ -5,7 +5,6 @@
 import (
 	"math/rand/v2"
 	"net/netip"
-	"time"
 )
 
 // Health is what is held of a member.
@@ -121,44 +120,3 @@
 	}
 	return out
 }
-
-// Proxies estimates from above how many proxies may be serving: the most that were seen in the last HighWaterFor.
-// It is used by one goroutine.
-type Proxies struct {
-	slots [highWaterSlots]int
-	slot  int64
-}
-
-// HighWaterFor is how long a proxy that is gone still counts: it may serve on unseen.
-const HighWaterFor = 10 * time.Second
-
-const highWaterSlots = 10
-
-// Observe takes the view at a steady time and returns the estimate, 0 while no proxy is known.
-func (p *Proxies) Observe(now time.Duration, edges []Edge) int {
-	p.advance(int64(now / (HighWaterFor / highWaterSlots)))
-	count := 0
-	for i := range edges {
-		if edges[i].Health != Dead {
-			count++
-		}
-	}
-	current := &p.slots[p.slot%highWaterSlots]
-	*current = max(*current, count)
-	most := 0
-	for _, n := range p.slots {
-		most = max(most, n)
-	}
-	return most
-}
-
-// advance empties the slots between the last observation and now.
-func (p *Proxies) advance(slot int64) {
-	if slot-p.slot > highWaterSlots {
-		p.slot = slot - highWaterSlots
-	}
-	for p.slot < slot {
-		p.slot++
-		p.slots[p.slot%highWaterSlots] = 0
-	}
-}
--- a/internal/control/duty/duty.go
+++ b/internal/control/duty/duty.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"sync"
 	"time"
@@ -25,10 +26,10 @@
 	rateShare    = 0.5             // of the platform's rate that the duty takes; agents that are cut off share the rest
 )
 
-// Lister asks the platform for its whole list.
+// Lister asks the platform for its list.
 type Lister interface {
-	// List returns all pages. Permit is asked right before each call to the platform and ends the list by an error.
-	List(ctx context.Context, permit func() error) ([]discovery.Runner, error)
+	List(ctx context.Context) ([]discovery.Runner, error) // all pages
+	Calls() uint64                                        // to the platform so far
 }
 
 // Partition is the local state of a runners' partition.
@@ -84,20 +85,20 @@
 	}
 }
 
-// lostLeaseError says that the lease does not reach for another call.
-type lostLeaseError struct{}
+// ErrLostLease says that the lease does not reach for another call.
+var ErrLostLease = errors.New("duty: the lease ended; another machine has the duty now")
 
-func (lostLeaseError) Error() string { return "duty: the lease ended; another machine has the duty now" }
-
-// permit says whether a call may begin now.
-func (d *Duty) permit() error {
-	left, leads := d.options.Replicas.Leads(feed.ConfigurationPartition)
+// Permit says whether a call to the platform may begin now: nil or ErrLostLease.
+func Permit(replicas replica.Replicas) error {
+	left, leads := replicas.Leads(feed.ConfigurationPartition)
 	if !leads || left <= leaseMargin {
-		return lostLeaseError{}
+		return ErrLostLease
 	}
 	return nil
 }
 
+func (d *Duty) permit() error { return Permit(d.options.Replicas) }
+
 // Step polls once if this machine has the duty, and returns how long to wait until the next step.
 func (d *Duty) Step(ctx context.Context) time.Duration {
 	if d.permit() != nil {
@@ -106,24 +107,24 @@
 	}
 	d.begin()
 	started := d.options.Now()
-	calls := 0
-	list, err := d.list(ctx, &calls)
+	list, err := d.list(ctx)
 	if err != nil {
 		return d.failed(ctx, err)
 	}
 	d.succeeded()
-	d.pages = max(1, calls)
 	d.write(ctx, list)
 	return max(0, d.interval()-(d.options.Now()-started))
 }
 
-func (d *Duty) list(ctx context.Context, calls *int) ([]discovery.Runner, error) {
+func (d *Duty) list(ctx context.Context) ([]discovery.Runner, error) {
 	ctx, cancel := context.WithTimeout(ctx, listTimeout)
 	defer cancel()
-	return d.options.Lister.List(ctx, func() error {
-		*calls++
-		return d.permit()
-	})
+	before := d.options.Lister.Calls()
+	list, err := d.options.Lister.List(ctx)
+	if err == nil {
+		d.pages = max(1, int(d.options.Lister.Calls()-before))
+	}
+	return list, err
 }
 
 // begin starts the duty anew: what was seen while another machine had it does not count.
@@ -157,7 +158,7 @@
 
 // failed logs the first of a series of failures, and returns a pause that grows with them.
 func (d *Duty) failed(ctx context.Context, err error) time.Duration {
-	if ctx.Err() != nil || err == error(lostLeaseError{}) {
+	if ctx.Err() != nil || errors.Is(err, ErrLostLease) {
 		return lookEvery
 	}
 	if !d.failing {
--- /dev/null
+++ b/internal/control/state/runners.go
@@ -0,0 +1,78 @@
+package state
+
+import (
+	"encoding/binary"
+	"time"
+
+	"cinderroad/internal/feed"
+)
+
+// Runners is the state machine of a partition of runners.
+type Runners struct {
+	store
+	changed uint64 // index of the last change
+}
+
+// NewRunners returns an empty state. Changed is called after each change, from Apply or Restore; now is the steady
+// clock.
+func NewRunners(partition feed.Partition, now func() time.Duration, changed func()) *Runners {
+	return &Runners{store: newStore(partition, now, changed)}
+}
+
+// Apply takes an agreed command and returns an encoded Result.
+func (s *Runners) Apply(index uint64, command []byte) []byte {
+	decoded, err := decode(command)
+	if err != nil {
+		return Result{Outcome: Unreadable}.Encode()
+	}
+	writes, ok := decoded.(*WriteRunners)
+	if !ok {
+		return Result{Outcome: Unreadable}.Encode()
+	}
+	return s.write(index, writes).Encode()
+}
+
+func (s *Runners) write(index uint64, command *WriteRunners) Result {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if command.Seen != s.changed {
+		return Result{Outcome: Conflict, Number: s.changed}
+	}
+	s.changed = index
+	s.apply(index, command.Writes)
+	return Result{Outcome: Accepted, Number: index}
+}
+
+// Changed is the index of the last change, which a WriteRunners must have seen.
+func (s *Runners) Changed() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.changed
+}
+
+// Snapshot encodes the whole state.
+func (s *Runners) Snapshot() []byte {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	b := []byte{snapshotFormat}
+	b = binary.AppendUvarint(b, s.changed)
+	return s.appendTo(b)
+}
+
+// Restore replaces the state by a snapshot's.
+func (s *Runners) Restore(index uint64, snapshot []byte) error {
+	r := reader{bytes: snapshot}
+	if r.byte() != snapshotFormat {
+		return &FormatError{What: "a snapshot of runners", Offset: 0}
+	}
+	changed := r.number()
+	table, err := r.table(index)
+	if err != nil {
+		return &FormatError{What: "a snapshot of runners", Offset: r.at}
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.changed = changed
+	s.replace(index, table)
+	return nil
+}
