--- a/internal/control/duty/diff.go
+++ b/internal/control/duty/diff.go
@@ -3,6 +3,7 @@
 package duty
 
 import (
+	"bytes"
 	"slices"
 	"time"
 
@@ -23,6 +24,8 @@
 	at     time.Duration // steady time of the item's change
 }
 
+func (h *held) encodedAs(value []byte) bool { return bytes.Equal(discovery.Encode(h.runner), value) }
+
 // expected is what is left of a time that ran down since the item was written.
 func (h *held) expected(left, now time.Duration) time.Duration { return max(0, left-(now-h.at)) }
 
@@ -95,7 +98,13 @@
 		if known && !h.differs(runner, now) {
 			continue
 		}
-		out = append(out, state.Write{Key: key, Value: discovery.Encode(*runner)})
+		value := discovery.Encode(*runner)
+		if known && h.encodedAs(value) {
+			anew := *runner
+			anew.ColdLeft++ // an equal value would keep its index and age
+			value = discovery.Encode(anew)
+		}
+		out = append(out, state.Write{Key: key, Value: value})
 	}
 	for key := range v.runners {
 		if listed[key] == nil && gone(key) {
--- a/internal/control/duty/duty.go
+++ b/internal/control/duty/duty.go
@@ -34,7 +34,7 @@
 
 // Partition is the local state of a runners' partition.
 type Partition interface {
-	Since(index uint64) feed.Batch
+	Since(index uint64, maxBytes int) feed.Batch
 	Changed() uint64 // what a command must have seen, see state.WriteRunners
 }
 
@@ -198,7 +198,7 @@
 		out[i] = map[string]*discovery.Runner{}
 	}
 	for i := range list {
-		partition := int(feed.PartitionOf(list[i].Service)) - 1
+		partition := int(feed.PartitionOf(list[i].Service, len(out))) - 1
 		out[partition][feed.KeyRunner+list[i].ID] = &list[i]
 	}
 	return out
@@ -256,7 +256,7 @@
 	partition, v := d.options.Partitions[i], &d.views[i]
 	seen := partition.Changed()
 	now := d.options.Now()
-	v.follow(partition.Since(v.index), now)
+	v.follow(partition.Since(v.index, 0), now)
 	writes := v.writes(listed, now, d.gone)
 	if len(writes) == 0 {
 		return true, nil
--- a/internal/control/following/server.go
+++ b/internal/control/following/server.go
@@ -3,12 +3,14 @@
 package following
 
 import (
+	"context"
 	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"cinderroad/internal/feed"
+	"cinderroad/internal/rpc"
 )
 
 // Bounds of a call.
@@ -25,9 +27,9 @@
 type Source interface {
 	// Index is that of the newest change.
 	Index() uint64
-	// Since returns what changed after the index, or a snapshot, with the items' ages as of now. It returns an empty
-	// batch if nothing did, or if the caller is ahead.
-	Since(index uint64) feed.Batch
+	// Since returns what changed after the index, or a snapshot, with the items' ages as of now; a delta of more than
+	// maxBytes (0: no bound) ends earlier. The batch is empty if nothing changed, or if the caller is ahead.
+	Since(index uint64, maxBytes int) feed.Batch
 }
 
 // Options are a server's.
@@ -39,7 +41,7 @@
 	Proxies  func() int           // that may be serving; 0: not known
 }
 
-// Server is the service Feed. Its method Follow is called over RPC.
+// Server answers followers.
 type Server struct {
 	options   Options
 	caches    []cache
@@ -53,32 +55,35 @@
 	s := &Server{options: options, caches: make([]cache, len(options.Sources)), stop: make(chan struct{})}
 	for i, source := range options.Sources {
 		s.caches[i].source = source
+		s.caches[i].maxBytes = MostReplyData
 	}
+	s.caches[feed.ConfigurationPartition].maxBytes = 0
 	return s
 }
 
 // Stop answers all open calls at once, and later ones without a wait.
 func (s *Server) Stop() { s.stopOnce.Do(func() { close(s.stop) }) }
 
+// Call is the call that followers make.
+var Call = rpc.Declare[feed.FollowRequest, feed.FollowReply]("Feed.Follow")
+
 // Follow answers as soon as anything changed since the request's positions, and after its wait at the latest.
-func (s *Server) Follow(request *feed.FollowRequest, reply *feed.FollowReply) error {
+func (s *Server) Follow(ctx context.Context, request *feed.FollowRequest) (*feed.FollowReply, error) {
 	if s.followers.Add(1) > MostFollowers {
 		s.followers.Add(-1)
-		return ErrTooManyFollowers
+		return nil, ErrTooManyFollowers
 	}
 	defer s.followers.Add(-1)
 	positions := s.positions(request)
-	reply.Batches = s.collect(positions)
-	if len(reply.Batches) == 0 && request.Wait > 0 {
-		reply.Batches = s.await(positions, min(request.Wait, LongestWait))
+	batches := s.collect(positions)
+	if len(batches) == 0 && request.Wait > 0 {
+		batches = s.await(ctx, positions, min(request.Wait, LongestWait))
 	}
-	reply.Fresh = s.options.Fresh()
-	reply.Proxies = s.options.Proxies()
-	return nil
+	return &feed.FollowReply{Batches: batches, Fresh: s.options.Fresh(), Proxies: s.options.Proxies()}, nil
 }
 
 // await looks again after each wake-up until there is something, or the time is over.
-func (s *Server) await(positions []uint64, wait time.Duration) []feed.Batch {
+func (s *Server) await(ctx context.Context, positions []uint64, wait time.Duration) []feed.Batch {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
@@ -90,6 +95,8 @@
 		case <-wake:
 		case <-timer.C:
 			return nil
+		case <-ctx.Done():
+			return nil
 		case <-s.stop:
 			return nil
 		}
@@ -107,8 +114,8 @@
 	return positions
 }
 
-// collect returns the batches of the partitions that changed, until the bound is reached: a batch is never cut, since
-// what was agreed on together is to be in force together.
+// collect returns the batches of the partitions that changed, until the bound is reached. A batch of the configuration is
+// never cut: what is in force together travels together.
 func (s *Server) collect(positions []uint64) []feed.Batch {
 	var batches []feed.Batch
 	size := 0
@@ -142,7 +149,8 @@
 
 // cache keeps a partition's latest deltas, since many followers stand at the same position.
 type cache struct {
-	source Source
+	source   Source
+	maxBytes int // of a delta
 
 	mu     sync.Mutex
 	index  uint64 // that the deltas lead to
@@ -171,7 +179,7 @@
 			return d.batch
 		}
 	}
-	batch := c.source.Since(from)
+	batch := c.source.Since(from, c.maxBytes)
 	c.keep(delta{from: from, at: now, batch: batch})
 	return batch
 }
--- /dev/null
+++ b/internal/control/state/codec_test.go
@@ -0,0 +1,127 @@
+package state
+
+import (
+	"bytes"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func drawWrites(t *rapid.T) []Write {
+	return rapid.SliceOfN(rapid.Custom(func(t *rapid.T) Write {
+		write := Write{Key: rapid.String().Draw(t, "key"), Deleted: rapid.Bool().Draw(t, "deleted")}
+		if !write.Deleted {
+			write.Value = rapid.SliceOf(rapid.Byte()).Draw(t, "value")
+		}
+		return write
+	}), 0, 8).Draw(t, "writes")
+}
+
+func sameWrites(a, b []Write) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Key != b[i].Key || a[i].Deleted != b[i].Deleted || !bytes.Equal(a[i].Value, b[i].Value) {
+			return false
+		}
+	}
+	return true
+}
+
+func TestCommandsComeBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		commit := CommitConfiguration{
+			BasedOn: rapid.Uint64().Draw(t, "based"),
+			Version: rapid.Uint64().Draw(t, "version"),
+			Writes:  drawWrites(t),
+		}
+		copy(commit.Digest[:], rapid.SliceOfN(rapid.Byte(), DigestSize, DigestSize).Draw(t, "digest"))
+		decoded, err := decode(commit.Encode())
+		if err != nil {
+			t.Fatal(err)
+		}
+		got := decoded.(*CommitConfiguration)
+		if got.BasedOn != commit.BasedOn || got.Version != commit.Version || got.Digest != commit.Digest ||
+			!sameWrites(got.Writes, commit.Writes) {
+			t.Fatalf("%+v came back as %+v", commit, got)
+		}
+		evacuation := SetEvacuation{Zone: rapid.String().Draw(t, "zone"), On: rapid.Bool().Draw(t, "on"),
+			Seen: rapid.Uint64().Draw(t, "seen")}
+		if decoded, err = decode(evacuation.Encode()); err != nil || !reflect.DeepEqual(decoded, &evacuation) {
+			t.Fatalf("%+v came back as %+v, %v", evacuation, decoded, err)
+		}
+		runners := WriteRunners{Seen: rapid.Uint64().Draw(t, "seen"), Writes: drawWrites(t)}
+		decoded, err = decode(runners.Encode())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := decoded.(*WriteRunners); got.Seen != runners.Seen || !sameWrites(got.Writes, runners.Writes) {
+			t.Fatalf("%+v came back as %+v", runners, got)
+		}
+	})
+}
+
+// FuzzCommand holds that whatever can be read is written as the same bytes, and that no bytes end a replica.
+func FuzzCommand(f *testing.F) {
+	f.Add(commitOf(1, 2, 3, put("route/a", "{}"), Write{Key: "route/b", Deleted: true}))
+	f.Add((&SetEvacuation{Zone: "a", On: true, Seen: 300}).Encode())
+	f.Add((&WriteRunners{Seen: 7, Writes: []Write{put("runner/i-1", "x")}}).Encode())
+	f.Fuzz(func(t *testing.T, data []byte) {
+		newTestConfiguration().Apply(1, data)
+		NewRunners(1, still, ignore).Apply(1, data)
+		decoded, err := decode(data)
+		if err != nil {
+			return
+		}
+		again := decoded.(interface{ Encode() []byte }).Encode()
+		if !bytes.Equal(again, data) {
+			t.Errorf("%x was read and written as %x", data, again)
+		}
+	})
+}
+
+// FuzzSnapshot holds that a snapshot is taken whole or not at all.
+func FuzzSnapshot(f *testing.F) {
+	c := newTestConfiguration()
+	c.Apply(1, commitOf(0, 2, 3, put("route/a", "{}"), put("service/b", "{}")))
+	c.Apply(2, (&SetEvacuation{Zone: "a", On: true}).Encode())
+	f.Add(c.Snapshot())
+	s := NewRunners(1, still, ignore)
+	s.Apply(1, (&WriteRunners{Writes: []Write{put("runner/i-1", "x")}}).Encode())
+	f.Add(s.Snapshot())
+	f.Fuzz(func(t *testing.T, data []byte) {
+		configuration := newTestConfiguration()
+		empty := configuration.Snapshot()
+		if configuration.Restore(1, data) != nil {
+			if !bytes.Equal(configuration.Snapshot(), empty) {
+				t.Error("a snapshot that can't be read changed the state")
+			}
+		} else {
+			again := newTestConfiguration()
+			if err := again.Restore(1, configuration.Snapshot()); err != nil {
+				t.Errorf("its own snapshot can't be read: %v", err)
+			}
+		}
+		runners := NewRunners(1, still, ignore)
+		if runners.Restore(1, data) == nil {
+			if err := NewRunners(1, still, ignore).Restore(1, runners.Snapshot()); err != nil {
+				t.Errorf("its own snapshot can't be read: %v", err)
+			}
+		}
+	})
+}
+
+func TestResultsComeBack(t *testing.T) {
+	for _, result := range []Result{{Accepted, 1}, {Conflict, 1 << 63}, {AlreadyAccepted, 0}} {
+		if got := resultOf(t, result.Encode()); got != result {
+			t.Errorf("%+v came back as %+v", result, got)
+		}
+	}
+	for _, bytes := range [][]byte{nil, {1}, {9, 1}, {1, 1, 1}} {
+		if _, err := DecodeResult(bytes); err == nil {
+			t.Errorf("%x was read as a result", bytes)
+		}
+	}
+}
--- a/internal/control/state/configuration.go
+++ b/internal/control/state/configuration.go
@@ -18,10 +18,10 @@
 	Digest           Digest
 }
 
-// Base is the configuration at a moment. Its items are shared and not to be changed.
+// Base is partition 0 at a moment, the evacuations included.
 type Base struct {
-	Version uint64 // 0: there is none yet
-	Items   []feed.Item
+	Version uint64 // of the configuration; 0: there is none yet
+	Values  Values
 }
 
 // Configuration is the state machine of partition 0.
@@ -109,12 +109,11 @@
 	return version, known
 }
 
-// Base returns the configuration that is in force here, without the evacuations.
+// Base returns what is in force here.
 func (c *Configuration) Base() Base {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	items := c.items(func(key string) bool { return !strings.HasPrefix(key, feed.KeyEvacuation) })
-	return Base{Version: c.version, Items: items}
+	return Base{Version: c.version, Values: c.values("")}
 }
 
 // Version returns that of the configuration in force here.
@@ -136,7 +135,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	var zones []string
-	for _, item := range c.items(func(key string) bool { return strings.HasPrefix(key, feed.KeyEvacuation) }) {
+	for _, item := range c.values(feed.KeyEvacuation) {
 		zones = append(zones, strings.TrimPrefix(item.Key, feed.KeyEvacuation))
 	}
 	return zones
@@ -163,15 +162,15 @@
 }
 
 // Restore replaces the state by a snapshot's.
-func (c *Configuration) Restore(index uint64, snapshot []byte) error {
+func (c *Configuration) Restore(_ uint64, snapshot []byte) error {
 	r := reader{bytes: snapshot}
 	if r.byte() != snapshotFormat {
 		return &FormatError{What: "a snapshot of the configuration", Offset: 0}
 	}
 	version, evacuationsChanged := r.number(), r.number()
 	ring := r.ring()
-	table, err := r.table(index)
-	if err != nil {
+	batch, ok := r.table()
+	if !ok {
 		return &FormatError{What: "a snapshot of the configuration", Offset: r.at}
 	}
 	c.mutex.Lock()
@@ -182,7 +181,7 @@
 	for _, change := range ring {
 		c.remember(change)
 	}
-	c.replace(index, table)
+	c.replace(batch)
 	return nil
 }
 
--- a/internal/control/state/runners.go
+++ b/internal/control/state/runners.go
@@ -60,19 +60,19 @@
 }
 
 // Restore replaces the state by a snapshot's.
-func (s *Runners) Restore(index uint64, snapshot []byte) error {
+func (s *Runners) Restore(_ uint64, snapshot []byte) error {
 	r := reader{bytes: snapshot}
 	if r.byte() != snapshotFormat {
 		return &FormatError{What: "a snapshot of runners", Offset: 0}
 	}
 	changed := r.number()
-	table, err := r.table(index)
-	if err != nil {
+	batch, ok := r.table()
+	if !ok {
 		return &FormatError{What: "a snapshot of runners", Offset: r.at}
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.changed = changed
-	s.replace(index, table)
+	s.replace(batch)
 	return nil
 }
