--- /dev/null
+++ b/internal/agent/overlay/overlay.go
@@ -0,0 +1,157 @@
+package overlay
+
+import (
+	"slices"
+	"time"
+
+	"cinderroad/internal/discovery"
+	"cinderroad/internal/feed"
+)
+
+const (
+	// missesUntilGone is in how many lists in a row a runner must be missing to be gone: one list may be a page short.
+	missesUntilGone = 2
+	// tolerance is by how much a time that runs down by itself may differ from what is expected.
+	tolerance = 400 * time.Millisecond
+)
+
+// overlay is what the platform itself said of runners.
+type overlay struct {
+	altered map[string]feed.Partition // keys that are served as the platform said
+	missed  map[string]int            // keys that are served and were missing in so many lists in a row
+}
+
+func newOverlay() overlay {
+	return overlay{altered: map[string]feed.Partition{}, missed: map[string]int{}}
+}
+
+// forget takes it that the control replicas had a newer word on a key.
+func (o *overlay) forget(key string) {
+	delete(o.altered, key)
+	delete(o.missed, key)
+}
+
+// List takes the platform's list: new runners are served, those that drain are served as draining, and those that were
+// missing twice in a row are gone. It says whether anything changed. An empty list says nothing.
+func (t *Tables) List(now time.Duration, runners []discovery.Runner) bool {
+	if len(runners) == 0 {
+		return false
+	}
+	listed := make([]map[string]*discovery.Runner, len(t.served))
+	for partition := range listed {
+		listed[partition] = map[string]*discovery.Runner{}
+	}
+	for i := range runners {
+		runner := &runners[i]
+		partition := feed.PartitionOf(runner.Service, len(t.served)-1)
+		listed[partition][feed.KeyRunner+runner.ID] = runner
+	}
+	changed := false
+	for partition := 1; partition < len(t.served); partition++ {
+		if t.listPartition(now, feed.Partition(partition), listed[partition]) {
+			changed = true
+		}
+	}
+	return changed
+}
+
+// listPartition serves a partition as listed. All its changes have one number.
+func (t *Tables) listPartition(now time.Duration, partition feed.Partition, listed map[string]*discovery.Runner) bool {
+	table := t.served[partition]
+	index := table.Index() + 1
+	var put []feed.Item
+	var gone []string
+	for item := range table.Items(now, feed.KeyRunner) {
+		if listed[item.Key] == nil && t.missing(item.Key) {
+			gone = append(gone, item.Key)
+		}
+	}
+	for key, runner := range listed {
+		delete(t.overlay.missed, key)
+		t.drained.keep(now, runner)
+		if item, known := table.Item(now, key); known && !differs(item, runner) {
+			continue
+		}
+		put = append(put, feed.Item{Key: key, Value: discovery.Encode(*runner)})
+	}
+	slices.SortFunc(put, func(a, b feed.Item) int { return compare(a.Key, b.Key) })
+	for _, item := range put {
+		t.overlay.altered[item.Key] = partition
+		table.Put(now, index, item.Key, item.Value)
+	}
+	for _, key := range gone {
+		t.overlay.altered[key] = partition
+		table.Delete(now, index, key)
+	}
+	return len(put)+len(gone) > 0
+}
+
+func compare(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
+
+// missing notes that a served runner is not listed, and says whether it is gone.
+func (t *Tables) missing(key string) bool {
+	t.overlay.missed[key]++
+	if t.overlay.missed[key] < missesUntilGone {
+		return false
+	}
+	delete(t.overlay.missed, key)
+	return true
+}
+
+// differs says whether a listed runner is another than the one served: times that run down by themselves are compared
+// with what is left of them by now.
+func differs(item feed.Item, listed *discovery.Runner) bool {
+	held, isRunner := decode(item)
+	if !isRunner {
+		return true
+	}
+	if !sameButTimes(&held, listed) {
+		return true
+	}
+	return deviates(held.ColdLeft-item.Age, listed.ColdLeft) || deviates(held.TimeLeft-item.Age, listed.TimeLeft)
+}
+
+func sameButTimes(a, b *discovery.Runner) bool {
+	return a.ID == b.ID && a.Service == b.Service && a.Address == b.Address && a.Zone == b.Zone &&
+		a.Capacity == b.Capacity && a.Draining == b.Draining && a.Phase == b.Phase && slices.Equal(a.Models, b.Models)
+}
+
+func deviates(expected, listed time.Duration) bool {
+	difference := max(0, expected) - listed
+	return difference > tolerance || difference < -tolerance
+}
+
+// Drop serves the runners as the control replicas have them again; those that were seen draining drain on. It says
+// whether anything changed.
+func (t *Tables) Drop(now time.Duration) bool {
+	changed := false
+	indices := make([]uint64, len(t.served))
+	for partition, table := range t.served {
+		indices[partition] = table.Index() + 1
+	}
+	for key, partition := range t.overlay.altered {
+		if t.restore(now, partition, indices[partition], key) {
+			changed = true
+		}
+	}
+	t.overlay = newOverlay()
+	return changed
+}
+
+// restore serves a key as the control replicas have it.
+func (t *Tables) restore(now time.Duration, partition feed.Partition, index uint64, key string) bool {
+	item, known := t.base[partition].Item(now, key)
+	if !known {
+		return t.served[partition].Delete(now, index, key)
+	}
+	item = t.effective(now, item)
+	return t.served[partition].Put(now-item.Age, index, key, item.Value)
+}
--- /dev/null
+++ b/internal/agent/overlay/tables.go
@@ -0,0 +1,152 @@
+// Package overlay holds what an agent knows: the partitions as the control replicas have them, and as the agent serves
+// them to its proxy, with the platform's own word laid over the runners while the agent is cut off. It is pure.
+//
+// The served partitions have numbers of their own: that of the control replicas' change, followed by Bits bits that count
+// the changes that the agent made itself. So they rise over restarts of the agent as well, which the proxy relies on.
+package overlay
+
+import (
+	"time"
+
+	"cinderroad/internal/discovery"
+	"cinderroad/internal/feed"
+)
+
+// Bits is how many bits of a served number count the agent's own changes.
+const Bits = 24
+
+// served is the served number of a control replicas' change.
+func served(index uint64) uint64 { return index << Bits }
+
+// Tables are an agent's partitions. They are not safe for concurrent use. Times are of the caller's steady clock.
+type Tables struct {
+	base, served []*feed.Table // by partition
+	drained      drained
+	overlay      overlay
+}
+
+// New returns empty tables: that of the configuration and so many of runners.
+func New(runnerPartitions int) *Tables {
+	t := &Tables{drained: newDrained(), overlay: newOverlay()}
+	for partition := range feed.Partition(1 + runnerPartitions) {
+		t.base = append(t.base, feed.NewTable(partition))
+		t.served = append(t.served, feed.NewTable(partition))
+	}
+	return t
+}
+
+// Partitions is the number of partitions.
+func (t *Tables) Partitions() int { return len(t.base) }
+
+// Positions say how far the control replicas' changes are held.
+func (t *Tables) Positions() []feed.Position {
+	positions := make([]feed.Position, len(t.base))
+	for i, table := range t.base {
+		positions[i] = table.Position()
+	}
+	return positions
+}
+
+// Empty says whether no configuration is held.
+func (t *Tables) Empty() bool { return t.base[feed.ConfigurationPartition].Index() == 0 }
+
+// Base is a partition as the control replicas have it. It is not to be changed.
+func (t *Tables) Base(partition feed.Partition) *feed.Table { return t.base[partition] }
+
+// Served is a partition as the proxy is to have it. It is not to be changed.
+func (t *Tables) Served(partition feed.Partition) *feed.Table { return t.served[partition] }
+
+// Apply takes a batch of the control replicas. It says whether anything changed, and whether the batch lags behind what
+// is held, in which case it is ignored.
+func (t *Tables) Apply(now time.Duration, batch feed.Batch) (changed, lags bool) {
+	if int(batch.Partition) >= len(t.base) {
+		return false, false
+	}
+	base := t.base[batch.Partition]
+	if batch.To < base.Index() {
+		return false, true
+	}
+	items := base.Apply(now, batch)
+	if batch.Snapshot {
+		t.serveAll(now, batch.Partition)
+	} else {
+		t.serveChanges(now, batch.Partition, items)
+	}
+	return len(items) > 0, false
+}
+
+// serveChanges takes over the items that changed.
+func (t *Tables) serveChanges(now time.Duration, partition feed.Partition, changed []feed.Item) {
+	items := make([]feed.Item, 0, len(changed))
+	for _, item := range changed {
+		items = append(items, t.effective(now, item))
+		t.overlay.forget(item.Key)
+	}
+	table := t.served[partition]
+	table.Apply(now, feed.Batch{
+		Partition: partition,
+		From:      table.Index(),
+		To:        served(t.base[partition].Index()),
+		Items:     items,
+	})
+}
+
+// serveAll takes over a whole partition: what the platform said of it is dropped.
+func (t *Tables) serveAll(now time.Duration, partition feed.Partition) {
+	base, table := t.base[partition], t.served[partition]
+	if base.Index() == 0 {
+		return
+	}
+	items := make([]feed.Item, 0, base.Len())
+	for item := range base.Items(now, "") {
+		items = append(items, t.effective(now, item))
+	}
+	for item := range table.Items(now, "") {
+		t.overlay.forget(item.Key)
+	}
+	to := max(served(base.Index()), table.Index()+1)
+	table.Apply(now, feed.Batch{Partition: partition, Snapshot: true, To: to, Items: items})
+}
+
+// effective is an item of the control replicas as it is served: numbered anew, and draining if the runner ever was.
+func (t *Tables) effective(now time.Duration, item feed.Item) feed.Item {
+	item.Index = served(item.Index)
+	if item.Deleted {
+		return item
+	}
+	runner, isRunner := decode(item)
+	if !isRunner {
+		return item
+	}
+	if t.drained.keep(now, &runner) {
+		item.Value = discovery.Encode(runner)
+	}
+	return item
+}
+
+// Meet has a follower that is ahead of a served partition, because it was served by this agent's earlier life, be served
+// again: from a number beyond its own, with a snapshot. One that knows of later changes of the control replicas than this
+// agent is not, until the agent has caught up. It says whether anything is to be served now.
+func (t *Tables) Meet(now time.Duration, position feed.Position) bool {
+	if int(position.Partition) >= len(t.base) {
+		return false
+	}
+	table := t.served[position.Partition]
+	if position.Index <= table.Index() || position.Index>>Bits != table.Index()>>Bits {
+		return false
+	}
+	renewed := feed.NewTable(position.Partition)
+	renewed.Apply(now, feed.Batch{Partition: position.Partition, Snapshot: true, To: position.Index + 1,
+		Items: table.Snapshot(now).Items})
+	t.served[position.Partition] = renewed
+	return true
+}
+
+// decode reads an item of a runner.
+func decode(item feed.Item) (discovery.Runner, bool) {
+	if len(item.Key) < len(feed.KeyRunner) || item.Key[:len(feed.KeyRunner)] != feed.KeyRunner {
+		return discovery.Runner{}, false
+	}
+	runner, err := discovery.Decode(item.Value)
+	return runner, err == nil
+}
--- /dev/null
+++ b/internal/agent/source/source.go
@@ -0,0 +1,270 @@
+// Package source decides which replica the feed is followed from. It is pure: times, addresses and outcomes go in,
+// questions come out. There is one question at a time.
+//
+// A replica that answers and is up to date is followed by long polls. One that is silent, refuses or says that it has
+// not heard a majority for long is left for the next; each is given a pause that grows. Once in a while a replica that
+// now comes first in the list, a nearer one say, is tried in place of the one that is followed.
+package source
+
+import (
+	"net/netip"
+	"slices"
+	"time"
+)
+
+// State is how the follower stands to the replicas.
+type State uint8
+
+// The states.
+const (
+	Searching State = iota // asks replicas in turn, each for an answer at once
+	Following              // long-polls the one that answered and is up to date
+	CutOff                 // none has answered and been up to date for long; still asks them in turn
+)
+
+// String names the state.
+func (s State) String() string {
+	switch s {
+	case Searching:
+		return "searching"
+	case Following:
+		return "following"
+	case CutOff:
+		return "cut off"
+	}
+	return "unknown"
+}
+
+// Options are the bounds by which a replica is left. Fields that are 0 have the defaults.
+type Options struct {
+	Wait        time.Duration // of a long poll; default 1 s
+	Silence     time.Duration // beyond the wait, after which a followed replica is left; default 1.2 s
+	Probe       time.Duration // that a replica has to answer at once; default 700 ms
+	StaleAfter  time.Duration // age of a replica's last word from a majority with which it is left; default 1.5 s
+	CutOffAfter time.Duration // without a good answer until the follower counts as cut off; default 2.5 s
+	Pause       time.Duration // after the first failure of a replica; doubled with each; default 250 ms
+	MostPause   time.Duration // default 1 s
+	Reconsider  time.Duration // between two looks for a replica that comes before the followed one; default 10 s
+}
+
+func (o *Options) complete() {
+	defaultTo(&o.Wait, time.Second)
+	defaultTo(&o.Silence, 1200*time.Millisecond)
+	defaultTo(&o.Probe, 700*time.Millisecond)
+	defaultTo(&o.StaleAfter, 1500*time.Millisecond)
+	defaultTo(&o.CutOffAfter, 2500*time.Millisecond)
+	defaultTo(&o.Pause, 250*time.Millisecond)
+	defaultTo(&o.MostPause, time.Second)
+	defaultTo(&o.Reconsider, 10*time.Second)
+}
+
+func defaultTo(field *time.Duration, value time.Duration) {
+	if *field == 0 {
+		*field = value
+	}
+}
+
+// Question is a call to make.
+type Question struct {
+	Address netip.AddrPort
+	Wait    time.Duration // that the replica may hold the call open
+	Timeout time.Duration // after which it counts as failed
+}
+
+// Answer is what a replica's answer says of the replica.
+type Answer struct {
+	Fresh time.Duration // how long ago it knew itself to be up to date
+	Lags  bool          // it holds less than the follower
+}
+
+// replica is what is remembered of a candidate.
+type replica struct {
+	address  netip.AddrPort
+	failures int
+	pausedTo time.Duration // it is not asked before
+	search   uint64        // in which it was asked last
+	asked    uint64        // number of the question that it was asked last
+}
+
+// Machine is the follower's state. Times are of any steady clock.
+type Machine struct {
+	options      Options
+	state        State
+	replicas     []*replica // in the order of the candidates
+	followed     *replica   // while Following
+	search       uint64     // number of the current search
+	questions    uint64     // asked in searches
+	goodAt       time.Duration
+	reconsiderAt time.Duration
+}
+
+// New returns a machine that searches from now on.
+func New(options Options, now time.Duration) *Machine {
+	options.complete()
+	return &Machine{options: options, search: 1, goodAt: now}
+}
+
+// State is the current state.
+func (m *Machine) State() State { return m.state }
+
+// Followed is the replica that is followed.
+func (m *Machine) Followed() (netip.AddrPort, bool) {
+	if m.followed == nil {
+		return netip.AddrPort{}, false
+	}
+	return m.followed.address, true
+}
+
+// Offer sets the candidates, in the order in which they are to be tried. What is known of those that stay is kept. One
+// that is followed and no longer named is followed on.
+func (m *Machine) Offer(candidates []netip.AddrPort) {
+	if m.offers(candidates) {
+		return
+	}
+	replicas := make([]*replica, 0, len(candidates)+1)
+	for _, address := range candidates {
+		known := m.find(address)
+		if known == nil {
+			known = &replica{address: address}
+		}
+		replicas = append(replicas, known)
+	}
+	if m.followed != nil && !slices.Contains(replicas, m.followed) {
+		replicas = append(replicas, m.followed)
+	}
+	m.replicas = replicas
+}
+
+func (m *Machine) offers(candidates []netip.AddrPort) bool {
+	return slices.EqualFunc(m.replicas, candidates, func(r *replica, a netip.AddrPort) bool { return r.address == a })
+}
+
+func (m *Machine) find(address netip.AddrPort) *replica {
+	for _, known := range m.replicas {
+		if known.address == address {
+			return known
+		}
+	}
+	return nil
+}
+
+// Next is the question to ask now, or how long there is none.
+func (m *Machine) Next(now time.Duration) (Question, time.Duration) {
+	if m.state == Following && now >= m.reconsiderAt {
+		m.reconsider(now)
+	}
+	if m.state == Following {
+		return Question{Address: m.followed.address, Wait: m.options.Wait, Timeout: m.options.Wait + m.options.Silence}, 0
+	}
+	m.checkCutOff(now)
+	next, wait := m.choose(now)
+	if next == nil {
+		return Question{}, wait
+	}
+	m.questions++
+	next.search, next.asked = m.search, m.questions
+	return Question{Address: next.address, Timeout: m.options.Probe}, 0
+}
+
+// choose is the candidate to ask: the first that was not asked in this search, or else the one that was asked longest
+// ago. Without one it says how long all are paused.
+func (m *Machine) choose(now time.Duration) (*replica, time.Duration) {
+	if len(m.replicas) == 0 {
+		return nil, m.options.Pause
+	}
+	wait := m.options.MostPause
+	var next *replica
+	for _, candidate := range m.replicas {
+		if now < candidate.pausedTo {
+			wait = min(wait, candidate.pausedTo-now)
+			continue
+		}
+		if next == nil || m.turn(candidate) < m.turn(next) {
+			next = candidate
+		}
+	}
+	return next, wait
+}
+
+// turn orders candidates by when it is their turn.
+func (m *Machine) turn(r *replica) uint64 {
+	if r.search != m.search {
+		return 0
+	}
+	return r.asked
+}
+
+// Answered takes a replica's answer.
+func (m *Machine) Answered(now time.Duration, from netip.AddrPort, answer Answer) {
+	known := m.find(from)
+	if known == nil {
+		return
+	}
+	if answer.Lags || answer.Fresh > m.options.StaleAfter {
+		m.failed(now, known)
+		return
+	}
+	known.failures, known.pausedTo = 0, 0
+	m.goodAt = now
+	if m.state != Following || m.followed != known {
+		m.follow(now, known)
+	}
+}
+
+// Failed takes it that a replica gave no answer.
+func (m *Machine) Failed(now time.Duration, from netip.AddrPort) {
+	if known := m.find(from); known != nil {
+		m.failed(now, known)
+	}
+}
+
+func (m *Machine) failed(now time.Duration, r *replica) {
+	pause := min(m.options.Pause<<min(r.failures, 8), m.options.MostPause)
+	r.failures++
+	r.pausedTo = now + pause
+	if m.state == Following && m.followed == r {
+		m.lose()
+	}
+	if m.state == Searching {
+		m.checkCutOff(now)
+	}
+}
+
+// follow begins to follow a replica.
+func (m *Machine) follow(now time.Duration, r *replica) {
+	m.state = Following
+	m.followed = r
+	m.reconsiderAt = now + m.options.Reconsider
+}
+
+// lose gives up the followed replica and begins a search.
+func (m *Machine) lose() {
+	m.state = Searching
+	m.followed = nil
+	m.search++
+}
+
+// reconsider begins a search where a replica that comes before the followed one may be tried.
+func (m *Machine) reconsider(now time.Duration) {
+	m.reconsiderAt = now + m.options.Reconsider
+	for _, candidate := range m.replicas {
+		if candidate == m.followed {
+			return
+		}
+		if now >= candidate.pausedTo {
+			m.lose()
+			return
+		}
+	}
+}
+
+// checkCutOff ends a search that was in vain.
+func (m *Machine) checkCutOff(now time.Duration) {
+	if m.state != Searching || now-m.goodAt < m.options.CutOffAfter {
+		return
+	}
+	m.cutOff()
+}
+
+// cutOff says that no replica is up to date.
+func (m *Machine) cutOff() { m.state = CutOff }
