--- /dev/null
+++ b/internal/feed/digest.go
@@ -0,0 +1,131 @@
+package feed
+
+import (
+	"bytes"
+	"encoding/binary"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// KeyRange is the keys from First, included, up to End, not included; an empty End has no bound.
+type KeyRange struct{ First, End string }
+
+// Contains says whether a key lies in the range.
+func (r KeyRange) Contains(key string) bool { return key >= r.First && (r.End == "" || key < r.End) }
+
+// RangeDigest stands for the items of a range: their keys, indexes and values.
+type RangeDigest struct {
+	Range KeyRange
+	Items int
+	Sum   uint64
+}
+
+// Digests stand for all items of a partition at an index. The ranges adjoin and cover all keys.
+type Digests struct {
+	Partition Partition
+	Index     uint64
+	Ranges    []RangeDigest
+}
+
+// Digests are the table's digests over the given number of ranges, at least one, with about as many items each.
+func (t *Table) Digests(ranges int) Digests {
+	digests := Digests{Partition: t.partition, Index: t.index}
+	keys := t.keysFrom("")
+	ranges = max(min(ranges, len(keys)), 1)
+	first := ""
+	for i := range ranges {
+		end := ""
+		if i+1 < ranges {
+			end = keys[(i+1)*len(keys)/ranges]
+		}
+		digests.Ranges = append(digests.Ranges, t.digest(KeyRange{First: first, End: end}))
+		first = end
+	}
+	return digests
+}
+
+// Differs are the ranges in which this table does not hold what the digests stand for. Tables at different indexes are
+// not compared: there are none then, and comparable is false.
+func (t *Table) Differs(digests Digests) (different []KeyRange, comparable bool) {
+	if digests.Partition != t.partition || digests.Index != t.index {
+		return nil, false
+	}
+	for _, theirs := range digests.Ranges {
+		if t.digest(theirs.Range) != theirs {
+			different = append(different, theirs.Range)
+		}
+	}
+	return different, true
+}
+
+// Range is the items of a range, in the order of their keys.
+func (t *Table) Range(now time.Duration, keys KeyRange) []Item {
+	var items []Item
+	for _, key := range t.keysFrom(keys.First) {
+		if !keys.Contains(key) {
+			break
+		}
+		items = append(items, t.records[key].item(now))
+	}
+	return items
+}
+
+// Repair replaces a range by the items that a table at the same index holds of it, and returns what differed, as Apply
+// does. It does nothing if the index is not the table's. Followers of this table get a snapshot if anything differed.
+func (t *Table) Repair(now time.Duration, keys KeyRange, index uint64, items []Item) []Item {
+	if index != t.index {
+		return nil
+	}
+	named := make(map[string]bool, len(items))
+	var changed []Item
+	for _, item := range items {
+		if item.Deleted || item.Index > index || !keys.Contains(item.Key) {
+			continue
+		}
+		named[item.Key] = true
+		if !t.holds(item) {
+			t.set(newRecord(now, item))
+			changed = append(changed, item)
+		}
+	}
+	for _, item := range t.missing(named, index) {
+		if keys.Contains(item.Key) {
+			t.set(newRecord(now, item))
+			changed = append(changed, item)
+		}
+	}
+	if len(changed) > 0 {
+		t.sortChanges()
+		t.forget()
+		t.horizon = index
+	}
+	return changed
+}
+
+// holds says whether an item is held just so.
+func (t *Table) holds(item Item) bool {
+	held := t.records[item.Key]
+	return held != nil && !held.deleted && held.index == item.Index && bytes.Equal(held.value, item.Value)
+}
+
+func (t *Table) digest(keys KeyRange) RangeDigest {
+	digest := RangeDigest{Range: keys}
+	sum := xxhash.New()
+	var scratch []byte
+	for _, key := range t.keysFrom(keys.First) {
+		if !keys.Contains(key) {
+			break
+		}
+		held := t.records[key]
+		scratch = binary.AppendUvarint(scratch[:0], uint64(len(key)))
+		scratch = append(scratch, key...)
+		scratch = binary.AppendUvarint(scratch, held.index)
+		scratch = binary.AppendUvarint(scratch, uint64(len(held.value)))
+		_, _ = sum.Write(scratch)
+		_, _ = sum.Write(held.value)
+		digest.Items++
+	}
+	digest.Sum = sum.Sum64()
+	return digest
+}
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -39,6 +39,7 @@
 type Batch struct {
 	Partition Partition
 	Snapshot  bool
+	From      uint64 // of a delta: the index that it starts from; a follower that is below it cannot use it
 	To        uint64
 	Items     []Item
 }
