--- /dev/null
+++ b/internal/rpc/server.go
@@ -0,0 +1,174 @@
+package rpc
+
+import (
+	"context"
+	"errors"
+	"net"
+	netrpc "net/rpc"
+	"sync"
+	"syscall"
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// Limits bound what a server takes. Fields that are 0 have the defaults.
+type Limits struct {
+	Connections  int           // at once; more are closed as they come; default 256
+	Calls        int           // unanswered at once on a connection; more wait unread; default 32
+	RequestBytes int64         // default 64 MiB
+	Write        time.Duration // after which a caller that does not read loses its connection; default 3 s
+}
+
+const (
+	defaultConnections  = 256
+	defaultCalls        = 32
+	defaultRequestBytes = 64 << 20
+	defaultWrite        = 3 * time.Second
+	acceptPause         = 50 * time.Millisecond // after an error that may pass, as when descriptors run out
+)
+
+// keepAlive has a connection on which nothing is sent end a few seconds after its peer went silent.
+var keepAlive = net.KeepAliveConfig{Enable: true, Idle: 3 * time.Second, Interval: time.Second, Count: 3}
+
+func (l *Limits) complete() {
+	defaultTo(&l.Connections, defaultConnections)
+	defaultTo(&l.Calls, defaultCalls)
+	defaultTo(&l.RequestBytes, defaultRequestBytes)
+	defaultTo(&l.Write, defaultWrite)
+}
+
+// Registry holds the handlers of a server.
+type Registry struct {
+	server  *netrpc.Server
+	context context.Context
+	cancel  context.CancelFunc
+}
+
+// NewRegistry returns an empty registry.
+func NewRegistry() *Registry {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Registry{server: netrpc.NewServer(), context: ctx, cancel: cancel}
+}
+
+func (r *Registry) register(name string, receiver any) {
+	if err := r.server.RegisterName(name, receiver); err != nil {
+		panic(err)
+	}
+}
+
+// server is one listener's connections.
+type server struct {
+	registry *Registry
+	limits   Limits
+	mutex    sync.Mutex
+	open     map[*serverCodec]struct{}
+}
+
+// Serve answers calls that come to the listener until it is closed or the context ends, which also ends the contexts of
+// all handlers of the registry, and returns once all connections are closed. It returns nil then.
+func Serve(ctx context.Context, listener net.Listener, registry *Registry, limits Limits) error {
+	limits.complete()
+	s := &server{registry: registry, limits: limits, open: make(map[*serverCodec]struct{})}
+	stop := context.AfterFunc(ctx, func() { listener.Close() })
+	defer stop()
+	defer s.closeAll()
+	defer registry.cancel()
+	for {
+		socket, err := listener.Accept()
+		switch {
+		case err == nil:
+			s.admit(socket)
+		case errors.Is(err, net.ErrClosed):
+			return nil
+		case ctx.Err() != nil:
+			return nil
+		case !mayPass(err):
+			return err
+		default:
+			pause(ctx, acceptPause)
+		}
+	}
+}
+
+// mayPass says whether accepting may succeed again later.
+func mayPass(err error) bool {
+	var errno syscall.Errno
+	if !errors.As(err, &errno) {
+		return false
+	}
+	return errno.Temporary() || errno == syscall.ENOBUFS || errno == syscall.ENOMEM
+}
+
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// admit serves a connection, or closes it where there are too many.
+func (s *server) admit(socket net.Conn) {
+	codec := &serverCodec{stream: newStream(socket, s.limits.RequestBytes, s.limits.Write),
+		places: make(chan struct{}, s.limits.Calls)}
+	codec.closed = func() { s.forget(codec) }
+	s.mutex.Lock()
+	full := len(s.open) >= s.limits.Connections
+	if !full {
+		s.open[codec] = struct{}{}
+	}
+	s.mutex.Unlock()
+	if full {
+		socket.Close()
+		return
+	}
+	tune(socket, s.limits.Write)
+	go s.registry.server.ServeCodec(codec)
+}
+
+func (s *server) forget(codec *serverCodec) {
+	s.mutex.Lock()
+	delete(s.open, codec)
+	s.mutex.Unlock()
+}
+
+func (s *server) closeAll() {
+	s.mutex.Lock()
+	codecs := make([]*serverCodec, 0, len(s.open))
+	for codec := range s.open {
+		codecs = append(codecs, codec)
+	}
+	s.mutex.Unlock()
+	for _, codec := range codecs {
+		codec.shut()
+	}
+}
+
+// tune sets the options of an accepted connection; one that does not take them is served all the same.
+func tune(socket net.Conn, userTimeout time.Duration) {
+	tcp, isTCP := socket.(*net.TCPConn)
+	if !isTCP {
+		return
+	}
+	_ = tcp.SetKeepAliveConfig(keepAlive)
+	raw, err := tcp.SyscallConn()
+	if err == nil {
+		_ = raw.Control(func(descriptor uintptr) { setUserTimeout(descriptor, userTimeout) })
+	}
+}
+
+// controlSocket sets the options of a socket before it connects.
+func controlSocket(userTimeout time.Duration) func(string, string, syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		return raw.Control(func(descriptor uintptr) { setUserTimeout(descriptor, userTimeout) })
+	}
+}
+
+// setUserTimeout has unacknowledged bytes end the connection; without it that takes the kernel minutes. A kernel that
+// does not know the option leaves the calls' own deadlines.
+func setUserTimeout(descriptor uintptr, userTimeout time.Duration) {
+	milliseconds := int(userTimeout / time.Millisecond)
+	_ = unix.SetsockoptInt(int(descriptor), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, milliseconds)
+}
--- /dev/null
+++ b/internal/storage/schema.go
@@ -0,0 +1,61 @@
+package storage
+
+// schemaVersion is raised with every change of the tables that earlier programs cannot read.
+const schemaVersion = 1
+
+// schema makes the tables. An entry's key is its partition, times keySpan, plus its index, so that the table is in the
+// order of the logs and a log is one range of keys. An entry also holds the commit index that was known when it was
+// written: a commit index of its own would cost a page more with each write.
+const schema = `
+CREATE TABLE IF NOT EXISTS meta (
+	id      INTEGER PRIMARY KEY CHECK (id = 1),
+	schema  INTEGER NOT NULL,
+	replica INTEGER NOT NULL
+);
+CREATE TABLE IF NOT EXISTS hard_state (
+	partition INTEGER PRIMARY KEY,
+	term      INTEGER NOT NULL,
+	vote      INTEGER NOT NULL,
+	committed INTEGER NOT NULL
+);
+CREATE TABLE IF NOT EXISTS entries (
+	key       INTEGER PRIMARY KEY,
+	term      INTEGER NOT NULL,
+	kind      INTEGER NOT NULL,
+	committed INTEGER NOT NULL,
+	data      BLOB
+);
+CREATE TABLE IF NOT EXISTS snapshots (
+	partition  INTEGER PRIMARY KEY,
+	position   INTEGER NOT NULL,
+	term       INTEGER NOT NULL,
+	membership BLOB NOT NULL,
+	data       BLOB
+);`
+
+// pragmas set a connection up. Exclusive locking keeps the index of the write-ahead log in the process's own memory,
+// where it would otherwise be a file in shared memory; it has to be set before the log is opened. With a write-ahead
+// log and full synchronisation a commit costs one sync.
+var pragmas = []string{
+	"PRAGMA locking_mode=EXCLUSIVE",
+	"PRAGMA page_size=4096",
+	"PRAGMA journal_mode=WAL",
+	"PRAGMA synchronous=FULL",
+	"PRAGMA wal_autocheckpoint=256",
+	"PRAGMA journal_size_limit=4194304",
+	"PRAGMA cache_size=-256",
+	"PRAGMA mmap_size=0",
+	"PRAGMA temp_store=MEMORY",
+}
+
+const (
+	selectMeta      = "SELECT schema, replica FROM meta WHERE id=1"
+	insertMeta      = "INSERT INTO meta (id, schema, replica) VALUES (1, ?, ?)"
+	selectHard      = "SELECT term, vote, committed FROM hard_state WHERE partition=?"
+	replaceHard     = "INSERT OR REPLACE INTO hard_state (partition, term, vote, committed) VALUES (?, ?, ?, ?)"
+	selectEntries   = "SELECT key, term, kind, committed, data FROM entries WHERE key>=? AND key<? ORDER BY key"
+	insertEntry     = "INSERT INTO entries (key, term, kind, committed, data) VALUES (?, ?, ?, ?, ?)"
+	deleteEntries   = "DELETE FROM entries WHERE key>=? AND key<?"
+	selectSnapshot  = "SELECT position, term, membership, data FROM snapshots WHERE partition=?"
+	replaceSnapshot = "INSERT OR REPLACE INTO snapshots (partition, position, term, membership, data) VALUES (?, ?, ?, ?, ?)"
+)
