--- /dev/null
+++ b/internal/consensus/check.go
@@ -0,0 +1,66 @@
+package consensus
+
+import (
+	"fmt"
+	"math"
+)
+
+// MessageError says why a message, or a stored log, makes no sense.
+type MessageError struct{ Reason string }
+
+// Error says what happened.
+func (e *MessageError) Error() string { return "consensus: " + e.Reason }
+
+// check tells what does not make sense in a message by itself.
+func (m *Message) check() error {
+	if m.Kind > TimeoutNow {
+		return &MessageError{Reason: fmt.Sprintf("message of unknown kind %d", m.Kind)}
+	}
+	if m.Term == 0 {
+		return &MessageError{Reason: "message without a term"}
+	}
+	if m.Kind == Append {
+		return m.checkEntries()
+	}
+	if m.Kind == InstallSnapshot {
+		return m.checkSnapshot()
+	}
+	return nil
+}
+
+// checkEntries tells what does not make sense in entries that follow Index and LogTerm.
+func (m *Message) checkEntries() error {
+	if (m.Index == 0) != (m.LogTerm == 0) || m.Index > math.MaxUint64-uint64(len(m.Entries)) {
+		return &MessageError{Reason: "place of entries makes no sense"}
+	}
+	index, term := m.Index, m.LogTerm
+	for _, entry := range m.Entries {
+		index++
+		if entry.Index != index || entry.Term < term || entry.Term == 0 || entry.Kind > EntryMembership {
+			return &MessageError{Reason: fmt.Sprintf("entry %d makes no sense after entry %d", entry.Index, index-1)}
+		}
+		term = entry.Term
+		if entry.Kind != EntryMembership {
+			continue
+		}
+		membership, err := DecodeMembership(entry.Data)
+		if err != nil {
+			return err
+		}
+		if err := membership.check(); err != nil {
+			return err
+		}
+	}
+	if term > m.Term {
+		return &MessageError{Reason: "entries are of a later term than their sender"}
+	}
+	return nil
+}
+
+func (m *Message) checkSnapshot() error {
+	s := m.Snapshot
+	if s == nil || s.Index == 0 || s.Term == 0 || s.Term > m.Term || s.Index == math.MaxUint64 {
+		return &MessageError{Reason: "snapshot makes no sense"}
+	}
+	return s.Membership.check()
+}
--- /dev/null
+++ b/internal/consensus/election.go
@@ -0,0 +1,189 @@
+package consensus
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// quickAttempts is how many elections in a row are tried after short waits.
+	quickAttempts = 4
+	// stepDownElections is how long a replica does not lead after StepDown, in election times.
+	stepDownElections = 4
+)
+
+// between draws a time from a range.
+func (m *Machine) between(least, most time.Duration) time.Duration {
+	if most <= least {
+		return least
+	}
+	return least + time.Duration(m.random.Int64N(int64(most-least)))
+}
+
+// resetElection puts the next election off by a whole election time or more.
+func (m *Machine) resetElection() {
+	m.electionDue = m.now + m.between(m.options.Election, 2*m.options.Election)
+}
+
+// retryElection sets when an election that has just begun is given up: the first few soon.
+func (m *Machine) retryElection(least, most time.Duration) {
+	m.attempts++
+	if m.attempts > quickAttempts {
+		m.resetElection()
+		return
+	}
+	m.electionDue = m.now + m.between(least, most)
+}
+
+// campaignDue is when this replica stands for election.
+func (m *Machine) campaignDue() time.Duration {
+	if !m.membership().votes(m.options.ID) {
+		return Never
+	}
+	return max(m.electionDue, m.noLeaderUntil)
+}
+
+// becomeFollower ends whatever role this replica has.
+func (m *Machine) becomeFollower(term uint64, leader ReplicaID) {
+	if term > m.term {
+		m.term, m.vote = term, 0
+	}
+	m.role = Follower
+	m.leader = leader
+	m.granted = nil
+	m.dropReads()
+	m.leading = leadership{}
+	m.resetElection()
+}
+
+// campaign asks whether others would vote for this replica, which disturbs nobody who follows a leader.
+func (m *Machine) campaign() {
+	m.role = PreCandidate
+	m.leader = 0
+	m.granted = []ReplicaID{m.options.ID}
+	m.retryElection(m.options.Election/4, m.options.Election/2)
+	if m.elected() {
+		m.stand(false)
+		return
+	}
+	m.askVotes(Message{Kind: PreVote, Term: m.term + 1})
+}
+
+// stand is the election proper.
+func (m *Machine) stand(force bool) {
+	m.dropReads()
+	m.leading = leadership{}
+	m.role = Candidate
+	m.leader = 0
+	m.term++
+	m.vote = m.options.ID
+	m.granted = []ReplicaID{m.options.ID}
+	m.retryElection(m.options.Election/2, m.options.Election)
+	if m.elected() {
+		m.becomeLeader()
+		return
+	}
+	m.askVotes(Message{Kind: Vote, Term: m.term, Force: force})
+}
+
+func (m *Machine) askVotes(msg Message) {
+	msg.Index, msg.LogTerm = m.log.last(), m.log.lastTerm()
+	for _, member := range m.membership().Members {
+		if member.Voter && member.ID != m.options.ID {
+			msg.To = member.ID
+			m.send(msg)
+		}
+	}
+}
+
+// elected tells whether a majority of the voters has granted.
+func (m *Machine) elected() bool {
+	voters, granted := 0, 0
+	for _, member := range m.membership().Members {
+		if !member.Voter {
+			continue
+		}
+		voters++
+		if slices.Contains(m.granted, member.ID) {
+			granted++
+		}
+	}
+	return granted > voters/2
+}
+
+// mayVote tells whether this replica takes part in elections. A learner votes if it is asked: whoever asks it has made
+// it a voter, and the entry that says so may not have come here yet.
+func (m *Machine) mayVote() bool { return m.membership().has(m.options.ID) }
+
+// holdsToLeader tells whether there may be a leader whose lease rests on this replica.
+func (m *Machine) holdsToLeader() bool { return m.role == Leader || m.now < m.refuseUntil }
+
+func (m *Machine) handlePreVote(msg Message) {
+	if !m.mayVote() {
+		return
+	}
+	reply := Message{Kind: PreVoteReply, To: msg.From, Term: msg.Term}
+	if msg.Term <= m.term || m.holdsToLeader() || !m.log.upToDate(msg.Index, msg.LogTerm) {
+		reply.Term, reply.Reject = m.term, true
+	}
+	if reply.Term > 0 {
+		m.send(reply)
+	}
+}
+
+func (m *Machine) handlePreVoteReply(msg Message) {
+	if m.role != PreCandidate || msg.Reject || msg.Term != m.term+1 {
+		return
+	}
+	m.grant(msg.From)
+	if m.elected() {
+		m.stand(false)
+	}
+}
+
+func (m *Machine) handleVote(msg Message) {
+	if !m.mayVote() || msg.Term < m.term {
+		return
+	}
+	if m.holdsToLeader() && !msg.Force {
+		return
+	}
+	if msg.Term > m.term {
+		m.becomeFollower(msg.Term, 0)
+	}
+	free := m.vote == msg.From || m.vote == 0 && m.leader == 0
+	reply := Message{Kind: VoteReply, To: msg.From, Reject: true}
+	if free && m.log.upToDate(msg.Index, msg.LogTerm) {
+		reply.Reject = false
+		m.vote = msg.From
+		m.resetElection()
+	}
+	m.send(reply)
+}
+
+func (m *Machine) handleVoteReply(msg Message) {
+	if m.role != Candidate || msg.Reject || msg.Term != m.term {
+		return
+	}
+	m.grant(msg.From)
+	if m.elected() {
+		m.becomeLeader()
+	}
+}
+
+func (m *Machine) grant(from ReplicaID) {
+	if !slices.Contains(m.granted, from) {
+		m.granted = append(m.granted, from)
+	}
+}
+
+// heardLeader notes a message of the leader of this term.
+func (m *Machine) heardLeader(from ReplicaID) {
+	if m.role != Follower || m.leader != from {
+		m.becomeFollower(m.term, from)
+	}
+	m.attempts = 0
+	m.heardAt = m.now
+	m.refuseUntil = m.now + m.options.Election
+	m.resetElection()
+}
--- /dev/null
+++ b/internal/consensus/encoding.go
@@ -0,0 +1,284 @@
+package consensus
+
+import (
+	"encoding/binary"
+	"fmt"
+	"math"
+)
+
+// encodingVersion is the first byte of encoded messages and memberships.
+const encodingVersion = 1
+
+// Flags of an encoded message.
+const (
+	flagReject = 1 << iota
+	flagForce
+	flagSnapshot
+	knownFlags = flagReject | flagForce | flagSnapshot
+)
+
+// Least sizes of encoded parts, against which counts are checked before memory is taken.
+const (
+	leastEntry  = 4
+	leastMember = 5
+)
+
+// DecodeError says that bytes are not what the package encodes. They come from another version or were spoilt.
+type DecodeError struct {
+	What   string // was expected
+	Offset int    // in bytes
+}
+
+// Error says what happened.
+func (e *DecodeError) Error() string {
+	return fmt.Sprintf("consensus: no %s at byte %d; check that all replicas run versions that understand each other",
+		e.What, e.Offset)
+}
+
+// EncodeMembership returns the bytes of a membership, as in an entry's Data.
+func EncodeMembership(s Membership) []byte { return AppendMembership(nil, s) }
+
+// AppendMembership appends the bytes of a membership.
+func AppendMembership(b []byte, s Membership) []byte {
+	b = append(b, encodingVersion)
+	b = binary.AppendUvarint(b, uint64(len(s.Members)))
+	for _, member := range s.Members {
+		b = binary.AppendUvarint(b, uint64(member.ID))
+		b = appendBytes(b, member.Node)
+		b = appendBytes(b, member.Zone)
+		b = appendBytes(b, member.Address)
+		b = appendBool(b, member.Voter)
+	}
+	return b
+}
+
+// DecodeMembership reads what EncodeMembership wrote, and nothing else.
+func DecodeMembership(b []byte) (Membership, error) {
+	d := decoder{b: b}
+	s := d.membership()
+	return s, d.end()
+}
+
+// EncodeHardState returns the bytes of a hard state.
+func EncodeHardState(h HardState) []byte { return AppendHardState(nil, h) }
+
+// AppendHardState appends the bytes of a hard state.
+func AppendHardState(b []byte, h HardState) []byte {
+	b = binary.AppendUvarint(b, h.Term)
+	b = binary.AppendUvarint(b, uint64(h.Vote))
+	return binary.AppendUvarint(b, h.Commit)
+}
+
+// DecodeHardState reads what EncodeHardState wrote, and nothing else.
+func DecodeHardState(b []byte) (HardState, error) {
+	d := decoder{b: b}
+	h := HardState{Term: d.number(), Vote: ReplicaID(d.number()), Commit: d.number()}
+	return h, d.end()
+}
+
+// EncodeEntry returns the bytes of an entry.
+func EncodeEntry(e Entry) []byte { return AppendEntry(nil, e) }
+
+// AppendEntry appends the bytes of an entry.
+func AppendEntry(b []byte, e Entry) []byte {
+	b = binary.AppendUvarint(b, e.Index)
+	b = binary.AppendUvarint(b, e.Term)
+	b = append(b, byte(e.Kind))
+	return appendBytes(b, e.Data)
+}
+
+// DecodeEntry reads what EncodeEntry wrote, and nothing else. The entry does not share memory with b.
+func DecodeEntry(b []byte) (Entry, error) {
+	d := decoder{b: b}
+	e := d.entry()
+	return e, d.end()
+}
+
+// EncodeSnapshot returns the bytes of a snapshot.
+func EncodeSnapshot(s Snapshot) []byte { return AppendSnapshot(nil, s) }
+
+// AppendSnapshot appends the bytes of a snapshot.
+func AppendSnapshot(b []byte, s Snapshot) []byte {
+	b = binary.AppendUvarint(b, s.Index)
+	b = binary.AppendUvarint(b, s.Term)
+	b = AppendMembership(b, s.Membership)
+	return appendBytes(b, s.Data)
+}
+
+// DecodeSnapshot reads what EncodeSnapshot wrote, and nothing else. The snapshot does not share memory with b.
+func DecodeSnapshot(b []byte) (Snapshot, error) {
+	d := decoder{b: b}
+	s := d.snapshot()
+	return s, d.end()
+}
+
+// EncodeMessage returns the bytes of a message.
+func EncodeMessage(m Message) []byte { return AppendMessage(nil, m) }
+
+// AppendMessage appends the bytes of a message.
+func AppendMessage(b []byte, m Message) []byte {
+	b = append(b, encodingVersion, byte(m.Kind), m.flags())
+	for _, number := range m.numbers() {
+		b = binary.AppendUvarint(b, *number)
+	}
+	b = binary.AppendUvarint(b, uint64(len(m.Entries)))
+	for _, e := range m.Entries {
+		b = AppendEntry(b, e)
+	}
+	if m.Snapshot != nil {
+		b = AppendSnapshot(b, *m.Snapshot)
+	}
+	return b
+}
+
+// DecodeMessage reads what EncodeMessage wrote, and nothing else. The message does not share memory with b.
+func DecodeMessage(b []byte) (Message, error) {
+	d := decoder{b: b}
+	m := d.message()
+	return m, d.end()
+}
+
+func (m *Message) flags() (flags byte) {
+	if m.Reject {
+		flags |= flagReject
+	}
+	if m.Force {
+		flags |= flagForce
+	}
+	if m.Snapshot != nil {
+		flags |= flagSnapshot
+	}
+	return flags
+}
+
+// numbers are the fields that are encoded as numbers, in their order.
+func (m *Message) numbers() [8]*uint64 {
+	return [...]*uint64{(*uint64)(&m.From), (*uint64)(&m.To), &m.Term, &m.Index, &m.LogTerm, &m.Commit, &m.Hint, &m.Round}
+}
+
+func appendBytes[T string | []byte](b []byte, data T) []byte {
+	b = binary.AppendUvarint(b, uint64(len(data)))
+	return append(b, data...)
+}
+
+func appendBool(b []byte, is bool) []byte {
+	if is {
+		return append(b, 1)
+	}
+	return append(b, 0)
+}
+
+// decoder reads from bytes until something does not fit; from then on it reads zeros.
+type decoder struct {
+	b   []byte
+	at  int
+	err error
+}
+
+func (d *decoder) fail(what string) {
+	if d.err == nil {
+		d.err = &DecodeError{What: what, Offset: d.at}
+	}
+	d.at = len(d.b)
+}
+
+// end returns the first error; bytes that are left over are one.
+func (d *decoder) end() error {
+	if d.err == nil && d.at != len(d.b) {
+		d.fail("end")
+	}
+	return d.err
+}
+
+func (d *decoder) byte(what string, most byte) byte {
+	if d.at >= len(d.b) || d.b[d.at] > most {
+		d.fail(what)
+		return 0
+	}
+	d.at++
+	return d.b[d.at-1]
+}
+
+// number reads a number in its shortest form.
+func (d *decoder) number() uint64 {
+	number, n := binary.Uvarint(d.b[d.at:])
+	if n <= 0 || n > 1 && d.b[d.at+n-1] == 0 {
+		d.fail("number")
+		return 0
+	}
+	d.at += n
+	return number
+}
+
+// count reads how many parts follow, each of a least size.
+func (d *decoder) count(least int) int {
+	n := d.number()
+	if n > uint64((len(d.b)-d.at)/least) || n > math.MaxInt32 {
+		d.fail("count")
+		return 0
+	}
+	return int(n)
+}
+
+func (d *decoder) bytes() []byte {
+	n := d.count(1)
+	d.at += n
+	return d.b[d.at-n : d.at]
+}
+
+func (d *decoder) text() string { return string(d.bytes()) }
+
+// data reads bytes into memory of their own; none are nil.
+func (d *decoder) data() []byte { return append([]byte(nil), d.bytes()...) }
+
+func (d *decoder) version() {
+	if d.byte("version", encodingVersion) != encodingVersion {
+		d.fail("version")
+	}
+}
+
+func (d *decoder) membership() (s Membership) {
+	d.version()
+	n := d.count(leastMember)
+	if n == 0 {
+		return s
+	}
+	s.Members = make([]Member, n)
+	for i := range s.Members {
+		s.Members[i] = Member{ID: ReplicaID(d.number()), Node: d.text(), Zone: d.text(), Address: d.text(),
+			Voter: d.byte("truth value", 1) == 1}
+	}
+	return s
+}
+
+func (d *decoder) entry() Entry {
+	return Entry{Index: d.number(), Term: d.number(), Kind: EntryKind(d.byte("kind of entry", byte(EntryMembership))),
+		Data: d.data()}
+}
+
+func (d *decoder) snapshot() Snapshot {
+	return Snapshot{Index: d.number(), Term: d.number(), Membership: d.membership(), Data: d.data()}
+}
+
+func (d *decoder) message() (m Message) {
+	d.version()
+	m.Kind = MessageKind(d.byte("kind of message", byte(TimeoutNow)))
+	flags := d.byte("flags", knownFlags)
+	m.Reject = flags&flagReject != 0
+	m.Force = flags&flagForce != 0
+	for _, number := range m.numbers() {
+		*number = d.number()
+	}
+	n := d.count(leastEntry)
+	if n > 0 {
+		m.Entries = make([]Entry, n)
+	}
+	for i := range m.Entries {
+		m.Entries[i] = d.entry()
+	}
+	if flags&flagSnapshot != 0 {
+		s := d.snapshot()
+		m.Snapshot = &s
+	}
+	return m
+}
--- /dev/null
+++ b/internal/consensus/log.go
@@ -0,0 +1,220 @@
+package consensus
+
+import "slices"
+
+// replicaLog is the log as a replica knows it: the snapshot, the entries after offset (some of them within the
+// snapshot, kept for slow followers), and how far it is committed, written and applied.
+type replicaLog struct {
+	snapshot   Snapshot
+	offset     uint64 // index before the first entry kept
+	offsetTerm uint64
+	entries    []Entry
+
+	commit  uint64
+	applied uint64 // handed out as committed
+	handed  uint64 // handed out to be written
+	durable uint64 // known to be synced
+
+	restored    bool           // the snapshot came from a leader and is yet to be handed out
+	writes      []pendingWrite // handed out and not yet known to be synced, in order
+	memberships []membershipAt // in order; the first one holds at the snapshot, the last one now
+}
+
+// pendingWrite is a Ready whose writes are under way.
+type pendingWrite struct {
+	number uint64
+	term   uint64
+	last   uint64 // index up to which it makes the log durable
+}
+
+// membershipAt is a membership and the entry that brought it.
+type membershipAt struct {
+	index      uint64
+	membership Membership
+}
+
+func newLog(s Stored) replicaLog {
+	l := replicaLog{snapshot: s.Snapshot, offset: s.Snapshot.Index, offsetTerm: s.Snapshot.Term}
+	l.memberships = []membershipAt{{l.offset, s.Snapshot.Membership}}
+	l.append(s.Entries)
+	l.commit = max(l.offset, min(s.Hard.Commit, l.last()))
+	l.applied = l.offset
+	l.handed = l.last()
+	l.durable = l.last()
+	return l
+}
+
+func (l *replicaLog) last() uint64 { return l.offset + uint64(len(l.entries)) }
+
+func (l *replicaLog) lastTerm() uint64 {
+	term, _ := l.term(l.last())
+	return term
+}
+
+// term is that of the entry at an index, if it is known.
+func (l *replicaLog) term(index uint64) (uint64, bool) {
+	if index == l.offset {
+		return l.offsetTerm, true
+	}
+	if index < l.offset || index > l.last() {
+		return 0, false
+	}
+	return l.entries[index-l.offset-1].Term, true
+}
+
+func (l *replicaLog) matches(index, term uint64) bool {
+	have, known := l.term(index)
+	return known && have == term
+}
+
+// upToDate tells whether a log that ends so holds all that this one may have agreed on.
+func (l *replicaLog) upToDate(index, term uint64) bool {
+	return term > l.lastTerm() || term == l.lastTerm() && index >= l.last()
+}
+
+// slice returns the entries from an index on, up to an amount of data but at least one.
+func (l *replicaLog) slice(from uint64, maxBytes int) []Entry {
+	if from <= l.offset || from > l.last() {
+		return nil
+	}
+	rest := l.entries[from-l.offset-1:]
+	size := len(rest[0].Data)
+	n := 1
+	for n < len(rest) && size+len(rest[n].Data) <= maxBytes {
+		size += len(rest[n].Data)
+		n++
+	}
+	return rest[:n:n]
+}
+
+// append adds entries that follow the last one.
+func (l *replicaLog) append(entries []Entry) {
+	for _, entry := range entries {
+		l.entries = append(l.entries, entry)
+		if entry.Kind != EntryMembership {
+			continue
+		}
+		membership, err := DecodeMembership(entry.Data)
+		if err == nil { // checked before
+			l.memberships = append(l.memberships, membershipAt{entry.Index, membership})
+		}
+	}
+}
+
+// truncate drops the entries from an index on, which is above commit. Slices handed out before stay as they are.
+func (l *replicaLog) truncate(from uint64) {
+	keep := int(from - l.offset - 1)
+	l.entries = l.entries[:keep:keep]
+	l.handed = min(l.handed, from-1)
+	l.durable = min(l.durable, from-1)
+	for i := range l.writes {
+		l.writes[i].last = min(l.writes[i].last, from-1)
+	}
+	for l.memberships[len(l.memberships)-1].index >= from {
+		l.memberships = l.memberships[:len(l.memberships)-1]
+	}
+}
+
+// take brings the log in line with a leader's entries, which follow an index at which both logs agree and which is not
+// below commit.
+func (l *replicaLog) take(entries []Entry) {
+	for i, entry := range entries {
+		if l.matches(entry.Index, entry.Term) {
+			continue
+		}
+		if entry.Index <= l.last() {
+			l.truncate(entry.Index)
+		}
+		l.append(entries[i:])
+		return
+	}
+}
+
+func (l *replicaLog) commitTo(index uint64) { l.commit = max(l.commit, min(index, l.last())) }
+
+// conflict is the largest index up to the given one whose term is not above the given one, and its term; the start of
+// the log if there is none.
+func (l *replicaLog) conflict(index, term uint64) (uint64, uint64) {
+	index = min(index, l.last())
+	for index > l.offset {
+		have, _ := l.term(index)
+		if have <= term {
+			return index, have
+		}
+		index--
+	}
+	return l.offset, l.offsetTerm
+}
+
+// restore replaces all by a snapshot.
+func (l *replicaLog) restore(s Snapshot) {
+	l.snapshot = s
+	l.offset, l.offsetTerm = s.Index, s.Term
+	l.entries = nil
+	l.commit, l.applied, l.handed, l.durable = s.Index, s.Index, s.Index, s.Index
+	for i := range l.writes {
+		l.writes[i].last = 0
+	}
+	l.memberships = []membershipAt{{s.Index, s.Membership}}
+	l.restored = true
+}
+
+// compact takes over a snapshot of the applied state and drops the entries in it but for a tail.
+func (l *replicaLog) compact(s Snapshot, tail uint64) {
+	l.snapshot = s
+	l.trimMemberships(s.Index)
+	cut := s.Index - min(tail, s.Index)
+	if cut <= l.offset {
+		return
+	}
+	term, _ := l.term(cut)
+	l.entries = slices.Clone(l.entries[cut-l.offset:])
+	l.offset, l.offsetTerm = cut, term
+}
+
+func (l *replicaLog) trimMemberships(index uint64) {
+	n := 0
+	for n+1 < len(l.memberships) && l.memberships[n+1].index <= index {
+		n++
+	}
+	l.memberships = slices.Clone(l.memberships[n:])
+}
+
+func (l *replicaLog) membership() membershipAt { return l.memberships[len(l.memberships)-1] }
+
+// membershipAt is the membership that held at an index not below the snapshot's.
+func (l *replicaLog) membershipAt(index uint64) Membership {
+	at := 0
+	for at+1 < len(l.memberships) && l.memberships[at+1].index <= index {
+		at++
+	}
+	return l.memberships[at].membership
+}
+
+// takeUnwritten hands the entries out that are to be written.
+func (l *replicaLog) takeUnwritten() []Entry {
+	from := max(l.handed, l.offset)
+	l.handed = l.last()
+	entries := l.entries[from-l.offset:]
+	return entries[:len(entries):len(entries)]
+}
+
+// takeCommitted hands the entries out that are to be applied.
+func (l *replicaLog) takeCommitted() []Entry {
+	if l.commit <= l.applied {
+		return nil
+	}
+	from, to := l.applied-l.offset, l.commit-l.offset
+	l.applied = l.commit
+	return l.entries[from:to:to]
+}
+
+// synced notes that the writes up to a number are on disk. It returns the highest term among them.
+func (l *replicaLog) synced(number uint64) (term uint64) {
+	for len(l.writes) > 0 && l.writes[0].number <= number {
+		l.durable = max(l.durable, l.writes[0].last)
+		term = max(term, l.writes[0].term)
+		l.writes = l.writes[1:]
+	}
+	return term
+}
--- /dev/null
+++ b/internal/consensus/machine.go
@@ -0,0 +1,222 @@
+package consensus
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Never is what Next returns while nothing is due.
+const Never = time.Duration(math.MaxInt64)
+
+// leaseMarginPart is the part of an election time by which a lease ends early, for clocks that differ in rate.
+const leaseMarginPart = 10
+
+// Machine is one replica. It is not safe for concurrent use. Times are of a steady clock and never go back; the clocks
+// of two replicas need not agree, but must run at the same rate within a tenth.
+type Machine struct {
+	options Options
+	random  *rand.Rand
+	now     time.Duration
+	mute    bool // what was stored made no sense
+
+	term   uint64
+	vote   ReplicaID
+	role   Role
+	leader ReplicaID
+	log    replicaLog
+
+	electionDue   time.Duration
+	attempts      int           // elections in a row that led to nothing
+	heardAt       time.Duration // when the leader was last heard
+	refuseUntil   time.Duration // no vote is given before, because of a leader that may hold a lease
+	noLeaderUntil time.Duration // this replica does not stand for election before
+	granted       []ReplicaID   // votes or pre-votes for this replica
+
+	leading leadership // of a leader
+
+	handedHard    HardState
+	persistedTerm uint64
+	readies       uint64
+	compactAsked  uint64
+	messages      []Message
+	early         []Message
+	readStates    []ReadState
+}
+
+// New returns a replica that goes on from what was stored; the state machine is at s.Snapshot.Index. The replica is
+// silent for good if s.Check does not hold.
+func New(now time.Duration, o Options, s Stored) *Machine {
+	s = s.tidied()
+	m := &Machine{options: o, now: now, random: rand.New(rand.NewPCG(o.Seed, uint64(o.ID)))}
+	if s.Check() != nil {
+		m.mute = true
+		s = Stored{}
+	}
+	m.log = newLog(s)
+	m.term, m.vote = s.Hard.Term, s.Hard.Vote
+	if lastTerm := m.log.lastTerm(); lastTerm > m.term {
+		m.term, m.vote = lastTerm, 0
+	}
+	m.persistedTerm = s.Hard.Term
+	m.handedHard = s.Hard
+	if m.term > 0 {
+		m.refuseUntil = now + o.Election // it may have confirmed a leader just before it ended
+	}
+	m.resetElection()
+	return m
+}
+
+// Check tells what does not make sense in what was stored.
+func (s Stored) Check() error {
+	if s.Snapshot.Index > 0 || len(s.Snapshot.Membership.Members) > 0 {
+		if err := s.Snapshot.Membership.check(); err != nil {
+			return err
+		}
+	}
+	before := Message{Index: s.Snapshot.Index, LogTerm: s.Snapshot.Term, Term: math.MaxUint64, Entries: s.Entries}
+	return before.checkEntries()
+}
+
+// tidied leaves out entries that the snapshot holds, or that stem from a log that it replaced.
+func (s Stored) tidied() Stored {
+	for len(s.Entries) > 0 && s.Entries[0].Index <= s.Snapshot.Index {
+		if s.Entries[0].Index == s.Snapshot.Index && s.Entries[0].Term != s.Snapshot.Term {
+			s.Entries = nil
+			break
+		}
+		s.Entries = s.Entries[1:]
+	}
+	if len(s.Entries) > 0 && s.Entries[0].Index != s.Snapshot.Index+1 {
+		s.Entries = nil
+	}
+	return s
+}
+
+// advance moves the time on.
+func (m *Machine) advance(now time.Duration) { m.now = max(m.now, now) }
+
+// Tick does what is due.
+func (m *Machine) Tick(now time.Duration) {
+	m.advance(now)
+	if m.mute {
+		return
+	}
+	if m.role == Leader {
+		m.tickLeader()
+		return
+	}
+	if m.now >= m.campaignDue() {
+		m.campaign()
+	}
+}
+
+// Next is when Tick is due, or Never. It may change with each call of another method.
+func (m *Machine) Next() time.Duration {
+	if m.mute {
+		return Never
+	}
+	if m.role == Leader {
+		return m.leaderDue()
+	}
+	return m.campaignDue()
+}
+
+// Step takes a message. Messages that make no sense are left out.
+func (m *Machine) Step(now time.Duration, msg Message) {
+	m.advance(now)
+	if m.mute || msg.To != m.options.ID || msg.From == m.options.ID || msg.From == 0 || msg.check() != nil {
+		return
+	}
+	switch msg.Kind {
+	case PreVote:
+		m.handlePreVote(msg)
+	case Vote:
+		m.handleVote(msg)
+	case Append, InstallSnapshot:
+		m.handleLeader(msg)
+	case TimeoutNow:
+		m.handleTimeoutNow(msg)
+	case PreVoteReply, VoteReply, AppendReply, SnapshotReply:
+		m.handleReply(msg)
+	}
+}
+
+// handleReply takes an answer of a member to what this replica sent.
+func (m *Machine) handleReply(msg Message) {
+	if !m.membership().has(msg.From) {
+		return
+	}
+	future := msg.Kind == PreVoteReply && !msg.Reject // for a term that nobody is in yet
+	if msg.Term > m.term && !future {
+		m.becomeFollower(msg.Term, 0)
+		return
+	}
+	switch msg.Kind {
+	case PreVoteReply:
+		m.handlePreVoteReply(msg)
+	case VoteReply:
+		m.handleVoteReply(msg)
+	case AppendReply:
+		m.handleAppendReply(msg)
+	case SnapshotReply:
+		m.handleSnapshotReply(msg)
+	}
+}
+
+// Propose appends a command to a leader's log. It is agreed on once it comes back in Ready.Committed at this index with
+// this term; another entry there means that it was lost.
+func (m *Machine) Propose(now time.Duration, data []byte) (index, term uint64, err error) {
+	m.advance(now)
+	if m.role != Leader || m.leading.transferee != 0 {
+		return 0, 0, m.notLeader()
+	}
+	index = m.appendOwn(EntryCommand, data)
+	return index, m.term, nil
+}
+
+func (m *Machine) notLeader() *NotLeaderError {
+	if m.role == Leader {
+		return &NotLeaderError{} // about to hand over
+	}
+	return &NotLeaderError{Leader: m.leader}
+}
+
+// Status describes the replica as it stands.
+func (m *Machine) Status() Status {
+	s := Status{ID: m.options.ID, Role: m.role, Term: m.term, Leader: m.leader, Commit: m.log.commit,
+		Applied: m.log.applied, LastIndex: m.log.last(), Membership: m.membership(),
+		MembershipIndex: m.log.membership().index, LeaderHeard: m.heardAt}
+	if m.role != Leader {
+		return s
+	}
+	s.LeaseUntil = m.lease()
+	s.Transferring = m.leading.transferee != 0
+	s.LeaderHeard = time.Duration(m.leading.confirmed)
+	s.Match = map[ReplicaID]uint64{m.options.ID: m.log.durable}
+	s.Answered = map[ReplicaID]time.Duration{}
+	for _, p := range m.leading.peers {
+		s.Match[p.id] = p.match
+		s.Answered[p.id] = p.answeredAt
+	}
+	return s
+}
+
+// send queues a message that rests on what is yet to be written.
+func (m *Machine) send(msg Message) {
+	msg.From = m.options.ID
+	if msg.Term == 0 {
+		msg.Term = m.term
+	}
+	m.messages = append(m.messages, msg)
+}
+
+// sendEarly queues a message of a leader that does not rest on its own writes, as long as its term is on disk.
+func (m *Machine) sendEarly(msg Message) {
+	if m.persistedTerm < m.term {
+		m.send(msg)
+		return
+	}
+	msg.From, msg.Term = m.options.ID, m.term
+	m.early = append(m.early, msg)
+}
--- /dev/null
+++ b/internal/consensus/membership.go
@@ -0,0 +1,165 @@
+package consensus
+
+import (
+	"slices"
+	"time"
+)
+
+// catchUpSlack is by how many entries a learner may be behind what is committed when it becomes a voter.
+const catchUpSlack = 16
+
+// find returns a member.
+func (s Membership) find(id ReplicaID) (Member, bool) {
+	for _, member := range s.Members {
+		if member.ID == id {
+			return member, true
+		}
+	}
+	return Member{}, false
+}
+
+func (s Membership) has(id ReplicaID) bool {
+	_, is := s.find(id)
+	return is
+}
+
+func (s Membership) votes(id ReplicaID) bool {
+	member, is := s.find(id)
+	return is && member.Voter
+}
+
+// check tells what does not make sense in a membership.
+func (s Membership) check() error {
+	voters := 0
+	for i, member := range s.Members {
+		if member.ID == 0 {
+			return &MembershipError{Reason: "a member has no id"}
+		}
+		if slices.ContainsFunc(s.Members[:i], func(other Member) bool { return other.ID == member.ID }) {
+			return &MembershipError{Reason: "a member stands there twice"}
+		}
+		if member.Voter {
+			voters++
+		}
+	}
+	if voters == 0 {
+		return &MembershipError{Reason: "there is no voter"}
+	}
+	return nil
+}
+
+// differing returns the members that are not the same in both memberships, each once.
+func differing(a, b Membership) (ids []ReplicaID) {
+	for _, member := range a.Members {
+		other, is := b.find(member.ID)
+		if !is || other != member {
+			ids = append(ids, member.ID)
+		}
+	}
+	for _, member := range b.Members {
+		if !a.has(member.ID) {
+			ids = append(ids, member.ID)
+		}
+	}
+	return ids
+}
+
+// membership is the newest one in the log.
+func (m *Machine) membership() Membership { return m.log.membership().membership }
+
+// ChangeMembership appends a membership that differs from the present one in one member: a learner that joins, a
+// learner that becomes a voter once it has caught up, a voter that becomes a learner, a member that leaves or has
+// another address. It holds at once; the next change is possible once it is committed, see Status.MembershipIndex.
+// The error is a *NotLeaderError, *BusyMembershipError, *BehindError or *MembershipError.
+func (m *Machine) ChangeMembership(now time.Duration, to Membership) error {
+	m.advance(now)
+	if m.role != Leader {
+		return m.notLeader()
+	}
+	if m.leading.transferee != 0 || !m.committedInTerm() || m.log.membership().index > m.log.commit {
+		return &BusyMembershipError{}
+	}
+	if err := to.check(); err != nil {
+		return err
+	}
+	changed := differing(m.membership(), to)
+	if len(changed) != 1 {
+		return &MembershipError{Reason: "it has to differ from the present one in one member"}
+	}
+	if err := m.checkVoter(changed[0], to); err != nil {
+		return err
+	}
+	to.Members = slices.Clone(to.Members)
+	m.appendOwn(EntryMembership, EncodeMembership(to))
+	return nil
+}
+
+// checkVoter tells why a member may not become a voter yet.
+func (m *Machine) checkVoter(id ReplicaID, to Membership) error {
+	if !to.votes(id) || m.membership().votes(id) {
+		return nil
+	}
+	p := m.peer(id)
+	if p == nil {
+		return &MembershipError{Reason: "a new member has to join as a learner first"}
+	}
+	// Whatever the slack, it has to know that it is a member: else it would not vote.
+	want := max(m.log.membership().index, m.log.commit-min(m.log.commit, catchUpSlack))
+	if p.match < want {
+		return &BehindError{ID: id, Match: p.match, Want: want}
+	}
+	return nil
+}
+
+// adoptMembership brings the peers in line with the newest membership.
+func (m *Machine) adoptMembership() {
+	l := &m.leading
+	membership := m.membership()
+	var peers []*peer
+	for _, member := range membership.Members {
+		if member.ID == m.options.ID {
+			continue
+		}
+		p := m.peer(member.ID)
+		if p == nil {
+			p = &peer{id: member.ID, next: m.log.last() + 1, answeredAt: m.now}
+		}
+		peers = append(peers, p)
+	}
+	for _, p := range l.peers {
+		if !membership.has(p.id) {
+			l.leaving = append(l.leaving, p)
+		}
+	}
+	l.peers = peers
+}
+
+// membershipCommitted lets members go that a committed membership no longer has, this leader included.
+func (m *Machine) membershipCommitted() {
+	l := &m.leading
+	if m.log.membership().index > m.log.commit {
+		return
+	}
+	for _, p := range l.leaving {
+		m.bidFarewell(p)
+	}
+	l.leaving = nil
+	if m.membership().votes(m.options.ID) {
+		return
+	}
+	if p := m.peer(m.heir()); p != nil && p.match == m.log.last() {
+		m.sendEarly(Message{Kind: TimeoutNow, To: p.id})
+	}
+	m.becomeFollower(m.term, 0)
+}
+
+// bidFarewell tells a former member, once, that it was removed, so that it does not go on standing for election. This
+// must not happen earlier: before the removal is committed its vote may be needed, which it would no longer give.
+func (m *Machine) bidFarewell(p *peer) {
+	term, known := m.log.term(p.next - 1)
+	if !known {
+		return
+	}
+	m.sendEarly(Message{Kind: Append, To: p.id, Index: p.next - 1, LogTerm: term, Commit: m.log.commit,
+		Entries: m.log.slice(p.next, m.options.MaxAppendBytes)})
+}
--- /dev/null
+++ b/internal/consensus/replication.go
@@ -0,0 +1,425 @@
+package consensus
+
+import (
+	"slices"
+	"time"
+)
+
+// snapshotElections is after how many election times a snapshot without an answer is sent again.
+const snapshotElections = 2
+
+// leadership is what only a leader knows.
+type leadership struct {
+	peers        []*peer // the other members, in the order of the membership
+	leaving      []*peer // removed by a membership that is not committed yet
+	heartbeatDue time.Duration
+
+	round     uint64 // of the messages sent last, see flushRounds
+	asked     uint64 // last round that was begun for reads
+	confirmed uint64 // last round that a majority answered
+	reads     []pendingRead
+
+	transferee   ReplicaID
+	transferEnds time.Duration
+	handedOver   bool // the transferee was told to take over: there is no lease in this term any more
+}
+
+// peerState says how entries are sent to a member.
+type peerState uint8
+
+const (
+	probing      peerState = iota // one append at a time, until it is known where the logs agree
+	replicating                   // appends follow each other without waiting, up to Options.MaxInflight
+	snapshotting                  // a snapshot is on its way
+)
+
+// peer is another member as its leader knows it.
+type peer struct {
+	id         ReplicaID
+	state      peerState
+	match      uint64 // it surely holds the log up to here
+	next       uint64 // entry to be sent next
+	told       uint64 // commit that it was told
+	waiting    bool   // probing: an append is under way
+	beat       bool   // an append is wanted, even an empty one
+	inflight   []uint64
+	sentAt     time.Duration // of the last append that is answered
+	snapshotAt time.Duration
+	answeredAt time.Duration
+	round      uint64 // last one answered
+}
+
+func (p *peer) becomeProbing(next uint64) {
+	p.state = probing
+	p.next = next
+	p.waiting = false
+	p.inflight = nil
+}
+
+func (p *peer) becomeReplicating() {
+	p.state = replicating
+	p.next = p.match + 1
+	p.inflight = nil
+}
+
+func (p *peer) becomeSnapshotting(now time.Duration) {
+	p.state = snapshotting
+	p.snapshotAt = now
+	p.inflight = nil
+}
+
+// answered frees the appends that end up to an index.
+func (p *peer) answered(index uint64) {
+	n := 0
+	for n < len(p.inflight) && p.inflight[n] <= index {
+		n++
+	}
+	p.inflight = p.inflight[n:]
+}
+
+func (m *Machine) peer(id ReplicaID) *peer {
+	for _, p := range m.leading.peers {
+		if p.id == id {
+			return p
+		}
+	}
+	return nil
+}
+
+// majority is the largest value that more than half of the voters reach.
+func (m *Machine) majority(value func(ReplicaID) uint64) uint64 {
+	var space [16]uint64
+	values := space[:0]
+	for _, member := range m.membership().Members {
+		if member.Voter {
+			values = append(values, value(member.ID))
+		}
+	}
+	if len(values) == 0 {
+		return 0
+	}
+	slices.Sort(values)
+	return values[(len(values)-1)/2]
+}
+
+// becomeLeader begins a leadership with an entry of the new term, which commits all that stands before it.
+func (m *Machine) becomeLeader() {
+	m.role = Leader
+	m.leader = m.options.ID
+	m.attempts = 0
+	m.granted = nil
+	m.leading = leadership{heartbeatDue: m.now + m.options.Heartbeat}
+	m.adoptMembership()
+	m.appendOwn(EntryCommand, nil)
+}
+
+// appendOwn appends an entry of a leader.
+func (m *Machine) appendOwn(kind EntryKind, data []byte) uint64 {
+	entry := Entry{Index: m.log.last() + 1, Term: m.term, Kind: kind, Data: data}
+	m.log.append([]Entry{entry})
+	if kind == EntryMembership {
+		m.adoptMembership()
+	}
+	return entry.Index
+}
+
+func (m *Machine) tickLeader() {
+	if m.now >= m.quorumEnds() {
+		m.becomeFollower(m.term, 0)
+		return
+	}
+	if m.leading.transferee != 0 && m.now >= m.leading.transferEnds {
+		m.endTransfer()
+		return
+	}
+	if m.now < m.leading.heartbeatDue {
+		return
+	}
+	m.leading.heartbeatDue = m.now + m.options.Heartbeat
+	for _, p := range m.leading.peers {
+		p.beat = p.beat || m.now-p.sentAt > m.options.Heartbeat/2
+	}
+}
+
+func (m *Machine) leaderDue() time.Duration {
+	due := min(m.leading.heartbeatDue, m.quorumEnds())
+	if m.leading.transferee != 0 {
+		due = min(due, m.leading.transferEnds)
+	}
+	return due
+}
+
+// quorumEnds is when this leader gives up unless a majority answers before.
+func (m *Machine) quorumEnds() time.Duration {
+	answered := m.majority(func(id ReplicaID) uint64 {
+		if id == m.options.ID {
+			return uint64(max(m.now, 0))
+		}
+		if p := m.peer(id); p != nil {
+			return uint64(max(p.answeredAt, 0))
+		}
+		return 0
+	})
+	return time.Duration(answered) + m.options.Election
+}
+
+// flush makes a leader's messages out of what has come together since the last time.
+func (m *Machine) flush() {
+	if m.role != Leader {
+		return
+	}
+	m.flushRounds()
+	for _, p := range m.leading.peers {
+		m.flushPeer(p)
+	}
+	if m.leading.transferee != 0 {
+		m.flushTransfer()
+	}
+	m.confirmRounds() // a group of one confirms itself
+}
+
+func (m *Machine) flushPeer(p *peer) {
+	for m.wantsEntries(p) {
+		m.sendEntries(p)
+	}
+	if m.snapshotLost(p) {
+		m.sendSnapshot(p)
+	}
+	if p.beat {
+		m.sendHeartbeat(p)
+	}
+	if p.state == replicating && p.told < min(m.log.commit, p.next-1) {
+		m.sendAppend(p, p.next-1, nil, 0)
+	}
+}
+
+// snapshotLost tells whether a member that is there has not answered a snapshot for long.
+func (m *Machine) snapshotLost(p *peer) bool {
+	return p.state == snapshotting && m.now-p.snapshotAt >= snapshotElections*m.options.Election &&
+		m.now-p.answeredAt < m.options.Election
+}
+
+func (m *Machine) wantsEntries(p *peer) bool {
+	switch p.state {
+	case probing:
+		return !p.waiting
+	case replicating:
+		return p.next <= m.log.last() && len(p.inflight) < max(m.options.MaxInflight, 1)
+	default:
+		return false
+	}
+}
+
+// sendEntries sends the next entries to a member, or a snapshot where the log no longer holds them.
+func (m *Machine) sendEntries(p *peer) {
+	if _, known := m.log.term(p.next - 1); !known {
+		m.sendSnapshot(p)
+		return
+	}
+	entries := m.log.slice(p.next, m.options.MaxAppendBytes)
+	m.sendAppend(p, p.next-1, entries, m.leading.round)
+	p.beat = false
+	if p.state == probing {
+		p.waiting = true
+		return
+	}
+	p.next += uint64(len(entries))
+	p.inflight = append(p.inflight, p.next-1)
+}
+
+// sendHeartbeat sends an append without entries, which also finds out whether earlier ones were lost.
+func (m *Machine) sendHeartbeat(p *peer) {
+	p.beat = false
+	index := p.next - 1
+	if p.state == snapshotting {
+		index = p.match
+	}
+	if _, known := m.log.term(index); !known {
+		index = 0 // where all logs agree
+		m.forgetSent(p)
+	}
+	m.sendAppend(p, index, nil, m.leading.round)
+}
+
+// forgetSent begins anew, once it answers, with a member that fell behind the start of the log while appends to it were
+// under way.
+func (m *Machine) forgetSent(p *peer) {
+	if p.state == replicating {
+		p.becomeProbing(p.match + 1)
+		p.waiting = true
+	}
+}
+
+func (m *Machine) sendAppend(p *peer, index uint64, entries []Entry, round uint64) {
+	term, _ := m.log.term(index) // 0 at the start
+	m.sendEarly(Message{Kind: Append, To: p.id, Index: index, LogTerm: term, Commit: m.log.commit, Entries: entries,
+		Round: round})
+	p.told = max(p.told, min(m.log.commit, index+uint64(len(entries))))
+	if round > 0 {
+		p.sentAt = m.now
+	}
+}
+
+func (m *Machine) sendSnapshot(p *peer) {
+	snapshot := m.log.snapshot
+	p.becomeSnapshotting(m.now)
+	m.sendEarly(Message{Kind: InstallSnapshot, To: p.id, Snapshot: &snapshot, Commit: m.log.commit,
+		Round: m.leading.round})
+}
+
+// handleLeader takes a message that only a leader sends.
+func (m *Machine) handleLeader(msg Message) {
+	if msg.Term < m.term {
+		// Its sender learns of the newer term and gives up.
+		m.send(Message{Kind: AppendReply, To: msg.From, Reject: true})
+		return
+	}
+	if msg.Term > m.term {
+		m.becomeFollower(msg.Term, msg.From)
+	}
+	if m.role == Leader || m.leader != 0 && m.leader != msg.From {
+		return // there is one leader a term
+	}
+	m.heardLeader(msg.From)
+	if msg.Kind == Append {
+		m.handleAppend(msg)
+		return
+	}
+	m.handleSnapshot(msg)
+}
+
+// handleAppend takes a leader's entries if they follow an entry that both have.
+func (m *Machine) handleAppend(msg Message) {
+	index, entries := msg.Index, msg.Entries
+	if index < m.log.commit {
+		// What is committed is the same everywhere.
+		skip := min(uint64(len(entries)), m.log.commit-index)
+		index += skip
+		if index < m.log.commit {
+			m.replyAppend(msg, m.log.commit)
+			return
+		}
+		if !m.log.matches(index, entries[skip-1].Term) {
+			return
+		}
+		entries = entries[skip:]
+	} else if !m.log.matches(index, msg.LogTerm) {
+		m.rejectAppend(msg)
+		return
+	}
+	m.log.take(entries)
+	last := index + uint64(len(entries))
+	m.log.commitTo(min(msg.Commit, last))
+	m.replyAppend(msg, last)
+}
+
+func (m *Machine) replyAppend(msg Message, index uint64) {
+	if msg.Round == 0 && len(msg.Entries) == 0 {
+		return
+	}
+	m.send(Message{Kind: AppendReply, To: msg.From, Index: index, Round: msg.Round})
+}
+
+// rejectAppend tells the leader where the logs may agree, passing over whole terms.
+func (m *Machine) rejectAppend(msg Message) {
+	hint, term := m.log.conflict(msg.Index, msg.LogTerm)
+	m.send(Message{Kind: AppendReply, To: msg.From, Index: msg.Index, LogTerm: term, Reject: true, Hint: hint,
+		Round: msg.Round})
+}
+
+// handleSnapshot replaces log and state unless the log holds all of the snapshot already.
+func (m *Machine) handleSnapshot(msg Message) {
+	s := *msg.Snapshot
+	switch {
+	case s.Index <= m.log.commit:
+	case m.log.matches(s.Index, s.Term):
+		m.log.commitTo(s.Index)
+	default:
+		m.log.restore(s)
+	}
+	m.send(Message{Kind: SnapshotReply, To: msg.From, Index: m.log.commit, Round: msg.Round})
+}
+
+// answer notes that a member has answered in this leader's term.
+func (m *Machine) answer(msg Message) *peer {
+	p := m.peer(msg.From)
+	if m.role != Leader || msg.Term != m.term || p == nil {
+		return nil
+	}
+	p.answeredAt = m.now
+	p.round = max(p.round, min(msg.Round, m.leading.round))
+	m.confirmRounds()
+	return p
+}
+
+func (m *Machine) handleAppendReply(msg Message) {
+	p := m.answer(msg)
+	if p == nil || msg.Index > m.log.last() {
+		return
+	}
+	if msg.Reject {
+		m.handleReject(p, msg)
+		return
+	}
+	m.matched(p, msg.Index)
+}
+
+func (m *Machine) handleSnapshotReply(msg Message) {
+	p := m.answer(msg)
+	if p == nil || msg.Reject || msg.Index > m.log.last() {
+		return
+	}
+	m.matched(p, msg.Index)
+}
+
+// matched notes up to where a member holds the log.
+func (m *Machine) matched(p *peer, index uint64) {
+	updated := index > p.match
+	p.match = max(p.match, index)
+	p.answered(index)
+	p.next = max(p.next, p.match+1)
+	switch p.state {
+	case probing:
+		if updated || p.next == p.match+1 {
+			p.becomeReplicating()
+		}
+	case snapshotting:
+		if _, known := m.log.term(p.match); known {
+			p.becomeReplicating()
+		}
+	}
+	if updated {
+		m.advanceCommit()
+	}
+}
+
+// handleReject goes back to where a member's log may agree with this one.
+func (m *Machine) handleReject(p *peer, msg Message) {
+	if p.state == snapshotting || msg.Index <= p.match || p.state == probing && msg.Index != p.next-1 {
+		return // of old
+	}
+	hint, _ := m.log.conflict(msg.Hint, msg.LogTerm)
+	if msg.Hint < m.log.offset {
+		hint = msg.Hint
+	}
+	p.becomeProbing(max(p.match, min(msg.Index-1, hint)) + 1)
+}
+
+// advanceCommit finds the last entry that a majority holds. Only one of this term commits, and with it all before it.
+func (m *Machine) advanceCommit() {
+	index := m.majority(func(id ReplicaID) uint64 {
+		if id == m.options.ID {
+			return m.log.durable
+		}
+		if p := m.peer(id); p != nil {
+			return p.match
+		}
+		return 0
+	})
+	if index <= m.log.commit || !m.log.matches(index, m.term) {
+		return
+	}
+	m.log.commitTo(index)
+	m.answerReads()
+	m.membershipCommitted()
+}
--- a/internal/consensus/types.go
+++ b/internal/consensus/types.go
@@ -4,7 +4,10 @@
 // out. It does no I/O, has no clock, and draws its random numbers from a given seed.
 package consensus
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // ReplicaID names one life of a replica's disk: a replica that lost its disk comes back under another one.
 type ReplicaID uint64
@@ -98,7 +101,10 @@
 	Snapshot *Snapshot
 	Reject   bool
 	Hint     uint64 // of a rejected append: where to try next
-	Round    uint64 // of an append: number that its reply repeats, which confirms leadership for reads and leases
+	// Round of an append is a number that its reply repeats, which confirms leadership for reads and leases. An append
+	// without entries and with Round 0 only tells of a commit and is not answered unless it is rejected.
+	Round uint64
+	Force bool // of a vote: the leader asked for this election, so that its followers need not hold on to it
 }
 
 // Role is what a replica is at present.
@@ -112,17 +118,32 @@
 	Leader
 )
 
-// Ready is what is to be done, in this order: write Snapshot, HardState and Entries and sync them (entries replace
-// whatever stands at their indexes and beyond), send Messages, apply Snapshot and Committed, answer Reads, compact.
+// Ready is what is to be done, in this order: send Early, write Snapshot, HardState and Entries and sync them (entries
+// replace whatever stands at their indexes and beyond), call Persisted, send Messages, apply Snapshot and Committed,
+// answer Reads, compact.
+//
+// Readies are done in the order in which they were returned, and the next one may be asked for while the writes of
+// earlier ones are under way. Messages of one are sent only after its writes and those of all earlier ones are synced.
+// A write that failed is to be tried again, or the machine made anew from what is stored; it can't be left out.
+// Nothing in a Ready may be changed.
 type Ready struct {
 	HardState *HardState
 	Snapshot  *Snapshot // received from the leader: replaces log and state
 	Entries   []Entry
+	Early     []Message // may be sent before the writes are synced
 	Messages  []Message
 	Committed []Entry
 	Reads     []ReadState
-	Compact   uint64 // above 0: make a snapshot at this applied index and call Compacted
-	MustSync  bool
+	Compact   uint64 // above 0: make a snapshot at this applied index, store it (see Machine.Snapshot), call Compacted
+	MustSync  bool   // false: HardState, if any, differs in Commit alone and may wait for the next write
+
+	number uint64 // counts the ones with writes, 0: none
+}
+
+// Empty tells whether nothing is to be done.
+func (r Ready) Empty() bool {
+	return r.HardState == nil && r.Snapshot == nil && len(r.Entries) == 0 && len(r.Early) == 0 && len(r.Messages) == 0 &&
+		len(r.Committed) == 0 && len(r.Reads) == 0 && r.Compact == 0
 }
 
 // ReadState says that the state machine may be read for Token once Index is applied.
@@ -138,6 +159,44 @@
 // Error says what happened.
 func (e *NotLeaderError) Error() string { return "consensus: this replica does not lead its group" }
 
+// Status describes a replica.
+type Status struct {
+	ID         ReplicaID
+	Role       Role
+	Term       uint64
+	Leader     ReplicaID // 0: not known
+	Commit     uint64
+	Applied    uint64 // last index returned in Ready.Committed or Ready.Snapshot
+	LastIndex  uint64
+	Membership Membership // the newest, which may not be committed yet
+	// MembershipIndex is the entry that brought Membership; it is committed if it is not above Commit.
+	MembershipIndex uint64
+	// LeaseUntil of a leader: while the time is below it and this status is the newest, no other replica can be leader.
+	LeaseUntil   time.Duration
+	Transferring bool // a leader that hands leadership over takes no proposals
+	// LeaderHeard is when this replica last heard the leader; a leader's is when its last confirmed round began.
+	LeaderHeard time.Duration
+	Match       map[ReplicaID]uint64        // of a leader: up to where each member surely holds the log
+	Answered    map[ReplicaID]time.Duration // of a leader: when each other member last answered
+}
+
+// MembershipError says that a change of membership is not allowed.
+type MembershipError struct{ Reason string }
+
+// Error says what happened.
+func (e *MembershipError) Error() string { return "consensus: membership not changed: " + e.Reason }
+
+// BehindError says that a learner can't be made a voter yet: wait until its log has caught up.
+type BehindError struct {
+	ID          ReplicaID
+	Match, Want uint64 // index that it surely holds, and index from which on it may become a voter
+}
+
+// Error says what happened.
+func (e *BehindError) Error() string {
+	return fmt.Sprintf("consensus: replica %d holds the log up to %d and may vote from %d on; wait", e.ID, e.Match, e.Want)
+}
+
 // BusyMembershipError says that a change of membership is under way.
 type BusyMembershipError struct{}
 
