--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,303 @@
+// Package agent is the process beside a proxy: it is a member of the system, follows the feed of the control replicas,
+// serves it on to the proxy over loopback and to other agents that have nothing, tells the members how the proxy is, and
+// asks the platform itself while it is cut off from the control replicas.
+package agent
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cinderroad/internal/agent/source"
+	"cinderroad/internal/agent/survey"
+	"cinderroad/internal/control/following"
+	"cinderroad/internal/discovery"
+	"cinderroad/internal/environment"
+	"cinderroad/internal/feed"
+	"cinderroad/internal/gossip"
+	"cinderroad/internal/rpc"
+)
+
+const (
+	runnerPartitions = 2 // as the control replicas have them
+
+	joinAfter     = time.Second             // without a report of the proxy: a proxy that serves is to be told of at once
+	joinAgain     = 200 * time.Millisecond  // between two tries for the gossip address
+	peersAsked    = 3                       // other agents that one which has nothing asks
+	endBefore     = 700 * time.Millisecond  // before the grace period's end
+	servesAtLeast = 1500 * time.Millisecond // after SIGTERM: the members are to hear that the proxy stops
+
+	proxyConnections = 16
+	peerConnections  = 64
+	requestBytes     = 8 << 20 // of a report, with what the proxy has learnt
+)
+
+// Options are an agent's.
+type Options struct {
+	Settings *environment.Settings
+	Version  string // of the program
+	Log      *zap.Logger
+}
+
+// Agent is a running agent.
+type Agent struct {
+	settings *environment.Settings
+	version  string
+	log      *zap.Logger
+	epoch    time.Time
+
+	store    *store
+	proxy    *proxy
+	platform *platform
+	follower *follower
+	member   atomic.Pointer[gossip.Gossip]
+	seeds    atomic.Pointer[[]netip.AddrPort] // gossip addresses
+
+	local    *countingListener // for the proxy
+	peers    net.Listener      // for other agents
+	failures chan error
+	work     sync.WaitGroup
+}
+
+// New opens the agent's listeners.
+func New(ctx context.Context, options Options) (*Agent, error) {
+	a := &Agent{
+		settings: options.Settings,
+		version:  options.Version,
+		log:      options.Log,
+		epoch:    time.Now(),
+		failures: make(chan error, 4),
+	}
+	a.Reload(options.Settings)
+	a.store = newStore(a.now, runnerPartitions)
+	a.proxy = newProxy(a.log, a.now)
+	client := discovery.NewClient(discovery.ClientOptions{Address: a.settings.CloudAPI.Address})
+	a.platform = newPlatform(a.log, a.now, client, a.store, a.pace, rand.Float64)
+	a.follower = &follower{
+		node:       a.settings.Node,
+		log:        a.log,
+		now:        a.now,
+		store:      a.store,
+		machine:    source.New(source.Options{}, a.now()),
+		candidates: a.candidates,
+		isPeer:     a.isPeer,
+		stepped:    a.stepped,
+	}
+	return a, a.open(ctx)
+}
+
+func (a *Agent) open(ctx context.Context) error {
+	loopback := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), a.settings.Port(environment.AgentFeedPort))
+	local, err := listen(ctx, loopback)
+	if err != nil {
+		return fmt.Errorf("agent: cannot listen for the proxy, check that no other agent runs: %w", err)
+	}
+	a.local = &countingListener{Listener: local, changed: a.proxyConnections}
+	machine := netip.AddrPortFrom(a.settings.IP, a.settings.Port(environment.AgentRPC))
+	a.peers, err = listen(ctx, machine)
+	if err != nil {
+		local.Close()
+		return fmt.Errorf("agent: cannot listen for other agents, check that no other agent runs: %w", err)
+	}
+	return nil
+}
+
+// now is the agent's steady clock.
+func (a *Agent) now() time.Duration { return time.Since(a.epoch) }
+
+// Reload takes settings that have changed: the seeds; all else needs a new process.
+func (a *Agent) Reload(settings *environment.Settings) {
+	seeds := gossip.SeedAddresses(settings)
+	a.seeds.Store(&seeds)
+	if member := a.member.Load(); member != nil {
+		member.Seek(seeds)
+	}
+}
+
+// Run serves until the context ends, and then until the proxy has ended, or the grace period nearly has.
+func (a *Agent) Run(ctx context.Context) error {
+	running, end := context.WithCancel(context.Background())
+	defer a.work.Wait()
+	defer end()
+	a.serve(running)
+	a.work.Go(func() { a.follower.run(running) })
+	a.work.Go(func() { a.platform.run(running) })
+	a.work.Go(func() { a.join(running) })
+	select {
+	case <-ctx.Done():
+	case err := <-a.failures:
+		a.leave()
+		return err
+	}
+	a.stop()
+	return nil
+}
+
+// serve answers the proxy and other agents.
+func (a *Agent) serve(ctx context.Context) {
+	local := rpc.NewRegistry()
+	toProxy := a.server(a.store.servedSources(), a.store.served)
+	following.Call.Handle(local, func(ctx context.Context, request *feed.FollowRequest) (*feed.FollowReply, error) {
+		a.store.meet(request.Positions)
+		return toProxy.Follow(ctx, request)
+	})
+	ReportCall.Handle(local, a.proxy.report)
+	a.listen(ctx, a.local, local, rpc.Limits{Connections: proxyConnections, RequestBytes: requestBytes})
+
+	peers := rpc.NewRegistry()
+	following.Call.Handle(peers, a.server(a.store.baseSources(), a.store.base).Follow)
+	a.listen(ctx, a.peers, peers, rpc.Limits{Connections: peerConnections, RequestBytes: requestBytes})
+}
+
+func (a *Agent) server(sources []following.Source, notifier *following.Notifier) *following.Server {
+	return following.New(following.Options{
+		Sources:  sources,
+		Notifier: notifier,
+		Now:      a.now,
+		Fresh:    a.store.fresh,
+		Proxies:  a.proxies,
+	})
+}
+
+func (a *Agent) listen(ctx context.Context, listener net.Listener, registry *rpc.Registry, limits rpc.Limits) {
+	a.work.Go(func() {
+		if err := rpc.Serve(ctx, listener, registry, limits); err != nil {
+			a.fail(fmt.Errorf("agent: %w", err))
+		}
+	})
+}
+
+func (a *Agent) fail(err error) {
+	select {
+	case a.failures <- err:
+	default:
+	}
+}
+
+// join becomes a member once the proxy has reported, or after a while: an agent that was started again says at once what
+// is so of the proxy, and clients stay.
+func (a *Agent) join(ctx context.Context) {
+	timer := time.NewTimer(joinAfter)
+	defer timer.Stop()
+	select {
+	case <-a.proxy.first:
+	case <-timer.C:
+	case <-ctx.Done():
+		return
+	}
+	member, err := a.startMember(ctx)
+	if err != nil {
+		a.fail(err)
+		return
+	}
+	if member == nil {
+		return
+	}
+	a.member.Store(member)
+	a.proxy.join(member)
+	member.Seek(*a.seeds.Load())
+}
+
+// startMember opens the gossip socket, waiting for an address that is still taken.
+func (a *Agent) startMember(ctx context.Context) (*gossip.Gossip, error) {
+	options := gossip.FromSettings(a.settings, gossip.Edge)
+	options.Version = a.version
+	options.Log = a.log
+	options.Seeds = *a.seeds.Load()
+	end := time.Now().Add(listenFor)
+	for {
+		member, err := gossip.Start(options)
+		if err == nil {
+			return member, nil
+		}
+		if ctx.Err() != nil {
+			return nil, nil
+		}
+		var taken *gossip.ListenError
+		if !errors.As(err, &taken) || time.Now().After(end) {
+			return nil, err
+		}
+		pause(ctx, joinAgain)
+	}
+}
+
+func (a *Agent) proxyConnections(int) { a.proxy.connections(a.local.count()) }
+
+// proxies is how many proxies may be sending; 0: not known.
+func (a *Agent) proxies() int {
+	if member := a.member.Load(); member != nil {
+		return member.Proxies()
+	}
+	return 0
+}
+
+func (a *Agent) pace() survey.Pace {
+	return survey.Pace{Agents: a.proxies(), RatePerS: a.settings.CloudAPI.RatePerS}
+}
+
+// candidates are where the feed may be followed from: control replicas, and other agents for one that has nothing.
+func (a *Agent) candidates() []netip.AddrPort {
+	member := a.member.Load()
+	if member == nil {
+		return a.seedReplicas()
+	}
+	addresses := member.ControlAddresses()
+	if !a.store.empty() {
+		return addresses
+	}
+	peers := member.AgentAddresses()
+	return append(addresses, peers[:min(len(peers), peersAsked)]...)
+}
+
+// isPeer says whether an address is another agent's.
+func (a *Agent) isPeer(address netip.AddrPort) bool {
+	return address.Port() == a.settings.Port(environment.AgentRPC)
+}
+
+// seedReplicas are the control replicas of the settings.
+func (a *Agent) seedReplicas() []netip.AddrPort {
+	port := a.settings.Port(environment.ControlRPC)
+	seeds := *a.seeds.Load()
+	addresses := make([]netip.AddrPort, len(seeds))
+	for i, seed := range seeds {
+		addresses[i] = netip.AddrPortFrom(seed.Addr(), port)
+	}
+	return addresses
+}
+
+// stepped takes how the follower stands to the control replicas. One that has nothing has no use for the platform's list.
+func (a *Agent) stepped(state source.State) {
+	a.platform.update(state == source.CutOff && !a.store.empty())
+}
+
+// stop tells the members that the proxy stops, feeds it until it has ended, and leaves.
+func (a *Agent) stop() {
+	a.log.Info("stopping")
+	a.proxy.end()
+	most := max(servesAtLeast, a.settings.Timing.GracePeriod-endBefore)
+	limit := time.NewTimer(most)
+	defer limit.Stop()
+	least := time.NewTimer(min(servesAtLeast, most))
+	defer least.Stop()
+	<-least.C
+	select {
+	case <-a.proxy.left():
+	case <-limit.C:
+	}
+	a.leave()
+}
+
+func (a *Agent) leave() {
+	if member := a.member.Load(); member != nil {
+		member.Leave()
+	}
+	a.log.Info("left")
+}
--- /dev/null
+++ b/internal/agent/follower.go
@@ -0,0 +1,115 @@
+package agent
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cinderroad/internal/agent/source"
+	"cinderroad/internal/control/following"
+	"cinderroad/internal/feed"
+	"cinderroad/internal/rpc"
+)
+
+const (
+	mostReplyBytes = 32 << 20 // of a control replica's answer
+	dialTimeout    = 600 * time.Millisecond
+)
+
+// follower keeps the store up to date from one replica at a time.
+type follower struct {
+	node       string
+	log        *zap.Logger
+	now        func() time.Duration
+	store      *store
+	machine    *source.Machine
+	candidates func() []netip.AddrPort
+	isPeer     func(netip.AddrPort) bool // another agent stands there, which is asked but not followed
+	stepped    func(state source.State)  // called after each question
+
+	client *rpc.Client // of the replica that was asked last
+	state  source.State
+}
+
+// run follows until the context ends.
+func (f *follower) run(ctx context.Context) {
+	defer f.disconnect()
+	for ctx.Err() == nil {
+		f.machine.Offer(f.candidates())
+		question, wait := f.machine.Next(f.now())
+		if wait > 0 {
+			f.tell()
+			pause(ctx, wait)
+			continue
+		}
+		f.ask(ctx, question)
+		f.tell()
+	}
+}
+
+// pause waits, or until the context ends.
+func pause(ctx context.Context, wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (f *follower) ask(ctx context.Context, question source.Question) {
+	ctx, cancel := context.WithTimeout(ctx, question.Timeout)
+	defer cancel()
+	request := &feed.FollowRequest{Node: f.node, Positions: f.store.positions(), Wait: question.Wait}
+	reply, err := following.Call.Invoke(ctx, f.connect(question.Address), request)
+	if err != nil {
+		f.log.Debug("control replica gave no answer", zap.Stringer("address", question.Address), zap.Error(err))
+		f.disconnect()
+		f.machine.Failed(f.now(), question.Address)
+		return
+	}
+	lags := f.store.take(reply)
+	answer := source.Answer{Fresh: reply.Fresh, Lags: lags || f.isPeer(question.Address)}
+	f.machine.Answered(f.now(), question.Address, answer)
+}
+
+// connect returns the client of a replica; that of another one is closed.
+func (f *follower) connect(address netip.AddrPort) *rpc.Client {
+	if f.client != nil && f.client.Address() == address {
+		return f.client
+	}
+	f.disconnect()
+	f.client = rpc.NewClient(address, rpc.Options{Dial: dialTimeout, MessageBytes: mostReplyBytes})
+	return f.client
+}
+
+func (f *follower) disconnect() {
+	if f.client != nil {
+		f.client.Close()
+		f.client = nil
+	}
+}
+
+// tell logs a change of the state, and passes the state on.
+func (f *follower) tell() {
+	state := f.machine.State()
+	if state != f.state {
+		f.state = state
+		f.logState()
+	}
+	f.stepped(state)
+}
+
+func (f *follower) logState() {
+	if address, follows := f.machine.Followed(); follows {
+		f.log.Info("feed followed", zap.Stringer("from", address))
+		return
+	}
+	if f.state == source.CutOff {
+		f.log.Warn("no control replica is up to date; all that is known is served on")
+		return
+	}
+	f.log.Info("feed lost, looking for another control replica")
+}
--- a/internal/agent/source/source.go
+++ b/internal/agent/source/source.go
@@ -74,7 +74,7 @@
 // Answer is what a replica's answer says of the replica.
 type Answer struct {
 	Fresh time.Duration // how long ago it knew itself to be up to date
-	Lags  bool          // it holds less than the follower
+	Lags  bool          // it holds less than the follower, or is not to be followed for another reason
 }
 
 // replica is what is remembered of a candidate.
--- /dev/null
+++ b/internal/agent/store.go
@@ -0,0 +1,147 @@
+package agent
+
+import (
+	"sync"
+	"time"
+
+	"cinderroad/internal/agent/overlay"
+	"cinderroad/internal/control/following"
+	"cinderroad/internal/discovery"
+	"cinderroad/internal/feed"
+)
+
+// neverFresh is told where the agent has not heard a control replica that was up to date.
+const neverFresh = time.Hour
+
+// store is what the agent knows, shared by its goroutines.
+type store struct {
+	now          func() time.Duration
+	base, served *following.Notifier
+	mutex        sync.Mutex
+	tables       *overlay.Tables
+	everUpToDate bool
+	lastUpToDate time.Duration // when the control replicas' word was up to date last, by now
+}
+
+func newStore(now func() time.Duration, partitions int) *store {
+	after := func(wait time.Duration, wake func()) { time.AfterFunc(wait, wake) }
+	return &store{
+		now:    now,
+		base:   following.NewNotifier(now, after),
+		served: following.NewNotifier(now, after),
+		tables: overlay.New(partitions),
+	}
+}
+
+// positions say how far the control replicas' changes are held.
+func (s *store) positions() []feed.Position {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.tables.Positions()
+}
+
+// empty says whether no configuration is held.
+func (s *store) empty() bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.tables.Empty()
+}
+
+// take applies a reply of a control replica, or of another agent. It says whether the reply lags behind what is held.
+func (s *store) take(reply *feed.FollowReply) (lags bool) {
+	changed := false
+	s.mutex.Lock()
+	now := s.now()
+	for _, batch := range reply.Batches {
+		batchChanged, batchLags := s.tables.Apply(now, batch)
+		changed = changed || batchChanged
+		lags = lags || batchLags
+	}
+	if at := now - reply.Fresh; !s.everUpToDate || at > s.lastUpToDate {
+		s.everUpToDate, s.lastUpToDate = true, at
+	}
+	s.mutex.Unlock()
+	if changed {
+		s.base.Changed()
+		s.served.Changed()
+	}
+	return lags
+}
+
+// list lays the platform's list over the runners.
+func (s *store) list(runners []discovery.Runner) {
+	s.mutex.Lock()
+	changed := s.tables.List(s.now(), runners)
+	s.mutex.Unlock()
+	if changed {
+		s.served.Changed()
+	}
+}
+
+// drop takes the platform's list away again.
+func (s *store) drop() {
+	s.mutex.Lock()
+	changed := s.tables.Drop(s.now())
+	s.mutex.Unlock()
+	if changed {
+		s.served.Changed()
+	}
+}
+
+// meet has the proxy served although an earlier life of this agent was ahead.
+func (s *store) meet(positions []feed.Position) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for _, position := range positions {
+		s.tables.Meet(s.now(), position)
+	}
+}
+
+// fresh is how long ago the control replicas' word was up to date.
+func (s *store) fresh() time.Duration {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.everUpToDate {
+		return neverFresh
+	}
+	return max(0, s.now()-s.lastUpToDate)
+}
+
+// partitionSource is a partition as following.Server reads it.
+type partitionSource struct {
+	store *store
+	table func() *feed.Table
+}
+
+// Index is that of the newest change of an item.
+func (s *partitionSource) Index() uint64 {
+	s.store.mutex.Lock()
+	defer s.store.mutex.Unlock()
+	return s.table().LastChange()
+}
+
+// Since returns what changed after the index.
+func (s *partitionSource) Since(index uint64, maxBytes int) feed.Batch {
+	s.store.mutex.Lock()
+	defer s.store.mutex.Unlock()
+	return s.table().Since(s.store.now(), index, maxBytes)
+}
+
+// baseSources are the partitions as the control replicas have them.
+func (s *store) baseSources() []following.Source {
+	return s.sources(s.tables.Base)
+}
+
+// servedSources are the partitions as the proxy is to have them.
+func (s *store) servedSources() []following.Source {
+	return s.sources(s.tables.Served)
+}
+
+func (s *store) sources(table func(feed.Partition) *feed.Table) []following.Source {
+	sources := make([]following.Source, s.tables.Partitions())
+	for i := range sources {
+		partition := feed.Partition(i)
+		sources[i] = &partitionSource{store: s, table: func() *feed.Table { return table(partition) }}
+	}
+	return sources
+}
