--- a/cmd/cinderroad-agent/main.go
+++ b/cmd/cinderroad-agent/main.go
@@ -42,6 +42,8 @@
 }
 
 func run(log *zap.Logger) error {
+	changes := make(chan os.Signal, 1)
+	signal.Notify(changes, syscall.SIGHUP) // before anything else: it would end the process
 	settings, err := environment.Load()
 	if err != nil {
 		return fmt.Errorf("read the settings: %w", err)
@@ -54,15 +56,13 @@
 	if err != nil {
 		return err
 	}
-	go reload(log, started)
+	go reload(log, started, changes)
 	return started.Run(ctx)
 }
 
-// reload reads the settings again at each SIGHUP.
-func reload(log *zap.Logger, running *agent.Agent) {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	for range signals {
+// reload reads the settings again whenever they are said to have changed.
+func reload(log *zap.Logger, running *agent.Agent, changes <-chan os.Signal) {
+	for range changes {
 		settings, err := environment.Load()
 		if err != nil {
 			log.Warn("changed settings are not used", zap.Error(err))
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -45,6 +45,8 @@
 	Settings *environment.Settings
 	Version  string // of the program
 	Log      *zap.Logger
+
+	loopback netip.Addr // address at which the proxy is served; the zero value: 127.0.0.1
 }
 
 // Agent is a running agent.
@@ -91,12 +93,14 @@
 		isPeer:     a.isPeer,
 		stepped:    a.stepped,
 	}
-	return a, a.open(ctx)
+	return a, a.open(ctx, options.loopback)
 }
 
-func (a *Agent) open(ctx context.Context) error {
-	loopback := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), a.settings.Port(environment.AgentFeedPort))
-	local, err := listen(ctx, loopback)
+func (a *Agent) open(ctx context.Context, loopback netip.Addr) error {
+	if !loopback.IsValid() {
+		loopback = netip.AddrFrom4([4]byte{127, 0, 0, 1})
+	}
+	local, err := listen(ctx, netip.AddrPortFrom(loopback, a.settings.Port(environment.AgentFeedPort)))
 	if err != nil {
 		return fmt.Errorf("agent: cannot listen for the proxy, check that no other agent runs: %w", err)
 	}
--- a/internal/agent/overlay/overlay.go
+++ b/internal/agent/overlay/overlay.go
@@ -31,8 +31,19 @@
 	delete(o.missed, key)
 }
 
+// alters says whether anything of a partition is served as the platform said.
+func (o *overlay) alters(partition feed.Partition) bool {
+	for _, altered := range o.altered {
+		if altered == partition {
+			return true
+		}
+	}
+	return false
+}
+
 // List takes the platform's list: new runners are served, those that drain are served as draining, and those that were
-// missing twice in a row are gone. It says whether anything changed. An empty list says nothing.
+// missing twice in a row are gone. It says whether anything changed. An empty list says nothing, and a partition of which
+// nothing is held stays so.
 func (t *Tables) List(now time.Duration, runners []discovery.Runner) bool {
 	if len(runners) == 0 {
 		return false
@@ -57,6 +68,9 @@
 
 // listPartition serves a partition as listed. All its changes have one number.
 func (t *Tables) listPartition(now time.Duration, partition feed.Partition, listed map[string]*discovery.Runner) bool {
+	if t.base[partition].Index() == 0 {
+		return false // followers of an earlier life could not be told what is gone since
+	}
 	table := t.served[partition]
 	index := table.Index() + 1
 	var put []feed.Item
--- a/internal/agent/overlay/tables.go
+++ b/internal/agent/overlay/tables.go
@@ -2,7 +2,8 @@
 // them to its proxy, with the platform's own word laid over the runners while the agent is cut off. It is pure.
 //
 // The served partitions have numbers of their own: that of the control replicas' change, followed by Bits bits that count
-// the changes that the agent made itself. So they rise over restarts of the agent as well, which the proxy relies on.
+// the changes that the agent made itself. So they rise over restarts of the agent as well, which the proxy relies on. The
+// bits are 0 only where nothing of the platform's word is served: a restarted agent has the same then.
 package overlay
 
 import (
@@ -83,12 +84,11 @@
 		t.overlay.forget(item.Key)
 	}
 	table := t.served[partition]
-	table.Apply(now, feed.Batch{
-		Partition: partition,
-		From:      table.Index(),
-		To:        served(t.base[partition].Index()),
-		Items:     items,
-	})
+	to := served(t.base[partition].Index())
+	if t.overlay.alters(partition) {
+		to++
+	}
+	table.Apply(now, feed.Batch{Partition: partition, From: table.Index(), To: to, Items: items})
 }
 
 // serveAll takes over a whole partition: what the platform said of it is dropped.
--- /dev/null
+++ b/internal/agent/source/source_test.go
@@ -0,0 +1,244 @@
+package source
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+const second = time.Second
+
+func address(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7000)
+}
+
+func addresses(ns ...int) []netip.AddrPort {
+	var list []netip.AddrPort
+	for _, n := range ns {
+		list = append(list, address(n))
+	}
+	return list
+}
+
+// expectQuestion has the machine ask a replica now.
+func expectQuestion(t *testing.T, m *Machine, now time.Duration, n int, wait time.Duration) Question {
+	t.Helper()
+	question, pause := m.Next(now)
+	if pause != 0 || question.Address != address(n) || question.Wait != wait {
+		t.Fatalf("at %v it asks %+v after %v, want %v with a wait of %v", now, question, pause, address(n), wait)
+	}
+	return question
+}
+
+func expectState(t *testing.T, m *Machine, want State) {
+	t.Helper()
+	if m.State() != want {
+		t.Fatalf("it is %v, want %v", m.State(), want)
+	}
+}
+
+func TestNearestIsFollowed(t *testing.T) {
+	m := New(Options{}, 0)
+	m.Offer(addresses(1, 2, 3))
+	expectQuestion(t, m, 0, 1, 0)
+	m.Answered(0, address(1), Answer{})
+	expectState(t, m, Following)
+	question := expectQuestion(t, m, 0, 1, second)
+	if question.Timeout != 2200*time.Millisecond {
+		t.Errorf("a long poll may take %v, want 2.2s", question.Timeout)
+	}
+}
+
+func TestNextAfterRefusal(t *testing.T) {
+	m := New(Options{}, 0)
+	m.Offer(addresses(1, 2, 3))
+	m.Next(0)
+	m.Failed(0, address(1))
+	expectQuestion(t, m, 0, 2, 0)
+	m.Failed(0, address(2))
+	expectQuestion(t, m, 0, 3, 0)
+	m.Failed(0, address(3))
+	if question, pause := m.Next(0); pause != 250*time.Millisecond {
+		t.Errorf("it asks %+v after %v, want a pause of 250ms", question, pause)
+	}
+	expectQuestion(t, m, 250*time.Millisecond, 1, 0)
+}
+
+func TestSlowOnesDoNotKeepLaterOnesFromTheirTurn(t *testing.T) {
+	m := New(Options{}, 0)
+	m.Offer(addresses(1, 2, 3))
+	now := time.Duration(0)
+	for _, n := range []int{1, 2, 3, 1, 2, 3} {
+		question := expectQuestion(t, m, now, n, 0)
+		now += question.Timeout + 400*time.Millisecond // longer than all pauses
+		m.Failed(now, address(n))
+	}
+}
+
+func TestStaleReplicaIsLeft(t *testing.T) {
+	m := New(Options{}, 0)
+	m.Offer(addresses(1, 2))
+	m.Next(0)
+	m.Answered(0, address(1), Answer{Fresh: 1400 * time.Millisecond})
+	expectState(t, m, Following)
+	m.Next(0)
+	m.Answered(second, address(1), Answer{Fresh: 2 * second})
+	expectState(t, m, Searching)
+	expectQuestion(t, m, second, 2, 0)
+	m.Answered(second, address(2), Answer{Fresh: 100 * time.Millisecond})
+	expectState(t, m, Following)
+}
+
+func TestLaggingReplicaIsLeft(t *testing.T) {
+	m := New(Options{}, 0)
+	m.Offer(addresses(1, 2))
+	m.Next(0)
+	m.Answered(0, address(1), Answer{Lags: true})
+	expectState(t, m, Searching)
+	expectQuestion(t, m, 0, 2, 0)
+}
+
+func TestCutOffAndBack(t *testing.T) {
+	m := New(Options{}, 0)
+	m.Offer(addresses(1, 2))
+	now := time.Duration(0)
+	for m.State() == Searching {
+		question, pause := m.Next(now)
+		now += pause
+		if pause == 0 {
+			m.Failed(now, question.Address)
+		}
+	}
+	expectState(t, m, CutOff)
+	if now < 2500*time.Millisecond || now > 3500*time.Millisecond {
+		t.Errorf("cut off after %v, want within a second after 2.5s", now)
+	}
+	now += 5 * second
+	m.Next(now)
+	m.Answered(now, address(2), Answer{})
+	expectState(t, m, Following)
+	expectQuestion(t, m, now, 2, second)
+}
+
+func TestShortSearchIsNoCutOff(t *testing.T) {
+	m := New(Options{}, 0)
+	m.Offer(addresses(1, 2))
+	m.Next(0)
+	m.Answered(0, address(1), Answer{})
+	now := 2200 * time.Millisecond // the followed one was silent for the whole call
+	m.Failed(now, address(1))
+	expectState(t, m, Searching)
+	expectQuestion(t, m, now, 2, 0)
+	m.Answered(now+50*time.Millisecond, address(2), Answer{})
+	expectState(t, m, Following)
+}
+
+func TestReturnsToTheNearer(t *testing.T) {
+	m := New(Options{}, 0)
+	m.Offer(addresses(1, 2))
+	m.Next(0)
+	m.Failed(0, address(1))
+	m.Next(0)
+	m.Answered(0, address(2), Answer{})
+	for now := second; now < 10*second; now += second {
+		expectQuestion(t, m, now, 2, second)
+		m.Answered(now, address(2), Answer{})
+	}
+	expectQuestion(t, m, 11*second, 1, 0)
+	m.Answered(11*second, address(1), Answer{Fresh: 9 * second})
+	expectQuestion(t, m, 11*second, 2, 0)
+	m.Answered(11*second, address(2), Answer{})
+	expectState(t, m, Following)
+	expectQuestion(t, m, 12*second, 2, second)
+	m.Answered(12*second, address(2), Answer{})
+	expectQuestion(t, m, 22*second, 1, 0)
+	m.Answered(22*second, address(1), Answer{})
+	expectQuestion(t, m, 22*second, 1, second)
+}
+
+func TestFollowedOneStaysThoughNoLongerNamed(t *testing.T) {
+	m := New(Options{}, 0)
+	m.Offer(addresses(1))
+	m.Next(0)
+	m.Answered(0, address(1), Answer{})
+	m.Offer(addresses(2))
+	expectQuestion(t, m, 0, 1, second)
+	m.Failed(0, address(1))
+	expectQuestion(t, m, 0, 2, 0)
+	m.Offer(addresses(2))
+	if m.find(address(1)) != nil {
+		t.Error("a replica that is neither named nor followed is kept")
+	}
+	m.Answered(0, address(1), Answer{}) // late, of one that is not known any more
+	expectState(t, m, Searching)
+}
+
+func TestNoCandidates(t *testing.T) {
+	m := New(Options{}, 0)
+	if question, pause := m.Next(0); pause <= 0 {
+		t.Errorf("it asks %+v where nobody is known", question)
+	}
+}
+
+// TestWhoeverIsUpToDateIsFound plays drawn replicas that are up, silent, refusing or stale, and change over time.
+func TestWhoeverIsUpToDateIsFound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 7).Draw(t, "replicas")
+		conditions := make([]int, n+1)
+		m := New(Options{}, 0)
+		now, wellSince := time.Duration(0), time.Duration(-1) // since when one is up to date that is not followed
+		for step := range 400 {
+			if rapid.IntRange(0, 30).Draw(t, "changes") == 0 {
+				for i := range conditions {
+					conditions[i] = rapid.IntRange(0, 3).Draw(t, fmt.Sprint("condition ", i))
+				}
+				wellSince = -1
+			}
+			up := false
+			for _, condition := range conditions[1:] {
+				up = up || condition == 0
+			}
+			if up && (wellSince < 0 || m.State() == Following) {
+				wellSince = now
+			}
+			var order []int
+			for i := range n {
+				order = append(order, i+1)
+			}
+			m.Offer(addresses(order...))
+			question, pause := m.Next(now)
+			if pause > second {
+				t.Fatalf("step %d: it pauses for %v", step, pause)
+			}
+			now += pause
+			if pause > 0 {
+				continue
+			}
+			from := int(question.Address.Addr().As4()[3])
+			switch conditions[from] {
+			case 0:
+				now += min(question.Wait, second) + 5*time.Millisecond
+				m.Answered(now, question.Address, Answer{Fresh: 10 * time.Millisecond})
+			case 1:
+				now += question.Timeout
+				m.Failed(now, question.Address)
+			case 2:
+				now += time.Millisecond
+				m.Failed(now, question.Address)
+			case 3:
+				now += question.Wait + 5*time.Millisecond
+				m.Answered(now, question.Address, Answer{Fresh: 3 * second})
+			}
+			longest := 2200*time.Millisecond + time.Duration(n)*700*time.Millisecond + 2*second
+			if up && now-wellSince > longest && m.State() != Following {
+				t.Fatalf("step %d: %v for %v although one is up to date", step, m.State(), now-wellSince)
+			}
+			if m.State() == CutOff && now-m.goodAt < 2500*time.Millisecond {
+				t.Fatalf("step %d: cut off %v after a good answer", step, now-m.goodAt)
+			}
+		}
+	})
+}
--- a/internal/agent/survey/survey.go
+++ b/internal/agent/survey/survey.go
@@ -35,7 +35,6 @@
 	rateMargin    = 3.0  // parts that the agents leave of the platform's rate: their number may be underestimated
 	unknownAgents = 30   // taken where the number is not known
 	jitterShare   = 0.25 // of the interval, to either side
-	firstShare    = 0.5  // of the interval that the first question is spread over, in a whole one
 	longestPause  = 15 * time.Second
 )
 
@@ -75,8 +74,20 @@
 	if pace.RatePerS <= 0 {
 		return leastInterval
 	}
-	seconds := rateMargin * float64(agents*m.pages) / pace.RatePerS
-	return max(leastInterval, time.Duration(math.Ceil(seconds*float64(time.Second))))
+	lists := pace.RatePerS / float64(m.pages) // that the platform takes in a second
+	if rateMargin*float64(agents) <= lists {
+		return leastInterval
+	}
+	seconds := float64(agents) / min(lists/rateMargin, chanceMean(lists))
+	return max(leastInterval, time.Duration(seconds*float64(time.Second)))
+}
+
+// chanceMean is the mean of independent events in a second that is four standard deviations below a bound: so many
+// agents rarely meet in one second by chance.
+func chanceMean(bound float64) float64 {
+	const deviations = 4.0
+	root := math.Sqrt(deviations*deviations/4+bound) - deviations/2
+	return root * root
 }
 
 func (m *Machine) jittered(interval time.Duration) time.Duration {
@@ -100,11 +111,11 @@
 	return false
 }
 
-// begin starts to ask: within half an interval, so that agents that were cut off together do not ask together.
+// begin starts to ask: anywhere in an interval, so that agents that were cut off together do not ask together.
 func (m *Machine) begin(now time.Duration, pace Pace) {
 	m.state = Asking
 	m.pause = 0
-	m.nextAt = now + time.Duration(firstShare*m.random()*float64(m.interval(pace)))
+	m.nextAt = now + time.Duration(m.random()*float64(m.interval(pace)))
 }
 
 // resume goes on to ask after a cut that ended for a moment.
--- /dev/null
+++ b/internal/agent/survey/survey_test.go
@@ -0,0 +1,119 @@
+package survey
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+func half() float64 { return 0.5 }
+
+func TestAsksWhileCutOff(t *testing.T) {
+	m := New(half)
+	pace := Pace{Agents: 10, RatePerS: 100}
+	m.Update(0, false, pace)
+	if _, asking := m.Next(0); asking || m.State() != Idle {
+		t.Fatal("it asks although the feed is up to date")
+	}
+	m.Update(time.Second, true, pace)
+	wait, asking := m.Next(time.Second)
+	if !asking || wait != 500*time.Millisecond {
+		t.Fatalf("it asks: %v, after %v, want after 500ms", asking, wait)
+	}
+	m.Listed(2*time.Second, 1, pace)
+	if wait, _ := m.Next(2 * time.Second); wait != time.Second {
+		t.Errorf("it asks again after %v, want 1s", wait)
+	}
+}
+
+func TestHoldsTheListUntilTheFeedHasCaughtUp(t *testing.T) {
+	m := New(half)
+	m.Update(0, true, Pace{})
+	if m.Update(time.Second, false, Pace{}) || m.State() != Holding {
+		t.Fatal("the list is dropped at once")
+	}
+	if _, asking := m.Next(time.Second); asking {
+		t.Error("it asks although the feed is up to date")
+	}
+	m.Update(2*time.Second, true, Pace{})
+	if m.State() != Asking {
+		t.Error("it does not ask in a second cut")
+	}
+	m.Update(3*time.Second, false, Pace{})
+	if m.Update(3*time.Second+HoldFor-1, false, Pace{}) {
+		t.Error("the list is dropped early")
+	}
+	if !m.Update(3*time.Second+HoldFor, false, Pace{}) || m.State() != Idle {
+		t.Error("the list is not dropped")
+	}
+	if m.Update(10*time.Second, false, Pace{}) {
+		t.Error("the list is dropped twice")
+	}
+}
+
+func TestRefusalsSlowItDown(t *testing.T) {
+	m := New(half)
+	pace := Pace{Agents: 1, RatePerS: 100}
+	m.Update(0, true, pace)
+	now := time.Duration(0)
+	for _, want := range []time.Duration{1, 2, 4, 8, 15, 15} {
+		m.Failed(now, 0, pace)
+		wait, _ := m.Next(now)
+		if wait != want*time.Second {
+			t.Fatalf("it asks again after %v, want %v", wait, want*time.Second)
+		}
+	}
+	m.Failed(now, 20*time.Second, pace)
+	if wait, _ := m.Next(now); wait != 20*time.Second {
+		t.Errorf("it asks again after %v, want the 20s that the platform asked for", wait)
+	}
+	m.Listed(now, 1, pace)
+	if wait, _ := m.Next(now); wait != time.Second {
+		t.Errorf("it asks again after %v, want 1s", wait)
+	}
+}
+
+// TestAllTogetherStayWithinTheRate has many agents ask, of a list of several pages, and counts in sliding seconds.
+func TestAllTogetherStayWithinTheRate(t *testing.T) {
+	for _, c := range []struct {
+		agents, known, pages int
+		rate                 float64
+	}{
+		{8, 8, 1, 42}, {12, 12, 2, 20}, {30, 0, 1, 42}, {350, 350, 20, 200}, {40, 20, 1, 42}, {1, 0, 1, 2},
+	} {
+		rng := rand.New(rand.NewPCG(1, uint64(c.agents)))
+		pace := Pace{Agents: c.known, RatePerS: c.rate}
+		machines := make([]*Machine, c.agents)
+		for i := range machines {
+			machines[i] = New(rng.Float64)
+			machines[i].pages = c.pages
+			machines[i].Update(0, true, pace)
+		}
+		const step = 10 * time.Millisecond
+		calls := make([]int, 12000)
+		for i := range calls {
+			now := time.Duration(i) * step
+			for _, m := range machines {
+				if wait, asking := m.Next(now); asking && wait == 0 {
+					calls[i] += c.pages
+					m.Listed(now, c.pages, pace)
+				}
+			}
+		}
+		total, inSecond, most := 0, 0, 0
+		for i, n := range calls {
+			total += n
+			inSecond += n
+			if i >= 100 {
+				inSecond -= calls[i-100]
+			}
+			most = max(most, inSecond)
+		}
+		if rate := float64(total) / 120; rate > c.rate {
+			t.Errorf("%+v: %.1f calls a second in the long run", c, rate)
+		}
+		if float64(most) > c.rate {
+			t.Errorf("%+v: %d calls within a second", c, most)
+		}
+	}
+}
