--- /dev/null
+++ b/internal/control/following/server_test.go
@@ -0,0 +1,311 @@
+package following
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"cinderroad/internal/feed"
+)
+
+const longest = 30 * time.Second // that a state is waited for
+
+// clock is a virtual steady clock with timers.
+type clock struct {
+	mutex  sync.Mutex
+	time   time.Duration
+	timers []timer
+}
+
+type timer struct {
+	at  time.Duration
+	run func()
+}
+
+func (c *clock) now() time.Duration {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.time
+}
+
+func (c *clock) after(d time.Duration, run func()) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.timers = append(c.timers, timer{c.time + d, run})
+}
+
+// pass moves the clock and runs what is due.
+func (c *clock) pass(d time.Duration) {
+	c.mutex.Lock()
+	c.time += d
+	var due []func()
+	var later []timer
+	for _, t := range c.timers {
+		if t.at <= c.time {
+			due = append(due, t.run)
+		} else {
+			later = append(later, t)
+		}
+	}
+	c.timers = later
+	c.mutex.Unlock()
+	for _, run := range due {
+		run()
+	}
+}
+
+// source is a partition's table that counts how often it is looked through.
+type source struct {
+	clock *clock
+	mutex sync.Mutex
+	table *feed.Table
+	looks int
+}
+
+func (s *source) Index() uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.table.LastChange()
+}
+
+func (s *source) Since(index uint64, maxBytes int) feed.Batch {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.looks++
+	return s.table.Since(s.clock.now(), index, maxBytes)
+}
+
+func (s *source) put(index uint64, key string, size int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.table.Put(s.clock.now(), index, key, make([]byte, size))
+}
+
+type world struct {
+	clock   *clock
+	sources []*source
+	server  *Server
+	notify  *Notifier
+}
+
+func newWorld() *world {
+	w := &world{clock: &clock{time: time.Hour}}
+	var sources []Source
+	for partition := range feed.Partition(3) {
+		s := &source{clock: w.clock, table: feed.NewTable(partition)}
+		w.sources = append(w.sources, s)
+		sources = append(sources, s)
+	}
+	w.notify = NewNotifier(w.clock.now, w.clock.after)
+	w.server = New(Options{
+		Sources:  sources,
+		Notifier: w.notify,
+		Now:      w.clock.now,
+		Fresh:    func() time.Duration { return 7 * time.Millisecond },
+		Proxies:  func() int { return 3 },
+	})
+	return w
+}
+
+func (w *world) follow(t *testing.T, wait time.Duration, positions ...uint64) *feed.FollowReply {
+	t.Helper()
+	reply, err := w.server.Follow(context.Background(), requestOf(wait, positions))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return reply
+}
+
+func requestOf(wait time.Duration, positions []uint64) *feed.FollowRequest {
+	request := &feed.FollowRequest{Wait: wait}
+	for partition, index := range positions {
+		position := feed.Position{Partition: feed.Partition(partition), Index: index}
+		request.Positions = append(request.Positions, position)
+	}
+	return request
+}
+
+func TestWhatChangedComesAtOnce(t *testing.T) {
+	w := newWorld()
+	if reply := w.follow(t, 0); len(reply.Batches) != 0 || reply.Fresh != 7*time.Millisecond || reply.Proxies != 3 {
+		t.Errorf("nothing is there: %+v", reply)
+	}
+	w.sources[0].put(4, "a", 1)
+	w.sources[2].put(9, "b", 1)
+	w.clock.pass(time.Second)
+	reply := w.follow(t, time.Hour)
+	if len(reply.Batches) != 2 || reply.Batches[0].Partition != 0 || reply.Batches[1].Partition != 2 ||
+		!reply.Batches[0].Snapshot || reply.Batches[1].To != 9 || reply.Batches[1].Items[0].Age != time.Second {
+		t.Errorf("from the start: %+v", reply)
+	}
+	if reply := w.follow(t, 0, 4, 0, 9); len(reply.Batches) != 0 {
+		t.Errorf("the follower has all: %+v", reply)
+	}
+	if reply := w.follow(t, 0, 40, 40, 40); len(reply.Batches) != 0 {
+		t.Errorf("the follower is ahead: %+v", reply)
+	}
+	w.sources[2].put(12, "c", 1)
+	reply = w.follow(t, time.Hour, 4, 0, 9)
+	if len(reply.Batches) != 1 || reply.Batches[0].Snapshot || len(reply.Batches[0].Items) != 1 {
+		t.Errorf("one item changed: %+v", reply)
+	}
+}
+
+func TestCallsAreHeldOpen(t *testing.T) {
+	w := newWorld()
+	w.sources[0].put(1, "a", 1)
+	const followers = 200
+	replies := make(chan *feed.FollowReply, followers)
+	for range followers {
+		go func() {
+			reply, err := w.server.Follow(context.Background(), requestOf(time.Hour, []uint64{1}))
+			if err != nil {
+				t.Error(err)
+			}
+			replies <- reply
+		}()
+	}
+	w.waitForFollowers(t, followers)
+	w.sources[0].put(2, "b", 1)
+	w.notify.Changed()
+	for range followers {
+		reply := receive(t, replies)
+		if len(reply.Batches) != 1 || reply.Batches[0].To != 2 {
+			t.Fatalf("%+v", reply)
+		}
+	}
+	if looks := w.sources[0].looks; looks > 2 {
+		t.Errorf("%d followers cost %d looks", followers, looks)
+	}
+}
+
+func (w *world) waitForFollowers(t *testing.T, n int64) {
+	t.Helper()
+	for end := time.Now().Add(longest); w.server.followers.Load() != n; {
+		if time.Now().After(end) {
+			t.Fatalf("%d calls are open, want %d", w.server.followers.Load(), n)
+		}
+		<-time.After(time.Millisecond)
+	}
+}
+
+func receive(t *testing.T, replies <-chan *feed.FollowReply) *feed.FollowReply {
+	t.Helper()
+	select {
+	case reply := <-replies:
+		return reply
+	case <-time.After(longest):
+		t.Fatal("no answer came")
+		return nil
+	}
+}
+
+func TestCallsEnd(t *testing.T) {
+	w := newWorld()
+	replies := make(chan *feed.FollowReply, 1)
+	start := func(ctx context.Context) {
+		go func() {
+			reply, _ := w.server.Follow(ctx, requestOf(time.Hour, nil))
+			replies <- reply
+		}()
+		w.waitForFollowers(t, 1)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	start(ctx)
+	cancel()
+	receive(t, replies)
+	w.waitForFollowers(t, 0)
+	start(context.Background())
+	w.server.Stop()
+	w.server.Stop()
+	receive(t, replies)
+	if reply := w.follow(t, time.Millisecond); len(reply.Batches) != 0 {
+		t.Errorf("%+v", reply)
+	}
+}
+
+func TestTooManyFollowers(t *testing.T) {
+	w := newWorld()
+	w.server.followers.Store(MostFollowers)
+	if _, err := w.server.Follow(context.Background(), requestOf(0, nil)); err != ErrTooManyFollowers {
+		t.Errorf("%v", err)
+	}
+	if n := w.server.followers.Load(); n != MostFollowers {
+		t.Errorf("%d calls are counted", n)
+	}
+}
+
+func TestRepliesAreBounded(t *testing.T) {
+	w := newWorld()
+	const items, size = 100, 8 << 10
+	for i := range items {
+		for _, source := range w.sources {
+			source.put(uint64(i+1), fmt.Sprint("key", i), size)
+		}
+	}
+	positions := []uint64{1, 1, 1}
+	whole := false
+	for round := range 20 {
+		reply := w.follow(t, 0, positions...)
+		if len(reply.Batches) == 0 {
+			if positions[1] != items || positions[2] != items || !whole {
+				t.Fatalf("the follower stands at %v", positions)
+			}
+			return
+		}
+		got := 0
+		for _, batch := range reply.Batches {
+			if batch.Partition == feed.ConfigurationPartition {
+				whole = batch.To == items && len(batch.Items) == items-1
+			} else {
+				got += batchSize(batch)
+			}
+			positions[batch.Partition] = batch.To
+		}
+		if got > 2*MostReplyData {
+			t.Fatalf("round %d: %d bytes of runners", round, got)
+		}
+	}
+	t.Fatalf("the follower stands at %v", positions)
+}
+
+func TestWakeUpsAreCoalesced(t *testing.T) {
+	c := &clock{time: time.Hour}
+	n := NewNotifier(c.now, c.after)
+	woken := func(wake <-chan struct{}) bool {
+		select {
+		case <-wake:
+			return true
+		default:
+			return false
+		}
+	}
+	wake := n.Wait()
+	n.Changed()
+	if !woken(wake) {
+		t.Error("the first change does not wake at once")
+	}
+	wake = n.Wait()
+	for range 9 {
+		c.pass(CoalesceFor / 10)
+		n.Changed()
+	}
+	if woken(wake) {
+		t.Error("a storm wakes too often")
+	}
+	c.pass(CoalesceFor / 10)
+	if !woken(wake) {
+		t.Error("changes within a storm do not wake at its end")
+	}
+	wake = n.Wait()
+	c.pass(CoalesceFor)
+	if woken(wake) {
+		t.Error("woken without a change")
+	}
+	n.Changed()
+	if !woken(wake) {
+		t.Error("a change after a storm does not wake at once")
+	}
+}
