--- a/internal/control/api/api.go
+++ b/internal/control/api/api.go
@@ -63,7 +63,7 @@
 func New(options Options) *API {
 	a := &API{
 		options:   options,
-		committer: committer{replicas: options.Replicas, state: options.State, prepare: prepare},
+		committer: committer{replicas: options.Replicas, state: options.State, prepare: prepare, pause: pause},
 		calls:     make(chan struct{}, mostCalls),
 		changes:   make(chan struct{}, mostChanges),
 		mux:       http.NewServeMux(),
@@ -158,14 +158,19 @@
 		return
 	}
 	base := a.options.State.Base()
-	if base.Version == 0 {
+	document, err := current(&base)
+	if err != nil {
+		a.refuse(w, err)
+		return
+	}
+	if document == nil {
 		a.refuse(w, notFound("there is no configuration yet"))
 		return
 	}
 	version := strconv.FormatUint(base.Version, 10)
 	w.Header().Set("ETag", strconv.Quote(version))
 	w.Header().Set("X-Version", version)
-	writeJSON(w, http.StatusOK, document(&base))
+	writeJSON(w, http.StatusOK, document.Encode())
 }
 
 // barrier waits until the local state holds what was acknowledged before, for as long as the context lasts.
@@ -174,7 +179,7 @@
 		if a.options.Replicas.Barrier(ctx, feed.ConfigurationPartition) == nil {
 			return nil
 		}
-		if !pause(ctx, retryEvery) {
+		if !a.committer.pause(ctx, retryEvery) {
 			return unavailable("no majority of the control machines answers")
 		}
 	}
--- a/internal/control/api/commit.go
+++ b/internal/control/api/commit.go
@@ -55,6 +55,7 @@
 	replicas replica.Replicas
 	state    *state.Configuration
 	prepare  func(request *request, base *state.Base) (change, error)
+	pause    func(ctx context.Context, d time.Duration) bool // says whether the context goes on after it
 }
 
 // commit has the request agreed on and returns its version. The error is a *refusal. It tries again while the outcome
@@ -67,7 +68,7 @@
 		if err == nil || errors.As(err, &refused) {
 			return version, err
 		}
-		if !pause(ctx, retryEvery) {
+		if !c.pause(ctx, retryEvery) {
 			return 0, unavailable("no majority of the control machines answers; the order may be sent again unchanged")
 		}
 	}
@@ -110,6 +111,10 @@
 
 // refuse turns what is wrong with a request into an answer.
 func refuse(err error) *refusal {
+	var refused *refusal
+	if errors.As(err, &refused) {
+		return refused
+	}
 	var found *findings.Error
 	if errors.As(err, &found) {
 		return invalid("the configuration is invalid; nothing was changed", found.Findings...)
@@ -125,7 +130,7 @@
 		if err == nil || errors.As(err, &refused) {
 			return err
 		}
-		if !pause(ctx, retryEvery) {
+		if !c.pause(ctx, retryEvery) {
 			return unavailable("no majority of the control machines answers; the order may be sent again")
 		}
 	}
