--- /dev/null
+++ b/internal/replica/calls.go
@@ -0,0 +1,162 @@
+package replica
+
+import (
+	"context"
+	"encoding/binary"
+	"errors"
+	"time"
+
+	"cinderroad/internal/consensus"
+	"cinderroad/internal/feed"
+	"cinderroad/internal/rpc"
+)
+
+// The calls between control replicas. Each is answered by the method of Host that stands after it.
+var (
+	deliverCall   = rpc.Declare[DeliverRequest, DeliverReply]("Replica.Deliver")
+	proposeCall   = rpc.Declare[ProposeRequest, ProposeReply]("Replica.Propose")
+	readIndexCall = rpc.Declare[ReadIndexRequest, ReadIndexReply]("Replica.ReadIndex")
+	joinCall      = rpc.Declare[JoinRequest, JoinReply]("Replica.Join")
+)
+
+// handlerMargin is by how much a handler ends before its caller stops waiting.
+const handlerMargin = 50 * time.Millisecond
+
+// Register has the registry answer the calls of other replicas.
+func (h *Host) Register(registry *rpc.Registry) {
+	deliverCall.Handle(registry, h.deliver)
+	proposeCall.Handle(registry, h.answerPropose)
+	readIndexCall.Handle(registry, h.answerReadIndex)
+	joinCall.Handle(registry, h.answerJoin)
+}
+
+// DeliverRequest brings messages of the agreement, of any partitions, in the form of appendMessage.
+type DeliverRequest struct{ Messages []byte }
+
+// DeliverReply says that the messages came.
+type DeliverReply struct{}
+
+// deliver passes messages to the replicas they are for. What cannot be read is left out with what follows it.
+func (h *Host) deliver(_ context.Context, request *DeliverRequest) (*DeliverReply, error) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	now := h.now()
+	for rest := request.Messages; len(rest) > 0; {
+		partition, message, after, err := readMessage(rest)
+		if err != nil {
+			return nil, err
+		}
+		rest = after
+		h.step(now, partition, message)
+	}
+	h.settle()
+	return &DeliverReply{}, nil
+}
+
+// MessagesError says that a batch of messages cannot be read.
+type MessagesError struct{ Cause error }
+
+// Error says what happened and what to do.
+func (e *MessagesError) Error() string {
+	return "replica: messages cannot be read: " + e.Cause.Error() + "; check that all control machines run one version"
+}
+
+// Unwrap is the cause.
+func (e *MessagesError) Unwrap() error { return e.Cause }
+
+var errCutShort = errors.New("they are cut short")
+
+// appendMessage appends a partition, the length of a message and the message.
+func appendMessage(b []byte, partition feed.Partition, message *consensus.Message) []byte {
+	encoded := consensus.EncodeMessage(*message)
+	b = binary.AppendUvarint(b, uint64(partition))
+	b = binary.AppendUvarint(b, uint64(len(encoded)))
+	return append(b, encoded...)
+}
+
+// readMessage reads what appendMessage wrote and returns what follows.
+func readMessage(b []byte) (feed.Partition, consensus.Message, []byte, error) {
+	partition, n := binary.Uvarint(b)
+	if n <= 0 || partition > uint64(^feed.Partition(0)) {
+		return 0, consensus.Message{}, nil, &MessagesError{errCutShort}
+	}
+	b = b[n:]
+	length, n := binary.Uvarint(b)
+	if n <= 0 || length > uint64(len(b)-n) {
+		return 0, consensus.Message{}, nil, &MessagesError{errCutShort}
+	}
+	message, err := consensus.DecodeMessage(b[n : n+int(length)])
+	if err != nil {
+		return 0, consensus.Message{}, nil, &MessagesError{err}
+	}
+	return feed.Partition(partition), message, b[n+int(length):], nil
+}
+
+// ProposeRequest asks a leader to have a command agreed on within Wait.
+type ProposeRequest struct {
+	Partition feed.Partition
+	Command   []byte
+	Wait      time.Duration
+}
+
+// ProposeReply says what became of a command.
+type ProposeReply struct {
+	Outcome Outcome
+	Result  []byte // of OutcomeDone: what Apply returned
+}
+
+// Outcome is what became of a command or a read.
+type Outcome uint8
+
+// The outcomes.
+const (
+	OutcomeUnknown  Outcome = iota // it may be agreed on, now or later
+	OutcomeDone                    // it was agreed on and applied
+	OutcomeNotTaken                // it was not proposed, or surely never will be agreed on
+)
+
+// answerPropose proposes to this machine's replica only; the caller looks for another leader itself.
+func (h *Host) answerPropose(ctx context.Context, request *ProposeRequest) (*ProposeReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, request.Wait-handlerMargin)
+	defer cancel()
+	outcome, result := h.proposeHere(ctx, request.Partition, request.Command)
+	return &ProposeReply{Outcome: outcome, Result: result}, nil
+}
+
+// ReadIndexRequest asks a leader up to which index a reader has to have applied to see all that was acknowledged.
+type ReadIndexRequest struct {
+	Partition feed.Partition
+	Wait      time.Duration
+}
+
+// ReadIndexReply holds the index where the outcome is OutcomeDone.
+type ReadIndexReply struct {
+	Outcome Outcome
+	Index   uint64
+}
+
+// answerReadIndex asks this machine's replica only.
+func (h *Host) answerReadIndex(ctx context.Context, request *ReadIndexRequest) (*ReadIndexReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, request.Wait-handlerMargin)
+	defer cancel()
+	index, confirmed := h.readIndexHere(ctx, request.Partition)
+	if !confirmed {
+		return &ReadIndexReply{Outcome: OutcomeNotTaken}, nil
+	}
+	return &ReadIndexReply{Outcome: OutcomeDone, Index: index}, nil
+}
+
+// JoinRequest asks to be a member of each partition's group, under the particulars given. It is repeated until that is
+// so.
+type JoinRequest struct{ Member consensus.Member }
+
+// JoinReply says who the members are, for whoever does not know them.
+type JoinReply struct{ Members []consensus.Member }
+
+// answerJoin notes who asks; the leaders of groups act on it as they next look at their members.
+func (h *Host) answerJoin(_ context.Context, request *JoinRequest) (*JoinReply, error) {
+	h.mutex.Lock()
+	h.joins.note(request.Member, h.now())
+	h.mutex.Unlock()
+	return &JoinReply{Members: h.Members()}, nil
+}
--- /dev/null
+++ b/internal/replica/group.go
@@ -0,0 +1,206 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"cinderroad/internal/consensus"
+	"cinderroad/internal/feed"
+	"cinderroad/internal/storage"
+)
+
+// Bounds on the log that is kept beside a snapshot. A snapshot is made once the log since the last one takes more than
+// the larger of leastLog and the last snapshot, in bytes, so that the cost of snapshots stays in proportion.
+const (
+	leastLog      = 512 << 10
+	entryOverhead = 64  // bytes that an entry costs beside its data
+	tailEntries   = 256 // a quarter of these are kept after a snapshot, for members that are a little behind
+)
+
+// group is this machine's replica of a partition. The host's mutex guards it.
+type group struct {
+	partition feed.Partition
+	machine   *consensus.Machine // nil before the store is open
+	state     StateMachine
+
+	applied      uint64
+	logBytes     int // of entries applied since the last snapshot
+	snapshot     int // bytes of the last one
+	compacting   bool
+	outstanding  int // jobs of the disk
+	knownCommit  uint64
+	written      consensus.HardState  // handed to the disk last
+	proposals    map[uint64]*proposal // by index
+	reads        map[uint64]chan consensus.ReadState
+	lastToken    uint64
+	appliedWaits []appliedWait
+	leader       consensus.ReplicaID
+	leads        bool
+	changed      chan struct{} // closed when there is another leader
+}
+
+// proposal waits for the entry at its index to be applied.
+type proposal struct {
+	index, term uint64
+	done        chan ProposeReply // of capacity 1
+}
+
+// appliedWait is closed once the index is applied.
+type appliedWait struct {
+	index uint64
+	done  chan struct{}
+}
+
+func newGroup(partition feed.Partition, state StateMachine) *group {
+	return &group{partition: partition, state: state, proposals: make(map[uint64]*proposal),
+		reads: make(map[uint64]chan consensus.ReadState), changed: make(chan struct{})}
+}
+
+// start makes the machine out of what is stored.
+func (g *group) start(now time.Duration, options consensus.Options, stored consensus.Stored) error {
+	if err := stored.Check(); err != nil {
+		return err
+	}
+	if s := &stored.Snapshot; s.Index > 0 {
+		if err := g.state.Restore(s.Index, s.Data); err != nil {
+			return err
+		}
+		g.applied, g.snapshot = s.Index, len(s.Data)
+	}
+	g.knownCommit, g.written = stored.Hard.Commit, stored.Hard
+	stored.Snapshot.Data = nil // the state machine holds it
+	g.machine = consensus.New(now, options, stored)
+	return nil
+}
+
+// apply takes a Ready's snapshot and entries into the state machine and answers those who wait for them. Committed
+// entries are applied before this replica's own writes are on disk: a majority has them, and the state machine lives
+// in memory.
+func (g *group) apply(r *consensus.Ready) error {
+	if r.Snapshot != nil {
+		if err := g.restore(r.Snapshot); err != nil {
+			return err
+		}
+	}
+	for i := range r.Committed {
+		g.applyEntry(&r.Committed[i])
+	}
+	if r.HardState != nil {
+		g.knownCommit = r.HardState.Commit
+	}
+	g.wakeApplied()
+	return nil
+}
+
+func (g *group) restore(s *consensus.Snapshot) error {
+	if err := g.state.Restore(s.Index, s.Data); err != nil {
+		return err
+	}
+	g.applied, g.snapshot, g.logBytes = s.Index, len(s.Data), 0
+	for index, p := range g.proposals {
+		if index <= s.Index {
+			p.done <- ProposeReply{Outcome: OutcomeUnknown}
+			delete(g.proposals, index)
+		}
+	}
+	return nil
+}
+
+func (g *group) applyEntry(e *consensus.Entry) {
+	var result []byte
+	if e.Kind == consensus.EntryCommand && len(e.Data) > 0 {
+		result = g.state.Apply(e.Index, e.Data)
+	}
+	g.applied = e.Index
+	g.logBytes += len(e.Data) + entryOverhead
+	p := g.proposals[e.Index]
+	if p == nil {
+		return
+	}
+	delete(g.proposals, e.Index)
+	if p.term == e.Term {
+		p.done <- ProposeReply{Outcome: OutcomeDone, Result: result}
+	} else {
+		p.done <- ProposeReply{Outcome: OutcomeNotTaken}
+	}
+}
+
+func (g *group) wakeApplied() {
+	waiting := g.appliedWaits[:0]
+	for _, w := range g.appliedWaits {
+		if w.index <= g.applied {
+			close(w.done)
+		} else {
+			waiting = append(waiting, w)
+		}
+	}
+	clear(g.appliedWaits[len(waiting):])
+	g.appliedWaits = waiting
+}
+
+// forget drops a wait.
+func (g *group) forget(done chan struct{}) {
+	g.appliedWaits = slices.DeleteFunc(g.appliedWaits, func(w appliedWait) bool { return w.done == done })
+}
+
+// answerReads passes confirmed indexes on.
+func (g *group) answerReads(states []consensus.ReadState) {
+	for _, state := range states {
+		if done := g.reads[state.Token]; done != nil {
+			delete(g.reads, state.Token)
+			done <- state
+		}
+	}
+}
+
+// noteLeader wakes those who wait for another leader.
+func (g *group) noteLeader() {
+	leader, leads := g.machine.Leader(), g.machine.Role() == consensus.Leader && !g.machine.Transferring()
+	if g.leader == leader && g.leads == leads {
+		return
+	}
+	g.leader, g.leads = leader, leads
+	close(g.changed)
+	g.changed = make(chan struct{})
+}
+
+// compaction is the snapshot that is due, or nil.
+func (g *group) compaction() *consensus.Snapshot {
+	if g.compacting || g.logBytes < max(leastLog, g.snapshot) {
+		return nil
+	}
+	snapshot, is := g.machine.Snapshot(g.applied, g.state.Snapshot())
+	if !is {
+		return nil
+	}
+	g.compacting = true
+	return &snapshot
+}
+
+// compacted notes that the snapshot is on disk.
+func (g *group) compacted(snapshot *consensus.Snapshot) {
+	g.compacting = false
+	g.logBytes, g.snapshot = 0, len(snapshot.Data)
+	g.machine.Compacted(snapshot.Index, nil)
+}
+
+// currentSnapshot fills the message of a snapshot with the state as it is: the machine keeps none, to save memory.
+func (g *group) currentSnapshot(message *consensus.Message) {
+	data := g.state.Snapshot()
+	snapshot, is := g.machine.Snapshot(g.applied, data)
+	if !is {
+		snapshot = *message.Snapshot // the state machine has not moved on since
+		snapshot.Data = data
+	}
+	message.Snapshot = &snapshot
+}
+
+// write is what a Ready wants on the disk. A hard state that differs in its commit index alone goes along with entries.
+func (g *group) write(r *consensus.Ready) storage.Write {
+	w := storage.Write{Partition: g.partition, Snapshot: r.Snapshot, Entries: r.Entries, Committed: g.knownCommit}
+	if r.HardState != nil && (r.HardState.Term != g.written.Term || r.HardState.Vote != g.written.Vote) {
+		g.written = *r.HardState
+		w.Hard = r.HardState
+	}
+	return w
+}
--- /dev/null
+++ b/internal/replica/host.go
@@ -0,0 +1,336 @@
+package replica
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cinderroad/internal/consensus"
+	"cinderroad/internal/environment"
+	"cinderroad/internal/feed"
+)
+
+// Times of the agreement. A lost leader is replaced within about two election times.
+const (
+	defaultHeartbeat = 150 * time.Millisecond
+	defaultElection  = 750 * time.Millisecond
+	grid             = 10 * time.Millisecond // to which timers are put off, so that several share a wake-up
+	manageEvery      = 500 * time.Millisecond
+	handOverWithin   = time.Second // when the host stops
+)
+
+// Bounds of what is sent.
+const (
+	appendBytes = 128 << 10 // of entries in one message, or one entry
+	inflight    = 8         // unanswered messages with entries to one replica
+)
+
+// Options are a host's.
+type Options struct {
+	Settings *environment.Settings
+	// States are the state machines of the partitions, from 0 on.
+	States []StateMachine
+	Log    *zap.Logger
+	// Applied is told, one call at a time for a partition, up to which index a state machine now holds the log. It must
+	// neither block nor call the host.
+	Applied func(partition feed.Partition, index uint64)
+	// Failed is told, once, that this replica cannot go on in this process, as when its file was found corrupt while it
+	// ran: the process should end, and starts as a replica without a disk.
+	Failed func(error)
+	// Heartbeat and Election are the times of the agreement; 0: the defaults.
+	Heartbeat, Election time.Duration
+}
+
+// Host runs this machine's replicas of all partitions. It implements Replicas.
+type Host struct {
+	options Options
+	log     *zap.Logger
+	self    consensus.Member // ID 0 before the store is open
+	started time.Time
+
+	mutex     sync.Mutex
+	groups    []*group
+	peers     *peers
+	joins     joins
+	disk      *disk
+	known     []netip.AddrPort // hints of other replicas' addresses
+	manageDue time.Duration
+	joinDue   time.Duration
+	corrupted bool          // the store that this process found was moved aside
+	armed     time.Duration // when the loop wakes next
+	failed    bool
+	stopping  bool
+
+	wake    chan struct{}
+	context context.Context
+	cancel  context.CancelFunc
+	running sync.WaitGroup
+}
+
+// New returns a host that does nothing before Start. Its handlers may be registered at once.
+func New(options Options) *Host {
+	if options.Heartbeat == 0 {
+		options.Heartbeat = defaultHeartbeat
+	}
+	if options.Election == 0 {
+		options.Election = defaultElection
+	}
+	h := &Host{options: options, log: options.Log, started: time.Now(), wake: make(chan struct{}, 1)}
+	if h.log == nil {
+		h.log = zap.NewNop()
+	}
+	settings := options.Settings
+	h.self = consensus.Member{Node: settings.Node, Zone: settings.Zone,
+		Address: controlAddress(settings, settings.IP).String()}
+	for i, state := range options.States {
+		h.groups = append(h.groups, newGroup(feed.Partition(i), state))
+	}
+	for _, seed := range settings.SeedNodes {
+		h.hint(controlAddress(settings, seed.Addr()))
+	}
+	h.context, h.cancel = context.WithCancel(context.Background())
+	h.peers = newPeers(h.context, &h.running)
+	h.disk = newDisk(settings.StateDir)
+	return h
+}
+
+// Start opens the store, which it tries again for as long as the disk fails, and runs the replicas. It does not wait.
+func (h *Host) Start() {
+	h.running.Add(2)
+	go func() {
+		defer h.running.Done()
+		h.runDisk()
+	}()
+	go func() {
+		defer h.running.Done()
+		h.run()
+	}()
+}
+
+// Stop hands leadership over, for a second at most, writes what is under way and closes the store. The context bounds
+// all of that: a disk that hangs is not waited for.
+func (h *Host) Stop(ctx context.Context) {
+	h.mutex.Lock()
+	h.stopping = true
+	h.stepDown()
+	h.mutex.Unlock()
+	handOver, cancel := context.WithTimeout(ctx, handOverWithin)
+	defer cancel()
+	h.awaitFollowing(handOver)
+	h.cancel()
+	h.disk.stop()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		h.running.Wait()
+	}()
+	select {
+	case <-ended:
+	case <-ctx.Done():
+	}
+}
+
+// awaitFollowing returns once this host leads no group.
+func (h *Host) awaitFollowing(ctx context.Context) {
+	for _, g := range h.groups {
+		for {
+			h.mutex.Lock()
+			changed := g.changed
+			leads := g.machine != nil && g.machine.Role() == consensus.Leader
+			h.mutex.Unlock()
+			if !leads {
+				break
+			}
+			if !await(ctx, changed, grid) {
+				return
+			}
+		}
+	}
+}
+
+// await returns once the channel is closed or the time has passed; false: the context ended.
+func await(ctx context.Context, changed <-chan struct{}, atMost time.Duration) bool {
+	timer := time.NewTimer(atMost)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+		return false
+	}
+	return true
+}
+
+// now is the steady time since the host was made.
+func (h *Host) now() time.Duration { return time.Since(h.started) }
+
+// begin makes the machines of what is stored; false: the state machines do not take it.
+func (h *Host) begin(id consensus.ReplicaID, stored []consensus.Stored) bool {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for i, g := range h.groups {
+		options := consensus.Options{ID: id, Heartbeat: h.options.Heartbeat, Election: h.options.Election, Seed: randomNumber(),
+			MaxAppendBytes: appendBytes, MaxInflight: inflight, SnapshotAfter: tailEntries}
+		if err := g.start(h.now(), options, stored[i]); err != nil {
+			h.fail(fmt.Errorf("replica: stored state of partition %d: %w", g.partition, err))
+			return false
+		}
+	}
+	h.self.ID = id
+	h.log.Info("replica started", zap.String("replica", idText(id)))
+	h.settle()
+	return true
+}
+
+func randomNumber() uint64 {
+	var b [8]byte
+	rand.Read(b[:])
+	return binary.LittleEndian.Uint64(b[:])
+}
+
+func idText(id consensus.ReplicaID) string { return fmt.Sprintf("%016x", uint64(id)) }
+
+// run ticks the machines when they are due.
+func (h *Host) run() {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-timer.C:
+		case <-h.wake:
+		case <-h.context.Done():
+			return
+		}
+		timer.Reset(h.tick())
+	}
+}
+
+// tick does what is due and returns when to come back.
+func (h *Host) tick() time.Duration {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	now := h.now()
+	h.watchDisk(now)
+	for _, g := range h.groups {
+		if g.machine != nil && g.machine.Next() <= now {
+			g.machine.Tick(now)
+		}
+	}
+	if now >= h.manageDue {
+		h.manageDue = now + manageEvery
+		h.manage(now)
+	}
+	h.settle()
+	h.armed = h.due()
+	return max(h.armed-h.now(), 0)
+}
+
+// due is when something is to be done next, put off to the grid.
+func (h *Host) due() time.Duration {
+	due := h.manageDue
+	for _, g := range h.groups {
+		if g.machine != nil {
+			due = min(due, g.machine.Next())
+		}
+	}
+	return (due + grid - 1) / grid * grid
+}
+
+// step passes a message to its replica.
+func (h *Host) step(now time.Duration, partition feed.Partition, message consensus.Message) {
+	g := h.group(partition)
+	if g == nil || g.machine == nil {
+		return
+	}
+	if h.disk.congested() && (len(message.Entries) > 0 || message.Snapshot != nil) {
+		return // it is sent again once the disk has caught up
+	}
+	g.machine.Step(now, message)
+}
+
+func (h *Host) group(partition feed.Partition) *group {
+	if int(partition) >= len(h.groups) {
+		return nil
+	}
+	return h.groups[partition]
+}
+
+// settle does what the machines want done. Whoever has called a machine calls it before it lets go of the mutex.
+func (h *Host) settle() {
+	for _, g := range h.groups {
+		if g.machine != nil {
+			h.settleGroup(g)
+		}
+	}
+	h.peers.flush()
+	if h.due() < h.armed {
+		select {
+		case h.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+func (h *Host) settleGroup(g *group) {
+	applied := g.applied
+	for r := g.machine.Ready(); !r.Empty(); r = g.machine.Ready() {
+		h.route(g, r.Early)
+		if err := g.apply(&r); err != nil {
+			h.fail(fmt.Errorf("replica: snapshot of partition %d: %w", g.partition, err))
+		}
+		h.disk.take(h, g, &r)
+		g.answerReads(r.Reads)
+	}
+	if g.applied != applied && h.options.Applied != nil {
+		h.options.Applied(g.partition, g.applied)
+	}
+	if snapshot := g.compaction(); snapshot != nil {
+		h.disk.compact(g, snapshot)
+	}
+	g.noteLeader()
+}
+
+// route puts messages on their way.
+func (h *Host) route(g *group, messages []consensus.Message) {
+	for i := range messages {
+		message := &messages[i]
+		address, known := h.addressOf(g, message.To)
+		if !known || address.String() == h.self.Address {
+			continue // the latter: an earlier life of this machine
+		}
+		if message.Kind == consensus.InstallSnapshot {
+			h.peers.sendSnapshot(address, g, message)
+			continue
+		}
+		h.peers.send(address, g.partition, message)
+	}
+}
+
+// stepDown gives leadership of all groups up and keeps this host from leading for a few election times.
+func (h *Host) stepDown() {
+	now := h.now()
+	for _, g := range h.groups {
+		if g.machine != nil {
+			g.machine.StepDown(now)
+		}
+	}
+	h.settle()
+}
+
+// fail reports that this process's replicas cannot go on.
+func (h *Host) fail(err error) {
+	if h.failed {
+		return
+	}
+	h.failed = true
+	h.log.Error("replica failed", zap.Error(err))
+	if h.options.Failed != nil {
+		go h.options.Failed(err)
+	}
+}
--- /dev/null
+++ b/internal/replica/manage.go
@@ -0,0 +1,205 @@
+package replica
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"slices"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cinderroad/internal/consensus"
+)
+
+const (
+	manageSoon  = 50 * time.Millisecond // after a change of membership, which another may follow
+	lonelyFor   = 2 * time.Second       // without a leader after which a replica asks to be taken in again
+	joinWithin  = time.Second
+	mostKnown   = 64 // addresses of other replicas
+	closeBehind = 16 // entries by which a learner may be behind as it becomes a voter
+)
+
+// Hint adds addresses at which control replicas may be found, as membership gossip tells them.
+func (h *Host) Hint(addresses ...netip.AddrPort) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for _, address := range addresses {
+		h.hint(address)
+	}
+}
+
+func (h *Host) hint(address netip.AddrPort) {
+	if !address.IsValid() || address.String() == h.self.Address {
+		return
+	}
+	if i := slices.Index(h.known, address); i >= 0 {
+		h.known = slices.Delete(h.known, i, i+1)
+	}
+	h.known = append(h.known, address)
+	if len(h.known) > mostKnown {
+		h.known = slices.Delete(h.known, 0, 1)
+	}
+}
+
+// Members are the members of all groups, each replica once, as this replica knows them.
+func (h *Host) Members() []consensus.Member {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	return h.members()
+}
+
+func (h *Host) members() (members []consensus.Member) {
+	for _, g := range h.groups {
+		if g.machine == nil {
+			continue
+		}
+		for _, member := range g.machine.Membership().Members {
+			if !slices.ContainsFunc(members, func(m consensus.Member) bool { return m.ID == member.ID }) {
+				members = append(members, member)
+			}
+		}
+	}
+	return members
+}
+
+// manage looks after the memberships: this replica's own, and those of the groups that it leads.
+func (h *Host) manage(now time.Duration) {
+	if h.self.ID == 0 || h.stopping {
+		return
+	}
+	for _, g := range h.groups {
+		if g.machine.Role() == consensus.Leader && h.manageGroup(now, g) {
+			h.manageDue = now + manageSoon
+		}
+	}
+	if h.wantsIn(now) {
+		h.joins.note(h.self, now)
+		h.join(now)
+	}
+	h.peers.retain(h.addresses())
+}
+
+// manageGroup makes the next change of a membership, if there is one.
+func (h *Host) manageGroup(now time.Duration, g *group) bool {
+	status := g.machine.Status()
+	if status.MembershipIndex > status.Commit || status.Transferring {
+		return false
+	}
+	next, is := planChange(h.situation(now, &status))
+	if !is {
+		return false
+	}
+	if next.handOver != 0 {
+		g.machine.TransferLeadership(now, next.handOver)
+		return true
+	}
+	if err := g.machine.ChangeMembership(now, next.to); err != nil {
+		h.log.Debug("membership not changed", zap.Uint16("partition", uint16(g.partition)), zap.Error(err))
+		return false
+	}
+	h.log.Info("membership changes", zap.Uint16("partition", uint16(g.partition)),
+		zap.Stringer("from", memberList(status.Membership.Members)), zap.Stringer("to", memberList(next.to.Members)))
+	return true
+}
+
+func (h *Host) situation(now time.Duration, status *consensus.Status) *situation {
+	settings := h.options.Settings
+	s := &situation{self: h.self.ID, joining: h.joins.members(now), regions: settings.Zones,
+		aim: max(leastVoters, 2*settings.Survive.MachineLosses+1), byRegion: settings.Survive.RegionLosses > 0}
+	for _, member := range status.Membership.Members {
+		m := standing{Member: member, caughtUp: status.Match[member.ID]+closeBehind >= status.Commit}
+		if answered, is := status.Answered[member.ID]; is {
+			m.silent = now - answered
+		}
+		s.members = append(s.members, m)
+	}
+	return s
+}
+
+// memberList is how memberships stand in the log: learners in parentheses.
+type memberList []consensus.Member
+
+// String lists the members by their addresses.
+func (l memberList) String() string {
+	names := make([]string, 0, len(l))
+	for i := range l {
+		name := l[i].Address
+		if !l[i].Voter {
+			name = fmt.Sprintf("(%s)", name)
+		}
+		names = append(names, name)
+	}
+	return strings.Join(names, ",")
+}
+
+// wantsIn tells whether some group lacks this replica, or does not let it hear of a leader.
+func (h *Host) wantsIn(now time.Duration) bool {
+	for _, g := range h.groups {
+		if !h.takenIn(g) || h.fresh(g, now) > lonelyFor {
+			return true
+		}
+	}
+	return false
+}
+
+// takenIn tells whether a group has this replica, under its particulars.
+func (h *Host) takenIn(g *group) bool {
+	return slices.ContainsFunc(g.machine.Membership().Members, func(m consensus.Member) bool {
+		return m.ID == h.self.ID && !particularsDiffer(&m, &h.self)
+	})
+}
+
+// join asks all machines that may have replicas to take this one in.
+func (h *Host) join(now time.Duration) {
+	if now < h.joinDue {
+		return
+	}
+	h.joinDue = now + joinWithin/2
+	for address := range h.addresses() {
+		p := h.peers.at(address)
+		if p.joining.Swap(true) {
+			continue
+		}
+		h.running.Add(1)
+		go func() {
+			defer h.running.Done()
+			defer p.joining.Store(false)
+			h.joinAt(p)
+		}()
+	}
+}
+
+// joinAt asks one machine, and notes which others it knows.
+func (h *Host) joinAt(p *peer) {
+	ctx, cancel := context.WithTimeout(h.context, joinWithin)
+	defer cancel()
+	reply, err := joinCall.Invoke(ctx, p.client, &JoinRequest{Member: h.self})
+	if err != nil {
+		return
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	for _, member := range reply.Members {
+		if address, err := netip.ParseAddrPort(member.Address); err == nil {
+			h.hint(address)
+			h.peers.learn(member.ID, address)
+		}
+	}
+}
+
+// addresses are all others at which there may be replicas.
+func (h *Host) addresses() map[netip.AddrPort]bool {
+	addresses := make(map[netip.AddrPort]bool)
+	for _, address := range h.known {
+		addresses[address] = true
+	}
+	for _, member := range h.members() {
+		address, err := netip.ParseAddrPort(member.Address)
+		if err == nil && member.Address != h.self.Address {
+			addresses[address] = true
+		}
+	}
+	return addresses
+}
--- /dev/null
+++ b/internal/replica/peers.go
@@ -0,0 +1,182 @@
+package replica
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"cinderroad/internal/consensus"
+	"cinderroad/internal/feed"
+	"cinderroad/internal/rpc"
+)
+
+// peerOptions are for connections between replicas: a peer that is cut off is given up and dialled anew soon.
+var peerOptions = rpc.Options{Dial: 700 * time.Millisecond, Call: 2 * time.Second, UserTimeout: 1500 * time.Millisecond,
+	Retry: 50 * time.Millisecond}
+
+const (
+	snapshotWithin = 30 * time.Second // for a snapshot to be sent
+	mostPending    = 4 << 20          // bytes of messages that wait for a peer; more are dropped
+	mostOrigins    = 64
+	keptBuffer     = 64 << 10 // larger buffers are given back once sent
+)
+
+// peers are the other machines, by the address of their control RPC. The host's mutex guards the maps.
+type peers struct {
+	context   context.Context
+	running   *sync.WaitGroup
+	byAddress map[netip.AddrPort]*peer
+	// origins are addresses of replicas that the memberships at hand do not name, as they were told.
+	origins map[consensus.ReplicaID]netip.AddrPort
+}
+
+// peer is another machine. Messages for it, of all partitions, gather until the connection takes them.
+type peer struct {
+	client *rpc.Client
+	wake   chan struct{}
+	ended  context.CancelFunc
+	// joining: a request to be taken in is under way.
+	joining atomic.Bool
+
+	mutex     sync.Mutex
+	pending   []byte
+	fresh     bool                    // pending grew since the last flush
+	snapshots map[feed.Partition]bool // under way
+}
+
+func newPeers(ctx context.Context, running *sync.WaitGroup) *peers {
+	return &peers{context: ctx, running: running, byAddress: make(map[netip.AddrPort]*peer),
+		origins: make(map[consensus.ReplicaID]netip.AddrPort)}
+}
+
+// at returns the peer at an address.
+func (s *peers) at(address netip.AddrPort) *peer {
+	p := s.byAddress[address]
+	if p != nil {
+		return p
+	}
+	ctx, cancel := context.WithCancel(s.context)
+	p = &peer{client: rpc.NewClient(address, peerOptions), wake: make(chan struct{}, 1), ended: cancel,
+		snapshots: make(map[feed.Partition]bool)}
+	s.byAddress[address] = p
+	s.running.Add(1)
+	go func() {
+		defer s.running.Done()
+		p.run(ctx)
+	}()
+	return p
+}
+
+// retain ends the peers at all other addresses.
+func (s *peers) retain(addresses map[netip.AddrPort]bool) {
+	for address, p := range s.byAddress {
+		if !addresses[address] {
+			p.ended()
+			delete(s.byAddress, address)
+		}
+	}
+}
+
+// learn notes where a replica is.
+func (s *peers) learn(id consensus.ReplicaID, address netip.AddrPort) {
+	if len(s.origins) >= mostOrigins {
+		clear(s.origins)
+	}
+	s.origins[id] = address
+}
+
+func (s *peers) origin(id consensus.ReplicaID) (netip.AddrPort, bool) {
+	address, known := s.origins[id]
+	return address, known
+}
+
+// send puts a message on its way; it is lost where the peer is not reached or too slow.
+func (s *peers) send(address netip.AddrPort, partition feed.Partition, message *consensus.Message) {
+	p := s.at(address)
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if len(p.pending) < mostPending {
+		p.pending = appendMessage(p.pending, partition, message)
+		p.fresh = true
+	}
+}
+
+// flush wakes the peers that have got messages.
+func (s *peers) flush() {
+	for _, p := range s.byAddress {
+		p.mutex.Lock()
+		fresh := p.fresh
+		p.fresh = false
+		p.mutex.Unlock()
+		if !fresh {
+			continue
+		}
+		select {
+		case p.wake <- struct{}{}:
+		default:
+		}
+	}
+}
+
+// run sends what gathers.
+func (p *peer) run(ctx context.Context) {
+	defer p.client.Close()
+	var spare []byte
+	for {
+		select {
+		case <-p.wake:
+		case <-ctx.Done():
+			return
+		}
+		p.mutex.Lock()
+		batch := p.pending
+		p.pending = spare[:0]
+		p.mutex.Unlock()
+		if len(batch) == 0 {
+			spare = batch
+			continue
+		}
+		// What fails is not sent again here: the machines themselves do that, with newer messages.
+		_ = deliverCall.Send(ctx, p.client, &DeliverRequest{Messages: batch})
+		spare = batch
+		if cap(spare) > keptBuffer {
+			spare = nil
+		}
+	}
+}
+
+// sendSnapshot sends a message with the present snapshot over a connection of its own, so that heartbeats do not wait
+// behind it. It does nothing while an earlier one is under way.
+func (s *peers) sendSnapshot(address netip.AddrPort, g *group, message *consensus.Message) {
+	p := s.at(address)
+	p.mutex.Lock()
+	busy := p.snapshots[g.partition]
+	p.snapshots[g.partition] = true
+	p.mutex.Unlock()
+	if busy {
+		return
+	}
+	filled := *message
+	g.currentSnapshot(&filled)
+	request := &DeliverRequest{Messages: appendMessage(nil, g.partition, &filled)}
+	partition := g.partition
+	s.running.Add(1)
+	go func() {
+		defer s.running.Done()
+		s.transfer(address, request)
+		p.mutex.Lock()
+		delete(p.snapshots, partition)
+		p.mutex.Unlock()
+	}()
+}
+
+// transfer sends a large request; the receiver's replica answers by itself.
+func (s *peers) transfer(address netip.AddrPort, request *DeliverRequest) {
+	options := peerOptions
+	options.Call = snapshotWithin
+	client := rpc.NewClient(address, options)
+	defer client.Close()
+	_, _ = deliverCall.Invoke(s.context, client, request)
+}
--- /dev/null
+++ b/internal/replica/propose.go
@@ -0,0 +1,306 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"net/netip"
+	"time"
+
+	"cinderroad/internal/consensus"
+	"cinderroad/internal/feed"
+	"cinderroad/internal/rpc"
+)
+
+const (
+	retryPause    = 100 * time.Millisecond // before another try, unless there is another leader sooner
+	proposeWait   = 5 * time.Second        // for a leader elsewhere, where the caller sets no bound
+	barrierWait   = time.Second            // for one try of a barrier
+	neverHeard    = time.Duration(math.MaxInt64)
+	leastProposal = 2 * handlerMargin // time that is worth asking another machine for
+)
+
+var _ Replicas = (*Host)(nil)
+
+// UnknownOutcomeError says that a command may or may not have been agreed on, or may yet be.
+type UnknownOutcomeError struct {
+	Partition feed.Partition
+	Cause     error
+}
+
+// Error says what happened and what to do.
+func (e *UnknownOutcomeError) Error() string {
+	return fmt.Sprintf("replica: it is not known whether partition %d took the command (%v); read the state, or propose it "+
+		"again if that does no harm", e.Partition, e.Cause)
+}
+
+// Unwrap is the cause.
+func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
+
+// NoPartitionError says that there is no such partition.
+type NoPartitionError struct{ Partition feed.Partition }
+
+// Error says what happened.
+func (e *NoPartitionError) Error() string {
+	return fmt.Sprintf("replica: there is no partition %d", e.Partition)
+}
+
+// Propose has a command agreed and applied; see Replicas.
+func (h *Host) Propose(ctx context.Context, partition feed.Partition, command []byte) ([]byte, error) {
+	g := h.group(partition)
+	if g == nil {
+		return nil, &NoPartitionError{partition}
+	}
+	for {
+		leader, here, changed := h.whoLeads(g)
+		reply := ProposeReply{Outcome: OutcomeNotTaken}
+		var err error
+		switch {
+		case here:
+			reply.Outcome, reply.Result = h.proposeHere(ctx, partition, command)
+			err = ctx.Err()
+		case leader != nil:
+			reply, err = proposeAt(ctx, leader, partition, command)
+		}
+		switch reply.Outcome {
+		case OutcomeDone:
+			return reply.Result, nil
+		case OutcomeUnknown:
+			return nil, &UnknownOutcomeError{partition, err}
+		}
+		if !await(ctx, changed, retryPause) {
+			return nil, &UnavailableError{partition}
+		}
+	}
+}
+
+// whoLeads returns the client of the machine that leads a group, nil where that is not known, or that it is this one;
+// and a channel that is closed once there is another leader.
+func (h *Host) whoLeads(g *group) (leader *rpc.Client, here bool, changed <-chan struct{}) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if g.machine == nil {
+		return nil, false, g.changed
+	}
+	if g.machine.Role() == consensus.Leader {
+		return nil, !g.machine.Transferring(), g.changed
+	}
+	address, known := h.addressOf(g, g.machine.Leader())
+	if !known || address.String() == h.self.Address {
+		return nil, false, g.changed
+	}
+	return h.peers.at(address).client, false, g.changed
+}
+
+// addressOf is where a replica is, by the group's membership or by what this machine was told.
+func (h *Host) addressOf(g *group, id consensus.ReplicaID) (netip.AddrPort, bool) {
+	if id == 0 {
+		return netip.AddrPort{}, false
+	}
+	for _, member := range g.machine.Membership().Members {
+		if member.ID == id {
+			address, err := netip.ParseAddrPort(member.Address)
+			return address, err == nil
+		}
+	}
+	return h.peers.origin(id)
+}
+
+// proposeHere proposes to this machine's replica and waits for the command to be applied or lost.
+func (h *Host) proposeHere(ctx context.Context, partition feed.Partition, command []byte) (Outcome, []byte) {
+	g := h.group(partition)
+	p := h.enter(g, command)
+	if p == nil {
+		return OutcomeNotTaken, nil
+	}
+	select {
+	case reply := <-p.done:
+		return reply.Outcome, reply.Result
+	case <-ctx.Done():
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if g.proposals[p.index] == p {
+		delete(g.proposals, p.index)
+	}
+	return OutcomeUnknown, nil
+}
+
+// enter proposes; nil: this machine does not lead the group, or its disk is in trouble.
+func (h *Host) enter(g *group, command []byte) *proposal {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	if g == nil || g.machine == nil || h.disk.down || h.disk.congested() {
+		return nil
+	}
+	index, term, err := g.machine.Propose(h.now(), command)
+	if err != nil {
+		return nil
+	}
+	if earlier := g.proposals[index]; earlier != nil { // of a term whose log this one replaced
+		earlier.done <- ProposeReply{Outcome: OutcomeNotTaken}
+	}
+	p := &proposal{index: index, term: term, done: make(chan ProposeReply, 1)}
+	g.proposals[index] = p
+	h.settle()
+	return p
+}
+
+// proposeAt proposes through the machine that leads.
+func proposeAt(ctx context.Context, leader *rpc.Client, partition feed.Partition, command []byte) (ProposeReply, error) {
+	wait := remaining(ctx, proposeWait)
+	if wait < leastProposal {
+		return ProposeReply{Outcome: OutcomeNotTaken}, nil
+	}
+	request := ProposeRequest{Partition: partition, Command: command, Wait: wait}
+	reply, err := proposeCall.Poll(ctx, leader, wait, &request)
+	if err == nil {
+		return *reply, context.DeadlineExceeded
+	}
+	var unreachable *rpc.UnreachableError
+	if errors.As(err, &unreachable) {
+		return ProposeReply{Outcome: OutcomeNotTaken}, err
+	}
+	return ProposeReply{Outcome: OutcomeUnknown}, err
+}
+
+// remaining is the time to the context's end, or a bound.
+func remaining(ctx context.Context, bound time.Duration) time.Duration {
+	deadline, is := ctx.Deadline()
+	if !is {
+		return bound
+	}
+	return min(time.Until(deadline), bound)
+}
+
+// Barrier returns once the local state machine holds all that was acknowledged before; see Replicas.
+func (h *Host) Barrier(ctx context.Context, partition feed.Partition) error {
+	g := h.group(partition)
+	if g == nil {
+		return &NoPartitionError{partition}
+	}
+	for {
+		leader, here, changed := h.whoLeads(g)
+		index, confirmed := uint64(0), false
+		switch {
+		case here:
+			index, confirmed = h.readIndexHere(ctx, partition)
+		case leader != nil:
+			index, confirmed = readIndexAt(ctx, leader, partition)
+		}
+		if confirmed {
+			return h.awaitApplied(ctx, g, index)
+		}
+		if !await(ctx, changed, retryPause) {
+			return &UnavailableError{partition}
+		}
+	}
+}
+
+// readIndexHere asks this machine's replica for the index that a reader has to have applied.
+func (h *Host) readIndexHere(ctx context.Context, partition feed.Partition) (uint64, bool) {
+	g := h.group(partition)
+	h.mutex.Lock()
+	if g == nil || g.machine == nil {
+		h.mutex.Unlock()
+		return 0, false
+	}
+	g.lastToken++
+	token, done := g.lastToken, make(chan consensus.ReadState, 1)
+	g.reads[token] = done
+	g.machine.Read(h.now(), token)
+	h.settle()
+	h.mutex.Unlock()
+	select {
+	case state := <-done:
+		return state.Index, state.Err == nil
+	case <-ctx.Done():
+	}
+	h.mutex.Lock()
+	delete(g.reads, token)
+	h.mutex.Unlock()
+	return 0, false
+}
+
+func readIndexAt(ctx context.Context, leader *rpc.Client, partition feed.Partition) (uint64, bool) {
+	wait := remaining(ctx, barrierWait)
+	if wait < leastProposal {
+		return 0, false
+	}
+	ctx, cancel := context.WithTimeout(ctx, wait)
+	defer cancel()
+	reply, err := readIndexCall.Invoke(ctx, leader, &ReadIndexRequest{Partition: partition, Wait: wait})
+	if err != nil {
+		return 0, false
+	}
+	return reply.Index, reply.Outcome == OutcomeDone
+}
+
+// awaitApplied returns once the state machine holds the log up to an index.
+func (h *Host) awaitApplied(ctx context.Context, g *group, index uint64) error {
+	h.mutex.Lock()
+	if g.applied >= index {
+		h.mutex.Unlock()
+		return nil
+	}
+	wait := appliedWait{index: index, done: make(chan struct{})}
+	g.appliedWaits = append(g.appliedWaits, wait)
+	h.mutex.Unlock()
+	select {
+	case <-wait.done:
+		return nil
+	case <-ctx.Done():
+	}
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	g.forget(wait.done)
+	return &UnavailableError{g.partition}
+}
+
+// Leads says whether this machine surely leads the partition, and for how long; see Replicas.
+func (h *Host) Leads(partition feed.Partition) (time.Duration, bool) {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	g := h.group(partition)
+	if g == nil || g.machine == nil || g.machine.Role() != consensus.Leader {
+		return 0, false
+	}
+	left := g.machine.Status().LeaseUntil - h.now()
+	return max(left, 0), left > 0
+}
+
+// Fresh is how long ago this replica last heard a leader; see Replicas.
+func (h *Host) Fresh(partition feed.Partition) time.Duration {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	g := h.group(partition)
+	if g == nil {
+		return neverHeard
+	}
+	return h.fresh(g, h.now())
+}
+
+func (h *Host) fresh(g *group, now time.Duration) time.Duration {
+	if g.machine == nil {
+		return neverHeard
+	}
+	heard := g.machine.Status().LeaderHeard
+	if heard == 0 {
+		return neverHeard
+	}
+	return max(now-heard, 0)
+}
+
+// Status describes each partition's replica; see Replicas.
+func (h *Host) Status() []PartitionStatus {
+	h.mutex.Lock()
+	defer h.mutex.Unlock()
+	var all []PartitionStatus
+	for _, g := range h.groups {
+		if g.machine != nil {
+			all = append(all, PartitionStatus{Partition: g.partition, Status: g.machine.Status()})
+		}
+	}
+	return all
+}
--- a/internal/storage/storage.go
+++ b/internal/storage/storage.go
@@ -168,6 +168,12 @@
 	return nil
 }
 
+// Discard closes the store and moves its file aside, because what it holds makes no sense.
+func (s *Store) Discard() error {
+	s.Close()
+	return s.moveAside()
+}
+
 // do has the writer take a step and returns once its transaction has ended.
 func (s *Store) do(name string, step func(*file) error) error {
 	r := &request{name: name, step: step, done: make(chan error, 1)}
