--- /dev/null
+++ b/internal/httpwire/body.go
@@ -0,0 +1,236 @@
+package httpwire
+
+import (
+	"bytes"
+	"strconv"
+	"strings"
+)
+
+const (
+	mostChunkLine = 1024     // bytes
+	mostTrailer   = 16 << 10 // bytes
+	maxChunk      = 1 << 31  // bytes
+)
+
+// FramingKind says how the end of a body is told.
+type FramingKind uint8
+
+// The kinds of framing.
+const (
+	NoBody FramingKind = iota
+	ByLength
+	Chunked
+	UntilClose // of responses alone
+)
+
+// Framing says where a body ends.
+type Framing struct {
+	Kind   FramingKind
+	Length int64 // of ByLength
+}
+
+// requestFraming reads how the body of a request is framed.
+func requestFraming(h Header, version string) (Framing, error) {
+	f, err := framing(h)
+	if err != nil {
+		return f, err
+	}
+	if f.Kind == Chunked && version != "HTTP/1.1" {
+		return f, Bad(400, "transfer coding")
+	}
+	return f, nil
+}
+
+// responseFraming reads how the body of a response is framed.
+func responseFraming(p *ResponseHead, method string) (Framing, error) {
+	f, err := framing(p.Header)
+	switch {
+	case err != nil:
+		return f, err
+	case method == "HEAD" || p.Status == 204 || p.Status == 304:
+		return Framing{Kind: NoBody}, nil
+	case f.Kind == NoBody:
+		return Framing{Kind: UntilClose}, nil
+	}
+	return f, nil
+}
+
+// framing reads the length that a header announces. One that is told twice, or both ways, could be read differently by
+// the next machine and hide a request in the body: it is not taken.
+func framing(h Header) (Framing, error) {
+	lengths, codings := h.Count("Content-Length"), h.Count("Transfer-Encoding")
+	switch {
+	case lengths+codings > 1:
+		return Framing{}, Bad(400, "two lengths")
+	case codings == 1:
+		if !strings.EqualFold(h.Get("Transfer-Encoding"), "chunked") {
+			return Framing{}, Bad(400, "transfer coding")
+		}
+		return Framing{Kind: Chunked}, nil
+	case lengths == 0:
+		return Framing{Kind: NoBody}, nil
+	}
+	size, err := ParseLength(h.Get("Content-Length"))
+	return Framing{Kind: ByLength, Length: size}, err
+}
+
+// ParseLength reads the value of Content-Length. One that is digits but larger than any body is a body too large.
+func ParseLength(value string) (int64, error) {
+	if value == "" || strings.Trim(value, "0123456789") != "" {
+		return 0, Bad(400, "content length")
+	}
+	size, err := strconv.ParseInt(value, 10, 63)
+	if err != nil {
+		return 0, Bad(413, "body too large")
+	}
+	return size, nil
+}
+
+// chunkPart is what a chunked body goes on with.
+type chunkPart uint8
+
+const (
+	chunkLine chunkPart = iota
+	chunkData
+	chunkEnd
+	chunkTrailer
+)
+
+// BodyReader takes a body apart as it comes. Its zero value, after Start, reads from the body's first byte.
+type BodyReader struct {
+	kind    FramingKind
+	part    chunkPart
+	left    int64 // bytes of the body, or of the chunk at hand
+	trailer int   // bytes of it so far
+}
+
+// Start makes the reader ready for a body.
+func (r *BodyReader) Start(f Framing) { *r = BodyReader{kind: f.Kind, left: f.Length} }
+
+// Next takes the next bytes of the body from the start of b: data is a part of it, a slice of b; n says how many bytes
+// of b it took, those of the framing included. done says that the body is whole. With no data, no error and not done it
+// needs more bytes; call it again with what is left of b until then. A body that ends with the connection is never done.
+func (r *BodyReader) Next(b []byte) (data []byte, n int, done bool, err error) {
+	switch r.kind {
+	case NoBody:
+		return nil, 0, true, nil
+	case UntilClose:
+		return b, len(b), false, nil
+	case ByLength:
+		data = r.take(b)
+		return data, len(data), r.left == 0, nil
+	}
+	return r.nextChunked(b)
+}
+
+// take takes what belongs to the chunk or body at hand.
+func (r *BodyReader) take(b []byte) []byte {
+	m := min(int64(len(b)), r.left)
+	r.left -= m
+	return b[:m]
+}
+
+func (r *BodyReader) nextChunked(b []byte) (data []byte, n int, done bool, err error) {
+	for {
+		switch r.part {
+		case chunkData:
+			data = r.take(b[n:])
+			n += len(data)
+			if r.left == 0 {
+				r.part = chunkEnd
+			}
+			return data, n, false, nil
+		case chunkEnd:
+			if len(b)-n < 2 {
+				return nil, n, false, nil
+			}
+			if b[n] != '\r' || b[n+1] != '\n' {
+				return nil, n, false, Bad(400, "chunk end")
+			}
+			n += 2
+			r.part = chunkLine
+		case chunkLine:
+			size, m, err := parseChunkLine(b[n:])
+			if err != nil || m == 0 {
+				return nil, n, false, err
+			}
+			n += m
+			r.left, r.part = size, chunkData
+			if size == 0 {
+				r.part = chunkTrailer
+			}
+		case chunkTrailer:
+			m, done, err := r.skipTrailer(b[n:])
+			return nil, n + m, done, err
+		}
+	}
+}
+
+// skipTrailer drops the fields after the last chunk.
+func (r *BodyReader) skipTrailer(b []byte) (n int, done bool, err error) {
+	for {
+		end := bytes.Index(b[n:], []byte("\r\n"))
+		if end < 0 {
+			if r.trailer+len(b)-n > mostTrailer {
+				return n, false, Bad(431, "trailer too large")
+			}
+			return n, false, nil
+		}
+		n += end + 2
+		if r.trailer += end + 2; r.trailer > mostTrailer {
+			return n, false, Bad(431, "trailer too large")
+		}
+		if end == 0 {
+			return n, true, nil
+		}
+	}
+}
+
+// parseChunkLine reads the line before a chunk; n is 0 when it is not whole.
+func parseChunkLine(b []byte) (size int64, n int, err error) {
+	end := bytes.Index(b, []byte("\r\n"))
+	if end < 0 {
+		if len(b) > mostChunkLine {
+			return 0, 0, Bad(400, "chunk line")
+		}
+		return 0, 0, nil
+	}
+	if bytes.ContainsAny(b[:end], "\r\n\x00") {
+		return 0, 0, Bad(400, "chunk line")
+	}
+	digits, _, _ := strings.Cut(string(b[:end]), ";")
+	length, err := strconv.ParseUint(strings.Trim(digits, " \t"), 16, 31)
+	if err != nil || length >= maxChunk {
+		return 0, 0, Bad(400, "chunk size")
+	}
+	return int64(length), end + 2, nil
+}
+
+// NextChunk reads one whole chunk of a chunked body, of at most limit bytes; last marks the end of the body, its trailer
+// included.
+func NextChunk(b []byte, limit int) (chunk []byte, n int, last bool, err error) {
+	size, n, err := parseChunkLine(b)
+	switch {
+	case err != nil:
+		return nil, 0, false, err
+	case n == 0:
+		return nil, 0, false, ErrMore
+	case size > int64(limit):
+		return nil, 0, false, Bad(413, "chunk too large")
+	case size == 0:
+		var r BodyReader
+		m, done, err := r.skipTrailer(b[n:])
+		if err == nil && !done {
+			err = ErrMore
+		}
+		if err != nil {
+			return nil, 0, false, err
+		}
+		return nil, n + m, true, nil
+	case len(b) < n+int(size)+2:
+		return nil, 0, false, ErrMore
+	case b[n+int(size)] != '\r' || b[n+int(size)+1] != '\n':
+		return nil, 0, false, Bad(400, "chunk end")
+	}
+	return b[n : n+int(size)], n + int(size) + 2, false, nil
+}
--- a/internal/protocol/platform/front.go
+++ b/internal/protocol/platform/front.go
@@ -11,6 +11,7 @@
 	"go.uber.org/zap"
 
 	"cinderroad/brain"
+	"cinderroad/internal/httpwire"
 	"cinderroad/internal/protocol/door"
 	"cinderroad/internal/routing"
 	"cinderroad/internal/slots"
@@ -473,16 +474,13 @@
 	return true
 }
 
-// once is the one value of a field; ok is false when it is there twice, which two readers might take differently.
-func once(h Header, name string) (value string, ok bool) { return h.Get(name), h.count(name) <= 1 }
-
 // call reads a client's request; reason says why it is none that can be sent on. What goes on to a backend
 // holds visible ASCII alone, and the id nothing that ends a path.
 func (f *Front) call(q *Request) (c Call, budget float64, reason string) {
-	class, ok1 := once(q.Header, "X-Call-Class")
-	id, ok2 := once(q.Header, "X-Call-Id")
-	ms, ok3 := once(q.Header, "X-Budget-Ms")
-	key, ok4 := once(q.Header, "Idempotency-Key")
+	class, ok1 := q.Header.Once("X-Call-Class")
+	id, ok2 := q.Header.Once("X-Call-Id")
+	ms, ok3 := q.Header.Once("X-Budget-Ms")
+	key, ok4 := q.Header.Once("Idempotency-Key")
 	path, _, _ := strings.Cut(strings.TrimPrefix(q.Target, "/"), "?")
 	first, _, _ := strings.Cut(path, "/")
 	c = Call{ID: id, Class: cmp.Or(class, first), Method: q.Method, Target: q.Target, IdempotencyKey: key, Body: q.Body}
@@ -491,11 +489,11 @@
 	switch {
 	case !ok1 || !ok2 || !ok3 || !ok4:
 		reason = "a field is there twice"
-	case id == "" || len(id) > mostID || !visible(id) || strings.ContainsAny(id, `/?#%"\`):
+	case id == "" || len(id) > mostID || !httpwire.Visible(id) || strings.ContainsAny(id, `/?#%"\`):
 		reason = "X-Call-Id missing or bad"
 	case err != nil:
 		reason = "X-Budget-Ms missing or bad"
-	case !visible(key):
+	case !httpwire.Visible(key):
 		reason = "Idempotency-Key bad"
 	case c.Class != first:
 		reason = "X-Call-Class is not the path's"
--- /dev/null
+++ b/internal/proxy/link.go
@@ -0,0 +1,344 @@
+package proxy
+
+import (
+	"errors"
+	"io"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cinderroad/internal/httpwire"
+	"cinderroad/internal/placement"
+	"cinderroad/internal/transport"
+)
+
+const (
+	mostAnswerHead = 32 << 10 // bytes
+	readAwayTime   = time.Second
+	smallBody      = 16 << 10 // bytes that are sent in one call with the head
+
+	userTimeout = 3 * time.Second // without an acknowledgement of what was sent
+	silentProbe = 2 * time.Second // without a byte from the runner's machine
+)
+
+// Why a connection to a runner is closed here.
+var (
+	errConnectTimeout = errors.New("no connection came up in time")
+	errUnasked        = errors.New("bytes that belong to no request")
+	errOtherAnswer    = errors.New("an answer to another request")
+	errReadAway       = errors.New("the rest of an answer did not come in time")
+)
+
+// linkState is where a connection to a runner stands.
+type linkState uint8
+
+const (
+	dialing  linkState = iota
+	resting            // idle
+	waiting            // a request has been written, the head of the answer is due
+	reading            // the body of the answer is coming
+	skipping           // the body of an answer to the request before is coming
+	closed
+)
+
+// link is a connection to a runner. It carries one request at a time.
+type link struct {
+	runner   *runner
+	conn     *transport.Conn
+	state    linkState
+	attempt  *attempt // nil when idle, or when nobody wants the rest of the answer
+	method   string
+	tryID    string // of the request at hand
+	previous string // of the one before
+	skipped  bool   // an answer to the one before has been read away
+	goal     uint64 // bytes written once the request is whole
+	reader   httpwire.BodyReader
+	kind     httpwire.FramingKind
+	ends     bool          // closes after the answer
+	told     time.Duration // rest that the runner named
+	since    time.Duration // when it came to rest
+	dialed   time.Duration
+	timeout  *transport.Deadline
+}
+
+// sentWhole says whether the system has taken all bytes of the request.
+func (l *link) sentWhole() bool {
+	return l.state != dialing && l.goal > 0 && l.conn.Written() >= l.goal
+}
+
+// Opened implements transport.Handler.
+func (l *link) Opened(c *transport.Conn) {
+	p := l.runner.pool.proxy
+	l.timeout.Stop()
+	l.runner.connected(p.now() - l.dialed)
+	c.Probe(userTimeout, silentProbe)
+	a := l.attempt
+	if a == nil {
+		l.rest()
+		return
+	}
+	if !l.runner.listed || l.runner.draining { // meanwhile
+		l.attempt, a.link = nil, nil
+		l.rest()
+		a.lost(false)
+		return
+	}
+	l.begin(a)
+}
+
+// begin writes the request of an attempt.
+func (l *link) begin(a *attempt) {
+	x := a.exchange
+	l.attempt, a.link = a, l
+	l.state, l.skipped, l.ends = waiting, false, false
+	l.previous, l.tryID, l.method = l.tryID, x.tryID, x.head.Method
+	a.began()
+	head := x.appendRequest(x.proxy.scratch[:0], a.choice)
+	l.goal = l.conn.Written() + uint64(len(head)+len(x.body))
+	if len(x.body) <= smallBody {
+		head = append(head, x.body...)
+		l.conn.Write(head)
+	} else {
+		l.conn.Write(head)
+		l.conn.Write(x.body)
+	}
+	x.proxy.scratch = head
+	if x.stalled {
+		l.conn.Stall(true)
+	}
+}
+
+// Data implements transport.Handler.
+func (l *link) Data(c *transport.Conn) {
+	for l.state != closed {
+		if !l.step(c) {
+			return
+		}
+	}
+}
+
+// step takes the next piece of what has come; false when it needs more.
+func (l *link) step(c *transport.Conn) bool {
+	switch l.state {
+	case waiting:
+		return l.readHead(c)
+	case reading, skipping:
+		return l.readBody(c)
+	}
+	l.spoil(errUnasked)
+	return false
+}
+
+// readHead takes the head of an answer.
+func (l *link) readHead(c *transport.Conn) bool {
+	if len(c.Bytes()) == 0 {
+		return false
+	}
+	h, n, err := httpwire.ParseResponseHead(c.Bytes(), l.method, mostAnswerHead)
+	if errors.Is(err, httpwire.ErrMore) {
+		return false
+	}
+	if err != nil {
+		l.spoil(err)
+		return false
+	}
+	c.Consume(n)
+	l.reader.Start(h.Body)
+	l.kind = h.Body.Kind
+	l.ends = l.ends || h.Close || !l.sentWhole()
+	l.told = toldRest(h.Header)
+	switch {
+	case l.isOurs(&h):
+	case l.isPrevious(&h):
+		l.state, l.skipped, l.ends = skipping, true, true
+		return true
+	default:
+		l.spoil(errOtherAnswer)
+		return false
+	}
+	l.state = reading
+	if a := l.attempt; a != nil {
+		a.headCame(&h)
+	}
+	if l.state == reading && l.attempt == nil {
+		l.readAway()
+	}
+	return l.state != closed
+}
+
+// isOurs says whether an answer is one to the request at hand. Those that only say that nothing ran may lack the id.
+func (l *link) isOurs(h *httpwire.ResponseHead) bool {
+	id, once := h.Header.Once(fieldTryID)
+	if once && id == l.tryID {
+		return true
+	}
+	return id == "" && (h.Status >= 300 || judge(h) != passOn)
+}
+
+// isPrevious says whether an answer is an extra one to the request before on this connection, which may be read away:
+// the answer to the request at hand follows.
+func (l *link) isPrevious(h *httpwire.ResponseHead) bool {
+	id, once := h.Header.Once(fieldTryID)
+	return once && !l.skipped && id != "" && id == l.previous && h.Body.Kind != httpwire.UntilClose
+}
+
+// readBody takes a part of the body.
+func (l *link) readBody(c *transport.Conn) bool {
+	data, n, done, err := l.reader.Next(c.Bytes())
+	if err != nil {
+		l.spoil(err)
+		return false
+	}
+	if a := l.attempt; a != nil && l.state == reading {
+		a.bodyCame(data)
+	}
+	c.Consume(n)
+	switch {
+	case done && l.state == skipping:
+		l.state = waiting
+		return true
+	case done:
+		l.answerEnded(c)
+		return false
+	}
+	return n > 0 && len(c.Bytes()) > 0
+}
+
+// answerEnded lets the connection rest, or closes it, and ends the attempt.
+func (l *link) answerEnded(c *transport.Conn) {
+	a := l.attempt
+	l.attempt = nil
+	if a != nil {
+		a.link = nil
+	}
+	l.timeout.Stop()
+	switch {
+	case len(c.Bytes()) > 0:
+		l.runner.pool.proxy.Figures.Spoilt++
+		l.close()
+	case l.ends:
+		l.close()
+	default:
+		l.rest()
+	}
+	if a != nil {
+		a.whole()
+	}
+}
+
+// readAway reads the rest of an answer that nobody wants, so that the connection may serve on.
+func (l *link) readAway() {
+	if l.ends || l.kind == httpwire.UntilClose {
+		l.close()
+		return
+	}
+	p := l.runner.pool.proxy
+	l.conn.Stall(false)
+	l.timeout.Stop()
+	l.timeout = p.at(p.now()+readAwayTime, func() { l.fail(errReadAway) })
+}
+
+// rest makes the connection idle for the next request.
+func (l *link) rest() {
+	p := l.runner.pool.proxy
+	if !l.runner.listed || l.runner.draining || p.stopping.on && p.exchanges == 0 {
+		l.close()
+		return
+	}
+	l.conn.Stall(false)
+	l.state, l.goal = resting, 0
+	l.since = p.now()
+	l.runner.idle = append(l.runner.idle, l)
+	most := mostRest
+	if l.told > 0 {
+		most = l.told
+	}
+	l.timeout = p.at(l.since+most, l.close)
+}
+
+// restLimit is how long the connection may have rested to be given a request.
+func (l *link) restLimit() time.Duration {
+	if l.told > 0 {
+		return l.told
+	}
+	return l.runner.pool.restBook(l.runner.service).limit()
+}
+
+// Closed implements transport.Handler.
+func (l *link) Closed(_ *transport.Conn, err error) {
+	if l.state == resting && errors.Is(err, io.EOF) {
+		l.endedIdle()
+	}
+	if l.state == reading && l.kind == httpwire.UntilClose && errors.Is(err, io.EOF) {
+		l.ends = true
+		l.answerEnded(l.conn)
+		return
+	}
+	l.fail(err)
+}
+
+// endedIdle learns from a runner's close of an idle connection, unless others end at the same time: then the runner ends.
+func (l *link) endedIdle() {
+	now := l.runner.pool.proxy.now()
+	if now-l.runner.lastEnd > readAwayTime && l.told == 0 {
+		l.runner.pool.restBook(l.runner.service).ended(now - l.since)
+	}
+	l.runner.lastEnd = now
+}
+
+// spoil closes a connection that brought bytes which belong to no request.
+func (l *link) spoil(err error) {
+	l.runner.pool.proxy.Figures.Spoilt++
+	l.fail(err)
+}
+
+// fail closes the connection and ends its attempt.
+func (l *link) fail(err error) {
+	p := l.runner.pool.proxy
+	a, whole := l.attempt, l.sentWhole()
+	if l.state != resting {
+		p.log.Debug("runner connection lost", zap.String("runner", l.runner.id), zap.Error(err))
+	}
+	l.attempt = nil
+	l.close()
+	if a != nil {
+		a.link = nil
+		a.failedWith(whole)
+	}
+}
+
+// close ends the connection.
+func (l *link) close() {
+	if l.state == closed {
+		return
+	}
+	l.timeout.Stop()
+	l.unlist()
+	l.state = closed
+	l.conn.Close()
+	l.runner.open--
+	l.runner.pool.forget(l.runner)
+}
+
+// unlist takes the connection from the idle ones.
+func (l *link) unlist() {
+	if l.state != resting {
+		return
+	}
+	for i, o := range l.runner.idle {
+		if o == l {
+			l.runner.idle = append(l.runner.idle[:i], l.runner.idle[i+1:]...)
+			return
+		}
+	}
+}
+
+// failedWith ends an attempt whose connection has failed.
+func (a *attempt) failedWith(whole bool) {
+	if a.verdict == failure && a.exchange.answer.begun { // its own failure was being passed on
+		a.end(placement.Failed)
+		a.exchange.abort()
+		return
+	}
+	a.lost(whole)
+}
--- /dev/null
+++ b/internal/proxy/placer.go
@@ -0,0 +1,31 @@
+package proxy
+
+import (
+	"time"
+
+	"cinderroad/internal/configuration"
+	"cinderroad/internal/placement"
+)
+
+// Placer decides which runner takes a request. It has no clock: now is the proxy's steady clock, which begins at 0.
+// placement.Placer is the one that programs use.
+type Placer interface {
+	SetServices(now time.Duration, services []*configuration.Service)
+	SetRunners(now time.Duration, runners []placement.Runner)
+	SetEvacuated(now time.Duration, zones map[string]bool)
+	SetProxies(now time.Duration, n int)
+	Place(now time.Duration, r *placement.Request) (placement.Choice, *placement.Refusal)
+	Sent(now time.Duration, r *placement.Request, c placement.Choice) *placement.Attempt
+	FirstEvent(now time.Duration, a *placement.Attempt)
+	Event(now time.Duration, a *placement.Attempt)
+	Ended(now time.Duration, a *placement.Attempt, o placement.Outcome, p placement.Progress)
+	MayRetry(now time.Duration, r *placement.Request) bool
+	Tick(now time.Duration) (next time.Duration)
+	Learnt() []byte
+	Recall(now time.Duration, learnt []byte) error
+}
+
+// Routes finds the route of a request; nil: there is none.
+type Routes interface {
+	Lookup(host, path string) *configuration.Route
+}
--- /dev/null
+++ b/internal/proxy/proxy.go
@@ -0,0 +1,206 @@
+// Package proxy is the data plane: it takes requests of clients over HTTP/1.1, has a Placer name a runner for each,
+// sends them there and passes the answers on. All of it runs on one goroutine, that of the transport loop; what comes
+// from elsewhere (the feed of the control plane, signals) is posted to it.
+//
+// A request is held whole before it is sent. Whether it may have run hinges on its last byte: until the system has taken
+// that from the proxy no runner can have begun, after it only an answer that says so proves that none did.
+package proxy
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cinderroad/internal/configuration"
+	"cinderroad/internal/placement"
+	"cinderroad/internal/transport"
+)
+
+// Bounds that hold until the configuration names its own, and where it names none.
+const (
+	defaultHeaderBytes = 16 << 10
+	defaultBodyBytes   = 4 << 20
+	defaultHeaderWait  = 10 * time.Second
+	defaultIdleLimit   = 60 * time.Second
+)
+
+const (
+	leastProxies   = 1
+	bufferedShare  = 4 // requests may hold one part in so many of the memory
+	pendingFlush   = 16 << 10
+	defaultBuffers = 64 << 20 // bytes, where the memory is not known
+)
+
+// Options say where the proxy listens and what it may use.
+type Options struct {
+	Front, Ready netip.AddrPort // Ready may be the zero value: readiness is not served
+	MemoryBytes  int            // of the process; 0: not known
+	GracePeriod  time.Duration  // from the signal to stop until the process is killed
+	Seed         uint64         // of what is drawn by chance
+}
+
+// Figures count what the proxy has done since it started.
+type Figures struct {
+	Requests, Served, Refused, Failed, Aborted uint64 // Aborted: answers broken off and clients that left
+	Attempts, Resumed, Dials                   uint64
+	Spoilt                                     uint64 // runner connections closed for bytes that belong to no request
+}
+
+// Proxy is the data plane of one process.
+type Proxy struct {
+	Figures Figures
+
+	loop    *transport.Loop
+	log     *zap.Logger
+	placer  Placer
+	options Options
+	random  *rand.Rand
+	began   float64 // of the loop's clock, when the proxy's began
+
+	routes    Routes // nil until the configuration is known
+	limits    configuration.Limits
+	runnersIn bool // the runners are known
+	pool      *pool
+
+	front, ready *transport.Listener
+	sessions     sessionList
+	exchanges    int // open
+	buffered     int // bytes of bodies held
+	pending      pendingWrite
+	stopping     stopping
+	tick         *transport.Deadline
+	scratch      []byte
+	eventScratch []byte
+}
+
+// New makes a proxy; it serves nothing until Listen.
+func New(loop *transport.Loop, log *zap.Logger, placer Placer, options Options) *Proxy {
+	p := &Proxy{loop: loop, log: log, placer: placer, options: options, began: loop.Now()}
+	p.random = rand.New(rand.NewPCG(options.Seed, options.Seed^0x9e3779b97f4a7c15))
+	p.pool = newPool(p)
+	p.pending.flush = p.flushPending
+	p.SetLimits(configuration.Limits{})
+	loop.Shed = p.shed
+	return p
+}
+
+// Listen begins to serve.
+func (p *Proxy) Listen() error {
+	front, err := p.loop.Listen(p.options.Front, p.accept)
+	if err != nil {
+		return err
+	}
+	p.front = front
+	if p.options.Ready.IsValid() {
+		if p.ready, err = p.loop.Listen(p.options.Ready, p.acceptReady); err != nil {
+			return err
+		}
+	}
+	p.runTick()
+	return nil
+}
+
+// FrontAddr is the address that clients reach.
+func (p *Proxy) FrontAddr() netip.AddrPort { return p.front.Addr() }
+
+// now is the proxy's steady clock.
+func (p *Proxy) now() time.Duration { return p.duration(p.loop.Now() - p.began) }
+
+func (p *Proxy) duration(seconds float64) time.Duration {
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// at runs do at a time of the proxy's clock.
+func (p *Proxy) at(when time.Duration, do func()) *transport.Deadline {
+	return p.loop.At(p.began+when.Seconds(), do)
+}
+
+// runTick has the placer rebuild its plan when it is due.
+func (p *Proxy) runTick() {
+	now := p.now()
+	next := max(p.placer.Tick(now), now+time.Millisecond)
+	p.tick = p.at(next, p.runTick)
+}
+
+// SetRoutes puts routes in force for the requests that begin from now on.
+func (p *Proxy) SetRoutes(r Routes) { p.routes = r }
+
+// SetLimits puts bounds on clients in force; a field that is 0 has its default.
+func (p *Proxy) SetLimits(l configuration.Limits) {
+	if l.MaxHeaderBytes <= 0 {
+		l.MaxHeaderBytes = defaultHeaderBytes
+	}
+	if l.MaxBodyBytes <= 0 {
+		l.MaxBodyBytes = defaultBodyBytes
+	}
+	if l.HeaderWait <= 0 {
+		l.HeaderWait = defaultHeaderWait
+	}
+	if l.IdleLimit <= 0 {
+		l.IdleLimit = defaultIdleLimit
+	}
+	p.limits = l
+}
+
+// SetServices puts the services in force.
+func (p *Proxy) SetServices(services []*configuration.Service) {
+	p.placer.SetServices(p.now(), services)
+	p.pool.setServices(services)
+}
+
+// SetRunners replaces the set of runners.
+func (p *Proxy) SetRunners(runners []placement.Runner) {
+	p.runnersIn = true
+	p.placer.SetRunners(p.now(), runners)
+	p.pool.setRunners(runners)
+}
+
+// SetEvacuated replaces the set of zones that get nothing.
+func (p *Proxy) SetEvacuated(zones map[string]bool) { p.placer.SetEvacuated(p.now(), zones) }
+
+// SetProxies says how many proxies may be sending.
+func (p *Proxy) SetProxies(n int) {
+	p.placer.SetProxies(p.now(), n)
+	p.pool.proxies = max(n, leastProxies)
+}
+
+// Ready says whether clients should be sent here.
+func (p *Proxy) Ready() bool { return p.routes != nil && p.runnersIn && !p.stopping.on }
+
+// Stopping says whether the process has been told to stop.
+func (p *Proxy) Stopping() bool { return p.stopping.on }
+
+// mostBuffered is how many bytes of requests may be held.
+func (p *Proxy) mostBuffered() int {
+	if p.options.MemoryBytes <= 0 {
+		return defaultBuffers
+	}
+	return p.options.MemoryBytes / bufferedShare
+}
+
+// crowded says whether there is no memory to take in more of a request.
+func (p *Proxy) crowded() bool { return p.buffered+p.loop.Held() > p.mostBuffered() }
+
+// pendingWrite gathers what one session is to be sent within an event, so that it goes out in one call of the system.
+type pendingWrite struct {
+	session *session
+	bytes   []byte
+	flush   func()
+}
+
+// flushPending sends what has been gathered.
+func (p *Proxy) flushPending() {
+	s := p.pending.session
+	if s == nil {
+		return
+	}
+	p.pending.session = nil
+	s.conn.Write(p.pending.bytes)
+	if cap(p.pending.bytes) > 4*pendingFlush {
+		p.pending.bytes = nil
+	}
+	p.pending.bytes = p.pending.bytes[:0]
+	s.sent()
+}
--- /dev/null
+++ b/internal/proxy/sessions.go
@@ -0,0 +1,69 @@
+package proxy
+
+// sessionList is the open sessions, in the order in which they came to rest or were opened.
+type sessionList struct {
+	first, last *session
+	open        int
+}
+
+func (l *sessionList) add(s *session) {
+	l.open++
+	l.append(s)
+}
+
+func (l *sessionList) append(s *session) {
+	s.previous, s.next = l.last, nil
+	if l.last != nil {
+		l.last.next = s
+	} else {
+		l.first = s
+	}
+	l.last = s
+}
+
+func (l *sessionList) unlink(s *session) {
+	if s.previous != nil {
+		s.previous.next = s.next
+	} else {
+		l.first = s.next
+	}
+	if s.next != nil {
+		s.next.previous = s.previous
+	} else {
+		l.last = s.previous
+	}
+	s.previous, s.next = nil, nil
+}
+
+// touch moves a session to the end.
+func (l *sessionList) touch(s *session) {
+	l.unlink(s)
+	l.append(s)
+}
+
+func (l *sessionList) remove(s *session) {
+	l.unlink(s)
+	l.open--
+}
+
+// oldestIdle is the session that has rested longest; nil when none rests.
+func (l *sessionList) oldestIdle() *session {
+	for s := l.first; s != nil; s = s.next {
+		if s.idle() && s.conn.Alive() {
+			return s
+		}
+	}
+	return nil
+}
+
+// shed frees a descriptor: first of a runner's connection that rests, then of a client's.
+func (p *Proxy) shed() bool {
+	if p.pool.closeOldestIdle() {
+		return true
+	}
+	if s := p.sessions.oldestIdle(); s != nil {
+		s.end()
+		return true
+	}
+	return false
+}
--- a/internal/transport/conn.go
+++ b/internal/transport/conn.go
@@ -24,6 +24,8 @@
 	urgent     bool
 	writing    bool // waits for room to write
 	paused     bool // is not read
+	stalled    bool // is not read, and the peer's close waits until it is
+	unwatched  bool // has ended while it was stalled
 	closing    bool // closes once all is written and the peer has closed too
 	lingers    bool // all is written
 	finishing  bool // closes this side once all is written
@@ -186,7 +188,7 @@
 
 func (c *Conn) wait() {
 	events := uint32(unix.EPOLLRDHUP)
-	if !c.paused {
+	if !c.paused && !c.stalled {
 		events |= unix.EPOLLIN
 	}
 	if c.writing {
@@ -324,6 +326,8 @@
 	}
 	switch ended := events&(unix.EPOLLRDHUP|unix.EPOLLHUP|unix.EPOLLERR) != 0; {
 	case c.fd < 0 || c.broken:
+	case c.stalled && ended:
+		c.unwatch()
 	case c.paused && ended: // what it sent ahead is not looked at any more
 		c.fail(io.EOF)
 	case ended || events&unix.EPOLLIN != 0:
@@ -343,10 +347,17 @@
 		}
 		return
 	}
+	drained := len(c.out) == 0 && c.out != nil
 	if len(c.out) == 0 {
 		c.out = nil
 	}
 	c.arm()
+	if d, ok := c.handler.(Drainer); ok && drained && !c.closing {
+		d.Drained(c)
+		if c.fd < 0 || c.broken {
+			return
+		}
+	}
 	if c.closing && len(c.out) == 0 {
 		c.linger()
 	}
@@ -355,8 +366,23 @@
 	}
 }
 
+// take shows the owner the n bytes that were read.
+func (c *Conn) take(n int) {
+	c.loop.held += n
+	lent := c.loop.LendReads && len(c.in) == 0
+	if lent {
+		c.in = c.loop.scratch[:n:n]
+	} else {
+		c.in = append(c.in, c.loop.scratch[:n]...)
+	}
+	c.handler.Data(c)
+	if lent && len(c.in) > 0 {
+		c.in = append([]byte(nil), c.in...)
+	}
+}
+
 func (c *Conn) readable() {
-	for i := 0; i < readRounds && c.fd >= 0 && !c.broken && !c.paused; i++ {
+	for i := 0; i < readRounds && c.fd >= 0 && !c.broken && !c.paused && !c.stalled; i++ {
 		if c.closing { // the last answer is going out, or has gone: what comes now is nobody's
 			c.discard()
 			return
@@ -364,9 +390,7 @@
 		n, err := c.pull()
 		switch {
 		case n > 0:
-			c.in = append(c.in, c.loop.scratch[:n]...)
-			c.loop.held += n
-			c.handler.Data(c)
+			c.take(n)
 			if n < len(c.loop.scratch) {
 				return // a hang-up, if any, shows in the next turn
 			}
--- a/internal/transport/loop.go
+++ b/internal/transport/loop.go
@@ -33,11 +33,18 @@
 	Closed(c *Conn, err error) // the connection ended or never came up
 }
 
+// Drainer is an owner that wants to hear when all that was given to Write has gone out, after some of it had to wait.
+type Drainer interface{ Drained(c *Conn) }
+
 // Loop owns the sockets and the deadlines.
 type Loop struct {
 	Deadlines
 	Shed func() bool // frees a descriptor that can be spared; false when there is none
 
+	// LendReads has what comes shown to owners where it was read, without a copy, as long as they consume it within Data:
+	// nothing of Bytes may be kept beyond that.
+	LendReads bool
+
 	// Overslept is told when a turn comes so many seconds later than it was due, before anything else is done in it: the
 	// process was stopped, or got no processor. SleptAfter is how late that is.
 	Overslept  func(late float64)
