--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -141,10 +141,11 @@
 func (a *attempt) lost(whole bool) {
 	x := a.exchange
 	if !a.up {
-		x.avoided = append(x.avoided, a.choice.Runner)
+		x.tried(a, false)
+		x.unreached++
 		a.cancel()
 		a.end(placement.Unreached)
-		if len(x.avoided) > mostUnreached {
+		if x.unreached > mostUnreached {
 			x.giveUp(soon)
 			return
 		}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -30,20 +30,20 @@
 
 // exchange is a request of a client and its answer.
 type exchange struct {
-	proxy   *Proxy
-	session *session
-	state   state
-	head    httpwire.RequestHead
-	reader  httpwire.BodyReader
-	body    []byte
-	tryID   string
-	request placement.Request
-	attempt *attempt // under way; nil between attempts
-	avoided []string // runners that could not be reached
-	answer  answer
-	events  eventReader // of a stream that may be continued at another runner
-	stalled bool        // the client does not take what it is sent
-	expiry  *transport.Deadline
+	proxy     *Proxy
+	session   *session
+	state     state
+	head      httpwire.RequestHead
+	reader    httpwire.BodyReader
+	body      []byte
+	tryID     string
+	request   placement.Request
+	attempt   *attempt // under way; nil between attempts
+	unreached int      // attempts of which no connection came up
+	answer    answer
+	events    eventReader // of a stream that may be continued at another runner
+	stalled   bool        // the client does not take what it is sent
+	expiry    *transport.Deadline
 }
 
 // newExchange makes the exchange of a request whose head has come.
@@ -147,7 +147,7 @@
 func (x *exchange) choose() (placement.Choice, *placement.Refusal) {
 	tried := x.request.Tried
 	defer func() { x.request.Tried = tried }()
-	x.request.Tried = append(tried[:len(tried):len(tried)], x.avoided...)
+	x.request.Tried = tried[:len(tried):len(tried)]
 	for range mostFull {
 		choice, refusal := x.proxy.placer.Place(x.proxy.now(), &x.request)
 		if refusal != nil || x.proxy.pool.admits(choice) {
@@ -180,7 +180,7 @@
 		return false
 	}
 	now := x.proxy.now()
-	if len(x.request.Tried) >= max(1, x.request.Route.Tries) || now >= x.request.Deadline {
+	if len(x.request.Tried)-x.unreached >= max(1, x.request.Route.Tries) || now >= x.request.Deadline {
 		return false
 	}
 	return x.proxy.placer.MayRetry(now, &x.request)
@@ -208,7 +208,7 @@
 	return true, 0
 }
 
-// tried notes that an attempt reached its runner.
+// tried notes the runner of an attempt.
 func (x *exchange) tried(a *attempt, mayHaveRun bool) {
 	x.request.Tried = append(x.request.Tried, a.choice.Runner)
 	x.request.MayHaveRun = x.request.MayHaveRun || mayHaveRun
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -110,7 +110,7 @@
 // admits says whether a request can be given to the chosen runner now.
 func (p *pool) admits(c placement.Choice) bool {
 	r := p.runners[c.Runner]
-	return r == nil || len(r.idle) > 0 || r.open < p.mostConns(r)
+	return r != nil && r.listed && !r.draining && (len(r.idle) > 0 || r.open < p.mostConns(r))
 }
 
 // carry gives an attempt to an idle connection or a new one.
--- /dev/null
+++ b/internal/proxy/world_test.go
@@ -0,0 +1,337 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cinderroad/internal/configuration"
+	"cinderroad/internal/placement"
+	"cinderroad/internal/transport"
+)
+
+// patience bounds every wait of a test; none is meant to last.
+const patience = 30 * time.Second
+
+// world is a proxy on loopback with scripted runners; tests play its clients and runners over blocking sockets.
+type world struct {
+	t      *testing.T
+	loop   *transport.Loop
+	proxy  *Proxy
+	placer *fakePlacer
+	routes *fakeRoutes
+	done   chan struct{}
+}
+
+// fakeRoutes routes by the prefix of the path alone.
+type fakeRoutes struct{ routes []*configuration.Route }
+
+func (f *fakeRoutes) Lookup(host, path string) *configuration.Route {
+	for _, r := range f.routes {
+		if host == r.Host && strings.HasPrefix(path, r.PathStart) {
+			return r
+		}
+	}
+	return nil
+}
+
+func route(name string, kind configuration.RouteType) *configuration.Route {
+	return &configuration.Route{Name: name, Host: "h.example", PathStart: "/" + name + "/", Type: kind, Timeout: 20 * time.Second,
+		Target: time.Second, Tries: 3, Shares: []configuration.Share{{Service: "s", Weight: 1}}}
+}
+
+func newWorld(t *testing.T, change ...func(*Options)) *world {
+	t.Helper()
+	loop, err := transport.NewLoop(1000)
+	if err != nil {
+		t.Fatal(err)
+	}
+	loop.LendReads = true
+	loopback := netip.MustParseAddrPort("127.0.0.1:0")
+	options := Options{Front: loopback, Ready: loopback, GracePeriod: 8 * time.Second, Seed: 1}
+	for _, c := range change {
+		c(&options)
+	}
+	resumable := route("resumable", configuration.Streaming)
+	resumable.Resumable = true
+	w := &world{t: t, loop: loop, placer: &fakePlacer{ended: make(chan string, 100), sent: make(chan string, 100)}, done: make(chan struct{})}
+	w.routes = &fakeRoutes{[]*configuration.Route{route("reads", configuration.ReadOnly), route("writes", configuration.Writes),
+		route("stream", configuration.Streaming), resumable}}
+	w.proxy = New(loop, zap.NewNop(), w.placer, options)
+	w.proxy.SetRoutes(w.routes)
+	w.proxy.SetServices([]*configuration.Service{{Name: "s", MaxConns: 100}})
+	if err := w.proxy.Listen(); err != nil {
+		t.Fatal(err)
+	}
+	go func() {
+		defer close(w.done)
+		_ = loop.Run()
+	}()
+	t.Cleanup(func() {
+		loop.Post(loop.Stop)
+		<-w.done
+	})
+	return w
+}
+
+// do runs a change on the loop and waits for it.
+func (w *world) do(change func()) {
+	w.t.Helper()
+	done := make(chan struct{})
+	w.loop.Post(func() { change(); close(done) })
+	select {
+	case <-done:
+	case <-time.After(patience):
+		w.t.Fatal("the loop does not answer")
+	}
+}
+
+// await waits until a state holds on the loop.
+func (w *world) await(what string, holds func() bool) {
+	w.t.Helper()
+	for end := time.Now().Add(patience); time.Now().Before(end); {
+		ok := false
+		w.do(func() { ok = holds() })
+		if ok {
+			return
+		}
+	}
+	w.t.Fatal("never came: " + what)
+}
+
+// runners starts scripted runners and has the proxy know them; the fake placer prefers them in this order.
+func (w *world) runners(names ...string) []*testRunner {
+	w.t.Helper()
+	var all []*testRunner
+	var known []placement.Runner
+	for _, name := range names {
+		r := &testRunner{t: w.t, id: name}
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		r.listener = listener.(*net.TCPListener)
+		w.t.Cleanup(func() { listener.Close() })
+		all = append(all, r)
+		known = append(known, placement.Runner{ID: name, Service: "s", Address: netip.MustParseAddrPort(listener.Addr().String())})
+	}
+	w.do(func() {
+		w.placer.choices = known
+		w.proxy.SetRunners(known)
+	})
+	return all
+}
+
+func (w *world) client() *peer {
+	w.t.Helper()
+	var addr netip.AddrPort
+	w.do(func() { addr = w.proxy.FrontAddr() })
+	return dial(w.t, addr.String())
+}
+
+func (w *world) ended(want ...string) {
+	w.t.Helper()
+	for _, each := range want {
+		select {
+		case got := <-w.placer.ended:
+			if got != each {
+				w.t.Fatalf("attempt ended as %q, want %q", got, each)
+			}
+		case <-time.After(patience):
+			w.t.Fatalf("no attempt ended as %q", each)
+		}
+	}
+}
+
+// testRunner is a scripted runner.
+type testRunner struct {
+	t        *testing.T
+	id       string
+	listener *net.TCPListener
+}
+
+func (r *testRunner) accept() *peer {
+	r.t.Helper()
+	_ = r.listener.SetDeadline(time.Now().Add(patience))
+	conn, err := r.listener.Accept()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return newPeer(r.t, conn)
+}
+
+// peer is the test's end of a connection.
+type peer struct {
+	t    *testing.T
+	conn *net.TCPConn
+	in   *bufio.Reader
+}
+
+func newPeer(t *testing.T, conn net.Conn) *peer {
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	t.Cleanup(func() { conn.Close() })
+	return &peer{t: t, conn: conn.(*net.TCPConn), in: bufio.NewReader(conn)}
+}
+
+func dial(t *testing.T, addr string) *peer {
+	t.Helper()
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return newPeer(t, conn)
+}
+
+func (p *peer) send(text string) {
+	p.t.Helper()
+	if _, err := io.WriteString(p.conn, text); err != nil {
+		p.t.Fatal(err)
+	}
+}
+
+// request reads a request, with its body.
+func (p *peer) request() (*http.Request, string) {
+	p.t.Helper()
+	q, err := http.ReadRequest(p.in)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	body, err := io.ReadAll(q.Body)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	return q, string(body)
+}
+
+// response reads a whole response.
+func (p *peer) response() (*http.Response, string) {
+	p.t.Helper()
+	r, err := http.ReadResponse(p.in, nil)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		p.t.Fatalf("body after %q: %v", body, err)
+	}
+	return r, string(body)
+}
+
+// expect reads exactly the text.
+func (p *peer) expect(text string) {
+	p.t.Helper()
+	got := make([]byte, len(text))
+	if n, err := io.ReadFull(p.in, got); err != nil || string(got) != text {
+		p.t.Fatalf("got %q (%v), want %q", got[:n], err, text)
+	}
+}
+
+// head reads the head of a message.
+func (p *peer) head() string {
+	p.t.Helper()
+	var head strings.Builder
+	for {
+		line, err := p.in.ReadString('\n')
+		if err != nil {
+			p.t.Fatalf("head %q: %v", head.String(), err)
+		}
+		if head.WriteString(line); line == "\r\n" {
+			return head.String()
+		}
+	}
+}
+
+// gone waits until the other side has closed and returns what came before.
+func (p *peer) gone() string {
+	p.t.Helper()
+	rest, err := io.ReadAll(p.in)
+	if e, ok := err.(net.Error); ok && e.Timeout() {
+		p.t.Fatal("the connection stays open")
+	}
+	return string(rest)
+}
+
+// reset closes the connection by a reset.
+func (p *peer) reset() {
+	_ = p.conn.SetLinger(0)
+	p.conn.Close()
+}
+
+// ask is the text of a request.
+func ask(path, id, extra, body string) string {
+	return fmt.Sprintf("POST %s HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: %s\r\nX-Time-Left-Ms: 10000\r\n%sContent-Length: %d\r\n\r\n%s",
+		path, id, extra, len(body), body)
+}
+
+// served is the text of a success with a length.
+func served(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Try-Id: %s\r\nX-Server-Seal: seal-%s\r\nContent-Length: %d\r\n\r\n%s", id, id, len(body), body)
+}
+
+// streamHead is the head of a stream.
+func streamHead(id, seal string) string {
+	return "HTTP/1.1 200 OK\r\nX-Try-Id: " + id + "\r\nX-Server-Seal: " + seal +
+		"\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+}
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+func event(id int) string { return fmt.Sprintf("id: %d\ndata: piece %d\n\n", id, id) }
+
+const lastChunk = "0\r\n\r\n"
+
+// fakePlacer names the first runner that was not tried. It belongs to the loop's goroutine.
+type fakePlacer struct {
+	choices  []placement.Runner
+	refusal  *placement.Refusal
+	noRetry  bool
+	priority int
+	events   int
+	last     placement.Request
+	recalled []byte
+
+	mu    sync.Mutex
+	ended chan string
+	sent  chan string
+}
+
+func (f *fakePlacer) SetServices(time.Duration, []*configuration.Service) {}
+func (f *fakePlacer) SetRunners(time.Duration, []placement.Runner)        {}
+func (f *fakePlacer) SetEvacuated(time.Duration, map[string]bool)         {}
+func (f *fakePlacer) SetProxies(time.Duration, int)                       {}
+func (f *fakePlacer) Place(_ time.Duration, r *placement.Request) (placement.Choice, *placement.Refusal) {
+	f.last = *r
+	if f.refusal != nil {
+		return placement.Choice{}, f.refusal
+	}
+	for _, c := range f.choices {
+		if !slices.Contains(r.Tried, c.ID) {
+			return placement.Choice{Runner: c.ID, Address: c.Address, Priority: f.priority - 1}, nil
+		}
+	}
+	return placement.Choice{}, &placement.Refusal{RetryAfter: 1500 * time.Millisecond, Reason: "all tried"}
+}
+func (f *fakePlacer) Sent(_ time.Duration, r *placement.Request, c placement.Choice) *placement.Attempt {
+	f.sent <- c.Runner
+	return &placement.Attempt{Runner: c.Runner, Request: r}
+}
+func (f *fakePlacer) FirstEvent(time.Duration, *placement.Attempt) { f.events++ }
+func (f *fakePlacer) Event(time.Duration, *placement.Attempt)      { f.events++ }
+func (f *fakePlacer) Ended(_ time.Duration, a *placement.Attempt, o placement.Outcome, _ placement.Progress) {
+	names := []string{"served", "not run", "wrong runner", "failed", "broken", "silent", "unreached", "abandoned"}
+	f.ended <- a.Runner + " " + names[o]
+}
+func (f *fakePlacer) MayRetry(time.Duration, *placement.Request) bool { return !f.noRetry }
+func (f *fakePlacer) Tick(now time.Duration) time.Duration            { return now + time.Hour }
+func (f *fakePlacer) Learnt() []byte                                  { return []byte("learnt") }
+func (f *fakePlacer) Recall(_ time.Duration, b []byte) error          { f.recalled = b; return nil }
