--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -97,9 +97,9 @@
 	x.session.awaitsBody(x)
 }
 
-// decline answers a request without reading its body; with one to come the connection ends.
+// decline answers a request without a use for its body; if that has not come whole the connection ends.
 func (x *exchange) decline(a ownAnswer) {
-	if x.head.Body.Kind != httpwire.NoBody {
+	if !x.session.skipBody(x) {
 		x.session.last = true
 	}
 	x.reply(a)
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -200,6 +200,20 @@
 	return false
 }
 
+// skipBody drops what has come of a body; true when that was all of it.
+func (s *session) skipBody(x *exchange) bool {
+	for {
+		_, n, done, err := x.reader.Next(s.conn.Bytes())
+		if err != nil || n == 0 && !done {
+			return false
+		}
+		s.conn.Consume(n)
+		if done {
+			return true
+		}
+	}
+}
+
 // awaitsBody invites the client to send the body, if it waits for that.
 func (s *session) awaitsBody(x *exchange) {
 	if x.head.AwaitsContinue && len(s.conn.Bytes()) == 0 {
