--- /dev/null
+++ b/internal/configuration/document.go
@@ -0,0 +1,145 @@
+package configuration
+
+import (
+	"slices"
+	"strconv"
+
+	"github.com/go-faster/jx"
+)
+
+// Names of a document's fields.
+const (
+	fieldVersion  = "version"
+	fieldRoutes   = "routes"
+	fieldServices = "services"
+	fieldLimits   = "limits"
+)
+
+// entry is an item of a list, with its JSON as the operator sent it.
+type entry[M any] struct {
+	name    string
+	ordinal uint64 // sorts the items of the list
+	raw     []byte
+	model   *M
+}
+
+// extra is a field of the document that this version does not know.
+type extra struct {
+	name string
+	raw  []byte
+}
+
+// Document is a whole configuration. It is not altered once it is made: what changes it makes another one.
+type Document struct {
+	version   uint64
+	routes    []entry[Route]
+	services  []entry[Service]
+	limits    *Limits // nil: none
+	limitsRaw []byte
+	extras    []extra // by name
+}
+
+// Version is the number that the operator gave to the document.
+func (d *Document) Version() uint64 { return d.version }
+
+// Routes are the routes in the operator's order. They must not be altered.
+func (d *Document) Routes() []*Route { return models(d.routes) }
+
+// Services are the services in the operator's order. They must not be altered.
+func (d *Document) Services() []*Service { return models(d.services) }
+
+// Limits are the bounds on clients; known is false if the document has none.
+func (d *Document) Limits() (limits Limits, known bool) {
+	if d.limits == nil {
+		return Limits{}, false
+	}
+	return *d.limits, true
+}
+
+func models[M any](entries []entry[M]) []*M {
+	made := make([]*M, 0, len(entries))
+	for _, item := range entries {
+		made = append(made, item.model)
+	}
+	return made
+}
+
+// Encode is the document as the operator sent it: the same items in the same order, each as it was written, and fields
+// that are not known at the end, by name.
+func (d *Document) Encode() []byte {
+	writer := jx.Writer{Buf: make([]byte, 0, d.encodedSize())}
+	writer.RawStr(`{"` + fieldVersion + `":`)
+	writer.RawStr(strconv.FormatUint(d.version, 10))
+	writer.RawStr(`,"` + fieldRoutes + `":`)
+	writeEntries(&writer, d.routes)
+	writer.RawStr(`,"` + fieldServices + `":`)
+	writeEntries(&writer, d.services)
+	if d.limits != nil {
+		writer.RawStr(`,"` + fieldLimits + `":`)
+		writer.Raw(d.limitsRaw)
+	}
+	for _, field := range d.extras {
+		writer.Comma()
+		writer.Str(field.name)
+		writer.RawStr(":")
+		writer.Raw(field.raw)
+	}
+	writer.ObjEnd()
+	return writer.Buf
+}
+
+func writeEntries[M any](writer *jx.Writer, entries []entry[M]) {
+	writer.ArrStart()
+	for i, item := range entries {
+		if i > 0 {
+			writer.Comma()
+		}
+		writer.Raw(item.raw)
+	}
+	writer.ArrEnd()
+}
+
+func (d *Document) encodedSize() int {
+	size := 128 + len(d.limitsRaw)
+	for _, item := range d.routes {
+		size += len(item.raw) + 1
+	}
+	for _, item := range d.services {
+		size += len(item.raw) + 1
+	}
+	for _, field := range d.extras {
+		size += len(field.raw) + len(field.name) + 4
+	}
+	return size
+}
+
+// clone is a copy whose lists may be altered; their items are shared.
+func (d *Document) clone() *Document {
+	copied := *d
+	copied.routes = slices.Clone(d.routes)
+	copied.services = slices.Clone(d.services)
+	copied.extras = slices.Clone(d.extras)
+	return &copied
+}
+
+// setExtra adds or replaces a field that is not known.
+func (d *Document) setExtra(field extra) {
+	place, found := slices.BinarySearchFunc(d.extras, field.name, func(held extra, name string) int {
+		return compareText(held.name, name)
+	})
+	if found {
+		d.extras[place] = field
+		return
+	}
+	d.extras = slices.Insert(d.extras, place, field)
+}
+
+func compareText(a, b string) int {
+	switch {
+	case a < b:
+		return -1
+	case a > b:
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/configuration/items.go
@@ -0,0 +1,275 @@
+package configuration
+
+import (
+	"bytes"
+	"encoding/binary"
+	"fmt"
+	"iter"
+	"slices"
+	"strconv"
+	"strings"
+
+	"cinderroad/internal/feed"
+	"cinderroad/internal/findings"
+	"cinderroad/internal/jsonfield"
+)
+
+// ordinalBytes is the length of the ordinal before the JSON of a stored route or service.
+const ordinalBytes = 8
+
+// Write sets or deletes an item of the configuration partition; see package feed for the keys.
+type Write struct {
+	Key     string
+	Value   []byte
+	Deleted bool
+}
+
+// MissingDocumentError says that there is no configuration among the items.
+type MissingDocumentError struct{}
+
+// Error says what happened.
+func (e *MissingDocumentError) Error() string {
+	return "configuration: no configuration has been taken yet"
+}
+
+// MalformedItemError says that a stored item cannot be read.
+type MalformedItemError struct {
+	Key      string // empty: not known
+	Findings error
+}
+
+// Error says what happened.
+func (e *MalformedItemError) Error() string {
+	return fmt.Sprintf("configuration: stored item %q cannot be read: %v", e.Key, e.Findings)
+}
+
+// Unwrap is the error with the findings.
+func (e *MalformedItemError) Unwrap() error { return e.Findings }
+
+// Items are the writes that store the whole document.
+func (d *Document) Items() []Write { return Diff(nil, d) }
+
+// Diff are the writes that bring the items of a stored document, nil for none, to those of the next one. Items that stay
+// as they are, in the same order among themselves, are not written.
+func Diff(old, next *Document) []Write {
+	if old == nil {
+		old = &Document{}
+	}
+	next = next.Rebase(old)
+	var writes []Write
+	if old.version != next.version {
+		version := strconv.AppendUint(nil, next.version, 10)
+		writes = append(writes, Write{Key: feed.KeyVersion, Value: version})
+	}
+	writes = append(writes, diffLimits(old, next)...)
+	writes = append(writes, diffExtras(old.extras, next.extras)...)
+	writes = append(writes, diffEntries(feed.KeyService, old.services, next.services)...)
+	return append(writes, diffEntries(feed.KeyRoute, old.routes, next.routes)...)
+}
+
+func diffLimits(old, next *Document) []Write {
+	switch {
+	case next.limits == nil && old.limits == nil:
+		return nil
+	case next.limits == nil:
+		return []Write{{Key: feed.KeyLimits, Deleted: true}}
+	case old.limits != nil && bytes.Equal(old.limitsRaw, next.limitsRaw):
+		return nil
+	}
+	return []Write{{Key: feed.KeyLimits, Value: bytes.Clone(next.limitsRaw)}}
+}
+
+func diffExtras(old, next []extra) []Write {
+	held := make(map[string][]byte, len(old))
+	for _, field := range old {
+		held[field.name] = field.raw
+	}
+	var writes []Write
+	for _, field := range next {
+		raw, known := held[field.name]
+		if !known || !bytes.Equal(raw, field.raw) {
+			writes = append(writes, Write{Key: feed.KeyExtra + field.name, Value: bytes.Clone(field.raw)})
+		}
+		delete(held, field.name)
+	}
+	for _, field := range old {
+		if _, gone := held[field.name]; gone {
+			writes = append(writes, Write{Key: feed.KeyExtra + field.name, Deleted: true})
+		}
+	}
+	return writes
+}
+
+func diffEntries[M any](key string, old, next []entry[M]) []Write {
+	held := make(map[string]entry[M], len(old))
+	for _, item := range old {
+		held[item.name] = item
+	}
+	var writes []Write
+	for _, item := range next {
+		before, known := held[item.name]
+		if !known || before.ordinal != item.ordinal || !bytes.Equal(before.raw, item.raw) {
+			writes = append(writes, Write{Key: key + item.name, Value: item.stored()})
+		}
+		delete(held, item.name)
+	}
+	for _, item := range old {
+		if _, gone := held[item.name]; gone {
+			writes = append(writes, Write{Key: key + item.name, Deleted: true})
+		}
+	}
+	return writes
+}
+
+func (e entry[M]) stored() []byte {
+	value := make([]byte, 0, ordinalBytes+len(e.raw))
+	value = binary.BigEndian.AppendUint64(value, e.ordinal)
+	return append(value, e.raw...)
+}
+
+// Rebase is the same document with its items numbered as those of a stored document, nil for none, as far as their order
+// allows it. Diff does so by itself; whoever goes on to use a document after storing its difference rebases it first.
+func (d *Document) Rebase(old *Document) *Document {
+	if old == nil {
+		old = &Document{}
+	}
+	rebased := d.clone()
+	alignEntries(old.routes, rebased.routes)
+	alignEntries(old.services, rebased.services)
+	return rebased
+}
+
+func alignEntries[M any](old, next []entry[M]) {
+	held := make(map[string]uint64, len(old))
+	for _, item := range old {
+		held[item.name] = item.ordinal
+	}
+	have := make([]uint64, len(next))
+	for i, item := range next {
+		have[i] = held[item.name]
+	}
+	for i, ordinal := range alignOrdinals(have) {
+		next[i].ordinal = ordinal
+	}
+}
+
+// FromItems is the document that stored items make; keys that are not of a document are passed over. The error is a
+// *MissingDocumentError or a *MalformedItemError. The document keeps parts of the values, which must not be altered.
+func FromItems(items iter.Seq2[string, []byte]) (*Document, error) {
+	document := &Document{}
+	stored := false
+	for key, value := range items {
+		var err error
+		switch {
+		case key == feed.KeyVersion:
+			stored = true
+			document.version, err = decodeVersion(value)
+		case key == feed.KeyLimits:
+			document.limits, err = DecodeLimits(value)
+			document.limitsRaw = value
+		case strings.HasPrefix(key, feed.KeyExtra):
+			document.extras = append(document.extras, extra{name: key[len(feed.KeyExtra):], raw: value})
+		case strings.HasPrefix(key, feed.KeyRoute):
+			document.routes, err = appendEntry(document.routes, value, readRoute, routeName)
+		case strings.HasPrefix(key, feed.KeyService):
+			document.services, err = appendEntry(document.services, value, readService, serviceName)
+		}
+		if err != nil {
+			return nil, &MalformedItemError{Key: key, Findings: err}
+		}
+	}
+	if !stored {
+		return nil, &MissingDocumentError{}
+	}
+	slices.SortFunc(document.routes, byOrdinal)
+	slices.SortFunc(document.services, byOrdinal)
+	slices.SortFunc(document.extras, func(a, b extra) int { return compareText(a.name, b.name) })
+	return document, nil
+}
+
+func byOrdinal[M any](a, b entry[M]) int {
+	switch {
+	case a.ordinal < b.ordinal:
+		return -1
+	case a.ordinal > b.ordinal:
+		return 1
+	}
+	return compareText(a.name, b.name)
+}
+
+func appendEntry[M any](
+	entries []entry[M], value []byte, read func(jsonfield.Value) *M, name func(*M) string,
+) ([]entry[M], error) {
+	model, err := decodeStored(value, read)
+	if err != nil {
+		return nil, err
+	}
+	item := entry[M]{name: name(model), ordinal: binary.BigEndian.Uint64(value), raw: value[ordinalBytes:], model: model}
+	return append(entries, item), nil
+}
+
+func decodeVersion(value []byte) (uint64, error) {
+	version, err := strconv.ParseUint(string(value), 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("the version is not a number: %w", err)
+	}
+	return version, nil
+}
+
+// DecodeVersion reads the value of feed.KeyVersion.
+func DecodeVersion(value []byte) (uint64, error) {
+	version, err := decodeVersion(value)
+	if err != nil {
+		return 0, &MalformedItemError{Key: feed.KeyVersion, Findings: err}
+	}
+	return version, nil
+}
+
+// DecodeRoute reads the value of a route's item. The error is a *MalformedItemError.
+func DecodeRoute(value []byte) (*Route, error) {
+	route, err := decodeStored(value, readRoute)
+	if err != nil {
+		return nil, &MalformedItemError{Findings: err}
+	}
+	return route, nil
+}
+
+// DecodeService reads the value of a service's item. The error is a *MalformedItemError.
+func DecodeService(value []byte) (*Service, error) {
+	service, err := decodeStored(value, readService)
+	if err != nil {
+		return nil, &MalformedItemError{Findings: err}
+	}
+	return service, nil
+}
+
+// DecodeLimits reads the value of the limits' item. The error is a *MalformedItemError.
+func DecodeLimits(value []byte) (*Limits, error) {
+	limits, err := decode(value, readLimits)
+	if err != nil {
+		return nil, &MalformedItemError{Key: feed.KeyLimits, Findings: err}
+	}
+	return limits, nil
+}
+
+func decodeStored[M any](value []byte, read func(jsonfield.Value) *M) (*M, error) {
+	if len(value) < ordinalBytes {
+		var list findings.List
+		list.Add("", "is too short to hold its ordinal")
+		return nil, list.Err()
+	}
+	return decode(value[ordinalBytes:], read)
+}
+
+func decode[M any](raw []byte, read func(jsonfield.Value) *M) (*M, error) {
+	var list findings.List
+	value, ok := jsonfield.Read(raw, &list)
+	if !ok {
+		return nil, list.Err()
+	}
+	model := read(value)
+	if err := list.Err(); err != nil {
+		return nil, err
+	}
+	return model, nil
+}
--- /dev/null
+++ b/internal/configuration/route.go
@@ -0,0 +1,127 @@
+package configuration
+
+import (
+	"time"
+
+	"cinderroad/internal/jsonfield"
+)
+
+// readRoute reads a route as the operator sends it.
+func readRoute(value jsonfield.Value) *Route {
+	reader := routeReader{route: &Route{Type: Writes, Tries: 1}}
+	if value.StrictObject(reader.readField) {
+		reader.finish(value)
+	}
+	return reader.route
+}
+
+type routeReader struct {
+	route    *Route
+	service  string
+	sawType  bool
+	sawShare bool
+}
+
+func (r *routeReader) readField(name string, value jsonfield.Value) {
+	if value.IsNull() {
+		return
+	}
+	switch name {
+	case "name":
+		r.route.Name, _ = value.Text()
+	case "host":
+		r.route.Host, _ = value.Text()
+	case "path_start":
+		r.route.PathStart, _ = value.Text()
+	case "type":
+		r.readType(value)
+	case "rank":
+		r.route.Rank, _ = value.Int()
+	case "service":
+		r.service, _ = value.Text()
+	case "shares":
+		value.Array(r.readShare)
+	case "tries":
+		tries, _ := value.Int()
+		r.route.Tries = max(tries, 1)
+	case "pin_cache":
+		r.route.PinCache, _ = value.Bool()
+	case "resumable":
+		r.route.Resumable, _ = value.Bool()
+	case "home_regions":
+		r.route.HomeRegions, _ = value.Texts()
+	default:
+		r.readTime(name, value)
+	}
+}
+
+func (r *routeReader) readTime(name string, value jsonfield.Value) {
+	base, unit := jsonfield.SplitUnit(name)
+	if unit == 0 {
+		return
+	}
+	switch base {
+	case "timeout":
+		r.route.Timeout = positive(value, unit)
+	case "target":
+		r.route.Target, _ = value.Span(unit)
+	case "gap_aim":
+		r.route.GapAim, _ = value.Span(unit)
+	}
+}
+
+// positive reads a time; one that is above 0 but too short to be told from it counts as the shortest.
+func positive(value jsonfield.Value, unit time.Duration) time.Duration {
+	length, ok := value.Span(unit)
+	if number, isNumber := value.Float(); ok && isNumber && number > 0 {
+		return max(length, 1)
+	}
+	return length
+}
+
+func (r *routeReader) readType(value jsonfield.Value) {
+	word, ok := value.Text()
+	if !ok {
+		return
+	}
+	r.sawType = true
+	switch word {
+	case "read_only":
+		r.route.Type = ReadOnly
+	case "writes":
+		r.route.Type = Writes
+	case "streaming":
+		r.route.Type = Streaming
+	default:
+		value.Fail("must be read_only, writes or streaming")
+	}
+}
+
+func (r *routeReader) readShare(_ int, value jsonfield.Value) {
+	r.sawShare = true
+	share := Share{}
+	value.StrictObject(func(name string, value jsonfield.Value) {
+		switch name {
+		case "service":
+			share.Service, _ = value.Text()
+		case "weight":
+			share.Weight, _ = value.Float()
+		}
+	})
+	r.route.Shares = append(r.route.Shares, share)
+}
+
+func (r *routeReader) finish(value jsonfield.Value) {
+	if !r.sawType {
+		value.Fail("has no type")
+	}
+	if r.service != "" && r.sawShare {
+		value.Fail("has both a service and shares; name one or the other")
+	}
+	if r.service != "" && !r.sawShare {
+		r.route.Shares = []Share{{Service: r.service, Weight: 1}}
+	}
+	if r.route.Target == 0 {
+		r.route.Target = r.route.Timeout
+	}
+}
--- /dev/null
+++ b/internal/configuration/service.go
@@ -0,0 +1,101 @@
+package configuration
+
+import (
+	"time"
+
+	"cinderroad/internal/jsonfield"
+)
+
+// readService reads a service as the operator sends it.
+func readService(value jsonfield.Value) *Service {
+	service := &Service{}
+	value.StrictObject(service.readField)
+	return service
+}
+
+func (s *Service) readField(name string, value jsonfield.Value) {
+	if value.IsNull() {
+		return
+	}
+	switch name {
+	case "name":
+		s.Name, _ = value.Text()
+	case "health_path":
+		s.HealthPath, _ = value.Text()
+	case "max_conns":
+		s.MaxConns, _ = value.Int()
+	case "cold_rate_s":
+		s.ColdRate, _ = value.Amount()
+	case "cold_for_s":
+		s.ColdFor, _ = value.Span(time.Second)
+	case "cold_for_ms":
+		s.ColdFor, _ = value.Span(time.Millisecond)
+	case "backend":
+		s.Backend = &Backend{}
+		value.StrictObject(s.Backend.readField)
+	}
+}
+
+func (b *Backend) readField(name string, value jsonfield.Value) {
+	if value.IsNull() {
+		return
+	}
+	switch name {
+	case "capacity":
+		b.Capacity, _ = value.Int()
+	case "cache_tokens":
+		b.CacheTokens, _ = value.Int()
+	case "token_cache_bytes":
+		b.TokenCacheBytes, _ = value.Amount()
+	case "link_mbps":
+		b.LinkMbps, _ = value.Amount()
+	case "stride":
+		b.Stride, _ = value.Int()
+	case "models":
+		value.Array(b.readModel)
+	}
+}
+
+func (b *Backend) readModel(_ int, value jsonfield.Value) {
+	value.StrictObject(func(name string, value jsonfield.Value) {
+		if name != "name" {
+			return
+		}
+		if model, ok := value.Text(); ok {
+			b.Models = append(b.Models, model)
+		}
+	})
+}
+
+// readLimits reads the limits as the operator sends them.
+func readLimits(value jsonfield.Value) *Limits {
+	limits := &Limits{}
+	value.StrictObject(limits.readField)
+	return limits
+}
+
+func (l *Limits) readField(name string, value jsonfield.Value) {
+	if value.IsNull() {
+		return
+	}
+	base, unit := jsonfield.SplitUnit(name)
+	switch {
+	case name == "max_header_bytes":
+		l.MaxHeaderBytes = size(value)
+	case name == "max_body_bytes":
+		l.MaxBodyBytes = size(value)
+	case base == "header_wait" && unit > 0:
+		l.HeaderWait, _ = value.Span(unit)
+	case base == "idle_limit" && unit > 0:
+		l.IdleLimit, _ = value.Span(unit)
+	}
+}
+
+func size(value jsonfield.Value) int {
+	bytes, ok := value.Int()
+	if ok && bytes < 0 {
+		value.Fail("must not be negative")
+		return 0
+	}
+	return bytes
+}
--- a/internal/environment/parse.go
+++ b/internal/environment/parse.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"os"
-	"strings"
 	"time"
 
 	"cinderroad/internal/findings"
@@ -197,9 +196,9 @@
 		*figure = amount(value)
 		return
 	}
-	base, unit := splitUnit(name)
+	base, unit := jsonfield.SplitUnit(name)
 	if bound := t.bound(base); bound != nil && unit > 0 {
-		*bound = span(value, unit)
+		*bound, _ = value.Span(unit)
 	}
 }
 
@@ -232,48 +231,22 @@
 	if value.IsNull() {
 		return
 	}
-	base, unit := splitUnit(name)
+	base, unit := jsonfield.SplitUnit(name)
 	switch {
 	case name == "address":
 		c.Address, _ = value.AddressPort()
 	case name == "rate_per_s":
 		c.RatePerS = amount(value)
 	case base == "max_lag" && unit > 0:
-		c.MaxLag = span(value, unit)
+		c.MaxLag, _ = value.Span(unit)
 	}
 }
 
-// splitUnit cuts the unit off the name of a time; the unit of a name without one is 0.
-func splitUnit(name string) (string, time.Duration) {
-	if base, found := strings.CutSuffix(name, "_ms"); found {
-		return base, time.Millisecond
-	}
-	if base, found := strings.CutSuffix(name, "_s"); found {
-		return base, time.Second
-	}
-	return name, 0
-}
-
-// span is a time in the given unit.
-func span(value jsonfield.Value, unit time.Duration) time.Duration {
-	const longest = 1 << 62
-	length := amount(value) * float64(unit)
-	if length > longest {
-		value.Fail("is too long")
-		return 0
-	}
-	return time.Duration(length)
-}
-
-// amount is a number that is not negative.
+// amount is a number that is not negative; null is 0.
 func amount(value jsonfield.Value) float64 {
 	if value.IsNull() {
 		return 0
 	}
-	number, ok := value.Float()
-	if ok && number < 0 {
-		value.Fail("must not be negative")
-		return 0
-	}
+	number, _ := value.Amount()
 	return number
 }
--- a/internal/jsonfield/jsonfield.go
+++ b/internal/jsonfield/jsonfield.go
@@ -3,11 +3,14 @@
 package jsonfield
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"math"
 	"net/netip"
 	"strconv"
+	"strings"
+	"time"
 
 	"github.com/go-faster/jx"
 
@@ -121,6 +124,57 @@
 	return v.finish(err)
 }
 
+// StrictObject is Object for what is to be kept: a field that is there twice with different values is a finding, and one
+// that is there twice with the same value is told once.
+func (v Value) StrictObject(field func(name string, value Value)) bool {
+	var seen fieldSet
+	return v.Object(func(name string, value Value) {
+		raw, known := seen.add(name, value.raw)
+		switch {
+		case !known:
+			field(name, value)
+		case !bytes.Equal(raw, value.raw):
+			value.Fail("is there twice with different values")
+		}
+	})
+}
+
+// fieldSet is the fields of an object that were read. Most objects are small, so there is a map only for large ones.
+type fieldSet struct {
+	few  []seenField
+	many map[string][]byte
+}
+
+type seenField struct {
+	name string
+	raw  []byte
+}
+
+// add returns the value that a field has already, or adds it.
+func (s *fieldSet) add(name string, raw []byte) ([]byte, bool) {
+	const fewest = 32
+	if s.many != nil {
+		before, known := s.many[name]
+		if !known {
+			s.many[name] = raw
+		}
+		return before, known
+	}
+	for _, field := range s.few {
+		if field.name == name {
+			return field.raw, true
+		}
+	}
+	s.few = append(s.few, seenField{name: name, raw: raw})
+	if len(s.few) > fewest {
+		s.many = make(map[string][]byte, 2*len(s.few))
+		for _, field := range s.few {
+			s.many[field.name] = field.raw
+		}
+	}
+	return nil, false
+}
+
 // Array calls element for each element of an array, in order.
 func (v Value) Array(element func(index int, value Value)) bool {
 	if !v.IsArray() {
@@ -194,6 +248,42 @@
 	return value, true
 }
 
+// Amount is a number that is not negative.
+func (v Value) Amount() (float64, bool) {
+	number, ok := v.Float()
+	if ok && number < 0 {
+		v.Fail("must not be negative")
+		return 0, false
+	}
+	return number, ok
+}
+
+// Span is a time that is told as a number of the given unit and is not negative.
+func (v Value) Span(unit time.Duration) (time.Duration, bool) {
+	const longest = 1 << 62
+	number, ok := v.Amount()
+	if !ok {
+		return 0, false
+	}
+	length := number * float64(unit)
+	if length > longest {
+		v.Fail("is too long a time")
+		return 0, false
+	}
+	return time.Duration(length), true
+}
+
+// SplitUnit cuts the unit off the name of a time, such as wait_ms or wait_s; the unit of a name without one is 0.
+func SplitUnit(name string) (base string, unit time.Duration) {
+	if base, found := strings.CutSuffix(name, "_ms"); found {
+		return base, time.Millisecond
+	}
+	if base, found := strings.CutSuffix(name, "_s"); found {
+		return base, time.Second
+	}
+	return name, 0
+}
+
 // Int is a whole number of any notation, so that 3, 3.0 and 3e0 are the same.
 func (v Value) Int() (int, bool) {
 	if value, err := strconv.ParseInt(string(v.raw), 10, 0); err == nil {
