--- /dev/null
+++ b/cmd/cinderroad-proxy/main.go
@@ -0,0 +1,134 @@
+// Command cinderroad-proxy is the data plane of an edge machine: it serves clients and sends their requests to runners.
+// What it needs to know it is told by the agent of its machine, over loopback.
+package main
+
+import (
+	"context"
+	"fmt"
+	"hash/maphash"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"cinderroad/internal/environment"
+	"cinderroad/internal/placement"
+	"cinderroad/internal/proxy"
+	"cinderroad/internal/proxy/uplink"
+	"cinderroad/internal/transport"
+)
+
+const (
+	version          = "cinderroad-proxy 1"
+	garbagePercent   = 40 // memory at its peak costs more than a collection of so small a heap
+	processors       = 1  // one loop does the work; the link to the agent hardly any
+	runnerPartitions = 2  // as the control replicas have them
+	filesReserved    = 200 + 56
+	leastSockets     = 64
+	sleptAfter       = 0.5 // seconds by which a turn of the loop is late when that is logged
+)
+
+// flags are the command line.
+type flags struct {
+	Log     zapcore.Level    `help:"Least level of events that are logged: debug, info, warn or error." default:"warn"`
+	Version kong.VersionFlag `help:"Print the version and exit."`
+}
+
+func main() {
+	var f flags
+	kong.Parse(&f, kong.Name("cinderroad-proxy"), kong.Vars{"version": version},
+		kong.Description("Serves clients of an edge machine; the settings file is named by "+environment.Variable+"."))
+	if err := run(f.Log); err != nil {
+		fmt.Fprintln(os.Stderr, "cinderroad-proxy:", err)
+		os.Exit(1)
+	}
+}
+
+func run(level zapcore.Level) error {
+	debug.SetGCPercent(garbagePercent)
+	runtime.GOMAXPROCS(processors)
+	log := newLog(level)
+	settings, err := environment.Load()
+	if err != nil {
+		return err
+	}
+	if !settings.ListenOn.Front.IsValid() {
+		return errNoFront
+	}
+	loop, err := transport.NewLoop(max(leastSockets, settings.Limits.OpenFiles-filesReserved))
+	if err != nil {
+		return err
+	}
+	loop.LendReads = true
+	loop.SleptAfter = sleptAfter
+	loop.Overslept = func(late float64) { log.Info("the process was held up", zap.Float64("seconds", late)) }
+	p, err := newProxy(loop, log, settings)
+	if err != nil {
+		return err
+	}
+	if err := p.Listen(); err != nil {
+		return fmt.Errorf("cannot serve clients; is another process at the address? %w", err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	follow(ctx, loop, log, p, settings)
+	stopOnSignal(loop, p)
+	return loop.Run()
+}
+
+// errNoFront says that the settings name no address for clients.
+var errNoFront = fmt.Errorf("the settings name no listen_on.front; does the deploy file give this role serves = [\"edge\"]?")
+
+func newProxy(loop *transport.Loop, log *zap.Logger, settings *environment.Settings) (*proxy.Proxy, error) {
+	seed := maphash.Bytes(maphash.MakeSeed(), []byte(settings.Node))
+	timing := &settings.Timing
+	placer, err := placement.New(placement.Options{Zone: settings.Zone, Region: settings.Region, Zones: settings.Zones,
+		RetryRatio: timing.RetryRatio, RetryWindow: timing.RetryWindow, RetryExtra: timing.RetryExtra,
+		ColdExcess: timing.ColdExcess, ColdSlack: timing.ColdSlack}, seed)
+	if err != nil {
+		return nil, err
+	}
+	return proxy.New(loop, log, placer, proxy.Options{Front: settings.ListenOn.Front, Ready: settings.ListenOn.Ready,
+		MemoryBytes: settings.Limits.RAMMB << 20, GracePeriod: timing.GracePeriod, Seed: seed}), nil
+}
+
+// follow links the proxy to the agent of its machine.
+func follow(ctx context.Context, loop *transport.Loop, log *zap.Logger, p *proxy.Proxy, settings *environment.Settings) {
+	loopback := netip.AddrFrom4([4]byte{127, 0, 0, 1})
+	link := uplink.New(log, uplink.Options{
+		Agent:            netip.AddrPortFrom(loopback, settings.Port(environment.AgentFeedPort)),
+		Node:             settings.Node,
+		RunnerPartitions: runnerPartitions,
+		Deliver:          func(u uplink.Update) { loop.Post(func() { p.Take(u) }) },
+		Recall:           func(learnt []byte) { loop.Post(func() { p.Recall(learnt) }) },
+	})
+	p.Follow(link, settings.Zones)
+	go link.Run(ctx)
+}
+
+// stopOnSignal has the proxy stop when it is told to. The settings of a running process stay as they were at its start.
+func stopOnSignal(loop *transport.Loop, p *proxy.Proxy) {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	signal.Ignore(syscall.SIGHUP)
+	go func() {
+		for range signals {
+			loop.Post(p.Stop)
+		}
+	}()
+}
+
+// newLog writes one event a line, as key=value pairs, to standard error.
+func newLog(level zapcore.Level) *zap.Logger {
+	config := zap.NewProductionEncoderConfig()
+	config.EncodeTime = zapcore.TimeEncoderOfLayout(time.RFC3339Nano)
+	core := zapcore.NewCore(zapcore.NewConsoleEncoder(config), zapcore.Lock(os.Stderr), level)
+	return zap.New(core)
+}
--- /dev/null
+++ b/internal/proxy/control.go
@@ -0,0 +1,131 @@
+package proxy
+
+import (
+	"bytes"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cinderroad/internal/feed"
+	"cinderroad/internal/placement"
+	"cinderroad/internal/proxy/uplink"
+	"cinderroad/internal/routetable"
+)
+
+const (
+	reportEvery = time.Second
+	learntEvery = 5 // reports
+)
+
+// Agent is told what the proxy is and has learnt.
+type Agent interface {
+	Report(feed.ProxyReport)
+}
+
+// control is what the proxy holds of the control plane.
+type control struct {
+	agent   Agent
+	zones   map[string]string // region of each zone
+	table   *routetable.Table
+	version uint64
+	reports int
+	told    []byte // what the agent was last told to be learnt
+}
+
+// Follow has the proxy report to the agent; zones names the region of each zone. What the agent says comes by Take.
+func (p *Proxy) Follow(agent Agent, zones map[string]string) {
+	p.control = control{agent: agent, zones: zones, table: routetable.New()}
+	p.report()
+}
+
+// Take puts what changed in the control state in force. It belongs to the loop's goroutine.
+func (p *Proxy) Take(u uplink.Update) {
+	wasReady := p.Ready()
+	for _, name := range u.Removed {
+		p.control.table.Remove(name)
+	}
+	for _, route := range u.Routes {
+		p.control.table.Upsert(route)
+	}
+	if u.Limits != nil {
+		p.SetLimits(*u.Limits)
+	}
+	if u.Services != nil {
+		p.SetServices(*u.Services)
+	}
+	if u.Evacuated != nil {
+		p.SetEvacuated(*u.Evacuated)
+	}
+	if u.Proxies > 0 && u.Proxies != p.pool.proxies {
+		p.SetProxies(u.Proxies)
+	}
+	if u.Runners != nil {
+		p.takeRunners(*u.Runners)
+	}
+	if u.Version > 0 {
+		p.SetRoutes(p.control.table)
+	}
+	p.runnersIn = p.runnersIn || u.Complete
+	if u.Version != p.control.version {
+		p.control.version = u.Version
+		p.log.Info("configuration in force", zap.Uint64("version", u.Version), zap.Int("routes", p.control.table.Len()))
+	}
+	if p.Ready() != wasReady {
+		p.tellAgent(nil)
+	}
+}
+
+// takeRunners replaces the set of runners.
+func (p *Proxy) takeRunners(listed []uplink.Runner) {
+	now := p.now()
+	runners := make([]placement.Runner, 0, len(listed))
+	for i := range listed {
+		runners = append(runners, p.runnerOf(now, &listed[i]))
+	}
+	p.setRunners(runners)
+}
+
+func (p *Proxy) runnerOf(now time.Duration, r *uplink.Runner) placement.Runner {
+	known := placement.Runner{ID: r.ID, Service: r.Service, Address: r.Address, Zone: r.Zone, Region: p.control.zones[r.Zone],
+		Capacity: r.Capacity, Draining: r.Draining}
+	if !r.ColdUntil.IsZero() {
+		known.ColdUntil = max(0, now+time.Until(r.ColdUntil))
+	}
+	if !r.GoneAt.IsZero() {
+		known.GoneAt = max(1, now+time.Until(r.GoneAt))
+	}
+	for i := range r.Models {
+		known.Models = append(known.Models, r.Models[i].Name)
+	}
+	return known
+}
+
+// Recall takes what an earlier life of the proxy had learnt.
+func (p *Proxy) Recall(learnt []byte) {
+	if err := p.placer.Recall(p.now(), learnt); err != nil {
+		p.log.Warn("what the proxy had learnt cannot be read", zap.Error(err))
+	}
+}
+
+// report tells the agent what the proxy is, now and again, and now and then what it has learnt.
+func (p *Proxy) report() {
+	var learnt []byte
+	if p.control.reports++; p.control.reports%learntEvery == 0 {
+		if learnt = p.placer.Learnt(); bytes.Equal(learnt, p.control.told) {
+			learnt = nil
+		} else {
+			p.control.told = learnt
+		}
+	}
+	p.tellAgent(learnt)
+	p.at(p.now()+reportEvery, p.report)
+}
+
+// tellAgent tells the agent what the proxy is.
+func (p *Proxy) tellAgent(learnt []byte) {
+	if p.control.agent == nil {
+		return
+	}
+	report := feed.ProxyReport{Ready: p.Ready(), Stopping: p.stopping.on, Front: p.options.Front.String(), Learnt: learnt}
+	p.control.agent.Report(report)
+}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -74,7 +74,7 @@
 		x.decline(ownAnswer{status: 503, retryAfter: refusalPause, body: "configuration not known yet"})
 		return
 	}
-	route := x.proxy.routes.Lookup(hostOf(host), pathOf(x.head.Target))
+	route := x.proxy.routes.Lookup(host, x.head.Target)
 	if route == nil {
 		x.decline(ownAnswer{status: 404, body: "no route"})
 		return
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -25,7 +25,7 @@
 	Recall(now time.Duration, learnt []byte) error
 }
 
-// Routes finds the route of a request; nil: there is none.
+// Routes finds the route of a request, by the Host field and the target as the client sent them; nil: there is none.
 type Routes interface {
-	Lookup(host, path string) *configuration.Route
+	Lookup(host, target string) *configuration.Route
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -62,6 +62,7 @@
 	routes    Routes // nil until the configuration is known
 	limits    configuration.Limits
 	runnersIn bool // the runners are known
+	control   control
 	pool      *pool
 
 	front, ready *transport.Listener
@@ -153,6 +154,10 @@
 // SetRunners replaces the set of runners.
 func (p *Proxy) SetRunners(runners []placement.Runner) {
 	p.runnersIn = true
+	p.setRunners(runners)
+}
+
+func (p *Proxy) setRunners(runners []placement.Runner) {
 	p.placer.SetRunners(p.now(), runners)
 	p.pool.setRunners(runners)
 }
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net"
 	"strconv"
 	"strings"
 	"time"
@@ -34,14 +33,6 @@
 	mostCount = 100 << 20 // tokens
 )
 
-// hostOf is the host of a request as routes name it: in lower case and without a port.
-func hostOf(value string) string {
-	if host, _, err := net.SplitHostPort(value); err == nil {
-		value = host
-	}
-	return strings.ToLower(value)
-}
-
 // pathOf is the path of a target.
 func pathOf(target string) string {
 	path, _, _ := strings.Cut(target, "?")
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -30,7 +30,8 @@
 	}
 	p.stopping.on = true
 	p.stopping.began = p.now()
-	p.log.Info("proxy: told to stop")
+	p.log.Info("told to stop")
+	p.tellAgent(p.placer.Learnt())
 	grace := p.options.GracePeriod
 	if grace <= 0 {
 		grace = defaultGrace
--- a/internal/proxy/world_test.go
+++ b/internal/proxy/world_test.go
@@ -37,6 +37,7 @@
 type fakeRoutes struct{ routes []*configuration.Route }
 
 func (f *fakeRoutes) Lookup(host, path string) *configuration.Route {
+	host, _, _ = strings.Cut(host, ":")
 	for _, r := range f.routes {
 		if host == r.Host && strings.HasPrefix(path, r.PathStart) {
 			return r
