--- /dev/null
+++ b/brain/replay_test.go
@@ -0,0 +1,174 @@
+package brain
+
+import (
+	"encoding/json"
+	"fmt"
+	"hash"
+	"hash/fnv"
+	"math"
+	"os"
+	"path/filepath"
+	"runtime"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// hashing notes all actions of a Balancer on their way, in their order and with all bits of their numbers.
+type hashing struct {
+	Actions
+	sum   hash.Hash64
+	count int
+}
+
+func (h *hashing) note(format string, args ...any) {
+	h.count++
+	fmt.Fprintf(h.sum, format+"\n", args...)
+}
+
+func (h *hashing) Send(id RequestID, w WorkerID, timeout float64) {
+	h.note("send %d %d %x", id, w, math.Float64bits(timeout))
+	h.Actions.Send(id, w, timeout)
+}
+
+func (h *hashing) Refuse(id RequestID, wait float64) {
+	h.note("refuse %d %x", id, math.Float64bits(wait))
+	h.Actions.Refuse(id, wait)
+}
+
+func (h *hashing) Fail(id RequestID) {
+	h.note("fail %d", id)
+	h.Actions.Fail(id)
+}
+
+func (h *hashing) Cancel(id RequestID, attempt int) {
+	h.note("cancel %d %d", id, attempt)
+	h.Actions.Cancel(id, attempt)
+}
+
+func (h *hashing) Probe(w WorkerID) {
+	h.note("probe %d", w)
+	h.Actions.Probe(w)
+}
+
+func (h *hashing) SetTimer(token uint32, at float64) {
+	h.note("timer %d %x", token, math.Float64bits(at))
+	h.Actions.SetTimer(token, at)
+}
+
+func (h *hashing) Watch(on bool) {
+	h.note("watch %v", on)
+	h.Actions.Watch(on)
+}
+
+func (h *hashing) Fetch() {
+	h.note("fetch")
+	h.Actions.Fetch()
+}
+
+func (h *hashing) Log(line string) {
+	h.note("log %s", line)
+	h.Actions.Log(line)
+}
+
+// replayed plays a day and tells the hash of all actions, of all that was learnt and of what is held of each worker.
+func replayed(t *testing.T, plan worldPlan, seed uint64, place bool) (sum uint64, actions int) {
+	h := &hashing{sum: fnv.New64a()}
+	var all []*Balancer
+	decide := func(s Settings, seed uint64, act Actions) policy {
+		b, err := New(s, seed, &hashing{Actions: act, sum: h.sum})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if place {
+			keys := make([]uint64, s.Instances)
+			for i := range keys {
+				keys[i] = uint64(i+1) * 0x9e3779b97f4a7c15
+			}
+			if err := b.SetPlace(Place{Instances: s.Instances, Me: s.Me, Part: 0.5, Keys: keys}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		all = append(all, b)
+		return b
+	}
+	w := newWorld(plan, seed, decide)
+	share, byClass := w.run()
+	h.note("%x %x %d %d %d", math.Float64bits(share), byClass, w.refused, w.failed, w.late)
+	for _, b := range all {
+		actions += b.act.(*hashing).count
+		learnt, err := json.Marshal(b.Learnt())
+		if err != nil {
+			t.Fatal(err)
+		}
+		h.note("%s", learnt)
+		for _, m := range w.workers {
+			standing, known := b.Standing(w.now, m.ID)
+			h.note("%+v %v", standing, known)
+		}
+	}
+	return h.sum.Sum64(), actions
+}
+
+// What a Balancer does is recorded in testdata/replay.txt, event for event: a change that is meant to change no decision
+// leaves every hash as it is. One that is meant to writes the file anew with REPLAY_RECORD=1, and its commit says why.
+func TestRecordedRunsAreReplayed(t *testing.T) {
+	if runtime.GOARCH != "amd64" {
+		t.Skip("recorded on amd64; other processors round products that are added differently")
+	}
+	var got []string
+	record := func(name string, sum uint64, actions int) {
+		got = append(got, fmt.Sprintf("%016x %7d %s", sum, actions, name))
+	}
+	plans := leftOut()
+	anew := told()
+	anew.replace, anew.slow = true, 4
+	plans["all told, a third starts anew, some slow down"] = anew
+	names := make([]string, 0, len(plans))
+	for name := range plans {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		for _, load := range []float64{0.7, 1.4} {
+			for _, place := range []bool{false, true} {
+				plan := plans[name]
+				if place && !plan.replace {
+					continue // a place counts only where workers are cold
+				}
+				plan.load = load
+				plan.length = min(plan.length, 10)
+				sum, actions := replayed(t, plan, 3, place)
+				record(fmt.Sprintf("%s, load %.1f, place told %v", name, load, place), sum, actions)
+			}
+		}
+	}
+	for v, s := range variants() {
+		for seed := int64(1000); seed < 1010; seed++ {
+			trace := drive(t, s, seed, 800)
+			sum := fnv.New64a()
+			fmt.Fprint(sum, strings.Join(trace, "\n"))
+			record(fmt.Sprintf("odd events, variant %d, seed %d", v, seed), sum.Sum64(), len(trace))
+		}
+	}
+	file := filepath.Join("testdata", "replay.txt")
+	if os.Getenv("REPLAY_RECORD") != "" {
+		if err := os.WriteFile(file, []byte(strings.Join(got, "\n")+"\n"), 0o644); err != nil {
+			t.Fatal(err)
+		}
+		return
+	}
+	recorded, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := strings.Split(strings.TrimSpace(string(recorded)), "\n")
+	if len(want) != len(got) {
+		t.Fatalf("%d runs, %d are recorded", len(got), len(want))
+	}
+	for i := range got {
+		if got[i] != want[i] {
+			t.Errorf("got  %s\nwant %s", got[i], want[i])
+		}
+	}
+}
