--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -33,7 +33,7 @@
 	if best == nil {
 		return Choice{}, &Refusal{RetryAfter: p.backoff(now, r, 0), Reason: "no runner may take the request"}
 	}
-	if wait := p.waitAt(s, best, &d); rank >= rankNoRoom && p.hopeless(now, s, r, wait) {
+	if wait := p.waitAt(s, best); rank >= rankNoRoom && p.hopeless(now, s, r, wait) {
 		return Choice{}, &Refusal{RetryAfter: p.backoff(now, r, wait), Reason: "all runners are over their ceilings"}
 	}
 	return Choice{Runner: best.ID, Address: best.Address, Priority: priority(s, r)}, nil
@@ -189,16 +189,11 @@
 func (r *Request) repeats() bool { return len(r.Tried) > r.unreached }
 
 // waitAt is how long a request would wait at a runner before its prompt is read, or its slot is free; seconds.
-func (p *Placer) waitAt(s *service, w *runner, d *demand) float64 {
-	wait := w.wait
+func (p *Placer) waitAt(s *service, w *runner) float64 {
 	if s.isEngine() {
-		return wait
+		return math.Max(w.wait, w.util*lateShare*p.target)
 	}
-	over := w.load - w.size
-	if over > 0 && w.size > 0 {
-		wait = math.Max(wait, over/w.size*p.target*lateShare/2)
-	}
-	return wait
+	return math.Max(w.wait, (w.load-w.size)/w.size*s.took)
 }
 
 // hopeless says that even the best runner would answer too late, while the runners have hardly a place left.
--- a/internal/placement/cold.go
+++ b/internal/placement/cold.go
@@ -12,8 +12,10 @@
 // there are more proxies than the runner bears requests, only those use it that come first in an order drawn from the
 // runner and the proxies' keys: whoever knows of more proxies than another comes no earlier.
 
-// isCold says whether a runner is cold.
-func (w *runner) isCold(now time.Duration) bool { return now < w.ColdUntil }
+// isCold says whether a runner is cold, or may be: the list lags behind, and one that was silent may come back cold.
+func (w *runner) isCold(now time.Duration) bool {
+	return now < w.ColdUntil || w.service.ColdFor > 0 && (w.suspect || now < w.guarded)
+}
 
 // coldRoom says whether this proxy may send to a cold runner now.
 func (p *Placer) coldRoom(now time.Duration, w *runner) bool {
@@ -22,7 +24,7 @@
 
 // coldSpacing is the time between two sends to a cold runner; 0: nothing may be sent.
 func (p *Placer) coldSpacing(now time.Duration, w *runner) time.Duration {
-	if p.proxies == 0 || now < p.started+joinHold {
+	if p.proxies == 0 || now < p.joined {
 		return 0 // the others may not count this one yet, and its last life may have sent just now
 	}
 	bound := coldShare * (w.service.ColdRate*p.options.ColdExcess + p.options.ColdSlack)
@@ -43,8 +45,8 @@
 		return false
 	}
 	mine, place := capacity.Scatter(w.key^p.self), 0
-	for _, key := range p.peers {
-		if capacity.Scatter(w.key^key) < mine {
+	for _, x := range p.peers {
+		if capacity.Scatter(w.key^x.key) < mine {
 			place++
 		}
 	}
--- a/internal/placement/kept.go
+++ b/internal/placement/kept.go
@@ -38,7 +38,7 @@
 	}
 	var draws [4]uint64
 	for _, w := range s.runners {
-		if w.Draining || w.GoneAt > 0 || w.isCold(now) || p.evac[w.Zone] || !isHome(r, w) || !w.serves(r.Model) {
+		if w.Draining || w.GoneAt > 0 || now < w.ColdUntil || p.evac[w.Zone] || !isHome(r, w) || !w.serves(r.Model) {
 			continue
 		}
 		draw := capacity.Scatter(d.chain ^ w.key)
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -21,6 +21,27 @@
 	prev, next *Attempt // among those of which nothing has come yet
 }
 
+// usage is what attempts take of a runner.
+type usage struct {
+	slots   float64 // weights
+	reading float64 // the part of them that is prompts being read
+	tokens  float64 // of memory
+}
+
+// move moves a running mean.
+func (u *usage) move(sample *usage, rate float64) {
+	capacity.Mean(&u.slots, sample.slots, rate)
+	capacity.Mean(&u.reading, sample.reading, rate)
+	capacity.Mean(&u.tokens, sample.tokens, rate)
+}
+
+// add adds a share of another usage.
+func (u *usage) add(other *usage, share float64) {
+	u.slots += other.slots * share
+	u.reading += other.reading * share
+	u.tokens += other.tokens * share
+}
+
 // attemptList holds attempts in the order in which they were sent.
 type attemptList struct{ head, tail *Attempt }
 
@@ -115,19 +136,16 @@
 func (p *Placer) measure(now time.Duration, s *service, elapsed float64) {
 	rate, fade := 1-math.Exp(-elapsed/meanSpan), math.Exp(-elapsed/waitFade)
 	recovered := math.Min(elapsed/p.longest, 1)
-	s.mean, s.token, s.errors = 0, 0, 0
+	s.mean, s.errors = usage{}, 0
 	judged := 0.0
 	for _, w := range s.runners {
-		capacity.Mean(&w.mean, w.own, rate)
-		capacity.Mean(&w.meanToken, w.ownTokens, rate)
-		capacity.Mean(&w.prefill, 0, rate)
+		w.mean.move(&w.own, rate)
 		w.wait *= fade
 		if a := w.pending.head; a != nil { // it has been waiting for longer than is usual: fresher news than any end
 			w.wait = math.Max(w.wait, (now-a.sent).Seconds()-p.expected(s, w, a.prefill))
 		}
 		w.ceilings.Recover(w.size, recovered)
-		s.mean += w.mean / float64(len(s.runners))
-		s.token += w.meanToken / float64(len(s.runners))
+		s.mean.add(&w.mean, 1/float64(len(s.runners)))
 		if w.standing.Judged {
 			s.errors, judged = s.errors+w.standing.Errors, judged+1
 		}
@@ -137,23 +155,16 @@
 
 // plan works out the room of a service's runners.
 func (p *Placer) plan(now time.Duration, s *service) {
-	others, sum, n := p.others(), 0.0, 0.0
+	sum, n := 0.0, 0.0
 	for _, w := range s.runners {
-		w.load = w.own + others*(ownWeight*w.mean+(1-ownWeight)*s.mean) + s.backlog(w)
-		w.util = p.utilization(s, w)
-		w.room = w.ceilings.Load*warmth(now, w) - w.load
-		w.tokens = math.Inf(1)
-		if s.isEngine() {
-			held := w.ownTokens + others*(ownWeight*w.meanToken+(1-ownWeight)*s.token)
-			w.tokens = memoryShare*float64(s.Backend.CacheTokens) - held
-		}
+		p.derive(now, s, w)
 		if w.standing.Judged && !w.Draining {
 			sum, n = sum+w.room, n+1
 		}
 	}
 	for _, w := range s.runners {
 		if !w.standing.Judged && n > 0 { // not heard from yet: the mean room of the others
-			w.room = math.Min(w.ceilings.Load*warmth(now, w), sum/n) - w.own
+			w.room = math.Min(w.ceilings.Load*warmth(now, w), sum/n) - w.own.slots
 		}
 		if w.util >= w.ceilings.Util {
 			w.room = math.Min(w.room, 0)
@@ -161,27 +172,42 @@
 	}
 }
 
+// derive works out a runner's load from this proxy's own requests there, from what the others are likely to have there,
+// and from the waits that were seen; and the room that is left of its ceiling.
+func (p *Placer) derive(now time.Duration, s *service, w *runner) {
+	all, others := w.own, p.others()
+	all.add(&w.mean, others*ownWeight)
+	all.add(&s.mean, others*(1-ownWeight))
+	waiting := s.backlog(w)
+	w.load = all.slots + math.Max(waiting-all.reading, 0)
+	w.util = w.load / w.size
+	w.tokens = math.Inf(1)
+	if s.isEngine() {
+		w.util = s.readingTime(math.Max(waiting, all.reading)) / (lateShare * p.target)
+		w.tokens = memoryShare*float64(s.Backend.CacheTokens) - all.tokens
+	}
+	w.room = w.ceilings.Load*warmth(now, w) - w.load
+}
+
 // backlog is the load that waits have shown, in slots.
 func (s *service) backlog(w *runner) float64 {
-	if w.wait <= 0 {
-		return 0
-	}
-	if s.isEngine() && s.speed > 0 {
-		return w.wait * s.speed / s.unit()
-	}
-	return 0
+	slots := 0.0
+	switch {
+	case w.wait <= 0:
+	case s.isEngine():
+		slots = w.wait * s.speed / s.unit()
+	case s.took > 0:
+		slots = w.wait / s.took * w.size
+	}
+	return math.Min(slots, mostBacklog*w.size)
 }
 
-// utilization is the share of its time that a runner is derived to be busy: an engine with reading prompts, any other
-// runner with the slots that are taken.
-func (p *Placer) utilization(s *service, w *runner) float64 {
-	if !s.isEngine() {
-		return w.load / w.size
-	}
+// readingTime is how long an engine reads prompts of such a weight, in seconds; 0: its speed is not known.
+func (s *service) readingTime(slots float64) float64 {
 	if s.speed <= 0 {
 		return 0
 	}
-	return w.prefill * (1 + p.others()) / s.speed
+	return slots * s.unit() / s.speed
 }
 
 // warmth is the share of its ceiling that a runner is held to bear.
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -46,21 +46,26 @@
 		a.reading = a.prefill / s.unit()
 		a.weight += a.reading
 	}
-	a.load = w.load + a.weight
+	a.load = w.strain() + a.weight
+}
+
+// strain is a runner's load as its ceilings see it: near the utilization ceiling is as near as near the load ceiling.
+func (w *runner) strain() float64 {
+	return math.Max(w.load, w.util/w.ceilings.Util*w.ceilings.Load)
 }
 
 // take books an attempt on its runner.
 func (w *runner) take(a *Attempt) {
-	w.own, w.load, w.room = w.own+a.weight, w.load+a.weight, w.room-a.weight
-	w.ownTokens, w.tokens = w.ownTokens+a.tokens, w.tokens-a.tokens
-	w.prefill += a.prefill / meanSpan
+	w.own.add(&usage{a.weight, a.reading, a.tokens}, 1)
+	w.load, w.room, w.tokens = w.load+a.weight, w.room-a.weight, w.tokens-a.tokens
 	w.ownJobs++
 	w.pending.push(a)
 }
 
 // lighten takes the weight of reading off: the prompt has been read.
 func (w *runner) lighten(a *Attempt) {
-	w.own, w.load, w.room = w.own-a.reading, w.load-a.reading, w.room+a.reading
+	w.own.add(&usage{a.reading, a.reading, 0}, -1)
+	w.load, w.room = w.load-a.reading, w.room+a.reading
 	a.weight -= a.reading
 	a.reading = 0
 	w.pending.remove(a)
@@ -71,11 +76,11 @@
 	if !a.first {
 		w.lighten(a)
 	}
-	w.own, w.load, w.room = w.own-a.weight, w.load-a.weight, w.room+a.weight
-	w.ownTokens, w.tokens = w.ownTokens-a.tokens, w.tokens+a.tokens
+	w.own.add(&usage{a.weight, 0, a.tokens}, -1)
+	w.load, w.room, w.tokens = w.load-a.weight, w.room+a.weight, w.tokens+a.tokens
 	w.ownJobs--
 	if w.ownJobs == 0 {
-		w.own, w.ownTokens = 0, 0 // whatever rounding has left
+		w.own = usage{} // whatever rounding has left
 	}
 	if w.probing == a {
 		w.probing = nil
@@ -90,7 +95,7 @@
 	w := a.runner
 	a.first = true
 	w.lighten(a)
-	w.clear()
+	w.answered(now)
 	p.learnFirst(a, (now - a.sent).Seconds())
 }
 
@@ -138,21 +143,21 @@
 	a.ended = true
 	w := a.runner
 	if !a.first && outcome == Served {
-		p.firstKnown(a, progress)
+		p.firstKnown(now, a, progress)
 	}
 	w.give(a)
 	p.learn(now, a, outcome, progress)
 }
 
 // firstKnown takes the first answer where nobody told of it when it came.
-func (p *Placer) firstKnown(a *Attempt, progress Progress) {
+func (p *Placer) firstKnown(now time.Duration, a *Attempt, progress Progress) {
 	after := progress.FirstAfter
 	if after <= 0 {
 		after = progress.Took
 	}
 	a.first = true
 	a.runner.lighten(a)
-	a.runner.clear()
+	a.runner.answered(now)
 	p.learnFirst(a, after.Seconds())
 }
 
@@ -174,6 +179,7 @@
 		w.doubt(now)
 		p.blame(now, w, 1)
 	case WrongRunner: // whoever has the address now is not the runner that was meant
+		w.suspectFor = suspectMost
 		w.doubt(now)
 	}
 }
@@ -190,6 +196,7 @@
 	}
 	capacity.Mean(&stats.spread, math.Abs(took-stats.took), learnSlow)
 	capacity.Mean(&stats.took, took, learnSlow)
+	capacity.Mean(&w.service.took, took, learnSlow)
 	if s := w.service; s.isEngine() && r.TokensOut > 0 && progress.Events > 0 {
 		out := float64(progress.Events*max(s.Backend.Stride, 1)) / float64(r.TokensOut)
 		capacity.Mean(&stats.outShare, math.Min(out, 1), learnSlow)
@@ -238,8 +245,13 @@
 	w.suspectUntil = now + w.suspectFor
 }
 
-// clear notes that the runner answers.
-func (w *runner) clear() { w.suspect, w.suspectFor, w.probing = false, 0, nil }
+// answered notes that the runner answers. One that was silent may have become cold meanwhile.
+func (w *runner) answered(now time.Duration) {
+	if w.suspect {
+		w.guarded = now + guardSpan
+	}
+	w.suspect, w.suspectFor, w.probing = false, 0, nil
+}
 
 // doubtful says whether a runner is set aside, or suspect and not to be tried now: once its span is over, a single
 // request finds out whether it is back.
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -11,6 +11,7 @@
 	zoneShare    = 0.025                  // of its size by which a runner in the own zone is preferred, at least zoneLeast
 	zoneLeast    = 1.0
 	lateShare    = 0.6  // of a target that a first answer may take before it is a sign of load
+	mostBacklog  = 2.0  // multiples of its size that waits may add to a runner's load
 	fullSpan     = 0.25 // of the tightest target for which a runner that was full gets nothing, if another may
 	memoryShare  = 0.95 // of a runner's memory that is planned with
 	speedStep    = 0.05 // by which the speed of reading follows what is seen
@@ -21,7 +22,9 @@
 	keptEntries  = 512
 	coldShare    = 0.8             // of the bound on cold runners that is planned with
 	coldSpan     = 1.05            // seconds; the bound is for one
-	joinHold     = 2 * time.Second // after a start, until others count this proxy
+	joinHold     = 2 * time.Second // after a start or a sleep, until others count this proxy
+	asleepAfter  = time.Second     // without a call: the process was frozen
+	guardSpan    = 2 * time.Second // in which the list comes to show that a runner is cold
 	fewerHold    = 2 * time.Second
 	coldLoad     = 0.25 // of its ceiling that a cold runner is held to bear
 	retryShare   = 0.7  // of the ratio of retries that is planned with
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -26,16 +26,14 @@
 	room     float64 // the plan: spare slots, lowered by each send until the next one
 	tokens   float64 // the plan: free tokens, likewise; engines only
 	load     float64 // derived load of all proxies, as of the last plan
+	util     float64 // derived utilization, likewise
 
-	own       float64 // weight of this proxy's attempts in flight
+	own       usage // of this proxy's attempts in flight
+	mean      usage // the same, over about meanSpan
 	ownJobs   int
-	ownTokens float64
-	mean      float64 // own, over about meanSpan
-	meanToken float64 // ownTokens, likewise
 	wait      float64 // time beyond the expected that first answers have lately taken, in seconds
-	prefill   float64 // tokens read for this proxy in a second, as a running mean
-	util      float64 // derived utilization
 	fullUntil time.Duration
+	guarded   time.Duration // until then it may be cold, and the list may not show it yet
 
 	pending      attemptList // sent, and nothing has come yet
 	suspectUntil time.Duration
@@ -53,9 +51,9 @@
 	runners []*runner // in the order of their ids
 	budget  retryBudget
 	speed   float64 // prompt tokens read in a second by a runner that reads nothing else; 0: not seen yet
+	took    float64 // running mean of the time that an answer takes, in seconds
 	errors  float64 // mean error share of the runners that have been judged
-	mean    float64 // mean of the runners' means
-	token   float64
+	mean    usage   // mean of the runners' means
 	kept    keptMemory
 }
 
@@ -77,11 +75,13 @@
 
 	started  time.Duration // when it first was told anything
 	begun    bool
-	proxies  int // that may be sending; 0: not told yet
-	fewer    int // the count that was told last, where it is lower
+	awakeAt  time.Duration // when it was last asked or told anything
+	joined   time.Duration // from then on the others count this proxy
+	proxies  int           // that may be sending; 0: not told yet
+	fewer    int           // the count that was told last, where it is lower
 	fewerAt  time.Duration
 	self     uint64
-	peers    []uint64
+	peers    []peer // empty: only their number was told
 	planAt   time.Duration
 	target   float64 // tightest aim of a route seen, in seconds
 	longest  float64 // longest time-out of a route seen
@@ -90,6 +90,12 @@
 	speeds   map[string]float64
 }
 
+// peer is another proxy, or this one, by its key.
+type peer struct {
+	key   uint64
+	until time.Duration // it was left out of what was told last, and counts no longer from then on; 0: it was named
+}
+
 // regionStats are what is known of a region.
 type regionStats struct {
 	name string
@@ -128,11 +134,16 @@
 	return errors.Join(findings...)
 }
 
-// begin notes when the placer was first told or asked anything.
+// begin notes that the placer was told or asked something. After a start, and after a sleep, others may not count this
+// proxy for a while.
 func (p *Placer) begin(now time.Duration) {
 	if !p.begun {
 		p.begun, p.started, p.planAt = true, now, now
+		p.joined = now + joinHold
+	} else if now-p.awakeAt > asleepAfter {
+		p.joined = now + joinHold
 	}
+	p.awakeAt = now
 }
 
 // serviceOf finds a service, or makes one that the configuration has not named yet.
@@ -157,6 +168,7 @@
 		for _, w := range s.runners {
 			w.resize()
 		}
+		p.plan(now, s)
 	}
 	p.forget()
 }
@@ -188,11 +200,13 @@
 	}
 	if changed {
 		p.rejoin()
-		p.rebuild(now, 0)
+	}
+	for _, s := range p.services {
+		p.plan(now, s)
 	}
 }
 
-// setRunner takes one runner and says whether the plan changes by it.
+// setRunner takes one runner and says whether the lists of the services change by it.
 func (p *Placer) setRunner(told *Runner) bool {
 	w := p.runners[told.ID]
 	isNew := w == nil
@@ -200,13 +214,14 @@
 		w = &runner{key: xxhash.Sum64String(told.ID)}
 		p.runners[told.ID] = w
 	}
-	moved := isNew || w.Service != told.Service || w.Capacity != told.Capacity || w.Draining != told.Draining ||
-		w.Zone != told.Zone || w.ColdUntil != told.ColdUntil
+	moved := isNew || w.Service != told.Service
 	w.Runner, w.here = *told, true
 	if w.Region == "" {
 		w.Region = p.options.Zones[w.Zone]
 	}
-	w.service = p.serviceOf(w.Service)
+	if moved {
+		w.service = p.serviceOf(w.Service)
+	}
 	w.resize()
 	if isNew {
 		p.recall(w)
@@ -247,6 +262,11 @@
 // SetEvacuated takes the zones whose runners get nothing, the whole set.
 func (p *Placer) SetEvacuated(now time.Duration, zones map[string]bool) {
 	p.begin(now)
+	for _, w := range p.runners {
+		if p.evac[w.Zone] && !zones[w.Zone] { // it may have become cold meanwhile
+			w.guarded = now + guardSpan
+		}
+	}
 	clear(p.evac)
 	for zone, gone := range zones {
 		if gone {
@@ -267,11 +287,28 @@
 // shared among more proxies than a cold runner bears requests in a second.
 func (p *Placer) SetPeers(now time.Duration, self uint64, peers []uint64) {
 	p.begin(now)
-	p.self, p.peers = self, append(p.peers[:0], peers...)
-	if !slices.Contains(p.peers, self) {
-		p.peers = append(p.peers, self)
+	p.self = self
+	for i := range p.peers {
+		if x := &p.peers[i]; x.until == 0 && !slices.Contains(peers, x.key) {
+			x.until = now + fewerHold
+		}
+	}
+	p.name(self)
+	for _, key := range peers {
+		p.name(key)
 	}
-	p.count(now, len(p.peers))
+	p.proxies, p.fewer = len(p.peers), 0
+}
+
+// name counts a proxy that was named.
+func (p *Placer) name(key uint64) {
+	for i := range p.peers {
+		if p.peers[i].key == key {
+			p.peers[i].until = 0
+			return
+		}
+	}
+	p.peers = append(p.peers, peer{key: key})
 }
 
 func (p *Placer) count(now time.Duration, n int) {
@@ -291,6 +328,10 @@
 	if p.fewer > 0 && now >= p.fewerAt {
 		p.proxies, p.fewer = p.fewer, 0
 	}
+	if len(p.peers) > 0 {
+		p.peers = slices.DeleteFunc(p.peers, func(x peer) bool { return x.until > 0 && now >= x.until })
+		p.proxies = len(p.peers)
+	}
 }
 
 // others is the number of other proxies, as far as it is known.
