--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -6,18 +6,18 @@
 const (
 	planPeriod   = 100 * time.Millisecond // monitoring period
 	meanSpan     = 1.5                    // seconds over which own loads are averaged to guess those of others
-	ownWeight    = 0.5                    // of a runner's own mean in that guess; the rest is the mean of all runners
-	waitFade     = 1.0                    // seconds in which a wait that was seen stops counting
-	zoneShare    = 0.025                  // of its size by which a runner in the own zone is preferred, at least zoneLeast
-	zoneLeast    = 1.0
+	ownWeight    = 0.35                   // of a runner's own mean in that guess; the rest is the mean of all runners
+	waitFade     = 0.5                    // seconds in which a wait that was seen stops counting
+	zoneShare    = 0.0125                 // of its size by which a runner in the own zone is preferred, at least zoneLeast
+	zoneLeast    = 0.5
 	lateShare    = 0.6  // of a target that a first answer may take before it is a sign of load
 	mostBacklog  = 2.0  // multiples of its size that waits may add to a runner's load
 	fullSpan     = 0.25 // of the tightest target for which a runner that was full gets nothing, if another may
 	memoryShare  = 0.95 // of a runner's memory that is planned with
 	speedStep    = 0.05 // by which the speed of reading follows what is seen
 	speedAt      = 0.8  // the share of prompts that are read more slowly than the speed learnt
-	keptPrice    = 2.0  // reading a shared part again costs this multiple of its time, since it is priced
-	keptLeast    = 2.0  // slots by which the owner of a chain is preferred at least
+	keptPrice    = 4.0  // reading a shared part again costs this multiple of its time, since it is priced
+	keptLeast    = 4.0  // slots by which the owner of a chain is preferred at least
 	keptSpan     = 30 * time.Second
 	keptEntries  = 512
 	coldShare    = 0.8             // of the bound on cold runners that is planned with
--- a/internal/placement/world_test.go
+++ b/internal/placement/world_test.go
@@ -120,7 +120,9 @@
 	return w
 }
 
-func worldRegions() map[string]string { return map[string]string{"m": "west", "t": "west", "p": "east"} }
+func worldRegions() map[string]string {
+	return map[string]string{"m": "west", "t": "west", "p": "east"}
+}
 
 func worldOptions(zone string) Options {
 	return Options{Zone: zone, Region: worldRegions()[zone], Zones: worldRegions(), RetryRatio: 0.2, RetryWindow: 10 * time.Second,
