--- a/cmd/cinderroad-proxy/main.go
+++ b/cmd/cinderroad-proxy/main.go
@@ -6,7 +6,6 @@
 	"context"
 	"fmt"
 	"hash/maphash"
-	"net/netip"
 	"os"
 	"os/signal"
 	"runtime"
@@ -101,9 +100,8 @@
 
 // follow links the proxy to the agent of its machine.
 func follow(ctx context.Context, loop *transport.Loop, log *zap.Logger, p *proxy.Proxy, settings *environment.Settings) {
-	loopback := netip.AddrFrom4([4]byte{127, 0, 0, 1})
 	link := uplink.New(log, uplink.Options{
-		Agent:            netip.AddrPortFrom(loopback, settings.Port(environment.AgentFeedPort)),
+		Agent:            settings.FeedAddress(),
 		Node:             settings.Node,
 		RunnerPartitions: runnerPartitions,
 		Deliver:          func(u uplink.Update) { loop.Post(func() { p.Take(u) }) },
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -46,7 +46,7 @@
 	Version  string // of the program
 	Log      *zap.Logger
 
-	loopback netip.Addr // address at which the proxy is served; the zero value: 127.0.0.1
+	loopback netip.Addr // address at which the proxy is served; the zero value: as the settings have it
 }
 
 // Agent is a running agent.
@@ -97,10 +97,11 @@
 }
 
 func (a *Agent) open(ctx context.Context, loopback netip.Addr) error {
-	if !loopback.IsValid() {
-		loopback = netip.AddrFrom4([4]byte{127, 0, 0, 1})
+	feed := a.settings.FeedAddress()
+	if loopback.IsValid() {
+		feed = netip.AddrPortFrom(loopback, feed.Port())
 	}
-	local, err := listen(ctx, netip.AddrPortFrom(loopback, a.settings.Port(environment.AgentFeedPort)))
+	local, err := listen(ctx, feed)
 	if err != nil {
 		return fmt.Errorf("agent: cannot listen for the proxy, check that no other agent runs: %w", err)
 	}
--- a/internal/environment/environment.go
+++ b/internal/environment/environment.go
@@ -50,6 +50,16 @@
 // Port is the port with the given offset from the first free one.
 func (s *Settings) Port(offset uint16) uint16 { return s.FreePorts.First + offset }
 
+// FeedAddress is where the agent serves the proxy of its machine: 127.0.0.1, or the machine's own address if that is a
+// loopback address itself, since several machines on one host would share 127.0.0.1.
+func (s *Settings) FeedAddress() netip.AddrPort {
+	address := netip.AddrFrom4([4]byte{127, 0, 0, 1})
+	if s.IP.IsLoopback() {
+		address = s.IP
+	}
+	return netip.AddrPortFrom(address, s.Port(AgentFeedPort))
+}
+
 // Limits are what the process may use.
 type Limits struct {
 	CPUFraction float64 // of one core
