--- a/cmd/cinderroad-emulator/policies.go
+++ b/cmd/cinderroad-emulator/policies.go
@@ -16,7 +16,7 @@
 	Load     float64       `default:"1" help:"Multiple of every rate."`
 	Length   time.Duration `default:"34s" help:"Of the traffic."`
 	Seed     uint64        `default:"1" help:"Of the traffic and of the policies."`
-	Seeds    int           `default:"1" help:"Runs of each policy, with seeds that follow each other."`
+	Seeds    int           `default:"1" help:"Runs of each policy, with seeds that follow each other; means are told."`
 	Burst    string        `help:"Class whose rate is multiplied by 2.5 from 10 s on, for 10 s."`
 	Crash    int           `help:"Runners that crash at 12 s, for 4.5 s."`
 	Dark     bool          `help:"Runners that crash say nothing, instead of losing their connections."`
@@ -38,6 +38,7 @@
 	if err != nil {
 		return err
 	}
+	p.Seeds = max(1, p.Seeds)
 	jobs := make(chan struct{}, p.jobs())
 	results := make([]*experiment.Result, len(contestants)*p.Seeds)
 	errs := make([]error, len(results))
@@ -57,7 +58,11 @@
 			return err
 		}
 	}
-	return experiment.Print(os.Stdout, results)
+	means := make([]*experiment.Result, len(contestants))
+	for i := range means {
+		means[i] = experiment.Mean(results[i*p.Seeds : (i+1)*p.Seeds])
+	}
+	return experiment.Print(os.Stdout, means)
 }
 
 func (p *policies) jobs() int {
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -2,10 +2,7 @@
 
 import (
 	"cmp"
-	"fmt"
-	"io"
 	"slices"
-	"text/tabwriter"
 	"time"
 
 	"cinderroad/internal/placement"
@@ -88,10 +85,13 @@
 	Rejected    int64 // by runners
 	Sends       int
 	Repeats     int
-	CrossRegion int // sends
-	ColdWorst   int // requests that a cold runner got in a second
-	ColdBroken  int // requests to cold runners above what they bear
-	Refusals    map[string]int
+	CrossRegion int            // sends
+	ColdWorst   int            // requests that a cold runner got in a second
+	ColdBroken  int            // requests to cold runners above what they bear
+	Refusals    map[string]int // by reason
+
+	Runs           int     // that this is the mean of; 0: it is one run
+	ShareDeviation float64 // standard deviation of Share over the runs
 }
 
 func (w *world) result(policy string) *Result {
@@ -229,24 +229,3 @@
 	slices.Sort(values)
 	return values[min(len(values)-1, int(q*float64(len(values))))]
 }
-
-// Print writes results as tables.
-func Print(out io.Writer, results []*Result) error {
-	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "policy\tshare\tworst 1 s\tworst 5 s\tshared read k\tagain k\town k\tpreempted\trejected\tsends\trepeats\tcross-region\tcold worst\tcold over\t")
-	for _, r := range results {
-		fmt.Fprintf(table, "%s\t%.3f\t%.3f\t%.3f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t\n", r.Policy, r.Share, r.WorstSecond, r.WorstFive,
-			r.SharedRead/1000, r.SharedAgain/1000, r.OwnRead/1000, r.Preemptions, r.Rejected, r.Sends, r.Repeats, r.CrossRegion,
-			r.ColdWorst, r.ColdBroken)
-	}
-	fmt.Fprintln(table, "\t\t\t\t\t\t\t\t\t\t\t\t\t\t")
-	fmt.Fprintln(table, "policy\tclass\tcalls\tin time\tlate\trefused\tfailed\tworth\tlargest 10% in time\tnext 20%\tfirst p50\tp95\tp99\t\t")
-	for _, r := range results {
-		for _, c := range r.Classes {
-			fmt.Fprintf(table, "%s\t%s\t%d\t%.3f\t%d\t%d\t%d\t%.3f\t%.3f\t%.3f\t%v\t%v\t%v\t\t\n", r.Policy, c.Name, c.Calls, c.InTimeOfCalls,
-				c.Late, c.Refused, c.Failed, ratio(c.Earned, c.Due), c.LargestInTime, c.LargeInTime,
-				c.First50.Round(time.Millisecond), c.First95.Round(time.Millisecond), c.First99.Round(time.Millisecond))
-		}
-	}
-	return table.Flush()
-}
