--- a/internal/control/api/api.go
+++ b/internal/control/api/api.go
@@ -127,7 +127,7 @@
 func readBasedOn(r *http.Request) (uint64, error) {
 	text := strings.TrimSpace(r.Header.Get(HeaderBasedOn))
 	if text == "" {
-		return 0, invalid("header " + HeaderBasedOn + " is missing: it names the version that the change builds on, 0 for the first")
+		return 0, invalid("header " + HeaderBasedOn + " is missing; it names the version to build on, 0 for the first")
 	}
 	version, err := strconv.ParseUint(text, 10, 64)
 	if err != nil {
--- /dev/null
+++ b/internal/control/process.go
@@ -0,0 +1,346 @@
+// Package control is the process of a core machine: replicas of the control state, the operator's API, the directory,
+// the feed for agents, and the discovery of runners.
+package control
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/multierr"
+	"go.uber.org/zap"
+
+	"cinderroad/internal/control/api"
+	"cinderroad/internal/control/directory"
+	"cinderroad/internal/control/duty"
+	"cinderroad/internal/control/following"
+	"cinderroad/internal/control/state"
+	"cinderroad/internal/discovery"
+	"cinderroad/internal/environment"
+	"cinderroad/internal/feed"
+	"cinderroad/internal/gossip"
+	"cinderroad/internal/replica"
+	"cinderroad/internal/rpc"
+)
+
+// RunnerPartitions is how many partitions hold runners. All machines of a system count the same.
+const RunnerPartitions = 2
+
+// Times of a process.
+const (
+	hintEvery         = time.Second             // between two looks of the replicas at what membership tells
+	serveOnFor        = 1500 * time.Millisecond // after SIGTERM, while others are told
+	finishWithin      = time.Second             // for calls that are under way when the servers stop
+	exitMargin        = time.Second             // before the end of the grace period
+	staleWhenStopping = 10 * time.Second        // age told to followers, so that they turn to another machine
+	listenAgain       = 100 * time.Millisecond
+	listenFor         = 5 * time.Second // for an address that an earlier process still holds
+)
+
+// Limits of connections to the control RPC: every agent may follow, and replicas call each other.
+const (
+	rpcConnections = 1024
+	rpcCalls       = 64
+)
+
+// Options are a process's.
+type Options struct {
+	Settings *environment.Settings
+	Version  string // of the program
+	Log      *zap.Logger
+}
+
+// Process is a running control process.
+type Process struct {
+	log      *zap.Logger
+	settings atomic.Pointer[environment.Settings]
+	started  time.Time
+	stopping atomic.Bool
+
+	configuration *state.Configuration
+	runners       []*state.Runners
+	host          *replica.Host
+	gossip        *gossip.Gossip
+	feed          *following.Server
+	duty          *duty.Duty
+
+	servers  []*http.Server
+	failures chan error
+	context  context.Context
+	cancel   context.CancelFunc
+	running  sync.WaitGroup
+}
+
+// Start opens the process's addresses and runs it. The context ends only the opening.
+func Start(ctx context.Context, options Options) (*Process, error) {
+	p := &Process{log: options.Log, started: time.Now(), failures: make(chan error, 8)}
+	p.settings.Store(options.Settings)
+	p.context, p.cancel = context.WithCancel(context.Background())
+	notifier := following.NewNotifier(p.now, func(d time.Duration, f func()) { time.AfterFunc(d, f) })
+	p.makeStates(notifier)
+	p.makeHost(options)
+	p.makeFeed(notifier)
+	p.makeDuty()
+	if err := p.open(ctx, options); err != nil {
+		p.cancel()
+		return nil, err
+	}
+	p.host.Start()
+	p.running.Go(func() { p.duty.Run(p.context) })
+	p.running.Go(func() { p.watch(p.context) })
+	return p, nil
+}
+
+// now is the steady time since the start.
+func (p *Process) now() time.Duration { return time.Since(p.started) }
+
+func (p *Process) makeStates(notifier *following.Notifier) {
+	p.configuration = state.NewConfiguration(p.now, notifier.Changed)
+	for i := range RunnerPartitions {
+		p.runners = append(p.runners, state.NewRunners(feed.Partition(i+1), p.now, notifier.Changed))
+	}
+}
+
+func (p *Process) makeHost(options Options) {
+	states := []replica.StateMachine{p.configuration}
+	for _, runners := range p.runners {
+		states = append(states, runners)
+	}
+	p.host = replica.New(replica.Options{Settings: options.Settings, States: states, Log: options.Log, Failed: p.fail})
+}
+
+func (p *Process) makeFeed(notifier *following.Notifier) {
+	sources := []following.Source{p.configuration}
+	for _, runners := range p.runners {
+		sources = append(sources, runners)
+	}
+	p.feed = following.New(following.Options{
+		Sources:  sources,
+		Notifier: notifier,
+		Now:      p.now,
+		Fresh:    p.fresh,
+		Proxies:  func() int { return p.gossip.Proxies() },
+	})
+}
+
+// fresh is how long ago all replicas were last known to be up to date.
+func (p *Process) fresh() time.Duration {
+	var age time.Duration
+	for partition := range feed.Partition(1 + RunnerPartitions) {
+		age = max(age, p.host.Fresh(partition))
+	}
+	if p.stopping.Load() {
+		age = max(age, staleWhenStopping)
+	}
+	return age
+}
+
+func (p *Process) makeDuty() {
+	settings := p.settings.Load()
+	var partitions []duty.Partition
+	for _, runners := range p.runners {
+		partitions = append(partitions, runners)
+	}
+	client := discovery.NewClient(discovery.ClientOptions{
+		Address: settings.CloudAPI.Address,
+		Dropped: func(err *discovery.DroppedEntriesError) {
+			p.log.Warn("entries of the list of runners make no sense", zap.Error(err))
+		},
+	})
+	p.duty = duty.New(duty.Options{Lister: client, Replicas: p.host, Partitions: partitions,
+		RatePerS: settings.CloudAPI.RatePerS, Now: p.now, Log: p.log})
+}
+
+// open opens the addresses that the settings name and serves them.
+func (p *Process) open(ctx context.Context, options Options) (err error) {
+	settings := options.Settings
+	defer func() {
+		if err != nil {
+			err = multierr.Append(err, p.closeServers())
+		}
+	}()
+	if p.gossip, err = p.startGossip(ctx, options); err != nil {
+		return err
+	}
+	if err = p.serveRPC(ctx, settings); err != nil {
+		return err
+	}
+	if err = p.serveHTTP(ctx, settings.ListenOn.Control, p.operatorAPI()); err != nil {
+		return err
+	}
+	lookups := &directory.Handler{Members: p, TTLMax: settings.Timing.TTLMax}
+	return p.serveHTTP(ctx, settings.ListenOn.Directory, directoryOnly(lookups))
+}
+
+func (p *Process) startGossip(ctx context.Context, options Options) (*gossip.Gossip, error) {
+	joining := gossip.FromSettings(options.Settings, gossip.Control)
+	joining.Version, joining.Log = options.Version, options.Log
+	var member *gossip.Gossip
+	err := retry(ctx, func() (err error) {
+		member, err = gossip.Start(joining)
+		return err
+	})
+	if err != nil {
+		return nil, err
+	}
+	member.SetServing(gossip.ServingNow)
+	return member, nil
+}
+
+func (p *Process) serveRPC(ctx context.Context, settings *environment.Settings) error {
+	address := netip.AddrPortFrom(settings.IP, settings.Port(environment.ControlRPC))
+	listener, err := listen(ctx, address)
+	if err != nil {
+		return err
+	}
+	registry := rpc.NewRegistry()
+	p.host.Register(registry)
+	following.Call.Handle(registry, p.feed.Follow)
+	limits := rpc.Limits{Connections: rpcConnections, Calls: rpcCalls}
+	p.running.Go(func() {
+		if err := rpc.Serve(p.context, listener, registry, limits); err != nil {
+			p.fail(fmt.Errorf("control: RPC at %v ended: %w", address, err))
+		}
+	})
+	return nil
+}
+
+func (p *Process) operatorAPI() http.Handler {
+	return api.New(api.Options{Replicas: p.host, State: p.configuration, KnownZone: p.knowsZone, Status: p.status,
+		Log: p.log})
+}
+
+// knowsZone says whether the settings name the zone; they are read again where they do not.
+func (p *Process) knowsZone(zone string) bool {
+	if _, known := p.settings.Load().Zones[zone]; known {
+		return true
+	}
+	p.Reload()
+	_, known := p.settings.Load().Zones[zone]
+	return known
+}
+
+// Reload reads the settings file again. What needs a new process stays as it is.
+func (p *Process) Reload() {
+	settings, err := environment.Load()
+	if err != nil {
+		p.log.Warn("changed settings can't be read, the earlier ones stay", zap.Error(err))
+		return
+	}
+	p.settings.Store(settings)
+	p.gossip.Seek(gossip.SeedAddresses(settings))
+}
+
+func directoryOnly(lookups http.Handler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(directory.Path, lookups)
+	return mux
+}
+
+// serveHTTP serves an address; nothing is served at one that the settings do not name.
+func (p *Process) serveHTTP(ctx context.Context, address netip.AddrPort, handler http.Handler) error {
+	if !address.IsValid() {
+		return nil
+	}
+	listener, err := listen(ctx, address)
+	if err != nil {
+		return err
+	}
+	server := newServer(handler)
+	p.servers = append(p.servers, server)
+	p.running.Go(func() {
+		if err := server.Serve(listener); err != http.ErrServerClosed {
+			p.fail(fmt.Errorf("control: HTTP at %v ended: %w", address, err))
+		}
+	})
+	return nil
+}
+
+// listen opens an address, again for a while if an earlier process still holds it.
+func listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
+	var listener net.Listener
+	err := retry(ctx, func() (err error) {
+		listener, err = net.Listen("tcp4", address.String())
+		return err
+	})
+	if err != nil {
+		return nil, fmt.Errorf("control: listen on %v, check that no other process has the address: %w", address, err)
+	}
+	return listener, nil
+}
+
+func retry(ctx context.Context, open func() error) error {
+	ctx, cancel := context.WithTimeout(ctx, listenFor)
+	defer cancel()
+	for {
+		err := open()
+		if err == nil || !pause(ctx, listenAgain) {
+			return err
+		}
+	}
+}
+
+// pause waits and says whether the context goes on.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// fail has Run end: the process can't go on.
+func (p *Process) fail(err error) {
+	select {
+	case p.failures <- err:
+	default:
+	}
+}
+
+// Run returns nil once the context has ended and the process has handed over what it does, or an error if the process
+// can't go on.
+func (p *Process) Run(ctx context.Context) error {
+	select {
+	case err := <-p.failures:
+		p.stop(0)
+		return err
+	case <-ctx.Done():
+	}
+	p.log.Info("stopping")
+	grace := p.settings.Load().Timing.GracePeriod - exitMargin
+	p.stop(min(serveOnFor, max(0, grace/4)))
+	p.log.Info("stopped")
+	return nil
+}
+
+// stop tells the others, serves on for a while, ends what is under way and hands leadership over.
+func (p *Process) stop(serveOn time.Duration) {
+	p.stopping.Store(true)
+	p.gossip.SetServing(gossip.Stopping)
+	p.feed.Stop()
+	pause(context.Background(), serveOn)
+	p.closeServers()
+	p.host.Stop(context.Background())
+	p.cancel()
+	p.gossip.Leave()
+	p.running.Wait()
+}
+
+// closeServers ends the HTTP servers; calls under way have a while to end.
+func (p *Process) closeServers() error {
+	ctx, cancel := context.WithTimeout(context.Background(), finishWithin)
+	defer cancel()
+	var err error
+	for _, server := range p.servers {
+		err = multierr.Append(err, server.Shutdown(ctx))
+	}
+	return err
+}
