--- a/internal/emulator/day.go
+++ b/internal/emulator/day.go
@@ -65,6 +65,9 @@
 			return nil, err
 		}
 	}
+	if err := os.MkdirAll(o.Folder, 0o750); err != nil {
+		return nil, err
+	}
 	d := &day{options: o}
 	d.referee = referee.New(referee.Bounds{Drain: millis(defaultTiming.DrainWithinMS), Evacuate: millis(defaultTiming.EvacuateMS),
 		RetryRatio: defaultTiming.RetryRatio, RetryWindow: time.Duration(defaultTiming.RetryWindowS) * time.Second,
