--- a/internal/emulator/day.go
+++ b/internal/emulator/day.go
@@ -14,6 +14,7 @@
 	"cinderroad/internal/standin/client"
 	"cinderroad/internal/standin/cloud"
 	"cinderroad/internal/standin/referee"
+	"cinderroad/internal/standin/runner"
 )
 
 // Options describe a day.
@@ -34,6 +35,7 @@
 	readWait          = 10 * time.Second
 	pollEvery         = 50 * time.Millisecond
 	progressEvery     = time.Second
+	tenth             = 100 * time.Millisecond
 	firstVersion      = 3
 	cloudIP           = "127.2.0.1:0"
 )
@@ -50,6 +52,7 @@
 	load      *client.Load
 	routes    map[string]*client.Route // by class
 	document  document                 // that is in force
+	stats     []runner.Stats // of all runners, once they are closed
 	troubles  sync.WaitGroup
 }
 
@@ -248,12 +251,15 @@
 			return
 		case <-ticker.C:
 		}
+		for _, p := range d.processes {
+			p.noteMemory()
+		}
 		t := d.load.Tally()
 		inTime, refused, failed := 0, 0, 0
 		for _, r := range t.Routes {
 			inTime, refused, failed = inTime+r.InTime, refused+r.Refused, failed+r.Failed
 		}
-		d.say("serving", "at", time.Since(began).Round(time.Second), "calls", t.Calls, "in_time", inTime, "late", t.Served-inTime,
+		d.say("serving", "at", time.Since(began).Round(tenth), "calls", t.Calls, "in_time", inTime, "late", t.Served-inTime,
 			"refused", refused, "failed", failed, "retries", t.Retries, "breaches", len(d.referee.Breaches()))
 	}
 }
@@ -295,4 +301,7 @@
 	if d.cloud != nil {
 		d.cloud.Close()
 	}
+	if d.runners != nil {
+		d.stats = append(d.stats, d.runners.close()...)
+	}
 }
--- a/internal/emulator/process.go
+++ b/internal/emulator/process.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -31,8 +32,8 @@
 	killed  bool          // the next end was asked for
 	ended   chan struct{} // closed when it will not be started again
 	starts  int
-	ownEnds int // that nobody asked for
-	peak    int64
+	ownEnds int   // that nobody asked for
+	peak    int64 // kilobytes, as far as it was looked at
 }
 
 // startProcess starts a program on a machine.
@@ -73,9 +74,6 @@
 	for {
 		p.command.Wait()
 		p.mutex.Lock()
-		if usage, is := p.command.ProcessState.SysUsage().(*syscall.Rusage); is {
-			p.peak = max(p.peak, usage.Maxrss)
-		}
 		wanted := p.wanted
 		if wanted && !p.killed {
 			p.ownEnds++
@@ -109,6 +107,7 @@
 	p.mutex.Lock()
 	p.wanted = false
 	p.mutex.Unlock()
+	p.noteMemory()
 	p.signal(syscall.SIGTERM)
 	timer := time.NewTimer(grace)
 	defer timer.Stop()
@@ -121,7 +120,23 @@
 	<-p.ended
 }
 
-// peakMB is the most memory that one of its lives took, as far as they have ended.
+// noteMemory looks at the most memory that the present life has taken.
+func (p *process) noteMemory() {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	status, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.command.Process.Pid))
+	if err != nil {
+		return // it has ended
+	}
+	for line := range strings.Lines(string(status)) {
+		var kilobytes int64
+		if n, _ := fmt.Sscanf(line, "VmHWM: %d kB", &kilobytes); n == 1 {
+			p.peak = max(p.peak, kilobytes)
+		}
+	}
+}
+
+// peakMB is the most memory that one of its lives took.
 func (p *process) peakMB() float64 {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
--- a/internal/emulator/report.go
+++ b/internal/emulator/report.go
@@ -47,7 +47,7 @@
 )
 
 func (d *day) report() *Report {
-	r := &Report{Clients: d.load.Tally(), Runners: d.runners.close(), Cloud: d.cloud.Stats(), Repeats: d.referee.Repeats()}
+	r := &Report{Clients: d.load.Tally(), Runners: d.stats, Cloud: d.cloud.Stats(), Repeats: d.referee.Repeats()}
 	denied := 0
 	for _, route := range r.Clients.Routes {
 		denied += route.Denied
@@ -104,11 +104,12 @@
 		s.Connected += one.Connected
 		s.TurnedAway += one.TurnedAway
 		s.Probes += one.Probes
+		s.Faults += one.Faults
 		s.Machine.Prefilled += one.Machine.Prefilled
 		s.Machine.Preemptions += one.Machine.Preemptions
 	}
-	fmt.Fprintf(out, "runner_requests=%d rejected=%d misplaced=%d connections=%d connections_reset=%d probes=%d prefilled=%d preempted=%d\n",
-		s.Requests, s.Rejected, s.Misplaced, s.Connected, s.TurnedAway, s.Probes, s.Machine.Prefilled, s.Machine.Preemptions)
+	fmt.Fprintf(out, "runner_requests=%d rejected=%d misplaced=%d connections=%d connections_reset=%d probes=%d faults=%d prefilled=%d preempted=%d\n",
+		s.Requests, s.Rejected, s.Misplaced, s.Connected, s.TurnedAway, s.Probes, s.Faults, s.Machine.Prefilled, s.Machine.Preemptions)
 	fmt.Fprintf(out, "retries=%d repeats=%d unreached=%d lookups=%d failed_lookups=%d statuses=%v cloud_calls=%d cloud_refused=%d breaches=%d\n",
 		r.Clients.Retries, r.Repeats, r.Clients.Unreached, r.Clients.Lookups, r.Clients.FailedLookups, r.Clients.Statuses,
 		r.Cloud.Calls, r.Cloud.Refused, len(r.Breaches))
--- a/internal/emulator/runners.go
+++ b/internal/emulator/runners.go
@@ -1,6 +1,7 @@
 package emulator
 
 import (
+	"errors"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -38,9 +39,12 @@
 	entries map[string]cloud.Entry
 	service map[string]*experiment.Service // of a runner
 	gone    []runner.Stats
-	goneIDs []string
+	closed  bool
 }
 
+// errClosed says that the day is over.
+var errClosed = errors.New("the runners have been closed")
+
 func startRunners(s *experiment.Scenario, zones map[string]string, c *cloud.Cloud, r *referee.Referee) (*runners, error) {
 	rs := &runners{scenario: s, cloud: c, referee: r, zones: zones, entries: make(map[string]cloud.Entry),
 		service: make(map[string]*experiment.Service)}
@@ -60,6 +64,9 @@
 func (rs *runners) start(s *experiment.Service, zone string, cold time.Duration) (*runner.Runner, error) {
 	rs.mutex.Lock()
 	defer rs.mutex.Unlock()
+	if rs.closed {
+		return nil, errClosed
+	}
 	rs.started++
 	o, err := rs.options(s, zone)
 	if err != nil {
@@ -163,6 +170,20 @@
 	})
 }
 
+// spoil has all runners spoil some answers for a while, those of plain services and of engines alike.
+func (rs *runners) spoil(f runner.Faults, span time.Duration) {
+	rs.script(f)
+	time.AfterFunc(span, func() { rs.script(runner.Faults{}) })
+}
+
+func (rs *runners) script(f runner.Faults) {
+	rs.mutex.Lock()
+	defer rs.mutex.Unlock()
+	for _, r := range rs.up {
+		r.Script(f)
+	}
+}
+
 // replace starts another incarnation in place of one that is gone.
 func (rs *runners) replace(r *runner.Runner) {
 	rs.mutex.Lock()
@@ -178,7 +199,7 @@
 	for i, other := range rs.up {
 		if other == r {
 			rs.up = append(rs.up[:i], rs.up[i+1:]...)
-			rs.gone, rs.goneIDs = append(rs.gone, r.Stats()), append(rs.goneIDs, r.ID())
+			rs.gone = append(rs.gone, r.Stats())
 			return
 		}
 	}
@@ -188,11 +209,12 @@
 func (rs *runners) close() []runner.Stats {
 	rs.mutex.Lock()
 	defer rs.mutex.Unlock()
+	rs.closed = true
 	stats := rs.gone
 	for _, r := range rs.up {
 		stats = append(stats, r.Stats())
 		r.Close()
 	}
-	rs.up = nil
+	rs.up, rs.gone = nil, nil
 	return stats
 }
--- a/internal/emulator/trouble.go
+++ b/internal/emulator/trouble.go
@@ -9,6 +9,7 @@
 
 	"cinderroad/internal/standin/client"
 	"cinderroad/internal/standin/referee"
+	"cinderroad/internal/standin/runner"
 )
 
 // Trouble is something that happens during a day.
@@ -26,12 +27,13 @@
 	KillProxy      Trouble = "kill-proxy"
 	KillAgent      Trouble = "kill-agent"
 	StopProxy      Trouble = "stop-proxy" // with SIGTERM
+	SpoilAnswers   Trouble = "spoil"      // runners spoil some of their answers in all ways there are
 )
 
 // Troubles are all there are.
 func Troubles() []Trouble {
 	return []Trouble{DrainRunner, ShortNotice, CrashRunner, DarkRunner, ChangeSettings, EvacuateZone, KillControl, KillProxy, KillAgent,
-		StopProxy}
+		StopProxy, SpoilAnswers}
 }
 
 // ParseTrouble reads a name.
@@ -48,8 +50,12 @@
 	evacuatedFor = 8 * time.Second
 	versionStep  = 4
 	probeWait    = 5 * time.Second
+	spoiltFor    = 8 * time.Second
 )
 
+// spoilt are the shares of answers that are spoilt.
+var spoilt = runner.Faults{BreakOff: 0.03, Extra: 0.03, ExtraLate: 0.03, Garbage: 0.02, Silent: 0.01, Reset: 0.03, Close: 0.03}
+
 // schedule has a trouble come at a time.
 func (d *day) schedule(ctx context.Context, t Trouble, at time.Duration) {
 	d.troubles.Add(1)
@@ -90,6 +96,8 @@
 		return d.first(proxy).signal(syscall.SIGKILL)
 	case KillAgent:
 		return d.first(agent).signal(syscall.SIGKILL)
+	case SpoilAnswers:
+		d.runners.spoil(spoilt, spoiltFor)
 	case StopProxy:
 		return d.first(proxy).signal(syscall.SIGTERM)
 	}
