--- a/internal/emulator/day.go
+++ b/internal/emulator/day.go
@@ -52,7 +52,7 @@
 	load      *client.Load
 	routes    map[string]*client.Route // by class
 	document  document                 // that is in force
-	stats     []runner.Stats // of all runners, once they are closed
+	stats     []runner.Stats           // of all runners, once they are closed
 	troubles  sync.WaitGroup
 }
 
