--- a/internal/control/duty/diff.go
+++ b/internal/control/duty/diff.go
@@ -16,6 +16,7 @@
 const (
 	tolerance    = 400 * time.Millisecond // between what is listed and what the item's age lets expect
 	settledAfter = 2 * time.Second        // after its end, a cold time is written as 0: ages are lost with a restart
+	noticeAnew   = 1 * time.Second        // after which a short notice is written again, for the same reason
 )
 
 // held is a runner as the partition holds it.
@@ -37,13 +38,21 @@
 	if deviates(h.expected(h.runner.ColdLeft, now), listed.ColdLeft) {
 		return true
 	}
-	if (h.runner.TimeLeft > 0) != (listed.TimeLeft > 0) && listed.TimeLeft > 0 {
+	if h.noticeDiffers(listed, now) {
 		return true
 	}
-	if listed.TimeLeft > 0 && deviates(h.expected(h.runner.TimeLeft, now), listed.TimeLeft) {
+	return listed.ColdLeft == 0 && h.runner.ColdLeft > 0 && now-h.at > h.runner.ColdLeft+settledAfter
+}
+
+// noticeDiffers says whether the time left of a runner that is taken away at short notice is to be written.
+func (h *held) noticeDiffers(listed *discovery.Runner, now time.Duration) bool {
+	if listed.TimeLeft == 0 {
+		return false
+	}
+	if h.runner.TimeLeft == 0 || now-h.at >= noticeAnew {
 		return true
 	}
-	return listed.ColdLeft == 0 && h.runner.ColdLeft > 0 && now-h.at > h.runner.ColdLeft+settledAfter
+	return deviates(h.expected(h.runner.TimeLeft, now), listed.TimeLeft)
 }
 
 func deviates(a, b time.Duration) bool {
--- a/internal/control/duty/duty.go
+++ b/internal/control/duty/duty.go
@@ -50,14 +50,15 @@
 
 // Duty polls the list. Run is called once.
 type Duty struct {
-	options Options
-	views   []view
-	behind  []bool // partitions whose local replica must catch up before the next comparison
-	missing map[string]int
-	pages   int // calls that the last list took, at least 1
-	pause   time.Duration
-	active  bool
-	failing bool
+	options  Options
+	views    []view
+	behind   []bool         // partitions whose local replica must catch up before the next comparison
+	missing  map[string]int // lists in a row that lacked a runner that is held, by key
+	doubtful bool           // a single list does not prove that a runner is gone
+	pages    int            // calls that the last list took, at least 1
+	pause    time.Duration
+	active   bool
+	failing  bool
 }
 
 // New returns a duty.
@@ -181,6 +182,9 @@
 // write brings all partitions to the list, each by itself: one without a leader does not hold up the others.
 func (d *Duty) write(ctx context.Context, list []discovery.Runner) {
 	listed := d.byPartition(list)
+	for i := range d.views {
+		d.follow(i)
+	}
 	d.noteMissing(listed)
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
@@ -207,7 +211,9 @@
 // noteMissing counts for each runner that was held how many lists in a row lacked it.
 func (d *Duty) noteMissing(listed []map[string]*discovery.Runner) {
 	now := make(map[string]int)
+	known := 0
 	for i := range d.views {
+		known += len(d.views[i].runners)
 		for key := range d.views[i].runners {
 			if listed[i][key] == nil {
 				now[key] = d.missing[key] + 1
@@ -215,11 +221,13 @@
 		}
 	}
 	d.missing = now
+	d.doubtful = d.pages > 1 || len(now) > known/2
 }
 
 // gone says whether a runner that is held and not listed is gone. A list of several pages may lack one that moved from
-// one page to another between two calls: there it takes two lists in a row.
-func (d *Duty) gone(key string) bool { return d.pages == 1 || d.missing[key] >= 2 }
+// one page to another between two calls, and one that lacks most runners may be the platform's own trouble: there it
+// takes two lists in a row.
+func (d *Duty) gone(key string) bool { return !d.doubtful || d.missing[key] >= 2 }
 
 // writePartition proposes what differs; after a conflict it looks again, once.
 func (d *Duty) writePartition(ctx context.Context, i int, listed map[string]*discovery.Runner) {
@@ -251,13 +259,18 @@
 	return nil
 }
 
+// follow brings the view of a partition to what the local replica holds.
+func (d *Duty) follow(i int) {
+	v := &d.views[i]
+	v.follow(d.options.Partitions[i].Since(v.index, 0), d.options.Now())
+}
+
 // propose compares and proposes. It says whether the partition is settled with the list.
 func (d *Duty) propose(ctx context.Context, i int, listed map[string]*discovery.Runner) (bool, error) {
-	partition, v := d.options.Partitions[i], &d.views[i]
+	partition := d.options.Partitions[i]
 	seen := partition.Changed()
-	now := d.options.Now()
-	v.follow(partition.Since(v.index, 0), now)
-	writes := v.writes(listed, now, d.gone)
+	d.follow(i)
+	writes := d.views[i].writes(listed, d.options.Now(), d.gone)
 	if len(writes) == 0 {
 		return true, nil
 	}
--- a/internal/control/duty/duty_test.go
+++ b/internal/control/duty/duty_test.go
@@ -214,7 +214,7 @@
 	}
 	runner.Draining, runner.TimeLeft = true, 10*time.Second
 	w.step()
-	pass(time.Second)
+	pass(noticeAnew / 2)
 	w.step()
 	if w.proposals != 5 {
 		t.Errorf("%d proposals while a notice runs down", w.proposals)
@@ -224,6 +224,11 @@
 	if w.proposals != 6 || w.held(t)["i-1"].TimeLeft != runner.TimeLeft {
 		t.Error("a shorter notice is not written")
 	}
+	pass(noticeAnew)
+	w.step()
+	if w.proposals != 7 || w.held(t)["i-1"].TimeLeft != runner.TimeLeft {
+		t.Error("a notice is not written again after a while")
+	}
 }
 
 func TestOnlyUnderTheLease(t *testing.T) {
@@ -313,6 +318,7 @@
 	w := newWorld()
 	w.list = []discovery.Runner{runnerOf(1), runnerOf(2)}
 	w.step()
+	w.step()
 	w.listError = &discovery.RateLimitedError{}
 	w.list = nil
 	previous := time.Duration(0)
@@ -327,7 +333,8 @@
 		t.Error("a list that failed was taken")
 	}
 	w.listError = nil
-	if wait := w.step(); wait != pollEvery || len(w.held(t)) != 0 {
+	w.list = []discovery.Runner{runnerOf(1)}
+	if wait := w.step(); wait != pollEvery || len(w.held(t)) != 1 {
 		t.Errorf("the next list: a pause of %v, %d runners held", wait, len(w.held(t)))
 	}
 }
@@ -357,6 +364,22 @@
 	}
 }
 
+func TestListThatLacksMostRunners(t *testing.T) {
+	w := newWorld()
+	whole := []discovery.Runner{runnerOf(1), runnerOf(2), runnerOf(3)}
+	w.list = whole
+	w.step()
+	w.list = whole[:1]
+	w.step()
+	if len(w.held(t)) != 3 {
+		t.Error("a single list that lacks most runners was believed")
+	}
+	w.step()
+	if len(w.held(t)) != 1 {
+		t.Error("two lists in a row were not believed")
+	}
+}
+
 func TestPlatformThatTakesFewCalls(t *testing.T) {
 	w := newWorld()
 	w.pages = 20
@@ -397,6 +420,7 @@
 		w.leads, w.loseAnswer, w.stuck[1] = true, false, false
 		w.list = uniqueByID(w.list)
 		w.step()
+		w.step() // a list that lacks most runners takes two
 		held := map[string]bool{}
 		for _, s := range w.states {
 			for _, item := range s.Since(0, 0).Items {
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -148,6 +148,7 @@
 	}
 	client := discovery.NewClient(discovery.ClientOptions{
 		Address: settings.CloudAPI.Address,
+		Permit:  func() error { return duty.Permit(p.host) },
 		Dropped: func(err *discovery.DroppedEntriesError) {
 			p.log.Warn("entries of the list of runners make no sense", zap.Error(err))
 		},
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -52,6 +52,9 @@
 type ClientOptions struct {
 	Address netip.AddrPort
 	Timeout time.Duration // of one call, connecting included; 0: one second
+	// Permit is asked right before each call to the platform and refuses it by an error, which List returns; nil: all
+	// calls are made.
+	Permit func() error
 	// Dropped is told of entries that made no sense and were left out of a list; nil: nobody is. It is called while List
 	// runs.
 	Dropped func(*DroppedEntriesError)
@@ -190,6 +193,11 @@
 	if err := c.connect(ctx, deadline); err != nil {
 		return answer{}, false, err
 	}
+	if c.options.Permit != nil {
+		if err := c.options.Permit(); err != nil {
+			return answer{}, true, err
+		}
+	}
 	connection := c.connection
 	if err := connection.SetDeadline(deadline); err != nil {
 		c.disconnect()
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -65,6 +65,24 @@
 	}
 }
 
+func TestClientAsksForEachCall(t *testing.T) {
+	client, _ := clientOf(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprintf(w, `{"instances":[%s],"next_token":"more"}`, instance("a"))
+	}))
+	refused := errors.New("refused")
+	asked := 0
+	client.options.Permit = func() error {
+		asked++
+		if asked > 1 {
+			return refused
+		}
+		return nil
+	}
+	if _, err := client.List(context.Background()); !errors.Is(err, refused) || client.Calls() != 1 || asked != 2 {
+		t.Fatalf("%v after %d calls, asked %d times", err, client.Calls(), asked)
+	}
+}
+
 func TestClientTellsARefusalByRate(t *testing.T) {
 	client, _ := clientOf(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Retry-After", "0.25")
