--- a/internal/configuration/change.go
+++ b/internal/configuration/change.go
@@ -41,7 +41,8 @@
 func (c *Change) Version() uint64 { return c.version }
 
 // ParseChange reads a change. All that keeps it from being read comes together, in a *findings.Error; whether it makes
-// sense is for Validate of the document that it makes to say. The change keeps parts of body, which must not be altered.
+// sense is for Validate of the document that it makes to say. The change keeps parts of body, which must not be
+// altered.
 func ParseChange(body []byte) (*Change, error) {
 	var list findings.List
 	change := parseChange(body, &list)
@@ -52,7 +53,8 @@
 }
 
 // CheckChange reads a change, applies it to the document in force, nil for none, and validates what it makes. All
-// findings come together, in a *findings.Error; their places are those of the document that it makes, or of the change.
+// findings come together, in a *findings.Error; their places are those of the document that it makes, or of the
+// change.
 func CheckChange(body []byte, current *Document) (*Document, error) {
 	if current == nil {
 		current = &Document{}
@@ -162,8 +164,8 @@
 }
 
 // Apply is the document that a change makes of this one. Items that are replaced keep their place, new ones come last,
-// and the removal of a name that is not there changes nothing. Whether the document that comes out makes sense is for its
-// Validate to say. The error is nil at present.
+// and the removal of a name that is not there changes nothing. Whether the document that comes out makes sense is for
+// its Validate to say. The error is nil at present.
 func (d *Document) Apply(change *Change) (*Document, error) { return d.apply(change), nil }
 
 func (d *Document) apply(change *Change) *Document {
--- a/internal/configuration/items.go
+++ b/internal/configuration/items.go
@@ -49,8 +49,8 @@
 // Items are the writes that store the whole document.
 func (d *Document) Items() []Write { return Diff(nil, d) }
 
-// Diff are the writes that bring the items of a stored document, nil for none, to those of the next one. Items that stay
-// as they are, in the same order among themselves, are not written.
+// Diff are the writes that bring the items of a stored document, nil for none, to those of the next one. Items that
+// stay as they are, in the same order among themselves, are not written.
 func Diff(old, next *Document) []Write {
 	if old == nil {
 		old = &Document{}
@@ -127,8 +127,9 @@
 	return append(value, e.raw...)
 }
 
-// Rebase is the same document with its items numbered as those of a stored document, nil for none, as far as their order
-// allows it. Diff does so by itself; whoever goes on to use a document after storing its difference rebases it first.
+// Rebase is the same document with its items numbered as those of a stored document, nil for none, as far as their
+// order allows it. Diff does so by itself; whoever goes on to use a document after storing its difference rebases it
+// first.
 func (d *Document) Rebase(old *Document) *Document {
 	if old == nil {
 		old = &Document{}
@@ -204,7 +205,8 @@
 	if err != nil {
 		return nil, err
 	}
-	item := entry[M]{name: name(model), ordinal: binary.BigEndian.Uint64(value), raw: value[ordinalBytes:], model: model}
+	ordinal := binary.BigEndian.Uint64(value)
+	item := entry[M]{name: name(model), ordinal: ordinal, raw: value[ordinalBytes:], model: model}
 	return append(entries, item), nil
 }
 
--- a/internal/configuration/ordinals.go
+++ b/internal/configuration/ordinals.go
@@ -12,8 +12,8 @@
 // spacedOrdinal is the ordinal of the item at a place of a list that is numbered anew.
 func spacedOrdinal(place int) uint64 { return uint64(place+1) * ordinalGap }
 
-// alignOrdinals numbers a list so that its order is kept and as many items as possible keep the ordinal that they have,
-// 0 for those without one.
+// alignOrdinals numbers a list so that its order is kept and as many items as possible keep the ordinal that they
+// have, 0 for those without one.
 func alignOrdinals(have []uint64) []uint64 {
 	aligned := make([]uint64, len(have))
 	kept := longestRise(have)
--- a/internal/configuration/parse.go
+++ b/internal/configuration/parse.go
@@ -7,8 +7,8 @@
 	"cinderroad/internal/jsonfield"
 )
 
-// Parse reads a whole document. All that keeps it from being read comes together, in a *findings.Error; whether it makes
-// sense is for Validate to say. The document keeps parts of body, which must not be altered.
+// Parse reads a whole document. All that keeps it from being read comes together, in a *findings.Error; whether it
+// makes sense is for Validate to say. The document keeps parts of body, which must not be altered.
 func Parse(body []byte) (*Document, error) {
 	var list findings.List
 	document := parse(body, &list)
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -29,7 +29,8 @@
 
 // Error says what happened and what to do.
 func (e *RateLimitedError) Error() string {
-	return fmt.Sprintf("discovery: the platform takes no more calls for now (429); wait %v and call less often", e.RetryAfter)
+	return fmt.Sprintf("discovery: the platform takes no more calls for now (429); wait %v and call less often",
+		e.RetryAfter)
 }
 
 // StatusError says that the platform answered with a failure.
@@ -45,7 +46,8 @@
 
 // Error says what happened.
 func (e *EndlessListError) Error() string {
-	return fmt.Sprintf("discovery: the pages of the platform's list do not end; the token %q came again or too many came", e.Token)
+	return fmt.Sprintf("discovery: the pages of the platform's list do not end; token %q came again or too many came",
+		e.Token)
 }
 
 // ClientOptions are a client's.
@@ -57,8 +59,8 @@
 	Dropped func(*DroppedEntriesError)
 }
 
-// Client asks the platform for its list, over one connection that it keeps. It is safe for concurrent use; calls wait for
-// one another.
+// Client asks the platform for its list, over one connection that it keeps. It is safe for concurrent use; calls wait
+// for one another.
 type Client struct {
 	options ClientOptions
 
@@ -133,7 +135,8 @@
 	return nil
 }
 
-// unique leaves of entries with the same id the last one: a runner may move to a later page while the pages are fetched.
+// unique leaves of entries with the same id the last one: a runner may move to a later page while the pages are
+// fetched.
 func unique(runners []Runner) []Runner {
 	places := make(map[string]int, len(runners))
 	kept := runners[:0]
--- a/internal/discovery/list.go
+++ b/internal/discovery/list.go
@@ -33,9 +33,9 @@
 // Unwrap is the error with the findings.
 func (e *DroppedEntriesError) Unwrap() error { return e.Findings }
 
-// DecodeList reads a page of the platform's list. next is the token of the page that follows, empty on the last one. An
-// entry that makes no sense is left out and reported in a *DroppedEntriesError beside the rest of the page; any other
-// error is an *UnreadableListError, and there is no page then.
+// DecodeList reads a page of the platform's list. next is the token of the page that follows, empty on the last one.
+// An entry that makes no sense is left out and reported in a *DroppedEntriesError beside the rest of the page; any
+// other error is an *UnreadableListError, and there is no page then.
 func DecodeList(body []byte) (page []Runner, next string, err error) {
 	var decoder listDecoder
 	root, ok := jsonfield.Read(body, &decoder.list)
@@ -134,7 +134,8 @@
 	e.Models = append(e.Models, model)
 }
 
-// require checks what no runner can do without. A state other than serving, also one that is not known, gets nothing new.
+// require checks what no runner can do without. A state other than serving, also one that is not known, gets nothing
+// new.
 func (e *entry) require(value jsonfield.Value) {
 	e.Draining = e.Draining || e.state != "serving"
 	if e.ID == "" {
--- a/internal/environment/parse.go
+++ b/internal/environment/parse.go
@@ -49,7 +49,8 @@
 	return settings, nil
 }
 
-// defaultTiming holds for fields that the file lacks: the shorter of plausible bounds, and no budget that is not given.
+// defaultTiming holds for fields that the file lacks: the shorter of plausible bounds, and no budget that is not
+// given.
 func defaultTiming() Timing {
 	return Timing{
 		SeedLag: 3 * time.Second, ReuseAfter: 2 * time.Second, InTouch: 4 * time.Second,
--- a/internal/feed/follow.go
+++ b/internal/feed/follow.go
@@ -10,10 +10,10 @@
 // itemOverhead is what an item costs on the way beside its key and value, in bytes, roughly.
 const itemOverhead = 16
 
-// Since is what brings a follower from index to the table's index: the items that changed since, deletions among them, or
-// a snapshot if deletions since were forgotten or the follower holds nothing. A delta of more than maxBytes (0: no bound)
-// ends earlier, but never between two changes of one index; its To then says how far it goes. A follower that is ahead
-// gets an empty batch, which it ignores: this table lags, and the follower keeps what it has.
+// Since is what brings a follower from index to the table's index: the items that changed since, deletions among them,
+// or a snapshot if deletions since were forgotten or the follower holds nothing. A delta of more than maxBytes (0: no
+// bound) ends earlier, but never between two changes of one index; its To then says how far it goes. A follower that
+// is ahead gets an empty batch, which it ignores: this table lags, and the follower keeps what it has.
 func (t *Table) Since(now time.Duration, index uint64, maxBytes int) Batch {
 	if index >= t.index {
 		return Batch{Partition: t.partition, From: index, To: t.index}
@@ -46,10 +46,10 @@
 	return batch
 }
 
-// Apply takes a batch that was received at now, and returns the items that it changed: those that are new or different,
-// and those that are gone, as deleted. A batch that ends before the table's index is ignored, and so is an item that is
-// older than the one held: the table never goes back. A delta that starts beyond the table's index is ignored, too. A
-// snapshot of the table's own index repairs it.
+// Apply takes a batch that was received at now, and returns the items that it changed: those that are new or
+// different, and those that are gone, as deleted. A batch that ends before the table's index is ignored, and so is an
+// item that is older than the one held: the table never goes back. A delta that starts beyond the table's index is
+// ignored, too. A snapshot of the table's own index repairs it.
 func (t *Table) Apply(now time.Duration, batch Batch) []Item {
 	if batch.Partition != t.partition || batch.To < t.index {
 		return nil
@@ -120,8 +120,9 @@
 	}
 }
 
-// replace takes a snapshot. Items that it lacks are deleted by its index, unless the table was empty: then, and if items
-// differ that should not, deletions up to its index count as forgotten, so that followers of this table get a snapshot.
+// replace takes a snapshot. Items that it lacks are deleted by its index, unless the table was empty: then, and if
+// items differ that should not, deletions up to its index count as forgotten, so that followers of this table get a
+// snapshot.
 func (t *Table) replace(now time.Duration, batch Batch) []Item {
 	diverged := t.index == 0
 	named := make(map[string]bool, len(batch.Items))
--- a/internal/feed/partition.go
+++ b/internal/feed/partition.go
@@ -2,8 +2,8 @@
 
 import "github.com/cespare/xxhash/v2"
 
-// PartitionOf is the partition that holds the runners of a service, out of the given number of runner partitions, which
-// are numbered from 1. All machines of a system must count the same.
+// PartitionOf is the partition that holds the runners of a service, out of the given number of runner partitions,
+// which are numbered from 1. All machines of a system must count the same.
 func PartitionOf(service string, partitions int) Partition {
 	if partitions <= 1 {
 		return 1
--- a/internal/feed/table.go
+++ b/internal/feed/table.go
@@ -29,8 +29,8 @@
 }
 
 // Table holds one partition's items. A replica changes it by Put and Delete as commands are agreed on; a follower by
-// Apply. Both serve it on by Since. It never goes back to an older index. It is not safe for concurrent use. Times are of
-// the caller's steady clock; they are not part of the agreed state and may differ from one machine to another.
+// Apply. Both serve it on by Since. It never goes back to an older index. It is not safe for concurrent use. Times are
+// of the caller's steady clock; they are not part of the agreed state and may differ from one machine to another.
 type Table struct {
 	partition Partition
 	index     uint64
@@ -84,7 +84,8 @@
 	return found.item(now), true
 }
 
-// Items are the items whose keys begin with prefix, in the order of their keys. The table must not be changed meanwhile.
+// Items are the items whose keys begin with prefix, in the order of their keys. The table must not be changed
+// meanwhile.
 func (t *Table) Items(now time.Duration, prefix string) iter.Seq[Item] {
 	return func(yield func(Item) bool) {
 		for _, key := range t.keysFrom(prefix) {
@@ -124,8 +125,8 @@
 // Advance notes that the partition is held up to index, with or without changes. An older index is ignored.
 func (t *Table) Advance(index uint64) { t.index = max(t.index, index) }
 
-// Put sets an item by the change numbered index, which is not below that of an earlier change. The value is kept and must
-// not be altered. It returns whether anything changed: a value that stands already keeps its index.
+// Put sets an item by the change numbered index, which is not below that of an earlier change. The value is kept and
+// must not be altered. It returns whether anything changed: a value that stands already keeps its index.
 func (t *Table) Put(now time.Duration, index uint64, key string, value []byte) bool {
 	if index < t.index {
 		return false
--- a/internal/jsonfield/jsonfield.go
+++ b/internal/jsonfield/jsonfield.go
@@ -1,5 +1,6 @@
 // Package jsonfield reads JSON documents field by field with jx. A value that is not what its reader expects becomes a
-// finding with the value's place and byte offset, and reading goes on, so that all findings of a document come together.
+// finding with the value's place and byte offset, and reading goes on, so that all findings of a document come
+// together.
 package jsonfield
 
 import (
@@ -35,8 +36,8 @@
 
 const noIndex = -1
 
-// Read checks the syntax of a whole document and returns its value. Anything but one JSON value with white space around
-// it is a finding.
+// Read checks the syntax of a whole document and returns its value. Anything but one JSON value with white space
+// around it is a finding.
 func Read(source []byte, list *findings.List) (Value, bool) {
 	decoder := jx.DecodeBytes(source)
 	raw, err := decoder.Raw()
@@ -124,8 +125,8 @@
 	return v.finish(err)
 }
 
-// StrictObject is Object for what is to be kept: a field that is there twice with different values is a finding, and one
-// that is there twice with the same value is told once.
+// StrictObject is Object for what is to be kept: a field that is there twice with different values is a finding, and
+// one that is there twice with the same value is told once.
 func (v Value) StrictObject(field func(name string, value Value)) bool {
 	var seen fieldSet
 	return v.Object(func(name string, value Value) {
--- a/internal/routetable/routetable.go
+++ b/internal/routetable/routetable.go
@@ -1,4 +1,5 @@
-// Package routetable finds the route of a request by its host and path. It is altered by single routes as changes arrive.
+// Package routetable finds the route of a request by its host and path. It is altered by single routes as changes
+// arrive.
 package routetable
 
 import (
@@ -53,8 +54,8 @@
 	}
 }
 
-// Upsert adds a route, or replaces the one of its name. The route is kept and must not be altered. If another route has
-// its host and prefix, the one that came last is found: that one's own change or removal is then yet to come.
+// Upsert adds a route, or replaces the one of its name. The route is kept and must not be altered. If another route
+// has its host and prefix, the one that came last is found: that one's own change or removal is then yet to come.
 func (t *Table) Upsert(route *configuration.Route) {
 	if before := t.routes[route.Name]; before != nil {
 		t.unlink(before)
