--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -29,7 +29,8 @@
 
 // Error says what happened and what to do.
 func (e *RateLimitedError) Error() string {
-	return fmt.Sprintf("discovery: the platform takes no more calls for now (429); wait %v and call less often", e.RetryAfter)
+	return fmt.Sprintf("discovery: the platform takes no more calls for now (429); wait %v and call less often",
+		e.RetryAfter)
 }
 
 // StatusError says that the platform answered with a failure.
@@ -45,20 +46,24 @@
 
 // Error says what happened.
 func (e *EndlessListError) Error() string {
-	return fmt.Sprintf("discovery: the pages of the platform's list do not end; the token %q came again or too many came", e.Token)
+	return fmt.Sprintf("discovery: the pages of the platform's list do not end; token %q came again or too many came",
+		e.Token)
 }
 
 // ClientOptions are a client's.
 type ClientOptions struct {
 	Address netip.AddrPort
 	Timeout time.Duration // of one call, connecting included; 0: one second
+	// Permit is asked right before each call to the platform and refuses it by an error, which List returns; nil: all
+	// calls are made.
+	Permit func() error
 	// Dropped is told of entries that made no sense and were left out of a list; nil: nobody is. It is called while List
 	// runs.
 	Dropped func(*DroppedEntriesError)
 }
 
-// Client asks the platform for its list, over one connection that it keeps. It is safe for concurrent use; calls wait for
-// one another.
+// Client asks the platform for its list, over one connection that it keeps. It is safe for concurrent use; calls wait
+// for one another.
 type Client struct {
 	options ClientOptions
 
@@ -133,7 +138,8 @@
 	return nil
 }
 
-// unique leaves of entries with the same id the last one: a runner may move to a later page while the pages are fetched.
+// unique leaves of entries with the same id the last one: a runner may move to a later page while the pages are
+// fetched.
 func unique(runners []Runner) []Runner {
 	places := make(map[string]int, len(runners))
 	kept := runners[:0]
@@ -190,6 +196,11 @@
 	if err := c.connect(ctx, deadline); err != nil {
 		return answer{}, false, err
 	}
+	if c.options.Permit != nil {
+		if err := c.options.Permit(); err != nil {
+			return answer{}, true, err
+		}
+	}
 	connection := c.connection
 	if err := connection.SetDeadline(deadline); err != nil {
 		c.disconnect()
