--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -304,5 +304,5 @@
 	if x.session.exchange == x {
 		x.session.exchange = nil
 	}
-	x.proxy.exchangeEnded()
+	x.proxy.endWhenDone()
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -82,6 +82,7 @@
 	p.random = rand.New(rand.NewPCG(options.Seed, options.Seed^0x9e3779b97f4a7c15))
 	p.pool = newPool(p)
 	p.pending.flush = p.flushPending
+	p.stopping.plan = planStop(options.GracePeriod)
 	p.SetLimits(configuration.Limits{})
 	loop.Shed = p.shed
 	return p
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -24,6 +24,7 @@
 	last     bool      // closes after the answer at hand
 	began    bool      // bytes of the next request have come
 	carried  bool      // has carried a request
+	entered  time.Duration
 	timeout  *transport.Deadline
 
 	previous, next *session // in the list of sessions, of which the one that rests longest is first
@@ -31,7 +32,7 @@
 
 // accept owns a new connection.
 func (p *Proxy) accept(c *transport.Conn) transport.Handler {
-	s := &session{proxy: p, conn: c}
+	s := &session{proxy: p, conn: c, entered: p.now()}
 	p.sessions.add(s)
 	s.rest()
 	return s
@@ -76,7 +77,7 @@
 		s.proxy.pending.bytes = s.proxy.pending.bytes[:0]
 	}
 	s.proxy.sessions.remove(s)
-	s.proxy.sessionLeft()
+	s.proxy.endWhenDone()
 }
 
 // end closes the session without a word.
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -226,7 +226,8 @@
 
 // A proxy that is told to stop takes what still comes, ends it whole, and then ends.
 func TestStop(t *testing.T) {
-	w := newWorld(t, func(o *Options) { o.GracePeriod = 400 * time.Millisecond })
+	w := newWorld(t)
+	w.do(func() { w.proxy.stopping.plan = stopPlan{time.Hour, time.Hour, time.Hour} }) // the test goes through it by hand
 	r := w.runners("a")[0]
 	idle, busy, late := w.client(), w.client(), w.client()
 	w.await("three sessions", func() bool { return w.proxy.sessions.open == 3 })
@@ -243,12 +244,28 @@
 	if got := late.answered(200, "late"); !got.Close {
 		t.Error("the answer does not end the connection")
 	}
+	late.conn.Close()
+	w.do(w.proxy.sweep)
 	idle.gone()
+	w.do(w.proxy.shut)
 	up.send(chunk(event(2)) + lastChunk)
 	busy.expect(chunk(event(1)) + chunk(event(2)) + lastChunk)
+	busy.conn.Close()
 	select {
 	case <-w.done:
 	case <-time.After(patience):
 		t.Fatal("the proxy does not end")
 	}
 }
+
+func TestPlanStop(t *testing.T) {
+	for grace, want := range map[time.Duration]stopPlan{
+		8 * time.Second: {1500 * time.Millisecond, 4 * time.Second, 7500 * time.Millisecond},
+		2 * time.Second: {500 * time.Millisecond, time.Second, 1500 * time.Millisecond},
+		0:               {1500 * time.Millisecond, 4 * time.Second, 7500 * time.Millisecond},
+	} {
+		if got := planStop(grace); got != want {
+			t.Errorf("grace of %v: %+v, want %+v", grace, got, want)
+		}
+	}
+}
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -1,25 +1,40 @@
 package proxy
 
-import (
-	"time"
-
-	"cinderroad/internal/transport"
-)
+import "time"
 
 const (
 	idleSweepAfter = 1500 * time.Millisecond // the directory's answers have moved on by then
 	sweepEvery     = 50 * time.Millisecond
+	freshGrace     = 300 * time.Millisecond // in which the first request of a new connection may be on its way
 	listenShare    = 0.5                    // of the grace period that the listener stays open
 	lastMargin     = 500 * time.Millisecond // of the grace period that is left when the process ends
 	defaultGrace   = 8 * time.Second
 )
 
-// stopping is what a proxy that was told to stop does in turn.
+// stopPlan says when a proxy that was told to stop does what, counted from then.
+type stopPlan struct {
+	sweep time.Duration // clients that rest are sent away from then on
+	shut  time.Duration // the listener is closed; the process ends once nobody waits for anything
+	last  time.Duration // the process ends, whatever it has left
+}
+
+// planStop divides the grace period, from the signal to stop until the process is killed.
+func planStop(grace time.Duration) stopPlan {
+	if grace <= 0 {
+		grace = defaultGrace
+	}
+	return stopPlan{
+		sweep: min(idleSweepAfter, grace/4),
+		shut:  time.Duration(float64(grace) * listenShare),
+		last:  max(grace-lastMargin, grace/2),
+	}
+}
+
+// stopping is where a proxy that was told to stop stands.
 type stopping struct {
-	on       bool
-	began    time.Duration
-	shut     bool // the listener is closed
-	deadline *transport.Deadline
+	plan stopPlan
+	on   bool
+	shut bool // the listener is closed
 }
 
 // Stop has the proxy serve on what comes, send its clients away and end once all answers are whole, before the grace
@@ -29,23 +44,19 @@
 		return
 	}
 	p.stopping.on = true
-	p.stopping.began = p.now()
 	p.log.Info("told to stop")
 	p.tellAgent(p.placer.Learnt())
-	grace := p.options.GracePeriod
-	if grace <= 0 {
-		grace = defaultGrace
-	}
-	p.at(p.now()+min(idleSweepAfter, grace/4), p.sweep)
-	p.at(p.now()+time.Duration(float64(grace)*listenShare), p.shut)
-	p.stopping.deadline = p.at(p.now()+max(grace-lastMargin, grace/2), p.loop.Stop)
+	now, plan := p.now(), p.stopping.plan
+	p.at(now+plan.sweep, p.sweep)
+	p.at(now+plan.shut, p.shut)
+	p.at(now+plan.last, p.loop.Stop)
 }
 
 // sweep closes sessions that rest, and goes on doing so.
 func (p *Proxy) sweep() {
 	for s := p.sessions.first; s != nil; {
 		next := s.next
-		if s.idle() && s.conn.Alive() {
+		if s.idle() && (s.carried || p.now() > s.entered+freshGrace) && s.conn.Alive() {
 			s.end()
 		}
 		s = next
@@ -61,9 +72,6 @@
 	p.endWhenDone()
 }
 
-func (p *Proxy) exchangeEnded() { p.endWhenDone() }
-func (p *Proxy) sessionLeft()   {}
-
 // endWhenDone ends the process once nobody waits for anything.
 func (p *Proxy) endWhenDone() {
 	if p.stopping.shut && p.exchanges == 0 && p.sessions.open == 0 {
