--- a/internal/httpwire/body.go
+++ b/internal/httpwire/body.go
@@ -176,13 +176,16 @@
 			}
 			return n, false, nil
 		}
+		if end == 0 {
+			return n + 2, true, nil
+		}
+		if _, _, ok := parseField(string(b[n : n+end])); !ok {
+			return n, false, Bad(400, "trailer field")
+		}
 		n += end + 2
 		if r.trailer += end + 2; r.trailer > mostTrailer {
 			return n, false, Bad(431, "trailer too large")
 		}
-		if end == 0 {
-			return n, true, nil
-		}
 	}
 }
 
--- a/internal/httpwire/head.go
+++ b/internal/httpwire/head.go
@@ -97,15 +97,24 @@
 	for rest != "" {
 		var field string
 		field, rest, _ = strings.Cut(rest, "\r\n")
-		name, value, ok := strings.Cut(field, ":")
-		if !ok || !Token(name) || strings.ContainsFunc(value, control) {
+		name, value, ok := parseField(field)
+		if !ok {
 			return "", nil, 0, Bad(400, "header field")
 		}
-		header = append(header, struct{ Name, Value string }{name, strings.Trim(value, " \t")})
+		header = append(header, struct{ Name, Value string }{name, value})
 	}
 	return line, header, end + 4, nil
 }
 
+// parseField reads one line of a header or a trailer.
+func parseField(line string) (name, value string, ok bool) {
+	name, value, ok = strings.Cut(line, ":")
+	if !ok || !Token(name) || strings.ContainsFunc(value, control) {
+		return "", "", false
+	}
+	return name, strings.Trim(value, " \t"), true
+}
+
 // control says whether c is a control byte other than the tab: none belongs into a field's value.
 func control(c rune) bool { return c < ' ' && c != '\t' || c == 0x7f }
 
@@ -232,7 +241,7 @@
 		}
 		p = ResponseHead{Status: status, Reason: reason, Header: header, Close: header.Closes(version)}
 		if p.Body, err = responseFraming(&p, method); err != nil {
-			return p, 0, err
+			return ResponseHead{}, 0, err
 		}
 		p.Close = p.Close || p.Body.Kind == UntilClose
 		return p, n, nil
