--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -14,7 +14,8 @@
 
 const (
 	reportEvery = time.Second
-	learntEvery = 5 // reports
+	learntEvery = 5           // reports
+	settleTime  = time.Second // after the configuration is known, for partitions that may have nothing to tell
 )
 
 // Agent is told what the proxy is and has learnt.
@@ -40,7 +41,6 @@
 
 // Take puts what changed in the control state in force. It belongs to the loop's goroutine.
 func (p *Proxy) Take(u uplink.Update) {
-	wasReady := p.Ready()
 	for _, name := range u.Removed {
 		p.control.table.Remove(name)
 	}
@@ -65,12 +65,20 @@
 	if u.Version > 0 {
 		p.SetRoutes(p.control.table)
 	}
-	p.runnersIn = p.runnersIn || u.Complete
+	if u.Version > 0 && p.control.version == 0 {
+		p.at(p.now()+settleTime, func() { p.settle(true) })
+	}
+	p.settle(u.Complete)
 	if u.Version != p.control.version {
 		p.control.version = u.Version
 		p.log.Info("configuration in force", zap.Uint64("version", u.Version), zap.Int("routes", p.control.table.Len()))
 	}
-	if p.Ready() != wasReady {
+}
+
+// settle takes it that the runners are known, as far as they ever are.
+func (p *Proxy) settle(known bool) {
+	if known && !p.runnersIn {
+		p.runnersIn = true
 		p.tellAgent(nil)
 	}
 }
--- a/internal/proxy/uplink/update.go
+++ b/internal/proxy/uplink/update.go
@@ -20,7 +20,7 @@
 	Limits    *configuration.Limits
 	Evacuated *map[string]bool // zones
 	Runners   *[]Runner
-	Complete  bool // all partitions have been heard of
+	Complete  bool // a configuration is known, and so are the partitions that hold the runners of its services
 	Proxies   int  // that may be serving; 0: not known
 }
 
@@ -39,16 +39,14 @@
 
 // state is what the feed has said, decoded. It belongs to one goroutine.
 type state struct {
-	began      time.Time
-	tables     []*feed.Table // by partition
-	heard      []bool        // partitions of which a batch has come
-	version    uint64
-	services   map[string]*configuration.Service
-	evacuated  map[string]bool
-	runners    map[string]Runner
-	findings   []Finding
-	proxies    int
-	wasPending bool
+	began     time.Time
+	tables    []*feed.Table // by partition
+	heard     []bool        // partitions of which a batch has come
+	version   uint64
+	services  map[string]*configuration.Service
+	evacuated map[string]bool
+	runners   map[string]Runner
+	findings  []Finding
 }
 
 func newState(runnerPartitions int) *state {
@@ -91,10 +89,10 @@
 	return update
 }
 
-// complete says whether a configuration is known and all partitions have been heard of.
+// complete says whether a configuration is known and the partitions of all its services have been heard of.
 func (s *state) complete() bool {
-	for _, heard := range s.heard {
-		if !heard {
+	for name := range s.services {
+		if !s.heard[feed.PartitionOf(name, len(s.tables)-1)] {
 			return false
 		}
 	}
