--- a/internal/placement/distribution_test.go
+++ b/internal/placement/distribution_test.go
@@ -6,26 +6,48 @@
 	"time"
 )
 
-func TestWorld(t *testing.T) {
-	for _, load := range []float64{0.6, 1, 1.5, 2, 2.5} {
+// Over half a minute of three kinds of request, proxies that do not speak to each other serve nearly all in time, and have
+// few shared parts read again: reading each once in both regions is about an eighth at this size.
+func TestDistribution(t *testing.T) {
+	for _, c := range []struct {
+		load   float64
+		inTime float64 // share of each kind, at least
+		again  float64 // share of shared tokens read again, at most
+	}{
+		{0.6, 0.985, 0.2},
+		{1, 0.98, 0.18},
+		{1.5, 0.97, 0.17},
+		{2, 0.93, 0.17},
+		{2.5, 0.86, 0.18},
+	} {
 		again, shared, refused := 0, 0, 0
-		asked, inTime := [3]int{}, [3]int{}
-		var firsts [3][]time.Duration
+		var kinds [3]requestKind
 		for seed := uint64(1); seed <= 5; seed++ {
-			w := newWorld(t, seed, load)
+			w := newWorld(t, seed, c.load)
 			w.run(35 * time.Second)
 			again, shared, refused = again+w.again, shared+w.shared, refused+w.refused
 			for i, k := range w.kinds {
-				asked[i] += k.asked
-				inTime[i] += k.inTime
-				firsts[i] = append(firsts[i], k.firsts...)
+				kinds[i].asked += k.asked
+				kinds[i].inTime += k.inTime
+				kinds[i].firsts = append(kinds[i].firsts, k.firsts...)
 			}
 		}
-		t.Logf("load %.1f: %.3f of shared tokens read again, %d refused", load, float64(again)/float64(shared), refused)
-		for i := range asked {
-			slices.Sort(firsts[i])
-			n := len(firsts[i])
-			t.Logf("   %.4f in time, median %v, p95 %v, p99 %v", float64(inTime[i])/float64(asked[i]), firsts[i][n/2].Round(time.Millisecond), firsts[i][n*95/100].Round(time.Millisecond), firsts[i][n*99/100].Round(time.Millisecond))
+		part := float64(again) / float64(shared)
+		t.Logf("load %.1f: %.3f of shared tokens read again, %d refused", c.load, part, refused)
+		if part > c.again {
+			t.Errorf("load %.1f: %.3f of shared tokens read again", c.load, part)
+		}
+		for i, k := range kinds {
+			share := float64(k.inTime) / float64(k.asked)
+			slices.Sort(k.firsts)
+			t.Logf("   kind %d: %.4f in time, first events after %v, 95 in 100 within %v", i, share, k.quantile(0.5), k.quantile(0.95))
+			if share < c.inTime {
+				t.Errorf("load %.1f, kind %d: %.4f in time", c.load, i, share)
+			}
 		}
 	}
 }
+
+func (k *requestKind) quantile(share float64) time.Duration {
+	return k.firsts[int(share*float64(len(k.firsts)))].Round(time.Millisecond)
+}
--- /dev/null
+++ b/internal/placement/kept_test.go
@@ -0,0 +1,198 @@
+package placement
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"cinderroad/internal/capacity"
+)
+
+// chainRequest asks with the shared parts of one of many chains.
+func chainRequest(now time.Duration, chain uint64, own uint64) *Request {
+	route := testRoute()
+	route.PinCache = true
+	r := testRequest(now, "llm", route)
+	r.Parts = []Part{{100 + chain%4, 2500}, {1000 + chain, 3800}, {own, 2900}}
+	r.TokensIn = 9200
+	return r
+}
+
+// All proxies of a region send a chain to the same runner without a word, and those of another region to one of theirs.
+func TestAllProxiesAgreeOnTheOwnerOfAChain(t *testing.T) {
+	runners := testRunners("llm", 12)
+	used := map[string]int{}
+	for chain := range uint64(40) {
+		owners := map[string]string{}
+		for i, zone := range []string{"m", "t", "m", "p", "p"} {
+			p := worldPlacer(t, zone, uint64(i))
+			p.SetServices(testStart, testServices())
+			told := append([]Runner(nil), runners...)
+			if i%2 == 1 { // in whatever order they are told
+				for a, b := 0, len(told)-1; a < b; a, b = a+1, b-1 {
+					told[a], told[b] = told[b], told[a]
+				}
+			}
+			p.SetRunners(testStart, told)
+			p.SetProxies(testStart, 5)
+			for own := range uint64(5) {
+				r := chainRequest(testStart, chain, 1<<40+own)
+				c, refusal := p.Place(testStart, r)
+				if refusal != nil {
+					t.Fatal(refusal)
+				}
+				region := worldRegions()[zone]
+				if was := owners[region]; was != "" && was != c.Runner {
+					t.Fatalf("chain %d: %s and %s in %s", chain, was, c.Runner, region)
+				}
+				owners[region] = c.Runner
+				used[c.Runner]++
+				p.Ended(testStart, p.Sent(testStart, r, c), Served, Progress{FirstAfter: time.Millisecond, Took: time.Millisecond})
+			}
+		}
+	}
+	if len(used) != len(runners) {
+		t.Errorf("%d of %d runners own chains", len(used), len(runners))
+	}
+}
+
+// One runner less, or one more, moves only the chains that have to move.
+func TestFewChainsMoveWithARunner(t *testing.T) {
+	runners := testRunners("llm", 12)
+	with, without := testPlacer(t, runners), testPlacer(t, runners[1:])
+	moved, lost := 0, 0
+	for chain := range uint64(300) {
+		r := chainRequest(testStart, chain, 1<<40)
+		a, _ := with.Place(testStart, r)
+		b, _ := without.Place(testStart, r)
+		if a.Runner == runners[0].ID {
+			lost++
+		} else if a.Runner != b.Runner {
+			moved++
+		}
+	}
+	if moved > 0 || lost < 15 || lost > 70 {
+		t.Errorf("%d chains moved that need not, %d of 300 lost their owner", moved, lost)
+	}
+}
+
+// An owner that is full hands its chain on to the next, the same at all proxies; a cold or draining one owns none.
+func TestAnOwnerWithoutRoomHandsOnToTheNext(t *testing.T) {
+	runners := testRunners("llm", 12)
+	for _, c := range []struct {
+		name string
+		do   func(p *Placer, owner *runner)
+	}{
+		{"load", func(p *Placer, w *runner) { w.room -= 20 }},
+		{"tokens", func(p *Placer, w *runner) { w.tokens = 100 }},
+		{"suspect", func(p *Placer, w *runner) { w.doubt(testStart) }},
+		{"draining", func(p *Placer, w *runner) { w.Draining = true }},
+		{"cold", func(p *Placer, w *runner) { w.ColdUntil = testStart + time.Minute }},
+	} {
+		for chain := range uint64(20) {
+			next := ""
+			for seed := range uint64(3) {
+				p := testPlacer(t, runners)
+				p.random = capacity.Source(seed) // drawn numbers have no part in it
+				r := chainRequest(testStart, chain, 1<<40+seed)
+				first, _ := p.Place(testStart, r)
+				c.do(p, p.runners[first.Runner])
+				second, refusal := p.Place(testStart, r)
+				if refusal != nil || second.Runner == first.Runner {
+					t.Fatalf("%s: still %s, %v", c.name, second.Runner, refusal)
+				}
+				if next != "" && next != second.Runner {
+					t.Fatalf("%s: %s and %s come next", c.name, next, second.Runner)
+				}
+				next = second.Runner
+			}
+		}
+	}
+}
+
+// A chain that everybody asks for is not more than one runner can take: the load stays bounded.
+func TestAHotChainSpreads(t *testing.T) {
+	p := testPlacer(t, testRunners("llm", 12))
+	p.SetProxies(testStart, 1)
+	seen := map[string]int{}
+	now := testStart
+	for i := range 300 {
+		now += time.Millisecond
+		p.Tick(now)
+		r := chainRequest(now, 7, 1<<40+uint64(i))
+		c, refusal := p.Place(now, r)
+		if refusal != nil {
+			t.Fatal(refusal)
+		}
+		p.Sent(now, r, c)
+		seen[c.Runner]++
+	}
+	for id, n := range seen {
+		if n > 100 {
+			t.Errorf("%s has %d of 300: %v", id, n, seen)
+		}
+	}
+	if len(seen) < 6 {
+		t.Errorf("on %d runners alone", len(seen))
+	}
+}
+
+// Prompts without shared parts, and sessions that have nothing but their own, keep to one runner, too.
+func TestASessionKeepsToItsRunner(t *testing.T) {
+	p := testPlacer(t, testRunners("llm", 12))
+	route := testRoute()
+	route.PinCache = true
+	for session := range uint64(20) {
+		want := ""
+		for range 4 {
+			r := testRequest(testStart, "llm", route)
+			r.Parts, r.TokensIn = []Part{{1<<50 + session, 4000}}, 4000
+			c, _ := p.Place(testStart, r)
+			if want != "" && c.Runner != want {
+				t.Fatalf("%s, then %s", want, c.Runner)
+			}
+			want = c.Runner
+			p.Ended(testStart, p.Sent(testStart, r, c), Served, Progress{FirstAfter: time.Millisecond, Took: time.Millisecond})
+		}
+	}
+}
+
+func TestChainsGoByAllSharedPartsInOrder(t *testing.T) {
+	a, b, own, other := Part{1, 10}, Part{2, 20}, Part{3, 30}, Part{4, 40}
+	if chainOf([]Part{a, b, own}) != chainOf([]Part{a, b, other}) {
+		t.Error("the own part counts")
+	}
+	different := map[uint64]string{}
+	for _, parts := range [][]Part{{a, b, own}, {b, a, own}, {a, own}, {b, own}, {own}, {a, b, own, other}} {
+		chain := chainOf(parts)
+		if was := different[chain]; was != "" || chain == 0 {
+			t.Errorf("%v is the same chain as %s", parts, was)
+		}
+		different[chain] = fmt.Sprint(parts)
+	}
+	if chainOf(nil) != 0 {
+		t.Error("no parts are a chain")
+	}
+}
+
+// The memory of what was sent where is bounded and forgets.
+func TestKeptMemoryForgets(t *testing.T) {
+	var k keptMemory
+	if k.has(1, 2) {
+		t.Error("an empty memory has something")
+	}
+	k.note(testStart, 1, 2)
+	if !k.has(1, 2) || k.has(1, 3) || k.has(2, 2) {
+		t.Error("not what was noted")
+	}
+	k.note(testStart+keptSpan, 5, 6)
+	if k.has(1, 2) && *k.slot(1, 2) == (keptEntry{1, 2, testStart}) {
+		t.Error("kept for longer than its span")
+	}
+	for i := range uint64(100000) {
+		k.note(testStart+keptSpan, i, i)
+	}
+	if len(k.entries) != keptEntries {
+		t.Errorf("%d entries", len(k.entries))
+	}
+}
