--- a/cmd/cinderroad-emulator/day.go
+++ b/cmd/cinderroad-emulator/day.go
@@ -6,6 +6,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -22,7 +23,7 @@
 	Load     float64       `default:"0.5" help:"Multiple of every rate."`
 	Length   time.Duration `default:"20s" help:"Of the traffic."`
 	Seed     uint64        `default:"1" help:"Of the traffic."`
-	Trouble  []string      `default:"drain,config" help:"What happens, evenly over the day: drain, short-notice, crash, dark, config, evacuate, kill-control, kill-proxy, kill-agent, stop-proxy; none."`
+	Trouble  []string      `default:"drain,config" help:"What happens, evenly over the day: none, ${troubles}."`
 }
 
 // errDayFailed says that the day has failed, of which the report tells.
@@ -50,7 +51,8 @@
 }
 
 func (d *day) options() (o emulator.Options, err error) {
-	o = emulator.Options{Scenario: scenarioNamed(d.Scenario), Edges: d.Edges, Programs: d.Programs, Folder: d.Folder, Seed: d.Seed, Out: os.Stdout}
+	o = emulator.Options{Scenario: scenarioNamed(d.Scenario), Edges: d.Edges, Programs: d.Programs, Folder: d.Folder,
+		Seed: d.Seed, Out: os.Stdout}
 	o.Scenario.Load, o.Scenario.Length = d.Load, d.Length
 	if o.Programs == "" {
 		self, err := os.Executable()
@@ -72,6 +74,15 @@
 	return o, nil
 }
 
+// troubles are the names of all troubles.
+func troubles() string {
+	var names []string
+	for _, t := range emulator.Troubles() {
+		names = append(names, string(t))
+	}
+	return strings.Join(names, ", ")
+}
+
 func scenarioNamed(name string) *experiment.Scenario {
 	if name == "parcels" {
 		return experiment.Parcels()
--- a/cmd/cinderroad-emulator/main.go
+++ b/cmd/cinderroad-emulator/main.go
@@ -1,5 +1,5 @@
-// Command cinderroad-emulator plays deployments of the system on one machine. It serves a short day with the real programs
-// and stand-ins for everything else, or compares placement policies over modelled runners in virtual time.
+// Command cinderroad-emulator plays deployments of the system on one machine. It serves a short day with the real
+// programs and stand-ins for everything else, or compares placement policies over modelled runners in virtual time.
 package main
 
 import "github.com/alecthomas/kong"
@@ -11,7 +11,7 @@
 
 func main() {
 	var c commands
-	context := kong.Parse(&c, kong.Name("cinderroad-emulator"),
+	context := kong.Parse(&c, kong.Name("cinderroad-emulator"), kong.Vars{"troubles": troubles()},
 		kong.Description("Deployments of the system on one machine, with stand-ins for everything outside it."))
 	context.FatalIfErrorf(context.Run())
 }
--- a/cmd/cinderroad-emulator/policies.go
+++ b/cmd/cinderroad-emulator/policies.go
@@ -99,7 +99,8 @@
 		s.Bursts = []experiment.Burst{{Class: p.Burst, Factor: burstFactor, From: burstFrom, For: burstFor}}
 	}
 	for i := range p.Crash {
-		s.Crashes = append(s.Crashes, experiment.Crash{Service: "llm", Runner: i * 3, At: crashAt, For: crashFor, Dark: p.Dark})
+		s.Crashes = append(s.Crashes, experiment.Crash{Service: "llm", Runner: i * 3, At: crashAt, For: crashFor,
+			Dark: p.Dark})
 	}
 	return s
 }
--- a/internal/emulator/day.go
+++ b/internal/emulator/day.go
@@ -22,7 +22,7 @@
 	Scenario *experiment.Scenario
 	Edges    int       // machines that serve clients
 	Programs string    // folder of the system's programs
-	Folder   string    // for settings, logs and disks; empty: a temporary one that goes at the end of a day without a breach
+	Folder   string    // for settings, logs and disks; empty: a temporary one that goes after a day without a breach
 	Troubles []Trouble // that come one after the other, evenly over the day
 	Seed     uint64
 	Out      io.Writer // for progress
@@ -72,7 +72,8 @@
 		return nil, err
 	}
 	d := &day{options: o}
-	d.referee = referee.New(referee.Bounds{Drain: millis(defaultTiming.DrainWithinMS), Evacuate: millis(defaultTiming.EvacuateMS),
+	d.referee = referee.New(referee.Bounds{Drain: millis(defaultTiming.DrainWithinMS),
+		Evacuate: millis(defaultTiming.EvacuateMS),
 		RetryRatio: defaultTiming.RetryRatio, RetryWindow: time.Duration(defaultTiming.RetryWindowS) * time.Second,
 		RetryExtra: defaultTiming.RetryExtra}, nil)
 	report, err := d.play(ctx, programs)
@@ -110,7 +111,8 @@
 	if d.deploy, err = plan(d.options.Scenario, d.options.Edges, d.options.Folder); err != nil {
 		return err
 	}
-	d.cloud, err = cloud.Start(cloud.Options{Address: cloudIP, Lag: millis(cloudLagMS), Page: cloudPage, RatePerS: cloudRatePerS})
+	d.cloud, err = cloud.Start(cloud.Options{Address: cloudIP, Lag: millis(cloudLagMS), Page: cloudPage,
+		RatePerS: cloudRatePerS})
 	if err != nil {
 		return err
 	}
@@ -214,9 +216,11 @@
 }
 
 func clientRoute(c *experiment.Class) *client.Route {
-	r := &client.Route{Name: c.Name, Host: host, Path: pathStart(c) + "1", Stream: c.Type == configuration.Streaming, Resumable: c.Resume,
+	r := &client.Route{Name: c.Name, Host: host, Path: pathStart(c) + "1", Stream: c.Type == configuration.Streaming,
+		Resumable: c.Resume,
 		ReadOnly: c.Type == configuration.ReadOnly, Target: c.Target, Gap: c.Gap, Deadline: c.Deadline, Retries: c.Retries}
-	r.Referee = &referee.Route{Name: c.Name, Services: []string{c.Service}, Homes: c.Homes, Idempotent: r.ReadOnly || r.Stream && r.Resumable}
+	r.Referee = &referee.Route{Name: c.Name, Services: []string{c.Service}, Homes: c.Homes, Idempotent: r.ReadOnly ||
+		r.Stream && r.Resumable}
 	return r
 }
 
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -88,7 +88,8 @@
 				s.Timing.ConfigWithin != 2500*time.Millisecond || s.CloudAPI.Address != d.cloudAddress {
 				t.Errorf("%s on %s reads %+v", p, m.name, s)
 			}
-			if (s.StateDir != "") != (p == control) || s.ListenOn.Front.IsValid() != (p == proxy) || s.ListenOn.Control.IsValid() != (p == control) {
+			if (s.StateDir != "") != (p == control) || s.ListenOn.Front.IsValid() != (p == proxy) ||
+				s.ListenOn.Control.IsValid() != (p == control) {
 				t.Errorf("%s on %s has the disk %q and listens on %+v", p, m.name, s.StateDir, s.ListenOn)
 			}
 		}
@@ -110,7 +111,8 @@
 		}
 		class := scenario.Classes[0]
 		class.Name = "added"
-		body, err = json.Marshal(change{Version: firstVersion + versionStep, Replace: changeSet{Routes: []routeDocument{routeOf(&class)}}})
+		body, err = json.Marshal(change{Version: firstVersion + versionStep,
+			Replace: changeSet{Routes: []routeDocument{routeOf(&class)}}})
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -242,7 +244,8 @@
 func buildPrograms(t *testing.T) string {
 	t.Helper()
 	folder := t.TempDir()
-	command := exec.Command("go", "build", "-o", folder+"/", "cinderroad/cmd/cinderroad-proxy", "cinderroad/cmd/cinderroad-agent",
+	command := exec.Command("go", "build", "-o", folder+"/", "cinderroad/cmd/cinderroad-proxy",
+		"cinderroad/cmd/cinderroad-agent",
 		"cinderroad/cmd/cinderroad-control")
 	if out, err := command.CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
@@ -250,15 +253,16 @@
 	return folder
 }
 
-// TestADayIsServed runs the real programs: a short day, over which a runner, a proxy and a control process end. Only rules
-// without bounds in time are at stake, so that a busy machine does not change the verdict.
+// TestADayIsServed runs the real programs: a short day, over which a runner, a proxy and a control process end. Only
+// rules without bounds in time are at stake, so that a busy machine does not change the verdict.
 func TestADayIsServed(t *testing.T) {
 	if testing.Short() {
 		t.Skip("the real programs take some seconds")
 	}
 	scenario := experiment.Screening()
 	scenario.Length, scenario.Load = 6*time.Second, 0.3
-	report, err := Run(context.Background(), Options{Scenario: scenario, Edges: 3, Programs: buildPrograms(t), Folder: t.TempDir(),
+	report, err := Run(context.Background(), Options{Scenario: scenario, Edges: 3, Programs: buildPrograms(t),
+		Folder:   t.TempDir(),
 		Troubles: []Trouble{CrashRunner, KillProxy, KillControl}, Seed: 1, Out: io.Discard})
 	if err != nil {
 		t.Fatal(err)
--- a/internal/emulator/operator.go
+++ b/internal/emulator/operator.go
@@ -64,8 +64,9 @@
 }
 
 func routeOf(c *experiment.Class) routeDocument {
-	r := routeDocument{Name: "r-" + c.Name, Host: host, PathStart: pathStart(c), Type: typeName(c.Type), TimeoutMS: c.Deadline.Milliseconds(),
-		TargetMS: c.Target.Milliseconds(), Rank: c.Rank, Service: c.Service, Tries: c.Tries, HomeRegions: []string{}}
+	r := routeDocument{Name: "r-" + c.Name, Host: host, PathStart: pathStart(c), Type: typeName(c.Type),
+		TimeoutMS: c.Deadline.Milliseconds(),
+		TargetMS:  c.Target.Milliseconds(), Rank: c.Rank, Service: c.Service, Tries: c.Tries, HomeRegions: []string{}}
 	if c.Type == configuration.Streaming {
 		r.PinCache, r.Resumable, r.GapAimMS = true, c.Resume, c.Gap.Milliseconds()
 	}
@@ -74,7 +75,8 @@
 }
 
 func serviceOf(s *experiment.Service) map[string]any {
-	service := map[string]any{"name": s.Name, "health_path": healthPath, "max_conns": s.MaxConns, "protocol": "h1", "use_tls": false,
+	service := map[string]any{"name": s.Name, "health_path": healthPath, "max_conns": s.MaxConns, "protocol": "h1",
+		"use_tls":    false,
 		"cold_for_s": s.ColdFor.Seconds(), "cold_rate_s": s.ColdRate}
 	if e := s.Engine; e != nil {
 		service["backend"] = map[string]any{"capacity": e.Slots, "cache_tokens": e.MemoryTokens, "token_cache_bytes": 327680,
@@ -84,8 +86,9 @@
 }
 
 func documentOf(s *experiment.Scenario, version int) document {
-	d := document{Version: version, Limits: map[string]int{"max_header_bytes": 16384, "max_body_bytes": 4 << 20, "header_wait_ms": 3000,
-		"idle_limit_ms": 15000}}
+	d := document{Version: version, Limits: map[string]int{"max_header_bytes": 16384, "max_body_bytes": 4 << 20,
+		"header_wait_ms": 3000,
+		"idle_limit_ms":  15000}}
 	for i := range s.Classes {
 		d.Routes = append(d.Routes, routeOf(&s.Classes[i]))
 	}
@@ -164,7 +167,8 @@
 	return false
 }
 
-func (o *operator) once(ctx context.Context, method, path string, base int, body []byte) (text []byte, status int, err error) {
+func (o *operator) once(ctx context.Context, method, path string, base int, body []byte) (text []byte, status int,
+	err error) {
 	url := "http://" + o.addresses[o.next%len(o.addresses)] + path
 	q, err := http.NewRequestWithContext(ctx, method, url, bytes.NewReader(body))
 	if err != nil {
--- a/internal/emulator/process.go
+++ b/internal/emulator/process.go
@@ -38,7 +38,8 @@
 
 // startProcess starts a program on a machine.
 func (d *deployment) startProcess(m *machine, p program, path string) (*process, error) {
-	log, err := os.OpenFile(filepath.Join(d.folder, m.name+"-"+string(p)+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o640)
+	log, err := os.OpenFile(filepath.Join(d.folder, m.name+"-"+string(p)+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY,
+		0o640)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/emulator/report.go
+++ b/internal/emulator/report.go
@@ -61,7 +61,8 @@
 		}
 	}
 	for _, p := range d.processes {
-		r.Processes = append(r.Processes, ProcessReport{Machine: p.machine.name, Program: string(p.program), PeakMB: p.peakMB(),
+		r.Processes = append(r.Processes, ProcessReport{Machine: p.machine.name, Program: string(p.program),
+			PeakMB: p.peakMB(),
 			Starts: p.starts, OwnEnds: p.ownEnds})
 	}
 	r.Breaches = d.referee.Close()
@@ -74,7 +75,8 @@
 	fmt.Fprintln(table, "route\tcalls\tin time\tlate\trefused\tfailed\tdenied\tfirst p50\tp95\tp99\t")
 	for i := range r.Clients.Routes {
 		t := &r.Clients.Routes[i]
-		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%v\t%v\t%v\t\n", t.Name, t.Calls, t.InTime, t.Late, t.Refused, t.Failed, t.Denied,
+		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%v\t%v\t%v\t\n", t.Name, t.Calls, t.InTime, t.Late, t.Refused,
+			t.Failed, t.Denied,
 			t.First(0.5).Round(time.Millisecond), t.First(0.95).Round(time.Millisecond), t.First(0.99).Round(time.Millisecond))
 	}
 	fmt.Fprintln(table, "\t\t\t\t\t\t\t\t\t\t")
@@ -108,9 +110,14 @@
 		s.Machine.Prefilled += one.Machine.Prefilled
 		s.Machine.Preemptions += one.Machine.Preemptions
 	}
-	fmt.Fprintf(out, "runner_requests=%d rejected=%d misplaced=%d connections=%d connections_reset=%d probes=%d faults=%d prefilled=%d preempted=%d\n",
-		s.Requests, s.Rejected, s.Misplaced, s.Connected, s.TurnedAway, s.Probes, s.Faults, s.Machine.Prefilled, s.Machine.Preemptions)
-	fmt.Fprintf(out, "retries=%d repeats=%d unreached=%d lookups=%d failed_lookups=%d statuses=%v cloud_calls=%d cloud_refused=%d breaches=%d\n",
+	fmt.Fprintf(out,
+		"runner_requests=%d rejected=%d misplaced=%d connections=%d connections_reset=%d probes=%d "+
+			"faults=%d prefilled=%d preempted=%d\n",
+		s.Requests, s.Rejected, s.Misplaced, s.Connected, s.TurnedAway, s.Probes, s.Faults, s.Machine.Prefilled,
+		s.Machine.Preemptions)
+	fmt.Fprintf(out,
+		"retries=%d repeats=%d unreached=%d lookups=%d failed_lookups=%d statuses=%v "+
+			"cloud_calls=%d cloud_refused=%d breaches=%d\n",
 		r.Clients.Retries, r.Repeats, r.Clients.Unreached, r.Clients.Lookups, r.Clients.FailedLookups, r.Clients.Statuses,
 		r.Cloud.Calls, r.Cloud.Refused, len(r.Breaches))
 }
--- a/internal/emulator/runners.go
+++ b/internal/emulator/runners.go
@@ -45,7 +45,9 @@
 // errClosed says that the day is over.
 var errClosed = errors.New("the runners have been closed")
 
-func startRunners(s *experiment.Scenario, zones map[string]string, c *cloud.Cloud, r *referee.Referee) (*runners, error) {
+// startRunners starts the runners of all services.
+func startRunners(s *experiment.Scenario, zones map[string]string, c *cloud.Cloud,
+	r *referee.Referee) (*runners, error) {
 	rs := &runners{scenario: s, cloud: c, referee: r, zones: zones, entries: make(map[string]cloud.Entry),
 		service: make(map[string]*experiment.Service)}
 	for i := range s.Services {
@@ -95,8 +97,9 @@
 	o = runner.Options{
 		Runner:  referee.Runner{ID: fmt.Sprintf("i-%04x", rs.started), Service: s.Name, Zone: zone, Region: rs.zones[zone]},
 		Address: fmt.Sprintf("127.1.%d.%d:0", rs.started/250, 1+rs.started%250), HealthPath: healthPath, MaxConns: s.MaxConns,
-		IdleFor: runnerIdle, CloseShare: closeShare, ReportLag: reportLag, Cold: defaultTiming.cold(s.ColdRate), Referee: rs.referee,
-		Seed: uint64(rs.started), BodyBytes: plainBytes,
+		IdleFor: runnerIdle, CloseShare: closeShare, ReportLag: reportLag, Cold: defaultTiming.cold(s.ColdRate),
+		Referee: rs.referee,
+		Seed:    uint64(rs.started), BodyBytes: plainBytes,
 	}
 	if s.Engine != nil {
 		o.Stride, o.Models = s.Engine.StrideTokens, []runner.Model{{Name: modelName, Version: 1}}
--- a/internal/emulator/settings.go
+++ b/internal/emulator/settings.go
@@ -83,9 +83,11 @@
 }
 
 // defaultTiming holds the bounds of the emulated deployment.
-var defaultTiming = timing{SeedLagS: 3, ReuseAfterS: 2, InTouchMS: 4000, AckWithinMS: 5000, CatchUpS: 4, DrainWithinMS: 4000,
-	GracePeriodS: 8, LostSlackMS: 200, ConfigWithinMS: 2500, GoBackMS: 250, StretchMS: 6000, RetryRatio: 0.2, RetryWindowS: 10,
-	RetryExtra: 54, ColdExcess: 1.5, ColdSlack: 5, EvacuateMS: 5000, RecoveryS: 12, PassMS: 300, TTLMaxS: 5}
+var defaultTiming = timing{SeedLagS: 3, ReuseAfterS: 2, InTouchMS: 4000, AckWithinMS: 5000, CatchUpS: 4,
+	DrainWithinMS: 4000,
+	GracePeriodS:  8, LostSlackMS: 200, ConfigWithinMS: 2500, GoBackMS: 250, StretchMS: 6000, RetryRatio: 0.2,
+	RetryWindowS: 10,
+	RetryExtra:   54, ColdExcess: 1.5, ColdSlack: 5, EvacuateMS: 5000, RecoveryS: 12, PassMS: 300, TTLMaxS: 5}
 
 // coldFalls is the multiple of its rate at which an emulated cold runner falls over.
 const coldFalls = 4
@@ -107,8 +109,9 @@
 // settingsOf describes one process of a machine.
 func (d *deployment) settingsOf(m *machine, p program, first bool) settings {
 	s := settings{
-		Node: m.name, Role: string(p), MachineClass: m.class, ServesRoles: []string{}, IP: m.ip, Zone: m.zone, Region: d.zones[m.zone],
-		Zones: d.zones, ListenOn: map[string]string{}, FreePorts: [2]uint16{d.ports.free, d.ports.free + freePorts - 1},
+		Node: m.name, Role: string(p), MachineClass: m.class, ServesRoles: []string{}, IP: m.ip, Zone: m.zone,
+		Region: d.zones[m.zone],
+		Zones:  d.zones, ListenOn: map[string]string{}, FreePorts: [2]uint16{d.ports.free, d.ports.free + freePorts - 1},
 		SeedNodes: d.seeds(), FirstBoot: first, FoundVia: "cloud_api", EntryKind: "directory", BeatEvery: 1200,
 		Promises: []string{"base", "drain", "config", "cost", "retry", "recover", "engine", "stream", "places"},
 		Limits:   limits{CPUFraction: 1, CPUCores: 1, RAMMB: ramMB, OpenFiles: openFiles, LinkMbps: 1000},
--- a/internal/emulator/trouble.go
+++ b/internal/emulator/trouble.go
@@ -32,7 +32,8 @@
 
 // Troubles are all there are.
 func Troubles() []Trouble {
-	return []Trouble{DrainRunner, ShortNotice, CrashRunner, DarkRunner, ChangeSettings, EvacuateZone, KillControl, KillProxy, KillAgent,
+	return []Trouble{DrainRunner, ShortNotice, CrashRunner, DarkRunner, ChangeSettings, EvacuateZone, KillControl,
+		KillProxy, KillAgent,
 		StopProxy, SpoilAnswers}
 }
 
@@ -54,7 +55,8 @@
 )
 
 // spoilt are the shares of answers that are spoilt.
-var spoilt = runner.Faults{BreakOff: 0.03, Extra: 0.03, ExtraLate: 0.03, Garbage: 0.02, Silent: 0.01, Reset: 0.03, Close: 0.03}
+var spoilt = runner.Faults{BreakOff: 0.03, Extra: 0.03, ExtraLate: 0.03, Garbage: 0.02, Silent: 0.01, Reset: 0.03,
+	Close: 0.03}
 
 // schedule has a trouble come at a time.
 func (d *day) schedule(ctx context.Context, t Trouble, at time.Duration) {
@@ -143,7 +145,8 @@
 	version := d.document.Version + versionStep
 	item := routeOf(&class)
 	began := time.Now()
-	err := operator.alter(order, change{Version: version, Replace: changeSet{Routes: []routeDocument{item}}}, d.document.Version)
+	err := operator.alter(order, change{Version: version, Replace: changeSet{Routes: []routeDocument{item}}},
+		d.document.Version)
 	if err != nil {
 		return err
 	}
@@ -167,10 +170,12 @@
 func (d *day) probe(ctx context.Context, m *machine, route *client.Route) {
 	ctx, cancel := context.WithTimeout(ctx, probeWait)
 	defer cancel()
-	load := client.New(client.Options{Zones: d.deploy.zones, Clients: 1, Front: m.at(d.deploy.ports.front).String(), Referee: d.referee,
-		Seed: d.options.Seed + uint64(m.ip.As4()[2])<<8 + uint64(m.ip.As4()[3])})
+	load := client.New(client.Options{Zones: d.deploy.zones, Clients: 1, Front: m.at(d.deploy.ports.front).String(),
+		Referee: d.referee,
+		Seed:    d.options.Seed + uint64(m.ip.As4()[2])<<8 + uint64(m.ip.As4()[3])})
 	load.Call(ctx, load.Client(m.zone, 0), &client.Call{Route: route, Zone: m.zone, Bytes: 100})
 	if tally := load.Tally(); tally.Routes[0].Denied > 0 {
-		d.referee.Break(referee.Configed, "%s does not know a route that was acknowledged %d ms before", m.name, defaultTiming.ConfigWithinMS)
+		d.referee.Break(referee.Configed, "%s does not know a route that was acknowledged %d ms before", m.name,
+			defaultTiming.ConfigWithinMS)
 	}
 }
--- a/internal/experiment/contestants.go
+++ b/internal/experiment/contestants.go
@@ -4,7 +4,8 @@
 
 // Placement is the system's own policy, placement.Placer.
 func Placement() Contestant {
-	return Contestant{Name: "placement", New: func(o placement.Options, seed uint64) (Policy, error) { return placement.New(o, seed) }}
+	create := func(o placement.Options, seed uint64) (Policy, error) { return placement.New(o, seed) }
+	return Contestant{Name: "placement", New: create}
 }
 
 // Contestants are the system's own policy and its rivals.
--- a/internal/experiment/print.go
+++ b/internal/experiment/print.go
@@ -23,11 +23,14 @@
 func printPolicies(out io.Writer, results []*Result) error {
 	const kilo = 1000
 	table := newTable(out)
-	fmt.Fprintln(table, "policy\tshare\t+-\tworst 1 s\tworst 5 s\tshared k read\tagain k\town k\tpreempted\trejected\tsends\trepeats\t"+
-		"cross-region\tcold worst\tcold over\trefusals\t")
+	fmt.Fprintln(table,
+		"policy\tshare\t+-\tworst 1 s\tworst 5 s\tshared k read\tagain k\town k\tpreempted\trejected\tsends\trepeats\t"+
+			"cross-region\tcold worst\tcold over\trefusals\t")
 	for _, r := range results {
-		fmt.Fprintf(table, "%s\t%.4f\t%.4f\t%.3f\t%.3f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%v\t\n", r.Policy, r.Share, r.ShareDeviation,
-			r.WorstSecond, r.WorstFive, r.SharedRead/kilo, r.SharedAgain/kilo, r.OwnRead/kilo, r.Preemptions, r.Rejected, r.Sends,
+		fmt.Fprintf(table, "%s\t%.4f\t%.4f\t%.3f\t%.3f\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%v\t\n", r.Policy,
+			r.Share, r.ShareDeviation,
+			r.WorstSecond, r.WorstFive, r.SharedRead/kilo, r.SharedAgain/kilo, r.OwnRead/kilo, r.Preemptions, r.Rejected,
+			r.Sends,
 			r.Repeats, r.CrossRegion, r.ColdWorst, r.ColdBroken, r.Refusals)
 	}
 	return table.Flush()
@@ -35,11 +38,13 @@
 
 func printClasses(out io.Writer, results []*Result) error {
 	table := newTable(out)
-	fmt.Fprintln(table, "policy\tclass\tcalls\tin time\tlate\trefused\tfailed\tworth\tlargest 10% in time\tserved\tnext 20% in time\tserved\t"+
-		"first p50\tp95\tp99\t")
+	fmt.Fprintln(table,
+		"policy\tclass\tcalls\tin time\tlate\trefused\tfailed\tworth\tlargest 10% in time\tserved\t"+
+			"next 20% in time\tserved\tfirst p50\tp95\tp99\t")
 	for _, r := range results {
 		for _, c := range r.Classes {
-			fmt.Fprintf(table, "%s\t%s\t%d\t%.3f\t%d\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%v\t%v\t%v\t\n", r.Policy, c.Name, c.Calls, c.InTimeOfCalls,
+			fmt.Fprintf(table, "%s\t%s\t%d\t%.3f\t%d\t%d\t%d\t%.3f\t%.3f\t%.3f\t%.3f\t%.3f\t%v\t%v\t%v\t\n", r.Policy,
+				c.Name, c.Calls, c.InTimeOfCalls,
 				c.Late, c.Refused, c.Failed, ratio(c.Earned, c.Due), c.LargestInTime, c.LargestServed, c.LargeInTime, c.LargeServed,
 				c.First50.Round(time.Millisecond), c.First95.Round(time.Millisecond), c.First99.Round(time.Millisecond))
 		}
--- a/internal/experiment/result.go
+++ b/internal/experiment/result.go
@@ -193,13 +193,16 @@
 	return ratio(served, float64(len(visits))), ratio(inTime, float64(len(visits)))
 }
 
+// startsBefore orders visits by when they began.
+func startsBefore(v *visit, at time.Duration) int { return cmp.Compare(v.call.At, at) }
+
 // worst is the share of worth earned of the calls that began within the worst window of a length.
 func (w *world) worst(length time.Duration, worth, owed map[*visit]float64) (share float64, at time.Duration) {
 	const step, leastCalls = 100 * time.Millisecond, 10
 	share = 1
 	for from := time.Duration(0); from+length <= w.scenario.Length; from += step {
 		earned, due, calls := 0.0, 0.0, 0
-		first, _ := slices.BinarySearchFunc(w.visits, from, func(v *visit, t time.Duration) int { return cmp.Compare(v.call.At, t) })
+		first, _ := slices.BinarySearchFunc(w.visits, from, startsBefore)
 		for _, v := range w.visits[first:] {
 			if v.call.At >= from+length {
 				break
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -112,7 +112,8 @@
 			{Name: "east-a", Region: "east", Proxies: 2, Share: 0.5, Wave: wave(0.5)},
 		},
 		Services: []Service{
-			{Name: "llm", Runners: map[string]int{"west-a": 3, "west-b": 3, "east-a": 4}, Engine: engineOptions(5.47, 38.7, 230413),
+			{Name: "llm", Runners: map[string]int{"west-a": 3, "west-b": 3, "east-a": 4}, Engine: engineOptions(5.47, 38.7,
+				230413),
 				MaxConns: 360, ColdFor: 3 * time.Second, ColdRate: 9.2},
 			{Name: "api", Runners: map[string]int{"west-a": 1, "west-b": 1, "east-a": 1}, Slots: 6, Queue: 24, MaxConns: 100},
 		},
--- a/internal/experiment/send.go
+++ b/internal/experiment/send.go
@@ -40,7 +40,8 @@
 // order is what the runner is asked to do: what the client has of a stream is not generated again.
 func (s *send) order() *engine.Request {
 	call := s.visit.call
-	r := &engine.Request{Model: s.request.Model, Out: call.Out, Work: call.Work, Priority: s.priority, Deadline: s.request.Deadline}
+	r := &engine.Request{Model: s.request.Model, Out: call.Out, Work: call.Work, Priority: s.priority,
+		Deadline: s.request.Deadline}
 	for _, part := range call.Parts {
 		r.Parts = append(r.Parts, engine.Part{ID: part.ID, Tokens: part.Tokens})
 	}
--- a/internal/standin/answer/answer.go
+++ b/internal/standin/answer/answer.go
@@ -1,5 +1,5 @@
-// Package answer is what stand-ins for runners put into their answers so that stand-ins for clients can tell whether they
-// got them whole, unchanged and in order: a seal in a header, and the data of events.
+// Package answer is what stand-ins for runners put into their answers so that stand-ins for clients can tell whether
+// they got them whole, unchanged and in order: a seal in a header, and the data of events.
 package answer
 
 import (
--- a/internal/standin/answer/answer_test.go
+++ b/internal/standin/answer/answer_test.go
@@ -15,7 +15,8 @@
 		if got, err := ParseSeal(seal.String()); err != nil || got != seal {
 			t.Fatalf("%+v read as %+v: %v", seal, got, err)
 		}
-		event := Event{Index: rapid.IntRange(1, 999).Draw(t, "index"), Of: rapid.IntRange(1, 999).Draw(t, "of"), Run: word.Draw(t, "run")}
+		event := Event{Index: rapid.IntRange(1, 999).Draw(t, "index"), Of: rapid.IntRange(1, 999).Draw(t, "of"),
+			Run: word.Draw(t, "run")}
 		if got, err := ParseEvent(strconv.Itoa(event.Index), event.Data()); err != nil || got != event {
 			t.Fatalf("%+v read as %+v: %v", event, got, err)
 		}
--- a/internal/standin/client/client_test.go
+++ b/internal/standin/client/client_test.go
@@ -32,7 +32,8 @@
 	w := &world{referee: referee.New(referee.Bounds{}, nil)}
 	directory := httptest.NewServer(http.HandlerFunc(func(out http.ResponseWriter, q *http.Request) {
 		w.lookups.Add(1)
-		if q.URL.Query().Get("zone") != "a" || q.URL.Query().Get("region") != "r" || q.URL.Query().Get("name") != "h.example" {
+		if q.URL.Query().Get("zone") != "a" || q.URL.Query().Get("region") != "r" ||
+			q.URL.Query().Get("name") != "h.example" {
 			t.Errorf("the directory was asked for %v", q.URL)
 		}
 		json.NewEncoder(out).Encode(lookupAnswer{Addresses: []string{front}, TTL: 60})
@@ -45,13 +46,15 @@
 }
 
 func streams() *Route {
-	return &Route{Name: "streams", Host: "h.example", Path: "/s/1", Stream: true, Target: 10 * time.Second, Deadline: 20 * time.Second,
-		Referee: &referee.Route{Name: "streams", Services: []string{"llm"}}}
+	return &Route{Name: "streams", Host: "h.example", Path: "/s/1", Stream: true, Target: 10 * time.Second,
+		Deadline: 20 * time.Second,
+		Referee:  &referee.Route{Name: "streams", Services: []string{"llm"}}}
 }
 
 func bodies() *Route {
-	return &Route{Name: "bodies", Host: "h.example", Path: "/b/1", ReadOnly: true, Target: 10 * time.Second, Deadline: 20 * time.Second,
-		Referee: &referee.Route{Name: "bodies", Services: []string{"llm", "api"}, Idempotent: true}}
+	return &Route{Name: "bodies", Host: "h.example", Path: "/b/1", ReadOnly: true, Target: 10 * time.Second,
+		Deadline: 20 * time.Second,
+		Referee:  &referee.Route{Name: "bodies", Services: []string{"llm", "api"}, Idempotent: true}}
 }
 
 func callOf(route *Route) *Call {
@@ -68,11 +71,13 @@
 
 func startRunner(t *testing.T, w *world, service string) *runner.Runner {
 	t.Helper()
-	o := runner.Options{Runner: referee.Runner{ID: "i-1", Service: service}, Address: "127.0.0.1:0", BodyBytes: 100, Referee: w.referee}
+	o := runner.Options{Runner: referee.Runner{ID: "i-1", Service: service}, Address: "127.0.0.1:0", BodyBytes: 100,
+		Referee: w.referee}
 	o.Machine, _ = engine.NewWorkers(2, 2)
 	if service == "llm" {
 		o.Stride = 2
-		o.Machine, _ = engine.New(engine.Options{Slots: 4, Queue: 4, MemoryTokens: 1000, Step: time.Millisecond, PrefillPerMS: 100, StrideTokens: 2})
+		o.Machine, _ = engine.New(engine.Options{Slots: 4, Queue: 4, MemoryTokens: 1000, Step: time.Millisecond,
+			PrefillPerMS: 100, StrideTokens: 2})
 	}
 	r, err := runner.Start(o)
 	if err != nil {
@@ -165,7 +170,8 @@
 }
 
 func TestExtraBytesAreFound(t *testing.T) {
-	for name, faults := range map[string]runner.Faults{"extra": {Extra: 1}, "extra late": {ExtraLate: 1}, "garbage": {Garbage: 1}} {
+	for name, faults := range map[string]runner.Faults{"extra": {Extra: 1}, "extra late": {ExtraLate: 1},
+		"garbage": {Garbage: 1}} {
 		w, r := withRunner(t, "api")
 		r.Script(faults)
 		for range 20 { // extra bytes come a moment after the answer
--- a/internal/standin/client/stream.go
+++ b/internal/standin/client/stream.go
@@ -72,7 +72,8 @@
 		return fmt.Errorf("%w: try %s: %w", errOrder, id, err)
 	}
 	if event.Index != c.events+1 || event.Of != c.of {
-		return fmt.Errorf("%w: try %s: piece %d of %d came after %d of %d", errOrder, id, event.Index, event.Of, c.events, c.of)
+		return fmt.Errorf("%w: try %s: piece %d of %d came after %d of %d", errOrder, id, event.Index, event.Of, c.events,
+			c.of)
 	}
 	if c.run != "" && event.Run != c.run && !c.Route.Resumable {
 		return fmt.Errorf("%w: try %s: a piece of run %s came after one of run %s", errOrder, id, event.Run, c.run)
--- a/internal/standin/client/try.go
+++ b/internal/standin/client/try.go
@@ -32,7 +32,8 @@
 	id := c.client.load.newTry()
 	body := c.body(id)
 	if r := c.client.load.options.Referee; r != nil {
-		r.Asked(referee.Try{ID: id, Method: method, Host: c.Route.Host, URI: c.Route.Path, Body: referee.Hash(body), Route: c.Route.Referee})
+		r.Asked(referee.Try{ID: id, Method: method, Host: c.Route.Host, URI: c.Route.Path, Body: referee.Hash(body),
+			Route: c.Route.Referee})
 	}
 	conn.SetDeadline(c.patience())
 	if _, err := conn.Write(c.request(id, body)); err != nil {
@@ -58,7 +59,8 @@
 // checkBytes notes bytes that are no answer. An answer that ends early is none of those.
 func (c *call) checkBytes(id string, err error) {
 	var network net.Error
-	if errors.As(err, &network) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed) {
+	ended := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed)
+	if ended || errors.As(err, &network) {
 		return
 	}
 	c.client.load.breach(referee.Mixed, "bytes that are not an answer came for try %s: %v", id, err)
@@ -86,7 +88,8 @@
 	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n", method, c.Route.Path, c.Route.Host, answer.TryID, id)
 	fmt.Fprintf(&b, "%s: %d\r\n", answer.TimeLeft, max(1, time.Until(c.deadline).Milliseconds()))
 	if c.Prompt != "" {
-		fmt.Fprintf(&b, "%s: %s\r\n%s: %d,%d\r\n%s: %s\r\n", answer.Model, c.Model, answer.TokenCounts, c.TokensIn, c.TokensOut,
+		fmt.Fprintf(&b, "%s: %s\r\n%s: %d,%d\r\n%s: %s\r\n", answer.Model, c.Model, answer.TokenCounts, c.TokensIn,
+			c.TokensOut,
 			answer.PromptStart, c.Prompt)
 	}
 	if c.events > 0 {
@@ -94,7 +97,8 @@
 	}
 	if c.client.load.number(chunks) == 0 {
 		half := len(body) / 2
-		fmt.Fprintf(&b, "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", half, body[:half], len(body)-half, body[half:])
+		fmt.Fprintf(&b, "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", half, body[:half],
+			len(body)-half, body[half:])
 		return b.Bytes()
 	}
 	fmt.Fprintf(&b, "Content-Length: %d\r\n\r\n", len(body))
@@ -119,7 +123,8 @@
 
 func (c *call) readRefusal(head *http.Response, id string) verdict {
 	switch head.StatusCode {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests,
+		http.StatusServiceUnavailable:
 		if r := c.client.load.options.Referee; r != nil {
 			r.TurnedAway(id, head.StatusCode)
 		}
--- a/internal/standin/cloud/cloud.go
+++ b/internal/standin/cloud/cloud.go
@@ -231,8 +231,9 @@
 }
 
 func (e *Entry) instance(now time.Time) instance {
-	i := instance{Service: e.Service, Address: e.Address.String(), Zone: e.Zone, Version: "v1", Capacity: e.Capacity, State: "serving",
-		ID: e.ID, ColdLeft: max(0, e.ColdUntil.Sub(now).Milliseconds())}
+	i := instance{Service: e.Service, Address: e.Address.String(), Zone: e.Zone, Version: "v1", Capacity: e.Capacity,
+		State: "serving",
+		ID:    e.ID, ColdLeft: max(0, e.ColdUntil.Sub(now).Milliseconds())}
 	if e.Draining {
 		i.State = "draining"
 	}
--- a/internal/standin/engine/engine.go
+++ b/internal/standin/engine/engine.go
@@ -1,7 +1,7 @@
-// Package engine models the runners of a service in virtual time: Engine, a language model server that works in batches
-// over a shared memory of tokens, and Workers, a plain server with slots and a queue. Both are pure machines: they do no
-// I/O and have no clock; the caller tells the time and takes the events. They stand in for outside servers in tests, in
-// comparisons of placement policies and in the emulator.
+// Package engine models the runners of a service in virtual time: Engine, a language model server that works in
+// batches over a shared memory of tokens, and Workers, a plain server with slots and a queue. Both are pure machines:
+// they do no I/O and have no clock; the caller tells the time and takes the events. They stand in for outside servers
+// in tests, in comparisons of placement policies and in the emulator.
 package engine
 
 import (
@@ -168,8 +168,8 @@
 	}
 }
 
-// Engine is a language model server: it runs tasks in batches, a token for each in a step, and prefills prompts piece by
-// piece within the same steps. Parts of prompts stay in memory until others need the room.
+// Engine is a language model server: it runs tasks in batches, a token for each in a step, and prefills prompts piece
+// by piece within the same steps. Parts of prompts stay in memory until others need the room.
 type Engine struct {
 	options  Options
 	slow     float64 // multiple of every step's time
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -301,7 +301,8 @@
 		walk(root)
 	}
 	if e.memory.kept != kept || e.memory.pinned != pinned+own {
-		t.Fatalf("kept %d and pinned %d, but the tree has %d and %d, and tasks %d", e.memory.kept, e.memory.pinned, kept, pinned, own)
+		t.Fatalf("kept %d and pinned %d, but the tree has %d and %d, and tasks %d", e.memory.kept, e.memory.pinned, kept,
+			pinned, own)
 	}
 	if kept+pinned+own > e.memory.size {
 		t.Fatalf("%d tokens in a memory of %d", kept+pinned+own, e.memory.size)
--- a/internal/standin/referee/referee.go
+++ b/internal/standin/referee/referee.go
@@ -1,5 +1,5 @@
-// Package referee holds what clients asked for against what runners were sent and what came back, and notes each rule of
-// the protocol that was broken. Stand-ins for clients, runners and the platform report to one referee.
+// Package referee holds what clients asked for against what runners were sent and what came back, and notes each rule
+// of the protocol that was broken. Stand-ins for clients, runners and the platform report to one referee.
 package referee
 
 import (
@@ -155,7 +155,8 @@
 
 func (r *Referee) checkSame(t *try, a Arrival) {
 	if a.Method != t.Method || a.URI != t.URI || a.Host != t.Host {
-		r.note(Unasked, "try %s was sent as %s %s%s and arrived as %s %s%s", t.ID, t.Method, t.Host, t.URI, a.Method, a.Host, a.URI)
+		r.note(Unasked, "try %s was sent as %s %s%s and arrived as %s %s%s", t.ID, t.Method, t.Host, t.URI, a.Method,
+			a.Host, a.URI)
 	}
 	if a.Body != t.Body {
 		r.note(Unasked, "the body of try %s was changed", t.ID)
@@ -276,7 +277,8 @@
 	}
 	for i, end := range repeats {
 		first, _ := slices.BinarySearchFunc(repeats, end.Add(-window), time.Time.Compare)
-		requests := max(r.askedBetween(service, end.Add(-window), end), r.askedBetween(service, end.Add(-2*window), end.Add(-window)),
+		requests := max(r.askedBetween(service, end.Add(-window), end), r.askedBetween(service, end.Add(-2*window),
+			end.Add(-window)),
 			r.askedBetween(service, end.Add(-3*window/2), end.Add(-window/2)))
 		if most := r.bounds.RetryRatio*float64(requests) + r.bounds.RetryExtra; float64(i+1-first) > most {
 			r.note(Budget, "service %s was sent %d repeats in %v, at most %.1f are allowed", service, i+1-first, window, most)
--- a/internal/standin/referee/referee_test.go
+++ b/internal/standin/referee/referee_test.go
@@ -13,8 +13,9 @@
 
 func newWorld() *world {
 	w := &world{now: time.Unix(1000, 0)}
-	w.Referee = New(Bounds{Drain: 4 * time.Second, Evacuate: 5 * time.Second, RetryRatio: 0.5, RetryWindow: 10 * time.Second,
-		RetryExtra: 1}, func() time.Time { return w.now })
+	w.Referee = New(Bounds{Drain: 4 * time.Second, Evacuate: 5 * time.Second, RetryRatio: 0.5,
+		RetryWindow: 10 * time.Second,
+		RetryExtra:  1}, func() time.Time { return w.now })
 	return w
 }
 
@@ -52,8 +53,10 @@
 		}, []Rule{Unasked}},
 		{"run twice", func(w *world) { w.ask("1", generations); w.Ran(west, "1"); w.Ran(west, "1") }, []Rule{Twice}},
 		{"an idempotent one run twice", func(w *world) { w.ask("1", lookups); w.Ran(api, "1"); w.Ran(api, "1") }, nil},
-		{"refused after it ran", func(w *world) { w.ask("1", generations); w.Ran(west, "1"); w.TurnedAway("1", 503) }, []Rule{Refused}},
-		{"run after it was refused", func(w *world) { w.ask("1", generations); w.TurnedAway("1", 429); w.Ran(west, "1") }, []Rule{Refused}},
+		{"refused after it ran", func(w *world) { w.ask("1", generations); w.Ran(west, "1"); w.TurnedAway("1", 503) },
+			[]Rule{Refused}},
+		{"run after it was refused", func(w *world) { w.ask("1", generations); w.TurnedAway("1", 429); w.Ran(west, "1") },
+			[]Rule{Refused}},
 		{"another service", func(w *world) { w.ask("1", lookups); w.arrive("1", west) }, []Rule{Routed}},
 		{"another region", func(w *world) { w.ask("1", generations); w.arrive("1", east) }, []Rule{Home}},
 		{"a draining runner in time", func(w *world) {
--- a/internal/standin/runner/order.go
+++ b/internal/standin/runner/order.go
@@ -105,7 +105,8 @@
 	return parts, nil
 }
 
-// outOf is how many tokens a prompt is answered with: the same at every runner, and between a quarter of the most and all.
+// outOf is how many tokens a prompt is answered with: the same at every runner, and between a quarter of the most and
+// all.
 func outOf(parts []engine.Part, most int) int {
 	most = max(1, most)
 	if len(parts) == 0 {
--- a/internal/standin/runner/runner_test.go
+++ b/internal/standin/runner/runner_test.go
@@ -22,7 +22,8 @@
 const long = 20 * time.Second
 
 func engineOptions() engine.Options {
-	return engine.Options{Slots: 4, Queue: 4, MemoryTokens: 1000, Step: time.Millisecond, PrefillPerMS: 100, StrideTokens: 2}
+	return engine.Options{Slots: 4, Queue: 4, MemoryTokens: 1000, Step: time.Millisecond, PrefillPerMS: 100,
+		StrideTokens: 2}
 }
 
 func start(t *testing.T, alter func(*Options)) *Runner {
@@ -68,7 +69,8 @@
 
 // ask sends a request and reads the head of the answer.
 func (c *caller) ask(method, path string, headers ...string) (*http.Response, error) {
-	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n%s\r\nx", method, path, strings.Join(append(headers, ""), "\r\n"))
+	fmt.Fprintf(c, "%s %s HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n%s\r\nx", method, path,
+		strings.Join(append(headers, ""), "\r\n"))
 	return http.ReadResponse(c.reader, nil)
 }
 
@@ -180,7 +182,8 @@
 	r.Chill(long)
 	c := dial(t, r)
 	resp, err := c.ask("GET", "/health")
-	if err != nil || resp.StatusCode != 200 || resp.Header.Get(answer.ServerID) != "i-1" || resp.Header.Get(answer.ColdLeft) == "" {
+	if err != nil || resp.StatusCode != 200 || resp.Header.Get(answer.ServerID) != "i-1" ||
+		resp.Header.Get(answer.ColdLeft) == "" {
 		t.Fatalf("health: %v %+v", err, resp)
 	}
 	resp, err = c.ask("GET", "/-/report")
@@ -188,7 +191,8 @@
 		t.Fatal(err)
 	}
 	var got reportBody
-	if err := json.NewDecoder(resp.Body).Decode(&got); err != nil || got.CacheSize != 992 && got.CacheSize != 1000 || got.Models[0].Name != "m" {
+	if err := json.NewDecoder(resp.Body).Decode(&got); err != nil || got.CacheSize != 992 && got.CacheSize != 1000 ||
+		got.Models[0].Name != "m" {
 		t.Errorf("report: %v %+v", err, got)
 	}
 	r.Drain()
--- a/internal/standin/runner/serve.go
+++ b/internal/standin/runner/serve.go
@@ -47,7 +47,8 @@
 	const most = 64
 	s := r.options.Machine.State()
 	now := r.now()
-	r.reports = append(r.reports, report{at: now, queued: s.Queued, running: s.Running, memoryUsed: s.MemoryUsed, memoryAll: s.MemorySize})
+	r.reports = append(r.reports, report{at: now, queued: s.Queued, running: s.Running, memoryUsed: s.MemoryUsed,
+		memoryAll: s.MemorySize})
 	for len(r.reports) > 1 && r.reports[1].at <= now-r.options.ReportLag || len(r.reports) > most {
 		r.reports = r.reports[1:]
 	}
