--- a/internal/emulator/day.go
+++ b/internal/emulator/day.go
@@ -73,7 +73,7 @@
 	}
 	d := &day{options: o}
 	d.referee = referee.New(referee.Bounds{Drain: millis(defaultTiming.DrainWithinMS),
-		Evacuate: millis(defaultTiming.EvacuateMS),
+		Evacuate:   millis(defaultTiming.EvacuateMS),
 		RetryRatio: defaultTiming.RetryRatio, RetryWindow: time.Duration(defaultTiming.RetryWindowS) * time.Second,
 		RetryExtra: defaultTiming.RetryExtra}, nil)
 	report, err := d.play(ctx, programs)
@@ -218,7 +218,7 @@
 func clientRoute(c *experiment.Class) *client.Route {
 	r := &client.Route{Name: c.Name, Host: host, Path: pathStart(c) + "1", Stream: c.Type == configuration.Streaming,
 		Resumable: c.Resume,
-		ReadOnly: c.Type == configuration.ReadOnly, Target: c.Target, Gap: c.Gap, Deadline: c.Deadline, Retries: c.Retries}
+		ReadOnly:  c.Type == configuration.ReadOnly, Target: c.Target, Gap: c.Gap, Deadline: c.Deadline, Retries: c.Retries}
 	r.Referee = &referee.Route{Name: c.Name, Services: []string{c.Service}, Homes: c.Homes, Idempotent: r.ReadOnly ||
 		r.Stream && r.Resumable}
 	return r
