--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -14,6 +14,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"cinderroad/internal/agent/source"
@@ -269,12 +270,14 @@
 	return address.Port() == a.settings.Port(environment.AgentRPC)
 }
 
-// seedReplicas are the control replicas of the settings.
+// seedReplicas are the control replicas of the settings, from one on that differs between nodes.
 func (a *Agent) seedReplicas() []netip.AddrPort {
 	port := a.settings.Port(environment.ControlRPC)
 	seeds := *a.seeds.Load()
 	addresses := make([]netip.AddrPort, len(seeds))
-	for i, seed := range seeds {
+	first := int(xxhash.Sum64String(a.settings.Node) % uint64(max(1, len(seeds))))
+	for i := range seeds {
+		seed := seeds[(first+i)%len(seeds)]
 		addresses[i] = netip.AddrPortFrom(seed.Addr(), port)
 	}
 	return addresses
@@ -282,7 +285,8 @@
 
 // stepped takes how the follower stands to the control replicas. One that has nothing has no use for the platform's list.
 func (a *Agent) stepped(state source.State) {
-	a.platform.update(state == source.CutOff && !a.store.empty())
+	listed := a.settings.CloudAPI.Address.IsValid()
+	a.platform.update(state == source.CutOff && listed && !a.store.empty())
 }
 
 // stop tells the members that the proxy stops, feeds it until it has ended, and leaves.
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -13,6 +13,7 @@
 var errKilled = errors.New("killed by the test")
 
 func TestFeedReachesTheProxy(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t)
 	replicas := w.newReplicas(2)
 	configure(replicas, 1, "1")
@@ -36,6 +37,7 @@
 }
 
 func TestAnotherReplicaIsFollowed(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t)
 	replicas := w.newReplicas(3)
 	configure(replicas, 1, "1")
@@ -50,6 +52,7 @@
 }
 
 func TestPlatformIsAskedInACut(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t)
 	replicas := w.newReplicas(2)
 	configure(replicas, 1, "1")
@@ -86,6 +89,7 @@
 }
 
 func TestRestartedAgentAsksOthers(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t)
 	replicas := w.newReplicas(1)
 	configure(replicas, 5, "1")
@@ -117,6 +121,7 @@
 }
 
 func TestMembersHearOfTheProxy(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t)
 	replicas := w.newReplicas(1)
 	e := w.newEdge("edge-1")
@@ -144,6 +149,7 @@
 }
 
 func TestStopLeavesAfterTheProxy(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t)
 	replicas := w.newReplicas(1)
 	configure(replicas, 1, "1")
@@ -176,6 +182,7 @@
 }
 
 func TestStopDoesNotWaitForTheProxyForever(t *testing.T) {
+	t.Parallel()
 	w := newWorld(t)
 	w.newReplicas(1)
 	e := w.newEdge("edge-1")
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -70,6 +70,8 @@
 	DeadFor  time.Duration // that a dead edge counts among the proxies that may be sending; 0: DefaultDeadFor
 	Log      *zap.Logger   // nil: none
 	OnChange func()        // called on the gossip goroutine after the view or its facts changed; it must not block
+
+	life uint64 // number of the process's life; 0: by the time of day
 }
 
 // FromSettings returns the options of a process on a machine.
@@ -171,12 +173,21 @@
 		Period: g.options.Period.Seconds(),
 		Steps:  stepsInPeriod,
 		Forget: forgetAfter.Seconds(),
-		Life:   uint64(max(1, g.epoch.UnixMicro())), // told apart only: the machine outlives a clock that was ahead
+		Life:   g.life(),
 		Seed:   rand.Uint64(),
 		Facts:  g.facts,
 	}
 }
 
+// life is the number of this process's life: a later one has a higher number. The time of day may have been ahead in an
+// earlier life; the machine outlives that one then.
+func (g *Gossip) life() uint64 {
+	if g.options.life > 0 {
+		return g.options.life
+	}
+	return uint64(max(1, g.epoch.UnixMicro()))
+}
+
 // memberName names a process of a machine; a name that is too long is told apart by its end.
 func memberName(node string, role Role) string {
 	name := node + nameSeparator + string(role)
--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -158,6 +158,23 @@
 	c.wait("the dead one counts no more", func() bool { return c.members["core-1"].Proxies() == 1 })
 }
 
+func TestRestartAfterTheClockWentBack(t *testing.T) {
+	c := small(t)
+	options := c.members["edge-3"].options
+	options.Listen = c.members["edge-3"].Address()
+	c.members["edge-3"].Close()
+	options.life = 1
+	c.start(options).SetServing(ServingNow)
+	c.wait("all know the later life", func() bool {
+		for _, member := range c.members {
+			if edge := c.find(member, "edge-3"); edge.State != Alive || edge.Serving != ServingNow {
+				return false
+			}
+		}
+		return true
+	})
+}
+
 func TestLeaveIsNoDeath(t *testing.T) {
 	c := small(t)
 	c.members["edge-1"].Leave()
