--- a/internal/replica/disk.go
+++ b/internal/replica/disk.go
@@ -155,14 +155,14 @@
 // runDisk owns the store: it opens it, starts the replicas and carries jobs out until the host stops.
 func (h *Host) runDisk() {
 	d := h.disk
-	if !h.openStore() {
-		return
-	}
 	defer func() {
 		if d.store != nil {
 			d.store.Close()
 		}
 	}()
+	if !h.openStore() {
+		return
+	}
 	for {
 		select {
 		case <-d.wake:
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -52,6 +52,7 @@
 	options Options
 	log     *zap.Logger
 	self    consensus.Member // ID 0 before the store is open
+	address netip.AddrPort   // of self
 	started time.Time
 
 	mutex     sync.Mutex
@@ -86,8 +87,8 @@
 		h.log = zap.NewNop()
 	}
 	settings := options.Settings
-	h.self = consensus.Member{Node: settings.Node, Zone: settings.Zone,
-		Address: controlAddress(settings, settings.IP).String()}
+	h.address = controlAddress(settings, settings.IP)
+	h.self = consensus.Member{Node: settings.Node, Zone: settings.Zone, Address: h.address.String()}
 	for i, state := range options.States {
 		h.groups = append(h.groups, newGroup(feed.Partition(i), state))
 	}
@@ -301,7 +302,7 @@
 	for i := range messages {
 		message := &messages[i]
 		address, known := h.addressOf(g, message.To)
-		if !known || address.String() == h.self.Address {
+		if !known || address == h.address {
 			continue // the latter: an earlier life of this machine
 		}
 		if message.Kind == consensus.InstallSnapshot {
--- /dev/null
+++ b/internal/replica/host_test.go
@@ -0,0 +1,441 @@
+package replica
+
+import (
+	"bytes"
+	"context"
+	"encoding/gob"
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest"
+
+	"cinderroad/internal/consensus"
+	"cinderroad/internal/environment"
+	"cinderroad/internal/feed"
+	"cinderroad/internal/rpc"
+)
+
+const (
+	testPartitions = 3
+	longBound      = 60 * time.Second
+)
+
+// listState is a state machine that keeps all commands in their order.
+type listState struct {
+	mutex    sync.Mutex
+	index    uint64
+	commands []string
+}
+
+func (s *listState) Apply(index uint64, command []byte) []byte {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if index <= s.index {
+		panic(fmt.Sprintf("index %d applied after %d", index, s.index))
+	}
+	s.index = index
+	s.commands = append(s.commands, string(command))
+	return []byte(fmt.Sprintf("%d:%s", len(s.commands), command))
+}
+
+func (s *listState) Snapshot() []byte {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var b bytes.Buffer
+	if err := gob.NewEncoder(&b).Encode(s.commands); err != nil {
+		panic(err)
+	}
+	return b.Bytes()
+}
+
+func (s *listState) Restore(index uint64, snapshot []byte) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.index, s.commands = index, nil
+	return gob.NewDecoder(bytes.NewReader(snapshot)).Decode(&s.commands)
+}
+
+func (s *listState) list() []string {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return append([]string(nil), s.commands...)
+}
+
+// machine is a control machine of a test.
+type machine struct {
+	t        *testing.T
+	settings environment.Settings
+	host     *Host
+	states   []*listState
+	end      context.CancelFunc
+	served   chan struct{}
+}
+
+// cluster is a set of machines at loopback addresses of their own that share a port.
+type cluster struct {
+	t        *testing.T
+	port     uint16
+	seeds    []netip.AddrPort
+	machines []*machine
+}
+
+func loopback(i int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 0, byte(i + 1)}) }
+
+func newCluster(t *testing.T, size, seeds int) *cluster {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	port := netip.MustParseAddrPort(listener.Addr().String()).Port()
+	listener.Close()
+	c := &cluster{t: t, port: port}
+	for i := range seeds {
+		c.seeds = append(c.seeds, netip.AddrPortFrom(loopback(i), 1))
+	}
+	for i := range size {
+		c.add(i, true)
+	}
+	t.Cleanup(func() {
+		for _, m := range c.machines {
+			m.kill()
+		}
+	})
+	return c
+}
+
+// add makes a machine that is not started.
+func (c *cluster) add(i int, firstBoot bool) *machine {
+	m := &machine{t: c.t, settings: environment.Settings{Node: fmt.Sprintf("core-%d", i), IP: loopback(i),
+		Zone: fmt.Sprintf("zone-%d", i%3), FreePorts: environment.PortRange{First: c.port, Last: c.port + 15},
+		SeedNodes: c.seeds, FirstBoot: firstBoot, StateDir: filepath.Join(c.t.TempDir(), "state"),
+		Survive: environment.Survive{MachineLosses: 1, Zones: 1}}}
+	c.machines = append(c.machines, m)
+	return m
+}
+
+func (m *machine) start() {
+	m.t.Helper()
+	var states []StateMachine
+	m.states = nil
+	for range testPartitions {
+		state := &listState{}
+		m.states = append(m.states, state)
+		states = append(states, state)
+	}
+	log := zaptest.NewLogger(m.t, zaptest.Level(zap.InfoLevel)).Named(m.settings.Node)
+	m.host = New(Options{Settings: &m.settings, States: states, Log: log, Heartbeat: 40 * time.Millisecond,
+		Election: 250 * time.Millisecond})
+	var listener net.Listener
+	m.wait("its port is free", func() (err error) {
+		listener, err = net.Listen("tcp4", controlAddress(&m.settings, m.settings.IP).String())
+		return err
+	})
+	registry := rpc.NewRegistry()
+	m.host.Register(registry)
+	var ctx context.Context
+	ctx, m.end = context.WithCancel(context.Background())
+	m.served = make(chan struct{})
+	served := m.served
+	go func() {
+		defer close(served)
+		if err := rpc.Serve(ctx, listener, registry, rpc.Limits{}); err != nil {
+			m.t.Error(err)
+		}
+	}()
+	m.host.Start()
+}
+
+// kill ends a machine without handing anything over.
+func (m *machine) kill() {
+	if m.host == nil {
+		return
+	}
+	m.end()
+	<-m.served
+	m.host.cancel()
+	m.host.disk.stop()
+	m.host.running.Wait()
+	m.host = nil
+}
+
+func (m *machine) stop() {
+	m.host.Stop(context.Background())
+	m.end()
+	<-m.served
+	m.host = nil
+}
+
+// wipe empties the machine's disk.
+func (m *machine) wipe() {
+	if err := os.RemoveAll(m.settings.StateDir); err != nil {
+		m.t.Fatal(err)
+	}
+	m.settings.FirstBoot = false
+}
+
+// wait returns once a condition holds.
+func (m *machine) wait(what string, holds func() error) { waitFor(m.t, what, holds) }
+
+func waitFor(t *testing.T, what string, holds func() error) {
+	t.Helper()
+	deadline := time.Now().Add(longBound)
+	ticker := time.NewTicker(5 * time.Millisecond)
+	defer ticker.Stop()
+	for {
+		err := holds()
+		if err == nil {
+			return
+		}
+		if time.Now().After(deadline) {
+			t.Fatalf("not reached: %s: %v", what, err)
+		}
+		<-ticker.C
+	}
+}
+
+func (m *machine) propose(partition feed.Partition, command string) {
+	m.t.Helper()
+	m.wait("proposal of "+command, func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), longBound)
+		defer cancel()
+		_, err := m.host.Propose(ctx, partition, []byte(command))
+		var unknown *UnknownOutcomeError
+		if err != nil && !errors.As(err, &unknown) {
+			m.t.Fatal(err)
+		}
+		return err
+	})
+}
+
+// holds waits until the machine, behind a barrier, has a command.
+func (m *machine) holds(partition feed.Partition, command string) {
+	m.t.Helper()
+	m.wait(m.settings.Node+" holds "+command, func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		defer cancel()
+		if err := m.host.Barrier(ctx, partition); err != nil {
+			return err
+		}
+		list := m.states[partition].list()
+		for _, have := range list {
+			if have == command {
+				return nil
+			}
+		}
+		return fmt.Errorf("it has %v", list)
+	})
+}
+
+// voters waits until all machines that run agree on so many voters, which are of machines that run, and on no other
+// members than machines that run.
+func (c *cluster) settled(voters int) {
+	c.t.Helper()
+	waitFor(c.t, fmt.Sprintf("%d voters", voters), func() error {
+		for _, m := range c.running() {
+			for _, status := range m.host.Status() {
+				if err := c.checkMembership(status.Status.Membership, voters); err != nil {
+					return fmt.Errorf("%s, partition %d: %w", m.settings.Node, status.Partition, err)
+				}
+			}
+			if len(m.host.Status()) != testPartitions {
+				return errors.New("not started")
+			}
+		}
+		return nil
+	})
+}
+
+func (c *cluster) running() (running []*machine) {
+	for _, m := range c.machines {
+		if m.host != nil {
+			running = append(running, m)
+		}
+	}
+	return running
+}
+
+func (c *cluster) checkMembership(membership consensus.Membership, voters int) error {
+	found := 0
+	for _, member := range membership.Members {
+		if member.Voter {
+			found++
+		}
+	}
+	if found != voters || len(membership.Members) != len(c.running()) {
+		return fmt.Errorf("members are %v", memberList(membership.Members))
+	}
+	for _, m := range c.running() {
+		if !m.isIn(membership) {
+			return fmt.Errorf("%s is not in %v", m.settings.Node, memberList(membership.Members))
+		}
+	}
+	return nil
+}
+
+func (m *machine) isIn(membership consensus.Membership) bool {
+	m.host.mutex.Lock()
+	defer m.host.mutex.Unlock()
+	for _, member := range membership.Members {
+		if member.ID == m.host.self.ID && !particularsDiffer(&member, &m.host.self) {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *cluster) leader(partition feed.Partition) *machine {
+	c.t.Helper()
+	var leader *machine
+	waitFor(c.t, "a leader", func() error {
+		for _, m := range c.running() {
+			if _, leads := m.host.Leads(partition); leads {
+				leader = m
+				return nil
+			}
+		}
+		return errors.New("nobody leads")
+	})
+	return leader
+}
+
+func (c *cluster) startAll() {
+	for _, m := range c.machines {
+		m.start()
+	}
+}
+
+func TestProposalsThroughEachMachine(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.startAll()
+	for i, m := range c.machines {
+		for p := range feed.Partition(testPartitions) {
+			m.propose(p, fmt.Sprintf("%d-%d", i, p))
+		}
+	}
+	c.settled(3)
+	for _, m := range c.machines {
+		for i := range c.machines {
+			for p := range feed.Partition(testPartitions) {
+				m.holds(p, fmt.Sprintf("%d-%d", i, p))
+			}
+		}
+		if fresh := m.host.Fresh(0); fresh > longBound {
+			t.Errorf("%s is %v behind", m.settings.Node, fresh)
+		}
+	}
+}
+
+func TestFounderAlone(t *testing.T) {
+	c := newCluster(t, 1, 1)
+	c.startAll()
+	c.machines[0].propose(0, "a")
+	c.machines[0].kill()
+	c.machines[0].settings.FirstBoot = false
+	c.machines[0].start()
+	c.machines[0].holds(0, "a")
+}
+
+func TestLeaderKilledAndBack(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.startAll()
+	c.machines[0].propose(1, "before")
+	c.settled(3)
+	killed := c.leader(1)
+	killed.kill()
+	c.running()[0].propose(1, "meanwhile")
+	killed.settings.FirstBoot = false
+	killed.start()
+	killed.holds(1, "meanwhile")
+	killed.holds(1, "before")
+	c.settled(3)
+}
+
+func TestAllKilledAtOnce(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.startAll()
+	c.machines[2].propose(0, "kept")
+	for _, m := range c.machines {
+		m.kill()
+		m.settings.FirstBoot = false
+	}
+	c.startAll()
+	for _, m := range c.machines {
+		m.holds(0, "kept")
+	}
+}
+
+func TestLeadershipHandedOverAtStop(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.startAll()
+	c.settled(3)
+	stopped := c.leader(0)
+	stopped.propose(0, "a")
+	stopped.stop()
+	for _, m := range c.running() {
+		m.holds(0, "a")
+	}
+}
+
+func TestWipedDiskRejoins(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.startAll()
+	c.machines[0].propose(0, "a")
+	c.settled(3)
+	for _, m := range c.machines {
+		before := m.host.self.ID
+		m.kill()
+		m.wipe()
+		m.start()
+		m.holds(0, "a")
+		c.settled(3)
+		if m.host.self.ID == before {
+			t.Errorf("%s has its old replica", m.settings.Node)
+		}
+	}
+}
+
+func TestMoreMachinesJoin(t *testing.T) {
+	c := newCluster(t, 7, 3)
+	c.startAll()
+	c.settled(5)
+	c.machines[6].propose(2, "a")
+	for _, m := range c.machines {
+		m.holds(2, "a")
+	}
+}
+
+func TestNewMachineReplacesLostOne(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.startAll()
+	c.machines[0].propose(0, "a")
+	c.settled(3)
+	c.machines[1].kill()
+	added := c.add(3, false)
+	added.start()
+	added.holds(0, "a")
+	c.settled(3)
+}
+
+func TestSnapshotBringsNewMachineUp(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.startAll()
+	large := string(bytes.Repeat([]byte("x"), 64<<10))
+	for i := range 40 {
+		c.machines[i%3].propose(0, fmt.Sprintf("%d%s", i, large))
+	}
+	added := c.add(3, false)
+	added.start()
+	added.holds(0, "39"+large)
+	if n := len(added.states[0].list()); n < 40 {
+		t.Errorf("it holds %d commands", n)
+	}
+}
--- a/internal/replica/manage.go
+++ b/internal/replica/manage.go
@@ -31,7 +31,7 @@
 }
 
 func (h *Host) hint(address netip.AddrPort) {
-	if !address.IsValid() || address.String() == h.self.Address {
+	if !address.IsValid() || address == h.address {
 		return
 	}
 	if i := slices.Index(h.known, address); i >= 0 {
@@ -197,7 +197,7 @@
 	}
 	for _, member := range h.members() {
 		address, err := netip.ParseAddrPort(member.Address)
-		if err == nil && member.Address != h.self.Address {
+		if err == nil && address != h.address {
 			addresses[address] = true
 		}
 	}
--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -10,10 +10,10 @@
 
 // Times after which a member that does not answer its leader counts as gone.
 const (
-	supersededAfter = 2 * time.Second  // where another replica answers at its address
-	replaceAfter    = 6 * time.Second  // a voter, where the group can be made better without making it smaller
-	shrinkAfter     = 20 * time.Second // a voter, whatever takes its place
-	forgetAfter     = 60 * time.Second // a learner
+	absentAfter  = 2 * time.Second  // anything that is not to be counted on at present
+	replaceAfter = 6 * time.Second  // a voter, where the group can be made better without making it smaller
+	shrinkAfter  = 20 * time.Second // a voter, whatever takes its place
+	forgetAfter  = 60 * time.Second // a learner
 )
 
 // Bounds of a group.
@@ -96,19 +96,20 @@
 	return consensus.Membership{Members: slices.Delete(s.plain(), i, i+1)}
 }
 
-// superseded tells whether a member's machine has lost its disk: it is silent and another replica lives at its place.
+// superseded tells whether a member's machine has lost its disk: another replica came from its place later on. A new
+// member stands behind all that were there before it.
 func (s *situation) superseded(i int) bool {
 	gone := &s.members[i]
-	if gone.ID == s.self || gone.silent < supersededAfter {
+	if gone.ID == s.self {
 		return false
 	}
-	for j := range s.members {
-		if j != i && s.members[j].silent < supersededAfter && samePlace(&gone.Member, &s.members[j].Member) {
+	for j := i + 1; j < len(s.members); j++ {
+		if samePlace(&gone.Member, &s.members[j].Member) {
 			return true
 		}
 	}
 	return slices.ContainsFunc(s.joining, func(joining consensus.Member) bool {
-		return joining.ID != gone.ID && samePlace(&gone.Member, &joining)
+		return s.find(joining.ID) < 0 && samePlace(&gone.Member, &joining)
 	})
 }
 
@@ -122,67 +123,76 @@
 func (v voterSet) has(i int) bool { return v&(1<<i) != 0 }
 func (v voterSet) size() int      { return bits.OnesCount32(uint32(v)) }
 
-// planVoters takes one step from the present voters towards the best ones.
+// planVoters takes one step from the present voters towards the best ones. Without a majority nothing can be agreed on.
 func (s *situation) planVoters() (change, bool) {
-	if s.anonymous() {
+	voters := s.weigh()
+	if s.anonymous() || (voters.present&voters.living).size() <= voters.present.size()/2 {
 		return change{}, false
 	}
-	present := s.present()
-	for _, gone := range []time.Duration{replaceAfter, shrinkAfter} {
-		least := present.size()
-		if gone == shrinkAfter {
-			least = 1
-		}
-		if best := s.bestVoters(present, gone, least); best != present {
-			return s.stepTo(present, best, gone)
-		}
+	best := s.bestVoters(&voters)
+	if best == voters.present {
+		return change{}, false
 	}
-	return change{}, false
+	return s.stepTo(&voters, best)
 }
 
-// anonymous tells whether a founder that is there has not told its particulars yet.
-func (s *situation) anonymous() bool {
-	return slices.ContainsFunc(s.members, func(m standing) bool { return m.Node == "" && m.silent < supersededAfter })
+// weighed are the members that are weighed as voters.
+type weighed struct {
+	present  voterSet // the voters
+	living   voterSet // those that are there
+	eligible voterSet // those that may vote
+	lost     voterSet // those gone for so long that the group may become smaller
 }
 
-func (s *situation) present() (voters voterSet) {
+func (s *situation) weigh() (w weighed) {
 	for i := range min(len(s.members), mostPlanned) {
-		if s.members[i].Voter {
-			voters |= 1 << i
+		m, bit := &s.members[i], voterSet(1)<<i
+		alive := s.lives(i)
+		if alive {
+			w.living |= bit
+		}
+		if m.Voter {
+			w.present |= bit
+		}
+		if m.Voter || alive && m.caughtUp && m.silent < absentAfter {
+			w.eligible |= bit
+		}
+		if m.silent > shrinkAfter {
+			w.lost |= bit
 		}
 	}
-	return voters
+	return w
 }
 
-// lives tells whether a member counts as being there.
-func (s *situation) lives(i int, gone time.Duration) bool {
-	return s.members[i].silent < gone && !s.superseded(i)
+// anonymous tells whether a founder that is there has not told its particulars yet.
+func (s *situation) anonymous() bool {
+	return slices.ContainsFunc(s.members, func(m standing) bool { return m.Node == "" && m.silent < absentAfter })
 }
 
-// bestVoters is the best set of at least a size; the present one unless another is better.
-func (s *situation) bestVoters(present voterSet, gone time.Duration, least int) voterSet {
-	var eligible, living voterSet
-	for i := range min(len(s.members), mostPlanned) {
-		alive := s.lives(i, gone)
-		if alive {
-			living |= 1 << i
-		}
-		if s.members[i].Voter || alive && s.members[i].caughtUp && s.members[i].silent < supersededAfter {
-			eligible |= 1 << i
-		}
-	}
-	best, bestWorth := present, s.worth(present, present, living)
-	for set := eligible; set > 0; set = (set - 1) & eligible {
-		if set.size() < least || !s.sizeFits(set.size(), eligible.size()) {
+// lives tells whether a member counts as being there.
+func (s *situation) lives(i int) bool { return s.members[i].silent < replaceAfter && !s.superseded(i) }
+
+// bestVoters is the best set; the present one unless another is better.
+func (s *situation) bestVoters(voters *weighed) voterSet {
+	best, bestWorth := voters.present, s.worth(voters.present, voters)
+	for set := voters.eligible; set > 0; set = (set - 1) & voters.eligible {
+		if !s.sizeFits(set.size(), voters.eligible.size()) || s.shrinksTooSoon(set, voters) {
 			continue
 		}
-		if worth := s.worth(set, present, living); slices.Compare(worth[:], bestWorth[:]) > 0 {
+		if worth := s.worth(set, voters); slices.Compare(worth[:], bestWorth[:]) > 0 {
 			best, bestWorth = set, worth
 		}
 	}
 	return best
 }
 
+// shrinksTooSoon tells whether a set is smaller than the present one, by more than the voter that makes an even number,
+// without those that it leaves out being gone for long.
+func (s *situation) shrinksTooSoon(set voterSet, voters *weighed) bool {
+	least := (voters.present.size()-1)/2*2 + 1
+	return set.size() < least && voters.present&^set&^voters.lost != 0
+}
+
 // sizeFits tells whether a group may be meant to have so many voters: an odd number, or both members of two.
 func (s *situation) sizeFits(size, eligible int) bool {
 	return size <= max(s.aim, 1) && (size%2 == 1 || size == 2 && eligible == 2)
@@ -192,9 +202,9 @@
 type worths [6]int
 
 // worth weighs a set of voters. It is worth little where its living ones are no majority.
-func (s *situation) worth(set, present, living voterSet) (w worths) {
+func (s *situation) worth(set voterSet, voters *weighed) (w worths) {
 	quorum := set.size()/2 + 1
-	alive := set & living
+	alive := set & voters.living
 	if alive.size() < quorum {
 		return worths{-1}
 	}
@@ -204,7 +214,7 @@
 	w[1] = survivesLoss(s, alive, quorum, func(m *standing) string { return m.Zone })
 	w[2] = alive.size() - quorum
 	w[3] = min(quorum, 2)
-	w[4] = -(set ^ present).size()
+	w[4] = -(set ^ voters.present).size()
 	if i := s.find(s.self); i >= 0 && i < mostPlanned && set.has(i) {
 		w[5] = 1
 	}
@@ -232,20 +242,14 @@
 
 // stepTo changes the one member whose change leaves the most room for failures; a new voter comes before an old one
 // goes, unless the old one's disk is gone, and others enough are left.
-func (s *situation) stepTo(present, best voterSet, gone time.Duration) (change, bool) {
-	var living voterSet
-	for i := range min(len(s.members), mostPlanned) {
-		if s.lives(i, gone) {
-			living |= 1 << i
-		}
-	}
+func (s *situation) stepTo(voters *weighed, best voterSet) (change, bool) {
 	chosen, chosenRoom := -1, [2]int{-1, 0}
 	for i := range min(len(s.members), mostPlanned) {
-		if present.has(i) == best.has(i) {
+		if voters.present.has(i) == best.has(i) {
 			continue
 		}
-		set := present ^ 1<<i
-		room := [2]int{(set & living).size() - (set.size()/2 + 1), s.preference(i, present)}
+		set := voters.present ^ 1<<i
+		room := [2]int{(set & voters.living).size() - (set.size()/2 + 1), s.preference(i, voters.present)}
 		if slices.Compare(room[:], chosenRoom[:]) > 0 {
 			chosen, chosenRoom = i, room
 		}
@@ -253,7 +257,7 @@
 	if chosen < 0 {
 		return change{}, false
 	}
-	return s.flip(chosen, best&living, gone)
+	return s.flip(chosen, best&voters.living)
 }
 
 // preference orders steps that leave the same room for failures.
@@ -271,12 +275,12 @@
 }
 
 // flip makes a member a voter, or ends that: a living one becomes a learner and another leaves the group.
-func (s *situation) flip(i int, heirs voterSet, gone time.Duration) (change, bool) {
+func (s *situation) flip(i int, heirs voterSet) (change, bool) {
 	member := s.members[i].Member
 	if member.ID == s.self {
 		return s.handOver(heirs)
 	}
-	if member.Voter && !s.lives(i, gone) {
+	if member.Voter && !s.lives(i) {
 		return change{to: s.without(i)}, true
 	}
 	member.Voter = !member.Voter
@@ -287,7 +291,7 @@
 func (s *situation) handOver(heirs voterSet) (change, bool) {
 	for i := range min(len(s.members), mostPlanned) {
 		m := &s.members[i]
-		if heirs.has(i) && m.Voter && m.ID != s.self && m.silent < supersededAfter {
+		if heirs.has(i) && m.Voter && m.ID != s.self && m.silent < absentAfter {
 			return change{handOver: m.ID}, true
 		}
 	}
--- /dev/null
+++ b/internal/replica/plan_test.go
@@ -0,0 +1,201 @@
+package replica
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"cinderroad/internal/consensus"
+)
+
+// parseSituation reads members as name:zone:marks, where the name's letter is the machine and its digit the life of its
+// disk. Marks: v votes, d silent for 10 s, D silent for a minute and a half, b behind, ? without particulars yet. The
+// first one leads. After a bar stand the replicas that ask to be taken in.
+func parseSituation(text string) *situation {
+	s := &situation{aim: leastVoters}
+	members, joining, _ := strings.Cut(text, "|")
+	for _, word := range strings.Fields(members) {
+		parts := strings.Split(word, ":")
+		m := standing{Member: testMember(parts[0], parts[1]), caughtUp: !strings.Contains(parts[2], "b")}
+		m.Voter = strings.Contains(parts[2], "v")
+		if strings.Contains(parts[2], "d") {
+			m.silent = 10 * time.Second
+		}
+		if strings.Contains(parts[2], "D") {
+			m.silent = 90 * time.Second
+		}
+		if strings.Contains(parts[2], "?") {
+			m.Node, m.Zone = "", ""
+		}
+		s.members = append(s.members, m)
+	}
+	for _, word := range strings.Fields(joining) {
+		parts := strings.Split(word, ":")
+		s.joining = append(s.joining, testMember(parts[0], parts[1]))
+	}
+	s.self = s.members[0].ID
+	return s
+}
+
+func testMember(name, zone string) consensus.Member {
+	id := consensus.ReplicaID(name[0])<<8 + consensus.ReplicaID(name[1])
+	return consensus.Member{ID: id, Node: "core-" + name[:1], Zone: zone, Address: "10.0.0." + name[:1] + ":1"}
+}
+
+func describe(c change, is bool) string {
+	if !is {
+		return "none"
+	}
+	if c.handOver != 0 {
+		return fmt.Sprintf("hand over to %c%c", byte(c.handOver>>8), byte(c.handOver))
+	}
+	var words []string
+	for _, m := range c.to.Members {
+		word := fmt.Sprintf("%c%c", byte(m.ID>>8), byte(m.ID))
+		if m.Node == "" {
+			word += "?"
+		}
+		if m.Voter {
+			word += "v"
+		}
+		words = append(words, word)
+	}
+	return strings.Join(words, " ")
+}
+
+func TestPlan(t *testing.T) {
+	tests := []struct{ name, situation, change string }{
+		{"all well", "A0:a:v B0:b:v C0:c:v", "none"},
+		{"particulars of a founder", "A0:a:v B0:b:v? C0:c:v?| B0:b", "A0v B0v C0?v"},
+		{"a machine joins", "A0:a:v B0:b:v C0:c:v| D0:a", "A0v B0v C0v D0"},
+		{"three of four vote", "A0:a:v B0:b:v C0:c:v D0:a:", "none"},
+		{"four of four in one zone would be no better", "A0:a:v B0:a:v C0:a:v D0:a:", "none"},
+		{"up to five", "A0:a:v B0:b:v C0:c:v D0:a: E0:b:", "A0v B0v C0v D0v E0"},
+		{"five", "A0:a:v B0:b:v C0:c:v D0:a:v E0:b:", "A0v B0v C0v D0v E0v"},
+		{"no more than five", "A0:a:v B0:b:v C0:c:v D0:a:v E0:b:v F0:c:", "none"},
+		{"a learner that is behind waits", "A0:a:v B0:b:v C0:c:v D0:a:b E0:b:", "none"},
+		{"one of two", "A0:a:v B0:b:", "A0v B0v"},
+		{"one of three", "A0:a:v B0:b: C0:c:", "A0v B0v C0"},
+		{"a wiped voter asks", "A0:a:v B0:b:v C0:c:v| C1:c", "A0v B0v C0v C1"},
+		{"a wiped voter's successor votes", "A0:a:v B0:b:v C0:c:v C1:c:", "A0v B0v C0v C1v"},
+		{"a wiped voter goes", "A0:a:v B0:b:v C0:c:v C1:c:v", "A0v B0v C1v"},
+		{"two wiped voters of five: one goes first", "A0:a:v B0:b:v C0:c:v D0:a:v E0:b:v C1:c: E1:b:",
+			"A0v B0v D0v E0v C1 E1"},
+		{"a wiped learner goes", "A0:a:v B0:b:v C0:c:v D0:a: D1:a:", "A0v B0v C0v D1"},
+		{"a silent voter is replaced", "A0:a:v B0:b:v C0:c:vd D0:c:", "A0v B0v C0v D0v"},
+		{"a replaced voter goes", "A0:a:v B0:b:v C0:c:vd D0:c:v", "A0v B0v D0v"},
+		{"a silent voter without a successor stays", "A0:a:v B0:b:v C0:c:vD", "none"},
+		{"a silent learner is kept for a while", "A0:a:v B0:b:v C0:c:v D0:a:d", "none"},
+		{"a silent learner goes", "A0:a:v B0:b:v C0:c:v D0:a:D", "A0v B0v C0v"},
+		{"a fourth voter goes when long silent", "A0:a:v B0:b:v C0:c:v D0:a:vD", "A0v B0v C0v"},
+		{"a zone that is gone for long", "A0:a:v B0:b:v C0:c:v D0:b:vD E0:c:vD", "A0v B0v C0v E0v"},
+		{"a zone that is gone for a moment", "A0:a:v B0:b:v C0:c:v D0:b:vd E0:c:vd", "none"},
+		{"no majority is there", "A0:a:v B0:b:vD C0:c:vD", "none"},
+		{"a zone holds a majority, and there are others", "A0:a:v B0:a:v C0:b:v D0:c:", "A0v B0v C0v D0v"},
+		{"then it loses one", "A0:a:v B0:a:v C0:b:v D0:c:v", "A0v B0 C0v D0v"},
+		{"particulars come before voters", "A0:a:v B0:b:v? C0:c:v D0:a: E0:b:", "none"},
+	}
+	for _, test := range tests {
+		t.Run(test.name, func(t *testing.T) {
+			if got := describe(planChange(parseSituation(test.situation))); got != test.change {
+				t.Errorf("%s: got %s, want %s", test.situation, got, test.change)
+			}
+		})
+	}
+}
+
+// TestPlanEnds draws situations and follows the plan: it comes to an end, each step changes one member, and the living
+// voters stay a majority.
+func TestPlanEnds(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := drawSituation(t)
+		for range 100 {
+			c, is := planChange(s)
+			if !is {
+				return
+			}
+			follow(t, s, c)
+		}
+		t.Fatal("the plan does not come to an end")
+	})
+}
+
+func drawSituation(t *rapid.T) *situation {
+	s := &situation{aim: leastVoters}
+	silences := []time.Duration{0, 0, 0, 3 * time.Second, 10 * time.Second, 30 * time.Second, 90 * time.Second}
+	for i := range rapid.IntRange(1, 9).Draw(t, "members") {
+		machine := byte('A' + i)
+		zone := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "zone")
+		if rapid.IntRange(0, 3).Draw(t, "wiped") == 0 {
+			m := standing{Member: testMember(string([]byte{machine, '0'}), zone), silent: silences[len(silences)-1]}
+			m.Voter = rapid.Bool().Draw(t, "voter")
+			s.members = append(s.members, m)
+		}
+		m := standing{Member: testMember(string([]byte{machine, '1'}), zone), caughtUp: rapid.Bool().Draw(t, "caught up")}
+		m.Voter = i == 0 || rapid.Bool().Draw(t, "voter")
+		if i > 0 {
+			m.silent = rapid.SampledFrom(silences).Draw(t, "silent")
+		} else {
+			s.self = m.ID
+		}
+		s.members = append(s.members, m)
+	}
+	return s
+}
+
+// follow carries a change out and checks it.
+func follow(t *rapid.T, s *situation, c change) {
+	if c.handOver != 0 {
+		i := s.find(c.handOver)
+		if i < 0 || !s.members[i].Voter {
+			t.Fatalf("leadership goes to %d", c.handOver)
+		}
+		s.self = c.handOver
+		return
+	}
+	before, majority := s.plain(), hasMajority(s)
+	changed := 0
+	for _, m := range c.to.Members {
+		if !slices.Contains(before, m) {
+			changed++
+		}
+	}
+	for _, m := range before {
+		if !slices.ContainsFunc(c.to.Members, func(o consensus.Member) bool { return o.ID == m.ID }) {
+			changed++
+		}
+	}
+	if changed != 1 {
+		t.Fatalf("%d members change", changed)
+	}
+	var members []standing
+	for _, m := range c.to.Members {
+		next := standing{Member: m, caughtUp: true}
+		if i := s.find(m.ID); i >= 0 {
+			next.silent, next.caughtUp = s.members[i].silent, s.members[i].caughtUp
+		}
+		members = append(members, next)
+	}
+	s.members = members
+	if majority && !hasMajority(s) {
+		t.Fatalf("no majority is left: %v", c.to)
+	}
+}
+
+func hasMajority(s *situation) bool {
+	voters, living := 0, 0
+	for i := range s.members {
+		if !s.members[i].Voter {
+			continue
+		}
+		voters++
+		if s.lives(i) {
+			living++
+		}
+	}
+	return living > voters/2
+}
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -87,7 +87,7 @@
 		return nil, !g.machine.Transferring(), g.changed
 	}
 	address, known := h.addressOf(g, g.machine.Leader())
-	if !known || address.String() == h.self.Address {
+	if !known || address == h.address {
 		return nil, false, g.changed
 	}
 	return h.peers.at(address).client, false, g.changed
