--- /dev/null
+++ b/internal/rpc/rpc_test.go
@@ -0,0 +1,343 @@
+package rpc
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	netrpc "net/rpc"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+const longBound = 60 * time.Second
+
+// EchoRequest is the argument of the tests' calls.
+type EchoRequest struct {
+	Text string
+	Wait bool // until the test lets go
+}
+
+// EchoReply is the reply of the tests' calls.
+type EchoReply struct{ Text string }
+
+var echoCall = Declare[EchoRequest, EchoReply]("Test.Echo")
+
+// echoServer answers echoCall.
+type echoServer struct {
+	address netip.AddrPort
+	calls   atomic.Int64
+	release chan struct{}
+	stop    func()
+}
+
+func newEchoServer(t *testing.T, address string, limits Limits) *echoServer {
+	t.Helper()
+	listener, err := net.Listen("tcp4", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &echoServer{address: netip.MustParseAddrPort(listener.Addr().String()), release: make(chan struct{})}
+	registry := NewRegistry()
+	echoCall.Handle(registry, s.echo)
+	ctx, cancel := context.WithCancel(context.Background())
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		if err := Serve(ctx, listener, registry, limits); err != nil {
+			t.Error(err)
+		}
+	}()
+	s.stop = sync.OnceFunc(func() {
+		cancel()
+		<-served
+	})
+	t.Cleanup(s.stop)
+	return s
+}
+
+func (s *echoServer) echo(ctx context.Context, request *EchoRequest) (*EchoReply, error) {
+	s.calls.Add(1)
+	if request.Text == "fail" {
+		return nil, errors.New("failed as asked")
+	}
+	if request.Wait {
+		select {
+		case <-s.release:
+		case <-ctx.Done():
+		}
+	}
+	return &EchoReply{Text: request.Text}, nil
+}
+
+func newTestClient(t *testing.T, address netip.AddrPort, options Options) *Client {
+	t.Helper()
+	if options.Call == 0 {
+		options.Call = longBound
+	}
+	c := NewClient(address, options)
+	t.Cleanup(c.Close)
+	return c
+}
+
+func waitFor(t *testing.T, what string, holds func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(longBound)
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	for !holds() {
+		if time.Now().After(deadline) {
+			t.Fatal("not reached: " + what)
+		}
+		<-ticker.C
+	}
+}
+
+func TestInvoke(t *testing.T) {
+	s := newEchoServer(t, "127.0.0.1:0", Limits{})
+	c := newTestClient(t, s.address, Options{})
+	for _, text := range []string{"a", "", "b"} {
+		reply, err := echoCall.Invoke(context.Background(), c, &EchoRequest{Text: text})
+		if err != nil || reply.Text != text {
+			t.Fatal(reply, err)
+		}
+	}
+	_, err := echoCall.Invoke(context.Background(), c, &EchoRequest{Text: "fail"})
+	var remote *RemoteError
+	if !errors.As(err, &remote) || remote.Text != "failed as asked" {
+		t.Fatal(err)
+	}
+	if _, err := echoCall.Invoke(context.Background(), c, &EchoRequest{Text: "after"}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestPlainClient has net/rpc's own client call: the wire is its wire.
+func TestPlainClient(t *testing.T) {
+	s := newEchoServer(t, "127.0.0.1:0", Limits{})
+	c, err := netrpc.Dial("tcp", s.address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	var reply EchoReply
+	if err := c.Call("Test.Echo", &EchoRequest{Text: "a"}, &reply); err != nil || reply.Text != "a" {
+		t.Fatal(reply, err)
+	}
+	if err := c.Call("Test.Missing", &EchoRequest{}, &reply); err == nil {
+		t.Fatal("a missing call was answered")
+	}
+}
+
+func TestCallsDoNotWaitForOneAnother(t *testing.T) {
+	s := newEchoServer(t, "127.0.0.1:0", Limits{})
+	c := newTestClient(t, s.address, Options{})
+	held := make(chan error, 1)
+	go func() {
+		_, err := echoCall.Poll(context.Background(), c, longBound, &EchoRequest{Text: "held", Wait: true})
+		held <- err
+	}()
+	waitFor(t, "the first call", func() bool { return s.calls.Load() == 1 })
+	if _, err := echoCall.Invoke(context.Background(), c, &EchoRequest{Text: "a"}); err != nil {
+		t.Fatal(err)
+	}
+	close(s.release)
+	if err := <-held; err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestCallEndsByItsDeadlineAndRedials(t *testing.T) {
+	s := newEchoServer(t, "127.0.0.1:0", Limits{})
+	c := newTestClient(t, s.address, Options{})
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	_, err := echoCall.Invoke(ctx, c, &EchoRequest{Wait: true})
+	var broken *BrokenError
+	if !errors.As(err, &broken) || !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatal(err)
+	}
+	c.mutex.Lock()
+	live := c.live
+	c.mutex.Unlock()
+	if live != nil {
+		t.Error("a silent connection was kept")
+	}
+	if _, err := echoCall.Invoke(context.Background(), c, &EchoRequest{Text: "a"}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestUnreachable(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := netip.MustParseAddrPort(listener.Addr().String())
+	listener.Close()
+	c := newTestClient(t, address, Options{Retry: time.Millisecond})
+	var unreachable *UnreachableError
+	if _, err := echoCall.Invoke(context.Background(), c, &EchoRequest{}); !errors.As(err, &unreachable) {
+		t.Fatal(err)
+	}
+	if err := echoCall.Send(context.Background(), c, &EchoRequest{}); !errors.As(err, &unreachable) {
+		t.Fatal(err)
+	}
+}
+
+func TestServerRestarts(t *testing.T) {
+	s := newEchoServer(t, "127.0.0.1:0", Limits{})
+	c := newTestClient(t, s.address, Options{Retry: time.Millisecond})
+	if _, err := echoCall.Invoke(context.Background(), c, &EchoRequest{Text: "a"}); err != nil {
+		t.Fatal(err)
+	}
+	s.stop()
+	if _, err := echoCall.Invoke(context.Background(), c, &EchoRequest{Text: "a"}); err == nil {
+		t.Fatal("a stopped server answered")
+	}
+	newEchoServer(t, s.address.String(), Limits{})
+	waitFor(t, "an answer of the new server", func() bool {
+		_, err := echoCall.Invoke(context.Background(), c, &EchoRequest{Text: "a"})
+		return err == nil
+	})
+}
+
+func TestSendIsBoundedByItsWindow(t *testing.T) {
+	s := newEchoServer(t, "127.0.0.1:0", Limits{})
+	c := newTestClient(t, s.address, Options{Window: 3})
+	for range 3 {
+		if err := echoCall.Send(context.Background(), c, &EchoRequest{Wait: true}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer cancel()
+	if err := echoCall.Send(ctx, c, &EchoRequest{}); !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatal(err)
+	}
+	close(s.release)
+	for range 20 {
+		if err := echoCall.Send(context.Background(), c, &EchoRequest{}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	waitFor(t, "all sends", func() bool { return s.calls.Load() == 23 })
+}
+
+func TestCallsOfAConnectionAreBounded(t *testing.T) {
+	s := newEchoServer(t, "127.0.0.1:0", Limits{Calls: 2})
+	c := newTestClient(t, s.address, Options{})
+	var all sync.WaitGroup
+	for range 5 {
+		all.Add(1)
+		go func() {
+			defer all.Done()
+			if _, err := echoCall.Invoke(context.Background(), c, &EchoRequest{Wait: true}); err != nil {
+				t.Error(err)
+			}
+		}()
+	}
+	waitFor(t, "two calls", func() bool { return s.calls.Load() == 2 })
+	close(s.release)
+	all.Wait()
+}
+
+func TestLargeRequestEndsItsConnection(t *testing.T) {
+	s := newEchoServer(t, "127.0.0.1:0", Limits{RequestBytes: 64 << 10})
+	c := newTestClient(t, s.address, Options{})
+	var broken *BrokenError
+	_, err := echoCall.Invoke(context.Background(), c, &EchoRequest{Text: string(make([]byte, 1<<20))})
+	if !errors.As(err, &broken) || s.calls.Load() != 0 {
+		t.Fatal(err, s.calls.Load())
+	}
+	for range 10 { // each bound is for one request
+		if _, err := echoCall.Invoke(context.Background(), c, &EchoRequest{Text: string(make([]byte, 32<<10))}); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	s := newEchoServer(t, "127.0.0.1:0", Limits{Connections: 1})
+	first, second := newTestClient(t, s.address, Options{}), newTestClient(t, s.address, Options{Retry: time.Millisecond})
+	if _, err := echoCall.Invoke(context.Background(), first, &EchoRequest{}); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := echoCall.Invoke(context.Background(), second, &EchoRequest{}); err == nil {
+		t.Fatal("a second connection was served")
+	}
+	first.Close()
+	waitFor(t, "a free place", func() bool {
+		_, err := echoCall.Invoke(context.Background(), second, &EchoRequest{})
+		return err == nil
+	})
+}
+
+// TestReaderThatStops reads nothing: its connection ends, and others are served meanwhile.
+func TestReaderThatStops(t *testing.T) {
+	s := newEchoServer(t, "127.0.0.1:0", Limits{Write: 50 * time.Millisecond})
+	socket, err := net.Dial("tcp4", s.address.String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer socket.Close()
+	stopped := newStream(socket, 1<<30, longBound)
+	large := string(make([]byte, 1<<20))
+	served := make(chan struct{})
+	go func() {
+		defer close(served)
+		for i := uint64(0); ; i++ {
+			if stopped.write(&netrpc.Request{ServiceMethod: "Test.Echo", Seq: i}, &EchoRequest{Text: large}) != nil {
+				return
+			}
+		}
+	}()
+	c := newTestClient(t, s.address, Options{})
+	if _, err := echoCall.Invoke(context.Background(), c, &EchoRequest{Text: "a"}); err != nil {
+		t.Fatal(err)
+	}
+	<-served
+}
+
+func TestClose(t *testing.T) {
+	s := newEchoServer(t, "127.0.0.1:0", Limits{})
+	c := newTestClient(t, s.address, Options{})
+	held := make(chan error, 1)
+	go func() {
+		_, err := echoCall.Invoke(context.Background(), c, &EchoRequest{Wait: true})
+		held <- err
+	}()
+	waitFor(t, "the call", func() bool { return s.calls.Load() == 1 })
+	c.Close()
+	if err := <-held; err == nil {
+		t.Fatal("the call of a closed client succeeded")
+	}
+	if _, err := echoCall.Invoke(context.Background(), c, &EchoRequest{}); err == nil {
+		t.Fatal("a closed client called")
+	}
+}
+
+func BenchmarkInvoke(b *testing.B) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	registry := NewRegistry()
+	echoCall.Handle(registry, func(_ context.Context, request *EchoRequest) (*EchoReply, error) {
+		return &EchoReply{Text: request.Text}, nil
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go Serve(ctx, listener, registry, Limits{})
+	c := NewClient(netip.MustParseAddrPort(listener.Addr().String()), Options{})
+	defer c.Close()
+	request := EchoRequest{Text: string(make([]byte, 200))}
+	b.ReportAllocs()
+	for b.Loop() {
+		if _, err := echoCall.Invoke(context.Background(), c, &request); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
