--- a/internal/control/api/api.go
+++ b/internal/control/api/api.go
@@ -36,7 +36,7 @@
 	MostBodyBytes = 16 << 20
 	// AnswerWithin is how long after the whole request its answer comes at the latest: callers take a second of
 	// silence for a failure.
-	AnswerWithin = 850 * time.Millisecond
+	AnswerWithin = 800 * time.Millisecond
 	mostCalls    = 64 // at once; more are told to come back
 	mostChanges  = 2  // that are compared at once: each holds two documents
 )
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -163,6 +163,7 @@
 	defer func() {
 		if err != nil {
 			err = multierr.Append(err, p.closeServers())
+			p.leave()
 		}
 	}()
 	if p.gossip, err = p.startGossip(ctx, options); err != nil {
@@ -331,10 +332,17 @@
 	p.closeServers()
 	p.host.Stop(context.Background())
 	p.cancel()
-	p.gossip.Leave()
+	p.leave()
 	p.running.Wait()
 }
 
+// leave has the other members know, if this one has joined.
+func (p *Process) leave() {
+	if p.gossip != nil {
+		p.gossip.Leave()
+	}
+}
+
 // closeServers ends the HTTP servers; calls under way have a while to end.
 func (p *Process) closeServers() error {
 	ctx, cancel := context.WithTimeout(context.Background(), finishWithin)
