--- a/cmd/cinderroad-proxy/main.go
+++ b/cmd/cinderroad-proxy/main.go
@@ -32,6 +32,8 @@
 	runnerPartitions = 2  // as the control replicas have them
 	filesReserved    = 200 + 56
 	leastSockets     = 64
+	listenTries      = 50
+	listenPause      = 100 * time.Millisecond
 	sleptAfter       = 0.5 // seconds by which a turn of the loop is late when that is logged
 )
 
@@ -73,8 +75,8 @@
 	if err != nil {
 		return err
 	}
-	if err := p.Listen(); err != nil {
-		return fmt.Errorf("cannot serve clients; is another process at the address? %w", err)
+	if err := listen(p); err != nil {
+		return err
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
@@ -99,6 +101,18 @@
 		MemoryBytes: settings.Limits.RAMMB << 20, GracePeriod: timing.GracePeriod, Seed: seed}), nil
 }
 
+// listen begins to serve. The addresses may still be held by an earlier life that is about to end.
+func listen(p *proxy.Proxy) error {
+	var err error
+	for range listenTries {
+		if err = p.Listen(); err == nil {
+			return nil
+		}
+		time.Sleep(listenPause)
+	}
+	return fmt.Errorf("cannot serve clients; does another process hold the address? %w", err)
+}
+
 // follow links the proxy to the agent of its machine.
 func follow(ctx context.Context, loop *transport.Loop, log *zap.Logger, p *proxy.Proxy, settings *environment.Settings) {
 	loopback := netip.AddrFrom4([4]byte{127, 0, 0, 1})
--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -24,6 +24,8 @@
 // Why a connection to a runner is closed here.
 var (
 	errConnectTimeout = errors.New("no connection came up in time")
+	errRefused        = errors.New("the runner closed the connection before it had a request")
+	errDraining       = errors.New("the runner takes nothing new")
 	errUnasked        = errors.New("bytes that belong to no request")
 	errOtherAnswer    = errors.New("an answer to another request")
 	errReadAway       = errors.New("the rest of an answer did not come in time")
@@ -77,13 +79,14 @@
 		l.rest()
 		return
 	}
-	if !l.runner.listed || l.runner.draining { // meanwhile
-		l.attempt, a.link = nil, nil
-		l.rest()
-		a.lost(false)
-		return
+	switch {
+	case !c.Alive(): // the runner takes no more connections and has reset this one
+		l.fail(errRefused)
+	case !l.runner.listed || l.runner.draining: // meanwhile
+		l.fail(errDraining)
+	default:
+		l.begin(a)
 	}
-	l.begin(a)
 }
 
 // begin writes the request of an attempt.
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -11,11 +11,13 @@
 const (
 	leastConns       = 2 // to a runner, whatever its service allows
 	defaultConns     = 64
+	untoldProxies    = 16 // while their number is not known
 	leastConnectTime = 250 * time.Millisecond
 	mostConnectTime  = 2 * time.Second
-	firstConnectTime = time.Second // while no connect has been seen
-	connectMultiple  = 4           // of the time that connects took
-	connectForget    = 0.9         // of the longest connect seen, after each shorter one
+	firstConnectTime = time.Second            // while no connect has been seen
+	otherConnectTime = 500 * time.Millisecond // at least, while none of the runner has
+	connectMultiple  = 4                      // of the time that connects took
+	connectForget    = 0.9                    // of the longest connect seen, after each shorter one
 )
 
 // pool is the connections to runners. A connection belongs to an incarnation: another one at the same address gets none
@@ -31,7 +33,7 @@
 
 func newPool(p *Proxy) *pool {
 	return &pool{proxy: p, runners: map[string]*runner{}, services: map[string]*configuration.Service{},
-		rests: map[string]*restBook{}, proxies: leastProxies}
+		rests: map[string]*restBook{}, proxies: untoldProxies}
 }
 
 // runner is an incarnation and the connections to it.
@@ -173,14 +175,13 @@
 
 // connectTimeout is how long a connection may take to come up.
 func (r *runner) connectTimeout() time.Duration {
-	seen := r.connect
-	if seen == 0 {
-		seen = r.pool.slowest
+	switch {
+	case r.connect > 0:
+		return min(max(connectMultiple*r.connect, leastConnectTime), mostConnectTime)
+	case r.pool.slowest > 0:
+		return min(max(connectMultiple*r.pool.slowest, otherConnectTime), mostConnectTime)
 	}
-	if seen == 0 {
-		return firstConnectTime
-	}
-	return min(max(connectMultiple*seen, leastConnectTime), mostConnectTime)
+	return firstConnectTime
 }
 
 // connected notes how long a connect took.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -67,6 +67,7 @@
 
 	front, ready *transport.Listener
 	sessions     sessionList
+	readiness    readyList
 	exchanges    int // open
 	buffered     int // bytes of bodies held
 	pending      pendingWrite
@@ -88,15 +89,16 @@
 	return p
 }
 
-// Listen begins to serve.
-func (p *Proxy) Listen() error {
-	front, err := p.loop.Listen(p.options.Front, p.accept)
-	if err != nil {
-		return err
+// Listen begins to serve. It may be called again after an error.
+func (p *Proxy) Listen() (err error) {
+	if p.front == nil {
+		if p.front, err = p.loop.Listen(p.options.Front, p.accept); err != nil {
+			p.front = nil
+			return err
+		}
 	}
-	p.front = front
 	if p.options.Ready.IsValid() {
-		if p.ready, err = p.loop.Listen(p.options.Ready, p.acceptReady); err != nil {
+		if err := p.listenReady(); err != nil {
 			return err
 		}
 	}
--- a/internal/proxy/ready.go
+++ b/internal/proxy/ready.go
@@ -9,32 +9,70 @@
 
 const (
 	readyPath     = "/-/ready"
-	readyHead     = 8 << 10
-	readyIdleTime = 10 // seconds
+	readyHead     = 8 << 10 // bytes
+	readyIdleTime = 10      // seconds
+	mostReady     = 16      // connections; beyond that the oldest goes
 )
 
+// readyList is the connections of those who ask whether the proxy is ready, the oldest first.
+type readyList []*readySession
+
 // readySession is a connection of the platform, which asks whether the proxy is ready.
 type readySession struct {
 	proxy   *Proxy
+	conn    *transport.Conn
 	timeout *transport.Deadline
 }
 
+// listenReady serves readiness apart from clients: a flood of them does not make the proxy look dead.
+func (p *Proxy) listenReady() (err error) {
+	p.ready, err = p.loop.ListenApart(p.options.Ready, mostReady, p.shedReady, p.acceptReady)
+	return err
+}
+
 func (p *Proxy) acceptReady(c *transport.Conn) transport.Handler {
-	s := &readySession{proxy: p}
-	s.expect(c)
+	s := &readySession{proxy: p, conn: c}
+	p.readiness = append(p.readiness, s)
+	s.expect()
 	return s
 }
 
-func (s *readySession) expect(c *transport.Conn) {
+// shedReady closes the oldest connection.
+func (p *Proxy) shedReady() bool {
+	if len(p.readiness) == 0 {
+		return false
+	}
+	p.readiness[0].end()
+	return true
+}
+
+func (s *readySession) expect() {
+	s.timeout.Stop()
+	s.timeout = s.proxy.loop.At(s.proxy.loop.Now()+readyIdleTime, s.end)
+}
+
+// leave forgets the connection.
+func (s *readySession) leave() {
 	s.timeout.Stop()
-	s.timeout = s.proxy.loop.At(s.proxy.loop.Now()+readyIdleTime, c.Close)
+	list := s.proxy.readiness
+	for i, o := range list {
+		if o == s {
+			s.proxy.readiness = append(list[:i], list[i+1:]...)
+			return
+		}
+	}
+}
+
+func (s *readySession) end() {
+	s.leave()
+	s.conn.Close()
 }
 
 // Opened implements transport.Handler.
 func (s *readySession) Opened(*transport.Conn) {}
 
 // Closed implements transport.Handler.
-func (s *readySession) Closed(*transport.Conn, error) { s.timeout.Stop() }
+func (s *readySession) Closed(*transport.Conn, error) { s.leave() }
 
 // Data implements transport.Handler.
 func (s *readySession) Data(c *transport.Conn) {
@@ -53,14 +91,15 @@
 		c.Consume(n)
 		c.Write(append(b, "\r\n"...))
 		if last {
-			s.timeout.Stop()
+			s.leave()
 			c.CloseWhenSent()
 			return
 		}
-		s.expect(c)
+		s.expect()
 	}
 }
 
+// status is the answer to a request.
 func (s *readySession) status(q *httpwire.RequestHead, err error) int {
 	switch {
 	case err != nil:
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -1,6 +1,10 @@
 package proxy
 
-import "time"
+import (
+	"time"
+
+	"go.uber.org/zap"
+)
 
 const (
 	idleSweepAfter = 1500 * time.Millisecond // the directory's answers have moved on by then
@@ -44,7 +48,9 @@
 		return
 	}
 	p.stopping.on = true
-	p.log.Info("told to stop")
+	p.log.Info("told to stop", zap.Int("exchanges", p.exchanges), zap.Int("sessions", p.sessions.open),
+		zap.Uint64("requests", p.Figures.Requests), zap.Uint64("served", p.Figures.Served),
+		zap.Uint64("refused", p.Figures.Refused), zap.Uint64("failed", p.Figures.Failed))
 	p.tellAgent(p.placer.Learnt())
 	now, plan := p.now(), p.stopping.plan
 	p.at(now+plan.sweep, p.sweep)
--- a/internal/proxy/uplink/uplink.go
+++ b/internal/proxy/uplink/uplink.go
@@ -14,7 +14,6 @@
 
 const (
 	followWait  = 20 * time.Second // that the agent may hold a call open while nothing changes
-	reportEvery = time.Second
 	callTimeout = 2 * time.Second
 	retryPause  = 100 * time.Millisecond // after a call that failed; the first of a series
 	retryMost   = time.Second
@@ -41,7 +40,7 @@
 	options Options
 	log     *zap.Logger
 	client  *rpc.Client
-	changed chan struct{} // holds one token when there is a new report
+	told    chan struct{} // holds one token when there is a report to be sent
 
 	mutex  sync.Mutex
 	report feed.ProxyReport
@@ -51,7 +50,7 @@
 // New makes a link; Run does its work.
 func New(log *zap.Logger, options Options) *Link {
 	client := rpc.NewClient(options.Agent, rpc.Options{Call: callTimeout, MessageBytes: mostReply})
-	return &Link{options: options, log: log, client: client, changed: make(chan struct{}, 1)}
+	return &Link{options: options, log: log, client: client, told: make(chan struct{}, 1)}
 }
 
 // Run follows and reports until the context ends.
@@ -63,21 +62,18 @@
 	l.client.Close()
 }
 
-// Report takes what the agent is to know: at once if it changed, and again every second. Learnt may be empty: nothing new.
+// Report has the agent told what the proxy is; it is to be called every second, and at once on a change. Learnt may be
+// empty: nothing new.
 func (l *Link) Report(report feed.ProxyReport) {
 	l.mutex.Lock()
-	same := report.Ready == l.report.Ready && report.Stopping == l.report.Stopping && report.Front == l.report.Front
 	if len(report.Learnt) > 0 {
 		l.learnt = report.Learnt
 	}
 	report.Learnt = nil
 	l.report = report
 	l.mutex.Unlock()
-	if same {
-		return
-	}
 	select {
-	case l.changed <- struct{}{}:
+	case l.told <- struct{}{}:
 	default:
 	}
 }
@@ -113,23 +109,16 @@
 
 // reports tells the agent what the proxy is. The first report says nothing: it asks for what an earlier life had learnt.
 func (l *Link) reports(ctx context.Context) {
-	ticker := time.NewTicker(reportEvery)
-	defer ticker.Stop()
-	for asked := false; ctx.Err() == nil; {
-		if !asked {
-			asked = l.ask(ctx)
-		} else {
+	for !l.ask(ctx) && ctx.Err() == nil {
+		sleep(ctx, retryPause)
+	}
+	for {
+		select {
+		case <-l.told:
 			l.tell(ctx)
+		case <-ctx.Done():
+			return
 		}
-		if asked {
-			select {
-			case <-ticker.C:
-			case <-l.changed:
-			case <-ctx.Done():
-			}
-			continue
-		}
-		sleep(ctx, retryPause)
 	}
 }
 
--- a/internal/proxy/uplink/uplink_test.go
+++ b/internal/proxy/uplink/uplink_test.go
@@ -178,6 +178,7 @@
 			break
 		}
 	}
+	link.Report(feed.ProxyReport{Ready: true, Front: "10.0.0.1:80"})
 	if r := receive(t, a.reports); !r.Ready || len(r.Learnt) > 0 {
 		t.Errorf("the next report is %+v", r)
 	}
