--- a/cmd/cinderroad-proxy/main.go
+++ b/cmd/cinderroad-proxy/main.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"cinderroad/internal/environment"
+	"cinderroad/internal/logfmt"
 	"cinderroad/internal/placement"
 	"cinderroad/internal/proxy"
 	"cinderroad/internal/proxy/uplink"
@@ -56,7 +57,7 @@
 func run(level zapcore.Level) error {
 	debug.SetGCPercent(garbagePercent)
 	runtime.GOMAXPROCS(processors)
-	log := newLog(level)
+	log := logfmt.New(os.Stderr, level)
 	settings, err := environment.Load()
 	if err != nil {
 		return err
@@ -138,11 +139,3 @@
 		}
 	}()
 }
-
-// newLog writes one event a line, as key=value pairs, to standard error.
-func newLog(level zapcore.Level) *zap.Logger {
-	config := zap.NewProductionEncoderConfig()
-	config.EncodeTime = zapcore.TimeEncoderOfLayout(time.RFC3339Nano)
-	core := zapcore.NewCore(zapcore.NewConsoleEncoder(config), zapcore.Lock(os.Stderr), level)
-	return zap.New(core)
-}
--- /dev/null
+++ b/internal/logfmt/logfmt.go
@@ -0,0 +1,119 @@
+// Package logfmt is a core for zap that writes one event a line, as key=value pairs.
+package logfmt
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+const timeFormat = "2006-01-02T15:04:05.000Z"
+
+// New returns a logger that writes events of the level and above. Writes are not concurrent.
+func New(w io.Writer, level zapcore.LevelEnabler) *zap.Logger {
+	return zap.New(&core{LevelEnabler: level, sink: &sink{w: w}})
+}
+
+// sink is the writer that all cores of a logger share.
+type sink struct {
+	mutex sync.Mutex
+	w     io.Writer
+}
+
+type core struct {
+	zapcore.LevelEnabler
+	sink *sink
+	with []zapcore.Field
+}
+
+// With returns a core that adds the fields to each event.
+func (c *core) With(fields []zapcore.Field) zapcore.Core {
+	return &core{LevelEnabler: c.LevelEnabler, sink: c.sink, with: slices.Concat(c.with, fields)}
+}
+
+// Check adds the core to an event of its level.
+func (c *core) Check(entry zapcore.Entry, checked *zapcore.CheckedEntry) *zapcore.CheckedEntry {
+	if c.Enabled(entry.Level) {
+		return checked.AddCore(entry, c)
+	}
+	return checked
+}
+
+// Write writes an event.
+func (c *core) Write(entry zapcore.Entry, fields []zapcore.Field) error {
+	line := make([]byte, 0, 256)
+	line = append(line, "time="...)
+	line = entry.Time.UTC().AppendFormat(line, timeFormat)
+	line = append(line, " level="...)
+	line = append(line, entry.Level.String()...)
+	if entry.LoggerName != "" {
+		line = appendPair(line, "logger", entry.LoggerName)
+	}
+	line = appendPair(line, "msg", entry.Message)
+	line = appendFields(line, c.with)
+	line = appendFields(line, fields)
+	line = append(line, '\n')
+	c.sink.mutex.Lock()
+	defer c.sink.mutex.Unlock()
+	_, err := c.sink.w.Write(line)
+	return err
+}
+
+// Sync does nothing: lines are not held back.
+func (c *core) Sync() error { return nil }
+
+func appendFields(line []byte, fields []zapcore.Field) []byte {
+	for i := range fields {
+		values := zapcore.NewMapObjectEncoder()
+		fields[i].AddTo(values)
+		for _, key := range sortedKeys(values.Fields) {
+			line = appendPair(line, key, text(values.Fields[key]))
+		}
+	}
+	return line
+}
+
+func sortedKeys(fields map[string]any) []string {
+	keys := make([]string, 0, len(fields))
+	for key := range fields {
+		keys = append(keys, key)
+	}
+	slices.Sort(keys)
+	return keys
+}
+
+func text(value any) string {
+	switch v := value.(type) {
+	case string:
+		return v
+	case time.Duration:
+		return v.String()
+	case time.Time:
+		return v.UTC().Format(timeFormat)
+	case float64:
+		return strconv.FormatFloat(v, 'g', 6, 64)
+	}
+	return fmt.Sprint(value)
+}
+
+// appendPair appends a pair; a value that would not read as one word is quoted.
+func appendPair(line []byte, key, value string) []byte {
+	line = append(line, ' ')
+	line = append(line, key...)
+	line = append(line, '=')
+	if value == "" || strings.ContainsFunc(value, needsQuotes) {
+		return strconv.AppendQuote(line, value)
+	}
+	return append(line, value...)
+}
+
+func needsQuotes(r rune) bool {
+	return r <= ' ' || r == '"' || r == '=' || r == '\\' || r == 0x7f || r == 0xfffd
+}
