--- /dev/null
+++ b/internal/proxy/chaos_test.go
@@ -0,0 +1,281 @@
+package proxy
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+)
+
+// runs counts how often each request ran, by its id, and holds what must be true of that in the end.
+type runs struct {
+	sync.Mutex
+	count    map[string]int
+	once     []string // that run at most once
+	promised []string // that never run
+	served   int
+}
+
+// settle checks what must be true in the end.
+func (r *runs) settle(t *testing.T) {
+	r.Lock()
+	defer r.Unlock()
+	for _, id := range r.once {
+		if r.count[id] > 1 {
+			t.Errorf("%s ran %d times", id, r.count[id])
+		}
+	}
+	for _, id := range r.promised {
+		if r.count[id] > 0 {
+			t.Errorf("%s was promised not to run and ran %d times", id, r.count[id])
+		}
+	}
+	if r.served == 0 || len(r.promised) == 0 {
+		t.Errorf("%d served, %d refused: nothing was shown", r.served, len(r.promised))
+	}
+	t.Logf("%d served, %d refused", r.served, len(r.promised))
+}
+
+func (r *runs) add(id string) {
+	r.Lock()
+	defer r.Unlock()
+	r.count[id]++
+}
+
+// bodyOf is the only right body of a request.
+func bodyOf(id string) string { return strings.Repeat(id+"|", 40) }
+
+// misbehave serves a connection as a runner in all sorts of trouble does.
+func (r *runs) misbehave(conn net.Conn, random *rand.Rand) {
+	defer conn.Close()
+	in := bufio.NewReader(conn)
+	for previous := ""; ; {
+		_ = conn.SetDeadline(time.Now().Add(patience))
+		if random.IntN(40) == 0 { // gone in the midst of a request
+			_, _ = in.Peek(1 + random.IntN(100))
+			return
+		}
+		q, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, q.Body); err != nil {
+			return
+		}
+		id := q.Header.Get(fieldTryID)
+		answer, keep := r.answer(id, previous, strings.HasPrefix(q.URL.Path, "/resumable/"), q.Header.Get(fieldLastEvent), random)
+		for len(answer) > 0 {
+			n := min(1+random.IntN(200), len(answer))
+			if _, err := io.WriteString(conn, answer[:n]); err != nil {
+				return
+			}
+			answer = answer[n:]
+		}
+		if !keep {
+			if random.IntN(2) == 0 {
+				_ = conn.(*net.TCPConn).SetLinger(0)
+			}
+			return
+		}
+		previous = id
+	}
+}
+
+// answer draws what a runner does with a request that it has read.
+func (r *runs) answer(id, previous string, stream bool, last string, random *rand.Rand) (text string, keep bool) {
+	switch random.IntN(24) {
+	case 0, 1:
+		return notRunAnswer, true
+	case 2:
+		return "HTTP/1.1 429 Busy\r\nX-Not-Run: 1\r\nX-Try-Id: " + id + "\r\nContent-Length: 3\r\n\r\nabc", true
+	case 3:
+		return "HTTP/1.1 421 No\r\nX-Server-Id: x\r\nContent-Length: 0\r\n\r\n", true
+	}
+	r.add(id)
+	whole := served(id, bodyOf(id))
+	if stream {
+		whole = streamOf(id, last)
+	}
+	switch random.IntN(16) {
+	case 0:
+		return "", false
+	case 1:
+		return "HTTP/1.1 500 Oops\r\nX-Try-Id: " + id + "\r\nContent-Length: 3\r\n\r\nabc", true
+	case 2:
+		return "HTTP/1.1 503 Oops\r\nX-Try-Id: " + id + "\r\nContent-Length: 0\r\n\r\n", true
+	case 3:
+		return "\x01\x02 no answer", false
+	case 4:
+		return whole[:random.IntN(len(whole))], false
+	case 5:
+		return whole + served(id, "unasked"), true
+	case 6:
+		return whole + "garbage", true
+	case 7:
+		if previous != "" {
+			return served(previous, "late") + whole, true
+		}
+	case 8:
+		return served("other", bodyOf("other")), true
+	case 9:
+		return strings.Replace(whole, "\r\n", "\r\nConnection: close\r\n", 1), false
+	case 10:
+		return "HTTP/1.1 100 Continue\r\n\r\n" + whole, true
+	}
+	return whole, true
+}
+
+const chaosEvents = 12
+
+// streamOf is a stream that goes on after an event.
+func streamOf(id, last string) string {
+	from := 0
+	_, _ = fmt.Sscan(last, &from)
+	var text strings.Builder
+	text.WriteString(streamHead(id, "s"))
+	for i := from + 1; i <= chaosEvents; i++ {
+		text.WriteString(chunk(fmt.Sprintf("id: %d\ndata: %s\n\n", i, id)))
+	}
+	return text.String() + lastChunk
+}
+
+// wholeStream is what a client must have got of a stream that ended as complete.
+func wholeStream(id string) string {
+	var text strings.Builder
+	for i := 1; i <= chaosEvents; i++ {
+		fmt.Fprintf(&text, "id: %d\ndata: %s\n\n", i, id)
+	}
+	return text.String()
+}
+
+// Whatever runners do: no write runs twice, a promise that nothing ran is kept, and what a client gets as a whole success
+// is the runner's whole body.
+func TestChaos(t *testing.T) {
+	const seeds, clients, requests = 3, 8, 120
+	for seed := range uint64(seeds) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			w := newWorld(t)
+			ran := &runs{count: map[string]int{}}
+			for i, r := range w.runners("a", "b", "c", "d") {
+				go ran.serve(r, rand.New(rand.NewPCG(seed, uint64(i))))
+			}
+			w.do(func() { w.placer.ended, w.placer.sent, w.placer.spread = nil, nil, true })
+			var all sync.WaitGroup
+			for i := range clients {
+				all.Go(func() {
+					c := &chaosClient{t: t, world: w, ran: ran, random: rand.New(rand.NewPCG(seed, uint64(100+i)))}
+					for n := range requests {
+						c.ask(fmt.Sprintf("%d-%d", i, n))
+					}
+					c.leave()
+				})
+			}
+			all.Wait()
+			w.await("nothing is held", func() bool {
+				return w.proxy.exchanges == 0 && w.proxy.buffered == 0 && w.proxy.sessions.open == 0
+			})
+			ran.settle(t)
+		})
+	}
+}
+
+func (r *runs) serve(runner *testRunner, random *rand.Rand) {
+	for {
+		conn, err := runner.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.misbehave(conn, rand.New(rand.NewPCG(random.Uint64(), 0)))
+	}
+}
+
+// chaosClient asks one request after the other and checks what it gets.
+type chaosClient struct {
+	t      *testing.T
+	world  *world
+	ran    *runs
+	random *rand.Rand
+	peer   *peer
+}
+
+func (c *chaosClient) leave() {
+	if c.peer != nil {
+		c.peer.conn.Close()
+		c.peer = nil
+	}
+}
+
+func (c *chaosClient) connect() bool {
+	if c.peer != nil {
+		return true
+	}
+	conn, err := net.Dial("tcp", c.world.front)
+	if err != nil {
+		c.t.Error(err)
+		return false
+	}
+	_ = conn.SetDeadline(time.Now().Add(patience))
+	c.peer = &peer{t: c.t, conn: conn.(*net.TCPConn), in: bufio.NewReader(conn)}
+	return true
+}
+
+func (c *chaosClient) ask(id string) {
+	path := []string{"/reads/x", "/writes/x", "/stream/x", "/resumable/x"}[c.random.IntN(4)]
+	if path == "/writes/x" || path == "/stream/x" {
+		c.ran.Lock()
+		c.ran.once = append(c.ran.once, id)
+		c.ran.Unlock()
+	}
+	if !c.connect() {
+		return
+	}
+	if _, err := io.WriteString(c.peer.conn, ask(path, id, "", "body of "+id)); err != nil {
+		c.leave()
+		return
+	}
+	if c.random.IntN(30) == 0 { // the client loses patience
+		c.leave()
+		return
+	}
+	got, err := http.ReadResponse(c.peer.in, nil)
+	if err != nil {
+		c.leave()
+		return
+	}
+	body, err := io.ReadAll(got.Body)
+	c.check(path, id, got, string(body), err)
+	if err != nil || got.Close {
+		c.leave()
+	}
+}
+
+// check looks at an answer; err says that it was broken off.
+func (c *chaosClient) check(path, id string, got *http.Response, body string, err error) {
+	c.ran.Lock()
+	defer c.ran.Unlock()
+	switch status := got.StatusCode; {
+	case status == 503 || status == 429 || status == 408 || status == 421:
+		c.ran.promised = append(c.ran.promised, id)
+		if got.Header.Get("Retry-After") == "" {
+			c.t.Errorf("%s %s got %d without Retry-After", path, id, status)
+		}
+	case status == 200 && err == nil:
+		c.ran.served++
+		want := bodyOf(id)
+		if path == "/resumable/x" {
+			want = wholeStream(id)
+		}
+		if body != want || got.Header.Get(fieldTryID) != id || got.Header.Get(fieldSeal) == "" {
+			c.t.Errorf("%s %s got %v %q, want %q", path, id, got.Header, body, want)
+		}
+	case status == 200 || status == 500 || status == 502:
+	default:
+		c.t.Errorf("%s %s got %d", path, id, status)
+	}
+}
--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -29,6 +29,7 @@
 	zones   map[string]string // region of each zone
 	table   *routetable.Table
 	version uint64
+	proxies int // as told last
 	reports int
 	told    []byte // what the agent was last told to be learnt
 }
@@ -56,7 +57,8 @@
 	if u.Evacuated != nil {
 		p.SetEvacuated(*u.Evacuated)
 	}
-	if u.Proxies > 0 && u.Proxies != p.pool.proxies {
+	if u.Proxies > 0 && u.Proxies != p.control.proxies {
+		p.control.proxies = u.Proxies
 		p.SetProxies(u.Proxies)
 	}
 	if u.Runners != nil {
--- a/internal/proxy/world_test.go
+++ b/internal/proxy/world_test.go
@@ -9,7 +9,6 @@
 	"net/netip"
 	"slices"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -31,6 +30,7 @@
 	placer *fakePlacer
 	routes *fakeRoutes
 	done   chan struct{}
+	front  string // address
 }
 
 // fakeRoutes routes by the prefix of the path alone.
@@ -74,6 +74,7 @@
 	if err := w.proxy.Listen(); err != nil {
 		t.Fatal(err)
 	}
+	w.front = w.proxy.FrontAddr().String()
 	go func() {
 		defer close(w.done)
 		_ = loop.Run()
@@ -135,9 +136,7 @@
 
 func (w *world) client() *peer {
 	w.t.Helper()
-	var addr netip.AddrPort
-	w.do(func() { addr = w.proxy.FrontAddr() })
-	return dial(w.t, addr.String())
+	return dial(w.t, w.front)
 }
 
 func (w *world) ended(want ...string) {
@@ -296,16 +295,22 @@
 	choices  []placement.Runner
 	refusal  *placement.Refusal
 	noRetry  bool
+	spread   bool // takes runners in turn
 	priority int
 	events   int
 	last     placement.Request
 	recalled []byte
 
-	mu    sync.Mutex
-	ended chan string
+	ended chan string // nil: nobody listens
 	sent  chan string
 }
 
+func tell(to chan string, what string) {
+	if to != nil {
+		to <- what
+	}
+}
+
 func (f *fakePlacer) SetServices(time.Duration, []*configuration.Service) {}
 func (f *fakePlacer) SetRunners(time.Duration, []placement.Runner)        {}
 func (f *fakePlacer) SetEvacuated(time.Duration, map[string]bool)         {}
@@ -317,20 +322,23 @@
 	}
 	for _, c := range f.choices {
 		if !slices.Contains(r.Tried, c.ID) {
+			if f.spread {
+				f.choices = append(f.choices[1:len(f.choices):len(f.choices)], f.choices[0])
+			}
 			return placement.Choice{Runner: c.ID, Address: c.Address, Priority: f.priority - 1}, nil
 		}
 	}
 	return placement.Choice{}, &placement.Refusal{RetryAfter: 1500 * time.Millisecond, Reason: "all tried"}
 }
 func (f *fakePlacer) Sent(_ time.Duration, r *placement.Request, c placement.Choice) *placement.Attempt {
-	f.sent <- c.Runner
+	tell(f.sent, c.Runner)
 	return &placement.Attempt{Runner: c.Runner, Request: r}
 }
 func (f *fakePlacer) FirstEvent(time.Duration, *placement.Attempt) { f.events++ }
 func (f *fakePlacer) Event(time.Duration, *placement.Attempt)      { f.events++ }
 func (f *fakePlacer) Ended(_ time.Duration, a *placement.Attempt, o placement.Outcome, _ placement.Progress) {
 	names := []string{"served", "not run", "wrong runner", "failed", "broken", "silent", "unreached", "abandoned"}
-	f.ended <- a.Runner + " " + names[o]
+	tell(f.ended, a.Runner+" "+names[o])
 }
 func (f *fakePlacer) MayRetry(time.Duration, *placement.Request) bool { return !f.noRetry }
 func (f *fakePlacer) Tick(now time.Duration) time.Duration            { return now + time.Hour }
