--- /dev/null
+++ b/cmd/cinderroad-emulator/main.go
@@ -0,0 +1,17 @@
+// Command cinderroad-emulator plays deployments of the system on one machine. It serves a short day with the real programs
+// and stand-ins for everything else, or compares placement policies over modelled runners in virtual time.
+package main
+
+import "github.com/alecthomas/kong"
+
+type commands struct {
+	Day      day      `cmd:"" default:"withargs" help:"Serve a short day with the real programs on loopback."`
+	Policies policies `cmd:"" help:"Compare placement policies over modelled runners in virtual time."`
+}
+
+func main() {
+	var c commands
+	context := kong.Parse(&c, kong.Name("cinderroad-emulator"),
+		kong.Description("Deployments of the system on one machine, with stand-ins for everything outside it."))
+	context.FatalIfErrorf(context.Run())
+}
