--- a/internal/consensus/election.go
+++ b/internal/consensus/election.go
@@ -37,7 +37,7 @@
 
 // campaignDue is when this replica stands for election.
 func (m *Machine) campaignDue() time.Duration {
-	if !m.membership().votes(m.options.ID) {
+	if !m.mayLead() {
 		return Never
 	}
 	return max(m.electionDue, m.noLeaderUntil)
@@ -77,12 +77,8 @@
 	m.leader = 0
 	m.term++
 	m.vote = m.options.ID
-	m.granted = []ReplicaID{m.options.ID}
+	m.granted = nil // its own vote counts once it is on disk
 	m.retryElection(m.options.Election/2, m.options.Election)
-	if m.elected() {
-		m.becomeLeader()
-		return
-	}
 	m.askVotes(Message{Kind: Vote, Term: m.term, Force: force})
 }
 
@@ -111,9 +107,18 @@
 	return granted > voters/2
 }
 
+// mayLead tells whether this replica is a voter, or would be if a membership that is not known to be committed came to
+// nothing: it may be the only one that holds that membership, and then nobody else can be elected. It leads until the
+// membership is committed.
+func (m *Machine) mayLead() bool {
+	return m.log.anyMembership(func(s Membership) bool { return s.votes(m.options.ID) })
+}
+
 // mayVote tells whether this replica takes part in elections. A learner votes if it is asked: whoever asks it has made
 // it a voter, and the entry that says so may not have come here yet.
-func (m *Machine) mayVote() bool { return m.membership().has(m.options.ID) }
+func (m *Machine) mayVote() bool {
+	return m.log.anyMembership(func(s Membership) bool { return s.has(m.options.ID) })
+}
 
 // holdsToLeader tells whether there may be a leader whose lease rests on this replica.
 func (m *Machine) holdsToLeader() bool { return m.role == Leader || m.now < m.refuseUntil }
@@ -165,7 +170,12 @@
 	if m.role != Candidate || msg.Reject || msg.Term != m.term {
 		return
 	}
-	m.grant(msg.From)
+	m.countVote(msg.From)
+}
+
+// countVote notes a vote for this candidate.
+func (m *Machine) countVote(from ReplicaID) {
+	m.grant(from)
 	if m.elected() {
 		m.becomeLeader()
 	}
--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -211,12 +211,8 @@
 	m.messages = append(m.messages, msg)
 }
 
-// sendEarly queues a message of a leader that does not rest on its own writes, as long as its term is on disk.
+// sendEarly queues a message of a leader, which does not rest on what is yet to be written: a leader's term is on disk.
 func (m *Machine) sendEarly(msg Message) {
-	if m.persistedTerm < m.term {
-		m.send(msg)
-		return
-	}
 	msg.From, msg.Term = m.options.ID, m.term
 	m.early = append(m.early, msg)
 }
--- a/internal/consensus/ready.go
+++ b/internal/consensus/ready.go
@@ -33,13 +33,16 @@
 	r.HardState = &hard
 }
 
-// Persisted says that the writes of r, and those of all Readies before it, are synced. A leader's own entries count
-// towards a majority only now.
+// Persisted says that the writes of r, and those of all Readies before it, are synced. A candidate's own vote
+// and a leader's own entries count towards a majority only now.
 func (m *Machine) Persisted(r Ready) {
 	if r.number == 0 {
 		return
 	}
 	m.persistedTerm = max(m.persistedTerm, m.log.synced(r.number))
+	if m.role == Candidate && m.persistedTerm == m.term {
+		m.countVote(m.options.ID)
+	}
 	if m.role == Leader {
 		m.advanceCommit()
 	}
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -244,7 +244,7 @@
 // forgetSent begins anew, once it answers, with a member that fell behind the start of the log while appends to it were
 // under way.
 func (m *Machine) forgetSent(p *peer) {
-	if p.state == replicating {
+	if p.state != snapshotting {
 		p.becomeProbing(p.match + 1)
 		p.waiting = true
 	}
--- a/internal/consensus/transfer.go
+++ b/internal/consensus/transfer.go
@@ -70,7 +70,7 @@
 		m.becomeFollower(m.term, 0)
 		return
 	}
-	if m.leading.handedOver && m.membership().votes(m.options.ID) {
+	if m.leading.handedOver && m.mayLead() {
 		m.stand(true) // in this term the transferee may still call an election at any time, so that no lease is sure
 		return
 	}
@@ -82,7 +82,7 @@
 	if msg.Term != m.term || m.role == Leader || m.leader != msg.From {
 		return
 	}
-	if m.now < m.noLeaderUntil || !m.membership().votes(m.options.ID) {
+	if m.now < m.noLeaderUntil || !m.mayLead() {
 		return
 	}
 	m.attempts = 0
