--- a/brain/api.go
+++ b/brain/api.go
@@ -1,6 +1,7 @@
 // Package brain decides for a dispatcher that pushes jobs to workers: where a request goes, when it is
 // tried again or copied, and when it is answered without having been served. This file is its interface;
-// every decision is in brain.go.
+// its decisions are in the files that deploy/balancer.toml names as its policy, on the core that package capacity shares
+// with the system's placement.
 //
 // The caller owns the network. It creates one Balancer for each dispatcher process, calls one method for
 // each event from a single goroutine, with a clock that never goes back, and carries out the Actions the
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -6,9 +6,13 @@
 	"math"
 	"math/rand"
 	"os"
+	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"unicode/utf8"
+
+	"github.com/BurntSushi/toml"
 )
 
 // sent is one send as the recorder saw it.
@@ -709,7 +713,7 @@
 		r.outcome(id, 0, Error)
 	}
 	for _, w := range r.b.workers {
-		if w.shunUntil > r.now {
+		if w.standing.ShunUntil > r.now {
 			t.Errorf("worker %d was set aside", w.ID)
 		}
 	}
@@ -1147,27 +1151,73 @@
 }
 
 func TestModuleStaysReadable(t *testing.T) {
-	const maxLines, maxWidth = 650, 110
-	f, err := os.Open("brain.go")
+	const maxLines, maxFile, maxWidth = 650, 250, 110
+	var deploy struct{ Policy []string }
+	if _, err := toml.DecodeFile("../deploy/balancer.toml", &deploy); err != nil {
+		t.Fatal(err)
+	}
+	if len(deploy.Policy) < 2 || deploy.Policy[0] != "brain/brain.go" {
+		t.Fatalf("policy files: %v", deploy.Policy)
+	}
+	sum := 0
+	for _, name := range deploy.Policy {
+		lines := readable(t, name, maxWidth)
+		if lines > maxFile {
+			t.Errorf("%s: %d lines that are not blank, at most %d", name, lines, maxFile)
+		}
+		sum += lines
+	}
+	if sum > maxLines {
+		t.Errorf("%d lines that are not blank, at most %d", sum, maxLines)
+	}
+}
+
+// readable counts the lines of a policy file that are not blank, and checks their width and the head of the first file.
+func readable(t *testing.T, name string, maxWidth int) (lines int) {
+	f, err := os.Open(filepath.Join("..", name))
 	if err != nil {
 		t.Fatal(err)
 	}
 	defer f.Close()
-	lines, text := 0, bufio.NewScanner(f)
+	text := bufio.NewScanner(f)
 	for n := 1; text.Scan(); n++ {
 		line := text.Text()
 		if strings.TrimSpace(line) != "" {
 			lines++
 		}
 		if w := utf8.RuneCountInString(strings.ReplaceAll(line, "\t", "    ")); w > maxWidth {
-			t.Errorf("line %d has %d characters", n, w)
+			t.Errorf("%s: line %d has %d characters", name, n, w)
 		}
-		if n == 1 && !strings.Contains(line, "api.go") {
+		if n == 1 && name == "brain/brain.go" && !strings.Contains(line, "api.go") {
 			t.Error("the head does not name api.go")
 		}
 	}
-	if lines > maxLines {
-		t.Errorf("%d lines that are not blank, at most %d", lines, maxLines)
+	return lines
+}
+
+// A send, a refusal or a failure is decided in a policy file: no other file of the module calls for one.
+func TestDecisionsStandInPolicyFiles(t *testing.T) {
+	var deploy struct{ Policy []string }
+	if _, err := toml.DecodeFile("../deploy/balancer.toml", &deploy); err != nil {
+		t.Fatal(err)
+	}
+	files, err := filepath.Glob("*.go")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range files {
+		if strings.HasSuffix(name, "_test.go") || slices.Contains(deploy.Policy, "brain/"+name) {
+			continue
+		}
+		text, err := os.ReadFile(name)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, act := range []string{"act.Send(", "act.Refuse(", "act.Fail(", "act.Probe("} {
+			if strings.Contains(string(text), act) {
+				t.Errorf("%s calls %s...)", name, act)
+			}
+		}
 	}
 }
 
--- a/brain/learnt.go
+++ b/brain/learnt.go
@@ -55,8 +55,8 @@
 	for _, w := range b.workers {
 		if w.State != Gone {
 			l.Workers[w.ID] = &LearntWorker{Since: w.Since, Heard: w.heard, InFlight: w.inFlight, Util: w.util,
-				ReportAt: w.reportAt, Others: math.Max(0, w.others) + w.jobs, Slots: w.slots, LoadCeil: w.loadCeil, UtilCeil: w.utilCeil,
-				Pace: w.pace, Run: w.run, Errors: w.errors, Judged: w.judged, ShunUntil: w.shunUntil, ShunFor: w.shunFor,
+				ReportAt: w.reportAt, Others: math.Max(0, w.others) + w.jobs, Slots: w.slots, LoadCeil: w.ceilings.Load, UtilCeil: w.ceilings.Util,
+				Pace: w.pace, Run: w.run, Errors: w.standing.Errors, Judged: w.standing.Judged, ShunUntil: w.standing.ShunUntil, ShunFor: w.standing.ShunFor,
 				Sent: append([]float64(nil), w.sent[:]...), Span: w.span}
 		}
 	}
@@ -87,9 +87,9 @@
 		return
 	}
 	w.heard, w.inFlight, w.util, w.reportAt = l.Heard, l.InFlight, l.Util, l.ReportAt
-	w.others, w.slots, w.loadCeil, w.utilCeil = l.Others, l.Slots, l.LoadCeil, l.UtilCeil
-	w.pace, w.run, w.errors, w.judged = l.Pace, l.Run, l.Errors, l.Judged
-	w.shunUntil, w.shunFor, w.span = l.ShunUntil, l.ShunFor, l.Span
+	w.others, w.slots, w.ceilings.Load, w.ceilings.Util = l.Others, l.Slots, l.LoadCeil, l.UtilCeil
+	w.pace, w.run, w.standing.Errors, w.standing.Judged = l.Pace, l.Run, l.Errors, l.Judged
+	w.standing.ShunUntil, w.standing.ShunFor, w.span = l.ShunUntil, l.ShunFor, l.Span
 	copy(w.sent[:], l.Sent)
 }
 
--- a/brain/standing.go
+++ b/brain/standing.go
@@ -22,7 +22,7 @@
 	if w == nil {
 		return Standing{}, false
 	}
-	s := Standing{Room: w.room, Ceiling: w.loadCeil, UtilCeil: w.utilCeil, Own: w.own, Others: math.Max(0, w.others), Pace: w.pace,
-		Errors: w.errors, Shunned: now < w.shunUntil, Warmth: b.warmth(now, w), ColdSent: b.spent(now, w)}
+	s := Standing{Room: w.room, Ceiling: w.ceilings.Load, UtilCeil: w.ceilings.Util, Own: w.own, Others: math.Max(0, w.others), Pace: w.pace,
+		Errors: w.standing.Errors, Shunned: w.standing.Shunned(now), Warmth: b.warmth(now, w), ColdSent: b.spent(now, w)}
 	return s, true
 }
--- a/brain/state.go
+++ b/brain/state.go
@@ -5,38 +5,37 @@
 	"fmt"
 	"math"
 	"slices"
+
+	"cinderroad/internal/capacity"
 )
 
-// This file holds what the decisions remember and how it is kept; the decisions are in brain.go.
+// This file holds what the decisions remember and how it is kept; the decisions are in the files that deploy/balancer.toml names.
 
 // worker is what this balancer knows of one worker.
 type worker struct {
 	Worker
-	heard              bool    // a load report has come since its last start
-	inFlight, util     float64 // as last reported
-	reportAt           float64 // when a new report was first seen
-	repeated           bool    // and it has been seen again since
-	inView             bool    // its reports are kept fresh
-	trust              float64 // weight of its last report against the mean
-	probedAt           float64
-	others, slots      float64 // jobs of the other balancers; slots it has been seen to have
-	loadCeil, utilCeil float64
-	room               float64 // the plan: spare room, lowered by each send until the next rebuild
-	own, jobs          float64 // slots and jobs this balancer has out here
-	jobsThen           float64 // own jobs as of about a report period ago
-	pace, run          float64 // running time for a unit of work; mean running time of a job here
-	oldest             float64 // how long an own job has been waiting to start here
-	queued             float64 // slots of own jobs waiting to start here
-	goneAt             float64 // when it left the list
-	strikes            int     // failures near the ceiling since the last cut or clean finish
-	errors             float64 // running share of attempts that failed
-	judged             bool    // an attempt has ended there
-	shunUntil, shunFor float64
-	sent               [4]float64 // work sent in the last spans of a third of the fall time
-	span               int64
-	turnAt             uint64 // the turn that place was worked out for
-	placed             uint64 // and among which peers
-	place              int
+	heard          bool    // a load report has come since its last start
+	inFlight, util float64 // as last reported
+	reportAt       float64 // when a new report was first seen
+	repeated       bool    // and it has been seen again since
+	inView         bool    // its reports are kept fresh
+	trust          float64 // weight of its last report against the mean
+	probedAt       float64
+	others, slots  float64 // jobs of the other balancers; slots it has been seen to have
+	ceilings       capacity.Ceilings
+	room           float64 // the plan: spare room, lowered by each send until the next rebuild
+	own, jobs      float64 // slots and jobs this balancer has out here
+	jobsThen       float64 // own jobs as of about a report period ago
+	pace, run      float64 // running time for a unit of work; mean running time of a job here
+	oldest         float64 // how long an own job has been waiting to start here
+	queued         float64 // slots of own jobs waiting to start here
+	goneAt         float64 // when it left the list
+	standing       capacity.Standing
+	sent           [4]float64 // work sent in the last spans of a third of the fall time
+	span           int64
+	turnAt         uint64 // the turn that place was worked out for
+	placed         uint64 // and among which peers
+	place          int
 }
 
 // kind is what is known of a machine kind; size is the fewest slots that one of its workers has shown, 0 if none has;
@@ -79,7 +78,7 @@
 type Balancer struct {
 	Settings
 	act       Actions
-	rng       uint64
+	rng       capacity.Source
 	sweep     float64 // monitoring period
 	limit     float64 // the tightest objective
 	recover   float64 // time constant in which ceilings recover: the longest deadline
@@ -123,7 +122,7 @@
 	if err := s.validate(); err != nil {
 		return nil, err
 	}
-	b := &Balancer{Settings: s, act: act, rng: seed, byID: map[WorkerID]*worker{}, pace: 1, perJob: 1,
+	b := &Balancer{Settings: s, act: act, rng: capacity.Source(seed), byID: map[WorkerID]*worker{}, pace: 1, perJob: 1,
 		requests: map[RequestID]*request{}, work: make([]float64, len(s.Classes)), limit: math.Inf(1),
 		far: make([]float64, s.Zones), kinds: map[int]*kind{}, stock: stock(s.Instances), part: 1, leastSize: 1, meanSize: 1}
 	b.copies = b.stock / 2
@@ -163,16 +162,16 @@
 // order is this instance's place, from 0 on, in the order of a worker's turn. By the keys, whoever knows of more
 // instances comes no earlier: so the holders by views that differ are never more than by one view.
 func (b *Balancer) order(w *worker, turn uint64) int {
-	draw := scatter(uint64(w.ID) + scatter(turn))
+	draw := capacity.Scatter(uint64(w.ID) + capacity.Scatter(turn))
 	if b.peers == nil {
 		first := int(draw % uint64(b.Instances))
 		return (b.Me + b.Instances - first) % b.Instances
 	}
 	if w.placed != b.peered || w.turnAt != turn {
 		w.placed, w.turnAt, w.place = b.peered, turn, 0
-		mine := scatter(draw ^ b.peers[b.Me])
+		mine := capacity.Scatter(draw ^ b.peers[b.Me])
 		for _, key := range b.peers {
-			if scatter(draw^key) < mine {
+			if capacity.Scatter(draw^key) < mine {
 				w.place++
 			}
 		}
@@ -229,8 +228,8 @@
 				weight, weighed = weight+w.Weight, weighed+1
 			}
 		}
-		if w.judged && w.State == Ready {
-			failing, judged = failing+w.errors, judged+1
+		if w.standing.Judged && w.State == Ready {
+			failing, judged = failing+w.standing.Errors, judged+1
 		}
 		if w.slots > 0 {
 			slots, sized, least = slots+w.slots, sized+1, math.Min(least, w.slots)
@@ -242,7 +241,7 @@
 		}
 	}
 	for _, k := range b.kinds {
-		mean(&k.waits, 0, fade) // who sends nothing is told nothing new
+		capacity.Mean(&k.waits, 0, fade) // who sends nothing is told nothing new
 	}
 	b.errors, b.weight = failing/math.Max(judged, 1), weight/math.Max(weighed, 1)
 	if sized > 0 {
@@ -275,11 +274,11 @@
 	}
 	others := got.inFlight - w.jobsThen
 	if w.repeated { // else the time between reports is how seldom this balancer asked
-		mean(&b.period, math.Min(now-w.reportAt, 8*b.period), learnRate)
+		capacity.Mean(&b.period, math.Min(now-w.reportAt, 8*b.period), learnRate)
 	}
 	w.repeated = false
 	if w.heard { // where reports are rare, each says all the more
-		mean(&w.others, others, 1-math.Pow(1-othersRate, math.Max(1, (now-w.reportAt)/b.period)))
+		capacity.Mean(&w.others, others, 1-math.Pow(1-othersRate, math.Max(1, (now-w.reportAt)/b.period)))
 	} else {
 		w.others = others
 	}
@@ -287,8 +286,8 @@
 	if got.free >= 0 && 2*got.free >= got.inFlight {
 		w.slots = math.Max(w.slots, size)
 	}
-	if w.loadCeil == 0 {
-		w.loadCeil = seedMargin * w.slots
+	if w.ceilings.Load == 0 {
+		w.ceilings.Load = seedMargin * w.slots
 	}
 	w.heard, w.inFlight, w.util, w.reportAt = true, got.inFlight, math.Max(got.util, 0), now
 }
@@ -298,10 +297,10 @@
 	if cost <= 0 || run <= 0 {
 		return
 	}
-	mean(&w.pace, math.Min(run/cost, 2*peerFactor*b.pace), learnRate) // one heavy job convicts no worker
-	mean(&b.pace, math.Min(run/cost, 2*b.pace), fleetRate)
+	capacity.Mean(&w.pace, math.Min(run/cost, 2*peerFactor*b.pace), learnRate) // one heavy job convicts no worker
+	capacity.Mean(&b.pace, math.Min(run/cost, 2*b.pace), fleetRate)
 	kind := b.kind(w)
-	mean(&kind.pace, math.Min(run/cost, 2*kind.pace), fleetRate)
+	capacity.Mean(&kind.pace, math.Min(run/cost, 2*kind.pace), fleetRate)
 }
 
 // learnWait draws on the wait of a job on a worker that does not tell its load: how long its kind has jobs wait, and the
@@ -310,9 +309,9 @@
 	if w.slots > 0 || atStart != b.TellsStart {
 		return
 	}
-	mean(&b.kind(w).waits, wait, learnRate)
+	capacity.Mean(&b.kind(w).waits, wait, learnRate)
 	if (wait == 0) == (load > b.meanSize) {
-		mean(&b.meanSize, load, learnRate)
+		capacity.Mean(&b.meanSize, load, learnRate)
 	}
 }
 
@@ -357,7 +356,7 @@
 	}
 	for _, ring := range rings {
 		slices.SortFunc(ring, func(x, y *worker) int {
-			return cmp.Compare(scatter(uint64(x.ID)), scatter(uint64(y.ID)))
+			return cmp.Compare(capacity.Scatter(uint64(x.ID)), capacity.Scatter(uint64(y.ID)))
 		})
 	}
 	return rings
@@ -392,9 +391,6 @@
 	return &r.attempts[0]
 }
 
-// mean moves a running mean.
-func mean(m *float64, sample, rate float64) { *m += rate * (sample - *m) }
-
 // fresh returns an empty request, reusing a released one.
 func (b *Balancer) fresh() *request {
 	if n := len(b.pool); n > 0 {
@@ -418,12 +414,12 @@
 	}
 	if r.cost = b.work[q.Class]; r.Work > 0 {
 		r.cost = r.Work
-		mean(&b.work[q.Class], r.Work, fleetRate)
+		capacity.Mean(&b.work[q.Class], r.Work, fleetRate)
 	}
 	if r.size = r.Slots; !finite(r.size) || r.size <= 0 {
 		r.size = 1
 	}
-	mean(&b.perJob, math.Min(r.size, widestJob), fleetRate)
+	capacity.Mean(&b.perJob, math.Min(r.size, widestJob), fleetRate)
 	r.aim = math.Min(now+r.class.Objective+r.class.Stretch*r.cost, r.Deadline)
 	b.arrivals++
 	b.requests[r.ID] = r
@@ -492,19 +488,6 @@
 	return w.Zone
 }
 
-// random is the next of the seed's numbers.
-func (b *Balancer) random() uint64 {
-	b.rng += 0x9e3779b97f4a7c15
-	return scatter(b.rng)
-}
-
-// scatter hashes: ids carry no meaning, but may come in runs.
-func scatter(z uint64) uint64 {
-	z = (z ^ z>>30) * 0xbf58476d1ce4e5b9
-	z = (z ^ z>>27) * 0x94d049bb133111eb
-	return z ^ z>>31
-}
-
 // spent is the work sent to a worker within the fall time, rounded up to four spans of a third of it.
 func (b *Balancer) spent(now float64, w *worker) float64 {
 	span := int64(math.Floor(now / (b.FallTime / 3)))
--- a/internal/capacity/ceilings.go
+++ b/internal/capacity/ceilings.go
@@ -1,6 +1,3 @@
-// Package capacity is the core of the design that the dispatcher's decisions (package brain) and the system's (package
-// placement) share: two ceilings for each worker learnt from outcomes, spare room below them, the pick of the worker
-// with most room, and how a worker whose attempts fail is set aside. It is pure: no I/O, no clock; times are seconds.
 package capacity
 
 import "math"
@@ -17,7 +14,8 @@
 	strikesCut = 2    // failures near the ceiling, with no clean finish between them, that cut both ceilings
 )
 
-// Ceilings are what a worker is held to bear: load in slots, and the utilization at which jobs still end in time.
+// Ceilings are what a worker is held to bear: load in slots, and the utilization at which jobs still end
+// in time.
 type Ceilings struct {
 	Load    float64 // 0: not known yet
 	Util    float64
@@ -27,7 +25,8 @@
 // Seed is the ceilings of a worker of so many slots of which nothing has been learnt; 0 slots: not known.
 func Seed(size float64) Ceilings { return Ceilings{Load: SeedMargin * size, Util: SeedMargin} }
 
-// Strike counts a failure at a load; repeated ones near the ceiling cut both by a bounded step, above a floor.
+// Strike counts a failure at a load; repeated ones near the ceiling cut both by a bounded step, above a
+// floor.
 func (c *Ceilings) Strike(load, size float64) {
 	if load < NearShare*c.Load {
 		return
--- a/internal/capacity/choice.go
+++ b/internal/capacity/choice.go
@@ -7,7 +7,7 @@
 	Room     float64 // then more is better: with no room anywhere this is the worker least over its ceiling
 }
 
-// Choice picks the best of the workers offered to it; equal ones share evenly at random. The zero value is ready for use.
+// Choice picks the best of the workers offered to it; equal ones share evenly at random.
 type Choice[W any] struct {
 	Best  W
 	Offer Offer
@@ -15,14 +15,14 @@
 	ties  uint64
 }
 
-// Add offers a worker. Random is drawn from only where two are equal.
-func (c *Choice[W]) Add(w W, o Offer, random func() uint64) {
+// Add offers a worker. A number is drawn only where two are equal.
+func (c *Choice[W]) Add(w W, o Offer, random *Source) {
 	order := 1.0 // above 0: w is better
 	if c.Found {
 		order = c.Offer.against(&o)
 	}
 	if order == 0 {
-		if c.ties++; random()%c.ties == 0 {
+		if c.ties++; random.Next()%c.ties == 0 {
 			c.Best = w
 		}
 	} else if order > 0 {
--- a/internal/capacity/standing.go
+++ b/internal/capacity/standing.go
@@ -17,8 +17,9 @@
 	ShunFor   float64 // the last span for which it was set aside; 0: it has been clean since
 }
 
-// Blame counts a failure, 1, or a success, 0. It says whether the worker should be set aside: one that fails fast looks
-// empty and would draw all jobs. Peers is the mean share of errors of its peers: what hits all blames none.
+// Blame counts a failure, 1, or a success, 0. It says whether the worker should be set aside: one that
+// fails fast looks empty and would draw all jobs. Peers is the mean share of errors of its peers: what
+// hits all blames none.
 func (s *Standing) Blame(bad, peers float64) bool {
 	Mean(&s.Errors, bad, LearnRate)
 	s.Judged = true
--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -62,7 +62,7 @@
 			offer.Distance = p.distance(w)
 		}
 		offer.Room = w.room + p.preference(s, w, d, &owners)
-		choice.Add(w, offer, p.random.Next)
+		choice.Add(w, offer, &p.random)
 	}
 	if !choice.Found {
 		return nil, rankNone
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -186,7 +186,7 @@
 		w.util = s.readingTime(math.Max(waiting, all.reading)) / (lateShare * p.target)
 		w.tokens = memoryShare*float64(s.Backend.CacheTokens) - all.tokens
 	}
-	w.room = w.ceilings.Load*warmth(now, w) - w.load
+	w.room = capacity.Spare(w.ceilings.Load, warmth(now, w), w.load)
 }
 
 // backlog is the load that waits have shown, in slots.
@@ -210,12 +210,16 @@
 	return slots * s.unit() / s.speed
 }
 
-// warmth is the share of its ceiling that a runner is held to bear.
+// warmth is the share of its ceiling that a runner is held to bear: it climbs while a runner that returned cold warms up.
 func warmth(now time.Duration, w *runner) float64 {
-	if w.isCold(now) {
-		return coldLoad
+	if !w.isCold(now) {
+		return 1
 	}
-	return 1
+	since := w.service.ColdFor - max(w.ColdUntil-now, 0)
+	if now >= w.ColdUntil || w.service.ColdFor <= 0 {
+		since = 0 // it may be cold, nobody knows since when
+	}
+	return capacity.Warmth(coldLoad, since.Seconds(), max(w.service.ColdFor, time.Second).Seconds())
 }
 
 // expected is how long a first answer of a runner without a backlog takes, in seconds.
