--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -28,6 +28,7 @@
 	if r.repeats() && !s.budget.allows(now, p.retryRules()) {
 		return Choice{}, &Refusal{RetryAfter: p.backoff(now, r, 0), Reason: "the retry budget is spent"}
 	}
+	s.aim(r)
 	d := p.demandOf(s, r)
 	best, rank := p.pick(now, s, r, &d)
 	if best == nil {
@@ -75,8 +76,10 @@
 	switch {
 	case r.tried(w):
 		return rankTried
-	case !shared && w.doubtful(now):
+	case w.standing.Shunned(now.Seconds()) || !shared && w.doubtful(now):
 		return rankSetAside
+	case w.doubtful(now):
+		return rankNoRoom // so many are suspect at once that those left could not bear the load alone
 	case now < w.fullUntil:
 		return rankFull
 	case w.room < 1 || w.tokens < d.need(o.keeps(w)):
@@ -110,7 +113,7 @@
 
 // distance counts in eighths of the tightest target: regions that differ by less share the spill.
 func (p *Placer) distance(w *runner) float64 {
-	return math.Floor(p.region(w.Region).far * 8 / p.target)
+	return math.Floor(p.regions[w.place].far * 8 / p.target)
 }
 
 // may says whether the rules allow this send. Every pick asks it, the fallback and repeats included.
@@ -191,7 +194,7 @@
 // waitAt is how long a request would wait at a runner before its prompt is read, or its slot is free; seconds.
 func (p *Placer) waitAt(s *service, w *runner) float64 {
 	if s.isEngine() {
-		return math.Max(w.wait, w.util*lateShare*p.target)
+		return math.Max(w.wait, w.util*lateShare*s.target)
 	}
 	return math.Max(w.wait, (w.load-w.size)/w.size*s.took)
 }
@@ -205,7 +208,7 @@
 	taken, places := 0.0, 0.0
 	for _, w := range s.runners {
 		if p.may(now, r, w) {
-			taken, places = taken+math.Min(w.load, w.size), places+w.size
+			taken, places = taken+math.Min(w.taken, w.size), places+w.size
 		}
 	}
 	return taken >= busyShare*places
--- a/internal/placement/distribution_test.go
+++ b/internal/placement/distribution_test.go
@@ -40,7 +40,8 @@
 		for i, k := range kinds {
 			share := float64(k.inTime) / float64(k.asked)
 			slices.Sort(k.firsts)
-			t.Logf("   kind %d: %.4f in time, first events after %v, 95 in 100 within %v", i, share, k.quantile(0.5), k.quantile(0.95))
+			t.Logf("   kind %d: %.4f in time, first events after %v, 95 in 100 within %v", i, share,
+				k.quantile(0.5), k.quantile(0.95))
 			if share < c.inTime {
 				t.Errorf("load %.1f, kind %d: %.4f in time", c.load, i, share)
 			}
--- a/internal/placement/kept.go
+++ b/internal/placement/kept.go
@@ -24,10 +24,13 @@
 	return max(chain, 1)
 }
 
-// owners are the runners that a chain belongs to: in the own region, or else in the nearest that may serve.
-type owners struct {
-	first, second *runner // in the own region, or in that of the request's homes
-	away, awayTwo *runner // among all others
+// owners are the runners that a chain belongs to, in each region.
+type owners [mostRegions]regionOwners
+
+// regionOwners are the runners of a region that a chain belongs to: the first, and the second if that is full.
+type regionOwners struct {
+	first, second *runner
+	highest, next uint64 // their draws
 }
 
 // ownersOf draws the owners of a request's chain among the warm serving runners. It goes by what all proxies are told,
@@ -36,44 +39,38 @@
 	if d.chain == 0 {
 		return o
 	}
-	var draws [4]uint64
 	for _, w := range s.runners {
 		if w.Draining || w.GoneAt > 0 || now < w.ColdUntil || p.evac[w.Zone] || !isHome(r, w) || !w.serves(r.Model) {
 			continue
 		}
-		draw := capacity.Scatter(d.chain ^ w.key)
-		if w.Region == p.options.Region {
-			place(&o.first, &o.second, &draws[0], &draws[1], w, draw)
-		} else {
-			place(&o.away, &o.awayTwo, &draws[2], &draws[3], w, draw)
-		}
+		o[w.place%mostRegions].add(w, capacity.Scatter(d.chain^w.key))
 	}
 	return o
 }
 
-// place keeps the two runners with the highest draws.
-func place(first, second **runner, highest, next *uint64, w *runner, draw uint64) {
+// add keeps the two runners with the highest draws.
+func (o *regionOwners) add(w *runner, draw uint64) {
 	switch {
-	case *first == nil || draw > *highest:
-		*second, *next = *first, *highest
-		*first, *highest = w, draw
-	case *second == nil || draw > *next:
-		*second, *next = w, draw
+	case o.first == nil || draw > o.highest:
+		o.second, o.next = o.first, o.highest
+		o.first, o.highest = w, draw
+	case o.second == nil || draw > o.next:
+		o.second, o.next = w, draw
 	}
 }
 
 // keeps says whether a runner is taken to keep the chain.
-func (o *owners) keeps(w *runner) bool { return w == o.first || w == o.away }
+func (o *owners) keeps(w *runner) bool { return o[w.place%mostRegions].first == w }
 
 // share is the part of the chain's price that is saved at a runner.
 func (o *owners) share(w *runner, s *service, chain uint64) float64 {
 	switch {
-	case w == o.first || w == o.away:
+	case o.keeps(w):
 		return 1
 	case s.kept.has(chain, w.key):
-		return 0.75
-	case w == o.second || w == o.awayTwo:
-		return 0.5
+		return keptLately
+	case o[w.place%mostRegions].second == w:
+		return keptNext
 	}
 	return 0
 }
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -112,6 +112,18 @@
 	return d
 }
 
+// aim notes the aim of a request's route.
+func (s *service) aim(r *Request) {
+	if r.Route == nil || r.Route.Target <= 0 {
+		return
+	}
+	target := r.Route.Target.Seconds()
+	if target < s.target {
+		s.target = target
+	}
+	capacity.Mean(&s.target, target, aimRate)
+}
+
 // Tick rebuilds the plan of a monitoring period and says when it wants to be called again.
 func (p *Placer) Tick(now time.Duration) (next time.Duration) {
 	p.begin(now)
@@ -179,11 +191,12 @@
 	all.add(&w.mean, others*ownWeight)
 	all.add(&s.mean, others*(1-ownWeight))
 	waiting := s.backlog(w)
+	w.taken = all.slots - all.reading
 	w.load = all.slots + math.Max(waiting-all.reading, 0)
 	w.util = w.load / w.size
 	w.tokens = math.Inf(1)
 	if s.isEngine() {
-		w.util = s.readingTime(math.Max(waiting, all.reading)) / (lateShare * p.target)
+		w.util = s.readingTime(math.Max(waiting, all.reading)) / (lateShare * s.target)
 		w.tokens = memoryShare*float64(s.Backend.CacheTokens) - all.tokens
 	}
 	w.room = capacity.Spare(w.ceilings.Load, warmth(now, w), w.load)
@@ -224,9 +237,9 @@
 
 // expected is how long a first answer of a runner without a backlog takes, in seconds.
 func (p *Placer) expected(s *service, w *runner, prefill float64) float64 {
-	least := p.region(w.Region).far
+	least := p.regions[w.place].far
 	if s.speed > 0 {
 		return least + prefill/s.speed
 	}
-	return least + p.target*lateShare
+	return least + s.target*lateShare
 }
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -59,6 +59,7 @@
 	w.own.add(&usage{a.weight, a.reading, a.tokens}, 1)
 	w.load, w.room, w.tokens = w.load+a.weight, w.room-a.weight, w.tokens-a.tokens
 	w.ownJobs++
+	w.sentAt = a.sent
 	w.pending.push(a)
 }
 
@@ -105,7 +106,7 @@
 // learnFirst draws on the time to a first answer: how far the region is, how fast prompts are read, what waits.
 func (p *Placer) learnFirst(a *Attempt, took float64) {
 	w, s := a.runner, a.runner.service
-	far := &p.region(w.Region).far
+	far := &p.regions[w.place].far
 	if *far == 0 || took < *far {
 		*far = took
 	}
@@ -170,7 +171,7 @@
 		p.blame(now, w, 0)
 	case NotRun:
 		w.ceilings.Strike(math.Max(a.load, w.ceilings.Load), w.size)
-		w.fullUntil = now + time.Duration(fullSpan*p.target*float64(time.Second))
+		w.fullUntil = now + time.Duration(fullSpan*w.service.target*float64(time.Second))
 	case Failed, Broken:
 		w.ceilings.Strike(a.load, w.size)
 		p.blame(now, w, 1)
@@ -220,7 +221,7 @@
 // blame counts a failure, 1, or a success, 0, and sets a runner aside whose attempts fail more than those of its peers.
 func (p *Placer) blame(now time.Duration, w *runner, bad float64) {
 	if w.standing.Blame(bad, w.service.peerErrors(w)) {
-		w.standing.SetAside(now.Seconds(), p.target, p.longest)
+		w.standing.SetAside(now.Seconds(), w.service.target, p.longest)
 	}
 }
 
@@ -253,13 +254,14 @@
 	w.suspect, w.suspectFor, w.probing = false, 0, nil
 }
 
-// doubtful says whether a runner is set aside, or suspect and not to be tried now: once its span is over, a single
-// request finds out whether it is back.
+// doubtful says whether a runner is suspect and not to be tried now: once its span is over, a single request finds out
+// whether it is back.
 func (w *runner) doubtful(now time.Duration) bool {
-	return w.standing.Shunned(now.Seconds()) || w.suspect && (now < w.suspectUntil || w.probing != nil)
+	return w.suspect && (now < w.suspectUntil || w.probing != nil)
 }
 
-// sharedCause says that so many runners of the service are suspect at once that they are not to blame.
+// sharedCause says that so many runners of the service are suspect at once that they are not to blame, or that those left
+// could not bear the load.
 func (s *service) sharedCause() bool {
 	suspect := 0
 	for _, w := range s.runners {
--- a/internal/placement/place_test.go
+++ b/internal/placement/place_test.go
@@ -12,7 +12,8 @@
 
 // testRoute is a read-only route that may be tried thrice.
 func testRoute() *configuration.Route {
-	return &configuration.Route{Name: "r", Type: configuration.ReadOnly, Target: 200 * time.Millisecond, Timeout: time.Second, Tries: 3}
+	return &configuration.Route{Name: "r", Type: configuration.ReadOnly, Target: 200 * time.Millisecond, Timeout: time.Second,
+		Tries: 3}
 }
 
 // testServices are an engine and a service of few slots.
@@ -31,8 +32,8 @@
 	var runners []Runner
 	for i := range n {
 		zone := zones[i%3]
-		runners = append(runners, Runner{ID: fmt.Sprintf("%s-%d", service, i), Service: service, Zone: zone, Region: worldRegions()[zone],
-			Capacity: capacity, Models: []string{"base"}})
+		runners = append(runners, Runner{ID: fmt.Sprintf("%s-%d", service, i), Service: service, Zone: zone,
+			Region: worldRegions()[zone], Capacity: capacity, Models: []string{"base"}})
 	}
 	return runners
 }
@@ -50,8 +51,8 @@
 }
 
 func testRequest(now time.Duration, service string, route *configuration.Route) *Request {
-	return &Request{Route: route, Service: service, Model: "base", Arrived: now, Deadline: now + time.Second, TokensIn: 100, TokensOut: 50,
-		Parts: []Part{{1, 60}, {2, 40}}}
+	return &Request{Route: route, Service: service, Model: "base", Arrived: now, Deadline: now + time.Second, TokensIn: 100,
+		TokensOut: 50, Parts: []Part{{1, 60}, {2, 40}}}
 }
 
 // exclusions are the ways in which a rule keeps a runner out, each by what is told of it.
@@ -373,6 +374,69 @@
 	}
 }
 
+// Where most are suspect, those left are not drowned: whoever is full shares with those.
+func TestThoseLeftAreNotDrowned(t *testing.T) {
+	p := testPlacer(t, testRunners("api", 6))
+	p.services["api"].ColdFor = 0
+	now := testStart
+	for i := range 5 {
+		a := p.Sent(now, testRequest(now, "api", testRoute()), Choice{Runner: fmt.Sprintf("api-%d", i)})
+		p.Ended(now, a, Unreached, Progress{})
+	}
+	if c, _ := p.Place(now, testRequest(now, "api", testRoute())); c.Runner != "api-5" {
+		t.Errorf("sent to %s while api-5 has room", c.Runner)
+	}
+	p.runners["api-5"].room = -10
+	for _, w := range p.runners {
+		w.standing.ShunUntil = 0
+	}
+	if c, _ := p.Place(now, testRequest(now, "api", testRoute())); c.Runner == "api-5" || c.Runner == "" {
+		t.Errorf("sent to %q, which is far over its ceiling", c.Runner)
+	}
+}
+
+// sendAndLeave sends a request whose client leaves at once.
+func sendAndLeave(p *Placer, now time.Duration, id string) {
+	p.Ended(now, p.Sent(now, testRequest(now, "api", testRoute()), Choice{Runner: id}), Abandoned, Progress{})
+}
+
+// What was sent to a runner just before it was known to be cold counts against its share, and so does what goes to one
+// that was silent, or whose zone was evacuated, until the list has had time to tell.
+func TestARunnerThatMayBeColdIsSpared(t *testing.T) {
+	now := testStart
+	for name, prepare := range map[string]func(p *Placer, runners []Runner){
+		"told": func(p *Placer, runners []Runner) {
+			runners[0].ColdUntil = now + time.Minute
+			p.SetRunners(now, runners)
+		},
+		"evacuated": func(p *Placer, runners []Runner) {
+			p.SetEvacuated(now, map[string]bool{"m": true})
+			p.SetEvacuated(now, map[string]bool{})
+			sendAndLeave(p, now, "api-0")
+		},
+		"silent": func(p *Placer, runners []Runner) {
+			w := p.runners["api-0"]
+			w.doubt(now)
+			a := p.Sent(now, testRequest(now, "api", testRoute()), Choice{Runner: "api-0"})
+			p.FirstEvent(now, a)
+			p.Ended(now, a, Abandoned, Progress{})
+		},
+	} {
+		runners := testRunners("api", 1)
+		p := testPlacer(t, runners)
+		sendAndLeave(p, now, "api-0")
+		prepare(p, runners)
+		if c, refusal := p.Place(now+900*time.Millisecond, testRequest(now, "api", testRoute())); refusal == nil {
+			t.Errorf("%s: sent to %s within the second", name, c.Runner)
+		}
+		p.Tick(now + 900*time.Millisecond)
+		later := now + 1100*time.Millisecond
+		if _, refusal := p.Place(later, testRequest(later, "api", testRoute())); refusal != nil {
+			t.Errorf("%s: not sent after it: %+v", name, refusal)
+		}
+	}
+}
+
 func TestARunnerThatFailsFastIsSetAside(t *testing.T) {
 	p := testPlacer(t, testRunners("api", 3))
 	now := testStart
@@ -436,13 +500,13 @@
 func TestARefusalNeedsTakenPlaces(t *testing.T) {
 	p := testPlacer(t, testRunners("api", 3))
 	for _, w := range p.runners {
-		w.room, w.load, w.wait = -1, 1, 10
+		w.room, w.taken, w.wait = -1, 1, 10
 	}
 	if _, refusal := p.Place(testStart, testRequest(testStart, "api", testRoute())); refusal != nil {
 		t.Errorf("refused with places free: %+v", refusal)
 	}
 	for _, w := range p.runners {
-		w.load = 6
+		w.taken = 6
 	}
 	if _, refusal := p.Place(testStart, testRequest(testStart, "api", testRoute())); refusal == nil {
 		t.Error("sent where it would wait ten times its time")
--- a/internal/placement/random_test.go
+++ b/internal/placement/random_test.go
@@ -72,7 +72,8 @@
 	n := rapid.IntRange(0, 8).Draw(t, "runners")
 	for i := range n {
 		zone := rapid.SampledFrom([]string{"m", "t", "p"}).Draw(t, "zone")
-		w := Runner{ID: fmt.Sprintf("i-%d-%d", i, rapid.IntRange(0, 1).Draw(t, "incarnation")), Zone: zone, Region: worldRegions()[zone],
+		w := Runner{ID: fmt.Sprintf("i-%d-%d", i, rapid.IntRange(0, 1).Draw(t, "incarnation")), Zone: zone,
+			Region:   worldRegions()[zone],
 			Service:  rapid.SampledFrom([]string{"api", "llm"}).Draw(t, "service"),
 			Draining: rapid.IntRange(0, 4).Draw(t, "draining") == 0}
 		w.Capacity = map[string]int{"api": 6, "llm": 64}[w.Service]
@@ -105,14 +106,16 @@
 func (d *day) request(t *rapid.T) {
 	route := testRoute()
 	route.PinCache = rapid.Bool().Draw(t, "pin")
-	route.Type = rapid.SampledFrom([]configuration.RouteType{configuration.ReadOnly, configuration.Writes, configuration.Streaming}).Draw(t, "type")
+	types := []configuration.RouteType{configuration.ReadOnly, configuration.Writes, configuration.Streaming}
+	route.Type = rapid.SampledFrom(types).Draw(t, "type")
 	if rapid.IntRange(0, 3).Draw(t, "home") == 0 {
 		route.HomeRegions = []string{rapid.SampledFrom([]string{"west", "east"}).Draw(t, "region")}
 	}
 	r := testRequest(d.now, rapid.SampledFrom([]string{"api", "llm"}).Draw(t, "service"), route)
 	if r.Service == "llm" {
 		r.TokensIn = rapid.SampledFrom([]int{1, 500, 9000, 150000, 250000}).Draw(t, "tokens")
-		r.Parts = []Part{{1, r.TokensIn / 3}, {rapid.Uint64Range(1, 9).Draw(t, "part"), r.TokensIn / 3}, {uint64(d.next), r.TokensIn / 3}}
+		third := r.TokensIn / 3
+		r.Parts = []Part{{1, third}, {rapid.Uint64Range(1, 9).Draw(t, "part"), third}, {uint64(d.next), third}}
 	}
 	for try := 0; try == 0 || d.p.MayRetry(d.now, r); try++ {
 		if try >= route.Tries {
@@ -129,7 +132,8 @@
 		}
 		outcome := rapid.SampledFrom([]Outcome{NotRun, WrongRunner, Failed, Broken, Silent, Unreached}).Draw(t, "outcome")
 		d.p.Ended(d.now, a, outcome, Progress{})
-		if r.MayHaveRun = r.MayHaveRun || outcome != NotRun && outcome != WrongRunner && outcome != Unreached; r.MayHaveRun && d.p.MayRetry(d.now, r) && !route.Idempotent() {
+		r.MayHaveRun = r.MayHaveRun || outcome != NotRun && outcome != WrongRunner && outcome != Unreached
+		if r.MayHaveRun && !route.Idempotent() && d.p.MayRetry(d.now, r) {
 			t.Fatal("a repeat of what may have run")
 		}
 	}
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -19,6 +19,7 @@
 	Runner
 	service  *service
 	key      uint64 // of its id
+	place    int    // of its region among those known
 	here     bool   // in the set that was told last
 	size     float64
 	ceilings capacity.Ceilings
@@ -27,6 +28,7 @@
 	tokens   float64 // the plan: free tokens, likewise; engines only
 	load     float64 // derived load of all proxies, as of the last plan
 	util     float64 // derived utilization, likewise
+	taken    float64 // places that requests of all proxies are likely to take, likewise
 
 	own       usage // of this proxy's attempts in flight
 	mean      usage // the same, over about meanSpan
@@ -41,6 +43,7 @@
 	suspect      bool // a connection or an answer never came: a single request may find out whether it is back
 	probing      *Attempt
 
+	sentAt   time.Duration // of the last send
 	coldNext time.Duration // the earliest next send while it is cold
 }
 
@@ -51,6 +54,7 @@
 	runners []*runner // in the order of their ids
 	budget  retryBudget
 	speed   float64 // prompt tokens read in a second by a runner that reads nothing else; 0: not seen yet
+	target  float64 // the tightest aim of its routes, in seconds; one that is not asked for any more counts less and less
 	took    float64 // running mean of the time that an answer takes, in seconds
 	errors  float64 // mean error share of the runners that have been judged
 	mean    usage   // mean of the runners' means
@@ -150,7 +154,7 @@
 func (p *Placer) serviceOf(name string) *service {
 	s := p.services[name]
 	if s == nil {
-		s = &service{Service: configuration.Service{Name: name}, speed: p.speeds[name]}
+		s = &service{Service: configuration.Service{Name: name}, speed: p.speeds[name], target: firstTarget}
 		p.services[name] = s
 	}
 	return s
@@ -215,10 +219,14 @@
 		p.runners[told.ID] = w
 	}
 	moved := isNew || w.Service != told.Service
+	if told.ColdUntil > w.ColdUntil && w.sentAt > 0 { // what went there last may already have met it cold
+		w.coldNext = max(w.coldNext, w.sentAt+time.Duration(coldSpan*float64(time.Second)))
+	}
 	w.Runner, w.here = *told, true
 	if w.Region == "" {
 		w.Region = p.options.Zones[w.Zone]
 	}
+	w.place = p.region(w.Region)
 	if moved {
 		w.service = p.serviceOf(w.Service)
 	}
@@ -337,15 +345,15 @@
 // others is the number of other proxies, as far as it is known.
 func (p *Placer) others() float64 { return float64(max(p.proxies, 1) - 1) }
 
-// region finds what is known of a region.
-func (p *Placer) region(name string) *regionStats {
+// region finds the place of a region among those known.
+func (p *Placer) region(name string) int {
 	for i := range p.regions {
 		if p.regions[i].name == name {
-			return &p.regions[i]
+			return i
 		}
 	}
 	p.regions = append(p.regions, regionStats{name: name})
-	return &p.regions[len(p.regions)-1]
+	return len(p.regions) - 1
 }
 
 // route finds what is known of a route.
--- a/internal/placement/world_test.go
+++ b/internal/placement/world_test.go
@@ -28,13 +28,6 @@
 	again   int             // tokens of shared parts that were read again
 	shared  int             // tokens of shared parts that were asked for
 	refused int
-	sends   []worldSend
-}
-
-type worldSend struct {
-	at     time.Duration
-	runner string
-	first  bool
 }
 
 type worldProxy struct {
@@ -44,16 +37,15 @@
 
 // requestKind is a kind of request.
 type requestKind struct {
-	route     configuration.Route
-	rate      float64 // a second, at each proxy
-	chains    [][]Part
-	own       float64 // mean tokens
-	spread    float64
-	out       float64 // mean tokens
-	asked     int
-	inTime    int
-	firsts    []time.Duration
-	different map[string]int // requests by runner
+	route  configuration.Route
+	rate   float64 // a second, at each proxy
+	chains [][]Part
+	own    float64 // mean tokens
+	spread float64
+	out    float64 // mean tokens
+	asked  int
+	inTime int
+	firsts []time.Duration
 }
 
 type engine struct {
@@ -91,7 +83,8 @@
 
 // newWorld makes a deployment of two regions, with three zones, ten engines and seven proxies.
 func newWorld(t testing.TB, seed uint64, load float64) *world {
-	w := &world{t: t, now: time.Second, rng: rand.New(rand.NewPCG(seed, 5)), engines: map[string]*engine{}, known: map[uint64]bool{},
+	w := &world{t: t, now: time.Second, rng: rand.New(rand.NewPCG(seed, 5)), engines: map[string]*engine{},
+		known: map[uint64]bool{},
 		service: configuration.Service{Name: "llm", MaxConns: 360, ColdFor: 3 * time.Second, ColdRate: 9.2,
 			Backend: &configuration.Backend{Capacity: 64, CacheTokens: 230413, Stride: 4}}}
 	zones := []string{"m", "m", "m", "p", "p", "p", "p", "t", "t", "t"}
@@ -125,8 +118,8 @@
 }
 
 func worldOptions(zone string) Options {
-	return Options{Zone: zone, Region: worldRegions()[zone], Zones: worldRegions(), RetryRatio: 0.2, RetryWindow: 10 * time.Second,
-		RetryExtra: 54, ColdExcess: 1.5, ColdSlack: 5}
+	return Options{Zone: zone, Region: worldRegions()[zone], Zones: worldRegions(), RetryRatio: 0.2,
+		RetryWindow: 10 * time.Second, RetryExtra: 54, ColdExcess: 1.5, ColdSlack: 5}
 }
 
 func worldPlacer(t testing.TB, zone string, seed uint64) *Placer {
@@ -138,10 +131,12 @@
 }
 
 // kind draws a kind of request: its chains have a first part of a few, and a second one of many.
-func (w *world) kind(name string, rank, target int, rate float64, things []int, tokens []float64, own, spread, out float64) *requestKind {
-	k := &requestKind{rate: rate, own: own, spread: spread, out: out, different: map[string]int{}, route: configuration.Route{Name: name,
+func (w *world) kind(name string, rank, target int, rate float64, things []int, tokens []float64,
+	own, spread, out float64) *requestKind {
+	k := &requestKind{rate: rate, own: own, spread: spread, out: out}
+	k.route = configuration.Route{Name: name,
 		Target: time.Duration(target) * time.Millisecond, Timeout: 5 * time.Second, Rank: rank, Type: configuration.Streaming,
-		GapAim: 400 * time.Millisecond, PinCache: true, Tries: 2}}
+		GapAim: 400 * time.Millisecond, PinCache: true, Tries: 2}
 	var firsts []Part
 	for range things[0] {
 		firsts = append(firsts, Part{w.rng.Uint64(), w.size(tokens[0], 0.4)})
@@ -189,8 +184,6 @@
 	e := w.engines[c.Runner]
 	j := &job{w: w, p: p, k: k, r: r, e: e, out: out, sent: w.now, late: w.way(p, e), urgency: c.Priority}
 	j.a = p.placer.Sent(w.now, r, c)
-	k.different[c.Runner]++
-	w.sends = append(w.sends, worldSend{w.now, c.Runner, true})
 	w.after(j.late, func() { e.take(j) })
 }
 
