--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -112,6 +112,18 @@
 	return d
 }
 
+// aim notes the aim of a request's route.
+func (s *service) aim(r *Request) {
+	if r.Route == nil || r.Route.Target <= 0 {
+		return
+	}
+	target := r.Route.Target.Seconds()
+	if target < s.target {
+		s.target = target
+	}
+	capacity.Mean(&s.target, target, aimRate)
+}
+
 // Tick rebuilds the plan of a monitoring period and says when it wants to be called again.
 func (p *Placer) Tick(now time.Duration) (next time.Duration) {
 	p.begin(now)
@@ -179,14 +191,15 @@
 	all.add(&w.mean, others*ownWeight)
 	all.add(&s.mean, others*(1-ownWeight))
 	waiting := s.backlog(w)
+	w.taken = all.slots - all.reading
 	w.load = all.slots + math.Max(waiting-all.reading, 0)
 	w.util = w.load / w.size
 	w.tokens = math.Inf(1)
 	if s.isEngine() {
-		w.util = s.readingTime(math.Max(waiting, all.reading)) / (lateShare * p.target)
+		w.util = s.readingTime(math.Max(waiting, all.reading)) / (lateShare * s.target)
 		w.tokens = memoryShare*float64(s.Backend.CacheTokens) - all.tokens
 	}
-	w.room = w.ceilings.Load*warmth(now, w) - w.load
+	w.room = capacity.Spare(w.ceilings.Load, warmth(now, w), w.load)
 }
 
 // backlog is the load that waits have shown, in slots.
@@ -210,19 +223,23 @@
 	return slots * s.unit() / s.speed
 }
 
-// warmth is the share of its ceiling that a runner is held to bear.
+// warmth is the share of its ceiling that a runner is held to bear: it climbs while a runner that returned cold warms up.
 func warmth(now time.Duration, w *runner) float64 {
-	if w.isCold(now) {
-		return coldLoad
+	if !w.isCold(now) {
+		return 1
+	}
+	since := w.service.ColdFor - max(w.ColdUntil-now, 0)
+	if now >= w.ColdUntil || w.service.ColdFor <= 0 {
+		since = 0 // it may be cold, nobody knows since when
 	}
-	return 1
+	return capacity.Warmth(coldLoad, since.Seconds(), max(w.service.ColdFor, time.Second).Seconds())
 }
 
 // expected is how long a first answer of a runner without a backlog takes, in seconds.
 func (p *Placer) expected(s *service, w *runner, prefill float64) float64 {
-	least := p.region(w.Region).far
+	least := p.regions[w.place].far
 	if s.speed > 0 {
 		return least + prefill/s.speed
 	}
-	return least + p.target*lateShare
+	return least + s.target*lateShare
 }
