--- a/cmd/cinderroad-proxy/main.go
+++ b/cmd/cinderroad-proxy/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"hash/maphash"
 	"net/netip"
@@ -87,7 +88,8 @@
 }
 
 // errNoFront says that the settings name no address for clients.
-var errNoFront = fmt.Errorf("the settings name no listen_on.front; does the deploy file give this role serves = [\"edge\"]?")
+var errNoFront = errors.New("the settings name no listen_on.front; does the deploy file give this role " +
+	`serves = ["edge"]?`)
 
 func newProxy(loop *transport.Loop, log *zap.Logger, settings *environment.Settings) (*proxy.Proxy, error) {
 	seed := maphash.Bytes(maphash.MakeSeed(), []byte(settings.Node))
@@ -115,7 +117,8 @@
 }
 
 // follow links the proxy to the agent of its machine.
-func follow(ctx context.Context, loop *transport.Loop, log *zap.Logger, p *proxy.Proxy, settings *environment.Settings) {
+func follow(ctx context.Context, loop *transport.Loop, log *zap.Logger, p *proxy.Proxy,
+	settings *environment.Settings) {
 	loopback := netip.AddrFrom4([4]byte{127, 0, 0, 1})
 	link := uplink.New(log, uplink.Options{
 		Agent:            netip.AddrPortFrom(loopback, settings.Port(environment.AgentFeedPort)),
--- a/internal/httpwire/body.go
+++ b/internal/httpwire/body.go
@@ -109,7 +109,8 @@
 
 // Next takes the next bytes of the body from the start of b: data is a part of it, a slice of b; n says how many bytes
 // of b it took, those of the framing included. done says that the body is whole. With no data, no error and not done it
-// needs more bytes; call it again with what is left of b until then. A body that ends with the connection is never done.
+// needs more bytes; call it again with what is left of b until then. A body that ends with the connection is never
+// done.
 func (r *BodyReader) Next(b []byte) (data []byte, n int, done bool, err error) {
 	switch r.kind {
 	case NoBody:
@@ -209,8 +210,8 @@
 	return int64(length), end + 2, nil
 }
 
-// NextChunk reads one whole chunk of a chunked body, of at most limit bytes; last marks the end of the body, its trailer
-// included.
+// NextChunk reads one whole chunk of a chunked body, of at most limit bytes; last marks the end of the body, its
+// trailer included.
 func NextChunk(b []byte, limit int) (chunk []byte, n int, last bool, err error) {
 	size, n, err := parseChunkLine(b)
 	switch {
--- a/internal/httpwire/head.go
+++ b/internal/httpwire/head.go
@@ -1,6 +1,6 @@
 // Package httpwire reads and writes HTTP/1.1 messages (RFC 9112) over bytes that the caller holds. It does no I/O: a
-// parser that needs more bytes says so with ErrMore. Whatever two readers could frame differently is an error, so that no
-// request can hide inside another one.
+// parser that needs more bytes says so with ErrMore. Whatever two readers could frame differently is an error, so that
+// no request can hide inside another one.
 package httpwire
 
 import (
--- a/internal/httpwire/httpwire_test.go
+++ b/internal/httpwire/httpwire_test.go
@@ -65,8 +65,10 @@
 		{"NUL in a value", "GET / HTTP/1.1\r\nA: b\x00\r\n\r\n", 400, Framing{}, false},
 		{"two lengths", "POST / HTTP/1.1\r\nContent-Length: 3\r\nContent-Length: 3\r\n\r\n", 400, Framing{}, false},
 		{"list of lengths", "POST / HTTP/1.1\r\nContent-Length: 3, 3\r\n\r\n", 400, Framing{}, false},
-		{"length and chunks", "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", 400, Framing{}, false},
-		{"two codings", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", 400, Framing{}, false},
+		{"length and chunks", "POST / HTTP/1.1\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", 400,
+			Framing{}, false},
+		{"two codings", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: chunked\r\n\r\n", 400,
+			Framing{}, false},
 		{"other coding", "POST / HTTP/1.1\r\nTransfer-Encoding: gzip, chunked\r\n\r\n", 400, Framing{}, false},
 		{"coding with a tail", "POST / HTTP/1.1\r\nTransfer-Encoding: chunked;x\r\n\r\n", 400, Framing{}, false},
 		{"coding of 1.0", "POST / HTTP/1.0\r\nTransfer-Encoding: chunked\r\n\r\n", 400, Framing{}, false},
@@ -98,19 +100,23 @@
 		{"no content", "GET", "HTTP/1.1 204 No\r\n\r\n", 0, 204, Framing{}, false},
 		{"not modified", "GET", "HTTP/1.1 304 No\r\nContent-Length: 9\r\n\r\n", 0, 304, Framing{}, false},
 		{"of a HEAD", "HEAD", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\n", 0, 200, Framing{}, false},
-		{"interim", "GET", "HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 103 Hm\r\nLink: x\r\n\r\nHTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", 0, 500,
+		{"interim", "GET",
+			"HTTP/1.1 100 Go\r\n\r\nHTTP/1.1 103 Hm\r\nLink: x\r\n\r\nHTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n", 0, 500,
 			Framing{ByLength, 0}, false},
 		{"interim alone", "GET", "HTTP/1.1 100 Go\r\n\r\n", -1, 0, Framing{}, false},
-		{"close", "GET", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", 0, 200, Framing{ByLength, 0}, true},
+		{"close", "GET", "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 0\r\n\r\n", 0, 200, Framing{ByLength,
+			0}, true},
 		{"other protocol", "GET", "SSH-2.0", 502, 0, Framing{}, false},
 		{"start of one", "GET", "HTT", -1, 0, Framing{}, false},
 		{"upgrade", "GET", "HTTP/1.1 101 Up\r\n\r\n", 502, 0, Framing{}, false},
 		{"no number", "GET", "HTTP/1.1 abc\r\n\r\n", 502, 0, Framing{}, false},
 		{"long number", "GET", "HTTP/1.1 2000 OK\r\n\r\n", 502, 0, Framing{}, false},
-		{"two lengths", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", 400, 0, Framing{}, false},
+		{"two lengths", "GET", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n", 400, 0,
+			Framing{}, false},
 	} {
 		p, _, err := ParseResponseHead([]byte(tc.in), tc.method, 4096)
-		if got := statusOf(t, err); got != tc.failure || p.Status != tc.status || err == nil && (p.Body != tc.body || p.Close != tc.close) {
+		if got := statusOf(t, err); got != tc.failure || p.Status != tc.status || err == nil && (p.Body != tc.body ||
+			p.Close != tc.close) {
 			t.Errorf("%s: %d (%v), status %d, body %v, close %v", tc.name, got, err, p.Status, p.Body, p.Close)
 		}
 	}
@@ -172,7 +178,8 @@
 	} {
 		for _, size := range []int{1, 2, 3, 5, 100} {
 			body, taken, done, err := readAll(tc.framing, tc.in, size)
-			if statusOf(t, err) != tc.status || body != tc.body || done != tc.done || tc.status == 0 && tc.in[taken:] != tc.rest {
+			if statusOf(t, err) != tc.status || body != tc.body || done != tc.done || tc.status == 0 &&
+				tc.in[taken:] != tc.rest {
 				t.Errorf("%s by %d: %q, rest %q, done %v, %v", tc.name, size, body, tc.in[taken:], done, err)
 			}
 		}
@@ -187,8 +194,10 @@
 
 func TestEndToEnd(t *testing.T) {
 	h := Header{{"Connection", "x-one, X-Two"}, {"connection", "x-three"}}
-	for name, want := range map[string]bool{"Host": true, "X-Try-Id": true, "x-ONE": false, "X-Two": false, "X-Three": false,
-		"connection": false, "KEEP-ALIVE": false, "transfer-encoding": false, "Content-Length": false, "TE": false, "Upgrade": false} {
+	for name, want := range map[string]bool{"Host": true, "X-Try-Id": true, "x-ONE": false, "X-Two": false,
+		"X-Three":    false,
+		"connection": false, "KEEP-ALIVE": false, "transfer-encoding": false, "Content-Length": false, "TE": false,
+		"Upgrade": false} {
 		if got := h.EndToEnd(name); got != want {
 			t.Errorf("%s: %v", name, got)
 		}
--- a/internal/proxy/chaos_test.go
+++ b/internal/proxy/chaos_test.go
@@ -69,7 +69,8 @@
 			return
 		}
 		id := q.Header.Get(fieldTryID)
-		answer, keep := r.answer(id, previous, strings.HasPrefix(q.URL.Path, "/resumable/"), q.Header.Get(fieldLastEvent), random)
+		answer, keep := r.answer(id, previous, strings.HasPrefix(q.URL.Path, "/resumable/"), q.Header.Get(fieldLastEvent),
+			random)
 		for len(answer) > 0 {
 			n := min(1+random.IntN(200), len(answer))
 			if _, err := io.WriteString(conn, answer[:n]); err != nil {
@@ -154,8 +155,8 @@
 	return text.String()
 }
 
-// Whatever runners do: no write runs twice, a promise that nothing ran is kept, and what a client gets as a whole success
-// is the runner's whole body.
+// Whatever runners do: no write runs twice, a promise that nothing ran is kept, and what a client gets as a whole
+// success is the runner's whole body.
 func TestChaos(t *testing.T) {
 	const seeds, clients, requests = 3, 8, 120
 	for seed := range uint64(seeds) {
--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -96,7 +96,8 @@
 }
 
 func (p *Proxy) runnerOf(now time.Duration, r *uplink.Runner) placement.Runner {
-	known := placement.Runner{ID: r.ID, Service: r.Service, Address: r.Address, Zone: r.Zone, Region: p.control.zones[r.Zone],
+	known := placement.Runner{ID: r.ID, Service: r.Service, Address: r.Address, Zone: r.Zone,
+		Region:   p.control.zones[r.Zone],
 		Capacity: r.Capacity, Draining: r.Draining}
 	if !r.ColdUntil.IsZero() {
 		known.ColdUntil = max(0, now+time.Until(r.ColdUntil))
--- a/internal/proxy/control_test.go
+++ b/internal/proxy/control_test.go
@@ -18,7 +18,8 @@
 
 func (a *fakeAgent) last() feed.ProxyReport { return a.told[len(a.told)-1] }
 
-// What the control plane says is in force for the next request, and the agent hears at once when that makes the proxy ready.
+// What the control plane says is in force for the next request, and the agent hears at once when that makes the proxy
+// ready.
 func TestTake(t *testing.T) {
 	w := newWorld(t)
 	a := &fakeAgent{}
@@ -33,14 +34,16 @@
 	c.answered(503, "")
 	one, two := route("one", configuration.Writes), route("two", configuration.Writes)
 	address := netip.MustParseAddrPort(r.listener.Addr().String())
-	runners := []uplink.Runner{{Runner: discovery.Runner{ID: "a", Service: "s", Address: address, Zone: "z", ColdLeft: time.Second},
+	runners := []uplink.Runner{{Runner: discovery.Runner{ID: "a", Service: "s", Address: address, Zone: "z",
+		ColdLeft: time.Second},
 		ColdUntil: time.Now().Add(time.Hour)}}
 	w.do(func() {
 		if w.proxy.Ready() || a.last().Ready {
 			t.Error("ready without a configuration")
 		}
-		w.proxy.Take(uplink.Update{Version: 3, Routes: []*configuration.Route{one, two}, Services: &[]*configuration.Service{{Name: "s", MaxConns: 8}},
-			Runners: &runners, Proxies: 2, Complete: true})
+		w.proxy.Take(uplink.Update{Version: 3, Routes: []*configuration.Route{one, two},
+			Services: &[]*configuration.Service{{Name: "s", MaxConns: 8}},
+			Runners:  &runners, Proxies: 2, Complete: true})
 		if !w.proxy.Ready() || !a.last().Ready || a.last().Stopping {
 			t.Error("not ready with all that is needed")
 		}
--- a/internal/proxy/events_test.go
+++ b/internal/proxy/events_test.go
@@ -35,7 +35,8 @@
 		{"first runner after a client's cut", "7", event(7) + event(8), false, event(7) + event(8), "", "8", 2, true},
 		{"duplicates of a second runner", "7", event(6) + event(7) + event(8), true, event(8), "", "8", 1, true},
 		{"more digits", "9", event(9) + event(10), true, event(10), "", "10", 1, true},
-		{"ids that are no numbers", "a", "id: a\ndata: x\n\nid: b\ndata: y\n\n", true, "id: b\ndata: y\n\n", "", "b", 1, true},
+		{"ids that are no numbers", "a", "id: a\ndata: x\n\nid: b\ndata: y\n\n", true, "id: b\ndata: y\n\n", "", "b", 1,
+			true},
 	} {
 		for _, size := range []int{1, 2, 3, 1000} {
 			var r eventReader
@@ -44,8 +45,10 @@
 				r.restart()
 			}
 			out, events := pushAll(&r, tc.in, size)
-			if out != tc.out || string(r.rest()) != tc.rest || r.lastID != tc.lastID || events != tc.events || r.mayRestart() != tc.mayRestart {
-				t.Errorf("%s by %d: %q, rest %q, last id %q, %d events, may restart %v", tc.name, size, out, r.rest(), r.lastID, events, r.mayRestart())
+			if out != tc.out || string(r.rest()) != tc.rest || r.lastID != tc.lastID || events != tc.events ||
+				r.mayRestart() != tc.mayRestart {
+				t.Errorf("%s by %d: %q, rest %q, last id %q, %d events, may restart %v", tc.name, size, out, r.rest(), r.lastID,
+					events, r.mayRestart())
 			}
 		}
 	}
@@ -73,7 +76,8 @@
 		}
 		all, events := whole.push(nil, in)
 		parts, counted := pushAll(&cut, string(in), int(size)+1)
-		if string(all) != parts || string(whole.rest()) != string(cut.rest()) || whole.lastID != cut.lastID || events != counted {
+		if string(all) != parts || string(whole.rest()) != string(cut.rest()) || whole.lastID != cut.lastID ||
+			events != counted {
 			t.Fatalf("whole %q rest %q, cut %q rest %q", all, whole.rest(), parts, cut.rest())
 		}
 		if !again && string(all)+string(whole.rest()) != string(in) {
--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -280,7 +280,8 @@
 	l.fail(err)
 }
 
-// endedIdle learns from a runner's close of an idle connection, unless others end at the same time: then the runner ends.
+// endedIdle learns from a runner's close of an idle connection, unless others end at the same time: then the runner
+// ends.
 func (l *link) endedIdle() {
 	now := l.runner.pool.proxy.now()
 	if now-l.runner.lastEnd > readAwayTime && l.told == 0 {
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -2,8 +2,8 @@
 // sends them there and passes the answers on. All of it runs on one goroutine, that of the transport loop; what comes
 // from elsewhere (the feed of the control plane, signals) is posted to it.
 //
-// A request is held whole before it is sent. Whether it may have run hinges on its last byte: until the system has taken
-// that from the proxy no runner can have begun, after it only an answer that says so proves that none did.
+// A request is held whole before it is sent. Whether it may have run hinges on its last byte: until the system has
+// taken that from the proxy no runner can have begun, after it only an answer that says so proves that none did.
 package proxy
 
 import (
--- a/internal/proxy/proxy_test.go
+++ b/internal/proxy/proxy_test.go
@@ -11,13 +11,15 @@
 	w := newWorld(t)
 	r := w.runners("a")[0]
 	c := w.client()
-	c.send(ask("/writes/x?q=1", "t1", "X-Other: v\r\nConnection: keep-alive, x-hop\r\nX-Hop: gone\r\nX-Wanted-Server: evil\r\n", "the body"))
+	c.send(ask("/writes/x?q=1", "t1",
+		"X-Other: v\r\nConnection: keep-alive, x-hop\r\nX-Hop: gone\r\nX-Wanted-Server: evil\r\n", "the body"))
 	up := r.accept()
 	q, body := up.request()
 	if q.Method != "POST" || q.RequestURI != "/writes/x?q=1" || q.Host != "h.example" || body != "the body" {
 		t.Errorf("runner got %s %s of %s with %q", q.Method, q.RequestURI, q.Host, body)
 	}
-	for name, want := range map[string]string{"X-Try-Id": "t1", "X-Other": "v", "X-Hop": "", "X-Wanted-Server": "a", "Priority": "", "Connection": ""} {
+	for name, want := range map[string]string{"X-Try-Id": "t1", "X-Other": "v", "X-Hop": "", "X-Wanted-Server": "a",
+		"Priority": "", "Connection": ""} {
 		if got := q.Header.Get(name); got != want || len(q.Header.Values(name)) > 1 {
 			t.Errorf("runner got %s: %q, want %q", name, q.Header.Values(name), want)
 		}
@@ -27,7 +29,8 @@
 	}
 	up.send("HTTP/1.1 201 Made\r\nX-Try-Id: t1\r\nX-Server-Seal: seal\r\nX-Odd: kept\r\nConnection: x-drop\r\nX-Drop: 1\r\nContent-Length: 3\r\n\r\nabc")
 	head := c.head()
-	for _, want := range []string{"HTTP/1.1 201 Made\r\n", "X-Server-Seal: seal\r\n", "X-Odd: kept\r\n", "X-Try-Id: t1\r\n", "Content-Length: 3\r\n"} {
+	for _, want := range []string{"HTTP/1.1 201 Made\r\n", "X-Server-Seal: seal\r\n", "X-Odd: kept\r\n",
+		"X-Try-Id: t1\r\n", "Content-Length: 3\r\n"} {
 		if !strings.Contains(head, want) {
 			t.Errorf("client got no %q in %q", want, head)
 		}
@@ -53,11 +56,13 @@
 	w := newWorld(t)
 	r := w.runners("a")[0]
 	c := w.client()
-	c.send(ask("/stream/x", "t1", "X-Model: m\r\nX-Token-Counts: 1460,80\r\nX-Prompt-Start: 5c1e07a2:800,91bd3f06:410\r\n", "p"))
+	c.send(ask("/stream/x", "t1",
+		"X-Model: m\r\nX-Token-Counts: 1460,80\r\nX-Prompt-Start: 5c1e07a2:800,91bd3f06:410\r\n", "p"))
 	up := r.accept()
 	up.request()
 	w.do(func() {
-		if q := w.placer.last; q.Model != "m" || q.TokensIn != 1460 || q.TokensOut != 80 || len(q.Parts) != 2 || q.Parts[1].ID != 0x91bd3f06 || q.Parts[1].Tokens != 410 {
+		if q := w.placer.last; q.Model != "m" || q.TokensIn != 1460 || q.TokensOut != 80 || len(q.Parts) != 2 ||
+			q.Parts[1].ID != 0x91bd3f06 || q.Parts[1].Tokens != 410 {
 			t.Errorf("request for the placer: %+v", q)
 		}
 	})
--- a/internal/proxy/retry_test.go
+++ b/internal/proxy/retry_test.go
@@ -45,8 +45,10 @@
 		{"reset, resumable stream", "/resumable/x", func(p *peer) { p.reset() }, "a broken", true, 0},
 		{"spoilt bytes, read only", "/reads/x", func(p *peer) { p.send("\x00\x01garbage") }, "a broken", true, 0},
 		{"spoilt bytes, writes", "/writes/x", func(p *peer) { p.send("HTTP/9 x\r\n\r\n") }, "a broken", false, 502},
-		{"another request's answer, read only", "/reads/x", func(p *peer) { p.send(served("other", "x")) }, "a broken", true, 0},
-		{"another request's answer, writes", "/writes/x", func(p *peer) { p.send(served("other", "x")) }, "a broken", false, 502},
+		{"another request's answer, read only", "/reads/x", func(p *peer) { p.send(served("other", "x")) }, "a broken",
+			true, 0},
+		{"another request's answer, writes", "/writes/x", func(p *peer) { p.send(served("other", "x")) }, "a broken",
+			false, 502},
 		{"no id, read only", "/reads/x", func(p *peer) {
 			p.send("HTTP/1.1 200 OK\r\nX-Server-Seal: s\r\nContent-Length: 1\r\n\r\nx")
 		}, "a broken", true, 0},
@@ -104,7 +106,8 @@
 		retryAfter         string
 	}{
 		{"not run", "/reads/x", notRunAnswer, 503, "0.200"},
-		{"not run, told when", "/writes/x", "HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nRetry-After: 0.75\r\nContent-Length: 0\r\n\r\n", 503, "0.750"},
+		{"not run, told when", "/writes/x",
+			"HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nRetry-After: 0.75\r\nContent-Length: 0\r\n\r\n", 503, "0.750"},
 		{"failed", "/reads/x", "HTTP/1.1 500 Oops\r\nX-Try-Id: t1\r\nContent-Length: 4\r\n\r\noops", 500, ""},
 		{"spoilt", "/reads/x", "nonsense", 502, ""},
 		{"another incarnation", "/writes/x", "HTTP/1.1 421 No\r\nContent-Length: 0\r\n\r\n", 503, "0.200"},
@@ -140,7 +143,8 @@
 	}
 }
 
-// Guards against a write that is given up after a runner could not even be reached, and against one that is sent to it twice.
+// Guards against a write that is given up after a runner could not even be reached, and against one that is sent to it
+// twice.
 func TestUnreachedRunner(t *testing.T) {
 	w := newWorld(t)
 	r := w.runners("a", "b")
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -16,19 +16,24 @@
 		closes   bool
 	}{
 		{"no route", ask("/none/x", "t1", "", ""), 404, false},
-		{"no route, with a body to come", "POST /none/x HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: t1\r\nContent-Length: 5\r\n\r\n", 404, true},
+		{"no route, with a body to come",
+			"POST /none/x HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: t1\r\nContent-Length: 5\r\n\r\n", 404, true},
 		{"other host", "GET /reads/x HTTP/1.1\r\nHost: other\r\nX-Try-Id: t1\r\n\r\n", 404, false},
 		{"no id", "GET /reads/x HTTP/1.1\r\nHost: h.example\r\n\r\n", 400, false},
 		{"two ids", "GET /reads/x HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: a\r\nx-try-id: a\r\n\r\n", 400, false},
 		{"no host", "GET /reads/x HTTP/1.1\r\nX-Try-Id: t1\r\n\r\n", 400, false},
 		{"two hosts", "GET /reads/x HTTP/1.1\r\nHost: h.example\r\nHost: h.example\r\nX-Try-Id: t1\r\n\r\n", 400, false},
-		{"two lengths", "POST /reads/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400, true},
+		{"two lengths",
+			"POST /reads/x HTTP/1.1\r\nHost: h.example\r\nContent-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n", 400, true},
 		{"not HTTP", "\x16\x03\x01", 400, true},
 		{"head too large", "GET /reads/x HTTP/1.1\r\nA: " + strings.Repeat("a", 20000), 431, true},
-		{"body too large", "POST /reads/x HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: t1\r\nContent-Length: 99999999\r\n\r\n", 413, true},
-		{"chunks too large", "POST /reads/x HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: t1\r\nTransfer-Encoding: chunked\r\n\r\n" +
-			chunk(strings.Repeat("a", 3000)), 413, true},
-		{"bad chunk", "POST /reads/x HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: t1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400, true},
+		{"body too large",
+			"POST /reads/x HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: t1\r\nContent-Length: 99999999\r\n\r\n", 413, true},
+		{"chunks too large",
+			"POST /reads/x HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: t1\r\nTransfer-Encoding: chunked\r\n\r\n" +
+				chunk(strings.Repeat("a", 3000)), 413, true},
+		{"bad chunk",
+			"POST /reads/x HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: t1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", 400, true},
 		{"version", "GET /reads/x HTTP/2.0\r\n\r\n", 505, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -137,7 +142,10 @@
 			c.conn.Close()
 			up.gone()
 			w.ended("a abandoned")
-			w.await("nothing is held", func() bool { return w.proxy.exchanges == 0 && w.proxy.buffered == 0 && w.proxy.sessions.open == 0 })
+			w.await("nothing is held", func() bool {
+				return w.proxy.exchanges == 0 && w.proxy.buffered == 0 &&
+					w.proxy.sessions.open == 0
+			})
 		})
 	}
 }
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -74,11 +74,14 @@
 		prepare            func(w *world)
 	}{
 		{"stream", "/stream/x", streamHead("t1", "s") + chunk(event(1)), nil},
-		{"resumable, no budget", "/resumable/x", streamHead("t1", "s") + chunk(event(1)), func(w *world) { w.placer.noRetry = true }},
+		{"resumable, no budget", "/resumable/x", streamHead("t1", "s") + chunk(event(1)),
+			func(w *world) { w.placer.noRetry = true }},
 		{"resumable, no ids", "/resumable/x", streamHead("t1", "s") + chunk("data: x\n\n"), nil},
 		{"length", "/reads/x", "HTTP/1.1 200 OK\r\nX-Try-Id: t1\r\nX-Server-Seal: s\r\nContent-Length: 9\r\n\r\nabc", nil},
-		{"chunks", "/reads/x", "HTTP/1.1 200 OK\r\nX-Try-Id: t1\r\nX-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nabc", nil},
-		{"bad chunk", "/reads/x", "HTTP/1.1 200 OK\r\nX-Try-Id: t1\r\nX-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc", nil},
+		{"chunks", "/reads/x",
+			"HTTP/1.1 200 OK\r\nX-Try-Id: t1\r\nX-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nabc", nil},
+		{"bad chunk", "/reads/x",
+			"HTTP/1.1 200 OK\r\nX-Try-Id: t1\r\nX-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc", nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			w := newWorld(t)
@@ -101,7 +104,8 @@
 	}
 }
 
-// Guards against an answer of unknown length that was reset passing for a whole one with a client that reads until the end.
+// Guards against an answer of unknown length that was reset passing for a whole one with a client that reads until the
+// end.
 func TestOldClientSeesReset(t *testing.T) {
 	w := newWorld(t)
 	r := w.runners("a")[0]
--- a/internal/proxy/uplink/uplink.go
+++ b/internal/proxy/uplink/uplink.go
@@ -102,12 +102,14 @@
 // complain logs items that make no sense.
 func (l *Link) complain(s *state) {
 	for _, finding := range s.findings {
-		l.log.Warn("feed: item cannot be read, the one before it stays", zap.String("key", finding.Key), zap.Error(finding.Err))
+		l.log.Warn("feed: item cannot be read, the one before it stays", zap.String("key", finding.Key),
+			zap.Error(finding.Err))
 	}
 	s.findings = nil
 }
 
-// reports tells the agent what the proxy is. The first report says nothing: it asks for what an earlier life had learnt.
+// reports tells the agent what the proxy is. The first report says nothing: it asks for what an earlier life had
+// learnt.
 func (l *Link) reports(ctx context.Context) {
 	for !l.ask(ctx) && ctx.Err() == nil {
 		sleep(ctx, retryPause)
--- a/internal/proxy/uplink/uplink_test.go
+++ b/internal/proxy/uplink/uplink_test.go
@@ -99,7 +99,8 @@
 }
 
 func serviceItem(name string, index uint64) feed.Item {
-	return feed.Item{Key: feed.KeyService + name, Index: index, Value: stored(1, `{"name":"`+name+`","health_path":"/health","max_conns":10}`)}
+	return feed.Item{Key: feed.KeyService + name, Index: index, Value: stored(1,
+		`{"name":"`+name+`","health_path":"/health","max_conns":10}`)}
 }
 
 func version(n string, index uint64) feed.Item {
@@ -123,28 +124,35 @@
 	if q := receive(t, a.asked); len(q.Positions) != 3 || q.Positions[0].Index != 0 || q.Node != "n" {
 		t.Errorf("first asked with %+v", q)
 	}
-	runner := discovery.Runner{ID: "i", Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Zone: "z", Capacity: 4, ColdLeft: 5 * time.Second}
+	runner := discovery.Runner{ID: "i", Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Zone: "z",
+		Capacity: 4, ColdLeft: 5 * time.Second}
 	a.replies <- &feed.FollowReply{Proxies: 3, Batches: []feed.Batch{
-		{Partition: 0, Snapshot: true, To: 10, Items: []feed.Item{version("7", 9), routeItem("a", "s", 5), routeItem("b", "s", 9), serviceItem(inSecond, 4),
+		{Partition: 0, Snapshot: true, To: 10, Items: []feed.Item{version("7", 9), routeItem("a", "s", 5), routeItem("b",
+			"s", 9), serviceItem(inSecond, 4),
 			{Key: feed.KeyEvacuation + "z9", Index: 3}, {Key: feed.KeyRoute + "bad", Index: 6, Value: stored(1, `{"name":1}`)}}},
-		{Partition: 1, Snapshot: true, To: 4, Items: []feed.Item{{Key: feed.KeyRunner + "i", Index: 4, Value: discovery.Encode(runner), Age: time.Second}}},
+		{Partition: 1, Snapshot: true, To: 4, Items: []feed.Item{{Key: feed.KeyRunner + "i", Index: 4,
+			Value: discovery.Encode(runner), Age: time.Second}}},
 	}}
 	u := receive(t, updates)
-	if u.Version != 7 || len(u.Routes) != 2 || len(*u.Services) != 1 || !(*u.Evacuated)["z9"] || u.Complete || u.Proxies != 3 {
+	if u.Version != 7 || len(u.Routes) != 2 || len(*u.Services) != 1 || !(*u.Evacuated)["z9"] || u.Complete ||
+		u.Proxies != 3 {
 		t.Errorf("snapshot came as %+v", u)
 	}
-	if r := (*u.Runners)[0]; r.ID != "i" || !r.GoneAt.IsZero() || time.Until(r.ColdUntil) > 4*time.Second || time.Until(r.ColdUntil) < -patience {
+	if r := (*u.Runners)[0]; r.ID != "i" || !r.GoneAt.IsZero() || time.Until(r.ColdUntil) > 4*time.Second ||
+		time.Until(r.ColdUntil) < -patience {
 		t.Errorf("runner came as %+v", r)
 	}
 	if q := receive(t, a.asked); q.Positions[0].Index != 10 || q.Positions[1].Index != 4 {
 		t.Errorf("then asked with %+v", q)
 	}
 	a.replies <- &feed.FollowReply{Batches: []feed.Batch{
-		{Partition: 0, From: 10, To: 12, Items: []feed.Item{version("8", 12), {Key: feed.KeyRoute + "a", Index: 11, Deleted: true}}},
+		{Partition: 0, From: 10, To: 12, Items: []feed.Item{version("8", 12), {Key: feed.KeyRoute + "a", Index: 11,
+			Deleted: true}}},
 		{Partition: 2, Snapshot: true, To: 1},
 	}}
 	u = receive(t, updates)
-	if u.Version != 8 || len(u.Routes) != 0 || len(u.Removed) != 1 || u.Removed[0] != "a" || u.Services != nil || u.Runners != nil || !u.Complete {
+	if u.Version != 8 || len(u.Routes) != 0 || len(u.Removed) != 1 || u.Removed[0] != "a" || u.Services != nil ||
+		u.Runners != nil || !u.Complete {
 		t.Errorf("delta came as %+v", u)
 	}
 	receive(t, a.asked)
--- a/internal/proxy/world_test.go
+++ b/internal/proxy/world_test.go
@@ -47,8 +47,9 @@
 }
 
 func route(name string, kind configuration.RouteType) *configuration.Route {
-	return &configuration.Route{Name: name, Host: "h.example", PathStart: "/" + name + "/", Type: kind, Timeout: 20 * time.Second,
-		Target: time.Second, Tries: 3, Shares: []configuration.Share{{Service: "s", Weight: 1}}}
+	return &configuration.Route{Name: name, Host: "h.example", PathStart: "/" + name + "/", Type: kind,
+		Timeout: 20 * time.Second,
+		Target:  time.Second, Tries: 3, Shares: []configuration.Share{{Service: "s", Weight: 1}}}
 }
 
 func newWorld(t *testing.T, change ...func(*Options)) *world {
@@ -65,8 +66,10 @@
 	}
 	resumable := route("resumable", configuration.Streaming)
 	resumable.Resumable = true
-	w := &world{t: t, loop: loop, placer: &fakePlacer{ended: make(chan string, 100), sent: make(chan string, 100)}, done: make(chan struct{})}
-	w.routes = &fakeRoutes{[]*configuration.Route{route("reads", configuration.ReadOnly), route("writes", configuration.Writes),
+	w := &world{t: t, loop: loop, placer: &fakePlacer{ended: make(chan string, 100), sent: make(chan string, 100)},
+		done: make(chan struct{})}
+	w.routes = &fakeRoutes{[]*configuration.Route{route("reads", configuration.ReadOnly), route("writes",
+		configuration.Writes),
 		route("stream", configuration.Streaming), resumable}}
 	w.proxy = New(loop, zap.NewNop(), w.placer, options)
 	w.proxy.SetRoutes(w.routes)
@@ -125,7 +128,8 @@
 		r.listener = listener.(*net.TCPListener)
 		w.t.Cleanup(func() { listener.Close() })
 		all = append(all, r)
-		known = append(known, placement.Runner{ID: name, Service: "s", Address: netip.MustParseAddrPort(listener.Addr().String())})
+		known = append(known, placement.Runner{ID: name, Service: "s",
+			Address: netip.MustParseAddrPort(listener.Addr().String())})
 	}
 	w.do(func() {
 		w.placer.choices = known
@@ -275,7 +279,8 @@
 
 // served is the text of a success with a length.
 func served(id, body string) string {
-	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Try-Id: %s\r\nX-Server-Seal: seal-%s\r\nContent-Length: %d\r\n\r\n%s", id, id, len(body), body)
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\nX-Try-Id: %s\r\nX-Server-Seal: seal-%s\r\nContent-Length: %d\r\n\r\n%s", id,
+		id, len(body), body)
 }
 
 // streamHead is the head of a stream.
--- /dev/null
+++ b/internal/transport/hold_test.go
@@ -0,0 +1,97 @@
+package transport
+
+import (
+	"net/netip"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+// Guards against bytes that are lost when a peer closes while it is held back, and against its close being told before
+// them.
+func TestStalledPeerCloses(t *testing.T) {
+	l := newLoop(t, 100)
+	var heard []string
+
+	listener, err := l.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func(c *Conn) Handler {
+		c.Write([]byte("pong"))
+		l.Later(c.Close)
+		return side{&heard, "server", nil}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.Connect(listener.Addr(), side{&heard, "client", func(what string, c *Conn) {
+		switch what {
+		case "opened":
+			c.Stall(true)
+			l.At(l.Now()+0.05, func() {
+				heard = append(heard, "read on")
+				c.Stall(false)
+			})
+		case "closed":
+			l.Stop()
+		}
+	}})
+	if err := l.Run(); err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff([]string{"client opened", "read on", "client data pong", "client closed"}, heard); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// drainer hears when all has gone out.
+type drainer struct {
+	side
+	drained int
+}
+
+func (d *drainer) Drained(*Conn) { d.drained++ }
+
+// A writer that had to wait hears when the peer has taken all; what was read is lent only until it is consumed.
+func TestDrained(t *testing.T) {
+	l := newLoop(t, 100)
+	l.LendReads = true
+	const size = 16 << 20
+	var heard []string
+	d := &drainer{side: side{&heard, "server", nil}}
+	listener, err := l.Listen(netip.MustParseAddrPort("127.0.0.1:0"), func(c *Conn) Handler {
+		c.Write([]byte(strings.Repeat("x", size)))
+		return d
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	reader := &keeper{want: size, done: l.Stop}
+	l.Connect(listener.Addr(), reader)
+	if err := l.Run(); err != nil {
+		t.Fatal(err)
+	}
+	if d.drained != 1 || reader.got != size || reader.wrong {
+		t.Errorf("drained %d times, %d bytes read, spoilt %v", d.drained, reader.got, reader.wrong)
+	}
+}
+
+// keeper consumes all but a few bytes, which it looks at again with the next ones.
+type keeper struct {
+	want, got int
+	wrong     bool
+	done      func()
+}
+
+func (k *keeper) Opened(*Conn)        {}
+func (k *keeper) Closed(*Conn, error) {}
+func (k *keeper) Data(c *Conn) {
+	b := c.Bytes()
+	k.wrong = k.wrong || strings.Trim(string(b), "x") != ""
+	n := max(0, len(b)-3)
+	if k.got+len(b) == k.want {
+		n = len(b)
+	}
+	c.Consume(n)
+	if k.got += n; k.got == k.want {
+		k.done()
+	}
+}
