--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -15,7 +15,7 @@
 const (
 	mostAnswerHead = 32 << 10 // bytes
 	readAwayTime   = time.Second
-	smallBody      = 16 << 10 // bytes that are sent in one call with the head
+	smallBody      = 32 << 10 // bytes that are sent in one call with the head
 
 	userTimeout = 3 * time.Second // without an acknowledgement of what was sent
 	silentProbe = 2 * time.Second // without a byte from the runner's machine
