--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -11,7 +11,7 @@
 
 const (
 	mostUnreached = 4                      // runners that were never reached, for one request
-	mostFull      = 3                      // runners without a connection to spare, in one choice
+	mostFull      = 8                      // runners without a connection to spare, in one choice
 	endGrace      = time.Second            // past the deadline, for an answer that is under way
 	soon          = 100 * time.Millisecond // after which a refused client may come back when a runner was full
 )
--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -18,7 +18,7 @@
 	smallBody      = 32 << 10 // bytes that are sent in one call with the head
 
 	userTimeout = 3 * time.Second // without an acknowledgement of what was sent
-	silentProbe = 2 * time.Second // without a byte from the runner's machine
+	silentProbe = time.Second     // without a byte from the runner's machine
 )
 
 // Why a connection to a runner is closed here.
@@ -61,6 +61,10 @@
 	since    time.Duration // when it came to rest
 	dialed   time.Duration
 	timeout  *transport.Deadline
+	asks     bool          // was opened to find out whether the runner's machine is there
+	heard    bool          // bytes have come since the last look
+	patience time.Duration // until the next one
+	watchdog *transport.Deadline
 }
 
 // sentWhole says whether the system has taken all bytes of the request.
@@ -74,6 +78,7 @@
 	l.timeout.Stop()
 	l.runner.connected(p.now() - l.dialed)
 	c.Probe(userTimeout, silentProbe)
+	l.answerAsked(true)
 	a := l.attempt
 	if a == nil {
 		l.rest()
@@ -89,6 +94,14 @@
 	}
 }
 
+// answerAsked says whether the runner's machine is there, if the connection was opened to find that out.
+func (l *link) answerAsked(there bool) {
+	if l.asks {
+		l.asks = false
+		l.runner.asked(there)
+	}
+}
+
 // begin writes the request of an attempt.
 func (l *link) begin(a *attempt) {
 	x := a.exchange
@@ -109,10 +122,13 @@
 	if x.stalled {
 		l.conn.Stall(true)
 	}
+	l.watch(takenWithin)
 }
 
 // Data implements transport.Handler.
 func (l *link) Data(c *transport.Conn) {
+	l.heard = true
+	l.runner.heard = l.runner.pool.proxy.now()
 	for l.state != closed {
 		if !l.step(c) {
 			return
@@ -215,6 +231,7 @@
 		a.link = nil
 	}
 	l.timeout.Stop()
+	l.watchdog.Stop()
 	switch {
 	case len(c.Bytes()) > 0:
 		l.runner.pool.proxy.Figures.Spoilt++
@@ -305,6 +322,7 @@
 	}
 	l.attempt = nil
 	l.close()
+	l.answerAsked(errors.Is(err, transport.ErrNoRoom)) // the want is here: it says nothing of the runner
 	if a != nil {
 		a.link = nil
 		a.failedWith(whole)
@@ -317,24 +335,30 @@
 		return
 	}
 	l.timeout.Stop()
+	l.watchdog.Stop()
 	l.unlist()
 	l.state = closed
 	l.conn.Close()
-	l.runner.open--
-	l.runner.pool.forget(l.runner)
+	r := l.runner
+	r.links = without(r.links, l)
+	r.pool.forget(r)
 }
 
 // unlist takes the connection from the idle ones.
 func (l *link) unlist() {
-	if l.state != resting {
-		return
+	if l.state == resting {
+		l.runner.idle = without(l.runner.idle, l)
 	}
-	for i, o := range l.runner.idle {
+}
+
+// without is a list without one of its links, in the same order.
+func without(list []*link, l *link) []*link {
+	for i, o := range list {
 		if o == l {
-			l.runner.idle = append(l.runner.idle[:i], l.runner.idle[i+1:]...)
-			return
+			return append(list[:i], list[i+1:]...)
 		}
 	}
+	return list
 }
 
 // failedWith ends an attempt whose connection has failed.
--- a/internal/proxy/pool.go
+++ b/internal/proxy/pool.go
@@ -44,10 +44,13 @@
 	address  netip.AddrPort
 	listed   bool
 	draining bool
-	idle     []*link // the one used last is at the end
-	open     int     // connections, idle ones included
-	connect  time.Duration
-	lastEnd  time.Duration // when a connection to it last ended
+	links    []*link       // all connections
+	idle     []*link       // those that rest; the one used last is at the end
+	took     time.Duration // the longest connect seen, decayed; 0: none yet
+	lastEnd  time.Duration // when an idle connection to it last ended
+	doubtful time.Duration // until when nothing is sent to it
+	heard    time.Duration // when anything last came from it
+	asking   bool          // whether its machine is there
 }
 
 // setServices takes the services in force.
@@ -88,7 +91,7 @@
 
 // forget drops a runner that is neither listed nor connected.
 func (p *pool) forget(r *runner) {
-	if !r.listed && r.open == 0 {
+	if !r.listed && len(r.links) == 0 {
 		delete(p.runners, r.id)
 	}
 }
@@ -112,7 +115,10 @@
 // admits says whether a request can be given to the chosen runner now.
 func (p *pool) admits(c placement.Choice) bool {
 	r := p.runners[c.Runner]
-	return r != nil && r.listed && !r.draining && (len(r.idle) > 0 || r.open < p.mostConns(r))
+	if r == nil || !r.listed || r.draining || p.proxy.now() < r.doubtful {
+		return false
+	}
+	return len(r.idle) > 0 || len(r.links) < p.mostConns(r)
 }
 
 // carry gives an attempt to an idle connection or a new one.
@@ -151,7 +157,7 @@
 
 // closeWorn makes room for a new connection when only idle ones are left that cannot be trusted.
 func (r *runner) closeWorn() {
-	if r.open >= r.pool.mostConns(r) && len(r.idle) > 0 {
+	if len(r.links) >= r.pool.mostConns(r) && len(r.idle) > 0 {
 		r.idle[0].close()
 	}
 }
@@ -164,20 +170,27 @@
 
 // dial opens a connection for an attempt.
 func (r *runner) dial(a *attempt) {
+	p := r.pool.proxy
+	l := r.connect()
+	l.attempt, a.link = a, l
+	l.timeout = p.at(p.now()+r.connectTimeout(), func() { l.fail(errConnectTimeout) })
+}
+
+// connect opens a connection.
+func (r *runner) connect() *link {
 	p := r.pool.proxy
 	p.Figures.Dials++
-	r.open++
-	l := &link{runner: r, attempt: a, dialed: p.now(), state: dialing}
-	a.link = l
+	l := &link{runner: r, dialed: p.now(), state: dialing}
+	r.links = append(r.links, l)
 	l.conn = p.loop.Connect(r.address, l)
-	l.timeout = p.at(p.now()+r.connectTimeout(), func() { l.fail(errConnectTimeout) })
+	return l
 }
 
 // connectTimeout is how long a connection may take to come up.
 func (r *runner) connectTimeout() time.Duration {
 	switch {
-	case r.connect > 0:
-		return min(max(connectMultiple*r.connect, leastConnectTime), mostConnectTime)
+	case r.took > 0:
+		return min(max(connectMultiple*r.took, leastConnectTime), mostConnectTime)
 	case r.pool.slowest > 0:
 		return min(max(connectMultiple*r.pool.slowest, otherConnectTime), mostConnectTime)
 	}
@@ -186,7 +199,8 @@
 
 // connected notes how long a connect took.
 func (r *runner) connected(took time.Duration) {
-	r.connect = max(took, time.Duration(float64(r.connect)*connectForget), 1)
+	r.doubtful, r.heard = 0, r.pool.proxy.now()
+	r.took = max(took, time.Duration(float64(r.took)*connectForget), 1)
 	r.pool.slowest = max(took, time.Duration(float64(r.pool.slowest)*connectForget), 1)
 }
 
