--- a/internal/consensus/check.go
+++ b/internal/consensus/check.go
@@ -1,9 +1,9 @@
 package consensus
 
-import (
-	"fmt"
-	"math"
-)
+import "fmt"
+
+// mostNumber bounds terms and indexes, so that adding to them never wraps around.
+const mostNumber = 1 << 62
 
 // MessageError says why a message, or a stored log, makes no sense.
 type MessageError struct{ Reason string }
@@ -19,6 +19,9 @@
 	if m.Term == 0 {
 		return &MessageError{Reason: "message without a term"}
 	}
+	if max(m.Term, m.Index, m.LogTerm) > mostNumber {
+		return &MessageError{Reason: "message with a term or an index that can't be"}
+	}
 	if m.Kind == Append {
 		return m.checkEntries()
 	}
@@ -30,7 +33,7 @@
 
 // checkEntries tells what does not make sense in entries that follow Index and LogTerm.
 func (m *Message) checkEntries() error {
-	if (m.Index == 0) != (m.LogTerm == 0) || m.Index > math.MaxUint64-uint64(len(m.Entries)) {
+	if (m.Index == 0) != (m.LogTerm == 0) {
 		return &MessageError{Reason: "place of entries makes no sense"}
 	}
 	index, term := m.Index, m.LogTerm
@@ -59,7 +62,7 @@
 
 func (m *Message) checkSnapshot() error {
 	s := m.Snapshot
-	if s == nil || s.Index == 0 || s.Term == 0 || s.Term > m.Term || s.Index == math.MaxUint64 {
+	if s == nil || s.Index == 0 || s.Term == 0 || s.Term > m.Term || s.Index > mostNumber {
 		return &MessageError{Reason: "snapshot makes no sense"}
 	}
 	return s.Membership.check()
--- a/internal/consensus/cluster_faults_test.go
+++ b/internal/consensus/cluster_faults_test.go
@@ -136,7 +136,8 @@
 	return w.whole(views) && w.agreed()
 }
 
-// agreed tells whether all slots are voters and nobody else is, in every running replica's view and in what is committed.
+// agreed tells whether all slots are voters and nobody else is, in every running replica's view and in what is
+// committed.
 func (w *world) agreed() bool {
 	views := []Membership{w.truth.membership}
 	for _, p := range w.processes() {
--- a/internal/consensus/cluster_world_test.go
+++ b/internal/consensus/cluster_world_test.go
@@ -4,6 +4,7 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -17,6 +18,7 @@
 	steps   int
 	verbose bool
 	failed  string
+	mutate  bool // messages are spoilt now and then
 
 	profile profile
 	slots   []*slot
@@ -222,7 +224,11 @@
 	if to.process == nil || to.id != id || w.cuts[[2]int{from.number, to.number}] {
 		return
 	}
+	data = w.spoil(data)
 	msg, err := DecodeMessage(data)
+	if err != nil && w.mutate {
+		return
+	}
 	if err != nil {
 		w.fail("message does not decode: %v", err)
 		return
@@ -235,6 +241,26 @@
 	})
 }
 
+// spoil changes some bytes of a message at times.
+func (w *world) spoil(data []byte) []byte {
+	if !w.mutate || !w.chance(0.05) {
+		return data
+	}
+	data = slices.Clone(data)
+	for range 1 + w.random.IntN(3) {
+		at := w.random.IntN(len(data))
+		switch w.random.IntN(3) {
+		case 0:
+			data[at] = byte(w.random.Uint32())
+		case 1:
+			data[at] ^= 1 << w.random.IntN(8)
+		case 2:
+			data[at] += byte(w.random.IntN(5)) - 2
+		}
+	}
+	return data
+}
+
 func msgText(m Message) string {
 	return fmt.Sprintf("%d kind %d term %d index %d/%d commit %d entries %d reject %v hint %d round %d", m.From, m.Kind,
 		m.Term, m.Index, m.LogTerm, m.Commit, len(m.Entries), m.Reject, m.Hint, m.Round)
--- /dev/null
+++ b/internal/consensus/encoding_test.go
@@ -0,0 +1,164 @@
+package consensus
+
+import (
+	"bytes"
+	"encoding/binary"
+	"errors"
+	"math"
+	"reflect"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+func drawNumber(t *rapid.T, name string) uint64 {
+	return rapid.OneOf(rapid.Uint64Range(0, 5), rapid.Uint64Range(0, 300), rapid.Uint64()).Draw(t, name)
+}
+
+func drawData(t *rapid.T, name string) []byte {
+	data := rapid.SliceOfN(rapid.Byte(), 0, 200).Draw(t, name)
+	if len(data) == 0 {
+		return nil
+	}
+	return data
+}
+
+func drawMembership(t *rapid.T) (s Membership) {
+	for range rapid.IntRange(0, 5).Draw(t, "members") {
+		s.Members = append(s.Members, Member{ID: ReplicaID(drawNumber(t, "id")),
+			Node: rapid.StringN(0, 20, -1).Draw(t, "node"), Zone: rapid.StringN(0, 20, -1).Draw(t, "zone"),
+			Address: rapid.StringN(0, 200, -1).Draw(t, "address"), Voter: rapid.Bool().Draw(t, "voter")})
+	}
+	return s
+}
+
+func drawEntry(t *rapid.T) Entry {
+	return Entry{Index: drawNumber(t, "index"), Term: drawNumber(t, "term"),
+		Kind: EntryKind(rapid.IntRange(0, int(EntryMembership)).Draw(t, "kind")), Data: drawData(t, "data")}
+}
+
+func drawSnapshot(t *rapid.T) Snapshot {
+	return Snapshot{Index: drawNumber(t, "index"), Term: drawNumber(t, "term"), Membership: drawMembership(t),
+		Data: drawData(t, "data")}
+}
+
+func drawMessage(t *rapid.T) Message {
+	m := Message{Kind: MessageKind(rapid.IntRange(0, int(TimeoutNow)).Draw(t, "kind")),
+		From: ReplicaID(drawNumber(t, "from")), To: ReplicaID(drawNumber(t, "to")), Term: drawNumber(t, "term"),
+		Index: drawNumber(t, "index"), LogTerm: drawNumber(t, "log term"), Commit: drawNumber(t, "commit"),
+		Hint: drawNumber(t, "hint"), Round: drawNumber(t, "round"), Reject: rapid.Bool().Draw(t, "reject"),
+		Force: rapid.Bool().Draw(t, "force")}
+	for range rapid.IntRange(0, 5).Draw(t, "entries") {
+		m.Entries = append(m.Entries, drawEntry(t))
+	}
+	if rapid.Bool().Draw(t, "with snapshot") {
+		s := drawSnapshot(t)
+		m.Snapshot = &s
+	}
+	return m
+}
+
+// codec is one of the encodings.
+type codec struct {
+	name   string
+	draw   func(*rapid.T) any
+	encode func(any) []byte
+	decode func([]byte) (any, error)
+}
+
+func codecOf[V any](name string, draw func(*rapid.T) V, encode func(V) []byte, decode func([]byte) (V, error)) codec {
+	return codec{name, func(t *rapid.T) any { return draw(t) }, func(v any) []byte { return encode(v.(V)) },
+		func(b []byte) (any, error) { return decode(b) }}
+}
+
+func codecs() []codec {
+	return []codec{
+		codecOf("membership", drawMembership, EncodeMembership, DecodeMembership),
+		codecOf("entry", drawEntry, EncodeEntry, DecodeEntry),
+		codecOf("snapshot", drawSnapshot, EncodeSnapshot, DecodeSnapshot),
+		codecOf("message", drawMessage, EncodeMessage, DecodeMessage),
+		codecOf("hard state", func(t *rapid.T) HardState {
+			return HardState{Term: drawNumber(t, "term"), Vote: ReplicaID(drawNumber(t, "vote")),
+				Commit: drawNumber(t, "commit")}
+		}, EncodeHardState, DecodeHardState),
+	}
+}
+
+func TestWhatIsEncodedIsDecoded(t *testing.T) {
+	for _, c := range codecs() {
+		t.Run(c.name, rapid.MakeCheck(func(t *rapid.T) {
+			value := c.draw(t)
+			data := c.encode(value)
+			got, err := c.decode(data)
+			if err != nil || !reflect.DeepEqual(got, value) {
+				t.Fatalf("got %+v, %v, want %+v", got, err, value)
+			}
+			for n := range data {
+				if _, err := c.decode(data[:n]); !errors.As(err, new(*DecodeError)) {
+					t.Fatalf("%d of %d bytes: %v", n, len(data), err)
+				}
+			}
+			if _, err := c.decode(append(data, 0)); err == nil {
+				t.Fatal("a byte too many passes")
+			}
+			clear(data) // what was decoded has its own memory
+			if !reflect.DeepEqual(got, value) {
+				t.Fatalf("what was decoded changed with the bytes: %+v", got)
+			}
+		}))
+	}
+}
+
+// mustBeCanonical sees that bytes which decode are those that encode what they decode to: the oracle of the fuzz tests.
+func mustBeCanonical(t *testing.T, data []byte) {
+	for _, c := range codecs() {
+		value, err := c.decode(data)
+		if err != nil {
+			continue
+		}
+		if again := c.encode(value); !bytes.Equal(again, data) {
+			t.Errorf("%s: % x decodes to %+v, which encodes to % x", c.name, data, value, again)
+		}
+	}
+}
+
+func FuzzDecode(f *testing.F) {
+	f.Add(EncodeMessage(Message{Kind: Append, From: 1, To: 2, Term: 3, Index: 4, LogTerm: 2, Commit: 4, Round: 1 << 40,
+		Entries: append(entries(5, 3), membershipEntry(6, 3, voters(1, 2)))}))
+	f.Add(EncodeMessage(Message{Kind: InstallSnapshot, Reject: true, Force: true,
+		Snapshot: &Snapshot{Index: 1, Term: 1, Membership: voters(1, 2), Data: []byte("x")}}))
+	f.Add(EncodeMembership(with(voters(1), Member{ID: 9, Node: "n", Zone: "z", Address: "a:1"})))
+	f.Add(EncodeHardState(HardState{Term: 5, Vote: 6, Commit: 7}))
+	f.Add(EncodeEntry(Entry{Index: math.MaxUint64, Term: 1, Data: []byte("x")}))
+	f.Fuzz(func(t *testing.T, data []byte) { mustBeCanonical(t, data) })
+}
+
+func TestSpoiltBytes(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		all := codecs()
+		c := all[rapid.IntRange(0, len(all)-1).Draw(r, "codec")]
+		data := c.encode(c.draw(r))
+		for range rapid.IntRange(1, 3).Draw(r, "bytes") {
+			data[rapid.IntRange(0, len(data)-1).Draw(r, "at")] = rapid.Byte().Draw(r, "byte")
+		}
+		mustBeCanonical(t, data)
+	})
+}
+
+func TestCountsAreCheckedBeforeMemoryIsTaken(t *testing.T) {
+	huge := binary.AppendUvarint(nil, 1<<40)
+	message := append([]byte{encodingVersion, 0, 0, 0, 0, 0, 0, 0, 0, 0, 0}, huge...)
+	for name, data := range map[string][]byte{"entries": message, "members": append([]byte{encodingVersion}, huge...)} {
+		allocated := testing.AllocsPerRun(10, func() {
+			if _, err := DecodeMessage(data); err == nil {
+				t.Errorf("%s: passes", name)
+			}
+			if _, err := DecodeMembership(data); err == nil {
+				t.Errorf("%s: passes", name)
+			}
+		})
+		if allocated > 10 {
+			t.Errorf("%s: %v allocations", name, allocated)
+		}
+	}
+}
--- a/internal/consensus/log.go
+++ b/internal/consensus/log.go
@@ -182,7 +182,7 @@
 
 func (l *replicaLog) membership() membershipAt { return l.memberships[len(l.memberships)-1] }
 
-// anyMembership tells whether something is true of the newest membership that is known to be committed or of a later one.
+// anyMembership tells whether something is true of the newest membership known to be committed, or of a later one.
 func (l *replicaLog) anyMembership(is func(Membership) bool) bool {
 	for i := len(l.memberships) - 1; i >= 0; i-- {
 		if is(l.memberships[i].membership) {
--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -74,7 +74,7 @@
 			return err
 		}
 	}
-	before := Message{Index: s.Snapshot.Index, LogTerm: s.Snapshot.Term, Term: math.MaxUint64, Entries: s.Entries}
+	before := Message{Index: s.Snapshot.Index, LogTerm: s.Snapshot.Term, Term: mostNumber, Entries: s.Entries}
 	return before.checkEntries()
 }
 
--- /dev/null
+++ b/internal/consensus/script_membership_test.go
@@ -0,0 +1,298 @@
+package consensus
+
+import (
+	"errors"
+	"testing"
+)
+
+// leading is replica 1 of three, elected, with its first entry committed.
+func leading(t *testing.T) *script {
+	x := newScript(t, founded(1, 2, 3))
+	for _, msg := range x.lead() {
+		x.step(ack(msg))
+	}
+	x.work()
+	return x
+}
+
+// catchUp has all answer all appends until nothing is sent any more.
+func (x *script) catchUp(msgs []Message, but ...ReplicaID) {
+	x.t.Helper()
+	for len(msgs) > 0 {
+		msg := msgs[0]
+		msgs = msgs[1:]
+		skip := msg.Kind != Append || msg.Round == 0
+		for _, id := range but {
+			skip = skip || msg.To == id
+		}
+		if !skip {
+			msgs = append(msgs, x.step(ack(msg))...)
+		}
+	}
+}
+
+func (x *script) change(to Membership) []Message {
+	x.t.Helper()
+	if err := x.m.ChangeMembership(x.now, to); err != nil {
+		x.t.Fatal(err)
+	}
+	return x.work()
+}
+
+func TestChangesThatAreRefused(t *testing.T) {
+	x := leading(t)
+	learner := Member{ID: 4}
+	for _, c := range []struct {
+		name string
+		to   Membership
+	}{
+		{"the same", voters(1, 2, 3)},
+		{"a voter that was no learner", voters(1, 2, 3, 4)},
+		{"two at once", voters(1)},
+		{"swap", voters(1, 2, 4)},
+		{"nobody", Membership{}},
+		{"no voter", Membership{Members: []Member{{ID: 1}, {ID: 2}, {ID: 3}}}},
+		{"twice", with(voters(1, 2, 3), learner, learner)},
+		{"no id", with(voters(1, 2, 3), Member{})},
+	} {
+		if err := x.m.ChangeMembership(x.now, c.to); !errors.As(err, new(*MembershipError)) {
+			t.Errorf("%s: %v", c.name, err)
+		}
+	}
+	follower := newScript(t, founded(1, 2))
+	if err := follower.m.ChangeMembership(0, voters(1)); !errors.As(err, new(*NotLeaderError)) {
+		t.Errorf("of a follower: %v", err)
+	}
+}
+
+func TestNewLeaderFirstCommitsAnEntryOfItsTerm(t *testing.T) {
+	x := newScript(t, founded(1, 2, 3))
+	sent := x.lead()
+	if err := x.m.ChangeMembership(x.now, voters(1, 2)); !errors.As(err, new(*BusyMembershipError)) {
+		t.Errorf("before: %v", err)
+	}
+	x.step(ack(x.only(Append, 2, sent)))
+	if err := x.m.ChangeMembership(x.now, voters(1, 2)); err != nil {
+		t.Errorf("after: %v", err)
+	}
+}
+
+func TestLearnerJoinsCatchesUpAndVotes(t *testing.T) {
+	x := leading(t)
+	for range 3 * catchUpSlack {
+		if _, _, err := x.m.Propose(x.now, []byte("command")); err != nil {
+			t.Fatal(err)
+		}
+		x.catchUp(x.work())
+	}
+	joined := with(voters(1, 2, 3), Member{ID: 4, Address: "a"})
+	sent := x.change(joined)
+	x.want("holds at once", x.m.membership(), joined)
+	probe := x.only(Append, 4, sent)
+	promoted := with(voters(1, 2, 3), Member{ID: 4, Address: "a", Voter: true})
+	if err := x.m.ChangeMembership(x.now, promoted); !errors.As(err, new(*BusyMembershipError)) {
+		t.Errorf("while the first is not committed: %v", err)
+	}
+	x.catchUp(sent, 4)
+	if err := x.m.ChangeMembership(x.now, promoted); !errors.As(err, new(*BehindError)) {
+		t.Errorf("before it has caught up: %v", err)
+	}
+	x.catchUp(x.step(Message{Kind: AppendReply, From: 4, Term: 1, Index: probe.Index, Reject: true, Round: probe.Round}))
+	x.catchUp(x.change(promoted))
+	x.want("membership", x.m.membership(), promoted)
+	x.want("committed", x.m.log.commit, x.m.log.last())
+}
+
+func TestLearnersDoNotCount(t *testing.T) {
+	stored := Stored{Snapshot: Snapshot{Membership: with(voters(1, 2), Member{ID: 3}, Member{ID: 4})}}
+	x := newScript(t, stored)
+	asked := x.wait()
+	x.want("asked", len(asked), 1)
+	x.step(Message{Kind: PreVoteReply, From: 3, Term: 1})
+	x.want("term", x.m.term, 0)
+	x.step(Message{Kind: PreVoteReply, From: 2, Term: 1})
+	sent := x.step(Message{Kind: VoteReply, From: 2, Term: 1})
+	x.step(ack(x.only(Append, 3, sent)))
+	x.step(ack(x.only(Append, 4, sent)))
+	x.want("commit", x.m.log.commit, 0)
+	x.step(ack(x.only(Append, 2, sent)))
+	x.want("commit", x.m.log.commit, 1)
+}
+
+func TestRemovedLeaderLeadsUntilThatIsCommitted(t *testing.T) {
+	x := leading(t)
+	sent := x.change(voters(2, 3))
+	x.step(ack(x.only(Append, 2, sent)))
+	x.want("role while one of two has it", x.m.role, Leader)
+	told := x.step(ack(x.only(Append, 3, sent)))
+	x.want("role after", x.m.role, Follower)
+	x.want("told to take over", told[len(told)-1].Kind, TimeoutNow)
+	x.want("due", x.m.Next(), Never)
+}
+
+func TestRemovedMemberIsToldOnceThatIsCommitted(t *testing.T) {
+	x := leading(t)
+	sent := x.change(voters(1, 2))
+	for _, msg := range sent {
+		if msg.To == 3 {
+			t.Errorf("told before: %+v", msg)
+		}
+	}
+	told := x.only(Append, 3, x.step(ack(x.only(Append, 2, sent))))
+	x.want("commit", told.Commit, 2)
+	x.want("entries", len(told.Entries), 1)
+}
+
+func TestLeaderWhoseRemovalIsNotCommittedMayLeadAgain(t *testing.T) {
+	stored := founded(1, 2)
+	stored.Hard = HardState{Term: 1, Commit: 1}
+	stored.Entries = append(entries(1, 1), membershipEntry(2, 1, voters(2)))
+	x := newScript(t, stored)
+	asked := x.wait()
+	x.want("asked", x.only(PreVote, 2, asked).Index, 2)
+	x.step(Message{Kind: PreVoteReply, From: 2, Term: 2})
+	sent := x.step(Message{Kind: VoteReply, From: 2, Term: 2})
+	x.want("role", x.m.role, Leader)
+	x.step(ack(x.only(Append, 2, sent)))
+	x.want("role once the removal is committed", x.m.role, Follower)
+	x.want("due", x.m.Next(), Never)
+}
+
+func TestMembershipThatIsOverwrittenNoLongerHolds(t *testing.T) {
+	stored := founded(1, 2, 3)
+	stored.Hard = HardState{Term: 1}
+	stored.Entries = append(entries(1, 1), membershipEntry(2, 1, voters(1, 2)))
+	x := newScript(t, stored)
+	x.want("before", x.m.membership(), voters(1, 2))
+	x.step(Message{Kind: Append, From: 3, Term: 2, Index: 1, LogTerm: 1, Entries: entries(2, 2), Round: 1})
+	x.want("after", x.m.membership(), voters(1, 2, 3))
+}
+
+func TestFreshReplicaIsSilentUntilItIsTakenIn(t *testing.T) {
+	x := newScript(t, Stored{})
+	x.want("due", x.m.Next(), Never)
+	for _, msg := range []Message{{Kind: PreVote, Term: 5}, {Kind: Vote, Term: 5}, {Kind: Vote, Term: 5, Force: true},
+		{Kind: TimeoutNow, Term: 5}, {Kind: VoteReply, Term: 5}, {Kind: AppendReply, Term: 5}} {
+		msg.From = 2
+		x.want("answers", len(x.step(msg)), 0)
+	}
+	x.want("term", x.m.term, 0)
+	taken := Message{Kind: Append, From: 2, Term: 1, Round: 1,
+		Entries: append(entries(1, 1), membershipEntry(2, 1, with(voters(2), Member{ID: 1})))}
+	x.only(AppendReply, 2, x.step(taken))
+	x.want("due as a learner", x.m.Next(), Never)
+	x.now += 2 * testElection
+	vote := Message{Kind: Vote, From: 3, Term: 2, Index: 9, LogTerm: 1}
+	x.want("vote as a learner whom the candidate counts", x.only(VoteReply, 3, x.step(vote)).Reject, false)
+	x.step(Message{Kind: Append, From: 3, Term: 2, Index: 2, LogTerm: 1, Round: 1,
+		Entries: []Entry{membershipEntry(3, 2, voters(1, 2))}})
+	x.want("due as a voter", x.m.Next() < Never, true)
+}
+
+func TestSnapshotIsInstalled(t *testing.T) {
+	snapshot := &Snapshot{Index: 9, Term: 2, Membership: voters(1, 2, 3), Data: []byte("state")}
+	install := Message{Kind: InstallSnapshot, From: 2, Term: 3, Round: 4, Snapshot: snapshot}
+	t.Run("on a log without it", func(t *testing.T) {
+		stored := founded(1, 2)
+		stored.Entries = entries(1, 1, 1)
+		x := newScript(t, stored)
+		reply := x.only(SnapshotReply, 2, x.step(install))
+		x.want("reply", []uint64{reply.Index, reply.Round}, []uint64{9, 4})
+		x.want("restored", x.restored.Index, 9)
+		x.want("membership", x.m.membership(), voters(1, 2, 3))
+		x.step(Message{Kind: Append, From: 2, Term: 3, Index: 9, LogTerm: 2, Entries: entries(10, 3), Commit: 10, Round: 5})
+		x.want("applied", x.committed, entries(10, 3))
+	})
+	t.Run("on a log with it", func(t *testing.T) {
+		stored := founded(1, 2)
+		stored.Hard = HardState{Term: 2}
+		stored.Entries = entries(1, 1, 1, 1, 1, 1, 1, 1, 1, 2, 2)
+		x := newScript(t, stored)
+		x.want("reply", x.only(SnapshotReply, 2, x.step(install)).Index, 9)
+		x.want("restored", x.restored, (*Snapshot)(nil))
+		x.want("commit", x.m.log.commit, 9)
+		x.want("last", x.m.log.last(), 10)
+	})
+	t.Run("of old", func(t *testing.T) {
+		stored := Stored{Hard: HardState{Term: 2}, Snapshot: Snapshot{Index: 20, Term: 2, Membership: voters(1, 2)}}
+		x := newScript(t, stored)
+		x.want("reply", x.only(SnapshotReply, 2, x.step(install)).Index, 20)
+		x.want("restored", x.restored, (*Snapshot)(nil))
+	})
+}
+
+func TestCompactionKeepsATail(t *testing.T) {
+	x := leading(t)
+	for x.compact == 0 {
+		if _, _, err := x.m.Propose(x.now, []byte("command")); err != nil {
+			t.Fatal(err)
+		}
+		x.catchUp(x.work(), 3)
+	}
+	x.want("wanted at", x.compact, 8)
+	snapshot, is := x.m.Snapshot(8, []byte("state"))
+	x.want("snapshot", []any{is, snapshot.Index, snapshot.Term, snapshot.Membership}, []any{true, 8, 1, voters(1, 2, 3)})
+	x.m.Compacted(8, []byte("state"))
+	x.want("offset", x.m.log.offset, 6)
+	// Member 3 holds no more than the first entry, and gets the snapshot.
+	sent := x.step(Message{Kind: AppendReply, From: 3, Term: 1, Index: 7, Reject: true, Hint: 1, LogTerm: 1})
+	install := x.only(InstallSnapshot, 3, sent)
+	x.want("snapshot", []any{install.Snapshot.Index, string(install.Snapshot.Data)}, []any{8, "state"})
+	x.want("nothing more meanwhile", len(x.work()), 0)
+	next := x.step(Message{Kind: SnapshotReply, From: 3, Term: 1, Index: 8, Round: install.Round})
+	for _, msg := range next {
+		x.want("goes on at", msg.Index, 8)
+	}
+}
+
+func TestMemberThatFellBehindTheLogsStartGetsTheSnapshot(t *testing.T) {
+	x := leading(t)
+	for i := range 40 {
+		if _, _, err := x.m.Propose(x.now, []byte("command")); err != nil {
+			t.Fatal(err)
+		}
+		x.catchUp(x.work(), 3)
+		if i%8 == 7 {
+			x.m.Compacted(x.m.log.applied, nil)
+		}
+	}
+	// Its appends were lost; it answers the next heartbeat, which stands where all logs agree.
+	beat := x.only(Append, 3, x.wait())
+	x.want("heartbeat", beat.Index, 0)
+	x.only(InstallSnapshot, 3, x.step(Message{Kind: AppendReply, From: 3, Term: 1, Index: 1, Round: beat.Round}))
+}
+
+func TestStoredThatMakesNoSense(t *testing.T) {
+	for name, stored := range map[string]Stored{
+		"terms that fall": {Snapshot: founded(1).Snapshot, Entries: entries(1, 2, 1)},
+		"gap":             {Snapshot: founded(1).Snapshot, Entries: append(entries(1, 1), entries(3, 1)...)},
+		"membership": {Snapshot: founded(1).Snapshot, Entries: []Entry{{Index: 1, Term: 1, Kind: EntryMembership,
+			Data: []byte("?")}}},
+		"founders": founded(1, 1),
+	} {
+		if stored.Check() == nil {
+			t.Errorf("%s: passes", name)
+		}
+		x := newScript(t, stored)
+		x.want(name+": due", x.m.Next(), Never)
+		x.want(name+": answers", len(x.step(Message{Kind: Vote, From: 2, Term: 9, Index: 99, LogTerm: 8})), 0)
+		x.want(name+": to be done", x.m.Ready().Empty(), true)
+	}
+}
+
+func TestLogOfBeforeASnapshotIsLeftOut(t *testing.T) {
+	snapshot := Snapshot{Index: 3, Term: 2, Membership: voters(1)}
+	for _, c := range []struct {
+		log  []Entry
+		last uint64
+	}{
+		{entries(1, 1, 1), 3},
+		{entries(2, 1, 2, 2), 4},
+		{entries(2, 1, 1, 1), 3}, // another term at the snapshot
+		{entries(4, 2, 2), 5},
+		{entries(5, 2), 3}, // a gap
+	} {
+		x := newScript(t, Stored{Hard: HardState{Term: 2, Commit: 3}, Snapshot: snapshot, Entries: c.log})
+		x.want("last", x.m.log.last(), c.last)
+	}
+}
