--- a/internal/consensus/cluster_world_test.go
+++ b/internal/consensus/cluster_world_test.go
@@ -3,7 +3,9 @@
 import (
 	"container/heap"
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -17,6 +19,7 @@
 	steps   int
 	verbose bool
 	failed  string
+	mutate  bool // messages are spoilt now and then
 
 	profile profile
 	slots   []*slot
@@ -37,7 +40,8 @@
 	Pipelined  bool // the next Ready is taken while writes are under way
 	Bare       bool // machines hold no snapshot data
 	SyncTime   time.Duration
-	FaultEvery time.Duration
+	FaultEvery time.Duration // at most
+	FaultSpan  time.Duration // at most
 	Proposals  time.Duration // between two
 	Mischief   float64       // of the operator, a turn
 
@@ -94,9 +98,10 @@
 	p.Pipelined = w.chance(0.5)
 	p.Bare = w.chance(0.5)
 	p.SyncTime = w.between(100*time.Microsecond, 20*time.Millisecond)
-	p.FaultEvery = w.between(100*time.Millisecond, 3*time.Second)
-	p.Proposals = w.between(3*time.Millisecond, 100*time.Millisecond)
-	p.AppendBytes = 128 << w.random.IntN(6)
+	p.FaultEvery = w.spread(60*time.Millisecond, 3*time.Second)
+	p.FaultSpan = w.spread(200*time.Millisecond, 4*time.Second)
+	p.Proposals = w.spread(3*time.Millisecond, 2*time.Second)
+	p.AppendBytes = 16 << w.random.IntN(9)
 	p.Inflight = 2 + w.random.IntN(8)
 	if w.chance(0.6) {
 		p.Mischief = w.random.Float64() * 0.2
@@ -110,6 +115,11 @@
 	return least + time.Duration(w.random.Int64N(int64(most-least)+1))
 }
 
+// spread draws a time whose order of magnitude may be any within a range.
+func (w *world) spread(least, most time.Duration) time.Duration {
+	return time.Duration(float64(least) * math.Pow(float64(most)/float64(least), w.random.Float64()))
+}
+
 func (w *world) logf(format string, args ...any) {
 	if w.verbose {
 		fmt.Printf("%10.4f "+format+"\n", append([]any{w.now.Seconds()}, args...)...)
@@ -222,7 +232,11 @@
 	if to.process == nil || to.id != id || w.cuts[[2]int{from.number, to.number}] {
 		return
 	}
+	data = w.spoil(data)
 	msg, err := DecodeMessage(data)
+	if err != nil && w.mutate {
+		return
+	}
 	if err != nil {
 		w.fail("message does not decode: %v", err)
 		return
@@ -235,6 +249,26 @@
 	})
 }
 
+// spoil changes some bytes of a message at times.
+func (w *world) spoil(data []byte) []byte {
+	if !w.mutate || !w.chance(0.05) {
+		return data
+	}
+	data = slices.Clone(data)
+	for range 1 + w.random.IntN(3) {
+		at := w.random.IntN(len(data))
+		switch w.random.IntN(3) {
+		case 0:
+			data[at] = byte(w.random.Uint32())
+		case 1:
+			data[at] ^= 1 << w.random.IntN(8)
+		case 2:
+			data[at] += byte(w.random.IntN(5)) - 2
+		}
+	}
+	return data
+}
+
 func msgText(m Message) string {
 	return fmt.Sprintf("%d kind %d term %d index %d/%d commit %d entries %d reject %v hint %d round %d", m.From, m.Kind,
 		m.Term, m.Index, m.LogTerm, m.Commit, len(m.Entries), m.Reject, m.Hint, m.Round)
