--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -4,6 +4,8 @@
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"cinderroad/internal/httpwire"
 	"cinderroad/internal/placement"
 	"cinderroad/internal/transport"
@@ -143,6 +145,14 @@
 	x.send(choice)
 }
 
+// note logs why no runner was named.
+func (x *exchange) note(refusal *placement.Refusal) {
+	if e := x.proxy.log.Check(zap.DebugLevel, "refused"); e != nil {
+		e.Write(zap.String("try", x.tryID), zap.String("route", x.request.Route.Name), zap.String("reason", refusal.Reason),
+			zap.Duration("retry_after", refusal.RetryAfter), zap.Strings("tried", x.request.Tried))
+	}
+}
+
 // choose has a runner named that has a connection to spare.
 func (x *exchange) choose() (placement.Choice, *placement.Refusal) {
 	tried := x.request.Tried
@@ -150,9 +160,13 @@
 	x.request.Tried = tried[:len(tried):len(tried)]
 	for range mostFull {
 		choice, refusal := x.proxy.placer.Place(x.proxy.now(), &x.request)
-		if refusal != nil || x.proxy.pool.admits(choice) {
+		if refusal != nil {
+			x.note(refusal)
 			return choice, refusal
 		}
+		if x.proxy.pool.admits(choice) {
+			return choice, nil
+		}
 		x.request.Tried = append(x.request.Tried, choice.Runner)
 	}
 	return placement.Choice{}, &placement.Refusal{RetryAfter: soon, Reason: "no connection to spare"}
--- a/internal/proxy/retry_test.go
+++ b/internal/proxy/retry_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"cinderroad/internal/configuration"
 	"cinderroad/internal/placement"
 )
 
@@ -162,7 +163,8 @@
 func TestRequestNotSentWhole(t *testing.T) {
 	w := newWorld(t)
 	r := w.runners("a", "b")
-	body := string(make([]byte, 4<<20)) // more than the buffers of the system hold
+	w.do(func() { w.proxy.SetLimits(configuration.Limits{MaxBodyBytes: 1 << 30}) })
+	body := string(make([]byte, 32<<20)) // more than the buffers of the system hold
 	c := w.client()
 	go c.send(ask("/writes/x", "t1", "", body))
 	first := r[0].accept()
--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -141,14 +141,14 @@
 func TestSlowReader(t *testing.T) {
 	w := newWorld(t)
 	r := w.runners("a")[0]
-	const size = 16 << 20 // more than the buffers of the system hold
+	const size = 48 << 20 // more than the buffers of the system hold
 	slow, fast := w.client(), w.client()
 	slow.send(ask("/reads/x", "slow", "", ""))
 	up := r.accept()
 	up.request()
 	written := make(chan error, 1)
 	go func() {
-		head := "HTTP/1.1 200 OK\r\nX-Try-Id: slow\r\nX-Server-Seal: s\r\nConnection: close\r\nContent-Length: 16777216\r\n\r\n"
+		head := "HTTP/1.1 200 OK\r\nX-Try-Id: slow\r\nX-Server-Seal: s\r\nConnection: close\r\nContent-Length: 50331648\r\n\r\n"
 		_, err := up.conn.Write(append([]byte(head), make([]byte, size)...))
 		up.conn.Close()
 		written <- err
