--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -1,12 +1,14 @@
 package proxy
 
 import (
+	"slices"
 	"strings"
 	"time"
 
 	"go.uber.org/zap"
 
 	"cinderroad/internal/httpwire"
+	"cinderroad/internal/invariant"
 	"cinderroad/internal/placement"
 	"cinderroad/internal/transport"
 )
@@ -125,8 +127,22 @@
 	x.body = nil
 }
 
+// follows says which states an exchange may go to from each one. A request that was not sent, or that may run again, is
+// connected anew; an answer that has begun stays relaying, also while another runner continues it.
+var follows = [...][]state{
+	receiving:  {placing, finished},
+	placing:    {connecting, finished},
+	connecting: {connecting, awaiting, finished},
+	awaiting:   {connecting, awaiting, relaying, finished},
+	relaying:   {finished},
+	finished:   {},
+}
+
 // transition is the one place where the state changes.
-func (x *exchange) transition(to state) { x.state = to }
+func (x *exchange) transition(to state) {
+	invariant.Check(slices.Contains(follows[x.state], to), "proxy: an exchange changes its state as it may")
+	x.state = to
+}
 
 // received goes on once the request is whole.
 func (x *exchange) received() {
--- a/internal/proxy/link.go
+++ b/internal/proxy/link.go
@@ -3,11 +3,13 @@
 import (
 	"errors"
 	"io"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
 
 	"cinderroad/internal/httpwire"
+	"cinderroad/internal/invariant"
 	"cinderroad/internal/placement"
 	"cinderroad/internal/transport"
 )
@@ -67,6 +69,22 @@
 	watchdog *transport.Deadline
 }
 
+// linkFollows says which states a connection may go to from each one.
+var linkFollows = [...][]linkState{
+	dialing:  {waiting, resting, closed},
+	resting:  {waiting, closed},
+	waiting:  {reading, skipping, closed},
+	reading:  {resting, closed},
+	skipping: {waiting, closed},
+	closed:   {},
+}
+
+// transition is the one place where the state changes.
+func (l *link) transition(to linkState) {
+	invariant.Check(slices.Contains(linkFollows[l.state], to), "proxy: a connection changes its state as it may")
+	l.state = to
+}
+
 // sentWhole says whether the system has taken all bytes of the request.
 func (l *link) sentWhole() bool {
 	return l.state != dialing && l.goal > 0 && l.conn.Written() >= l.goal
@@ -106,7 +124,8 @@
 func (l *link) begin(a *attempt) {
 	x := a.exchange
 	l.attempt, a.link = a, l
-	l.state, l.skipped, l.ends = waiting, false, false
+	l.transition(waiting)
+	l.skipped, l.ends = false, false
 	l.previous, l.tryID, l.method = l.tryID, x.tryID, x.head.Method
 	a.began()
 	head := x.appendRequest(x.proxy.scratch[:0], a.choice)
@@ -169,13 +188,14 @@
 	switch {
 	case l.isOurs(&h):
 	case l.isPrevious(&h):
-		l.state, l.skipped, l.ends = skipping, true, true
+		l.transition(skipping)
+		l.skipped, l.ends = true, true
 		return true
 	default:
 		l.spoil(errOtherAnswer)
 		return false
 	}
-	l.state = reading
+	l.transition(reading)
 	if a := l.attempt; a != nil {
 		a.headCame(&h)
 	}
@@ -214,7 +234,7 @@
 	c.Consume(n)
 	switch {
 	case done && l.state == skipping:
-		l.state = waiting
+		l.transition(waiting)
 		return true
 	case done:
 		l.answerEnded(c)
@@ -266,7 +286,8 @@
 		return
 	}
 	l.conn.Stall(false)
-	l.state, l.goal = resting, 0
+	l.transition(resting)
+	l.goal = 0
 	l.since = p.now()
 	l.runner.idle = append(l.runner.idle, l)
 	most := mostRest
@@ -337,7 +358,7 @@
 	l.timeout.Stop()
 	l.watchdog.Stop()
 	l.unlist()
-	l.state = closed
+	l.transition(closed)
 	l.conn.Close()
 	r := l.runner
 	r.links = without(r.links, l)
