--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -1,10 +1,14 @@
 package proxy
 
 import (
+	"slices"
 	"strings"
 	"time"
 
+	"go.uber.org/zap"
+
 	"cinderroad/internal/httpwire"
+	"cinderroad/internal/invariant"
 	"cinderroad/internal/placement"
 	"cinderroad/internal/transport"
 )
@@ -123,8 +127,22 @@
 	x.body = nil
 }
 
+// follows says which states an exchange may go to from each one. A request that was not sent, or that may run again, is
+// connected anew; an answer that has begun stays relaying, also while another runner continues it.
+var follows = [...][]state{
+	receiving:  {placing, finished},
+	placing:    {connecting, finished},
+	connecting: {connecting, awaiting, finished},
+	awaiting:   {connecting, awaiting, relaying, finished},
+	relaying:   {finished},
+	finished:   {},
+}
+
 // transition is the one place where the state changes.
-func (x *exchange) transition(to state) { x.state = to }
+func (x *exchange) transition(to state) {
+	invariant.Check(slices.Contains(follows[x.state], to), "proxy: an exchange changes its state as it may")
+	x.state = to
+}
 
 // received goes on once the request is whole.
 func (x *exchange) received() {
@@ -143,6 +161,14 @@
 	x.send(choice)
 }
 
+// note logs why no runner was named.
+func (x *exchange) note(refusal *placement.Refusal) {
+	if e := x.proxy.log.Check(zap.DebugLevel, "refused"); e != nil {
+		e.Write(zap.String("try", x.tryID), zap.String("route", x.request.Route.Name), zap.String("reason", refusal.Reason),
+			zap.Duration("retry_after", refusal.RetryAfter), zap.Strings("tried", x.request.Tried))
+	}
+}
+
 // choose has a runner named that has a connection to spare.
 func (x *exchange) choose() (placement.Choice, *placement.Refusal) {
 	tried := x.request.Tried
@@ -150,9 +176,13 @@
 	x.request.Tried = tried[:len(tried):len(tried)]
 	for range mostFull {
 		choice, refusal := x.proxy.placer.Place(x.proxy.now(), &x.request)
-		if refusal != nil || x.proxy.pool.admits(choice) {
+		if refusal != nil {
+			x.note(refusal)
 			return choice, refusal
 		}
+		if x.proxy.pool.admits(choice) {
+			return choice, nil
+		}
 		x.request.Tried = append(x.request.Tried, choice.Runner)
 	}
 	return placement.Choice{}, &placement.Refusal{RetryAfter: soon, Reason: "no connection to spare"}
