--- a/cmd/cinderroad-proxy/main.go
+++ b/cmd/cinderroad-proxy/main.go
@@ -19,6 +19,7 @@
 	"go.uber.org/zap/zapcore"
 
 	"cinderroad/internal/environment"
+	"cinderroad/internal/feed"
 	"cinderroad/internal/logfmt"
 	"cinderroad/internal/placement"
 	"cinderroad/internal/proxy"
@@ -27,15 +28,14 @@
 )
 
 const (
-	version          = "cinderroad-proxy 1"
-	garbagePercent   = 40 // memory at its peak costs more than a collection of so small a heap
-	processors       = 1  // one loop does the work; the link to the agent hardly any
-	runnerPartitions = 2  // as the control replicas have them
-	filesReserved    = 200 + 56
-	leastSockets     = 64
-	listenTries      = 50
-	listenPause      = 100 * time.Millisecond
-	sleptAfter       = 0.5 // seconds by which a turn of the loop is late when that is logged
+	version        = "cinderroad-proxy 1"
+	garbagePercent = 40 // memory at its peak costs more than a collection of so small a heap
+	processors     = 1  // one loop does the work; the link to the agent hardly any
+	filesReserved  = 200 + 56
+	leastSockets   = 64
+	listenTries    = 50
+	listenPause    = 100 * time.Millisecond
+	sleptAfter     = 0.5 // seconds by which a turn of the loop is late when that is logged
 )
 
 // flags are the command line.
@@ -121,7 +121,7 @@
 	link := uplink.New(log, uplink.Options{
 		Agent:            settings.FeedAddress(),
 		Node:             settings.Node,
-		RunnerPartitions: runnerPartitions,
+		RunnerPartitions: feed.RunnerPartitions,
 		Deliver:          func(u uplink.Update) { loop.Post(func() { p.Take(u) }) },
 		Recall:           func(learnt []byte) { loop.Post(func() { p.Recall(learnt) }) },
 	})
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -28,8 +28,6 @@
 )
 
 const (
-	runnerPartitions = 2 // as the control replicas have them
-
 	joinAfter     = time.Second             // without a report of the proxy: a proxy that serves is to be told of at once
 	joinAgain     = 200 * time.Millisecond  // between two tries for the gossip address
 	peersAsked    = 3                       // other agents that one which has nothing asks
@@ -38,6 +36,7 @@
 
 	proxyConnections = 16
 	peerConnections  = 64
+	peersShare       = 0.25    // of the machine's link, for what other agents are sent; requests have the rest
 	requestBytes     = 8 << 20 // of a report, with what the proxy has learnt
 )
 
@@ -81,7 +80,7 @@
 		failures: make(chan error, 4),
 	}
 	a.Reload(options.Settings)
-	a.store = newStore(a.now, runnerPartitions)
+	a.store = newStore(a.now, feed.RunnerPartitions)
 	a.proxy = newProxy(a.log, a.now)
 	client := discovery.NewClient(discovery.ClientOptions{Address: a.settings.CloudAPI.Address})
 	a.platform = newPlatform(a.log, a.now, client, a.store, a.pace, rand.Float64)
@@ -153,7 +152,7 @@
 // serve answers the proxy and other agents.
 func (a *Agent) serve(ctx context.Context) {
 	local := rpc.NewRegistry()
-	toProxy := a.server(a.store.servedSources(), a.store.served)
+	toProxy := a.server(a.store.servedSources(), a.store.served, 0)
 	following.Call.Handle(local, func(ctx context.Context, request *feed.FollowRequest) (*feed.FollowReply, error) {
 		a.store.meet(request.Positions)
 		return toProxy.Follow(ctx, request)
@@ -162,17 +161,19 @@
 	a.listen(ctx, a.local, local, rpc.Limits{Connections: proxyConnections, RequestBytes: requestBytes})
 
 	peers := rpc.NewRegistry()
-	following.Call.Handle(peers, a.server(a.store.baseSources(), a.store.base).Follow)
+	pace := peersShare * a.settings.Limits.LinkBytesPerS()
+	following.Call.Handle(peers, a.server(a.store.baseSources(), a.store.base, pace).Follow)
 	a.listen(ctx, a.peers, peers, rpc.Limits{Connections: peerConnections, RequestBytes: requestBytes})
 }
 
-func (a *Agent) server(sources []following.Source, notifier *following.Notifier) *following.Server {
+func (a *Agent) server(sources []following.Source, notifier *following.Notifier, pace float64) *following.Server {
 	return following.New(following.Options{
-		Sources:  sources,
-		Notifier: notifier,
-		Now:      a.now,
-		Fresh:    a.store.fresh,
-		Proxies:  a.proxies,
+		Sources:       sources,
+		Notifier:      notifier,
+		Now:           a.now,
+		Fresh:         a.store.fresh,
+		Proxies:       a.proxies,
+		BulkBytesPerS: pace,
 	})
 }
 
--- a/internal/agent/follower.go
+++ b/internal/agent/follower.go
@@ -62,8 +62,11 @@
 func (f *follower) ask(ctx context.Context, question source.Question) {
 	ctx, cancel := context.WithTimeout(ctx, question.Timeout)
 	defer cancel()
-	request := &feed.FollowRequest{Node: f.node, Positions: f.store.positions(), Wait: question.Wait}
+	request := &feed.FollowRequest{Node: f.node, Positions: f.store.positions(), Wait: question.Wait, Packed: true}
 	reply, err := following.Call.Invoke(ctx, f.connect(question.Address), request)
+	if err == nil {
+		err = unpack(reply)
+	}
 	if err != nil {
 		f.log.Debug("control replica gave no answer", zap.Stringer("address", question.Address), zap.Error(err))
 		f.disconnect()
@@ -71,10 +74,20 @@
 		return
 	}
 	lags := f.store.take(reply)
-	answer := source.Answer{Fresh: reply.Fresh, Lags: lags || f.isPeer(question.Address)}
+	answer := source.Answer{Fresh: reply.Fresh, Busy: reply.Busy, Lags: lags || f.isPeer(question.Address)}
 	f.machine.Answered(f.now(), question.Address, answer)
 }
 
+// unpack puts the items of all batches back.
+func unpack(reply *feed.FollowReply) error {
+	for i := range reply.Batches {
+		if err := reply.Batches[i].Unpack(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // connect returns the client of a replica; that of another one is closed.
 func (f *follower) connect(address netip.AddrPort) *rpc.Client {
 	if f.client != nil && f.client.Address() == address {
--- a/internal/agent/source/source.go
+++ b/internal/agent/source/source.go
@@ -74,6 +74,7 @@
 // Answer is what a replica's answer says of the replica.
 type Answer struct {
 	Fresh time.Duration // how long ago it knew itself to be up to date
+	Busy  time.Duration // it has more to send than it can now; it is to be asked again after that
 	Lags  bool          // it holds less than the follower, or is not to be followed for another reason
 }
 
@@ -153,6 +154,9 @@
 	if m.state == Following && now >= m.reconsiderAt {
 		m.reconsider(now)
 	}
+	if m.state == Following && now < m.followed.pausedTo {
+		return Question{}, m.followed.pausedTo - now
+	}
 	if m.state == Following {
 		return Question{Address: m.followed.address, Wait: m.options.Wait, Timeout: m.options.Wait + m.options.Silence}, 0
 	}
@@ -206,6 +210,10 @@
 	}
 	known.failures, known.pausedTo = 0, 0
 	m.goodAt = now
+	if answer.Busy > 0 {
+		known.pausedTo = now + min(answer.Busy, m.options.MostPause)
+		return
+	}
 	if m.state != Following || m.followed != known {
 		m.follow(now, known)
 	}
--- a/internal/agent/world_test.go
+++ b/internal/agent/world_test.go
@@ -99,7 +99,7 @@
 	var replicas []*replica
 	for i := range n {
 		r := &replica{w: w, settings: w.settings(fmt.Sprint("core-", i+1)), began: time.Now()}
-		for partition := range feed.Partition(1 + runnerPartitions) {
+		for partition := range feed.Partition(1 + feed.RunnerPartitions) {
 			r.tables = append(r.tables, feed.NewTable(partition))
 		}
 		w.seeds = append(w.seeds, netip.AddrPortFrom(r.settings.IP, 1))
@@ -204,7 +204,7 @@
 
 func list(replicas []*replica, index uint64, runner discovery.Runner) {
 	for _, r := range replicas {
-		r.put(feed.PartitionOf(runner.Service, runnerPartitions), index, feed.KeyRunner+runner.ID, discovery.Encode(runner))
+		r.put(feed.PartitionOf(runner.Service, feed.RunnerPartitions), index, feed.KeyRunner+runner.ID, discovery.Encode(runner))
 	}
 }
 
@@ -228,7 +228,7 @@
 func (w *world) newEdge(node string) *edge {
 	w.t.Helper()
 	e := &edge{w: w, settings: w.settings(node), loopback: w.address()}
-	for partition := range feed.Partition(1 + runnerPartitions) {
+	for partition := range feed.Partition(1 + feed.RunnerPartitions) {
 		e.tables = append(e.tables, feed.NewTable(partition))
 	}
 	e.startAgent()
--- a/internal/control/following/server.go
+++ b/internal/control/following/server.go
@@ -39,12 +39,16 @@
 	Now      func() time.Duration // steady
 	Fresh    func() time.Duration // how long ago the replicas were last known to be up to date
 	Proxies  func() int           // that may be serving; 0: not known
+
+	// BulkBytesPerS is the pace of large answers, all followers together; 0: no bound.
+	BulkBytesPerS float64
 }
 
 // Server answers followers.
 type Server struct {
 	options   Options
 	caches    []cache
+	pacer     pacer
 	followers atomic.Int64
 	stop      chan struct{}
 	stopOnce  sync.Once
@@ -53,6 +57,7 @@
 // New returns a server.
 func New(options Options) *Server {
 	s := &Server{options: options, caches: make([]cache, len(options.Sources)), stop: make(chan struct{})}
+	s.pacer.bytesPerS = options.BulkBytesPerS
 	for i, source := range options.Sources {
 		s.caches[i].source = source
 		s.caches[i].maxBytes = MostReplyData
@@ -67,28 +72,48 @@
 // Call is the call that followers make.
 var Call = rpc.Declare[feed.FollowRequest, feed.FollowReply]("Feed.Follow")
 
-// Follow answers as soon as anything changed since the request's positions, and after its wait at the latest.
+// Follow answers as soon as anything changed since the request's positions, and after its wait at the latest. A large
+// answer waits for its turn; if that is far off, the answer says when to ask again.
 func (s *Server) Follow(ctx context.Context, request *feed.FollowRequest) (*feed.FollowReply, error) {
 	if s.followers.Add(1) > MostFollowers {
 		s.followers.Add(-1)
 		return nil, ErrTooManyFollowers
 	}
 	defer s.followers.Add(-1)
-	positions := s.positions(request)
-	batches := s.collect(positions)
+	sought := wanted{positions: s.positions(request), packed: request.Packed}
+	batches := s.collect(sought)
 	if len(batches) == 0 && request.Wait > 0 {
-		batches = s.await(ctx, positions, min(request.Wait, LongestWait))
+		batches = s.await(ctx, sought, min(request.Wait, LongestWait))
+	}
+	wait, admitted := s.pacer.admit(s.options.Now(), size(batches))
+	if !admitted {
+		return &feed.FollowReply{Busy: wait, Fresh: s.options.Fresh(), Proxies: s.options.Proxies()}, nil
 	}
+	s.pause(ctx, wait)
 	return &feed.FollowReply{Batches: batches, Fresh: s.options.Fresh(), Proxies: s.options.Proxies()}, nil
 }
 
+// pause waits, unless the call or the server ends.
+func (s *Server) pause(ctx context.Context, wait time.Duration) {
+	if wait <= 0 {
+		return
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	case <-s.stop:
+	}
+}
+
 // await looks again after each wake-up until there is something, or the time is over.
-func (s *Server) await(ctx context.Context, positions []uint64, wait time.Duration) []feed.Batch {
+func (s *Server) await(ctx context.Context, sought wanted, wait time.Duration) []feed.Batch {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
 		wake := s.options.Notifier.Wait()
-		if batches := s.collect(positions); len(batches) > 0 {
+		if batches := s.collect(sought); len(batches) > 0 {
 			return batches
 		}
 		select {
@@ -103,6 +128,12 @@
 	}
 }
 
+// wanted is what a follower asks for: what changed since its positions, by partition.
+type wanted struct {
+	positions []uint64
+	packed    bool
+}
+
 // positions is the request's positions by partition.
 func (s *Server) positions(request *feed.FollowRequest) []uint64 {
 	positions := make([]uint64, len(s.caches))
@@ -116,38 +147,40 @@
 
 // collect returns the batches of the partitions that changed, until the bound is reached. A batch of the configuration is
 // never cut: what is in force together travels together.
-func (s *Server) collect(positions []uint64) []feed.Batch {
+func (s *Server) collect(sought wanted) []feed.Batch {
 	var batches []feed.Batch
-	size := 0
-	for partition, index := range positions {
-		if size >= MostReplyData {
+	total := 0
+	for partition, index := range sought.positions {
+		if total >= MostReplyData {
 			break
 		}
-		batch := s.caches[partition].since(index, s.options.Now())
+		batch := s.caches[partition].since(index, s.options.Now(), sought.packed)
 		if batch.To <= index {
 			continue
 		}
 		batches = append(batches, batch)
-		size += batchSize(batch)
+		total += batch.Size()
 	}
 	return batches
 }
 
-func batchSize(batch feed.Batch) int {
-	size := 0
-	for i := range batch.Items {
-		size += len(batch.Items[i].Key) + len(batch.Items[i].Value)
+// size is about how many bytes batches take on the way.
+func size(batches []feed.Batch) int {
+	total := 0
+	for i := range batches {
+		total += batches[i].Size()
 	}
-	return size
+	return total
 }
 
 // Bounds of a cache.
 const (
-	cachedFor    = 20 * time.Millisecond // ages of items may be off by so much
+	cachedFor    = 20 * time.Millisecond // of an unpacked batch: ages of its items may be off by so much
 	cachedDeltas = 8
 )
 
-// cache keeps a partition's latest deltas, since many followers stand at the same position.
+// cache keeps a partition's latest deltas, since many followers stand at the same position. A large one is packed once
+// for all of them.
 type cache struct {
 	source   Source
 	maxBytes int // of a delta
@@ -158,12 +191,21 @@
 }
 
 type delta struct {
-	from  uint64
-	at    time.Duration
-	batch feed.Batch
+	from   uint64
+	packed bool // the follower takes packed batches; a small one is not packed all the same
+	at     time.Duration
+	batch  feed.Batch
 }
 
-func (c *cache) since(from uint64, now time.Duration) feed.Batch {
+// serves says whether the delta may still be sent: the ages of a packed one count on by themselves.
+func (d *delta) serves(from uint64, packed bool, now time.Duration) bool {
+	if d.from != from || d.packed != packed {
+		return false
+	}
+	return len(d.batch.Packed) > 0 || now-d.at <= cachedFor
+}
+
+func (c *cache) since(from uint64, now time.Duration, packed bool) feed.Batch {
 	index := c.source.Index()
 	if index <= from {
 		return feed.Batch{}
@@ -175,12 +217,17 @@
 		c.forget()
 	}
 	for i := range c.deltas {
-		if d := &c.deltas[i]; d.from == from && now-d.at <= cachedFor {
-			return d.batch
+		if d := &c.deltas[i]; d.serves(from, packed, now) {
+			batch := d.batch
+			batch.PackedAge = now - d.at
+			return batch
 		}
 	}
 	batch := c.source.Since(from, c.maxBytes)
-	c.keep(delta{from: from, at: now, batch: batch})
+	if packed {
+		batch = batch.Pack()
+	}
+	c.keep(delta{from: from, packed: packed, at: now, batch: batch})
 	return batch
 }
 
--- a/internal/control/following/server_test.go
+++ b/internal/control/following/server_test.go
@@ -260,7 +260,7 @@
 			if batch.Partition == feed.ConfigurationPartition {
 				whole = batch.To == items && len(batch.Items) == items-1
 			} else {
-				got += batchSize(batch)
+				got += batch.Size()
 			}
 			positions[batch.Partition] = batch.To
 		}
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -28,9 +28,6 @@
 	"cinderroad/internal/rpc"
 )
 
-// RunnerPartitions is how many partitions hold runners. All machines of a system count the same.
-const RunnerPartitions = 2
-
 // Times of a process.
 const (
 	hintEvery         = time.Second             // between two looks of the replicas at what membership tells
@@ -48,6 +45,10 @@
 	rpcCalls       = 64
 )
 
+// feedShare is the share of the machine's link that large answers to followers may take; what replicas say to each other
+// goes over the same link.
+const feedShare = 0.5
+
 // Options are a process's.
 type Options struct {
 	Settings *environment.Settings
@@ -101,7 +102,7 @@
 
 func (p *Process) makeStates(notifier *following.Notifier) {
 	p.configuration = state.NewConfiguration(p.now, notifier.Changed)
-	for i := range RunnerPartitions {
+	for i := range feed.RunnerPartitions {
 		p.runners = append(p.runners, state.NewRunners(feed.Partition(i+1), p.now, notifier.Changed))
 	}
 }
@@ -125,13 +126,15 @@
 		Now:      p.now,
 		Fresh:    p.fresh,
 		Proxies:  func() int { return p.gossip.Proxies() },
+
+		BulkBytesPerS: feedShare * p.settings.Load().Limits.LinkBytesPerS(),
 	})
 }
 
 // fresh is how long ago all replicas were last known to be up to date.
 func (p *Process) fresh() time.Duration {
 	var age time.Duration
-	for partition := range feed.Partition(1 + RunnerPartitions) {
+	for partition := range feed.Partition(1 + feed.RunnerPartitions) {
 		age = max(age, p.host.Fresh(partition))
 	}
 	if p.stopping.Load() {
--- a/internal/environment/environment.go
+++ b/internal/environment/environment.go
@@ -69,6 +69,9 @@
 	StorageMB   int
 }
 
+// LinkBytesPerS is what the machine's link carries in a direction; 0: no bound is known.
+func (l *Limits) LinkBytesPerS() float64 { return l.LinkMbps * 1e6 / 8 }
+
 // Survive says what may be lost at once while every guarantee still holds.
 type Survive struct{ MachineLosses, Zones, RegionLosses int }
 
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -42,6 +42,8 @@
 	From      uint64 // of a delta: the index that it starts from; a follower that is below it cannot use it
 	To        uint64
 	Items     []Item
+	Packed    []byte        // the items in compressed form, instead of Items: see Pack
+	PackedAge time.Duration // since they were packed; Unpack adds it to the items' ages
 }
 
 // Position is how far a follower holds a partition; 0: nothing.
@@ -56,6 +58,7 @@
 	Node      string
 	Positions []Position // partitions that are not named are wanted from the start
 	Wait      time.Duration
+	Packed    bool // the follower takes packed batches
 }
 
 // FollowReply holds the changes. Fresh is how long ago the sender knew itself to be up to date with a majority; agents
@@ -64,4 +67,6 @@
 	Batches []Batch
 	Fresh   time.Duration
 	Proxies int // proxies that may be serving, at least 1; an upper estimate where the sender is not sure; 0: not known
+	// Busy: there is more than can be sent now; the follower is to ask another sender, or this one after that time.
+	Busy time.Duration
 }
--- a/internal/feed/partition.go
+++ b/internal/feed/partition.go
@@ -2,6 +2,10 @@
 
 import "github.com/cespare/xxhash/v2"
 
+// RunnerPartitions is how many partitions hold runners. It is a constant of the system: another count would be another
+// place for the runners of each service.
+const RunnerPartitions = 2
+
 // PartitionOf is the partition that holds the runners of a service, out of the given number of runner partitions,
 // which are numbered from 1. All machines of a system must count the same.
 func PartitionOf(service string, partitions int) Partition {
