--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -59,6 +59,7 @@
 	epoch    time.Time
 
 	store    *store
+	crowd    *crowd
 	proxy    *proxy
 	platform *platform
 	follower *follower
@@ -82,6 +83,7 @@
 	}
 	a.Reload(options.Settings)
 	a.store = newStore(a.now, runnerPartitions)
+	a.crowd = newCrowd(a.now, a.proxies)
 	a.proxy = newProxy(a.log, a.now)
 	client := discovery.NewClient(discovery.ClientOptions{Address: a.settings.CloudAPI.Address})
 	a.platform = newPlatform(a.log, a.now, client, a.store, a.pace, rand.Float64)
@@ -154,8 +156,8 @@
 	local := rpc.NewRegistry()
 	toProxy := a.server(a.store.servedSources(), a.store.served)
 	following.Call.Handle(local, func(ctx context.Context, request *feed.FollowRequest) (*feed.FollowReply, error) {
-		a.store.meet(request.Positions)
-		return toProxy.Follow(ctx, request)
+		a.store.asked(request.Positions)
+		return a.crowd.follow(ctx, request, toProxy.Follow)
 	})
 	ReportCall.Handle(local, a.proxy.report)
 	a.listen(ctx, a.local, local, rpc.Limits{Connections: proxyConnections, RequestBytes: requestBytes})
@@ -210,6 +212,7 @@
 		return
 	}
 	a.member.Store(member)
+	a.crowd.look()
 	a.proxy.join(member)
 	member.Seek(*a.seeds.Load())
 }
@@ -220,6 +223,7 @@
 	options.Version = a.version
 	options.Log = a.log
 	options.Seeds = *a.seeds.Load()
+	options.OnChange = a.crowd.look
 	end := time.Now().Add(listenFor)
 	for {
 		member, err := gossip.Start(options)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -36,6 +36,41 @@
 	}
 }
 
+func TestProxyHearsHowManyThereAre(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	replicas := w.newReplicas(1)
+	configure(replicas, 1, "1")
+	first := w.newEdge("edge-1")
+	proxies := 0
+	first.waitFor("one proxy is known", func() bool { proxies = first.poll(longest).Proxies; return proxies == 1 })
+	second := w.newEdge("edge-2")
+	second.report(feed.ProxyReport{Front: "10.0.0.2:80"})
+	first.waitFor("two proxies are known", func() bool { proxies = first.poll(longest).Proxies; return proxies == 2 })
+}
+
+func TestProxyIsServedByTheNextLifeOfItsAgent(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	replicas := w.newReplicas(1)
+	configure(replicas, 1, "1")
+	list(replicas, 1, runner("one"))
+	w.platform.set(runner("one"), runner("two"))
+	e := w.newEdge("edge-1")
+	e.waitFor("the proxy has its runner", func() bool { _, known := e.runner("one"); return known })
+	replicas[0].setFresh(time.Minute)
+	e.waitFor("the proxy has what the platform lists", func() bool { _, known := e.runner("two"); return known })
+	e.kill()
+	w.platform.set(runner("one"), runner("three"))
+	e.startAgent()
+	e.startProxy() // its positions are those of the earlier life
+	e.waitFor("the proxy has what the platform lists now", func() bool {
+		_, two := e.runner("two")
+		_, three := e.runner("three")
+		return !two && three
+	})
+}
+
 func TestAnotherReplicaIsFollowed(t *testing.T) {
 	t.Parallel()
 	w := newWorld(t)
--- a/internal/agent/store.go
+++ b/internal/agent/store.go
@@ -20,7 +20,8 @@
 	mutex        sync.Mutex
 	tables       *overlay.Tables
 	everUpToDate bool
-	lastUpToDate time.Duration // when the control replicas' word was up to date last, by now
+	lastUpToDate time.Duration   // when the control replicas' word was up to date last, by now
+	proxy        []feed.Position // how far the proxy said that it holds the served partitions
 }
 
 func newStore(now func() time.Duration, partitions int) *store {
@@ -57,6 +58,7 @@
 		changed = changed || batchChanged
 		lags = lags || batchLags
 	}
+	s.meet(now)
 	if at := now - reply.Fresh; !s.everUpToDate || at > s.lastUpToDate {
 		s.everUpToDate, s.lastUpToDate = true, at
 	}
@@ -71,7 +73,9 @@
 // list lays the platform's list over the runners.
 func (s *store) list(runners []discovery.Runner) {
 	s.mutex.Lock()
-	changed := s.tables.List(s.now(), runners)
+	now := s.now()
+	changed := s.tables.List(now, runners)
+	s.meet(now)
 	s.mutex.Unlock()
 	if changed {
 		s.served.Changed()
@@ -88,12 +92,18 @@
 	}
 }
 
-// meet has the proxy served although an earlier life of this agent was ahead.
-func (s *store) meet(positions []feed.Position) {
+// asked takes how far the proxy holds the served partitions.
+func (s *store) asked(positions []feed.Position) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	for _, position := range positions {
-		s.tables.Meet(s.now(), position)
+	s.proxy = positions
+	s.meet(s.now())
+}
+
+// meet has the proxy served although an earlier life of this agent was ahead.
+func (s *store) meet(now time.Duration) {
+	for _, position := range s.proxy {
+		s.tables.Meet(now, position)
 	}
 }
 
