--- a/internal/proxy/stream_test.go
+++ b/internal/proxy/stream_test.go
@@ -74,11 +74,14 @@
 		prepare            func(w *world)
 	}{
 		{"stream", "/stream/x", streamHead("t1", "s") + chunk(event(1)), nil},
-		{"resumable, no budget", "/resumable/x", streamHead("t1", "s") + chunk(event(1)), func(w *world) { w.placer.noRetry = true }},
+		{"resumable, no budget", "/resumable/x", streamHead("t1", "s") + chunk(event(1)),
+			func(w *world) { w.placer.noRetry = true }},
 		{"resumable, no ids", "/resumable/x", streamHead("t1", "s") + chunk("data: x\n\n"), nil},
 		{"length", "/reads/x", "HTTP/1.1 200 OK\r\nX-Try-Id: t1\r\nX-Server-Seal: s\r\nContent-Length: 9\r\n\r\nabc", nil},
-		{"chunks", "/reads/x", "HTTP/1.1 200 OK\r\nX-Try-Id: t1\r\nX-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nabc", nil},
-		{"bad chunk", "/reads/x", "HTTP/1.1 200 OK\r\nX-Try-Id: t1\r\nX-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc", nil},
+		{"chunks", "/reads/x",
+			"HTTP/1.1 200 OK\r\nX-Try-Id: t1\r\nX-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nabc", nil},
+		{"bad chunk", "/reads/x",
+			"HTTP/1.1 200 OK\r\nX-Try-Id: t1\r\nX-Server-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nabc", nil},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			w := newWorld(t)
@@ -101,7 +104,8 @@
 	}
 }
 
-// Guards against an answer of unknown length that was reset passing for a whole one with a client that reads until the end.
+// Guards against an answer of unknown length that was reset passing for a whole one with a client that reads until the
+// end.
 func TestOldClientSeesReset(t *testing.T) {
 	w := newWorld(t)
 	r := w.runners("a")[0]
@@ -137,14 +141,14 @@
 func TestSlowReader(t *testing.T) {
 	w := newWorld(t)
 	r := w.runners("a")[0]
-	const size = 16 << 20 // more than the buffers of the system hold
+	const size = 48 << 20 // more than the buffers of the system hold
 	slow, fast := w.client(), w.client()
 	slow.send(ask("/reads/x", "slow", "", ""))
 	up := r.accept()
 	up.request()
 	written := make(chan error, 1)
 	go func() {
-		head := "HTTP/1.1 200 OK\r\nX-Try-Id: slow\r\nX-Server-Seal: s\r\nConnection: close\r\nContent-Length: 16777216\r\n\r\n"
+		head := "HTTP/1.1 200 OK\r\nX-Try-Id: slow\r\nX-Server-Seal: s\r\nConnection: close\r\nContent-Length: 50331648\r\n\r\n"
 		_, err := up.conn.Write(append([]byte(head), make([]byte, size)...))
 		up.conn.Close()
 		written <- err
