--- a/internal/consensus/cluster_faults_test.go
+++ b/internal/consensus/cluster_faults_test.go
@@ -61,6 +61,7 @@
 func (w *world) betray(leader, deaf *slot) {
 	w.logf("%d does not hear %d, the others restart", deaf.id, leader.id)
 	w.setCut(leader.number, deaf.number, 2*time.Second)
+	w.quietUntil = w.now + 2*time.Second // a log without the newest entries would not be voted for
 	w.after(w.between(700*time.Millisecond, 1500*time.Millisecond), func() {
 		for _, s := range w.slots {
 			if s != leader && s != deaf {
@@ -197,6 +198,9 @@
 		wait = max(wait, 100*time.Millisecond)
 	}
 	w.after(wait, w.propose)
+	if w.now < w.quietUntil {
+		return
+	}
 	w.onLeader(func(p *process) {
 		if p.machine.log.last()-p.machine.log.commit > 50 || !w.faults && w.behind() {
 			return
--- a/internal/consensus/cluster_world_test.go
+++ b/internal/consensus/cluster_world_test.go
@@ -27,8 +27,10 @@
 	cuts    map[[2]int]bool                // one way each
 	lastAt  map[[2]ReplicaID]time.Duration // of messages that keep their order
 	faults  bool
-	truth   truth
-	token   uint64
+
+	quietUntil time.Duration // no proposals
+	truth      truth
+	token      uint64
 }
 
 // profile is what a seed draws about its cluster.
--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -190,7 +190,7 @@
 	if m.role != Leader {
 		return s
 	}
-	s.LeaseUntil = m.lease()
+	s.LeaseUntil = m.Lease()
 	s.Transferring = m.leading.transferee != 0
 	s.LeaderHeard = time.Duration(m.leading.confirmed)
 	s.Match = map[ReplicaID]uint64{m.options.ID: m.log.durable}
@@ -202,6 +202,9 @@
 	return s
 }
 
+// Leader is who leads as far as this replica knows, 0: not known.
+func (m *Machine) Leader() ReplicaID { return m.leader }
+
 // send queues a message that rests on what is yet to be written.
 func (m *Machine) send(msg Message) {
 	msg.From = m.options.ID
--- a/internal/consensus/reads.go
+++ b/internal/consensus/reads.go
@@ -88,9 +88,9 @@
 	m.leading.reads = nil
 }
 
-// lease is until when no other replica can be leader, 0 if that is not sure. Each follower that answered a round holds
-// to this leader for an election time after it got that round's message.
-func (m *Machine) lease() time.Duration {
+// Lease is until when no other replica can be leader, 0 if that is not sure; see Status.LeaseUntil. Each follower that
+// answered a round holds to this leader for an election time after it got that round's message.
+func (m *Machine) Lease() time.Duration {
 	l := &m.leading
 	if m.role != Leader || l.handedOver || l.confirmed == 0 {
 		return 0
--- a/internal/consensus/script_test.go
+++ b/internal/consensus/script_test.go
@@ -102,6 +102,9 @@
 // wait lets time pass up to the machine's next due time.
 func (x *script) wait() []Message {
 	x.t.Helper()
+	if x.m.Next() == Never {
+		x.t.Fatal("nothing is due")
+	}
 	x.now = max(x.now, x.m.Next())
 	x.m.Tick(x.now)
 	return x.work()
@@ -359,6 +362,31 @@
 	x.want("commit after the sync", x.m.log.commit, 2)
 }
 
+func TestOverwrittenEntriesAreNoLongerOnDisk(t *testing.T) {
+	for _, late := range []bool{false, true} { // the sync ends after the entries were overwritten
+		x := newScript(t, founded(1, 2, 3))
+		x.step(ack(x.only(Append, 2, x.lead())))
+		for range 5 {
+			if _, _, err := x.m.Propose(x.now, nil); err != nil {
+				t.Fatal(err)
+			}
+		}
+		r := x.m.Ready()
+		if !late {
+			x.m.Persisted(r)
+		}
+		overwrite := Message{Kind: Append, From: 3, To: 1, Term: 2, Index: 1, LogTerm: 1, Entries: entries(2, 2), Round: 1}
+		x.m.Step(x.now, overwrite)
+		second := x.m.Ready()
+		if late {
+			x.m.Persisted(r)
+			x.want("durable before the second sync", x.m.log.durable, 1)
+		}
+		x.m.Persisted(second)
+		x.want("durable", x.m.log.durable, 2)
+	}
+}
+
 func TestEntriesOfOlderTermsCommitWithOneOfThePresent(t *testing.T) {
 	stored := founded(1, 2, 3)
 	stored.Hard = HardState{Term: 2}
