--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -202,9 +202,6 @@
 	return s
 }
 
-// Leader is who leads as far as this replica knows, 0: not known.
-func (m *Machine) Leader() ReplicaID { return m.leader }
-
 // send queues a message that rests on what is yet to be written.
 func (m *Machine) send(msg Message) {
 	msg.From = m.options.ID
