A replica that catches up no longer tells its followers that it is fresh

Ruled out: the feed's index check, which drops older batches but says nothing of lag. Change: consensus notes when it last held all that the leader said was committed; Fresh is the time since then.

--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -29,6 +29,7 @@
 	electionDue   time.Duration
 	attempts      int           // elections in a row that led to nothing
 	heardAt       time.Duration // when the leader was last heard
+	currentAt     time.Duration // when this replica last held all that the leader had committed
 	refuseUntil   time.Duration // no vote is given before, because of a leader that may hold a lease
 	noLeaderUntil time.Duration // this replica does not stand for election before
 	granted       []ReplicaID   // votes or pre-votes for this replica
@@ -186,13 +187,15 @@
 func (m *Machine) Status() Status {
 	s := Status{ID: m.options.ID, Role: m.role, Term: m.term, Leader: m.leader, Commit: m.log.commit,
 		Applied: m.log.applied, LastIndex: m.log.last(), Membership: m.membership(),
-		MembershipIndex: m.log.membership().index, LeaderHeard: m.heardAt}
+		MembershipIndex: m.log.membership().index, LeaderHeard: m.heardAt,
+		CurrentAt: m.currentAt}
 	if m.role != Leader {
 		return s
 	}
 	s.LeaseUntil = m.Lease()
 	s.Transferring = m.leading.transferee != 0
 	s.LeaderHeard = time.Duration(m.leading.confirmed)
+	s.CurrentAt = s.LeaderHeard
 	s.Match = map[ReplicaID]uint64{m.options.ID: m.log.durable}
 	s.Answered = map[ReplicaID]time.Duration{}
 	for _, p := range m.leading.peers {
--- a/internal/consensus/replication.go
+++ b/internal/consensus/replication.go
@@ -301,9 +301,12 @@
 	m.heardLeader(msg.From)
 	if msg.Kind == Append {
 		m.handleAppend(msg)
-		return
+	} else {
+		m.handleSnapshot(msg)
+	}
+	if m.log.commit >= msg.Commit {
+		m.currentAt = m.now
 	}
-	m.handleSnapshot(msg)
 }
 
 // handleAppend takes a leader's entries if they follow an entry that both have.
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -270,7 +270,7 @@
 	return max(left, 0), left > 0
 }
 
-// Fresh is how long ago this replica last heard a leader; see Replicas.
+// Fresh is how long ago this replica last held all that its leader had committed; see Replicas.
 func (h *Host) Fresh(partition feed.Partition) time.Duration {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -285,11 +285,11 @@
 	if g.machine == nil {
 		return neverHeard
 	}
-	heard := g.machine.Status().LeaderHeard
-	if heard == 0 {
+	current := g.machine.Status().CurrentAt
+	if current == 0 {
 		return neverHeard
 	}
-	return max(now-heard, 0)
+	return max(now-current, 0)
 }
 
 // Status describes each partition's replica; see Replicas.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -28,7 +28,7 @@
 	Barrier(ctx context.Context, partition feed.Partition) error
 	// Leads says whether this machine surely leads the partition for the time returned, confirmed by a majority.
 	Leads(partition feed.Partition) (time.Duration, bool)
-	// Fresh is how long ago this replica last heard a leader that a majority follows.
+	// Fresh is how long ago this replica last held all that a leader which a majority follows had committed.
 	Fresh(partition feed.Partition) time.Duration
 	// Status describes each partition's replica, for operators.
 	Status() []PartitionStatus
