A proxy without a configuration asks clients to come back after a second

Cause: right after a restart of everything a refused client came back after 0.2 s, found the proxy still without its state, and had no retry left. Ruled out: answering later (refusals go out at once). Change: Retry-After of 1 s there.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -75,7 +75,7 @@
 		x.decline(ownAnswer{status: 400, body: "Host missing or bad"})
 		return
 	case x.proxy.routes == nil:
-		x.decline(ownAnswer{status: 503, retryAfter: refusalPause, body: "configuration not known yet"})
+		x.decline(ownAnswer{status: 503, retryAfter: startPause, body: "configuration not known yet"})
 		return
 	}
 	route := x.proxy.routes.Lookup(host, x.head.Target)
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -14,6 +14,7 @@
 	highWater     = 32 << 10               // unsent bytes at which the runner is held back
 	keepAliveLead = time.Second            // a client is told to let go so much before it would be closed
 	refusalPause  = 200 * time.Millisecond // after which a refused client may come back, if nothing better is known
+	startPause    = time.Second            // the same, of a proxy without a configuration: clients retry seldom
 )
 
 // session is a connection of a client. It carries one exchange at a time; requests that a client sends ahead wait.
