--- /dev/null
+++ b/cmd/cinderctl/check.go
@@ -0,0 +1,213 @@
+package main
+
+import (
+	"bytes"
+	"os"
+	"strconv"
+
+	"github.com/cockroachdb/errors"
+
+	"cinderroad/internal/configuration"
+	"cinderroad/internal/environment"
+	"cinderroad/internal/findings"
+	"cinderroad/internal/jsonfield"
+)
+
+// Kinds of files.
+const (
+	kindConfiguration = "configuration"
+	kindChange        = "change"
+	kindSettings      = "settings"
+)
+
+type checkCommand struct {
+	Files []string `arg:"" name:"file" help:"Files to check; what each one is can be seen from its fields."`
+	On    string   `help:"Configuration that changes are applied to; without it only their form is checked." placeholder:"FILE"`
+	Kind  string   `help:"Take all files for this kind." enum:"auto,configuration,change,settings" default:"auto"`
+}
+
+// fileReport is what was found in a file.
+type fileReport struct {
+	File     string          `json:"file"`
+	Kind     string          `json:"kind"`
+	Version  uint64          `json:"version,omitempty"`
+	Routes   int             `json:"routes,omitempty"`
+	Services int             `json:"services,omitempty"`
+	Findings []findingReport `json:"findings"`
+	Omitted  int             `json:"omitted,omitempty"` // findings that are not listed
+}
+
+// findingReport is a finding with the line and column where its value begins, if it has one.
+type findingReport struct {
+	Place   string `json:"place"`
+	Line    int    `json:"line,omitempty"`
+	Column  int    `json:"column,omitempty"`
+	Problem string `json:"problem"`
+}
+
+// Run checks all files and prints what was found.
+func (c *checkCommand) Run(s *session) error {
+	base, err := c.base()
+	if err != nil {
+		return err
+	}
+	reports := make([]*fileReport, 0, len(c.Files))
+	bad := 0
+	for _, file := range c.Files {
+		body, err := os.ReadFile(file)
+		if err != nil {
+			return errors.Wrap(err, "file to check")
+		}
+		report := checkFile(file, c.kindOf(body), body, base)
+		reports = append(reports, report)
+		if len(report.Findings) > 0 {
+			bad++
+		}
+	}
+	if err := s.printReports(reports); err != nil {
+		return err
+	}
+	if bad > 0 {
+		return &refusedError{what: strconv.Itoa(bad) + " of " + strconv.Itoa(len(reports)) + " files are invalid"}
+	}
+	return nil
+}
+
+// base is the configuration that changes are checked on, nil for none.
+func (c *checkCommand) base() (*configuration.Document, error) {
+	if c.On == "" {
+		return nil, nil
+	}
+	body, err := os.ReadFile(c.On)
+	if err != nil {
+		return nil, errors.Wrap(err, "configuration that changes are applied to")
+	}
+	document, err := configuration.Parse(body)
+	return document, errors.Wrapf(err, "configuration in %s", c.On)
+}
+
+func (c *checkCommand) kindOf(body []byte) string {
+	if c.Kind != "auto" {
+		return c.Kind
+	}
+	kind := kindConfiguration
+	root, ok := jsonfield.Read(body, &findings.List{})
+	if !ok || !root.IsObject() {
+		return kind
+	}
+	root.Object(func(name string, _ jsonfield.Value) {
+		switch name {
+		case "node", "free_ports", "listen_on":
+			kind = kindSettings
+		case "replace", "remove":
+			kind = kindChange
+		}
+	})
+	return kind
+}
+
+func checkFile(file, kind string, body []byte, base *configuration.Document) *fileReport {
+	report := &fileReport{File: file, Kind: kind, Findings: []findingReport{}}
+	switch kind {
+	case kindSettings:
+		_, err := environment.Parse(body)
+		report.take(err, body)
+	case kindChange:
+		report.takeChange(body, base)
+	default:
+		document, err := configuration.Check(body, 0)
+		report.takeDocument(document)
+		report.take(err, body)
+	}
+	return report
+}
+
+func (r *fileReport) takeChange(body []byte, base *configuration.Document) {
+	if base == nil {
+		change, err := configuration.ParseChange(body)
+		if change != nil {
+			r.Version = change.Version()
+		}
+		r.take(err, body)
+		return
+	}
+	document, err := configuration.CheckChange(body, base)
+	r.takeDocument(document)
+	r.take(err, body)
+}
+
+func (r *fileReport) takeDocument(document *configuration.Document) {
+	if document == nil {
+		return
+	}
+	r.Version, r.Routes, r.Services = document.Version(), len(document.Routes()), len(document.Services())
+}
+
+func (r *fileReport) take(err error, body []byte) {
+	var list findings.List
+	list.Include(err)
+	var found *findings.Error
+	if !errors.As(list.Err(), &found) {
+		return
+	}
+	r.Omitted = found.Omitted
+	for _, finding := range found.Findings {
+		line, column := lineOf(body, finding.Offset)
+		r.Findings = append(r.Findings, findingReport{Place: finding.Place, Line: line, Column: column,
+			Problem: finding.Problem})
+	}
+}
+
+// lineOf returns the line and column, counted from 1, of an offset; 0 for none.
+func lineOf(body []byte, offset int) (line, column int) {
+	if offset < 0 || offset > len(body) {
+		return 0, 0
+	}
+	before := body[:offset]
+	return 1 + bytes.Count(before, []byte("\n")), offset - bytes.LastIndexByte(before, '\n')
+}
+
+func (s *session) printReports(reports []*fileReport) error {
+	if s.flags.JSON {
+		return s.printJSON(reports)
+	}
+	for _, report := range reports {
+		if err := s.printReport(report); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *session) printReport(report *fileReport) error {
+	if len(report.Findings) == 0 {
+		return s.printLine("%s: %s", report.File, report.summary())
+	}
+	for _, finding := range report.Findings {
+		place := report.File
+		if finding.Line > 0 {
+			place += ":" + strconv.Itoa(finding.Line) + ":" + strconv.Itoa(finding.Column)
+		}
+		if finding.Place != "" {
+			place += ": " + finding.Place
+		}
+		if err := s.printLine("%s: %s", place, finding.Problem); err != nil {
+			return err
+		}
+	}
+	if report.Omitted > 0 {
+		return s.printLine("%s: and %d more", report.File, report.Omitted)
+	}
+	return nil
+}
+
+func (r *fileReport) summary() string {
+	switch {
+	case r.Kind == kindSettings:
+		return "valid settings"
+	case r.Kind == kindChange && r.Routes+r.Services == 0:
+		return "change to version " + strconv.FormatUint(r.Version, 10) + " can be read; --on checks what it makes"
+	}
+	return "valid " + r.Kind + ", version " + strconv.FormatUint(r.Version, 10) + ", " + strconv.Itoa(r.Routes) +
+		" routes, " + strconv.Itoa(r.Services) + " services"
+}
--- /dev/null
+++ b/cmd/cinderctl/main.go
@@ -0,0 +1,119 @@
+// Command cinderctl is the operator's tool: it checks files, reads the state of a running system, and sends orders.
+// It exits with status 0 on success, 1 if something is wrong with what was checked or an order was refused, and 2 if it
+// could not do what it was asked: a mistake in its use, a file that can't be read, no control machine that answers.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+
+	"cinderroad/internal/control/client"
+	"cinderroad/internal/environment"
+)
+
+// Exit statuses.
+const (
+	exitFine    = 0
+	exitRefused = 1 // findings, or a refusal
+	exitFailed  = 2
+)
+
+// commandLine are the commands and the flags that all of them take.
+type commandLine struct {
+	JSON     bool          `name:"json" help:"Print JSON in place of text."`
+	Seed     []string      `help:"Operator's address of a control machine, host:port; several are tried in turn." placeholder:"ADDR"`
+	Settings string        `help:"Settings file that names the seeds, if --seed does not." env:"CINDERROAD_SETTINGS" placeholder:"FILE"`
+	Within   time.Duration `help:"How long a call is tried for." default:"15s"`
+
+	Check   checkCommand   `cmd:"" help:"Check configurations, changes of them, and settings files."`
+	Status  statusCommand  `cmd:"" help:"Print members, partitions, leaders, evacuations and versions."`
+	Config  configCommand  `cmd:"" help:"Read, replace or change the configuration."`
+	Drain   drainCommand   `cmd:"" help:"Empty a zone's runners, or take them back."`
+	Version versionCommand `cmd:"" help:"Print the version of this program."`
+}
+
+// session is what a command runs with.
+type session struct {
+	context context.Context
+	flags   *commandLine
+	output  io.Writer
+	pause   func(ctx context.Context, d time.Duration) // nil: the client's own
+}
+
+// refusedError says that the command worked and that its answer is no: it is printed already.
+type refusedError struct{ what string }
+
+// Error is what was refused.
+func (e *refusedError) Error() string { return e.what }
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	os.Exit(run(ctx, os.Args[1:], os.Stdout, os.Stderr, nil))
+}
+
+// run is the program. It returns its exit status.
+func run(ctx context.Context, arguments []string, output, problems io.Writer,
+	pause func(context.Context, time.Duration)) (status int) {
+	var flags commandLine
+	ended := -1
+	parser, err := kong.New(&flags, kong.Name("cinderctl"), kong.Writers(output, problems),
+		kong.Exit(func(status int) { ended = status }),
+		kong.Description("Operator's tool of the system: checks files, reads state, sends orders."))
+	if err != nil {
+		return fail(problems, err)
+	}
+	parsed, err := parser.Parse(arguments)
+	if ended >= 0 {
+		return ended // help was asked for, and printed
+	}
+	if err != nil {
+		return fail(problems, err)
+	}
+	err = parsed.Run(&session{context: ctx, flags: &flags, output: output, pause: pause})
+	var refused *refusedError
+	var refusedByMachine *client.RefusedError
+	switch {
+	case err == nil:
+		return exitFine
+	case errors.As(err, &refused), errors.As(err, &refusedByMachine):
+		fail(problems, err)
+		return exitRefused
+	}
+	return fail(problems, err)
+}
+
+func fail(problems io.Writer, err error) int {
+	fmt.Fprintf(problems, "cinderctl: %v\n", err) //nolint:errcheck // there is nobody left to tell
+	return exitFailed
+}
+
+// client returns one that knows the seeds.
+func (s *session) client() (*client.Client, error) {
+	machines := s.flags.Seed
+	if len(machines) == 0 && s.flags.Settings != "" {
+		data, err := os.ReadFile(s.flags.Settings)
+		if err != nil {
+			return nil, errors.Wrap(err, "settings that name the seeds")
+		}
+		settings, err := environment.Parse(data)
+		if err != nil {
+			return nil, errors.Wrapf(err, "settings in %s", s.flags.Settings)
+		}
+		for _, seed := range settings.SeedNodes {
+			machines = append(machines, seed.String())
+		}
+	}
+	if len(machines) == 0 {
+		return nil, client.ErrNoMachines
+	}
+	return &client.Client{Machines: machines, Within: s.flags.Within, Pause: s.pause}, nil
+}
--- /dev/null
+++ b/cmd/cinderctl/orders.go
@@ -0,0 +1,197 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"runtime/debug"
+
+	"github.com/cockroachdb/errors"
+
+	"cinderroad/internal/control/client"
+)
+
+type configCommand struct {
+	Read    readCommand    `cmd:"" help:"Print the newest configuration."`
+	Replace replaceCommand `cmd:"" help:"Put a whole configuration in force."`
+	Change  changeCommand  `cmd:"" help:"Add, replace and remove single items."`
+}
+
+type readCommand struct{}
+
+// readReport is the configuration in force.
+type readReport struct {
+	Version       uint64          `json:"version"`
+	Configuration json.RawMessage `json:"configuration"`
+}
+
+// Run prints the configuration: the document itself as text, and beside its version as JSON.
+func (c *readCommand) Run(s *session) error {
+	caller, err := s.client()
+	if err != nil {
+		return err
+	}
+	document, err := caller.Read(s.context)
+	if err != nil {
+		return err
+	}
+	if document.Version == 0 {
+		return &refusedError{what: "there is no configuration yet"}
+	}
+	if s.flags.JSON {
+		return s.printJSON(&readReport{Version: document.Version, Configuration: document.Body})
+	}
+	return s.printLine("%s", document.Body)
+}
+
+// sendFlags are those of orders that send a file.
+type sendFlags struct {
+	File    string  `arg:"" help:"File to send."`
+	BasedOn *uint64 `help:"Version that it builds on, 0 for the first; without it, the newest is asked for."`
+	NoCheck bool    `help:"Send it without a check of its own first."`
+}
+
+type replaceCommand struct {
+	sendFlags `embed:""`
+}
+
+// Run sends a whole configuration.
+func (c *replaceCommand) Run(s *session) error { return c.send(s, kindConfiguration) }
+
+type changeCommand struct {
+	sendFlags `embed:""`
+}
+
+// Run sends a change.
+func (c *changeCommand) Run(s *session) error { return c.send(s, kindChange) }
+
+func (f *sendFlags) send(s *session, kind string) error {
+	body, err := os.ReadFile(f.File)
+	if err != nil {
+		return errors.Wrap(err, "file to send")
+	}
+	if report := checkFile(f.File, kind, body, nil); len(report.Findings) > 0 && !f.NoCheck {
+		if err := s.printReports([]*fileReport{report}); err != nil {
+			return err
+		}
+		return &refusedError{what: f.File + " is invalid and was not sent"}
+	}
+	caller, err := s.client()
+	if err != nil {
+		return err
+	}
+	basedOn, err := f.base(s, caller)
+	if err != nil {
+		return err
+	}
+	order := caller.Replace
+	if kind == kindChange {
+		order = caller.Change
+	}
+	receipt, err := order(s.context, basedOn, body)
+	if err != nil {
+		return s.explain(err)
+	}
+	if s.flags.JSON {
+		return s.printJSON(receipt)
+	}
+	return s.printLine("version %d is acknowledged by %s (attempt %d)", receipt.Version, receipt.Machine, receipt.Attempts)
+}
+
+// base is the version that an order builds on.
+func (f *sendFlags) base(s *session, caller *client.Client) (uint64, error) {
+	if f.BasedOn != nil {
+		return *f.BasedOn, nil
+	}
+	document, err := caller.Read(s.context)
+	if err != nil {
+		return 0, err
+	}
+	return document.Version, nil
+}
+
+// explain prints what a refusal holds besides its message.
+func (s *session) explain(err error) error {
+	var refused *client.RefusedError
+	if !errors.As(err, &refused) {
+		return err
+	}
+	if s.flags.JSON {
+		return errors.CombineErrors(err, s.printJSON(refused.Problem))
+	}
+	for _, finding := range refused.Problem.Findings {
+		if printErr := s.printLine("%s: %s", orNone(finding.Place), finding.Problem); printErr != nil {
+			return errors.CombineErrors(err, printErr)
+		}
+	}
+	return err
+}
+
+type drainCommand struct {
+	Begin  beginCommand  `cmd:"" help:"Have nothing more sent to the runners of a zone."`
+	Finish finishCommand `cmd:"" help:"Take the runners of a zone back."`
+}
+
+type beginCommand struct {
+	Zone string `arg:"" help:"Zone to empty."`
+}
+
+// Run begins the evacuation of a zone.
+func (c *beginCommand) Run(s *session) error { return s.drain(c.Zone, true) }
+
+type finishCommand struct {
+	Zone string `arg:"" help:"Zone to take back."`
+}
+
+// Run ends the evacuation of a zone.
+func (c *finishCommand) Run(s *session) error { return s.drain(c.Zone, false) }
+
+// drainReport is the acknowledgement of an evacuation or of its end.
+type drainReport struct {
+	Zone      string `json:"zone"`
+	Evacuated bool   `json:"evacuated"`
+	client.Receipt
+}
+
+func (s *session) drain(zone string, begin bool) error {
+	caller, err := s.client()
+	if err != nil {
+		return err
+	}
+	receipt, err := caller.Drain(s.context, zone, begin)
+	if err != nil {
+		return s.explain(err)
+	}
+	if s.flags.JSON {
+		return s.printJSON(&drainReport{Zone: zone, Evacuated: begin, Receipt: *receipt})
+	}
+	state := "taken back"
+	if begin {
+		state = "evacuated"
+	}
+	return s.printLine("zone %s is %s, acknowledged by %s (attempt %d)", zone, state, receipt.Machine, receipt.Attempts)
+}
+
+type versionCommand struct{}
+
+// versionReport is the version of this program.
+type versionReport struct {
+	Version string `json:"version"`
+	Go      string `json:"go"`
+}
+
+// Run prints the version that the build noted.
+func (c *versionCommand) Run(s *session) error {
+	report := versionReport{Version: "unknown"}
+	if info, known := debug.ReadBuildInfo(); known {
+		report = versionReport{Version: info.Main.Version, Go: info.GoVersion}
+		for _, setting := range info.Settings {
+			if setting.Key == "vcs.revision" {
+				report.Version = setting.Value
+			}
+		}
+	}
+	if s.flags.JSON {
+		return s.printJSON(&report)
+	}
+	return s.printLine("cinderctl %s (%s)", report.Version, report.Go)
+}
--- /dev/null
+++ b/cmd/cinderctl/status.go
@@ -0,0 +1,232 @@
+package main
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"cinderroad/internal/control/client"
+	"cinderroad/internal/control/status"
+)
+
+// Bounds of how long one control machine is asked for its status, once another one has answered.
+const (
+	oneMachineWithin   = 2 * time.Second
+	oneMachineAttempts = 2
+)
+
+type statusCommand struct {
+	Members bool `help:"List all members, proxies and agents included."`
+	One     bool `help:"Ask one control machine only, not the others that it knows."`
+}
+
+// statusReport is the system as its control machines see it.
+type statusReport struct {
+	Machines    []*status.Control `json:"machines"`
+	Unreachable []unreachable     `json:"unreachable"`
+}
+
+// unreachable is a control machine that did not answer.
+type unreachable struct {
+	Address string `json:"address"`
+	Problem string `json:"problem"`
+}
+
+// Run asks a control machine, and then all others that it holds to be there.
+func (c *statusCommand) Run(s *session) error {
+	caller, err := s.client()
+	if err != nil {
+		return err
+	}
+	report, err := c.gather(s, caller)
+	if err != nil {
+		return err
+	}
+	if s.flags.JSON {
+		return s.printJSON(report)
+	}
+	return c.print(s, report)
+}
+
+func (c *statusCommand) gather(s *session, caller *client.Client) (*statusReport, error) {
+	address, first, err := caller.Status(s.context)
+	if err != nil {
+		return nil, err
+	}
+	report := &statusReport{Machines: []*status.Control{first}, Unreachable: []unreachable{}}
+	if c.One {
+		return report, nil
+	}
+	_, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return nil, errors.Wrap(err, "address of a control machine")
+	}
+	for _, member := range first.Members {
+		if member.Role != "control" || member.Node == first.Node || member.State == "left" {
+			continue
+		}
+		address := net.JoinHostPort(member.Address, port) // all machines of a system use the same ports
+		one := client.Client{Machines: []string{address}, Within: min(oneMachineWithin, s.flags.Within),
+			MostAttempts: oneMachineAttempts, Pause: s.pause}
+		_, other, err := one.Status(s.context)
+		if err != nil {
+			report.Unreachable = append(report.Unreachable, unreachable{Address: address, Problem: err.Error()})
+			continue
+		}
+		report.Machines = append(report.Machines, other)
+	}
+	slices.SortFunc(report.Machines, func(a, b *status.Control) int { return cmp.Compare(a.Node, b.Node) })
+	return report, nil
+}
+
+func (c *statusCommand) print(s *session, report *statusReport) error {
+	tables := []*table{machinesTable(report), partitionsTable(report), replicasTable(report)}
+	if c.Members {
+		tables = append(tables, membersTable(report), followersTable(report))
+	}
+	for i, table := range tables {
+		if i > 0 {
+			if err := s.printLine(""); err != nil {
+				return err
+			}
+		}
+		if err := table.print(s.output); err != nil {
+			return err
+		}
+	}
+	for _, machine := range report.Unreachable {
+		if err := s.printLine("\n%s does not answer: %s", machine.Address, machine.Problem); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func machinesTable(report *statusReport) *table {
+	t := &table{}
+	t.add("CONTROL", "RELEASE", "CONFIGURATION", "EVACUATED", "PROXIES", "READY", "FOLLOWERS", "BEHIND", "DISCOVERY")
+	for _, machine := range report.Machines {
+		behind := 0
+		for _, follower := range machine.Followers {
+			if follower.Behind {
+				behind++
+			}
+		}
+		t.add(machine.Node, short(machine.Release), strconv.FormatUint(machine.Version, 10),
+			orNone(strings.Join(machine.Evacuated, ",")), strconv.Itoa(machine.Proxies), strconv.Itoa(machine.Ready),
+			strconv.Itoa(len(machine.Followers)), strconv.Itoa(behind), discovery(&machine.Discovery))
+	}
+	return t
+}
+
+func discovery(d *status.Discovery) string {
+	switch {
+	case !d.Holder:
+		return "-"
+	case !d.Answered:
+		return "holds it, platform silent"
+	}
+	return "holds it, list " + milliseconds(d.ListAgeMS) + " old"
+}
+
+func partitionsTable(report *statusReport) *table {
+	t := &table{}
+	t.add("PARTITION", "CONTROL", "ROLE", "TERM", "LEADER", "LEASE", "COMMIT", "APPLIED", "LAST", "ITEMS", "HEARD")
+	for _, machine := range report.Machines {
+		for i := range machine.Partitions {
+			partition := &machine.Partitions[i]
+			lease := "-"
+			if partition.LeaseMS > 0 {
+				lease = milliseconds(partition.LeaseMS)
+			}
+			t.add(strconv.Itoa(int(partition.Partition)), machine.Node, partition.Role, number(partition.Term),
+				leader(partition), lease, number(partition.Commit), number(partition.Applied), number(partition.Last),
+				strconv.Itoa(partition.Items), milliseconds(partition.FreshMS))
+		}
+	}
+	slices.SortStableFunc(t.rows[1:], func(a, b []string) int { return cmp.Compare(a[0], b[0]) })
+	return t
+}
+
+// leader is the name of the machine that leads a partition, as far as its replicas are known.
+func leader(partition *status.Partition) string {
+	for _, replica := range partition.Replicas {
+		if replica.Replica == partition.Leader {
+			return replica.Node
+		}
+	}
+	return orNone(partition.Leader)
+}
+
+// replicasTable lists the members of each partition's group, as the machine with the highest term has them.
+func replicasTable(report *statusReport) *table {
+	t := &table{}
+	t.add("PARTITION", "REPLICA", "CONTROL", "ZONE", "ADDRESS", "KIND")
+	newest := map[uint16]*status.Partition{}
+	for _, machine := range report.Machines {
+		for i := range machine.Partitions {
+			partition := &machine.Partitions[i]
+			if known := newest[partition.Partition]; known == nil || known.Commit < partition.Commit {
+				newest[partition.Partition] = partition
+			}
+		}
+	}
+	for _, partition := range newest {
+		for _, replica := range partition.Replicas {
+			kind := "learner"
+			if replica.Voter {
+				kind = "voter"
+			}
+			t.add(strconv.Itoa(int(partition.Partition)), replica.Replica, replica.Node, replica.Zone, replica.Address, kind)
+		}
+	}
+	slices.SortFunc(t.rows[1:], slices.Compare)
+	return t
+}
+
+func membersTable(report *statusReport) *table {
+	t := &table{}
+	t.add("MEMBER", "ROLE", "ZONE", "STATE", "FOR", "SERVING", "FRONT", "RELEASE")
+	for i := range report.Machines[0].Members {
+		member := &report.Machines[0].Members[i]
+		t.add(member.Node, orNone(member.Role), orNone(member.Zone), member.State, milliseconds(member.SinceMS),
+			orNone(member.Serving), orNone(member.Front), short(member.Release))
+	}
+	return t
+}
+
+func followersTable(report *statusReport) *table {
+	t := &table{}
+	t.add("FOLLOWER", "OF", "CONFIGURATION", "IN STEP", "ASKED")
+	for _, machine := range report.Machines {
+		for _, follower := range machine.Followers {
+			inStep := "yes"
+			if follower.Behind {
+				inStep = "no"
+			}
+			t.add(follower.Node, machine.Node, "#"+number(follower.Configuration), inStep, milliseconds(follower.AskedMS))
+		}
+	}
+	return t
+}
+
+func number(n uint64) string { return strconv.FormatUint(n, 10) }
+
+func milliseconds(n int64) string {
+	d := time.Duration(n) * time.Millisecond
+	if d >= 10*time.Second {
+		d = d.Round(time.Second)
+	}
+	return d.String()
+}
+
+// short is the beginning of a release's name.
+func short(release string) string {
+	const length = 12
+	return orNone(release[:min(length, len(release))])
+}
--- a/internal/control/api/api.go
+++ b/internal/control/api/api.go
@@ -28,6 +28,9 @@
 	PathStatus      = "/-/status"
 )
 
+// HeaderVersion carries the version of a configuration that is read.
+const HeaderVersion = "X-Version"
+
 // HeaderBasedOn names the version that a change builds on; 0 for the first.
 const HeaderBasedOn = "X-Based-On"
 
@@ -169,7 +172,7 @@
 	}
 	version := strconv.FormatUint(base.Version, 10)
 	w.Header().Set("ETag", strconv.Quote(version))
-	w.Header().Set("X-Version", version)
+	w.Header().Set(HeaderVersion, version)
 	writeJSON(w, http.StatusOK, document.Encode())
 }
 
--- a/internal/control/duty/duty.go
+++ b/internal/control/duty/duty.go
@@ -59,6 +59,7 @@
 	pause    time.Duration
 	active   bool
 	failing  bool
+	progress progress
 }
 
 // New returns a duty.
@@ -122,6 +123,7 @@
 	defer cancel()
 	before := d.options.Lister.Calls()
 	list, err := d.options.Lister.List(ctx)
+	d.progress.calls.Store(d.options.Lister.Calls())
 	if err == nil {
 		d.pages = max(1, int(d.options.Lister.Calls()-before))
 	}
@@ -134,6 +136,7 @@
 		return
 	}
 	d.active = true
+	d.progress.begin()
 	clear(d.missing)
 	for i := range d.behind {
 		d.behind[i] = true
@@ -146,11 +149,13 @@
 		return
 	}
 	d.active = false
+	d.progress.lapse()
 	d.options.Log.Info("discovery given up")
 }
 
 func (d *Duty) succeeded() {
 	d.pause = 0
+	d.progress.succeeded(d.options.Now())
 	if d.failing {
 		d.failing = false
 		d.options.Log.Info("list of runners is answered again")
--- a/internal/control/following/server.go
+++ b/internal/control/following/server.go
@@ -46,6 +46,7 @@
 	options   Options
 	caches    []cache
 	followers atomic.Int64
+	roll      roll
 	stop      chan struct{}
 	stopOnce  sync.Once
 }
@@ -74,6 +75,7 @@
 		return nil, ErrTooManyFollowers
 	}
 	defer s.followers.Add(-1)
+	s.roll.note(request, s.options.Now())
 	positions := s.positions(request)
 	batches := s.collect(positions)
 	if len(batches) == 0 && request.Wait > 0 {
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -58,6 +58,7 @@
 // Process is a running control process.
 type Process struct {
 	log      *zap.Logger
+	version  string // of the program
 	settings atomic.Pointer[environment.Settings]
 	started  time.Time
 	stopping atomic.Bool
@@ -78,7 +79,7 @@
 
 // Start opens the process's addresses and runs it. The context ends only the opening.
 func Start(ctx context.Context, options Options) (*Process, error) {
-	p := &Process{log: options.Log, started: time.Now(), failures: make(chan error, 8)}
+	p := &Process{log: options.Log, version: options.Version, started: time.Now(), failures: make(chan error, 8)}
 	p.settings.Store(options.Settings)
 	p.context, p.cancel = context.WithCancel(context.Background())
 	notifier := following.NewNotifier(p.now, func(d time.Duration, f func()) { time.AfterFunc(d, f) })
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -1,74 +1,97 @@
 package control
 
 import (
+	"encoding/json"
 	"fmt"
 	"time"
 
-	"github.com/go-faster/jx"
-
 	"cinderroad/internal/consensus"
+	"cinderroad/internal/control/status"
 	"cinderroad/internal/gossip"
 	"cinderroad/internal/replica"
 )
 
 // status describes the process for operators, as JSON.
 func (p *Process) status() []byte {
-	var e jx.Encoder
-	e.ObjStart()
-	e.FieldStart("node")
-	e.Str(p.settings.Load().Node)
-	e.FieldStart("version")
-	e.UInt64(p.configuration.Version())
-	e.FieldStart("evacuated")
-	e.ArrStart()
-	for _, zone := range p.configuration.EvacuatedZones() {
-		e.Str(zone)
+	body, err := json.Marshal(p.describe())
+	if err != nil {
+		panic("control: a status that can't be encoded: " + err.Error()) // it holds numbers and strings alone
+	}
+	return body
+}
+
+func (p *Process) describe() *status.Control {
+	members := p.gossip.View()
+	out := &status.Control{
+		Node:      p.settings.Load().Node,
+		Release:   p.version,
+		Version:   p.configuration.Version(),
+		Evacuated: append([]string{}, p.configuration.EvacuatedZones()...),
+		Proxies:   p.gossip.Proxies(),
+		Discovery: p.describeDiscovery(),
+		Followers: p.describeFollowers(),
+		Members:   make([]status.Member, 0, len(members)),
+	}
+	for _, partition := range p.host.Status() {
+		out.Partitions = append(out.Partitions, p.describePartition(&partition))
+	}
+	for i := range members {
+		if members[i].Usable() {
+			out.Ready++
+		}
+		out.Members = append(out.Members, describeMember(&members[i]))
+	}
+	return out
+}
+
+func (p *Process) describeDiscovery() status.Discovery {
+	duty := p.duty.Status()
+	return status.Discovery{
+		Holder:    duty.Holder,
+		Answered:  duty.Answered,
+		ListAgeMS: duty.ListAge.Milliseconds(),
+		Calls:     duty.Calls,
 	}
-	e.ArrEnd()
-	p.encodePartitions(&e)
-	encodeMembers(&e, p.gossip.View())
-	e.ObjEnd()
-	return e.Bytes()
 }
 
-func (p *Process) encodePartitions(e *jx.Encoder) {
-	e.FieldStart("partitions")
-	e.ArrStart()
-	for _, status := range p.host.Status() {
-		p.encodePartition(e, &status)
+func (p *Process) describeFollowers() []status.Follower {
+	index := p.configuration.Index()
+	followers := p.feed.Followers()
+	out := make([]status.Follower, 0, len(followers))
+	for _, follower := range followers {
+		out = append(out, status.Follower{
+			Node:          follower.Node,
+			Configuration: follower.Configuration,
+			Behind:        follower.Configuration < index,
+			AskedMS:       follower.Asked.Milliseconds(),
+		})
 	}
-	e.ArrEnd()
+	return out
 }
 
-func (p *Process) encodePartition(e *jx.Encoder, partition *replica.PartitionStatus) {
-	status := &partition.Status
-	e.ObjStart()
-	e.FieldStart("partition")
-	e.UInt16(uint16(partition.Partition))
-	e.FieldStart("replica")
-	e.Str(replicaName(status.ID))
-	e.FieldStart("role")
-	e.Str(roleName(status.Role))
-	e.FieldStart("term")
-	e.UInt64(status.Term)
-	e.FieldStart("leader")
-	e.Str(replicaName(status.Leader))
-	e.FieldStart("commit")
-	e.UInt64(status.Commit)
-	e.FieldStart("applied")
-	e.UInt64(status.Applied)
-	e.FieldStart("last")
-	e.UInt64(status.LastIndex)
-	e.FieldStart("items")
-	e.Int(p.items(int(partition.Partition)))
-	e.FieldStart("fresh_ms")
-	e.Int64(int64(p.host.Fresh(partition.Partition) / time.Millisecond))
+func (p *Process) describePartition(partition *replica.PartitionStatus) status.Partition {
+	group := &partition.Status
+	out := status.Partition{
+		Partition: uint16(partition.Partition),
+		Replica:   replicaName(group.ID),
+		Role:      roleName(group.Role),
+		Term:      group.Term,
+		Leader:    replicaName(group.Leader),
+		Commit:    group.Commit,
+		Applied:   group.Applied,
+		Last:      group.LastIndex,
+		Items:     p.items(int(partition.Partition)),
+		FreshMS:   p.host.Fresh(partition.Partition).Milliseconds(),
+		Replicas:  make([]status.Replica, 0, len(group.Membership.Members)),
+	}
 	if lease, leads := p.host.Leads(partition.Partition); leads {
-		e.FieldStart("lease_ms")
-		e.Int64(int64(lease / time.Millisecond))
+		out.LeaseMS = lease.Milliseconds()
+	}
+	for _, member := range group.Membership.Members {
+		out.Replicas = append(out.Replicas, status.Replica{Replica: replicaName(member.ID), Node: member.Node,
+			Zone: member.Zone, Address: member.Address, Voter: member.Voter})
 	}
-	encodeReplicas(e, status.Membership)
-	e.ObjEnd()
+	return out
 }
 
 // items is how many items a partition holds here.
@@ -79,49 +102,18 @@
 	return p.runners[partition-1].Len()
 }
 
-func encodeReplicas(e *jx.Encoder, membership consensus.Membership) {
-	e.FieldStart("replicas")
-	e.ArrStart()
-	for _, member := range membership.Members {
-		e.ObjStart()
-		e.FieldStart("replica")
-		e.Str(replicaName(member.ID))
-		e.FieldStart("node")
-		e.Str(member.Node)
-		e.FieldStart("zone")
-		e.Str(member.Zone)
-		e.FieldStart("address")
-		e.Str(member.Address)
-		e.FieldStart("voter")
-		e.Bool(member.Voter)
-		e.ObjEnd()
-	}
-	e.ArrEnd()
-}
-
-func encodeMembers(e *jx.Encoder, members []gossip.Member) {
-	e.FieldStart("members")
-	e.ArrStart()
-	for i := range members {
-		member := &members[i]
-		e.ObjStart()
-		e.FieldStart("node")
-		e.Str(member.Node)
-		e.FieldStart("role")
-		e.Str(string(member.Role))
-		e.FieldStart("zone")
-		e.Str(member.Zone)
-		e.FieldStart("state")
-		e.Str(member.State.String())
-		e.FieldStart("serving")
-		e.Str(string(member.Serving))
-		e.FieldStart("front")
-		e.Str(member.Front)
-		e.FieldStart("release")
-		e.Str(member.Version)
-		e.ObjEnd()
+func describeMember(member *gossip.Member) status.Member {
+	return status.Member{
+		Node:    member.Node,
+		Address: member.Address.String(),
+		State:   member.State.String(),
+		SinceMS: time.Since(member.Since).Milliseconds(),
+		Role:    string(member.Role),
+		Zone:    member.Zone,
+		Serving: string(member.Serving),
+		Front:   member.Front,
+		Release: member.Version,
 	}
-	e.ArrEnd()
 }
 
 func replicaName(id consensus.ReplicaID) string {
--- /dev/null
+++ b/internal/control/status/status_test.go
@@ -0,0 +1,29 @@
+package status
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+)
+
+func TestStatusSurvivesItsEncoding(t *testing.T) {
+	want := Control{
+		Node: "core-1", Release: "r1", Version: 7, Evacuated: []string{"a"}, Proxies: 3, Ready: 2,
+		Discovery: Discovery{Holder: true, Answered: true, ListAgeMS: 120, Calls: 9},
+		Partitions: []Partition{{Partition: 1, Replica: "01", Role: "leader", Term: 4, Leader: "01", LeaseMS: 900,
+			Replicas: []Replica{{Replica: "01", Node: "core-1", Zone: "a", Address: "10.0.0.1:7660", Voter: true}}}},
+		Followers: []Follower{{Node: "edge-1", Configuration: 12, Behind: true, AskedMS: 5}},
+		Members:   []Member{{Node: "edge-1", Address: "10.0.0.9", State: "alive", SinceMS: 8, Role: "edge"}},
+	}
+	body, err := json.Marshal(&want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var got Control
+	if err := json.Unmarshal(body, &got); err != nil {
+		t.Fatal(err)
+	}
+	if !reflect.DeepEqual(got, want) {
+		t.Fatalf("got %+v, want %+v", got, want)
+	}
+}
