--- a/internal/control/api/answer.go
+++ b/internal/control/api/answer.go
@@ -109,5 +109,5 @@
 	header.Set("Content-Type", "application/json")
 	header.Set("Content-Length", strconv.Itoa(len(body)))
 	w.WriteHeader(status)
-	w.Write(body)
+	w.Write(body) //nolint:errcheck // the caller has gone: nobody is left to tell
 }
--- a/internal/control/directory/handler.go
+++ b/internal/control/directory/handler.go
@@ -40,7 +40,7 @@
 	body := encode(addresses, h.ttl())
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
-	w.Write(body)
+	w.Write(body) //nolint:errcheck // the client has gone: nobody is left to tell
 }
 
 func (h *Handler) ttl() time.Duration {
--- a/internal/control/duty/duty_test.go
+++ b/internal/control/duty/duty_test.go
@@ -33,7 +33,6 @@
 	states     []*state.Runners
 	index      uint64
 	proposals  int
-	written    int
 	loseAnswer bool                           // of the next proposal
 	stuck      map[feed.Partition]bool        // partitions without a leader
 	before     func(partition feed.Partition) // a proposal is applied
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -330,7 +330,9 @@
 	p.gossip.SetServing(gossip.Stopping)
 	p.feed.Stop()
 	pause(context.Background(), serveOn)
-	p.closeServers()
+	if err := p.closeServers(); err != nil {
+		p.log.Warn("calls were broken off", zap.Error(err))
+	}
 	p.host.Stop(context.Background())
 	p.cancel()
 	p.leave()
--- a/internal/emulator/process.go
+++ b/internal/emulator/process.go
@@ -73,7 +73,7 @@
 	defer close(p.ended)
 	defer p.log.Close()
 	for {
-		p.command.Wait()
+		p.command.Wait() //nolint:errcheck // how it ended does not matter: it is started again
 		p.mutex.Lock()
 		wanted := p.wanted
 		if wanted && !p.killed {
@@ -109,7 +109,7 @@
 	p.wanted = false
 	p.mutex.Unlock()
 	p.noteMemory()
-	p.signal(syscall.SIGTERM)
+	p.signal(syscall.SIGTERM) //nolint:errcheck // SIGKILL follows if it is not heard
 	timer := time.NewTimer(grace)
 	defer timer.Stop()
 	select {
@@ -117,7 +117,7 @@
 		return
 	case <-timer.C:
 	}
-	p.signal(syscall.SIGKILL)
+	p.signal(syscall.SIGKILL) //nolint:errcheck // no process is left if it fails
 	<-p.ended
 }
 
--- a/internal/fleet/copies/copies.go
+++ b/internal/fleet/copies/copies.go
@@ -130,7 +130,7 @@
 			c.stop("its first snapshot", err)
 			return
 		}
-		c.store.SetHardState(&raftpb.HardState{Term: new(term), Vote: new(uint64(0)), Commit: new(index)})
+		_ = c.store.SetHardState(&raftpb.HardState{Term: new(term), Vote: new(uint64(0)), Commit: new(index)})
 	}
 	c.conf, c.applied, c.cutAt = conf, index, index
 	node, err := raft.NewRawNode(&raft.Config{
@@ -191,7 +191,7 @@
 			c.node.TickQuiesced()
 			if c.now-c.quiet >= c.elect && c.votes() {
 				c.hush()
-				c.node.Campaign()
+				_ = c.node.Campaign()
 			}
 		}
 	}
@@ -309,7 +309,7 @@
 			return
 		}
 		if !raft.IsEmptyHardState(rd.HardState) {
-			c.store.SetHardState(rd.HardState)
+			_ = c.store.SetHardState(rd.HardState)
 		}
 		if err := c.store.Append(rd.Entries); err != nil {
 			c.stop("its log", err)
--- a/internal/fleet/divisor/crowd_test.go
+++ b/internal/fleet/divisor/crowd_test.go
@@ -32,7 +32,6 @@
 	sum     *sum
 	next    brain.RequestID
 	out     []sent
-	timers  []float64
 	off     bool
 	slept   bool
 	stopped bool    // hands in nothing more
--- a/internal/fleet/membership/measure_test.go
+++ b/internal/fleet/membership/measure_test.go
@@ -30,7 +30,6 @@
 	hours           float64 // member-hours watched
 	messages, bytes float64 // a member a period, while nothing happens
 	cpu             float64 // seconds of processor a member a period
-	memory          float64 // bytes a member
 }
 
 const never = math.MaxInt32
--- a/internal/operator/operator.go
+++ b/internal/operator/operator.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"regexp"
 	"slices"
+	"strconv"
 	"strings"
 
 	"github.com/BurntSushi/toml"
@@ -151,7 +152,7 @@
 				e.Err = err
 			}
 		} else if m := mistyped.FindStringSubmatch(err.Error()); m != nil {
-			fmt.Sscan(m[1], &e.Line)
+			e.Line, _ = strconv.Atoi(m[1])
 			e.Key, e.Err = m[2], errors.New(m[3])
 		}
 		return nil, e
@@ -196,7 +197,7 @@
 	section, wanted, name := "", 0, key
 	if m := numbered.FindStringSubmatch(key); m != nil {
 		section, name = m[1], m[3]
-		fmt.Sscan(m[2], &wanted)
+		wanted, _ = strconv.Atoi(m[2])
 	}
 	at, seen := "", -1
 	for i, line := range strings.Split(f.text, "\n") {
--- a/internal/placement/api.go
+++ b/internal/placement/api.go
@@ -108,6 +108,8 @@
 //	func (p *Placer) MayRetry(now, *Request) bool             // tries, idempotence, deadline and the shared retry budget
 //	func (p *Placer) Tick(now) (next time.Duration)           // rebuilds the plan each period
 //	func (p *Placer) Learnt() []byte; Recall(now, []byte) error // ceilings that outlive a restart
+
+// Options are what a Placer starts with: where it stands, and the deployment's budgets.
 type Options struct {
 	Zone, Region string
 	Zones        map[string]string // region of each zone
--- a/internal/program/books_test.go
+++ b/internal/program/books_test.go
@@ -107,7 +107,6 @@
 	names   [][]string
 	rev     int
 	talk    *http.Client
-	fail    atomic.Bool
 }
 
 func newCrew(t *testing.T, n int, name string) *crew {
--- a/internal/proxy/retry_test.go
+++ b/internal/proxy/retry_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"io"
 	"net/http"
 	"testing"
 	"time"
@@ -166,7 +167,7 @@
 	w.do(func() { w.proxy.SetLimits(configuration.Limits{MaxBodyBytes: 1 << 30}) })
 	body := string(make([]byte, 32<<20)) // more than the buffers of the system hold
 	c := w.client()
-	go c.send(ask("/writes/x", "t1", "", body))
+	go io.WriteString(c.conn, ask("/writes/x", "t1", "", body)) // what arrives is looked at below
 	first := r[0].accept()
 	first.head()
 	first.reset()
