--- a/internal/fleet/copies/care.go
+++ b/internal/fleet/copies/care.go
@@ -2,39 +2,22 @@
 
 import (
 	"cmp"
-	"encoding/binary"
 	"errors"
-	"maps"
 	"slices"
 
-	"go.etcd.io/raft/v3"
-	"go.etcd.io/raft/v3/raftpb"
-	"go.etcd.io/raft/v3/tracker"
-
-	"cinderroad/internal/fleet/membership"
+	"cinderroad/internal/consensus"
 )
 
-// silent takes the library's log lines; what cannot be ends in a panic, which guard takes.
-type silent struct{}
-
-func (silent) Debug(...any)              {}
-func (silent) Debugf(string, ...any)     {}
-func (silent) Error(...any)              {}
-func (silent) Errorf(string, ...any)     {}
-func (silent) Info(...any)               {}
-func (silent) Infof(string, ...any)      {}
-func (silent) Warning(...any)            {}
-func (silent) Warningf(string, ...any)   {}
-func (silent) Fatal(v ...any)            { panic(v) }
-func (silent) Fatalf(f string, v ...any) { panic(append([]any{f}, v...)) }
-func (silent) Panic(v ...any)            { panic(v) }
-func (silent) Panicf(f string, v ...any) { panic(append([]any{f}, v...)) }
+// closeBehind is by how many entries a new copy may be behind as it begins to count.
+const closeBehind = 8
 
 // See tells which lives are there to become copies, as the fleet's view has them.
 func (c *Copy) See(view []Member) { c.view = view }
 
-// Choose picks who should hold copies: one for each machine, zones spread as evenly as they go, the same choice from the same members in
-// whatever order. Those in held count as taken already.
+func byID(a, b consensus.Member) int { return cmp.Compare(a.ID, b.ID) }
+
+// Choose picks who should hold copies: one for each machine, zones spread as evenly as they go, the same choice from the
+// same members in whatever order. Those in held count as taken already.
 func Choose(members, held []Member, n int) (chosen []Member) {
 	machines, zones := map[string]bool{}, map[string]int{}
 	for _, m := range held {
@@ -48,7 +31,8 @@
 			if machines[m.Machine] {
 				continue
 			}
-			if best < 0 || cmp.Or(cmp.Compare(zones[m.Zone], zones[left[best].Zone]), cmp.Compare(m.Name, left[best].Name), cmp.Compare(m.ID, left[best].ID)) < 0 {
+			if best < 0 || cmp.Or(cmp.Compare(zones[m.Zone], zones[left[best].Zone]), cmp.Compare(m.Name, left[best].Name),
+				cmp.Compare(m.ID, left[best].ID)) < 0 {
 				best = i
 			}
 		}
@@ -63,115 +47,109 @@
 	return chosen
 }
 
-// care is the leader's: it replaces a copy that has not been heard for long, one change at a time, the new one caught up first.
+// care is the leader's: it replaces a copy that has not been heard for long, one change at a time, the new one caught up
+// first.
 func (c *Copy) care() {
-	for _, id := range slices.Sorted(maps.Keys(c.snaps)) { // one that is lost is sent again, but not at each word that shows it
-		if c.now-c.snaps[id] >= c.o.Silence {
-			delete(c.snaps, id)
-			c.node.ReportSnapshot(id, raft.SnapshotFailure)
-		}
+	if c.now-c.cared < c.o.Beat {
+		return
 	}
-	if len(c.conf.GetVotersOutgoing()) > 0 {
+	c.cared = c.now
+	s := c.machine.Status()
+	if s.MembershipIndex > s.Commit || s.Transferring {
 		return // a change is under way
 	}
-	lost := c.lost()
-	if learners := c.conf.GetLearners(); len(learners) > 0 {
-		c.carry(learners[0], lost)
+	counted, coming := c.Copies()
+	lost := c.lost(&s, counted)
+	if len(coming) > 0 {
+		c.carry(&s, coming[0].ID, lost)
 		return
 	}
 	if c.now-c.moved < c.o.Replace {
 		return // members that flap do not set off one replacement after the other
 	}
-	if lost == 0 && len(c.conf.GetVoters()) >= c.o.Copies {
+	if lost == 0 && len(counted) >= c.o.Copies {
 		return
 	}
-	var stay []Member
-	for _, id := range c.conf.GetVoters() {
-		if id != lost {
-			stay = append(stay, c.members[id])
-		}
-	}
-	var free []Member
-	for _, m := range c.view {
-		if !c.holds(m.ID) {
-			free = append(free, m)
-		}
+	c.takeIn(counted, lost)
+}
+
+// takeIn has the best free member be brought up, where there is one.
+func (c *Copy) takeIn(counted []Member, lost uint64) {
+	stay := slices.DeleteFunc(slices.Clone(counted), func(m Member) bool { return m.ID == lost })
+	free := slices.DeleteFunc(slices.Clone(c.view), func(m Member) bool { return c.holds(m.ID) })
+	for _, m := range Choose(free, stay, 1) {
+		c.change(append(slices.Clone(c.machine.Membership().Members), m.inGroup(false)))
 	}
-	chosen := Choose(free, stay, 1)
-	if len(chosen) == 0 {
-		return
+}
+
+// silent is for how long a copy has not answered this leader, seconds.
+func (c *Copy) silent(s *consensus.Status, id uint64) float64 {
+	answered, is := s.Answered[consensus.ReplicaID(id)]
+	if !is {
+		return 0 // this one itself
 	}
-	c.change(membership.Deterministic(chosen[0]), single(raftpb.ConfChangeAddLearnerNode, chosen[0].ID))
+	return c.now - answered.Seconds()
 }
 
 // lost is the copy that has been silent for longest, where that is too long; 0: none.
-func (c *Copy) lost() (lost uint64) {
-	for _, id := range c.conf.GetVoters() {
-		if id != c.o.Me.ID && c.now-c.heard[id] >= c.o.Replace && (lost == 0 || c.heard[id] < c.heard[lost]) {
-			lost = id
+func (c *Copy) lost(s *consensus.Status, counted []Member) (lost uint64) {
+	longest := c.o.Replace
+	for _, m := range counted {
+		if silent := c.silent(s, m.ID); silent > longest || silent == longest && lost == 0 {
+			lost, longest = m.ID, silent
 		}
 	}
 	return lost
 }
 
-// carry brings a new copy on: it counts once it has caught up, in the same change in which the lost one ceases to; it goes where it has fallen
-// silent itself, or the lost one is back and nobody is missing.
-func (c *Copy) carry(learner, lost uint64) {
-	missing := len(c.conf.GetVoters()) < c.o.Copies
+// carry brings a new copy on. Once it has caught up the lost one ceases to count, and then it counts: in this order no
+// step asks more copies to be there than the one before it did. It goes where it has fallen silent itself, or the lost one
+// is back and nobody is missing.
+func (c *Copy) carry(s *consensus.Status, learner, lost uint64) {
+	counted, _ := c.Copies()
+	missing := len(counted) < c.o.Copies
 	switch {
-	case c.now-c.heard[learner] >= c.o.Replace, lost == 0 && !missing:
-		c.change(nil, single(raftpb.ConfChangeRemoveNode, learner))
-	case c.caughtUp(learner):
-		changes := []*raftpb.ConfChangeSingle{single(raftpb.ConfChangeAddNode, learner)}
-		if lost != 0 && !missing {
-			changes = append(changes, single(raftpb.ConfChangeRemoveNode, lost))
-		}
-		c.change(nil, changes...)
+	case c.silent(s, learner) >= c.o.Replace, lost == 0 && !missing:
+		c.change(c.without(learner))
+	case !c.caughtUp(s, learner):
+	case missing:
+		c.change(c.with(learner))
+	default:
+		c.change(c.without(lost))
 	}
 }
 
-func (c *Copy) caughtUp(id uint64) (caught bool) {
-	commit := c.node.BasicStatus().GetCommit()
-	c.node.WithProgress(func(other uint64, _ raft.ProgressType, p tracker.Progress) {
-		if other == id {
-			caught = p.Match > 0 && p.Match+8 >= commit && c.now-c.heard[id] < c.o.Silence
-		}
-	})
-	return caught
+func (c *Copy) caughtUp(s *consensus.Status, id uint64) bool {
+	match := s.Match[consensus.ReplicaID(id)]
+	return match >= s.MembershipIndex && match+closeBehind >= s.Commit && c.silent(s, id) < c.o.Silence
 }
 
-func single(kind raftpb.ConfChangeType, id uint64) *raftpb.ConfChangeSingle {
-	return &raftpb.ConfChangeSingle{Type: kind.Enum(), NodeId: new(id)}
+// without are the members but for one.
+func (c *Copy) without(id uint64) []consensus.Member {
+	members := slices.Clone(c.machine.Membership().Members)
+	return slices.DeleteFunc(members, func(m consensus.Member) bool { return uint64(m.ID) == id })
 }
 
-// change proposes another set of copies; the library takes one at a time.
-func (c *Copy) change(context []byte, changes ...*raftpb.ConfChangeSingle) {
-	change := &raftpb.ConfChangeV2{Context: context, Changes: changes}
-	if c.node.ProposeConfChange(change) == nil {
-		c.moved = c.now
+// with are the members, one of them made to count.
+func (c *Copy) with(id uint64) []consensus.Member {
+	members := slices.Clone(c.machine.Membership().Members)
+	for i := range members {
+		members[i].Voter = members[i].Voter || uint64(members[i].ID) == id
 	}
+	return members
 }
 
-// goneMark begins a word that is none of the library's: its messages begin with the tag of their kind.
-const goneMark = 0x00
-
-// sayGone tells a life that stands for election that it is no copy any more: it was replaced while it could not hear.
-func (c *Copy) sayGone(to uint64) Outgoing {
-	data := binary.LittleEndian.AppendUint64([]byte{goneMark}, c.o.Me.ID)
-	return Outgoing{to, binary.LittleEndian.AppendUint64(data, c.applied)}
-}
-
-func isGone(data []byte) (from, index uint64, is bool) {
-	if len(data) != 17 || data[0] != goneMark {
-		return 0, 0, false
+// change proposes another set of copies; the agreement takes one at a time.
+func (c *Copy) change(members []consensus.Member) {
+	if c.machine.ChangeMembership(duration(c.now), consensus.Membership{Members: members}) == nil {
+		c.moved = c.now
 	}
-	return binary.LittleEndian.Uint64(data[1:]), binary.LittleEndian.Uint64(data[9:]), true
 }
 
-// gone takes the word of one that is a copy, as far as this one knows, and has applied more than it: who has applied less may not know yet
-// that this one became a copy. While somebody leads this one, it is none of the replaced.
+// gone takes the word of one that is a copy, as far as this one knows, and has applied more than it: who has applied less
+// may not know yet that this one became a copy. While somebody leads this one, it is none of the replaced.
 func (c *Copy) gone(from, index uint64) error {
-	if c.node == nil || !c.holds(from) || from == c.o.Me.ID || index <= c.applied || c.now-c.led < c.o.Silence {
+	if c.machine == nil || !c.holds(from) || index <= c.applied || c.now-c.led < c.o.Silence {
 		return errors.New("copies: told to be gone by one that cannot know")
 	}
 	c.stop("it was replaced", &Replaced{c.o.Me.ID, index})
--- a/internal/fleet/copies/copies.go
+++ b/internal/fleet/copies/copies.go
@@ -1,29 +1,32 @@
-// Package copies has several members hold the same state for the fleet: what a majority of them has agreed is there for good. The
-// agreement is the state machine of go.etcd.io/raft; here are its time, its random numbers, who the copies are, and its bounds. Pure: no I/O,
-// no clock, random numbers from a seed; the same input gives the same output.
+// Package copies has several members hold the same state for the fleet: what a majority of them has agreed is there for
+// good. The agreement is internal/consensus; here are who the copies are, lives without a disk, proposals made at any copy,
+// and bounds. Pure: no I/O, no clock, random numbers from a seed; the same input gives the same output.
 package copies
 
 import (
-	"cmp"
 	"errors"
-	"fmt"
-	"math/rand/v2"
 	"slices"
+	"time"
 
-	"go.etcd.io/raft/v3"
-	"go.etcd.io/raft/v3/raftpb"
-	"go.etcd.io/raft/v3/tracker"
-	"google.golang.org/protobuf/proto"
-
-	"cinderroad/internal/fleet/membership"
+	"cinderroad/internal/consensus"
 )
 
 // Member is a life of a member that may hold a copy.
 type Member struct {
-	ID      uint64 `cbor:"1,keyasint"` // of this life alone: who lost its memory comes back as another (P3)
-	Name    string `cbor:"2,keyasint"`
-	Machine string `cbor:"3,keyasint"` // what fails together
-	Zone    string `cbor:"4,keyasint"`
+	ID      uint64 // of this life alone: who lost its memory comes back as another (P3)
+	Name    string
+	Machine string // what fails together
+	Zone    string
+}
+
+// inGroup is the member as the agreement keeps it: the fleet reaches it by its name, which stands for an address.
+func (m Member) inGroup(voter bool) consensus.Member {
+	return consensus.Member{ID: consensus.ReplicaID(m.ID), Node: m.Machine, Zone: m.Zone, Address: m.Name, Voter: voter}
+}
+
+// memberOf is what inGroup made a member of a group from.
+func memberOf(m consensus.Member) Member {
+	return Member{ID: uint64(m.ID), Name: m.Address, Machine: m.Node, Zone: m.Zone}
 }
 
 // Machine is the state that agreed commands make.
@@ -47,8 +50,36 @@
 	Most    int     // bytes of a command
 }
 
-// beats are those of a silence.
-func (o *Options) beats() int { return max(int(o.Silence/o.Beat), 3) }
+// Bounds of what is sent and of what waits.
+const (
+	leastBeats      = 3        // in a silence
+	appendBytes     = 64 << 10 // of entries in one message, or one entry
+	inflight        = 64       // unanswered messages with entries to one copy
+	mostUncommitted = 4 << 20  // bytes of commands that a leader has proposed and that are not agreed on yet
+	mostTerms       = 1 << 32  // that a copy may have missed: more elections than there can have been
+)
+
+// A fleet's state begins here: what stands before is what its first copies were given, not log.
+const (
+	foundingIndex = 1
+	foundingTerm  = 1
+)
+
+// consensus are the options of the agreement.
+func (o *Options) consensus() consensus.Options {
+	return consensus.Options{
+		ID:             consensus.ReplicaID(o.Me.ID),
+		Heartbeat:      duration(o.Beat),
+		Election:       duration(max(o.Silence, leastBeats*o.Beat)),
+		Seed:           o.Seed,
+		MaxAppendBytes: appendBytes,
+		MaxInflight:    inflight,
+		SnapshotAfter:  uint64(o.Cut),
+	}
+}
+
+// duration is a time in seconds as the agreement counts it.
+func duration(seconds float64) time.Duration { return time.Duration(seconds * float64(time.Second)) }
 
 // Outgoing is a message for another member.
 type Outgoing struct {
@@ -66,141 +97,79 @@
 // Copy is this member's part in holding the state.
 type Copy struct {
 	o       Options
-	rng     *rand.Rand
-	node    *raft.RawNode // nil: this member holds no copy
-	store   *raft.MemoryStorage
-	conf    *raftpb.ConfState
-	members map[uint64]Member // all that are or were proposed as copies
-	heard   map[uint64]float64
-	view    []Member // who may become one
+	machine *consensus.Machine // nil: this member holds no copy
+	view    []Member           // who may become one
+	heard   map[uint64]float64 // when members last sent something
 	now     float64
-	ticked  float64
-	quiet   float64 // since when nobody has led or stood for election here
 	led     float64 // when a leader was last heard
-	elect   float64 // after so long of it this one stands for election
+	cared   float64 // when the leader last looked after the copies
+	moved   float64 // when the copies were last changed
+	hard    consensus.HardState
 	applied uint64
-	cutAt   uint64
-	anew    bool               // a snapshot is due, whatever the log holds
-	snaps   map[uint64]float64 // when snapshots were sent that may be on their way
-	moved   float64            // when the copies were last changed
-	out     []Outgoing
-	done    []Applied
-	stopped *Stopped
+	// uncommitted are bytes of commands that this copy, leading in the term, has proposed.
+	uncommitted     int
+	uncommittedTerm uint64
+	out             []Outgoing
+	done            []Applied
+	stopped         *Stopped
 }
 
-// image is what a snapshot holds: who the copies are, and the state.
-type image struct {
-	Members []Member `cbor:"1,keyasint"`
-	State   []byte   `cbor:"2,keyasint"`
-}
-
-const mostTerms = 1 << 32 // that a copy may have missed: more elections than there can have been
-
-var decoding = membership.Strict(6, 32)
-
 // New is a member that holds no copy yet: it becomes one by Found, or when a leader's first word comes.
 func New(now float64, o Options) *Copy {
-	c := &Copy{o: o, rng: rand.New(rand.NewPCG(o.Seed, o.Me.ID)), members: map[uint64]Member{}, heard: map[uint64]float64{}, snaps: map[uint64]float64{}, now: now, ticked: now, moved: now}
-	return c
+	return &Copy{o: o, heard: map[uint64]float64{}, now: now, moved: now}
 }
 
-// Found begins the state with its first copies, the same list at each of them. It is called once in the life of a fleet's state: by hand, or by
-// who has made sure of that.
+// Found begins the state with its first copies, the same list at each of them. It is called once in the life of a fleet's
+// state: by hand, or by who has made sure of that.
 func (c *Copy) Found(copies []Member) error {
-	conf := &raftpb.ConfState{}
+	var founders consensus.Membership
 	for _, m := range copies {
-		conf.Voters = append(conf.Voters, m.ID)
-		c.members[m.ID] = m
+		founders.Members = append(founders.Members, m.inGroup(true))
 		c.heard[m.ID] = c.now
 	}
-	slices.Sort(conf.Voters)
-	if !slices.Contains(conf.Voters, c.o.Me.ID) {
+	slices.SortFunc(founders.Members, byID)
+	if !slices.ContainsFunc(copies, func(m Member) bool { return m.ID == c.o.Me.ID }) {
 		return &NotACopy{}
 	}
-	c.start(conf, 1, 1)
-	return nil
-}
-
-// start makes the state machine of the agreement.
-func (c *Copy) start(conf *raftpb.ConfState, index, term uint64) {
-	c.store = raft.NewMemoryStorage()
-	if index > 0 {
-		snapshot := &raftpb.Snapshot{Data: c.image(), Metadata: &raftpb.SnapshotMetadata{ConfState: conf, Index: new(index), Term: new(term)}}
-		if err := c.store.ApplySnapshot(snapshot); err != nil {
-			c.stop("its first snapshot", err)
-			return
-		}
-		c.store.SetHardState(&raftpb.HardState{Term: new(term), Vote: new(uint64(0)), Commit: new(index)})
-	}
-	c.conf, c.applied, c.cutAt = conf, index, index
-	node, err := raft.NewRawNode(&raft.Config{
-		ID: c.o.Me.ID, Storage: c.store, Applied: index, Logger: silent{},
-		ElectionTick: c.o.beats(), HeartbeatTick: 1, CheckQuorum: true, PreVote: true, StepDownOnRemoval: true,
-		MaxSizePerMsg: 64 << 10, MaxInflightMsgs: 64, MaxUncommittedEntriesSize: 4 << 20, MaxCommittedSizePerReady: 1 << 20,
-	})
-	if err != nil {
-		c.stop("its settings", err)
-		return
+	founding := consensus.Snapshot{Index: foundingIndex, Term: foundingTerm, Membership: founders}
+	stored := consensus.Stored{Hard: consensus.HardState{Term: foundingTerm, Commit: foundingIndex}, Snapshot: founding}
+	if err := stored.Check(); err != nil {
+		return err
 	}
-	c.node, c.led = node, c.now
-	c.hush()
+	c.start(stored)
+	return nil
 }
 
-// hush begins to wait for a leader anew. The waits differ, or all would stand for election at once.
-func (c *Copy) hush() {
-	c.quiet, c.elect = c.now, c.o.Silence*(1+c.rng.Float64())
+// start makes the machine of the agreement.
+func (c *Copy) start(stored consensus.Stored) {
+	c.machine = consensus.New(duration(c.now), c.o.consensus(), stored)
+	c.hard, c.applied = stored.Hard, stored.Snapshot.Index
+	c.led = c.now
 }
 
 func (c *Copy) stop(why string, cause error) {
-	c.stopped, c.node, c.out = &Stopped{why, cause}, nil, nil
-}
-
-// guard has the copy stop where the library finds what cannot be: a message that is none of its own making, a log that was lost.
-func (c *Copy) guard(why string) {
-	if p := recover(); p != nil {
-		c.stop(why, fmt.Errorf("%v", p))
-	}
+	c.stopped, c.machine, c.out = &Stopped{why, cause}, nil, nil
 }
 
 // Tick moves the time on, seconds.
 func (c *Copy) Tick(now float64) {
-	defer c.guard("its time")
 	c.now = max(c.now, now)
-	if c.node == nil {
+	if c.machine == nil {
 		return
 	}
-	// Who slept does not make up for it beat by beat: what it was is over, and it has to hear first.
-	if late := c.now - c.ticked; late > c.o.Silence {
-		c.ticked = c.now
-		for range 2 * c.o.beats() { // two checks of its own: the first may still count who answered before the sleep
-			if !c.Leads() {
-				break
-			}
-			c.node.Tick()
-		}
-		c.hush()
-	}
-	for c.ticked+c.o.Beat <= c.now && c.node != nil {
-		c.ticked += c.o.Beat
-		switch status := c.node.BasicStatus(); {
-		case status.RaftState == raft.StateLeader:
-			c.node.Tick()
-			c.quiet, c.led = c.now, c.now
-			c.care()
-		default:
-			c.node.TickQuiesced()
-			if c.now-c.quiet >= c.elect && c.votes() {
-				c.hush()
-				c.node.Campaign()
-			}
-		}
+	c.tick()
+	if c.Leads() {
+		c.led = c.now
+		c.care()
 	}
 	c.ready()
 }
 
-// votes says whether this copy may be elected.
-func (c *Copy) votes() bool {
-	return slices.Contains(c.conf.GetVoters(), c.o.Me.ID)
+// tick does what is due.
+func (c *Copy) tick() {
+	if at := duration(c.now); c.machine.Next() <= at {
+		c.machine.Tick(at)
+	}
 }
 
 // Step takes a message. One that is not for this life, or from nobody that may send it, is an error and changes nothing.
@@ -209,77 +178,117 @@
 	if c.stopped != nil {
 		return c.stopped
 	}
-	if from, index, is := isGone(data); is {
-		return c.gone(from, index)
-	}
-	var m raftpb.Message
-	if err := proto.Unmarshal(data, &m); err != nil {
-		return fmt.Errorf("copies: a broken message: %w", err)
+	e, err := open(data)
+	if err != nil {
+		return err
 	}
-	if m.GetTo() != c.o.Me.ID {
+	if e.to != c.o.Me.ID {
 		return errors.New("copies: a message for another life")
 	}
-	if raft.IsLocalMsg(m.GetType()) || m.GetFrom() == 0 || m.GetFrom() == c.o.Me.ID {
+	if e.from == 0 || e.from == c.o.Me.ID {
 		return errors.New("copies: a message that nobody else can send")
 	}
-	if m.GetTerm() > c.Term()+mostTerms {
+	switch e.kind {
+	case kindGone:
+		return c.gone(e.from, e.index)
+	case kindPropose:
+		return c.takeProposal(e)
+	default:
+		return c.step(&e.message)
+	}
+}
+
+// step takes a message of the agreement.
+func (c *Copy) step(m *consensus.Message) error {
+	if m.Term > c.hard.Term+mostTerms {
 		return errors.New("copies: a term that no election has led to")
 	}
-	if c.node == nil {
-		switch m.GetType() { // only a leader that has this life among its copies speaks first
-		case raftpb.MsgApp, raftpb.MsgHeartbeat, raftpb.MsgSnap:
-			c.start(&raftpb.ConfState{}, 0, 0)
-		default:
+	ofLeader := m.Kind == consensus.Append || m.Kind == consensus.InstallSnapshot
+	if c.machine == nil {
+		if !ofLeader { // only a leader that has this life among its copies speaks first
 			return &NotACopy{}
 		}
+		c.start(consensus.Stored{})
 	}
-	defer c.guard("a message")
-	c.heard[m.GetFrom()] = c.now
-	err := c.node.Step(&m)
-	switch m.GetType() {
-	case raftpb.MsgApp, raftpb.MsgHeartbeat, raftpb.MsgSnap:
-		if c.node != nil && c.node.BasicStatus().Lead == m.GetFrom() {
-			c.led = c.now
-			c.hush()
-		}
-	case raftpb.MsgPreVote, raftpb.MsgVote:
-		if !c.holds(m.GetFrom()) {
-			c.out = append(c.out, c.sayGone(m.GetFrom()))
-		}
+	from := uint64(m.From)
+	c.heard[from] = c.now
+	c.machine.Step(duration(c.now), *m)
+	if ofLeader && c.Leader() == from {
+		c.led = c.now
+	}
+	if (m.Kind == consensus.PreVote || m.Kind == consensus.Vote) && !c.holds(from) {
+		c.send(&envelope{kind: kindGone, to: from, index: c.applied})
 	}
 	c.ready()
-	return err
+	return nil
 }
 
 // Propose has a command agreed; it is applied at each copy, or lost. Where no leader is known it is refused at once.
-func (c *Copy) Propose(now float64, command []byte) (err error) {
+func (c *Copy) Propose(now float64, command []byte) error {
 	c.now = max(c.now, now)
 	switch {
 	case c.stopped != nil:
 		return c.stopped
-	case c.node == nil:
+	case c.machine == nil:
 		return &NotACopy{}
 	case len(command) > c.o.Most:
 		return &TooFar{len(command), c.o.Most}
-	case c.Leader() == 0:
+	}
+	c.tick() // who slept finds out here that it leads no more
+	defer c.ready()
+	switch leader := c.Leader(); leader {
+	case 0:
+		return c.noMajority()
+	case c.o.Me.ID:
+		return c.propose(command)
+	default:
+		c.send(&envelope{kind: kindPropose, to: leader, command: command})
+		return nil
+	}
+}
+
+// takeProposal proposes for another copy. Where this one does not lead any more the command is lost.
+func (c *Copy) takeProposal(e *envelope) error {
+	switch {
+	case c.machine == nil || !c.holds(e.from):
+		return &NotACopy{}
+	case len(e.command) > c.o.Most:
+		return &TooFar{len(e.command), c.o.Most}
+	}
+	c.heard[e.from] = c.now
+	c.tick()
+	defer c.ready()
+	return c.propose(e.command)
+}
+
+// propose is a leader's.
+func (c *Copy) propose(command []byte) error {
+	if c.uncommittedTerm != c.hard.Term {
+		c.uncommittedTerm, c.uncommitted = c.hard.Term, 0
+	}
+	if c.uncommitted+len(command) > mostUncommitted {
 		return c.noMajority()
 	}
-	defer c.guard("a proposal")
-	if err := c.node.Propose(command); err != nil {
+	if _, _, err := c.machine.Propose(duration(c.now), slices.Clone(command)); err != nil {
 		return c.noMajority()
 	}
-	c.ready()
+	c.uncommitted += len(command)
 	return nil
 }
 
 func (c *Copy) noMajority() *NoMajority {
-	heard := 0
-	for _, id := range c.conf.GetVoters() {
+	heard, voters := 0, 0
+	for _, m := range c.machine.Membership().Members {
+		if !m.Voter {
+			continue
+		}
+		voters++
+		id := uint64(m.ID)
 		if id == c.o.Me.ID || c.now-c.heard[id] < c.o.Silence {
 			heard++
 		}
 	}
-	return &NoMajority{heard, len(c.conf.GetVoters()), int64(1000 * (c.now - c.led)), int64(2000 * c.o.Silence)}
+	return &NoMajority{heard, voters, int64(1000 * (c.now - c.led)), int64(2000 * c.o.Silence)}
 }
 
 // HandOver gives the lead to another copy, before this process ends.
@@ -287,154 +296,100 @@
 	if !c.Leads() {
 		return false
 	}
-	defer c.guard("handing over")
-	best, match := uint64(0), uint64(0)
-	c.node.WithProgress(func(id uint64, kind raft.ProgressType, p tracker.Progress) {
-		if id != c.o.Me.ID && kind == raft.ProgressTypePeer && p.Match >= match && c.now-c.heard[id] < c.o.Silence {
-			best, match = id, p.Match
-		}
-	})
-	if best != 0 {
-		c.node.TransferLeader(best)
-		c.ready()
-	}
-	return best != 0
+	c.machine.TransferLeadership(duration(c.now), 0)
+	handing := c.machine.Transferring()
+	c.ready()
+	return handing
 }
 
-// ready does what the agreement asks for: keeps, sends, applies.
+// ready does what the agreement asks for: sends, applies. A copy has no disk: its life ends with its memory, so that what
+// is written counts at once.
 func (c *Copy) ready() {
-	for c.node != nil && c.node.HasReady() {
-		rd := c.node.Ready()
-		if rd.Snapshot != nil && !raft.IsEmptySnap(rd.Snapshot) && !c.restore(rd.Snapshot) {
-			return
-		}
-		if !raft.IsEmptyHardState(rd.HardState) {
-			c.store.SetHardState(rd.HardState)
-		}
-		if err := c.store.Append(rd.Entries); err != nil {
-			c.stop("its log", err)
-			return
-		}
-		for _, m := range rd.Messages {
-			data, err := proto.MarshalOptions{Deterministic: true}.Marshal(m)
-			if err != nil {
-				c.stop("a message of its own", err)
-				return
-			}
-			c.out = append(c.out, Outgoing{m.GetTo(), data})
-			if m.GetType() == raftpb.MsgSnap {
-				c.snaps[m.GetTo()] = c.now
-			}
-		}
-		for _, e := range rd.CommittedEntries {
-			if !c.apply(e) {
-				return
-			}
+	for c.machine != nil {
+		r := c.machine.Ready()
+		if r.Empty() {
+			break
 		}
-		c.node.Advance(rd)
+		c.carryOut(&r)
 	}
-	c.cut()
+	c.forget()
 }
 
-func (c *Copy) apply(e *raftpb.Entry) bool {
-	c.applied = e.GetIndex()
-	switch e.GetType() {
-	case raftpb.EntryConfChangeV2:
-		var change raftpb.ConfChangeV2
-		if err := proto.Unmarshal(e.GetData(), &change); err != nil {
-			c.stop("a change of the copies", err)
-			return false
-		}
-		var m Member
-		if len(change.GetContext()) > 0 {
-			if err := decoding.Unmarshal(change.GetContext(), &m); err != nil {
-				c.stop("a change of the copies", err)
-				return false
-			}
-			c.members[m.ID] = m
-			c.heard[m.ID] = c.now
-		}
-		c.conf = c.node.ApplyConfChange(&change)
-		c.forget()
-		c.anew = true // a new copy takes no snapshot that does not name it
-	case raftpb.EntryNormal:
-		if len(e.GetData()) == 0 {
-			return true // a new leader's first
-		}
-		result, err := c.o.Machine.Apply(e.GetIndex(), e.GetData())
-		if err != nil {
-			c.stop("a command that it cannot take", err)
-			return false
+func (c *Copy) carryOut(r *consensus.Ready) {
+	if r.HardState != nil {
+		c.hard = *r.HardState
+	}
+	c.sendAll(r.Early)
+	c.machine.Persisted(*r)
+	c.sendAll(r.Messages)
+	if r.Snapshot != nil && !c.restore(r.Snapshot) {
+		return
+	}
+	for i := range r.Committed {
+		if !c.apply(&r.Committed[i]) {
+			return
 		}
-		c.done = append(c.done, Applied{e.GetIndex(), e.GetData(), result})
 	}
-	return true
+	if r.Compact > 0 {
+		c.machine.Compacted(r.Compact, nil) // whoever needs a snapshot gets the present one
+	}
 }
 
-// forget drops members that are no copies.
-func (c *Copy) forget() {
-	for id := range c.members {
-		if !c.holds(id) {
-			delete(c.members, id)
-			delete(c.heard, id)
+func (c *Copy) sendAll(messages []consensus.Message) {
+	for i := range messages {
+		m := messages[i]
+		if m.Kind == consensus.InstallSnapshot {
+			c.fillSnapshot(&m)
 		}
+		c.send(&envelope{kind: kindAgreement, to: uint64(m.To), message: m})
 	}
 }
 
-// holds says whether a life is a copy, or becomes one.
-func (c *Copy) holds(id uint64) bool {
-	return slices.Contains(c.conf.GetVoters(), id) || slices.Contains(c.conf.GetLearners(), id) ||
-		slices.Contains(c.conf.GetVotersOutgoing(), id) || slices.Contains(c.conf.GetLearnersNext(), id)
-}
-
-func (c *Copy) image() []byte {
-	im := image{State: c.o.Machine.Snapshot()}
-	for _, m := range c.members {
-		im.Members = append(im.Members, m)
+// fillSnapshot puts the state as it is into the message of a snapshot: the machine of the agreement keeps none.
+func (c *Copy) fillSnapshot(m *consensus.Message) {
+	data := c.o.Machine.Snapshot()
+	snapshot, newer := c.machine.Snapshot(c.applied, data)
+	if !newer {
+		snapshot = *m.Snapshot // the state has not moved on since
+		snapshot.Data = data
 	}
-	slices.SortFunc(im.Members, func(a, b Member) int { return cmp.Compare(a.ID, b.ID) })
-	return membership.Deterministic(&im)
+	m.Snapshot = &snapshot
 }
 
-func (c *Copy) restore(s *raftpb.Snapshot) bool {
-	var im image
-	err := decoding.Unmarshal(s.GetData(), &im)
-	if err == nil {
-		err = c.o.Machine.Restore(im.State)
+func (c *Copy) apply(e *consensus.Entry) bool {
+	c.applied = e.Index
+	if e.Kind != consensus.EntryCommand || len(e.Data) == 0 { // the latter: a new leader's first
+		return true
 	}
-	if err == nil {
-		err = c.store.ApplySnapshot(s)
+	if e.Term == c.uncommittedTerm {
+		c.uncommitted = max(c.uncommitted-len(e.Data), 0)
 	}
+	result, err := c.o.Machine.Apply(e.Index, e.Data)
 	if err != nil {
-		c.stop("a snapshot", err)
+		c.stop("a command that it cannot take", err)
 		return false
 	}
-	c.members = map[uint64]Member{}
-	for _, m := range im.Members {
-		c.members[m.ID] = m
-		c.heard[m.ID] = c.now
-	}
-	c.conf = s.GetMetadata().GetConfState()
-	c.applied, c.cutAt = s.GetMetadata().GetIndex(), s.GetMetadata().GetIndex()
+	c.done = append(c.done, Applied{e.Index, e.Data, result})
 	return true
 }
 
-// cut makes a snapshot once enough has been applied, and keeps half as much of the log for copies that are a little behind.
-func (c *Copy) cut() {
-	if c.node == nil || c.applied < c.cutAt+uint64(c.o.Cut) && !c.anew {
-		return
+func (c *Copy) restore(s *consensus.Snapshot) bool {
+	if err := c.o.Machine.Restore(s.Data); err != nil {
+		c.stop("a snapshot", err)
+		return false
 	}
-	c.anew = false
-	if _, err := c.store.CreateSnapshot(c.applied, c.conf, c.image()); err != nil {
-		c.stop("a snapshot of its own", err)
+	c.applied = s.Index
+	return true
+}
+
+// forget drops what is known of members that are no copies.
+func (c *Copy) forget() {
+	if c.machine == nil || len(c.heard) <= len(c.machine.Membership().Members) {
 		return
 	}
-	c.cutAt = c.applied
-	if keep := uint64(c.o.Cut / 2); c.applied > keep {
-		if first, _ := c.store.FirstIndex(); c.applied-keep > first {
-			if err := c.store.Compact(c.applied - keep); err != nil {
-				c.stop("cutting its log", err)
-			}
+	for id := range c.heard {
+		if !c.holds(id) {
+			delete(c.heard, id)
 		}
 	}
 }
@@ -446,31 +401,32 @@
 }
 
 // Leads says whether this copy leads, as far as it knows.
-func (c *Copy) Leads() bool {
-	return c.node != nil && c.node.BasicStatus().RaftState == raft.StateLeader
-}
+func (c *Copy) Leads() bool { return c.machine != nil && c.machine.Role() == consensus.Leader }
 
 // Leader is the life that leads, as far as this copy knows; 0: none.
 func (c *Copy) Leader() uint64 {
-	if c.node == nil {
+	if c.machine == nil {
 		return 0
 	}
-	return c.node.BasicStatus().Lead
+	return uint64(c.machine.Leader())
 }
 
 // Term counts the elections.
 func (c *Copy) Term() uint64 {
-	if c.node == nil {
+	if c.machine == nil {
 		return 0
 	}
-	return c.node.BasicStatus().GetTerm()
+	return c.hard.Term
 }
 
 // Index is the last place of the log that was applied here.
 func (c *Copy) Index() uint64 { return c.applied }
 
 // Holds says whether this member holds a copy that counts.
-func (c *Copy) Holds() bool { return c.node != nil && c.votes() }
+func (c *Copy) Holds() bool {
+	counted, _ := c.Copies()
+	return slices.ContainsFunc(counted, func(m Member) bool { return m.ID == c.o.Me.ID })
+}
 
 // Err is why this copy has stopped; nil: it has not.
 func (c *Copy) Err() error {
@@ -482,11 +438,20 @@
 
 // Copies are the lives that hold a copy that counts, and those that are being brought up.
 func (c *Copy) Copies() (counted, coming []Member) {
-	for _, id := range c.conf.GetVoters() {
-		counted = append(counted, c.members[id])
-	}
-	for _, id := range c.conf.GetLearners() {
-		coming = append(coming, c.members[id])
+	if c.machine == nil {
+		return nil, nil
+	}
+	for _, m := range c.machine.Membership().Members {
+		if m.Voter {
+			counted = append(counted, memberOf(m))
+		} else {
+			coming = append(coming, memberOf(m))
+		}
 	}
 	return counted, coming
 }
+
+// holds says whether a life is a copy, or becomes one.
+func (c *Copy) holds(id uint64) bool {
+	return slices.ContainsFunc(c.machine.Membership().Members, func(m consensus.Member) bool { return uint64(m.ID) == id })
+}
--- a/internal/fleet/copies/export_test.go
+++ b/internal/fleet/copies/export_test.go
@@ -3,11 +3,11 @@
 import (
 	"math"
 
-	"go.etcd.io/raft/v3/raftpb"
-	"google.golang.org/protobuf/proto"
+	"cinderroad/internal/consensus"
 )
 
-// Forge makes other valid datagrams of one that holds a whole message, their checksums right: what a copy that lies could send.
+// Forge makes other valid datagrams of one that holds a whole message, their checksums right: what a copy that lies could
+// send.
 func Forge(datagram []byte) map[string][]byte {
 	var g page
 	if decoding.Unmarshal(datagram[headBytes:], &g) != nil || g.Pages != 1 {
@@ -26,24 +26,60 @@
 	other = g
 	other.Data = g.Data[:len(g.Data)/2]
 	add("half", other)
-	with := func(what string, change func(m *raftpb.Message)) {
-		var m raftpb.Message
-		if proto.Unmarshal(g.Data, &m) != nil {
-			return
+	for what, change := range forgeries {
+		e, err := open(g.Data)
+		if err != nil {
+			return forged
 		}
-		change(&m)
+		if e.kind != kindAgreement {
+			continue
+		}
+		change(&e.message)
 		other := g
-		other.Data, _ = proto.Marshal(&m)
+		other.Data = e.encode()
 		add(what, other)
 	}
-	with("older term", func(m *raftpb.Message) { m.Term = new(max(m.GetTerm(), 1) - 1) })
-	with("newer term", func(m *raftpb.Message) { m.Term = new(m.GetTerm() + 1) })
-	with("last term", func(m *raftpb.Message) { m.Term = new(uint64(math.MaxUint64)) })
-	with("index", func(m *raftpb.Message) { m.Index = new(m.GetIndex() + 1) })
-	with("last index", func(m *raftpb.Message) { m.Index = new(uint64(math.MaxUint64)) })
-	with("commit", func(m *raftpb.Message) { m.Commit = new(uint64(math.MaxUint64)) })
-	with("reject", func(m *raftpb.Message) { m.Reject = new(!m.GetReject()) })
-	with("sender", func(m *raftpb.Message) { m.From = new(m.GetFrom()%4 + 1) })
-	with("kind", func(m *raftpb.Message) { m.Type = raftpb.MsgTimeoutNow.Enum() })
+	forgeOurs(g, add)
 	return forged
 }
+
+// forgeries are lies in messages of the agreement.
+var forgeries = map[string]func(m *consensus.Message){
+	"older term": func(m *consensus.Message) { m.Term = max(m.Term, 1) - 1 },
+	"newer term": func(m *consensus.Message) { m.Term++ },
+	"last term":  func(m *consensus.Message) { m.Term = math.MaxUint64 },
+	"index":      func(m *consensus.Message) { m.Index++ },
+	"last index": func(m *consensus.Message) { m.Index = math.MaxUint64 },
+	"log term":   func(m *consensus.Message) { m.LogTerm++ },
+	"commit":     func(m *consensus.Message) { m.Commit = math.MaxUint64 },
+	"reject":     func(m *consensus.Message) { m.Reject = !m.Reject },
+	"sender":     func(m *consensus.Message) { m.From = m.From%4 + 1 },
+	"kind":       func(m *consensus.Message) { m.Kind = consensus.TimeoutNow },
+	"hint":       func(m *consensus.Message) { m.Hint = math.MaxUint64 },
+	"round":      func(m *consensus.Message) { m.Round = math.MaxUint64 },
+	"force":      func(m *consensus.Message) { m.Force = !m.Force },
+	"no entries": func(m *consensus.Message) { m.Entries = nil },
+	"entry's term": func(m *consensus.Message) {
+		for i := range m.Entries {
+			m.Entries[i].Term++
+		}
+	},
+}
+
+// forgeOurs lies in the messages that are not the agreement's.
+func forgeOurs(g page, add func(what string, g page)) {
+	e, err := open(g.Data)
+	if err != nil || e.kind == kindAgreement {
+		return
+	}
+	with := func(what string, change func(e *envelope)) {
+		e, _ := open(g.Data)
+		change(e)
+		other := g
+		other.Data = e.encode()
+		add(what, other)
+	}
+	with("sender", func(e *envelope) { e.from = e.from%4 + 1 })
+	with("command", func(e *envelope) { e.command = append([]byte(nil), e.command[:len(e.command)/2]...) })
+	with("told index", func(e *envelope) { e.index = math.MaxUint64 })
+}
--- a/internal/fleet/copies/wire.go
+++ b/internal/fleet/copies/wire.go
@@ -12,8 +12,8 @@
 	"cinderroad/internal/fleet/membership"
 )
 
-// Format is the number of the datagrams' form.
-const Format = 1
+// Format is the number of the datagrams' form; 1 carried another agreement's messages.
+const Format = 2
 
 const (
 	// MostBytes is the size of a datagram at most.
@@ -36,6 +36,9 @@
 	ErrForeign   = errors.New("copies: of another fleet")
 )
 
+// decoding takes nothing but what seal makes.
+var decoding = membership.Strict(6, 32)
+
 // page is a datagram's body.
 type page struct {
 	Fleet string `cbor:"1,keyasint"`
