--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -28,8 +28,6 @@
 )
 
 const (
-	runnerPartitions = 2 // as the control replicas have them
-
 	joinAfter     = time.Second             // without a report of the proxy: a proxy that serves is to be told of at once
 	joinAgain     = 200 * time.Millisecond  // between two tries for the gossip address
 	peersAsked    = 3                       // other agents that one which has nothing asks
@@ -38,6 +36,7 @@
 
 	proxyConnections = 16
 	peerConnections  = 64
+	peersShare       = 0.25    // of the machine's link, for what other agents are sent; requests have the rest
 	requestBytes     = 8 << 20 // of a report, with what the proxy has learnt
 )
 
@@ -59,6 +58,7 @@
 	epoch    time.Time
 
 	store    *store
+	crowd    *crowd
 	proxy    *proxy
 	platform *platform
 	follower *follower
@@ -81,7 +81,8 @@
 		failures: make(chan error, 4),
 	}
 	a.Reload(options.Settings)
-	a.store = newStore(a.now, runnerPartitions)
+	a.store = newStore(a.now, feed.RunnerPartitions)
+	a.crowd = newCrowd(a.now, a.proxies)
 	a.proxy = newProxy(a.log, a.now)
 	client := discovery.NewClient(discovery.ClientOptions{Address: a.settings.CloudAPI.Address})
 	a.platform = newPlatform(a.log, a.now, client, a.store, a.pace, rand.Float64)
@@ -153,26 +154,28 @@
 // serve answers the proxy and other agents.
 func (a *Agent) serve(ctx context.Context) {
 	local := rpc.NewRegistry()
-	toProxy := a.server(a.store.servedSources(), a.store.served)
+	toProxy := a.server(a.store.servedSources(), a.store.served, 0)
 	following.Call.Handle(local, func(ctx context.Context, request *feed.FollowRequest) (*feed.FollowReply, error) {
-		a.store.meet(request.Positions)
-		return toProxy.Follow(ctx, request)
+		a.store.asked(request.Positions)
+		return a.crowd.follow(ctx, request, toProxy.Follow)
 	})
 	ReportCall.Handle(local, a.proxy.report)
 	a.listen(ctx, a.local, local, rpc.Limits{Connections: proxyConnections, RequestBytes: requestBytes})
 
 	peers := rpc.NewRegistry()
-	following.Call.Handle(peers, a.server(a.store.baseSources(), a.store.base).Follow)
+	pace := peersShare * a.settings.Limits.LinkBytesPerS()
+	following.Call.Handle(peers, a.server(a.store.baseSources(), a.store.base, pace).Follow)
 	a.listen(ctx, a.peers, peers, rpc.Limits{Connections: peerConnections, RequestBytes: requestBytes})
 }
 
-func (a *Agent) server(sources []following.Source, notifier *following.Notifier) *following.Server {
+func (a *Agent) server(sources []following.Source, notifier *following.Notifier, pace float64) *following.Server {
 	return following.New(following.Options{
-		Sources:  sources,
-		Notifier: notifier,
-		Now:      a.now,
-		Fresh:    a.store.fresh,
-		Proxies:  a.proxies,
+		Sources:       sources,
+		Notifier:      notifier,
+		Now:           a.now,
+		Fresh:         a.store.fresh,
+		Proxies:       a.proxies,
+		BulkBytesPerS: pace,
 	})
 }
 
@@ -211,6 +214,7 @@
 		return
 	}
 	a.member.Store(member)
+	a.crowd.look()
 	a.proxy.join(member)
 	member.Seek(*a.seeds.Load())
 }
@@ -221,6 +225,7 @@
 	options.Version = a.version
 	options.Log = a.log
 	options.Seeds = *a.seeds.Load()
+	options.OnChange = a.crowd.look
 	end := time.Now().Add(listenFor)
 	for {
 		member, err := gossip.Start(options)
