Replica: what a group does with its machine stands apart from sockets, disk and clock

A displaced proposal is now of unknown outcome: another leader's log replaced the entry here, but elsewhere it may stand yet and be agreed on by a later leader.

--- a/internal/replica/disk.go
+++ b/internal/replica/disk.go
@@ -55,31 +55,7 @@
 	return &disk{folder: folder, wake: make(chan struct{}, 1), ended: make(chan struct{})}
 }
 
-// take has a Ready's writes carried out and its messages sent after them. One that need not be on disk and that no
-// earlier one of its group precedes is done with at once.
-func (d *disk) take(h *Host, g *group, r *consensus.Ready) {
-	if !r.MustSync && g.outstanding == 0 {
-		h.route(g, r.Messages)
-		return
-	}
-	j := job{group: g, ready: *r, write: g.write(r)}
-	for i := range r.Entries {
-		j.bytes += len(r.Entries[i].Data) + entryOverhead
-	}
-	if r.Snapshot != nil {
-		j.bytes += len(r.Snapshot.Data)
-	}
-	d.add(j)
-}
-
-// compact has a snapshot stored.
-func (d *disk) compact(g *group, snapshot *consensus.Snapshot) {
-	write := storage.Write{Partition: g.partition, Compacted: snapshot}
-	d.add(job{group: g, write: write, snapshot: snapshot, bytes: len(snapshot.Data)})
-}
-
 func (d *disk) add(j job) {
-	j.group.outstanding++
 	d.mutex.Lock()
 	d.jobs = append(d.jobs, j)
 	d.bytes += j.bytes
@@ -130,26 +106,34 @@
 	d.mutex.Unlock()
 }
 
-// watchDisk gives leadership up while the disk is in trouble.
-func (h *Host) watchDisk(now time.Duration) {
-	d := h.disk
-	trouble := d.trouble(now)
+// watch tells of the disk's trouble, and whether leadership is to be given up because of it now.
+func (d *disk) watch(now, pause time.Duration) (trouble error, stepDown bool) {
+	trouble = d.trouble(now)
 	if trouble == nil {
-		if d.down {
-			h.log.Info("disk works again")
-		}
 		d.down = false
-		return
-	}
-	if !d.down {
-		h.log.Error("disk in trouble", zap.Error(trouble))
+		return nil, false
 	}
 	if d.down && now < d.nextStep {
-		return
+		return trouble, false
 	}
 	d.down = true
-	d.nextStep = now + 2*h.options.Election
-	h.stepDown()
+	d.nextStep = now + pause
+	return trouble, true
+}
+
+// watchDisk gives leadership up while the disk is in trouble.
+func (h *Host) watchDisk(now time.Duration) {
+	wasDown := h.disk.down
+	trouble, stepDown := h.disk.watch(now, 2*h.options.Election)
+	if wasDown && trouble == nil {
+		h.log.Info("disk works again")
+	}
+	if !wasDown && trouble != nil {
+		h.log.Error("disk in trouble", zap.Error(trouble))
+	}
+	if stepDown {
+		h.stepDown()
+	}
 }
 
 // runDisk owns the store: it opens it, starts the replicas and carries jobs out until the host stops.
@@ -184,16 +168,21 @@
 	if len(jobs) == 0 || d.lost {
 		return
 	}
-	var writes []storage.Write
+	writes := writesOf(jobs)
+	if len(writes) > 0 && !h.persist(writes) {
+		return
+	}
+	h.persisted(jobs)
+}
+
+// writesOf are the writes of jobs, those left out that need not be on disk.
+func writesOf(jobs []job) (writes []storage.Write) {
 	for i := range jobs {
 		if jobs[i].ready.MustSync || jobs[i].snapshot != nil {
 			writes = append(writes, jobs[i].write)
 		}
 	}
-	if len(writes) > 0 && !h.persist(writes) {
-		return
-	}
-	h.persisted(jobs)
+	return writes
 }
 
 // persist tries until the writes are on the disk; false: the host stops before.
@@ -259,13 +248,7 @@
 	for i := range jobs {
 		j := &jobs[i]
 		freed += j.bytes
-		j.group.outstanding--
-		if j.snapshot != nil {
-			j.group.compacted(j.snapshot)
-			continue
-		}
-		j.group.machine.Persisted(j.ready)
-		h.route(j.group, j.ready.Messages)
+		j.group.carriedOut(j, h)
 	}
 	h.disk.free(freed)
 	h.settle()
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -39,6 +39,14 @@
 	changed      chan struct{} // closed when there is another leader
 }
 
+// outlet takes what a group wants sent and written.
+type outlet interface {
+	// send puts messages on their way. One that installs a snapshot is to get the present one, see currentSnapshot.
+	send(g *group, messages []consensus.Message)
+	// write has a job carried out after all earlier ones; the group is then told by carriedOut.
+	write(j job)
+}
+
 // proposal waits for the entry at its index to be applied.
 type proposal struct {
 	index, term uint64
@@ -73,6 +81,82 @@
 	return nil
 }
 
+// settle does what the machine wants done. The error is that of a snapshot that the state machine does not take.
+func (g *group) settle(out outlet) error {
+	var failure error
+	for r := g.machine.Ready(); !r.Empty(); r = g.machine.Ready() {
+		out.send(g, r.Early)
+		if err := g.apply(&r); err != nil {
+			failure = err
+		}
+		g.store(&r, out)
+		g.answerReads(r.Reads)
+	}
+	if snapshot := g.compaction(); snapshot != nil {
+		write := storage.Write{Partition: g.partition, Compacted: snapshot}
+		g.enqueue(job{group: g, write: write, snapshot: snapshot, bytes: len(snapshot.Data)}, out)
+	}
+	g.noteLeader()
+	return failure
+}
+
+// store has a Ready's writes carried out and its messages sent after them. One that need not be on disk and that no
+// earlier one precedes is done with at once.
+func (g *group) store(r *consensus.Ready, out outlet) {
+	if !r.MustSync && g.outstanding == 0 {
+		out.send(g, r.Messages)
+		return
+	}
+	j := job{group: g, ready: *r, write: g.write(r)}
+	for i := range r.Entries {
+		j.bytes += len(r.Entries[i].Data) + entryOverhead
+	}
+	if r.Snapshot != nil {
+		j.bytes += len(r.Snapshot.Data)
+	}
+	g.enqueue(j, out)
+}
+
+func (g *group) enqueue(j job, out outlet) {
+	g.outstanding++
+	out.write(j)
+}
+
+// carriedOut tells the machine that a job is on the disk, and sends what waited for it.
+func (g *group) carriedOut(j *job, out outlet) {
+	g.outstanding--
+	if j.snapshot != nil {
+		g.compacted(j.snapshot)
+		return
+	}
+	g.machine.Persisted(j.ready)
+	out.send(g, j.ready.Messages)
+}
+
+// propose has the machine propose; nil: it does not lead.
+func (g *group) propose(now time.Duration, command []byte) *proposal {
+	index, term, err := g.machine.Propose(now, command)
+	if err != nil {
+		return nil
+	}
+	if earlier := g.proposals[index]; earlier != nil {
+		// Another leader had this log replaced here. Elsewhere the entry may stand yet, and be agreed on by a later one.
+		earlier.done <- ProposeReply{Outcome: OutcomeUnknown}
+	}
+	p := &proposal{index: index, term: term, done: make(chan ProposeReply, 1)}
+	g.proposals[index] = p
+	return p
+}
+
+// read has the machine confirm an index to read at.
+func (g *group) read(now time.Duration) (token uint64, done <-chan consensus.ReadState) {
+	g.lastToken++
+	answer := make(chan consensus.ReadState, 1)
+	g.reads[g.lastToken] = answer
+	g.machine.Read(now, g.lastToken)
+	return g.lastToken, answer
+}
+
 // apply takes a Ready's snapshot and entries into the state machine and answers those who wait for them. Committed
 // entries are applied before this replica's own writes are on disk: a majority has them, and the state machine lives
 // in memory.
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -280,30 +280,21 @@
 
 func (h *Host) settleGroup(g *group) {
 	applied := g.applied
-	for r := g.machine.Ready(); !r.Empty(); r = g.machine.Ready() {
-		h.route(g, r.Early)
-		if err := g.apply(&r); err != nil {
-			h.fail(fmt.Errorf("replica: snapshot of partition %d: %w", g.partition, err))
-		}
-		h.disk.take(h, g, &r)
-		g.answerReads(r.Reads)
+	if err := g.settle(h); err != nil {
+		h.fail(fmt.Errorf("replica: snapshot of partition %d: %w", g.partition, err))
 	}
 	if g.applied != applied && h.options.Applied != nil {
 		h.options.Applied(g.partition, g.applied)
 	}
-	if snapshot := g.compaction(); snapshot != nil {
-		h.disk.compact(g, snapshot)
-	}
-	g.noteLeader()
 }
 
-// route puts messages on their way.
-func (h *Host) route(g *group, messages []consensus.Message) {
+// send puts messages on their way; see outlet.
+func (h *Host) send(g *group, messages []consensus.Message) {
 	for i := range messages {
 		message := &messages[i]
-		address, known := h.addressOf(g, message.To)
-		if !known || address == h.address {
-			continue // the latter: an earlier life of this machine
+		address, known := h.route(g, message.To)
+		if !known {
+			continue
 		}
 		if message.Kind == consensus.InstallSnapshot {
 			h.peers.sendSnapshot(address, g, message)
@@ -313,6 +304,15 @@
 	}
 }
 
+// route is where a message goes; false: nowhere, its receiver is not known or an earlier life of this machine.
+func (h *Host) route(g *group, to consensus.ReplicaID) (netip.AddrPort, bool) {
+	address, known := h.addressOf(g, to)
+	return address, known && address != h.address
+}
+
+// write has a job carried out; see outlet.
+func (h *Host) write(j job) { h.disk.add(j) }
+
 // stepDown gives leadership of all groups up and keeps this host from leading for a few election times.
 func (h *Host) stepDown() {
 	now := h.now()
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -134,16 +134,10 @@
 	if g == nil || g.machine == nil || h.disk.down || h.disk.congested() {
 		return nil
 	}
-	index, term, err := g.machine.Propose(h.now(), command)
-	if err != nil {
-		return nil
+	p := g.propose(h.now(), command)
+	if p != nil {
+		h.settle()
 	}
-	if earlier := g.proposals[index]; earlier != nil { // of a term whose log this one replaced
-		earlier.done <- ProposeReply{Outcome: OutcomeNotTaken}
-	}
-	p := &proposal{index: index, term: term, done: make(chan ProposeReply, 1)}
-	g.proposals[index] = p
-	h.settle()
 	return p
 }
 
@@ -206,10 +200,7 @@
 		h.mutex.Unlock()
 		return 0, false
 	}
-	g.lastToken++
-	token, done := g.lastToken, make(chan consensus.ReadState, 1)
-	g.reads[token] = done
-	g.machine.Read(h.now(), token)
+	token, done := g.read(h.now())
 	h.settle()
 	h.mutex.Unlock()
 	select {
