--- a/cmd/cinderctl/main_test.go
+++ b/cmd/cinderctl/main_test.go
@@ -247,6 +247,16 @@
 	return ""
 }
 
+// Guards against a follower that went from one machine to another being held to be behind at the first.
+func TestFollowerStandsWhereItAskedLast(t *testing.T) {
+	first := &status.Control{Followers: []status.Follower{{Node: "a", Behind: true, AskedMS: 900}, {Node: "b", AskedMS: 5}}}
+	second := &status.Control{Followers: []status.Follower{{Node: "a", AskedMS: 100}}}
+	keepLatest([]*status.Control{first, second})
+	if len(first.Followers) != 1 || first.Followers[0].Node != "b" || len(second.Followers) != 1 {
+		t.Errorf("followers %+v and %+v", first.Followers, second.Followers)
+	}
+}
+
 func seenBy(node string, leads bool) status.Control {
 	partition := status.Partition{Replica: "0b", Role: "follower", Term: 5, Leader: "0a", Commit: 9, Applied: 9, Last: 9,
 		Replicas: []status.Replica{{Replica: "0a", Node: "core-1", Zone: "a", Address: "127.0.1.1:7660", Voter: true},
--- a/cmd/cinderctl/status.go
+++ b/cmd/cinderctl/status.go
@@ -81,9 +81,27 @@
 		report.Machines = append(report.Machines, other)
 	}
 	slices.SortFunc(report.Machines, func(a, b *status.Control) int { return cmp.Compare(a.Node, b.Node) })
+	keepLatest(report.Machines)
 	return report, nil
 }
 
+// keepLatest has each follower stand at the machine alone that it asked last: it may have left another one just now.
+func keepLatest(machines []*status.Control) {
+	latest := map[string]int64{}
+	for _, machine := range machines {
+		for _, follower := range machine.Followers {
+			if asked, known := latest[follower.Node]; !known || follower.AskedMS < asked {
+				latest[follower.Node] = follower.AskedMS
+			}
+		}
+	}
+	for _, machine := range machines {
+		machine.Followers = slices.DeleteFunc(machine.Followers, func(follower status.Follower) bool {
+			return follower.AskedMS > latest[follower.Node]
+		})
+	}
+}
+
 func (c *statusCommand) print(s *session, report *statusReport) error {
 	tables := []*table{machinesTable(report), partitionsTable(report), replicasTable(report)}
 	if c.Members {
--- a/internal/control/following/followers.go
+++ b/internal/control/following/followers.go
@@ -11,7 +11,7 @@
 
 // Bounds of what is kept of followers.
 const (
-	forgetFollowerAfter = time.Minute // without a call
+	forgetFollowerAfter = LongestWait + 2*time.Second // without a call: it follows another machine, or none
 	mostFollowersKept   = 2 * MostFollowers
 )
 
@@ -67,7 +67,7 @@
 	}
 }
 
-// Followers returns who has followed this machine in the last minute, by name.
+// Followers returns who follows this machine, or has until a moment ago, by name.
 func (s *Server) Followers() []Follower {
 	r, now := &s.roll, s.options.Now()
 	r.mutex.Lock()
--- a/internal/control/following/followers_test.go
+++ b/internal/control/following/followers_test.go
@@ -12,16 +12,16 @@
 	var now time.Duration
 	s := New(Options{Sources: []Source{nil}, Now: func() time.Duration { return now }})
 	s.roll.note(&feed.FollowRequest{Node: "b", Positions: []feed.Position{{Partition: 1, Index: 9}, {Index: 4}}}, now)
-	now = 40 * time.Second
+	now = forgetFollowerAfter / 2
 	s.roll.note(&feed.FollowRequest{Node: "a"}, now)
 	s.roll.note(&feed.FollowRequest{}, now)
 	want := []Follower{{Node: "a"}, {Node: "b", Configuration: 4, Asked: now}}
 	if got := s.Followers(); len(got) != 2 || got[0] != want[0] || got[1] != want[1] {
 		t.Fatalf("got %+v, want %+v", got, want)
 	}
-	now += 25 * time.Second
+	now += forgetFollowerAfter/2 + 1
 	if got := s.Followers(); len(got) != 1 || got[0].Node != "a" {
-		t.Fatalf("got %+v after b was silent for more than a minute", got)
+		t.Fatalf("got %+v after b was silent for longer than a call is held", got)
 	}
 }
 
