--- a/internal/hollow/system.go
+++ b/internal/hollow/system.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -29,10 +28,13 @@
 	controls []*exec.Cmd
 	logs     []*os.File
 	agents   []*agent.Agent
-	stop     context.CancelFunc
-	running  sync.WaitGroup
-	version  uint64
-	churned  int
+
+	runnerServer *runnerServer
+
+	stop    context.CancelFunc
+	running sync.WaitGroup
+	version uint64
+	churned int
 }
 
 // Start starts the control group and the agents, and has a configuration taken.
@@ -57,6 +59,9 @@
 		return errors.Wrap(err, "platform")
 	}
 	s.world.platform = s.platform.Address()
+	if s.runnerServer, err = startRunnerServer(); err != nil {
+		return err
+	}
 	for i := range s.world.options.Runners {
 		s.platform.Set(s.runner(i, false))
 	}
@@ -72,10 +77,10 @@
 }
 
 func (s *System) runner(i int, draining bool) cloud.Entry {
-	const services, capacity, machines = 20, 64, 250
+	const services, capacity = 20, 64
 	return cloud.Entry{
 		ID: fmt.Sprintf("i-%08x", i), Service: service(i % services),
-		Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 9, byte(i / machines), byte(1 + i%machines)}), 8080),
+		Address: s.runnerServer.address, // of all: only their ids differ
 		Zone:    s.world.zone(i), Capacity: capacity, Draining: draining, Model: "m",
 	}
 }
@@ -137,6 +142,9 @@
 	for _, log := range s.logs {
 		log.Close()
 	}
+	if s.runnerServer != nil {
+		s.runnerServer.server.Close()
+	}
 	if s.platform != nil {
 		s.platform.Close()
 	}
