--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -40,12 +40,17 @@
 	return Choice{Runner: best.ID, Address: best.Address, Priority: priority(s, r)}, nil
 }
 
-// priority is the order in which an engine lets requests in: by the route's rank.
+// priority is the order in which an engine lets requests in: by the route's rank, and long prompts after short ones. A
+// long one that is read first makes many short ones late; one that comes after them loses the little that they take.
 func priority(s *service, r *Request) int {
 	if !s.isEngine() || r.Route == nil {
 		return -1
 	}
-	return min(lowest, rankFirst+rankStep*max(r.Route.Rank, 0))
+	order := rankFirst + rankStep*max(r.Route.Rank, 0)
+	if float64(r.TokensIn) > longPrompt*s.unit() {
+		order += longAfter
+	}
+	return min(lowest, order)
 }
 
 // pick is the ordinary path: the serving runner with most room, own region first, then the nearest; if none has room,
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -31,7 +31,9 @@
 	connsShare = 0.9    // of a runner's connections that are shared among the proxies
 	rankFirst  = 3      // priority of rank 0: an engine takes 5 where none is told
 	rankStep   = 2
-	lowest     = 9 // priority
+	longPrompt = 0.5 // of the memory that a slot has: the tokens of a prompt above which it is long; measured
+	longAfter  = 4   // long prompts come after short ones of two ranks below; measured
+	lowest     = 9   // priority
 )
 
 // Kept parts.
