Agents: an answer that is on its way is not given up

A call to a control replica ended after 0.7 s (2.2 s when it was held open), whatever of its answer had come; the rest was sent for nothing and the whole asked for again elsewhere. Now the answer has to begin by then, and goes on as long as something comes every 0.7 s, for 15 s at most.

--- a/internal/agent/follower.go
+++ b/internal/agent/follower.go
@@ -16,6 +16,8 @@
 const (
 	mostReplyBytes = 32 << 20 // of a control replica's answer
 	dialTimeout    = 600 * time.Millisecond
+	answerSilence  = 700 * time.Millisecond // in the middle of an answer
+	mostAnswerTime = 15 * time.Second
 )
 
 // follower keeps the store up to date from one replica at a time.
@@ -60,10 +62,9 @@
 }
 
 func (f *follower) ask(ctx context.Context, question source.Question) {
-	ctx, cancel := context.WithTimeout(ctx, question.Timeout)
-	defer cancel()
+	patience := rpc.Patience{First: question.Timeout, Between: answerSilence, Most: mostAnswerTime}
 	request := &feed.FollowRequest{Node: f.node, Positions: f.store.positions(), Wait: question.Wait, Packed: true}
-	reply, err := following.Call.Invoke(ctx, f.connect(question.Address), request)
+	reply, err := following.Call.InvokeWhileReceiving(ctx, f.connect(question.Address), patience, request)
 	if err == nil {
 		err = unpack(reply)
 	}
--- a/internal/rpc/client.go
+++ b/internal/rpc/client.go
@@ -112,12 +112,18 @@
 	case <-call.Done:
 		return c.outcome(conn, call)
 	case <-ctx.Done():
-		silent := conn.codec.heard.Load() == heard
-		if silent && errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			c.drop(conn)
-		}
-		return &BrokenError{c.address, name, ctx.Err()}
+		return c.unanswered(conn, name, heard, ctx.Err())
+	}
+}
+
+// unanswered is the error of a call that is given up. A connection that has been silent since ends if the call ran out of
+// time.
+func (c *Client) unanswered(conn *connection, name string, heard uint64, cause error) error {
+	silent := conn.codec.heard.Load() == heard
+	if silent && errors.Is(cause, context.DeadlineExceeded) {
+		c.drop(conn)
 	}
+	return &BrokenError{c.address, name, cause}
 }
 
 // outcome is the error of a finished call. Any other than the handler's own ends the connection.
--- a/internal/rpc/codec.go
+++ b/internal/rpc/codec.go
@@ -19,6 +19,7 @@
 	source io.Reader
 	limit  int64
 	left   int64
+	total  atomic.Uint64 // bytes that have come
 }
 
 func (b *bounded) renew() { b.left = b.limit }
@@ -30,6 +31,7 @@
 	}
 	n, err := b.source.Read(p[:min(int64(len(p)), b.left)])
 	b.left -= int64(n)
+	b.total.Add(uint64(n))
 	return n, err
 }
 
--- /dev/null
+++ b/internal/rpc/patience_test.go
@@ -0,0 +1,157 @@
+package rpc
+
+import (
+	"context"
+	"encoding/gob"
+	"errors"
+	"net"
+	"net/netip"
+	netrpc "net/rpc"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+func TestAnswerThatGoesOnIsNotGivenUp(t *testing.T) {
+	patience := Patience{First: time.Second, Between: 200 * time.Millisecond, Most: time.Minute}
+	const ms = time.Millisecond
+	p := newProgress(&patience, 0, 500)
+	steps := []struct {
+		at       time.Duration
+		received uint64
+		wait     time.Duration
+	}{
+		{600 * ms, 500, 400 * ms}, // too early to judge
+		{1000 * ms, 501, 200 * ms},
+		{1200 * ms, 900, 200 * ms},
+		{1300 * ms, 900, 100 * ms},
+		{1400 * ms, 900, 0},
+	}
+	for _, step := range steps {
+		if wait := p.look(step.at, step.received); wait != step.wait {
+			t.Fatalf("at %v with %d bytes it waits for %v, want %v", step.at, step.received, wait, step.wait)
+		}
+	}
+}
+
+// TestProgress draws when bytes come, and checks that a call ends neither soon after some came nor long after the last.
+func TestProgress(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		patience := Patience{
+			First:   time.Duration(rapid.IntRange(1, 50).Draw(t, "first")),
+			Between: time.Duration(rapid.IntRange(1, 50).Draw(t, "between")),
+		}
+		times := rapid.SliceOfN(rapid.IntRange(1, 300), 0, 20).Draw(t, "times of bytes")
+		p := newProgress(&patience, 0, 0)
+		now, wait := time.Duration(0), patience.First
+		for wait > 0 {
+			now += wait
+			received := 0
+			for _, at := range times {
+				if time.Duration(at) <= now {
+					received++
+				}
+			}
+			wait = p.look(now, uint64(received))
+		}
+		last, any := time.Duration(0), false
+		for _, at := range times {
+			if time.Duration(at) <= now {
+				last, any = max(last, time.Duration(at)), true
+			}
+		}
+		switch {
+		case !any && now != patience.First:
+			t.Fatalf("it ends at %d though nothing came", now)
+		case any && now-last < patience.Between:
+			t.Fatalf("it ends at %d, only %d after bytes came", now, now-last)
+		case any && now > max(last+2*patience.Between, patience.First+patience.Between):
+			t.Fatalf("it ends at %d, the last bytes came at %d", now, last)
+		}
+	})
+}
+
+// serveSlowly answers one call in pieces, each once the test lets it, and keeps the connection open.
+func serveSlowly(t *testing.T, text string, next <-chan int) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	go func() {
+		socket, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		t.Cleanup(func() { socket.Close() })
+		decoder := gob.NewDecoder(socket)
+		var request netrpc.Request
+		var body EchoRequest
+		if decoder.Decode(&request) != nil || decoder.Decode(&body) != nil {
+			return
+		}
+		var answer strings.Builder
+		encoder := gob.NewEncoder(&answer)
+		_ = encoder.Encode(&netrpc.Response{Seq: request.Seq})
+		_ = encoder.Encode(&EchoReply{Text: text})
+		rest := answer.String()
+		for piece := range next {
+			piece = min(piece, len(rest))
+			_, _ = socket.Write([]byte(rest[:piece]))
+			rest = rest[piece:]
+		}
+	}()
+	return netip.MustParseAddrPort(listener.Addr().String())
+}
+
+func TestSlowAnswerComes(t *testing.T) {
+	text := strings.Repeat("x", 10000)
+	next := make(chan int, 1)
+	defer close(next)
+	c := newTestClient(t, serveSlowly(t, text, next), Options{})
+	patience := Patience{First: 50 * time.Millisecond, Between: longBound, Most: longBound}
+	next <- 100
+	began := time.Now()
+	go func() {
+		waitFor(t, "the time for the first bytes", func() bool { return time.Since(began) > 3*patience.First })
+		next <- len(text) + 1000
+	}()
+	reply, err := echoCall.InvokeWhileReceiving(context.Background(), c, patience, &EchoRequest{})
+	if err != nil || reply.Text != text {
+		t.Fatal(err)
+	}
+}
+
+func TestAnswerThatStopsIsGivenUp(t *testing.T) {
+	for name, first := range map[string]int{"before it began": 0, "in the middle": 100} {
+		t.Run(name, func(t *testing.T) {
+			next := make(chan int, 1)
+			defer close(next)
+			c := newTestClient(t, serveSlowly(t, "text of some length", next), Options{})
+			patience := Patience{First: 50 * time.Millisecond, Between: 50 * time.Millisecond, Most: longBound}
+			next <- first
+			_, err := echoCall.InvokeWhileReceiving(context.Background(), c, patience, &EchoRequest{})
+			var broken *BrokenError
+			if !errors.As(err, &broken) || !errors.Is(err, context.DeadlineExceeded) {
+				t.Fatal(err)
+			}
+			if c.live != nil {
+				t.Error("the silent connection is kept")
+			}
+		})
+	}
+}
+
+func TestAnswerHasToEndSomeTime(t *testing.T) {
+	next := make(chan int, 1)
+	defer close(next)
+	c := newTestClient(t, serveSlowly(t, "text", next), Options{})
+	patience := Patience{First: longBound, Between: longBound, Most: 50 * time.Millisecond}
+	_, err := echoCall.InvokeWhileReceiving(context.Background(), c, patience, &EchoRequest{})
+	if !errors.Is(err, context.DeadlineExceeded) {
+		t.Fatal(err)
+	}
+}
