Placement: chains that come seldom have one owner for all regions

Change: where the likely uses of a region, guessed from repeats in the own memory, times the bytes of a request cost less than reading the last shared part again, the chain has one owner, which counts as near. The memory of chains has two places for each.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -89,7 +89,7 @@
 		return rankFull
 	case w.room < 1 || w.tokens < d.need(o.keeps(w)):
 		return rankNoRoom
-	case w.Region != p.options.Region:
+	case w.Region != p.options.Region && !(o.wide && o.keeps(w)):
 		return rankRoomAway
 	}
 	return rankRoomHere
--- a/internal/placement/kept.go
+++ b/internal/placement/kept.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"cinderroad/internal/capacity"
@@ -24,10 +25,22 @@
 	return max(chain, 1)
 }
 
-// owners are the runners that a chain belongs to, in each region.
-type owners [mostRegions]regionOwners
+// lastShared is the length of the last of a prompt's shared parts, in tokens.
+func lastShared(parts []Part) float64 {
+	if len(parts) < 2 {
+		return 0
+	}
+	return float64(parts[len(parts)-2].Tokens)
+}
+
+// owners are the runners that a chain belongs to: in each region, or one for all of them.
+type owners struct {
+	regions [mostRegions]regionOwners
+	all     regionOwners // over all regions
+	wide    bool         // the chain has one owner for all regions
+}
 
-// regionOwners are the runners of a region that a chain belongs to: the first, and the second if that is full.
+// regionOwners are the runners that a chain belongs to: the first, and the second if that is full.
 type regionOwners struct {
 	first, second *runner
 	highest, next uint64 // their draws
@@ -39,15 +52,33 @@
 	if d.chain == 0 {
 		return o
 	}
+	o.wide = p.isWide(r, d)
 	for _, w := range s.runners {
 		if w.Draining || w.GoneAt > 0 || now < w.ColdUntil || p.evac[w.Zone] || !isHome(r, w) || !w.serves(r.Model) {
 			continue
 		}
-		o[w.place%mostRegions].add(w, capacity.Scatter(d.chain^w.key))
+		draw := capacity.Scatter(d.chain ^ w.key)
+		o.regions[w.place%mostRegions].add(w, draw)
+		if o.wide {
+			o.all.add(w, draw)
+		}
 	}
 	return o
 }
 
+// isWide says whether a chain has one owner for all regions: the few prompts that a region is likely to send while the
+// parts are kept cost less on their way to another region than reading the chain's last part there, too. The first parts
+// are shared by more chains and are likely to be read anyway. How often a chain comes is guessed from how many requests
+// of the route repeat one that this proxy has lately sent, since each proxy sees few of a chain.
+func (p *Placer) isWide(r *Request, d *demand) bool {
+	if r.Route == nil || r.Bytes <= 0 || len(p.regions) < 2 {
+		return false
+	}
+	own := -math.Log(1 - math.Min(p.route(r.Route).again, mostAgain))
+	uses := own * math.Max(float64(p.proxies)/float64(len(p.regions)), 1)
+	return uses*float64(r.Bytes) < farBytes*d.last
+}
+
 // add keeps the two runners with the highest draws.
 func (o *regionOwners) add(w *runner, draw uint64) {
 	switch {
@@ -60,7 +91,21 @@
 }
 
 // keeps says whether a runner is taken to keep the chain.
-func (o *owners) keeps(w *runner) bool { return o[w.place%mostRegions].first == w }
+func (o *owners) keeps(w *runner) bool {
+	if o.wide {
+		return o.all.first == w
+	}
+	return o.regions[w.place%mostRegions].first == w
+}
+
+// isNext says whether a runner comes after the owner: of those in its region.
+func (o *owners) isNext(w *runner) bool {
+	region := &o.regions[w.place%mostRegions]
+	if o.wide && o.all.first != region.first {
+		return region.first == w
+	}
+	return region.second == w
+}
 
 // share is the part of the chain's price that is saved at a runner.
 func (o *owners) share(w *runner, s *service, chain uint64) float64 {
@@ -69,14 +114,17 @@
 		return 1
 	case s.kept.has(chain, w.key):
 		return keptLately
-	case o[w.place%mostRegions].second == w:
+	case o.isNext(w):
 		return keptNext
 	}
 	return 0
 }
 
-// keptMemory remembers which chains this proxy has lately sent to which runners. It is direct-mapped: a newer entry
-// takes the place of an older one.
+// anyRunner is the key under which keptMemory notes that a chain was sent at all.
+const anyRunner = 0
+
+// keptMemory remembers which chains this proxy has lately sent to which runners. An entry has a choice of two places and
+// takes that of the older one.
 type keptMemory struct {
 	entries []keptEntry
 	now     time.Duration
@@ -87,24 +135,29 @@
 	at            time.Duration
 }
 
+// slot is the entry of a chain and a runner, or the one whose place it would take.
 func (k *keptMemory) slot(chain, runner uint64) *keptEntry {
-	return &k.entries[capacity.Scatter(chain^runner)%uint64(len(k.entries))]
+	at := 2 * (capacity.Scatter(chain^runner) % uint64(len(k.entries)/2))
+	first, second := &k.entries[at], &k.entries[at+1]
+	if second.is(chain, runner) || !first.is(chain, runner) && second.at < first.at {
+		return second
+	}
+	return first
 }
 
+func (e *keptEntry) is(chain, runner uint64) bool { return e.chain == chain && e.runner == runner }
+
 // has says whether the chain was sent to the runner within keptSpan.
 func (k *keptMemory) has(chain, runner uint64) bool {
 	if len(k.entries) == 0 {
 		return false
 	}
 	e := k.slot(chain, runner)
-	return e.chain == chain && e.runner == runner && k.now-e.at < keptSpan
+	return e.is(chain, runner) && k.now-e.at < keptSpan
 }
 
 // note remembers a send.
 func (k *keptMemory) note(now time.Duration, chain, runner uint64) {
-	if chain == 0 {
-		return
-	}
 	if k.entries == nil {
 		k.entries = make([]keptEntry, keptEntries)
 	}
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -75,6 +75,7 @@
 	shared float64 // prompt tokens that may be kept
 	out    float64 // tokens that come
 	chain  uint64  // of the shared parts; 0: none
+	last   float64 // prompt tokens of the last shared part
 }
 
 // unit is how many prompt tokens weigh as much as a slot: an engine's memory divided by its slots.
@@ -104,7 +105,7 @@
 		d.own = in - d.shared
 	}
 	if r.Route != nil && r.Route.PinCache {
-		d.chain = chainOf(r.Parts)
+		d.chain, d.last = chainOf(r.Parts), lastShared(r.Parts)
 	}
 	if r.Route != nil {
 		d.out = float64(r.TokensOut) * p.route(r.Route).outShare
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -25,13 +25,30 @@
 	p.weigh(now, s, a, &d)
 	p.coldSent(now, w)
 	w.take(a)
-	s.kept.note(now, d.chain, w.key)
+	p.noteChain(now, s, r, &d, w)
 	if w.suspect && w.probing == nil {
 		w.probing = a
 	}
 	return a
 }
 
+// noteChain remembers where a chain was sent, and how often chains of the route come again.
+func (p *Placer) noteChain(now time.Duration, s *service, r *Request, d *demand, w *runner) {
+	if d.chain == 0 {
+		return
+	}
+	s.kept.note(now, d.chain, w.key)
+	if r.repeats() {
+		return
+	}
+	seen := 0.0
+	if s.kept.has(d.chain, anyRunner) {
+		seen = 1
+	}
+	capacity.Mean(&p.route(r.Route).again, seen, againRate)
+	s.kept.note(now, d.chain, anyRunner)
+}
+
 // weigh works out what an attempt takes of its runner.
 func (p *Placer) weigh(now time.Duration, s *service, a *Attempt, d *demand) {
 	w := a.runner
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -43,8 +43,11 @@
 	keptLately  = 0.75 // of what is saved at the owner, where this proxy sent the chain lately
 	keptNext    = 0.5  // and at the runner that comes after the owner
 	keptSpan    = 30 * time.Second
-	keptEntries = 512
-	mostRegions = 16 // whose owners of a chain are told apart
+	keptEntries = 1024
+	mostRegions = 16   // whose owners of a chain are told apart
+	farBytes    = 18.0 // bytes between regions that are priced as a token read again is: 15 to 23 where this was measured
+	againRate   = 0.05 // weight of a request in the share of those that come again
+	mostAgain   = 0.98 // of it that is believed
 )
 
 // Cold runners and the proxies that share them.
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -65,6 +65,7 @@
 type routeStats struct {
 	took, spread float64 // running mean of the time to the end, and of how far it is missed; seconds
 	outShare     float64 // of the most tokens out that a request names, what comes
+	again        float64 // share of requests whose chain this proxy has sent within keptSpan
 }
 
 // Placer decides which runner takes each request of a proxy.
