--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -6,11 +6,8 @@
 	"net/netip"
 	"time"
 
-	"go.uber.org/zap"
-
 	"cinderroad/internal/consensus"
 	"cinderroad/internal/control/directory"
-	"cinderroad/internal/feed"
 	"cinderroad/internal/gossip"
 )
 
@@ -64,21 +61,10 @@
 	return directory.Dead
 }
 
-// watch passes addresses from membership to the replicas and logs which groups this machine leads.
+// watch passes addresses from membership to the replicas.
 func (p *Process) watch(ctx context.Context) {
-	leads := map[feed.Partition]bool{}
 	for pause(ctx, hintEvery) {
 		p.host.Hint(p.gossip.ControlAddresses()...)
-		for _, partition := range p.host.Status() {
-			status := &partition.Status
-			now := status.Role == consensus.Leader
-			if now == leads[partition.Partition] {
-				continue
-			}
-			leads[partition.Partition] = now
-			p.log.Info("leadership changed", zap.Uint16("partition", uint16(partition.Partition)), zap.Bool("leads", now),
-				zap.Uint64("term", status.Term))
-		}
 	}
 }
 
--- a/internal/gossip/gossip.go
+++ b/internal/gossip/gossip.go
@@ -320,14 +320,14 @@
 
 // logChange tells operators of control members, on control members; edges come and go, and each member hears of all.
 func (g *Gossip) logChange(change membership.Change) {
+	if change.New && change.To == membership.Alive {
+		g.log.Debug("member joined", zap.String("member", change.Name))
+		return
+	}
 	level := zap.DebugLevel
 	if g.options.Role == Control && roleOf(change.Name) == Control {
 		level = zap.InfoLevel
 	}
-	if change.New && change.To == membership.Alive {
-		g.log.Log(level, "member joined", zap.String("member", change.Name))
-		return
-	}
 	g.log.Log(level, "member changed", zap.String("member", change.Name), zap.Stringer("was", change.From),
 		zap.Stringer("is", change.To), zap.String("cause", change.Cause))
 }
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -294,7 +294,12 @@
 	if snapshot := g.compaction(); snapshot != nil {
 		h.disk.compact(g, snapshot)
 	}
+	led := g.leads
 	g.noteLeader()
+	if g.leads != led {
+		h.log.Info("leadership changed", zap.Uint16("partition", uint16(g.partition)), zap.Bool("leads", g.leads),
+			zap.Uint64("term", g.machine.Status().Term))
+	}
 }
 
 // route puts messages on their way.
