--- a/internal/replica/core_process_test.go
+++ b/internal/replica/core_process_test.go
@@ -64,13 +64,6 @@
 	return stored
 }
 
-// holds tells whether an entry is stored, or in the snapshot.
-func (d *coreDisk) holds(index, term uint64) bool {
-	return d.snapshot.Index >= index || slices.ContainsFunc(d.entries, func(k keptEntry) bool {
-		return k.entry.Index == index && k.entry.Term == term
-	})
-}
-
 var errDiskFull = errors.New("no space left on device")
 
 // coreProcess is a control process: a Host without its sockets, its goroutines and its clock.
