--- a/internal/replica/core_check_test.go
+++ b/internal/replica/core_check_test.go
@@ -26,6 +26,7 @@
 
 // link is a version of the configuration that was put in force.
 type link struct {
+	at      time.Duration
 	index   uint64
 	request coreRequest
 }
@@ -135,7 +136,7 @@
 		}
 	}
 	w.logf("%d puts version %d in force at %d", p.slot.number, request.version, index)
-	w.truth.chain = append(w.truth.chain, link{index, request})
+	w.truth.chain = append(w.truth.chain, link{w.now, index, request})
 }
 
 // checkStep holds after each step of a process.
@@ -186,15 +187,15 @@
 
 // checkLeader sees that there is one leader a term, a voter, whose disk works.
 func (w *coreWorld) checkLeader(p *coreProcess) {
-	status := p.group.machine.Status()
-	id, is := w.truth.leaders[status.Term]
-	if is && id != status.ID {
-		w.fail("replicas %s and %s both led term %d", idText(id), idText(status.ID), status.Term)
+	term := p.group.written.Term // a leader's is on its disk
+	id, is := w.truth.leaders[term]
+	if is && id != p.host.self.ID {
+		w.fail("replicas %s and %s both led term %d", idText(id), idText(p.host.self.ID), term)
 	}
 	if !is {
-		w.logf("%d leads term %d", p.slot.number, status.Term)
+		w.logf("%d leads term %d", p.slot.number, term)
 		w.counts.numbers.terms++
-		w.truth.leaders[status.Term] = status.ID
+		w.truth.leaders[term] = p.host.self.ID
 	}
 	stalled := len(p.writing) > 0 && len(writesOf(p.writing)) > 0 && p.clock()-p.began > leadsStalledFor
 	if stalled && w.now-p.thawed > leadsStalledFor {
--- a/internal/replica/core_operator_test.go
+++ b/internal/replica/core_operator_test.go
@@ -26,8 +26,11 @@
 	last    *coreRequest // its last change
 	open    *coreRequest // a change whose outcome it does not know
 	waiting bool
-	ending  bool
-	done    bool
+	// tireless: it goes on making changes up, and lets those go whose outcome it does not know.
+	tireless bool
+	avoid    *coreSlot // it does not ask this machine
+	ending   bool
+	done     bool
 }
 
 func (w *coreWorld) addOperator(number int) {
@@ -60,6 +63,8 @@
 func (o *coreOperator) next() *coreRequest {
 	w := o.world
 	switch {
+	case o.tireless:
+		return o.change()
 	case o.open != nil && (o.ending || w.chance(0.7)):
 		return o.open
 	case o.ending && o.made > operatorMost:
@@ -128,7 +133,11 @@
 		told(a)
 	}
 	w.after(operatorWaits, func() { end(coreAnswer{}) })
-	p := w.anySlot().process
+	slot := w.anySlot()
+	for slot == o.avoid {
+		slot = w.anySlot()
+	}
+	p := slot.process
 	if p == nil {
 		return
 	}
--- a/internal/replica/core_world_test.go
+++ b/internal/replica/core_world_test.go
@@ -146,7 +146,11 @@
 	}
 	for _, s := range w.slots {
 		s.settings.SeedNodes = w.seeds
-		w.after(w.between(0, 2*time.Second), func() { w.boot(s) })
+		start := w.between(0, 2*time.Second)
+		if w.chance(0.1) {
+			start += 8 * time.Second
+		}
+		w.after(start, func() { w.boot(s) })
 	}
 	for i := range w.profile.Operators {
 		w.addOperator(i)
--- /dev/null
+++ b/internal/replica/group_test.go
@@ -0,0 +1,151 @@
+package replica
+
+import (
+	"testing"
+	"time"
+
+	"cinderroad/internal/consensus"
+	"cinderroad/internal/feed"
+)
+
+// scriptedGroup is a group of which a test plays the other members and the disk, which is written at once.
+type scriptedGroup struct {
+	t    *testing.T
+	g    *group
+	now  time.Duration
+	jobs []job
+	last map[consensus.MessageKind]consensus.Message // sent, by kind
+}
+
+func newScriptedGroup(t *testing.T) *scriptedGroup {
+	s := &scriptedGroup{t: t, g: newGroup(feed.ConfigurationPartition, &listState{}), now: time.Second,
+		last: map[consensus.MessageKind]consensus.Message{}}
+	var stored consensus.Stored
+	for id := consensus.ReplicaID(1); id <= 3; id++ {
+		stored.Snapshot.Membership.Members = append(stored.Snapshot.Membership.Members, consensus.Member{ID: id, Voter: true})
+	}
+	options := consensus.Options{ID: 1, Heartbeat: defaultHeartbeat, Election: defaultElection, Seed: 1,
+		MaxAppendBytes: appendBytes, MaxInflight: inflight, SnapshotAfter: tailEntries}
+	if err := s.g.start(s.now, options, stored); err != nil {
+		t.Fatal(err)
+	}
+	return s
+}
+
+func (s *scriptedGroup) send(_ *group, messages []consensus.Message) {
+	for _, m := range messages {
+		s.last[m.Kind] = m
+	}
+}
+
+func (s *scriptedGroup) write(j job) { s.jobs = append(s.jobs, j) }
+
+// settle does all that the machine wants done.
+func (s *scriptedGroup) settle() {
+	s.t.Helper()
+	for more := true; more; {
+		if err := s.g.settle(s); err != nil {
+			s.t.Fatal(err)
+		}
+		jobs := s.jobs
+		s.jobs = nil
+		for i := range jobs {
+			s.g.carriedOut(&jobs[i], s)
+		}
+		more = len(jobs) > 0
+	}
+}
+
+func (s *scriptedGroup) step(m consensus.Message) {
+	s.t.Helper()
+	m.To = 1
+	s.g.machine.Step(s.now, m)
+	s.settle()
+}
+
+// elect has the group win an election by the vote of replica 2.
+func (s *scriptedGroup) elect() {
+	s.t.Helper()
+	s.now = s.g.machine.Next()
+	s.g.machine.Tick(s.now)
+	s.settle()
+	s.step(consensus.Message{Kind: consensus.PreVoteReply, From: 2, Term: s.last[consensus.PreVote].Term})
+	s.step(consensus.Message{Kind: consensus.VoteReply, From: 2, Term: s.last[consensus.Vote].Term})
+	if s.g.machine.Role() != consensus.Leader {
+		s.t.Fatal("the election was lost")
+	}
+}
+
+func (s *scriptedGroup) propose(command string) *proposal {
+	s.t.Helper()
+	p := s.g.propose(s.now, []byte(command))
+	if p == nil {
+		s.t.Fatal("the proposal was not taken")
+	}
+	s.settle()
+	return p
+}
+
+func outcomeOf(p *proposal) (outcome Outcome, told bool) {
+	select {
+	case reply := <-p.done:
+		return reply.Outcome, true
+	default:
+		return 0, false
+	}
+}
+
+// TestDisplacedProposalMayStandElsewhere: another leader replaces an entry that is not committed, and then this replica
+// leads again and proposes at its place. A member that was not reached meanwhile may still hold the first entry and have it
+// agreed on, so that its outcome is not known.
+func TestDisplacedProposalMayStandElsewhere(t *testing.T) {
+	s := newScriptedGroup(t)
+	s.elect()
+	s.propose("keeps its place")
+	first := s.propose("is displaced")
+	before := s.last[consensus.Vote].Term
+	s.step(consensus.Message{Kind: consensus.Append, From: 3, Term: before + 1, Round: 1,
+		Entries: []consensus.Entry{{Index: 1, Term: before + 1}}})
+	if _, told := outcomeOf(first); told {
+		t.Fatal("an outcome was told before one was known")
+	}
+	s.elect()
+	for s.g.proposals[first.index] == first {
+		s.propose("displaces")
+	}
+	if outcome, told := outcomeOf(first); !told || outcome != OutcomeUnknown {
+		t.Errorf("outcome %d, told %v; want it not to be known", outcome, told)
+	}
+}
+
+// TestLostProposalWasNotTaken: another entry is agreed on at its place.
+func TestLostProposalWasNotTaken(t *testing.T) {
+	s := newScriptedGroup(t)
+	s.elect()
+	lost := s.propose("is lost")
+	term := s.last[consensus.Vote].Term + 1
+	s.step(consensus.Message{Kind: consensus.Append, From: 3, Term: term, Round: 1, Commit: lost.index,
+		Entries: []consensus.Entry{{Index: 1, Term: term}, {Index: 2, Term: term, Data: []byte("another")}}})
+	if outcome, told := outcomeOf(lost); !told || outcome != OutcomeNotTaken {
+		t.Errorf("outcome %d, told %v; want it not to be taken", outcome, told)
+	}
+}
+
+// TestProposalIsDoneOnceMostHaveIt: its proposer is told what the state machine returned.
+func TestProposalIsDoneOnceMostHaveIt(t *testing.T) {
+	s := newScriptedGroup(t)
+	s.elect()
+	p := s.propose("a command")
+	if _, told := outcomeOf(p); told {
+		t.Fatal("an outcome was told before a majority had it")
+	}
+	s.step(consensus.Message{Kind: consensus.AppendReply, From: 2, Term: p.term, Index: p.index})
+	select {
+	case reply := <-p.done:
+		if reply.Outcome != OutcomeDone || string(reply.Result) != "1:a command" {
+			t.Errorf("outcome %d, %q", reply.Outcome, reply.Result)
+		}
+	default:
+		t.Error("no outcome was told")
+	}
+}
