--- a/internal/control/following/pacer.go
+++ b/internal/control/following/pacer.go
@@ -22,7 +22,7 @@
 }
 
 // admit says how long an answer of so many bytes is to wait for its turn. Where that is too long it is not admitted, and
-// the time says when to ask again.
+// the time says when to ask again: while those before it are still being sent, so that the link is never idle.
 func (p *pacer) admit(now time.Duration, bytes int) (wait time.Duration, admitted bool) {
 	if p.bytesPerS <= 0 || bytes < bulkFrom {
 		return 0, true
@@ -32,7 +32,7 @@
 	p.free = max(p.free, now-sentAhead)
 	wait = max(0, p.free-now)
 	if wait > mostHeld {
-		return wait, false
+		return wait - mostHeld/2, false
 	}
 	p.free += time.Duration(float64(bytes) / p.bytesPerS * float64(time.Second))
 	return wait, true
--- a/internal/jsonfield/jsonfield.go
+++ b/internal/jsonfield/jsonfield.go
@@ -153,7 +153,7 @@
 
 // add returns the value that a field has already, or adds it.
 func (s *fieldSet) add(name string, raw []byte) ([]byte, bool) {
-	const fewest = 32
+	const usual, fewest = 16, 32
 	if s.many != nil {
 		before, known := s.many[name]
 		if !known {
@@ -166,6 +166,9 @@
 			return field.raw, true
 		}
 	}
+	if s.few == nil {
+		s.few = make([]seenField, 0, usual)
+	}
 	s.few = append(s.few, seenField{name: name, raw: raw})
 	if len(s.few) > fewest {
 		s.many = make(map[string][]byte, 2*len(s.few))
