Agents: a search slows down while all replicas say the same; a busy one is asked when it says

With no leader, as for a second after a restart of all, every agent asked all control replicas in turn, each over a new connection: 15 questions a second and agent at 5 replicas, and 25 or more at 18. Now the pause between two questions grows by 50 ms up to 200 ms; the second replica is still asked at once.

--- a/internal/agent/source/source.go
+++ b/internal/agent/source/source.go
@@ -44,6 +44,7 @@
 	CutOffAfter time.Duration // without a good answer until the follower counts as cut off; default 2.5 s
 	Pause       time.Duration // after the first failure of a replica; doubled with each; default 250 ms
 	MostPause   time.Duration // default 1 s
+	VainPause   time.Duration // by which the pause after answers of no use grows with each, up to four times; default 50 ms
 	Reconsider  time.Duration // between two looks for a replica that comes before the followed one; default 10 s
 }
 
@@ -55,6 +56,7 @@
 	defaultTo(&o.CutOffAfter, 2500*time.Millisecond)
 	defaultTo(&o.Pause, 250*time.Millisecond)
 	defaultTo(&o.MostPause, time.Second)
+	defaultTo(&o.VainPause, 50*time.Millisecond)
 	defaultTo(&o.Reconsider, 10*time.Second)
 }
 
@@ -64,6 +66,9 @@
 	}
 }
 
+// mostVain is after how many answers of no use the pause after them grows no longer.
+const mostVain = 4
+
 // Question is a call to make.
 type Question struct {
 	Address netip.AddrPort
@@ -97,6 +102,8 @@
 	questions    uint64     // asked in searches
 	goodAt       time.Duration
 	reconsiderAt time.Duration
+	vain         int           // answers in a row that were of no use
+	askAt        time.Duration // a search asks nobody before
 }
 
 // New returns a machine that searches from now on.
@@ -161,6 +168,9 @@
 		return Question{Address: m.followed.address, Wait: m.options.Wait, Timeout: m.options.Wait + m.options.Silence}, 0
 	}
 	m.checkCutOff(now)
+	if now < m.askAt {
+		return Question{}, m.askAt - now
+	}
 	next, wait := m.choose(now)
 	if next == nil {
 		return Question{}, wait
@@ -205,13 +215,15 @@
 		return
 	}
 	if answer.Lags || answer.Fresh > m.options.StaleAfter {
+		m.inVain(now)
 		m.failed(now, known)
+		known.busy(now, min(answer.Busy, m.options.MostPause))
 		return
 	}
 	known.failures, known.pausedTo = 0, 0
-	m.goodAt = now
+	m.goodAt, m.vain = now, 0
 	if answer.Busy > 0 {
-		known.pausedTo = now + min(answer.Busy, m.options.MostPause)
+		known.busy(now, min(answer.Busy, m.options.MostPause))
 		return
 	}
 	if m.state != Following || m.followed != known {
@@ -219,6 +231,20 @@
 	}
 }
 
+// busy has a replica that said when to come back asked then, whatever came before.
+func (r *replica) busy(now, pause time.Duration) {
+	if pause > 0 {
+		r.failures, r.pausedTo = 0, now+pause
+	}
+}
+
+// inVain slows a search down whose answers are of no use: where no group has a leader, it is the same at every replica,
+// and all followers search at once. The second replica is asked without a pause.
+func (m *Machine) inVain(now time.Duration) {
+	m.askAt = now + time.Duration(min(m.vain, mostVain))*m.options.VainPause
+	m.vain++
+}
+
 // Failed takes it that a replica gave no answer.
 func (m *Machine) Failed(now time.Duration, from netip.AddrPort) {
 	if known := m.find(from); known != nil {
@@ -241,7 +267,7 @@
 // follow begins to follow a replica.
 func (m *Machine) follow(now time.Duration, r *replica) {
 	m.state = Following
-	m.followed = r
+	m.followed, m.askAt = r, now
 	m.reconsiderAt = now + m.options.Reconsider
 }
 
@@ -250,6 +276,7 @@
 	m.state = Searching
 	m.followed = nil
 	m.search++
+	m.vain = 0
 }
 
 // reconsider begins a search where a replica that comes before the followed one may be tried.
--- a/internal/agent/source/source_test.go
+++ b/internal/agent/source/source_test.go
@@ -92,6 +92,67 @@
 	expectState(t, m, Following)
 }
 
+func TestBusyReplicaIsAskedWhenItSays(t *testing.T) {
+	for name, fresh := range map[string]time.Duration{"up to date": 0, "stale": 9 * second} {
+		t.Run(name, func(t *testing.T) {
+			m := New(Options{}, 0)
+			m.Offer(addresses(1, 2))
+			m.Next(0)
+			m.Answered(0, address(1), Answer{Busy: 400 * time.Millisecond, Fresh: fresh})
+			expectState(t, m, Searching)
+			expectQuestion(t, m, 0, 2, 0)
+			m.Answered(0, address(2), Answer{Busy: 800 * time.Millisecond, Fresh: fresh})
+			now := time.Duration(0)
+			for _, pause := m.Next(now); pause > 0; _, pause = m.Next(now) {
+				now += pause
+			}
+			if now != 400*time.Millisecond {
+				t.Fatalf("it asks again at %v", now)
+			}
+			m.Answered(now, address(1), Answer{})
+			expectState(t, m, Following)
+		})
+	}
+}
+
+func TestFollowedReplicaThatIsBusyIsFollowedOn(t *testing.T) {
+	m := New(Options{}, 0)
+	m.Offer(addresses(1, 2))
+	m.Next(0)
+	m.Answered(0, address(1), Answer{})
+	m.Next(0)
+	m.Answered(second, address(1), Answer{Busy: 300 * time.Millisecond})
+	expectState(t, m, Following)
+	if _, pause := m.Next(second); pause != 300*time.Millisecond {
+		t.Errorf("it comes back after %v", pause)
+	}
+	expectQuestion(t, m, second+300*time.Millisecond, 1, second)
+}
+
+// TestSearchInVainSlowsDown has all replicas be without a leader for a while.
+func TestSearchInVainSlowsDown(t *testing.T) {
+	m := New(Options{}, 0)
+	var order []int
+	for i := range 18 {
+		order = append(order, i+1)
+	}
+	m.Offer(addresses(order...))
+	now, questions := time.Duration(0), 0
+	for now < second {
+		question, pause := m.Next(now)
+		now += pause
+		if pause > 0 {
+			continue
+		}
+		questions++
+		now += 5 * time.Millisecond
+		m.Answered(now, question.Address, Answer{Fresh: time.Hour})
+	}
+	if questions < 5 || questions > 10 {
+		t.Errorf("%d questions in a second", questions)
+	}
+}
+
 func TestLaggingReplicaIsLeft(t *testing.T) {
 	m := New(Options{}, 0)
 	m.Offer(addresses(1, 2))
