--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -44,8 +44,8 @@
 	readStates    []ReadState
 }
 
-// New returns a replica that goes on from what was stored; the state machine is at s.Snapshot.Index. What was stored
-// has to be synced: what a process left unsynced when it was killed could still be lost after it was read. The replica is
+// New returns a replica that goes on from what was stored; the state machine is at s.Snapshot.Index. What was stored has
+// to be synced: what a process left unsynced when it was killed could still be lost after it was read. The replica is
 // silent for good if s.Check does not hold.
 func New(now time.Duration, o Options, s Stored) *Machine {
 	s = s.tidied()
