Placement: among many proxies, own requests do not stand for the load of all

Cause: a third of all other proxies was taken to have at a runner what this one has: at sixty, one long prompt of one's own counted 21 times, the runner seemed to be over its utilization ceiling, and the owner's next requests went elsewhere.

--- a/internal/placement/kept_test.go
+++ b/internal/placement/kept_test.go
@@ -196,3 +196,34 @@
 		t.Errorf("%d entries", len(k.entries))
 	}
 }
+
+// Among many proxies, the few requests that one of them has at an owner are not taken for a load that all share: the next
+// requests of the chain go there, too.
+func TestAmongManyProxiesAnOwnerStaysTheOwner(t *testing.T) {
+	p := testPlacer(t, testRunners("llm", 90))
+	p.SetProxies(testStart, 60)
+	now := testStart
+	for chain := range uint64(40) {
+		first := ""
+		for own := range uint64(3) {
+			r := chainRequest(now, chain, 1<<40+own)
+			c, refusal := p.Place(now, r)
+			if refusal != nil {
+				t.Fatal(refusal)
+			}
+			if first == "" {
+				first = c.Runner
+			}
+			if c.Runner != first {
+				t.Errorf("chain %d: request %d goes to %s, the first went to %s", chain, own, c.Runner, first)
+			}
+			a := p.Sent(now, r, c)
+			for range 3 {
+				now += planPeriod
+				p.Tick(now)
+			}
+			p.FirstEvent(now, a)
+			p.Ended(now, a, Served, Progress{FirstAfter: 300 * time.Millisecond, Took: 300 * time.Millisecond})
+		}
+	}
+}
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -189,8 +189,9 @@
 // and from the waits that were seen; and the room that is left of its ceiling.
 func (p *Placer) derive(now time.Duration, s *service, w *runner) {
 	all, others := w.own, p.others()
-	all.add(&w.mean, others*ownWeight)
-	all.add(&s.mean, others*(1-ownWeight))
+	likeOwn := math.Min(others*ownWeight, mostLikeOwn)
+	all.add(&w.mean, likeOwn)
+	all.add(&s.mean, others-likeOwn)
 	waiting := s.backlog(w)
 	w.taken = all.slots - all.reading
 	w.load = all.slots + math.Max(waiting-all.reading, 0)
