--- a/internal/hollow/forward.go
+++ b/internal/hollow/forward.go
@@ -12,6 +12,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -76,8 +77,12 @@
 	header.Set("X-Try-Id", r.Header.Get("X-Try-Id"))
 	header.Set("X-Server-Seal", "seal")
 	events, gap := s.events.Load(), time.Duration(s.gap.Load())
-	for i := range events {
-		if i > 0 && gap > 0 {
+	first := int64(0)
+	if last, err := strconv.ParseInt(r.Header.Get("Last-Event-Id"), 10, 64); err == nil {
+		first = last + 1 // a stream that is resumed
+	}
+	for i := first; i < events; i++ {
+		if i > first && gap > 0 {
 			<-time.After(gap)
 		}
 		fmt.Fprintf(w, "id: %d\ndata: token token token token\n\n", i)
--- a/internal/hollow/system.go
+++ b/internal/hollow/system.go
@@ -194,10 +194,10 @@
 }
 
 func route(i int, version uint64) string {
-	const services, base = 20, 1000
+	const services, base = 20, 20000
 	return fmt.Sprintf(`{"name":"r-%d","host":"host-%d.example","path_start":"/p%d/","type":"streaming","timeout_ms":%d,`+
 		`"target_ms":800,"rank":1,"service":%q,"tries":2,"pin_cache":true,"resumable":true,"gap_aim_ms":400}`,
-		i, i%100, i, base+version%base, service(i%services))
+		i, i%100, i, base+version%1000, service(i%services))
 }
 
 // ChangeConfiguration alters one route.
