--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -31,7 +31,9 @@
 	connsShare = 0.9    // of a runner's connections that are shared among the proxies
 	rankFirst  = 3      // priority of rank 0: an engine takes 5 where none is told
 	rankStep   = 2
-	lowest     = 9 // priority
+	longPrompt = 0.5 // of the memory that a slot has: the tokens of a prompt above which it is long; measured
+	longAfter  = 4   // long prompts come after short ones of two ranks below; measured
+	lowest     = 9   // priority
 )
 
 // Kept parts.
@@ -41,8 +43,11 @@
 	keptLately  = 0.75 // of what is saved at the owner, where this proxy sent the chain lately
 	keptNext    = 0.5  // and at the runner that comes after the owner
 	keptSpan    = 30 * time.Second
-	keptEntries = 512
-	mostRegions = 16 // whose owners of a chain are told apart
+	keptEntries = 1024
+	mostRegions = 16   // whose owners of a chain are told apart
+	farBytes    = 18.0 // bytes between regions that are priced as a token read again is: 15 to 23 where this was measured
+	againRate   = 0.05 // weight of a request in the share of those that come again
+	mostAgain   = 0.98 // of it that is believed
 )
 
 // Cold runners and the proxies that share them.
