--- a/internal/hollow/hollow_test.go
+++ b/internal/hollow/hollow_test.go
@@ -28,6 +28,7 @@
 	runners = flag.Int("hollow.runners", 30, "runners on the platform's list")
 	routes  = flag.Int("hollow.routes", 20, "routes of the configuration")
 	zones   = flag.Int("hollow.zones", 3, "zones")
+	calm    = flag.Duration("hollow.calm", 0, "how long to wait, at most, for the membership to have told all of all")
 )
 
 const (
@@ -95,6 +96,7 @@
 	t.Cleanup(s.Close)
 	settle(t, s)
 	t.Logf("%d agents settled after %v", agents, time.Since(started).Round(time.Millisecond))
+	quieten(t, s)
 	for _, load := range Loads() {
 		m, err := s.Measure(t.Context(), load, *window)
 		if err != nil {
@@ -123,6 +125,25 @@
 	}
 }
 
+// quieten waits until agents send few datagrams: right after a start they exchange what they know of each other.
+func quieten(t *testing.T, s *System) {
+	t.Helper()
+	const (
+		look = 3 * time.Second
+		few  = 5.0 // datagrams a second of an agent, of which a quiet one sends about four
+	)
+	for deadline := time.Now().Add(*calm); time.Now().Before(deadline); {
+		m, err := s.Measure(t.Context(), Load{}, look)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if m.Datagrams < few {
+			return
+		}
+		t.Logf("%.1f datagrams a second of an agent", m.Datagrams)
+	}
+}
+
 func report(t *testing.T, m *Measurement) {
 	t.Helper()
 	var controls []string
