--- a/internal/fleet/copies/copies.go
+++ b/internal/fleet/copies/copies.go
@@ -31,6 +31,8 @@
 
 // Machine is the state that agreed commands make.
 type Machine interface {
+	// Check tells whether Apply could take the command at all. What it refuses is not proposed: it would stop all copies.
+	Check(command []byte) error
 	// Apply takes an agreed command; an error is that this copy cannot go on.
 	Apply(index uint64, command []byte) (result any, err error)
 	Snapshot() []byte
@@ -263,6 +265,9 @@
 
 // propose is a leader's.
 func (c *Copy) propose(command []byte) error {
+	if err := c.o.Machine.Check(command); err != nil {
+		return err
+	}
 	if c.uncommittedTerm != c.hard.Term {
 		c.uncommittedTerm, c.uncommitted = c.hard.Term, 0
 	}
--- a/internal/fleet/copies/copies_test.go
+++ b/internal/fleet/copies/copies_test.go
@@ -213,11 +213,7 @@
 			}
 			t.Log(report)
 			for _, b := range report.Broke {
-				if lie := strings.HasPrefix(b.Mutation, "forged"); lie { // told and not judged: docs/promises.md says what a lying copy could do
-					t.Logf("message %d %s: %v", b.Message, b.Mutation, b.Err)
-				} else {
-					t.Errorf("message %d %s: %v", b.Message, b.Mutation, b.Err)
-				}
+				t.Errorf("message %d %s: %v", b.Message, b.Mutation, b.Err)
 			}
 		})
 	}
--- a/internal/fleet/copies/envelope.go
+++ b/internal/fleet/copies/envelope.go
@@ -14,7 +14,8 @@
 const (
 	// kindAgreement is followed by a message of the agreement.
 	kindAgreement kind = iota
-	// kindPropose is followed by who sends it, to whom, and a command that the receiver proposes if it leads.
+	// kindPropose is followed by who sends it, to whom, and a command with its length, which the receiver proposes if it
+	// leads.
 	kindPropose
 	// kindGone is followed by who sends it, to whom, and how far the sender has applied the log. It tells a life that
 	// stands for election that it is no copy any more: it was replaced while it could not hear.
@@ -24,6 +25,7 @@
 const (
 	kindBytes = 1
 	idBytes   = 8
+	sizeBytes = 4
 	headLong  = kindBytes + 2*idBytes // of what is not the agreement's
 )
 
@@ -47,13 +49,14 @@
 	if e.kind == kindAgreement {
 		return consensus.AppendMessage([]byte{byte(kindAgreement)}, e.message)
 	}
-	b := make([]byte, 0, headLong+max(len(e.command), idBytes))
+	b := make([]byte, 0, headLong+max(sizeBytes+len(e.command), idBytes))
 	b = append(b, byte(e.kind))
 	b = binary.LittleEndian.AppendUint64(b, e.from)
 	b = binary.LittleEndian.AppendUint64(b, e.to)
 	if e.kind == kindGone {
 		return binary.LittleEndian.AppendUint64(b, e.index)
 	}
+	b = binary.LittleEndian.AppendUint32(b, uint32(len(e.command)))
 	return append(b, e.command...)
 }
 
@@ -73,8 +76,7 @@
 	e.to = binary.LittleEndian.Uint64(data[kindBytes+idBytes:])
 	rest := data[headLong:]
 	if e.kind == kindPropose {
-		e.command = rest
-		return e, nil
+		return e, e.openCommand(rest)
 	}
 	if len(rest) != idBytes {
 		return nil, errMessage
@@ -83,6 +85,14 @@
 	return e, nil
 }
 
+func (e *envelope) openCommand(data []byte) error {
+	if len(data) < sizeBytes || uint64(binary.LittleEndian.Uint32(data)) != uint64(len(data)-sizeBytes) {
+		return errMessage
+	}
+	e.command = data[sizeBytes:]
+	return nil
+}
+
 func (e *envelope) openAgreement(data []byte) (err error) {
 	e.message, err = consensus.DecodeMessage(data)
 	if err != nil {
--- a/internal/fleet/copies/world_test.go
+++ b/internal/fleet/copies/world_test.go
@@ -175,6 +175,9 @@
 	if p.copy == nil {
 		return
 	}
+	if counted, _ := p.copy.Copies(); p.copy.Holds() && len(counted) < w.copies-1 {
+		w.fail("%s counts %d copies of %d", p.member.Name, len(counted), w.copies)
+	}
 	out, done := p.copy.Take()
 	for _, a := range done {
 		if w.agreed[a.Index] == 0 {
--- a/internal/fleet/promises/state.go
+++ b/internal/fleet/promises/state.go
@@ -100,6 +100,12 @@
 	Err error
 }
 
+// Check tells whether Apply could take a command at all.
+func (s *State) Check(text []byte) error {
+	_, err := Decode(text)
+	return err
+}
+
 // Apply takes the command that was agreed at a place of the log. A command that cannot be read is an error of its own: the copy cannot go
 // on, since the others may have read it. All else that is wrong with one is its result.
 func (s *State) Apply(index uint64, text []byte) (Result, error) {
