--- a/internal/control/following/server.go
+++ b/internal/control/following/server.go
@@ -50,6 +50,7 @@
 	caches    []cache
 	pacer     pacer
 	followers atomic.Int64
+	roll      roll
 	stop      chan struct{}
 	stopOnce  sync.Once
 }
@@ -80,6 +81,7 @@
 		return nil, ErrTooManyFollowers
 	}
 	defer s.followers.Add(-1)
+	s.roll.note(request, s.options.Now())
 	sought := wanted{positions: s.positions(request), packed: request.Packed}
 	batches := s.collect(sought)
 	if len(batches) == 0 && request.Wait > 0 {
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -47,7 +47,7 @@
 
 // feedShare is the share of the machine's link that large answers to followers may take; what replicas say to each other
 // goes over the same link.
-const feedShare = 0.5
+const feedShare = 0.75
 
 // Options are a process's.
 type Options struct {
@@ -59,6 +59,7 @@
 // Process is a running control process.
 type Process struct {
 	log      *zap.Logger
+	version  string // of the program
 	settings atomic.Pointer[environment.Settings]
 	started  time.Time
 	stopping atomic.Bool
@@ -79,7 +80,7 @@
 
 // Start opens the process's addresses and runs it. The context ends only the opening.
 func Start(ctx context.Context, options Options) (*Process, error) {
-	p := &Process{log: options.Log, started: time.Now(), failures: make(chan error, 8)}
+	p := &Process{log: options.Log, version: options.Version, started: time.Now(), failures: make(chan error, 8)}
 	p.settings.Store(options.Settings)
 	p.context, p.cancel = context.WithCancel(context.Background())
 	notifier := following.NewNotifier(p.now, func(d time.Duration, f func()) { time.AfterFunc(d, f) })
@@ -332,7 +333,9 @@
 	p.gossip.SetServing(gossip.Stopping)
 	p.feed.Stop()
 	pause(context.Background(), serveOn)
-	p.closeServers()
+	if err := p.closeServers(); err != nil {
+		p.log.Warn("calls were broken off", zap.Error(err))
+	}
 	p.host.Stop(context.Background())
 	p.cancel()
 	p.leave()
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -279,13 +279,17 @@
 }
 
 func (h *Host) settleGroup(g *group) {
-	applied := g.applied
+	applied, led := g.applied, g.leads
 	if err := g.settle(h); err != nil {
 		h.fail(fmt.Errorf("replica: snapshot of partition %d: %w", g.partition, err))
 	}
 	if g.applied != applied && h.options.Applied != nil {
 		h.options.Applied(g.partition, g.applied)
 	}
+	if g.leads != led {
+		h.log.Info("leadership changed", zap.Uint16("partition", uint16(g.partition)), zap.Bool("leads", g.leads),
+			zap.Uint64("term", g.machine.Status().Term))
+	}
 }
 
 // send puts messages on their way; see outlet.
