--- a/internal/consensus/accessors.go
+++ b/internal/consensus/accessors.go
@@ -6,6 +6,9 @@
 // Leader is the leader of the replica's term, 0 where that is not known.
 func (m *Machine) Leader() ReplicaID { return m.leader }
 
+// Commit is up to where the replica knows the log to be agreed on.
+func (m *Machine) Commit() uint64 { return m.log.commit }
+
 // Transferring tells whether the replica leads and is handing leadership over.
 func (m *Machine) Transferring() bool { return m.role == Leader && m.leading.transferee != 0 }
 
--- a/internal/replica/calls.go
+++ b/internal/replica/calls.go
@@ -40,6 +40,7 @@
 func (h *Host) deliver(_ context.Context, request *DeliverRequest) (*DeliverReply, error) {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
+	defer h.settle()
 	now := h.now()
 	for rest := request.Messages; len(rest) > 0; {
 		partition, message, after, err := readMessage(rest)
@@ -49,7 +50,6 @@
 		rest = after
 		h.step(now, partition, message)
 	}
-	h.settle()
 	return &DeliverReply{}, nil
 }
 
--- a/internal/replica/disk.go
+++ b/internal/replica/disk.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"cinderroad/internal/consensus"
+	"cinderroad/internal/feed"
 	"cinderroad/internal/storage"
 )
 
@@ -28,8 +29,8 @@
 	ended  chan struct{}
 	once   sync.Once
 	// Of the disk goroutine.
-	store *storage.Store // nil: there is no disk
-	lost  bool           // the store was found corrupt: no later write makes sense
+	store store // nil: there is no disk
+	lost  bool  // the store was found corrupt: no later write makes sense
 
 	mutex   sync.Mutex
 	jobs    []job
@@ -51,6 +52,25 @@
 	bytes    int
 }
 
+// store is what the disk goroutine needs of a storage.Store.
+type store interface {
+	Identity() (consensus.ReplicaID, bool)
+	Establish(replica consensus.ReplicaID, writes ...storage.Write) error
+	Load(partition feed.Partition) (consensus.Stored, bool, error)
+	Write(writes ...storage.Write) error
+	Discard() error
+	Close() error
+}
+
+// openStorage opens a state folder. A *storage.CorruptError comes with an empty store.
+func openStorage(folder string) (store, error) {
+	s, err := storage.Open(folder)
+	if s == nil {
+		return nil, err
+	}
+	return s, err
+}
+
 func newDisk(folder string) *disk {
 	return &disk{folder: folder, wake: make(chan struct{}, 1), ended: make(chan struct{})}
 }
@@ -160,7 +180,7 @@
 			d.store.Close()
 		}
 	}()
-	if !h.openStore() {
+	if !h.openDisk() {
 		return
 	}
 	for {
@@ -271,8 +291,8 @@
 	h.settle()
 }
 
-// openStore opens the store and starts the replicas, as soon as the disk lets it; false: the host stops before.
-func (h *Host) openStore() bool {
+// openDisk opens the store and starts the replicas, as soon as the disk lets it; false: the host stops before.
+func (h *Host) openDisk() bool {
 	pause := leastDiskPause
 	for {
 		began := max(h.now(), 1)
--- /dev/null
+++ b/internal/replica/disk_test.go
@@ -0,0 +1,214 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"cinderroad/internal/consensus"
+	"cinderroad/internal/storage"
+)
+
+// faults is a disk that stalls or refuses.
+type faults struct {
+	store
+	mutex   sync.Mutex
+	refusal error
+	stall   chan struct{} // not nil: writes wait until it is closed
+}
+
+func (f *faults) open(folder string) (store, error) {
+	if err := f.wait(); err != nil {
+		return nil, err
+	}
+	s, err := openStorage(folder)
+	f.store = s
+	return f, err
+}
+
+func (f *faults) Write(writes ...storage.Write) error {
+	if err := f.wait(); err != nil {
+		return err
+	}
+	return f.store.Write(writes...)
+}
+
+func (f *faults) Establish(replica consensus.ReplicaID, writes ...storage.Write) error {
+	if err := f.wait(); err != nil {
+		return err
+	}
+	return f.store.Establish(replica, writes...)
+}
+
+func (f *faults) wait() error {
+	f.mutex.Lock()
+	refusal, stall := f.refusal, f.stall
+	f.mutex.Unlock()
+	if stall != nil {
+		<-stall
+	}
+	return refusal
+}
+
+func (f *faults) set(refusal error, stall chan struct{}) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.refusal, f.stall = refusal, stall
+}
+
+func newFaultyCluster(t *testing.T) *cluster {
+	c := newCluster(t, 3, 3)
+	for _, m := range c.machines {
+		m.faults = &faults{}
+	}
+	c.startAll()
+	c.settled(3)
+	return c
+}
+
+// leadsElsewhere waits until another machine than the one given leads the partition.
+func (c *cluster) leadsElsewhere(m *machine) {
+	c.t.Helper()
+	waitFor(c.t, "another leader", func() error {
+		if c.leader(0) == m {
+			return errors.New("it still leads")
+		}
+		return nil
+	})
+}
+
+func TestStalledDiskGivesLeadershipUp(t *testing.T) {
+	c := newFaultyCluster(t)
+	stalled := c.leader(0)
+	stall := make(chan struct{})
+	release := sync.OnceFunc(func() { close(stall) })
+	t.Cleanup(release)
+	stalled.faults.set(nil, stall)
+	go stalled.host.Propose(context.Background(), 0, []byte("a"))
+	c.leadsElsewhere(stalled)
+	stalled.propose(0, "through another")
+	for _, m := range c.machines {
+		if m != stalled {
+			m.holds(0, "through another")
+		}
+	}
+	stalled.wait("it says that it lags", func() error {
+		if fresh := stalled.host.Fresh(0); fresh < time.Second {
+			return fmt.Errorf("it is %v behind", fresh)
+		}
+		return nil
+	})
+	stalled.faults.set(nil, nil)
+	release()
+	stalled.wait("the disk is back", func() error {
+		stalled.host.mutex.Lock()
+		defer stalled.host.mutex.Unlock()
+		if stalled.host.disk.down {
+			return errors.New("it is not")
+		}
+		return nil
+	})
+	stalled.propose(0, "after")
+	for _, m := range c.machines {
+		m.holds(0, "after")
+	}
+}
+
+func TestFullDiskGivesLeadershipUp(t *testing.T) {
+	c := newFaultyCluster(t)
+	full := c.leader(0)
+	full.faults.set(&storage.DiskError{Operation: "write", Full: true}, nil)
+	go full.host.Propose(context.Background(), 0, []byte("a"))
+	c.leadsElsewhere(full)
+	full.propose(0, "through another")
+	full.faults.set(nil, nil)
+	full.wait("it leads again", func() error {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		for _, m := range c.machines {
+			if m != full {
+				m.host.mutex.Lock()
+				m.host.groups[0].machine.TransferLeadership(m.host.now(), full.host.self.ID)
+				m.host.settle()
+				m.host.mutex.Unlock()
+			}
+		}
+		if err := full.host.Barrier(ctx, 0); err != nil {
+			return err
+		}
+		if _, leads := full.host.Leads(0); !leads {
+			return errors.New("it does not")
+		}
+		return nil
+	})
+	full.propose(0, "after")
+	for _, m := range c.machines {
+		m.holds(0, "after")
+	}
+}
+
+// TestDiskInTroubleAtTheStart has the store open only once the disk works.
+func TestDiskInTroubleAtTheStart(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	for _, m := range c.machines {
+		m.faults = &faults{refusal: &storage.DiskError{Operation: "open", Full: true}}
+	}
+	c.startAll()
+	first := c.machines[0]
+	ctx, cancel := context.WithTimeout(context.Background(), 50*time.Millisecond)
+	defer cancel()
+	var unavailable *UnavailableError
+	if _, err := first.host.Propose(ctx, 0, []byte("early")); !errors.As(err, &unavailable) {
+		t.Fatal(err)
+	}
+	for _, m := range c.machines {
+		m.faults.set(nil, nil)
+	}
+	first.propose(0, "a")
+	c.settled(3)
+}
+
+func TestCorruptFileCountsAsWiped(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.startAll()
+	c.machines[0].propose(0, "a")
+	c.settled(3)
+	spoilt := c.machines[1]
+	before := spoilt.host.self.ID
+	spoilt.kill()
+	s, err := storage.Open(spoilt.settings.StateDir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	gap := []consensus.Entry{{Index: 1000, Term: 1000}}
+	if err := s.Write(storage.Write{Partition: 2, Entries: gap}); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	spoilt.start()
+	spoilt.holds(0, "a")
+	c.settled(3)
+	if spoilt.host.self.ID == before {
+		t.Error("it has its old replica")
+	}
+}
+
+// TestNoDisk runs machines without a state folder.
+func TestNoDisk(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	for _, m := range c.machines {
+		m.settings.StateDir = ""
+	}
+	c.startAll()
+	c.machines[0].propose(0, "a")
+	c.settled(3)
+	restarted := c.machines[1]
+	restarted.kill()
+	restarted.settings.FirstBoot = false
+	restarted.start()
+	restarted.holds(0, "a")
+	c.settled(3)
+}
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -24,8 +24,9 @@
 	state     StateMachine
 
 	applied      uint64
-	logBytes     int // of entries applied since the last snapshot
-	snapshot     int // bytes of the last one
+	upToDate     time.Duration // when this replica last held all that its leader said was agreed on; 0: never
+	logBytes     int           // of entries applied since the last snapshot
+	snapshot     int           // bytes of the last one
 	compacting   bool
 	outstanding  int // jobs of the disk
 	knownCommit  uint64
@@ -153,6 +154,15 @@
 	}
 }
 
+// noteFresh notes that this replica holds all that the leader whose message came says is agreed on. It lags behind
+// that while its disk is in trouble or its log is being brought up.
+func (g *group) noteFresh(now time.Duration, message *consensus.Message) {
+	fromLeader := message.Kind == consensus.Append && message.From == g.machine.Leader()
+	if fromLeader && message.Commit <= g.machine.Commit() {
+		g.upToDate = now
+	}
+}
+
 // noteLeader wakes those who wait for another leader.
 func (g *group) noteLeader() {
 	leader, leads := g.machine.Leader(), g.machine.Role() == consensus.Leader && !g.machine.Transferring()
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -72,6 +72,8 @@
 	context context.Context
 	cancel  context.CancelFunc
 	running sync.WaitGroup
+	// openStore opens a state folder; tests put a failing disk in its place.
+	openStore func(folder string) (store, error)
 }
 
 // New returns a host that does nothing before Start. Its handlers may be registered at once.
@@ -82,7 +84,7 @@
 	if options.Election == 0 {
 		options.Election = defaultElection
 	}
-	h := &Host{options: options, log: options.Log, started: time.Now(), wake: make(chan struct{}, 1)}
+	h := &Host{options: options, log: options.Log, started: time.Now(), wake: make(chan struct{}, 1), openStore: openStorage}
 	if h.log == nil {
 		h.log = zap.NewNop()
 	}
@@ -114,8 +116,8 @@
 	}()
 }
 
-// Stop hands leadership over, for a second at most, writes what is under way and closes the store. The context bounds
-// all of that: a disk that hangs is not waited for.
+// Stop hands leadership over, which takes a second at most, writes what is under way and closes the store. The handlers
+// are to be served until it returns. The context bounds all of it: a disk that hangs is not waited for.
 func (h *Host) Stop(ctx context.Context) {
 	h.mutex.Lock()
 	h.stopping = true
@@ -184,8 +186,14 @@
 		}
 	}
 	h.self.ID = id
+	h.manageDue = 0
 	h.log.Info("replica started", zap.String("replica", idText(id)))
 	h.settle()
+	for _, g := range h.groups {
+		if g.applied > 0 && h.options.Applied != nil {
+			h.options.Applied(g.partition, g.applied)
+		}
+	}
 	return true
 }
 
@@ -253,6 +261,7 @@
 		return // it is sent again once the disk has caught up
 	}
 	g.machine.Step(now, message)
+	g.noteFresh(now, &message)
 }
 
 func (h *Host) group(partition feed.Partition) *group {
--- a/internal/replica/host_test.go
+++ b/internal/replica/host_test.go
@@ -76,6 +76,7 @@
 	host     *Host
 	states   []*listState
 	end      context.CancelFunc
+	faults   *faults // nil: its disk works
 	served   chan struct{}
 }
 
@@ -134,6 +135,9 @@
 	log := zaptest.NewLogger(m.t, zaptest.Level(zap.InfoLevel)).Named(m.settings.Node)
 	m.host = New(Options{Settings: &m.settings, States: states, Log: log, Heartbeat: 40 * time.Millisecond,
 		Election: 250 * time.Millisecond})
+	if m.faults != nil {
+		m.host.openStore = m.faults.open
+	}
 	var listener net.Listener
 	m.wait("its port is free", func() (err error) {
 		listener, err = net.Listen("tcp4", controlAddress(&m.settings, m.settings.IP).String())
--- a/internal/replica/load.go
+++ b/internal/replica/load.go
@@ -32,7 +32,7 @@
 	if h.disk.store != nil {
 		return nil
 	}
-	store, err := storage.Open(h.disk.folder)
+	store, err := h.openStore(h.disk.folder)
 	var corrupt *storage.CorruptError
 	if err != nil && !errors.As(err, &corrupt) {
 		return err
--- a/internal/replica/manage.go
+++ b/internal/replica/manage.go
@@ -137,7 +137,7 @@
 // wantsIn tells whether some group lacks this replica, or does not let it hear of a leader.
 func (h *Host) wantsIn(now time.Duration) bool {
 	for _, g := range h.groups {
-		if !h.takenIn(g) || h.fresh(g, now) > lonelyFor {
+		if !h.takenIn(g) || since(g.machine.Status().LeaderHeard, now) > lonelyFor {
 			return true
 		}
 	}
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -110,7 +110,7 @@
 // proposeHere proposes to this machine's replica and waits for the command to be applied or lost.
 func (h *Host) proposeHere(ctx context.Context, partition feed.Partition, command []byte) (Outcome, []byte) {
 	g := h.group(partition)
-	p := h.enter(g, command)
+	p := h.enter(ctx, g, command)
 	if p == nil {
 		return OutcomeNotTaken, nil
 	}
@@ -127,11 +127,11 @@
 	return OutcomeUnknown, nil
 }
 
-// enter proposes; nil: this machine does not lead the group, or its disk is in trouble.
-func (h *Host) enter(g *group, command []byte) *proposal {
+// enter proposes; nil: nothing was proposed, as the time is up, this machine does not lead, or its disk is in trouble.
+func (h *Host) enter(ctx context.Context, g *group, command []byte) *proposal {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
-	if g == nil || g.machine == nil || h.disk.down || h.disk.congested() {
+	if g == nil || g.machine == nil || ctx.Err() != nil || h.disk.down || h.disk.congested() {
 		return nil
 	}
 	index, term, err := g.machine.Propose(h.now(), command)
@@ -270,7 +270,7 @@
 	return max(left, 0), left > 0
 }
 
-// Fresh is how long ago this replica last heard a leader; see Replicas.
+// Fresh is how long ago this replica last held all that its leader said was agreed on; see Replicas.
 func (h *Host) Fresh(partition feed.Partition) time.Duration {
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
@@ -278,18 +278,18 @@
 	if g == nil {
 		return neverHeard
 	}
-	return h.fresh(g, h.now())
+	if g.machine != nil && g.machine.Role() == consensus.Leader {
+		return since(g.machine.Status().LeaderHeard, h.now())
+	}
+	return since(g.upToDate, h.now())
 }
 
-func (h *Host) fresh(g *group, now time.Duration) time.Duration {
-	if g.machine == nil {
-		return neverHeard
-	}
-	heard := g.machine.Status().LeaderHeard
-	if heard == 0 {
+// since is how long ago something was; at 0 it never was.
+func since(at, now time.Duration) time.Duration {
+	if at == 0 {
 		return neverHeard
 	}
-	return max(now-heard, 0)
+	return max(now-at, 0)
 }
 
 // Status describes each partition's replica; see Replicas.
