--- a/internal/consensus/machine.go
+++ b/internal/consensus/machine.go
@@ -74,7 +74,7 @@
 			return err
 		}
 	}
-	before := Message{Index: s.Snapshot.Index, LogTerm: s.Snapshot.Term, Term: math.MaxUint64, Entries: s.Entries}
+	before := Message{Index: s.Snapshot.Index, LogTerm: s.Snapshot.Term, Term: mostNumber, Entries: s.Entries}
 	return before.checkEntries()
 }
 
@@ -190,7 +190,7 @@
 	if m.role != Leader {
 		return s
 	}
-	s.LeaseUntil = m.lease()
+	s.LeaseUntil = m.Lease()
 	s.Transferring = m.leading.transferee != 0
 	s.LeaderHeard = time.Duration(m.leading.confirmed)
 	s.Match = map[ReplicaID]uint64{m.options.ID: m.log.durable}
@@ -202,6 +202,9 @@
 	return s
 }
 
+// Leader is who leads as far as this replica knows, 0: not known.
+func (m *Machine) Leader() ReplicaID { return m.leader }
+
 // send queues a message that rests on what is yet to be written.
 func (m *Machine) send(msg Message) {
 	msg.From = m.options.ID
@@ -211,12 +214,8 @@
 	m.messages = append(m.messages, msg)
 }
 
-// sendEarly queues a message of a leader that does not rest on its own writes, as long as its term is on disk.
+// sendEarly queues a message of a leader, which does not rest on what is yet to be written: a leader's term is on disk.
 func (m *Machine) sendEarly(msg Message) {
-	if m.persistedTerm < m.term {
-		m.send(msg)
-		return
-	}
 	msg.From, msg.Term = m.options.ID, m.term
 	m.early = append(m.early, msg)
 }
