--- a/internal/consensus/accessors.go
+++ b/internal/consensus/accessors.go
@@ -3,9 +3,6 @@
 // Role is what the replica is at present. Unlike Status it takes no memory.
 func (m *Machine) Role() Role { return m.role }
 
-// Leader is the leader of the replica's term, 0 where that is not known.
-func (m *Machine) Leader() ReplicaID { return m.leader }
-
 // Commit is up to where the replica knows the log to be agreed on.
 func (m *Machine) Commit() uint64 { return m.log.commit }
 
--- a/internal/replica/founding.go
+++ b/internal/replica/founding.go
@@ -13,8 +13,8 @@
 // founderPrefix keeps the hashes of founders apart from those of anything else.
 const founderPrefix = "founder"
 
-// founderID is the replica of a machine that founds the system. All founders know it of one another; a replica that does
-// not found has a random one, so that a founder that loses its disk never comes back under this one.
+// founderID is the replica of a machine that founds the system. All founders know it of one another; a replica that
+// does not found has a random one, so that a founder that loses its disk never comes back under this one.
 func founderID(address netip.Addr) consensus.ReplicaID {
 	id := xxhash.Sum64String(founderPrefix + address.String())
 	return consensus.ReplicaID(max(id, 1))
--- a/internal/replica/group.go
+++ b/internal/replica/group.go
@@ -28,7 +28,8 @@
 	logBytes     int           // of entries applied since the last snapshot
 	snapshot     int           // bytes of the last one
 	compacting   bool
-	outstanding  int // jobs of the disk
+	outstanding  int                                   // jobs of the disk
+	behind       map[consensus.ReplicaID]time.Duration // learners that may not vote yet, and until when that stands
 	knownCommit  uint64
 	written      consensus.HardState  // handed to the disk last
 	proposals    map[uint64]*proposal // by index
@@ -37,6 +38,7 @@
 	appliedWaits []appliedWait
 	leader       consensus.ReplicaID
 	leads        bool
+	ledSince     time.Duration // of a leader
 	changed      chan struct{} // closed when there is another leader
 }
 
@@ -164,11 +166,14 @@
 }
 
 // noteLeader wakes those who wait for another leader.
-func (g *group) noteLeader() {
+func (g *group) noteLeader(now time.Duration) {
 	leader, leads := g.machine.Leader(), g.machine.Role() == consensus.Leader && !g.machine.Transferring()
 	if g.leader == leader && g.leads == leads {
 		return
 	}
+	if leads && !g.leads {
+		g.ledSince = now
+	}
 	g.leader, g.leads = leader, leads
 	close(g.changed)
 	g.changed = make(chan struct{})
--- a/internal/replica/host.go
+++ b/internal/replica/host.go
@@ -84,7 +84,8 @@
 	if options.Election == 0 {
 		options.Election = defaultElection
 	}
-	h := &Host{options: options, log: options.Log, started: time.Now(), wake: make(chan struct{}, 1), openStore: openStorage}
+	h := &Host{options: options, log: options.Log, started: time.Now(), wake: make(chan struct{}, 1),
+		openStore: openStorage}
 	if h.log == nil {
 		h.log = zap.NewNop()
 	}
@@ -178,8 +179,8 @@
 	h.mutex.Lock()
 	defer h.mutex.Unlock()
 	for i, g := range h.groups {
-		options := consensus.Options{ID: id, Heartbeat: h.options.Heartbeat, Election: h.options.Election, Seed: randomNumber(),
-			MaxAppendBytes: appendBytes, MaxInflight: inflight, SnapshotAfter: tailEntries}
+		options := consensus.Options{ID: id, Heartbeat: h.options.Heartbeat, Election: h.options.Election,
+			Seed: randomNumber(), MaxAppendBytes: appendBytes, MaxInflight: inflight, SnapshotAfter: tailEntries}
 		if err := g.start(h.now(), options, stored[i]); err != nil {
 			h.fail(fmt.Errorf("replica: stored state of partition %d: %w", g.partition, err))
 			return false
@@ -303,7 +304,7 @@
 	if snapshot := g.compaction(); snapshot != nil {
 		h.disk.compact(g, snapshot)
 	}
-	g.noteLeader()
+	g.noteLeader(h.now())
 }
 
 // route puts messages on their way.
--- a/internal/replica/manage.go
+++ b/internal/replica/manage.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -18,6 +19,7 @@
 	lonelyFor   = 2 * time.Second       // without a leader after which a replica asks to be taken in again
 	joinWithin  = time.Second
 	mostKnown   = 64 // addresses of other replicas
+	behindFor   = time.Second
 	closeBehind = 16 // entries by which a learner may be behind as it becomes a voter
 )
 
@@ -87,7 +89,7 @@
 	if status.MembershipIndex > status.Commit || status.Transferring {
 		return false
 	}
-	next, is := planChange(h.situation(now, &status))
+	next, is := planChange(h.situation(now, g, &status))
 	if !is {
 		return false
 	}
@@ -96,6 +98,7 @@
 		return true
 	}
 	if err := g.machine.ChangeMembership(now, next.to); err != nil {
+		g.noteBehind(now, err)
 		h.log.Debug("membership not changed", zap.Uint16("partition", uint16(g.partition)), zap.Error(err))
 		return false
 	}
@@ -104,12 +107,25 @@
 	return true
 }
 
-func (h *Host) situation(now time.Duration, status *consensus.Status) *situation {
+// noteBehind keeps a learner that may not vote yet from being chosen again for a while, so that others are.
+func (g *group) noteBehind(now time.Duration, err error) {
+	var behind *consensus.BehindError
+	if !errors.As(err, &behind) {
+		return
+	}
+	if g.behind == nil || len(g.behind) > mostMembers {
+		g.behind = make(map[consensus.ReplicaID]time.Duration)
+	}
+	g.behind[behind.ID] = now + behindFor
+}
+
+func (h *Host) situation(now time.Duration, g *group, status *consensus.Status) *situation {
 	settings := h.options.Settings
-	s := &situation{self: h.self.ID, joining: h.joins.members(now), regions: settings.Zones,
+	s := &situation{self: h.self.ID, ledFor: now - g.ledSince, joining: h.joins.members(now), regions: settings.Zones,
 		aim: max(leastVoters, 2*settings.Survive.MachineLosses+1), byRegion: settings.Survive.RegionLosses > 0}
 	for _, member := range status.Membership.Members {
 		m := standing{Member: member, caughtUp: status.Match[member.ID]+closeBehind >= status.Commit}
+		m.caughtUp = m.caughtUp && now >= g.behind[member.ID]
 		if answered, is := status.Answered[member.ID]; is {
 			m.silent = now - answered
 		}
--- a/internal/replica/plan.go
+++ b/internal/replica/plan.go
@@ -33,6 +33,7 @@
 // situation is what a change of membership is decided on.
 type situation struct {
 	self     consensus.ReplicaID // the leader
+	ledFor   time.Duration       // how long the leader has led: no member's silence is known to be longer
 	members  []standing
 	joining  []consensus.Member // replicas that ask to be taken in, or whose particulars changed
 	aim      int                // of voters
@@ -229,7 +230,8 @@
 		}
 		left := 0
 		for j := range s.members {
-			if alive.has(j) && (domain(&s.members[j]) == "" || domain(&s.members[j]) != domain(&s.members[i])) && i != j {
+			apart := domain(&s.members[j]) == "" || domain(&s.members[j]) != domain(&s.members[i])
+			if alive.has(j) && apart && i != j {
 				left++
 			}
 		}
@@ -283,6 +285,9 @@
 	if member.Voter && !s.lives(i) {
 		return change{to: s.without(i)}, true
 	}
+	if member.Voter && s.ledFor < replaceAfter {
+		return change{}, false // another may be gone, and the one that should go
+	}
 	member.Voter = !member.Voter
 	return change{to: s.with(i, member)}, true
 }
--- a/internal/replica/plan_test.go
+++ b/internal/replica/plan_test.go
@@ -16,7 +16,7 @@
 // disk. Marks: v votes, d silent for 10 s, D silent for a minute and a half, b behind, ? without particulars yet. The
 // first one leads. After a bar stand the replicas that ask to be taken in.
 func parseSituation(text string) *situation {
-	s := &situation{aim: leastVoters}
+	s := &situation{aim: leastVoters, ledFor: time.Hour}
 	members, joining, _ := strings.Cut(text, "|")
 	for _, word := range strings.Fields(members) {
 		parts := strings.Split(word, ":")
@@ -108,6 +108,15 @@
 	}
 }
 
+// TestNewLeaderDemotesNobody has a leader that cannot know yet who is gone.
+func TestNewLeaderDemotesNobody(t *testing.T) {
+	s := parseSituation("A0:a:v B0:b:v C0:c:v D0:c:v")
+	s.ledFor = time.Second
+	if c, is := planChange(s); is {
+		t.Errorf("it changes the group to %s", describe(c, is))
+	}
+}
+
 // TestPlanEnds draws situations and follows the plan: it comes to an end, each step changes one member, and the living
 // voters stay a majority.
 func TestPlanEnds(t *testing.T) {
@@ -125,7 +134,7 @@
 }
 
 func drawSituation(t *rapid.T) *situation {
-	s := &situation{aim: leastVoters}
+	s := &situation{aim: leastVoters, ledFor: time.Hour}
 	silences := []time.Duration{0, 0, 0, 3 * time.Second, 10 * time.Second, 30 * time.Second, 90 * time.Second}
 	for i := range rapid.IntRange(1, 9).Draw(t, "members") {
 		machine := byte('A' + i)
@@ -135,7 +144,8 @@
 			m.Voter = rapid.Bool().Draw(t, "voter")
 			s.members = append(s.members, m)
 		}
-		m := standing{Member: testMember(string([]byte{machine, '1'}), zone), caughtUp: rapid.Bool().Draw(t, "caught up")}
+		m := standing{Member: testMember(string([]byte{machine, '1'}), zone)}
+		m.caughtUp = rapid.Bool().Draw(t, "caught up")
 		m.Voter = i == 0 || rapid.Bool().Draw(t, "voter")
 		if i > 0 {
 			m.silent = rapid.SampledFrom(silences).Draw(t, "silent")
--- a/internal/replica/propose.go
+++ b/internal/replica/propose.go
@@ -31,8 +31,8 @@
 
 // Error says what happened and what to do.
 func (e *UnknownOutcomeError) Error() string {
-	return fmt.Sprintf("replica: it is not known whether partition %d took the command (%v); read the state, or propose it "+
-		"again if that does no harm", e.Partition, e.Cause)
+	return fmt.Sprintf("replica: it is not known whether partition %d took the command (%v); read the state, "+
+		"or propose it again if that does no harm", e.Partition, e.Cause)
 }
 
 // Unwrap is the cause.
@@ -148,7 +148,8 @@
 }
 
 // proposeAt proposes through the machine that leads.
-func proposeAt(ctx context.Context, leader *rpc.Client, partition feed.Partition, command []byte) (ProposeReply, error) {
+func proposeAt(ctx context.Context, leader *rpc.Client, partition feed.Partition,
+	command []byte) (ProposeReply, error) {
 	wait := remaining(ctx, proposeWait)
 	if wait < leastProposal {
 		return ProposeReply{Outcome: OutcomeNotTaken}, nil
@@ -266,7 +267,7 @@
 	if g == nil || g.machine == nil || g.machine.Role() != consensus.Leader {
 		return 0, false
 	}
-	left := g.machine.Status().LeaseUntil - h.now()
+	left := g.machine.Lease() - h.now()
 	return max(left, 0), left > 0
 }
 
--- a/internal/rpc/errors.go
+++ b/internal/rpc/errors.go
@@ -13,7 +13,8 @@
 
 // Error says what happened and what to do.
 func (e *UnreachableError) Error() string {
-	return fmt.Sprintf("rpc: %v is not reached: %v; check that its process runs and the network between", e.Address, e.Cause)
+	return fmt.Sprintf("rpc: %v is not reached: %v; check that its process runs and the network between", e.Address,
+		e.Cause)
 }
 
 // Unwrap is the cause.
--- a/internal/storage/errors.go
+++ b/internal/storage/errors.go
@@ -39,8 +39,8 @@
 	if e.MovedTo == "" {
 		return fmt.Sprintf("storage: %s is corrupt: %v", e.Path, e.Cause)
 	}
-	return fmt.Sprintf("storage: %s is corrupt: %v; it was moved to %s and the replica starts without it", e.Path, e.Cause,
-		e.MovedTo)
+	return fmt.Sprintf("storage: %s is corrupt: %v; it was moved to %s and the replica starts without it", e.Path,
+		e.Cause, e.MovedTo)
 }
 
 // Unwrap is the cause.
--- a/internal/storage/file.go
+++ b/internal/storage/file.go
@@ -260,7 +260,8 @@
 		*found = true
 		index := uint64(row[0].(int64)) % keySpan
 		if index != next {
-			return &CorruptError{Cause: fmt.Errorf("log of partition %d: entry %d stands where %d belongs", partition, index, next)}
+			cause := fmt.Errorf("log of partition %d: entry %d stands where %d belongs", partition, index, next)
+			return &CorruptError{Cause: cause}
 		}
 		next++
 		stored.Entries = append(stored.Entries, consensus.Entry{Index: index, Term: uint64(row[1].(int64)),
--- a/internal/storage/schema.go
+++ b/internal/storage/schema.go
@@ -57,5 +57,6 @@
 	insertEntry     = "INSERT INTO entries (key, term, kind, committed, data) VALUES (?, ?, ?, ?, ?)"
 	deleteEntries   = "DELETE FROM entries WHERE key>=? AND key<?"
 	selectSnapshot  = "SELECT position, term, membership, data FROM snapshots WHERE partition=?"
-	replaceSnapshot = "INSERT OR REPLACE INTO snapshots (partition, position, term, membership, data) VALUES (?, ?, ?, ?, ?)"
+	replaceSnapshot = "INSERT OR REPLACE INTO snapshots (partition, position, term, membership, data) " +
+		"VALUES (?, ?, ?, ?, ?)"
 )
