--- a/internal/agent/follower.go
+++ b/internal/agent/follower.go
@@ -14,8 +14,7 @@
 )
 
 const (
-	mostReplyBytes = 32 << 20 // of a control replica's answer
-	dialTimeout    = 600 * time.Millisecond
+	mostReplyBytes = 32 << 20               // of a control replica's answer
 	answerSilence  = 700 * time.Millisecond // in the middle of an answer
 	mostAnswerTime = 15 * time.Second
 )
@@ -64,7 +63,7 @@
 func (f *follower) ask(ctx context.Context, question source.Question) {
 	patience := rpc.Patience{First: question.Timeout, Between: answerSilence, Most: mostAnswerTime}
 	request := &feed.FollowRequest{Node: f.node, Positions: f.store.positions(), Wait: question.Wait, Packed: true}
-	reply, err := following.Call.InvokeWhileReceiving(ctx, f.connect(question.Address), patience, request)
+	reply, err := following.Call.InvokeWhileReceiving(ctx, f.connect(question), patience, request)
 	if err == nil {
 		err = unpack(reply)
 	}
@@ -90,12 +89,12 @@
 }
 
 // connect returns the client of a replica; that of another one is closed.
-func (f *follower) connect(address netip.AddrPort) *rpc.Client {
-	if f.client != nil && f.client.Address() == address {
+func (f *follower) connect(question source.Question) *rpc.Client {
+	if f.client != nil && f.client.Address() == question.Address {
 		return f.client
 	}
 	f.disconnect()
-	f.client = rpc.NewClient(address, rpc.Options{Dial: dialTimeout, MessageBytes: mostReplyBytes})
+	f.client = rpc.NewClient(question.Address, rpc.Options{Dial: question.Dial, MessageBytes: mostReplyBytes})
 	return f.client
 }
 
--- a/internal/agent/source/source.go
+++ b/internal/agent/source/source.go
@@ -40,6 +40,7 @@
 	Wait        time.Duration // of a long poll; default 1 s
 	Silence     time.Duration // beyond the wait, after which a followed replica is left; default 1.2 s
 	Probe       time.Duration // that a replica has to answer at once; default 700 ms
+	Dial        time.Duration // that a connection may take; doubled with each failure, up to Probe; default 250 ms
 	StaleAfter  time.Duration // age of a replica's last word from a majority with which it is left; default 1.5 s
 	CutOffAfter time.Duration // without a good answer until the follower counts as cut off; default 2.5 s
 	Pause       time.Duration // after the first failure of a replica; doubled with each; default 250 ms
@@ -52,6 +53,7 @@
 	defaultTo(&o.Wait, time.Second)
 	defaultTo(&o.Silence, 1200*time.Millisecond)
 	defaultTo(&o.Probe, 700*time.Millisecond)
+	defaultTo(&o.Dial, 250*time.Millisecond)
 	defaultTo(&o.StaleAfter, 1500*time.Millisecond)
 	defaultTo(&o.CutOffAfter, 2500*time.Millisecond)
 	defaultTo(&o.Pause, 250*time.Millisecond)
@@ -74,6 +76,7 @@
 	Address netip.AddrPort
 	Wait    time.Duration // that the replica may hold the call open
 	Timeout time.Duration // after which it counts as failed
+	Dial    time.Duration // after which it counts as failed where no connection stands
 }
 
 // Answer is what a replica's answer says of the replica.
@@ -165,7 +168,7 @@
 		return Question{}, m.followed.pausedTo - now
 	}
 	if m.state == Following {
-		return Question{Address: m.followed.address, Wait: m.options.Wait, Timeout: m.options.Wait + m.options.Silence}, 0
+		return m.question(m.followed, m.options.Wait, m.options.Wait+m.options.Silence), 0
 	}
 	m.checkCutOff(now)
 	if now < m.askAt {
@@ -177,7 +180,13 @@
 	}
 	m.questions++
 	next.search, next.asked = m.search, m.questions
-	return Question{Address: next.address, Timeout: m.options.Probe}, 0
+	return m.question(next, 0, m.options.Probe), 0
+}
+
+// question asks a replica. The first tries give a machine that does not answer at all up soon: it may be off.
+func (m *Machine) question(r *replica, wait, timeout time.Duration) Question {
+	dial := min(m.options.Dial<<min(r.failures, 8), m.options.Probe)
+	return Question{Address: r.address, Wait: wait, Timeout: timeout, Dial: dial}
 }
 
 // choose is the candidate to ask: the first that was not asked in this search, or else the one that was asked longest
--- a/internal/agent/source/source_test.go
+++ b/internal/agent/source/source_test.go
@@ -115,6 +115,20 @@
 	}
 }
 
+func TestMachineThatIsOffIsGivenUpSoonAtFirst(t *testing.T) {
+	m := New(Options{}, 0)
+	m.Offer(addresses(1))
+	now := time.Duration(0)
+	for _, want := range []time.Duration{250, 500, 700, 700} {
+		question := expectQuestion(t, m, now, 1, 0)
+		if question.Dial != want*time.Millisecond {
+			t.Errorf("a connection may take %v, want %dms", question.Dial, want)
+		}
+		m.Failed(now, address(1))
+		now += 2 * second
+	}
+}
+
 func TestFollowedReplicaThatIsBusyIsFollowedOn(t *testing.T) {
 	m := New(Options{}, 0)
 	m.Offer(addresses(1, 2))
