--- a/internal/replica/host_test.go
+++ b/internal/replica/host_test.go
@@ -239,8 +239,7 @@
 	})
 }
 
-// voters waits until all machines that run agree on so many voters, which are of machines that run, and on no other
-// members than machines that run.
+// settled waits until all machines that run agree that the members are the machines that run, so many of them voters.
 func (c *cluster) settled(voters int) {
 	c.t.Helper()
 	waitFor(c.t, fmt.Sprintf("%d voters", voters), func() error {
@@ -429,6 +428,28 @@
 	c.settled(3)
 }
 
+// TestSeedsGone restarts a machine whose seeds are no more: it finds the others by what it has on disk, and a machine
+// without anything by a hint.
+func TestSeedsGone(t *testing.T) {
+	c := newCluster(t, 3, 3)
+	c.startAll()
+	c.machines[0].propose(0, "a")
+	c.settled(3)
+	gone := []netip.AddrPort{netip.AddrPortFrom(loopback(99), 1)}
+	for _, m := range c.machines {
+		m.kill()
+		m.settings.FirstBoot, m.settings.SeedNodes = false, gone
+		m.start()
+		m.holds(0, "a")
+	}
+	added := c.add(3, false)
+	added.settings.SeedNodes = gone
+	added.start()
+	added.host.Hint(c.machines[1].host.address)
+	added.holds(0, "a")
+	c.settled(3)
+}
+
 func TestSnapshotBringsNewMachineUp(t *testing.T) {
 	c := newCluster(t, 3, 3)
 	c.startAll()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -45,5 +45,6 @@
 
 // Error says what happened and what to do.
 func (e *UnavailableError) Error() string {
-	return fmt.Sprintf("replica: partition %d has no leader that a majority follows; check which control machines are up", e.Partition)
+	return fmt.Sprintf("replica: partition %d has no leader that a majority follows; check which control machines are up",
+		e.Partition)
 }
--- a/internal/rpc/rpc_test.go
+++ b/internal/rpc/rpc_test.go
@@ -253,7 +253,8 @@
 		t.Fatal(err, s.calls.Load())
 	}
 	for range 10 { // each bound is for one request
-		if _, err := echoCall.Invoke(context.Background(), c, &EchoRequest{Text: string(make([]byte, 32<<10))}); err != nil {
+		request := EchoRequest{Text: string(make([]byte, 32<<10))}
+		if _, err := echoCall.Invoke(context.Background(), c, &request); err != nil {
 			t.Fatal(err)
 		}
 	}
@@ -261,7 +262,8 @@
 
 func TestConnectionsAreBounded(t *testing.T) {
 	s := newEchoServer(t, "127.0.0.1:0", Limits{Connections: 1})
-	first, second := newTestClient(t, s.address, Options{}), newTestClient(t, s.address, Options{Retry: time.Millisecond})
+	first := newTestClient(t, s.address, Options{})
+	second := newTestClient(t, s.address, Options{Retry: time.Millisecond})
 	if _, err := echoCall.Invoke(context.Background(), first, &EchoRequest{}); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/storage/storage_test.go
+++ b/internal/storage/storage_test.go
@@ -370,7 +370,8 @@
 		i++
 		write(b, s, Write{Partition: 1, Entries: []consensus.Entry{{Index: i, Term: 1, Data: data}}, Committed: i})
 		if i%1000 == 0 {
-			write(b, s, Write{Partition: 1, Compacted: &consensus.Snapshot{Index: i, Term: 1, Membership: membership(1)}})
+			snapshot := consensus.Snapshot{Index: i, Term: 1, Membership: membership(1)}
+			write(b, s, Write{Partition: 1, Compacted: &snapshot})
 		}
 	}
 }
