--- a/internal/gossip/gossip_test.go
+++ b/internal/gossip/gossip_test.go
@@ -185,6 +185,7 @@
 	c.members["edge-1"].Leave()
 	c.wait("core-1 knows that edge-1 left", func() bool { return c.find(c.members["core-1"], "edge-1").State == Left })
 	c.wait("it counts no more", func() bool { return c.members["core-1"].Proxies() == 2 })
+	c.wait("edge-2 knows, too", func() bool { return c.find(c.members["edge-2"], "edge-1").State == Left })
 	for _, address := range c.members["edge-2"].AgentAddresses() {
 		if address.Addr() == c.members["edge-1"].Address().Addr() {
 			t.Error("one that left is named as an agent to ask")
