Placement: requests yield to more urgent ones that are refused

Cause: a request was refused once the wait exceeded half of the time it had left. Urgent routes have the shortest deadlines, so with few runners left they were refused first, and others took their room. Ruled out: places, retry budget, cold runners; a fixed order by rank (refused under moderate load as well); yielding only without room (large requests were refused far more often than small ones). Change: while a rank is refused because of load, and for a second after, less urgent requests of the service may wait less than it, and yield even where they would find room.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -29,12 +29,14 @@
 		return Choice{}, &Refusal{RetryAfter: p.backoff(now, r, 0), Reason: "the retry budget is spent"}
 	}
 	s.aim(r)
+	s.urgency.note(now, r)
 	d := p.demandOf(s, r)
 	best, rank := p.pick(now, s, r, &d)
 	if best == nil {
 		return Choice{}, &Refusal{RetryAfter: p.backoff(now, r, 0), Reason: "no runner may take the request"}
 	}
-	if wait := p.waitAt(s, best); rank >= rankNoRoom && p.hopeless(now, s, r, wait) {
+	if wait := p.waitAt(s, best); (rank >= rankNoRoom || s.urgency.yields(now, r)) && p.hopeless(now, s, r, wait) {
+		s.urgency.refuse(now, r)
 		return Choice{}, &Refusal{RetryAfter: p.backoff(now, r, wait), Reason: "all runners are over their ceilings"}
 	}
 	return Choice{Runner: best.ID, Address: best.Address, Priority: priority(s, r)}, nil
@@ -206,8 +208,7 @@
 
 // hopeless says that even the best runner would answer too late, while the runners have hardly a place left.
 func (p *Placer) hopeless(now time.Duration, s *service, r *Request, wait float64) bool {
-	left := (r.Deadline - now).Seconds()
-	if wait <= waitedShare*left {
+	if wait <= s.urgency.bearable(now, r) {
 		return false
 	}
 	taken, places := 0.0, 0.0
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -70,8 +70,11 @@
 
 // Refusals.
 const (
-	waitedShare  = 0.5 // of the time left that a request may wait
-	busyShare    = 0.5 // of the places of its runners that must be taken before a request is refused
+	waitedShare  = 0.5         // of the time left that a request may wait
+	yieldShare   = 0.8         // of what a request of the next more urgent rank may wait
+	yieldSpan    = time.Second // after a refusal for which less urgent requests yield
+	mostRanks    = 8           // that are told apart
+	busyShare    = 0.5         // of the places of its runners that must be taken before a request is refused
 	leastBackoff = 50 * time.Millisecond
 	mostBackoff  = 2 * time.Second
 )
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -59,6 +59,7 @@
 	errors  float64 // mean error share of the runners that have been judged
 	mean    usage   // mean of the runners' means
 	kept    keptMemory
+	urgency urgency
 }
 
 // routeStats are what answers of a route have shown.
