Figures of proxy, agent and control as text, and log lines of a proxy's stop

The proxy counts requests after the signal by whether their connection had carried one, logs each request that its end cuts with the age of its connection, and logs from info on as the others do. Control tells how many proxies its directory sees in each state, the agent what the members are told of its proxy.

No decision changes. Ruled out: a second HTTP server in the proxy (memory is priced); the loop serves the page.

--- a/cmd/cinderroad-agent/main.go
+++ b/cmd/cinderroad-agent/main.go
@@ -32,7 +32,8 @@
 	}
 	ctx, stop := startup.UntilStopped()
 	defer stop()
-	started, err := agent.New(ctx, agent.Options{Settings: settings, Version: program.Version, Log: log})
+	started, err := agent.New(ctx, agent.Options{Settings: settings, Version: program.Version, Log: log,
+		Metrics: program.MetricsAddress(settings.IP)})
 	if err != nil {
 		return err
 	}
--- a/cmd/cinderroad-control/main.go
+++ b/cmd/cinderroad-control/main.go
@@ -32,7 +32,8 @@
 	}
 	ctx, stop := startup.UntilStopped()
 	defer stop()
-	process, err := control.Start(ctx, control.Options{Settings: settings, Version: program.Version, Log: log})
+	process, err := control.Start(ctx, control.Options{Settings: settings, Version: program.Version, Log: log,
+		Metrics: program.MetricsAddress(settings.IP)})
 	if err != nil {
 		return err
 	}
--- a/cmd/cinderroad-proxy/main.go
+++ b/cmd/cinderroad-proxy/main.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"hash/maphash"
+	"net/netip"
 	"os"
 	"os/signal"
 	"syscall"
@@ -37,16 +38,16 @@
 		Name:           "cinderroad-proxy",
 		Description:    "Serves clients of an edge machine; the settings file is named by " + environment.Variable + ".",
 		Version:        "cinderroad-proxy 1",
-		LogLevel:       zapcore.WarnLevel,
+		LogLevel:       zapcore.InfoLevel,
 		GarbagePercent: 40, // memory at its peak costs more than a collection of so small a heap
 	}
-	if err := run(program.Start()); err != nil {
+	if err := run(&program, program.Start()); err != nil {
 		fmt.Fprintln(os.Stderr, "cinderroad-proxy:", err)
 		os.Exit(1)
 	}
 }
 
-func run(log *zap.Logger) error {
+func run(program *startup.Program, log *zap.Logger) error {
 	settings, err := environment.Load()
 	if err != nil {
 		return err
@@ -61,7 +62,7 @@
 	loop.LendReads = true
 	loop.SleptAfter = sleptAfter
 	loop.Overslept = func(late float64) { log.Info("the process was held up", zap.Float64("seconds", late)) }
-	p, err := newProxy(loop, log, settings)
+	p, err := newProxy(loop, log, settings, program.MetricsAddress(settings.IP))
 	if err != nil {
 		return err
 	}
@@ -79,7 +80,8 @@
 var errNoFront = errors.New("the settings name no listen_on.front; does the deploy file give this role " +
 	`serves = ["edge"]?`)
 
-func newProxy(loop *transport.Loop, log *zap.Logger, settings *environment.Settings) (*proxy.Proxy, error) {
+func newProxy(loop *transport.Loop, log *zap.Logger, settings *environment.Settings,
+	metrics netip.AddrPort) (*proxy.Proxy, error) {
 	seed := maphash.Bytes(maphash.MakeSeed(), []byte(settings.Node))
 	timing := &settings.Timing
 	placer, err := placement.New(placement.Options{Zone: settings.Zone, Region: settings.Region, Zones: settings.Zones,
@@ -89,7 +91,7 @@
 		return nil, err
 	}
 	return proxy.New(loop, log, placer, proxy.Options{Front: settings.ListenOn.Front, Ready: settings.ListenOn.Ready,
-		MemoryBytes: settings.Limits.RAMMB << 20, GracePeriod: timing.GracePeriod, Seed: seed}), nil
+		Metrics: metrics, MemoryBytes: settings.Limits.RAMMB << 20, GracePeriod: timing.GracePeriod, Seed: seed}), nil
 }
 
 // listen begins to serve. The addresses may still be held by an earlier life that is about to end.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -45,6 +45,7 @@
 	Settings *environment.Settings
 	Version  string // of the program
 	Log      *zap.Logger
+	Metrics  netip.AddrPort // where the agent serves its own figures; the zero value: nowhere
 
 	loopback netip.Addr     // address at which the proxy is served; the zero value: as the settings have it
 	source   source.Options // of the choice of replicas
@@ -56,6 +57,8 @@
 	version  string
 	log      *zap.Logger
 	epoch    time.Time
+	metrics  netip.AddrPort
+	stopped  atomic.Int64 // when the signal to stop came, by now; 0: it did not
 
 	store    *store
 	crowd    *crowd
@@ -78,6 +81,7 @@
 		version:  options.Version,
 		log:      options.Log,
 		epoch:    time.Now(),
+		metrics:  options.Metrics,
 		failures: make(chan error, 4),
 	}
 	a.Reload(options.Settings)
@@ -137,6 +141,7 @@
 	defer a.work.Wait()
 	defer end()
 	a.serve(running)
+	a.serveMetrics(running, a.metrics)
 	a.work.Go(func() { a.follower.run(running) })
 	a.work.Go(func() { a.platform.run(running) })
 	a.work.Go(func() { a.join(running) })
@@ -299,9 +304,19 @@
 	a.platform.update(cutOff.Without(feed.SetOf(feed.ConfigurationPartition)))
 }
 
+// stoppingFor is the time since the signal to stop; 0 where none came.
+func (a *Agent) stoppingFor() time.Duration {
+	at := time.Duration(a.stopped.Load())
+	if at == 0 {
+		return 0
+	}
+	return a.now() - at
+}
+
 // stop tells the members that the proxy stops, feeds it until it has ended, and leaves.
 func (a *Agent) stop() {
 	a.log.Info("stopping")
+	a.stopped.Store(int64(a.now()))
 	a.proxy.end()
 	most := max(servesAtLeast, a.settings.Timing.GracePeriod-endBefore)
 	limit := time.NewTimer(most)
--- /dev/null
+++ b/internal/agent/metrics.go
@@ -0,0 +1,68 @@
+package agent
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"time"
+
+	"go.uber.org/zap"
+
+	"cinderroad/internal/agent/reports"
+	"cinderroad/internal/exposition"
+	"cinderroad/internal/feed"
+)
+
+// Bounds of connections that ask for the figures.
+const (
+	metricsHeaderTimeout = 2 * time.Second
+	metricsIdleTimeout   = 10 * time.Second
+	metricsMostHeader    = 8 << 10 // bytes
+)
+
+// serveMetrics serves the agent's own figures until the context ends. The agent does its work without them, too.
+func (a *Agent) serveMetrics(ctx context.Context, address netip.AddrPort) {
+	if !address.IsValid() {
+		return
+	}
+	listener, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		a.log.Warn("figures are not served, check that no other process holds their port", zap.Error(err))
+		return
+	}
+	server := &http.Server{Handler: exposition.Handler(a.expose), ReadHeaderTimeout: metricsHeaderTimeout,
+		IdleTimeout: metricsIdleTimeout, MaxHeaderBytes: metricsMostHeader}
+	a.work.Go(func() {
+		if err := server.Serve(listener); err != http.ErrServerClosed {
+			a.log.Warn("figures are not served any more", zap.Error(err))
+		}
+	})
+	context.AfterFunc(ctx, func() { server.Close() })
+}
+
+// expose writes the agent's own figures.
+func (a *Agent) expose(page *exposition.Page) {
+	gauge := func(name, help string, value float64) { page.Single(exposition.Gauge, name, help, value) }
+	gauge("cinderroad_agent_stopping_seconds", "Time since the signal to stop; 0: none came.", a.stoppingFor().Seconds())
+	gauge("cinderroad_agent_proxies", "Proxies that may be sending, as the members know; 0: not known.", float64(a.proxies()))
+	gauge("cinderroad_agent_control_machines", "Control machines that the members know.", float64(len(a.candidates())))
+
+	page.Family(exposition.Gauge, "cinderroad_agent_proxy_state", "What the members are told of the proxy; one of the states is 1.")
+	told := a.proxy.state()
+	for _, state := range reports.States {
+		page.Sample(exposition.Flag(state == told), exposition.Label{Name: "state", Value: state.String()})
+	}
+	partition := func(i int) exposition.Label { return exposition.Label{Name: "partition", Value: strconv.Itoa(i)} }
+	page.Family(exposition.Gauge, "cinderroad_agent_feed_age_seconds", "Time since the control replicas' word was up to date.")
+	for i := range 1 + feed.RunnerPartitions {
+		if age := a.store.age(feed.Partition(i)); age != feed.Never {
+			page.Sample(age.Seconds(), partition(i))
+		}
+	}
+	page.Family(exposition.Gauge, "cinderroad_agent_feed_index", "Index up to which the control replicas' changes are held.")
+	for _, position := range a.store.positions() {
+		page.Sample(float64(position.Index), partition(int(position.Partition)))
+	}
+}
--- /dev/null
+++ b/internal/agent/metrics_test.go
@@ -0,0 +1,31 @@
+package agent
+
+import (
+	"strings"
+	"testing"
+
+	"cinderroad/internal/exposition"
+	"cinderroad/internal/feed"
+)
+
+func TestFigures(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t)
+	replicas := w.newReplicas(1)
+	configure(replicas, 1, "1")
+	e := w.newEdge("edge-1")
+	e.report(feed.ProxyReport{Ready: true, Front: "10.0.0.1:80"})
+	e.waitFor("the proxy has version 1", func() bool { return e.version() == "1" })
+	text := func() string {
+		var page exposition.Page
+		e.agent.expose(&page)
+		return string(page.Text())
+	}
+	e.waitFor("the figures tell of the feed and the proxy", func() bool {
+		page := text()
+		return strings.Contains(page, "cinderroad_agent_stopping_seconds 0\n") &&
+			strings.Contains(page, "cinderroad_agent_proxy_state{state=\"serving\"} 1\n") &&
+			strings.Contains(page, "cinderroad_agent_proxy_state{state=\"stopping\"} 0\n") &&
+			strings.Contains(page, "cinderroad_agent_feed_age_seconds{partition=\"0\"} ")
+	})
+}
--- a/internal/agent/proxy.go
+++ b/internal/agent/proxy.go
@@ -105,6 +105,13 @@
 	p.publish()
 }
 
+// state is what the members are told of the proxy.
+func (p *proxy) state() reports.State {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	return p.told
+}
+
 // publish tells the members how the proxy is, and has the timer look again when a report is overdue.
 func (p *proxy) publish() {
 	state := p.machine.State()
--- a/internal/agent/reports/reports.go
+++ b/internal/agent/reports/reports.go
@@ -19,6 +19,9 @@
 	Ended                 // this machine's processes stop: nothing changes any more
 )
 
+// States are all of them.
+var States = [...]State{Starting, Serving, Stopping, Ended}
+
 // String names the state.
 func (s State) String() string {
 	switch s {
--- /dev/null
+++ b/internal/control/metrics.go
@@ -0,0 +1,93 @@
+package control
+
+import (
+	"net"
+	"net/netip"
+	"strconv"
+
+	"go.uber.org/zap"
+
+	"cinderroad/internal/control/directory"
+	"cinderroad/internal/exposition"
+)
+
+// serveMetrics serves the process's own figures. The process does its work without them, too.
+func (p *Process) serveMetrics(address netip.AddrPort) {
+	if !address.IsValid() {
+		return
+	}
+	listener, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		p.log.Warn("figures are not served, check that no other process holds their port", zap.Error(err))
+		return
+	}
+	p.serveOn(listener, exposition.Handler(p.expose))
+}
+
+// expose writes the process's own figures.
+func (p *Process) expose(page *exposition.Page) {
+	p.exposeState(page)
+	p.exposePartitions(page)
+	p.exposeDirectory(page)
+}
+
+func (p *Process) exposeState(page *exposition.Page) {
+	gauge := func(name, help string, value float64) { page.Single(exposition.Gauge, name, help, value) }
+	gauge("cinderroad_control_configuration_version", "Version of the configuration held here; 0: none.",
+		float64(p.configuration.Version()))
+	gauge("cinderroad_control_stopping", "Whether the process was told to stop.", exposition.Flag(p.stopping.Load()))
+	gauge("cinderroad_control_followers", "Members that follow this machine's feed.", float64(len(p.feed.Followers())))
+	duty := p.duty.Status()
+	gauge("cinderroad_control_discovery_holder", "Whether this machine reads the platform's list of runners.",
+		exposition.Flag(duty.Holder))
+	page.Single(exposition.Counter, "cinderroad_control_discovery_calls_total", "Calls to the platform.", float64(duty.Calls))
+}
+
+// exposePartitions writes what tells of each replica of the control state.
+func (p *Process) exposePartitions(page *exposition.Page) {
+	partitions := p.host.Status()
+	label := func(i int) exposition.Label {
+		return exposition.Label{Name: "partition", Value: strconv.Itoa(int(partitions[i].Partition))}
+	}
+	page.Family(exposition.Gauge, "cinderroad_control_leads", "Whether this machine leads the partition, with a lease.")
+	for i := range partitions {
+		_, leads := p.host.Leads(partitions[i].Partition)
+		page.Sample(exposition.Flag(leads), label(i))
+	}
+	page.Family(exposition.Gauge, "cinderroad_control_fresh_seconds", "Time since a leader that a majority follows was heard.")
+	for i := range partitions {
+		page.Sample(p.host.Fresh(partitions[i].Partition).Seconds(), label(i))
+	}
+	page.Family(exposition.Gauge, "cinderroad_control_term", "Term of the partition's group, as held here.")
+	for i := range partitions {
+		page.Sample(float64(partitions[i].Status.Term), label(i))
+	}
+	page.Family(exposition.Gauge, "cinderroad_control_applied_index", "Index up to which the log is applied here.")
+	for i := range partitions {
+		page.Sample(float64(partitions[i].Status.Applied), label(i))
+	}
+}
+
+// exposeDirectory writes which proxies look-ups may name.
+func (p *Process) exposeDirectory(page *exposition.Page) {
+	var usable, stopping, starting, lost int
+	edges := p.Edges()
+	for i := range edges {
+		switch edge := &edges[i]; {
+		case edge.Health == directory.Dead:
+			lost++
+		case edge.Stopping:
+			stopping++
+		case edge.Ready:
+			usable++
+		default:
+			starting++
+		}
+	}
+	page.Family(exposition.Gauge, "cinderroad_control_proxies", "Proxies as this machine's directory sees them.")
+	state := func(name string) exposition.Label { return exposition.Label{Name: "state", Value: name} }
+	page.Sample(float64(usable), state("ready"))
+	page.Sample(float64(starting), state("starting"))
+	page.Sample(float64(stopping), state("stopping"))
+	page.Sample(float64(lost), state("dead"))
+}
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -54,6 +54,7 @@
 	Settings *environment.Settings
 	Version  string // of the program
 	Log      *zap.Logger
+	Metrics  netip.AddrPort // where the process serves its own figures; the zero value: nowhere
 }
 
 // Process is a running control process.
@@ -92,6 +93,7 @@
 		p.cancel()
 		return nil, err
 	}
+	p.serveMetrics(options.Metrics)
 	p.host.Start()
 	p.running.Go(func() { p.duty.Run(p.context) })
 	p.running.Go(func() { p.watch(p.context) })
@@ -255,14 +257,18 @@
 	if err != nil {
 		return err
 	}
+	p.serveOn(listener, handler)
+	return nil
+}
+
+func (p *Process) serveOn(listener net.Listener, handler http.Handler) {
 	server := newServer(handler)
 	p.servers = append(p.servers, server)
 	p.running.Go(func() {
 		if err := server.Serve(listener); err != http.ErrServerClosed {
-			p.fail(fmt.Errorf("control: HTTP at %v ended: %w", address, err))
+			p.fail(fmt.Errorf("control: HTTP at %v ended: %w", listener.Addr(), err))
 		}
 	})
-	return nil
 }
 
 // listen opens an address, again for a while if an earlier process still holds it.
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -14,6 +14,7 @@
 	"go.uber.org/zap"
 
 	"cinderroad/internal/configuration"
+	"cinderroad/internal/exposition"
 	"cinderroad/internal/placement"
 	"cinderroad/internal/transport"
 )
@@ -35,10 +36,12 @@
 
 // Options say where the proxy listens and what it may use.
 type Options struct {
-	Front, Ready netip.AddrPort // Ready may be the zero value: readiness is not served
-	MemoryBytes  int            // of the process; 0: not known
-	GracePeriod  time.Duration  // from the signal to stop until the process is killed
-	Seed         uint64         // of what is drawn by chance
+	Front       netip.AddrPort
+	Ready       netip.AddrPort // zero: readiness is not served
+	Metrics     netip.AddrPort // zero: figures are not served
+	MemoryBytes int            // of the process; 0: not known
+	GracePeriod time.Duration  // from the signal to stop until the process is killed
+	Seed        uint64         // of what is drawn by chance
 }
 
 // Figures count what the proxy has done since it started.
@@ -46,6 +49,8 @@
 	Requests, Served, Refused, Failed, Aborted uint64 // Aborted: answers broken off and clients that left
 	Attempts, Resumed, Dials                   uint64
 	Spoilt                                     uint64 // runner connections closed for bytes that belong to no request
+	StoppingNew, StoppingKept                  uint64 // requests after the signal to stop, by their connection
+	StoppingCut                                uint64 // requests that the end of the process broke off
 }
 
 // Proxy is the data plane of one process.
@@ -65,9 +70,10 @@
 	control   control
 	pool      *pool
 
-	front, ready *transport.Listener
+	front        *transport.Listener
+	ready        *monitorEndpoint
+	figures      *monitorEndpoint
 	sessions     sessionList
-	readiness    readyList
 	exchanges    int // open
 	buffered     int // bytes of bodies held
 	pending      pendingWrite
@@ -97,15 +103,24 @@
 			return err
 		}
 	}
-	if p.options.Ready.IsValid() {
-		if err := p.listenReady(); err != nil {
+	if p.ready == nil {
+		if p.ready, err = p.listenMonitor(p.options.Ready, readyPath, p.readiness); err != nil {
 			return err
 		}
 	}
+	p.listenMetrics()
 	p.runTick()
 	return nil
 }
 
+// listenMetrics serves the figures. The proxy does its work without them, too.
+func (p *Proxy) listenMetrics() {
+	var err error
+	if p.figures, err = p.listenMonitor(p.options.Metrics, exposition.Path, p.metrics); err != nil {
+		p.log.Warn("figures are not served, check that no other process holds their port", zap.Error(err))
+	}
+}
+
 // FrontAddr is the address that clients reach.
 func (p *Proxy) FrontAddr() netip.AddrPort { return p.front.Addr() }
 
--- a/internal/proxy/session.go
+++ b/internal/proxy/session.go
@@ -24,7 +24,7 @@
 	exchange *exchange // nil between requests
 	last     bool      // closes after the answer at hand
 	began    bool      // bytes of the next request have come
-	carried  bool      // has carried a request
+	requests int       // heads of requests that it has carried
 	entered  time.Duration
 	coming   bool          // bytes of a request have come whose head was not read
 	comingAt time.Duration // when the first of them came: the client's time runs at least from then
@@ -164,7 +164,9 @@
 	}
 	s.conn.Consume(n)
 	s.timeout.Stop()
-	s.carried, s.coming, s.last = true, false, head.Close || head.Version == "HTTP/1.0"
+	s.coming, s.last = false, head.Close || head.Version == "HTTP/1.0"
+	s.proxy.noteWhileStopping(s)
+	s.requests++
 	x := newExchange(s, head)
 	s.exchange = x
 	x.admit()
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -204,7 +204,7 @@
 func TestReady(t *testing.T) {
 	w := newWorld(t)
 	var addr string
-	w.do(func() { addr = w.proxy.ready.Addr().String() })
+	w.do(func() { addr = w.proxy.ready.listener.Addr().String() })
 	c := dial(t, addr)
 	get := func(path string) int {
 		c.send("GET " + path + " HTTP/1.1\r\nHost: x\r\n\r\n")
--- a/internal/startup/startup.go
+++ b/internal/startup/startup.go
@@ -6,6 +6,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -30,6 +31,8 @@
 	// GarbagePercent is by how much of what is live the heap may grow before a collection: low values keep the peak of
 	// memory low where little is allocated in a second.
 	GarbagePercent int
+	// MetricsPort is the port at which the program serves its own figures, as the command line names it; 0: none.
+	MetricsPort uint16
 }
 
 // Start sets the runtime up, reads the command line and returns the program's logger, which writes to standard error.
@@ -41,13 +44,15 @@
 	parser := p.parser(&flags)
 	_, err := parser.Parse(os.Args[1:])
 	parser.FatalIfErrorf(err)
+	p.MetricsPort = flags.MetricsPort
 	return logfmt.New(os.Stderr, flags.LogLevel)
 }
 
 // commandLine are the flags of each program.
 type commandLine struct {
-	LogLevel zapcore.Level    `help:"Least level of events that are logged: debug, info, warn or error." default:"${log_level}" aliases:"log"`
-	Version  kong.VersionFlag `help:"Print the version and exit."`
+	LogLevel    zapcore.Level    `help:"Least level of events that are logged: debug, info, warn or error." default:"${log_level}" aliases:"log"`
+	MetricsPort uint16           `help:"Port of the machine's address at which the process serves its own figures (GET /metrics); 0: none."`
+	Version     kong.VersionFlag `help:"Print the version and exit."`
 }
 
 func (p *Program) parser(flags *commandLine) *kong.Kong {
@@ -55,6 +60,14 @@
 		kong.Vars{"version": p.Version, "log_level": p.LogLevel.String()})
 }
 
+// MetricsAddress is where the program serves its own figures on a machine; the zero value: nowhere.
+func (p *Program) MetricsAddress(machine netip.Addr) netip.AddrPort {
+	if p.MetricsPort == 0 {
+		return netip.AddrPort{}
+	}
+	return netip.AddrPortFrom(machine, p.MetricsPort)
+}
+
 // LoadSettings reads the settings file of a program that says that it starts, and returns the settings with a logger
 // that adds the machine's name to each event.
 func (p *Program) LoadSettings(log *zap.Logger) (*environment.Settings, *zap.Logger, error) {
