--- a/internal/proxy/simnet_test.go
+++ b/internal/proxy/simnet_test.go
@@ -268,7 +268,15 @@
 func (n *simulatedNetwork) dial(addr netip.AddrPort, peer *simulatedPeer) *simulatedEnd {
 	s := n.newSocket()
 	s.end = &simulatedEnd{socket: s, peer: peer}
-	n.after(peer.latency, func() { n.listening[addr].queue = append(n.listening[addr].queue, s) })
+	n.after(peer.latency, func() {
+		listener := n.listening[addr]
+		if listener.closed { // a closed port answers by a reset
+			s.closed = true
+			n.after(peer.latency, func() { s.end.tellEnded(true) })
+			return
+		}
+		listener.queue = append(listener.queue, s)
+	})
 	return s.end
 }
 
