A stopping proxy takes only what can end before it does, and answers the rest

A proxy that was told to stop took requests of any length for half of the grace period (its listener stood open for 4 of 8 s) and ended at 7.5 s, whatever was left. Clients hold look-ups three times as long as told (6 s), so that requests sent 3 to 4 s after SIGTERM on new connections were passed on and cut.

The plan of a stop is now derived from the grace period (stop_plan.go): requests of any length are taken, and the listener stands open, for three tenths of it, 2.5 s at most; later ones are taken only if their deadline, at which they may be ended, comes before the process's end; others are told 503 at once. The end leaves a twelfth of the grace period, 0.5 s at most (a grace period of 2 s was cut at 1.5 s, before its last sixth). At the end whatever has no answer yet is told 503 or 502; it met a closed connection before.

Ruled out: kept connections (H2: of the cut requests in the logs all are the first of connections made 3.28 to 3.48 s after the signal; the test has both), a late word of agent or directory (H3: agents say `stopping` within 1 ms of the signal). No special case: settings and rules alone.

TestPlanStop holds the new plan, which the old one contradicts; TestPlanStopKeepsToTheGracePeriod states what any plan must keep to.

--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -17,7 +17,7 @@
 	mostUnreached = 4                      // runners that were never reached, for one request
 	mostFull      = 8                      // runners without a connection to spare, in one choice
 	endGrace      = 150 * time.Millisecond // past the deadline, for the end of an answer that is under way; see expire
-	soon          = 100 * time.Millisecond // after which a refused client may come back when a runner was full
+	soon          = 100 * time.Millisecond // after which a refused client may come back: another runner or proxy has room
 )
 
 // state is where an exchange stands.
@@ -148,6 +148,11 @@
 func (x *exchange) received() {
 	x.transition(placing)
 	x.request.Bytes = len(x.body)
+	if x.proxy.outlastsProxy(&x.request) {
+		x.proxy.Figures.StoppingRefused++
+		x.giveUp(soon)
+		return
+	}
 	x.place()
 }
 
@@ -282,6 +287,18 @@
 	}
 }
 
+// endUnanswered ends a request whose answer has not begun, since the process ends.
+func (x *exchange) endUnanswered() {
+	if x.state == receiving {
+		x.finish()
+		x.session.rejectWith(503, "the proxy ends")
+		return
+	}
+	x.request.MayHaveRun = x.request.MayHaveRun || x.attempt != nil && x.attempt.up // with a part of it, the runner may have begun
+	x.endAttempt(placement.Abandoned)
+	x.giveUp(soon)
+}
+
 // lateOutcome is what the deadline says of the runner: little, unless it had the time that an answer should take.
 func (x *exchange) lateOutcome() placement.Outcome {
 	a := x.attempt
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -33,4 +33,6 @@
 		"Requests whose head was read after the signal to stop, by whether their connection had carried one before.")
 	page.Sample(float64(f.StoppingNew), exposition.Label{Name: "connection", Value: "new"})
 	page.Sample(float64(f.StoppingKept), exposition.Label{Name: "connection", Value: "kept"})
+	counter("cinderroad_proxy_turned_away_while_stopping_total", "Requests turned away since they might outlast the process.",
+		f.StoppingRefused)
 }
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -50,6 +50,7 @@
 	Attempts, Resumed, Dials                   uint64
 	Spoilt                                     uint64 // runner connections closed for bytes that belong to no request
 	StoppingNew, StoppingKept                  uint64 // requests after the signal to stop, by their connection
+	StoppingRefused                            uint64 // requests turned away since they might outlast the process
 	StoppingCut                                uint64 // requests that the end of the process broke off
 }
 
--- a/internal/proxy/session_test.go
+++ b/internal/proxy/session_test.go
@@ -235,7 +235,7 @@
 // A proxy that is told to stop takes what still comes, ends it whole, and then ends.
 func TestStop(t *testing.T) {
 	w := newWorld(t)
-	w.do(func() { w.proxy.stopping.plan = stopPlan{time.Hour, time.Hour, time.Hour} }) // the test goes through it by hand
+	w.do(func() { w.proxy.stopping.plan = stopPlan{time.Hour, time.Hour, time.Hour, time.Hour} }) // the test goes through it by hand
 	r := w.runners("a")[0]
 	idle, busy, late := w.client(), w.client(), w.client()
 	w.await("three sessions", func() bool { return w.proxy.sessions.open == 3 })
@@ -266,14 +266,85 @@
 	}
 }
 
+// What has no answer when the proxy must end is told so, and whether it may have run.
+func TestAnswersBeforeTheEnd(t *testing.T) {
+	w := newWorld(t)
+	w.do(func() { w.proxy.stopping.plan = stopPlan{time.Hour, time.Hour, time.Hour, time.Hour} }) // the test goes through it by hand
+	r := w.runners("a")[0]
+	half, sent, begun := w.client(), w.client(), w.client()
+	begun.send(ask("/stream/x", "t1", "", ""))
+	first := r.accept()
+	first.request()
+	first.send(streamHead("t1", "s") + chunk(event(1)))
+	begun.head()
+	sent.send(ask("/writes/x", "t2", "", ""))
+	r.accept().request()
+	half.send("POST /writes/x HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: t3\r\nContent-Length: 5\r\n\r\nab")
+	w.await("three requests", func() bool { return w.proxy.exchanges == 3 })
+	w.do(w.proxy.Stop)
+	w.do(w.proxy.answerAll)
+	if got := half.answered(503, ""); got.Header.Get("Retry-After") == "" || !got.Close {
+		t.Error("a request that was not whole is not asked to come again elsewhere")
+	}
+	if got := sent.answered(502, ""); !got.Close {
+		t.Error("the connection of a request that may have run stays")
+	}
+	begun.expect(chunk(event(1)))
+	w.do(w.proxy.cutOff)
+	if rest := begun.gone(); strings.Contains(rest, lastChunk) {
+		t.Errorf("a cut answer looks whole: %q", rest)
+	}
+	<-w.done
+}
+
+// A proxy that is about to end takes what has its end before, and sends the rest elsewhere at once.
+func TestTurnsAwayWhatOutlastsIt(t *testing.T) {
+	w := newWorld(t)
+	r := w.runners("a")[0]
+	long, short := w.client(), w.client()
+	w.await("two sessions", func() bool { return w.proxy.sessions.open == 2 })
+	w.do(func() {
+		w.proxy.stopping.on, w.proxy.stopping.at = true, w.proxy.now()-3*time.Second
+		w.proxy.stopping.plan = stopPlan{shut: 2 * time.Second, last: 6 * time.Second, end: 7 * time.Second}
+	})
+	long.send(ask("/stream/x", "t1", "", "")) // it may take 10 s
+	if got := long.answered(503, ""); got.Header.Get("Retry-After") == "" || !got.Close {
+		t.Error("the client is not sent elsewhere")
+	}
+	short.send(strings.Replace(ask("/stream/x", "t2", "", ""), "10000", "1500", 1))
+	up := r.accept()
+	up.request()
+	up.send(served("t2", "short"))
+	short.answered(200, "short")
+}
+
 func TestPlanStop(t *testing.T) {
+	ms := time.Millisecond
 	for grace, want := range map[time.Duration]stopPlan{
-		8 * time.Second: {1500 * time.Millisecond, 4 * time.Second, 7500 * time.Millisecond},
-		2 * time.Second: {500 * time.Millisecond, time.Second, 1500 * time.Millisecond},
-		0:               {1500 * time.Millisecond, 4 * time.Second, 7500 * time.Millisecond},
+		20 * time.Second: {1500 * ms, 2500 * ms, 19500 * ms, 19625 * ms},
+		8 * time.Second:  {1500 * ms, 2400 * ms, 7500 * ms, 7625 * ms},
+		2400 * ms:        {600 * ms, 720 * ms, 2200 * ms, 2250 * ms},
+		0:                {1500 * ms, 2400 * ms, 7500 * ms, 7625 * ms},
 	} {
 		if got := planStop(grace); got != want {
 			t.Errorf("grace of %v: %+v, want %+v", grace, got, want)
 		}
 	}
 }
+
+// Whatever the grace period, a stop keeps to what the platform allows: cuts come in its last sixth and before its end, and
+// only to requests that were taken within three seconds or may be cut by nobody else than their own deadline.
+func TestPlanStopKeepsToTheGracePeriod(t *testing.T) {
+	for grace := 100 * time.Millisecond; grace < time.Minute; grace += 70 * time.Millisecond {
+		plan := planStop(grace)
+		ordered := plan.sweep <= plan.shut && plan.shut < plan.last && plan.last < plan.end && plan.end < grace
+		if !ordered || float64(plan.last) < cutAllowedFrom*float64(grace) || plan.shut >= cutAllowedSentWithin {
+			t.Errorf("grace of %v: %+v", grace, plan)
+		}
+		for after := time.Duration(0); after < grace; after += grace / 50 {
+			if plan.takes(after, plan.last) && after >= plan.shut || !plan.takes(after, plan.last-endGrace) {
+				t.Errorf("grace of %v: wrong about a request %v after the signal", grace, after)
+			}
+		}
+	}
+}
--- a/internal/proxy/stop.go
+++ b/internal/proxy/stop.go
@@ -4,37 +4,16 @@
 	"time"
 
 	"go.uber.org/zap"
+
+	"cinderroad/internal/placement"
 )
 
 const (
-	idleSweepAfter = 1500 * time.Millisecond // the directory's answers have moved on by then
 	sweepEvery     = 50 * time.Millisecond
 	freshGrace     = 300 * time.Millisecond // in which the first request of a new connection may be on its way
-	listenShare    = 0.5                    // of the grace period that the listener stays open
-	lastMargin     = 500 * time.Millisecond // of the grace period that is left when the process ends
-	defaultGrace   = 8 * time.Second
 	mostCutsLogged = 20
 )
 
-// stopPlan says when a proxy that was told to stop does what, counted from then.
-type stopPlan struct {
-	sweep time.Duration // clients that rest are sent away from then on
-	shut  time.Duration // the listener is closed; the process ends once nobody waits for anything
-	last  time.Duration // the process ends, whatever it has left
-}
-
-// planStop divides the grace period, from the signal to stop until the process is killed.
-func planStop(grace time.Duration) stopPlan {
-	if grace <= 0 {
-		grace = defaultGrace
-	}
-	return stopPlan{
-		sweep: min(idleSweepAfter, grace/4),
-		shut:  time.Duration(float64(grace) * listenShare),
-		last:  max(grace-lastMargin, grace/2),
-	}
-}
-
 // stopping is where a proxy that was told to stop stands.
 type stopping struct {
 	plan stopPlan
@@ -65,7 +44,27 @@
 	now, plan := p.now(), p.stopping.plan
 	p.at(now+plan.sweep, p.sweep)
 	p.at(now+plan.shut, p.shut)
-	p.at(now+plan.last, p.cutOff)
+	p.at(now+plan.last, p.answerAll)
+	p.at(now+plan.end, p.cutOff)
+}
+
+// outlastsProxy says whether a request that is whole now may need the proxy for longer than it lives.
+func (p *Proxy) outlastsProxy(r *placement.Request) bool {
+	s := &p.stopping
+	return s.on && !s.plan.takes(p.now()-s.at, r.Deadline-s.at)
+}
+
+// answerAll ends all requests that have no answer yet, just before the process ends. Each is told whether it may have
+// run.
+func (p *Proxy) answerAll() {
+	for s := p.sessions.first; s != nil; {
+		next := s.next
+		if x := s.exchange; x != nil && !x.answer.begun {
+			p.noteCut(s)
+			x.endUnanswered()
+		}
+		s = next
+	}
 }
 
 // noteWhileStopping counts a request whose head has come, if the proxy was told to stop before.
@@ -86,6 +85,7 @@
 			p.noteCut(s)
 		}
 	}
+	p.flushPending()
 	p.logStopped()
 	p.loop.Stop()
 }
@@ -107,6 +107,7 @@
 
 func (p *Proxy) logStopped() {
 	p.log.Info("stopped", zap.Duration("after_signal", p.stopping.elapsed(p.now())), zap.Uint64("cut", p.Figures.StoppingCut),
+		zap.Uint64("turned_away", p.Figures.StoppingRefused),
 		zap.Uint64("on_new_connections", p.Figures.StoppingNew), zap.Uint64("on_kept_connections", p.Figures.StoppingKept))
 }
 
--- a/internal/proxy/stop_model_test.go
+++ b/internal/proxy/stop_model_test.go
@@ -26,7 +26,7 @@
 const (
 	stopSeeds       = 25
 	stopClients     = 40
-	leastWhole      = 100 // answers, over all seeds
+	leastWhole      = 100             // answers, over all seeds
 	stopLookupHeld  = 6 * time.Second // three times as long as the directory says
 	stopRouteTime   = 15 * time.Second
 	stopLatency     = 3 * time.Millisecond
@@ -213,6 +213,8 @@
 		if a.head.header.Get(fieldRetryAfter) == "" {
 			r.breaks("%s is refused without Retry-After", q.id)
 		}
+	case a.status == 502 && r.mayBeCut(q):
+		r.cut++
 	case r.network.now+timeSlack < q.deadline:
 		r.breaks("%s gets %d %v before its deadline", q.id, a.status, q.deadline-r.network.now)
 	}
@@ -227,18 +229,22 @@
 	if q == nil || r.network.now+timeSlack >= q.deadline {
 		return
 	}
-	sent, now := q.sent-signalAt, r.network.now-signalAt
-	allowed := time.Duration(cutAllowedFrom * float64(r.grace))
-	switch {
-	case r.passed[q.id] && sent <= cutAllowedSentWithin && now >= allowed:
+	switch sent := q.sent - signalAt; {
+	case r.passed[q.id] && r.mayBeCut(q):
 		r.cut++
 	case r.passed[q.id]:
 		r.breaks("%s, sent %v after the signal and passed on, is cut", q.id, sent)
-	case now-sent > lostSlack && len(c.in) > 0:
+	case r.network.now-q.sent > lostSlack && len(c.in) > 0:
 		r.breaks("%s, sent %v after the signal, is dropped without an answer", q.id, sent)
 	}
 }
 
+// mayBeCut says whether the platform allows that the stop ends the request now.
+func (r *stopRun) mayBeCut(q *stopRequest) bool {
+	allowed := signalAt + time.Duration(cutAllowedFrom*float64(r.grace))
+	return q.sent <= signalAt+cutAllowedSentWithin && r.network.now >= allowed
+}
+
 // acceptAtRunner has the runner answer each request by a stream of the length that its target names.
 func (r *stopRun) acceptAtRunner(end *simulatedEnd) {
 	in := ""
@@ -257,8 +263,15 @@
 		if err != nil {
 			r.breaks("the runner gets %q", head.line)
 		}
-		end.send(streamHead(id, "seal-"+id))
-		r.stream(end, 1, r.network.now+span)
+		until := r.network.now + span
+		silent := time.Duration(0)
+		if r.random.IntN(4) == 0 {
+			silent = r.upTo(max(span, 1))
+		}
+		r.network.after(silent, func() {
+			end.send(streamHead(id, "seal-"+id))
+			r.stream(end, 1, until)
+		})
 	}
 }
 
