Directory: answers that lead out of the client's region are held for 0.4 s

While no proxy of a region served, its clients were named the other region's for the usual 2 s, which some hold for 6 s, though the first proxies of their own were back within less than a second.

Choose says whether all addresses lie in other regions than the client's, though that has proxies; such an answer is told to be held for 0.4 s. Weighed: naming proxies of the region that stop (they take requests for 2.4 s and would turn late ones away), and shorter answers for all (look-ups cost the control machines processor time). Ruled out: proxies that are late to be ready (they say so 0.1 s after their start).

Test: TestAnswersThatLeadAway.

--- a/internal/control/directory/directory.go
+++ b/internal/control/directory/directory.go
@@ -5,6 +5,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 )
 
 // Health is what is held of a member.
@@ -61,11 +62,23 @@
 	return gradeServing
 }
 
+// Choice is what a client is told.
+type Choice struct {
+	Addresses []netip.AddrPort // in the order in which to try them; empty only if no proxy is known
+	Away      bool             // all of them are in other regions than the client's, which has proxies
+}
+
 // Choose returns the addresses for a client that stands in the region and zone, in an order drawn from rng within equal
-// distance. It returns none only if no proxy is known.
-func Choose(edges []Edge, region, zone string, rng *rand.Rand) []netip.AddrPort {
-	candidates := bestGrade(edges)
-	near := nearest(candidates, region, zone)
+// distance.
+func Choose(edges []Edge, region, zone string, rng *rand.Rand) Choice {
+	near := nearest(bestGrade(edges), region, zone)
+	here := func(e *Edge) bool { return e.Region == region || e.Zone == zone }
+	home := slices.ContainsFunc(edges, func(e Edge) bool { return here(&e) })
+	return Choice{Addresses: shuffled(near, zone, rng), Away: home && !slices.ContainsFunc(near, here)}
+}
+
+// shuffled returns the addresses of edges, those of the zone first.
+func shuffled(near []*Edge, zone string, rng *rand.Rand) []netip.AddrPort {
 	rng.Shuffle(len(near), func(i, j int) { near[i], near[j] = near[j], near[i] })
 	inZone := make([]netip.AddrPort, 0, min(len(near), MostAddresses))
 	var others []netip.AddrPort
--- a/internal/control/directory/directory_test.go
+++ b/internal/control/directory/directory_test.go
@@ -59,7 +59,7 @@
 		{"an address is not known", []Edge{unknown(a1), a2, b4}, "east", "a", []int{2, 4}},
 	}
 	for _, c := range cases {
-		got := Choose(c.edges, c.region, c.zone, rand.New(rand.NewPCG(1, 2)))
+		got := Choose(c.edges, c.region, c.zone, rand.New(rand.NewPCG(1, 2))).Addresses
 		var want []netip.AddrPort
 		for _, n := range c.want {
 			want = append(want, front(n))
@@ -75,7 +75,7 @@
 func TestZoneComesFirst(t *testing.T) {
 	edges := []Edge{edgeAt(1, "a", "east"), edgeAt(2, "b", "east"), edgeAt(3, "b", "east")}
 	for seed := range uint64(50) {
-		if got := Choose(edges, "east", "a", rand.New(rand.NewPCG(seed, 0))); got[0] != front(1) {
+		if got := Choose(edges, "east", "a", rand.New(rand.NewPCG(seed, 0))).Addresses; got[0] != front(1) {
 			t.Fatalf("%v: the zone's own does not come first", got)
 		}
 	}
@@ -89,7 +89,7 @@
 	}
 	given := map[netip.AddrPort]int{}
 	for seed := range uint64(200) {
-		got := Choose(edges, "east", "a", rand.New(rand.NewPCG(seed, 0)))
+		got := Choose(edges, "east", "a", rand.New(rand.NewPCG(seed, 0))).Addresses
 		if len(got) != MostAddresses {
 			t.Fatalf("%d addresses", len(got))
 		}
@@ -117,7 +117,7 @@
 				Health: Health(rapid.IntRange(0, 2).Draw(t, "health")), Ready: rapid.Bool().Draw(t, "ready"),
 				Stopping: rapid.Bool().Draw(t, "stopping")})
 		}
-		got := Choose(edges, "east", rapid.SampledFrom(zones).Draw(t, "from"), rand.New(rand.NewPCG(1, 1)))
+		got := Choose(edges, "east", rapid.SampledFrom(zones).Draw(t, "from"), rand.New(rand.NewPCG(1, 1))).Addresses
 		if (len(got) == 0) != (len(edges) == 0) || len(got) > MostAddresses {
 			t.Fatalf("%d addresses of %d proxies", len(got), len(edges))
 		}
@@ -137,6 +137,39 @@
 	})
 }
 
+// An answer that leads out of the client's region is held for a short time only: the region's proxies may be back soon.
+func TestAnswersThatLeadAway(t *testing.T) {
+	here, there := edgeAt(1, "a", "east"), edgeAt(2, "c", "west")
+	for _, c := range []struct {
+		name  string
+		edges []Edge
+		away  bool
+	}{
+		{"the region serves", []Edge{here, there}, false},
+		{"all of the region stop", []Edge{stopping(here), there}, true},
+		{"all of the region are dead", []Edge{dead(here), there}, true},
+		{"nobody serves", []Edge{stopping(here), stopping(there)}, false},
+		{"the region never had any", []Edge{there}, false},
+	} {
+		if got := Choose(c.edges, "east", "a", rand.New(rand.NewPCG(1, 1))); got.Away != c.away {
+			t.Errorf("%s: %+v", c.name, got)
+		}
+		h := &Handler{Members: fixedMembers(c.edges), TTLMax: 5 * time.Second}
+		want := usualTTL
+		if c.away {
+			want = awayTTL
+		}
+		recorder := httptest.NewRecorder()
+		h.ServeHTTP(recorder, httptest.NewRequest(http.MethodGet, Path+"?region=east&zone=a", nil))
+		var body struct {
+			TTL float64 `json:"cache_ttl_s"`
+		}
+		if err := json.Unmarshal(recorder.Body.Bytes(), &body); err != nil || body.TTL != want.Seconds() {
+			t.Errorf("%s: held for %v s, want %v (%v)", c.name, body.TTL, want, err)
+		}
+	}
+}
+
 type fixedMembers []Edge
 
 func (m fixedMembers) Edges() []Edge { return m }
--- a/internal/control/directory/handler.go
+++ b/internal/control/directory/handler.go
@@ -17,6 +17,10 @@
 // proxy that is gone is still chosen.
 const usualTTL = 2 * time.Second
 
+// awayTTL is the same for an answer that leads clients out of their region, since all proxies there stop or are lost:
+// the way is long, requests with homes may be bound elsewhere, and the region's proxies may be back soon.
+const awayTTL = 400 * time.Millisecond
+
 // Handler answers look-ups.
 type Handler struct {
 	Members Members
@@ -31,23 +35,28 @@
 	}
 	query := r.URL.Query()
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
-	addresses := Choose(h.Members.Edges(), query.Get("region"), query.Get("zone"), rng)
-	if len(addresses) == 0 {
+	choice := Choose(h.Members.Edges(), query.Get("region"), query.Get("zone"), rng)
+	if len(choice.Addresses) == 0 {
 		w.Header().Set("Retry-After", "1")
 		http.Error(w, "directory: no edge proxy is known yet", http.StatusServiceUnavailable)
 		return
 	}
-	body := encode(addresses, h.ttl())
+	body := encode(choice.Addresses, h.ttl(choice.Away))
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	w.Write(body) //nolint:errcheck // the client has gone: nobody is left to tell
 }
 
-func (h *Handler) ttl() time.Duration {
+// ttl is how long a client is to hold an answer; away says that the answer leads out of its region.
+func (h *Handler) ttl(away bool) time.Duration {
+	ttl := usualTTL
+	if away {
+		ttl = awayTTL
+	}
 	if h.TTLMax > 0 {
-		return min(usualTTL, h.TTLMax)
+		ttl = min(ttl, h.TTLMax)
 	}
-	return usualTTL
+	return ttl
 }
 
 func encode(addresses []netip.AddrPort, ttl time.Duration) []byte {
