Proxy: SIGHUP while the process starts no longer ends it

Found when the lines about SIGHUP were held against the programs: control and agent take the signal before anything else, the proxy ignored it only once it listened, which may take five seconds where an earlier life holds the address. TestSignalDuringTheStart ends its test process by `signal: hangup` on the code before and passes now.

--- a/cmd/cinderroad-proxy/main.go
+++ b/cmd/cinderroad-proxy/main.go
@@ -48,6 +48,8 @@
 }
 
 func run(program *startup.Program, log *zap.Logger) error {
+	// Before anything else: by default the signal ends the process. The settings of a running proxy stay as at its start.
+	signal.Ignore(syscall.SIGHUP)
 	settings, err := environment.Load()
 	if err != nil {
 		return err
@@ -120,11 +122,10 @@
 	go link.Run(ctx)
 }
 
-// stopOnSignal has the proxy stop when it is told to. The settings of a running process stay as they were at its start.
+// stopOnSignal has the proxy stop when it is told to.
 func stopOnSignal(loop *transport.Loop, p *proxy.Proxy) {
 	signals := make(chan os.Signal, 2)
 	signal.Notify(signals, startup.StopSignals()...)
-	signal.Ignore(syscall.SIGHUP)
 	go func() {
 		for range signals {
 			loop.Post(p.Stop)
