Control: the time for calls under way at a stop follows from the grace period

Same class as the incident's cause (what was taken may outlast the process): calls of the operator had a second to end after SIGTERM, whatever the grace period, while a large configuration may be answered after 0.8 s and two seconds a megabyte; with a grace period of 2 s the second was longer than what was left. The stop has a file of its own.

--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -30,11 +30,8 @@
 
 // Times of a process.
 const (
-	hintEvery         = time.Second             // between two looks of the replicas at what membership tells
-	serveOnFor        = 1500 * time.Millisecond // after SIGTERM, while others are told
-	finishWithin      = time.Second             // for calls that are under way when the servers stop
-	exitMargin        = time.Second             // before the end of the grace period
-	staleWhenStopping = 10 * time.Second        // age told to followers, so that they turn to another machine
+	hintEvery         = time.Second      // between two looks of the replicas at what membership tells
+	staleWhenStopping = 10 * time.Second // age told to followers, so that they turn to another machine
 	listenAgain       = 100 * time.Millisecond
 	listenFor         = 5 * time.Second // for an address that an earlier process still holds
 )
@@ -166,7 +163,7 @@
 	settings := options.Settings
 	defer func() {
 		if err != nil {
-			err = multierr.Append(err, p.closeServers())
+			err = multierr.Append(err, p.closeServers(abandonWithin))
 			p.leave()
 		}
 	}()
@@ -314,61 +311,3 @@
 	default:
 	}
 }
-
-// Run returns nil once the context has ended and the process has handed over what it does, or an error if the process
-// can't go on.
-func (p *Process) Run(ctx context.Context) error {
-	select {
-	case err := <-p.failures:
-		p.stop(0, p.graceLeft())
-		return err
-	case <-ctx.Done():
-	}
-	p.log.Info("stopping")
-	grace := p.graceLeft()
-	p.stop(min(serveOnFor, grace/4), grace)
-	p.log.Info("stopped")
-	return nil
-}
-
-// graceLeft is how long the process may take to end, from the signal on.
-func (p *Process) graceLeft() time.Duration {
-	return max(0, p.settings.Load().Timing.GracePeriod-exitMargin)
-}
-
-// stop tells the others, serves on for a while, ends what is under way and hands leadership and votes over, all within a
-// time, also where the disk hangs.
-func (p *Process) stop(serveOn, within time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), within)
-	defer cancel()
-	p.stopping.Store(true)
-	p.gossip.SetServing(gossip.Stopping)
-	p.feed.Stop()
-	p.host.Leave()
-	pause(ctx, serveOn)
-	if err := p.closeServers(); err != nil {
-		p.log.Warn("calls were broken off", zap.Error(err))
-	}
-	p.host.Stop(ctx)
-	p.cancel()
-	p.leave()
-	p.running.Wait()
-}
-
-// leave has the other members know, if this one has joined.
-func (p *Process) leave() {
-	if p.gossip != nil {
-		p.gossip.Leave()
-	}
-}
-
-// closeServers ends the HTTP servers; calls under way have a while to end.
-func (p *Process) closeServers() error {
-	ctx, cancel := context.WithTimeout(context.Background(), finishWithin)
-	defer cancel()
-	var err error
-	for _, server := range p.servers {
-		err = multierr.Append(err, server.Shutdown(ctx))
-	}
-	return err
-}
