One plan for the end of an edge machine: the agent outlives its proxy

The agent ended 0.7 s before the end of the grace period, its proxy 0.5 s: for the last 0.2 s of long answers the members took it that the proxy had left, and divided its share of the retry budget and of cold runners' rates while it might still send. Both ends now follow from one plan (internal/shutdown), with a margin of a twelfth of the grace period at most. Test: TestPlan.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -25,13 +25,13 @@
 	"cinderroad/internal/feed"
 	"cinderroad/internal/gossip"
 	"cinderroad/internal/rpc"
+	"cinderroad/internal/shutdown"
 )
 
 const (
 	joinAfter     = time.Second             // without a report of the proxy: a proxy that serves is to be told of at once
 	joinAgain     = 200 * time.Millisecond  // between two tries for the gossip address
 	peersAsked    = 3                       // other agents that one which has nothing asks
-	endBefore     = 700 * time.Millisecond  // before the grace period's end
 	servesAtLeast = 1500 * time.Millisecond // after SIGTERM: the members are to hear that the proxy stops
 
 	proxyConnections = 16
@@ -318,7 +318,7 @@
 	a.log.Info("stopping")
 	a.stopped.Store(int64(a.now()))
 	a.proxy.end()
-	most := max(servesAtLeast, a.settings.Timing.GracePeriod-endBefore)
+	most := shutdown.Plan(a.settings.Timing.GracePeriod).AgentEnd
 	limit := time.NewTimer(most)
 	defer limit.Stop()
 	least := time.NewTimer(min(servesAtLeast, most))
--- a/internal/proxy/stop_plan.go
+++ b/internal/proxy/stop_plan.go
@@ -1,13 +1,14 @@
 package proxy
 
-import "time"
+import (
+	"time"
 
-const (
-	defaultGrace = 8 * time.Second
+	"cinderroad/internal/shutdown"
+)
 
-	// What the platform allows of a stop. An answer still under way may be cut in the last part of the grace period, if
-	// its request was sent within a time after the signal. A request that comes later must be answered whole.
-	cutShare  = 6 // the last part of the grace period is one in so many
+const (
+	// cutSentBy is how long after the signal a request may be sent at the latest whose answer the process's end may cut, by
+	// what the platform allows. One that comes later must be answered whole.
 	cutSentBy = 3 * time.Second
 	// sentLead is how much earlier than cutSentBy requests of any length are turned away: signals, requests on their way
 	// and turns of the loop come late.
@@ -16,11 +17,6 @@
 	takeShare      = 0.3 // of the grace period in which requests of any length are taken, at most
 	idleSweepShare = 4
 	idleSweepAfter = 1500 * time.Millisecond // the directory's answers have moved on by then
-
-	mostEndMargin  = 500 * time.Millisecond // of the grace period that is left when the process ends
-	endMarginShare = 2 * cutShare           // the margin is one in so many of the grace period, at most
-
-	lastAnswersShare = 4 // of the margin, one in so many, for the last answers to go out
 )
 
 // stopPlan says when a proxy that was told to stop does what, counted from then.
@@ -34,15 +30,15 @@
 // planStop divides the grace period, from the signal to stop until the process is killed.
 func planStop(grace time.Duration) stopPlan {
 	if grace <= 0 {
-		grace = defaultGrace
+		grace = shutdown.DefaultGrace
 	}
+	times := shutdown.Plan(grace)
 	shut := min(time.Duration(float64(grace)*takeShare), cutSentBy-sentLead)
-	margin := min(mostEndMargin, grace/endMarginShare)
 	return stopPlan{
 		sweep: min(idleSweepAfter, grace/idleSweepShare, shut),
 		shut:  shut,
-		last:  grace - margin,
-		end:   grace - margin + margin/lastAnswersShare,
+		last:  times.LastAnswers,
+		end:   times.ProxyEnd,
 	}
 }
 
--- /dev/null
+++ b/internal/shutdown/shutdown.go
@@ -0,0 +1,29 @@
+// Package shutdown says when the programs of an edge machine end after the signal to stop, so that the agent outlives the
+// proxy and both end before the platform kills them.
+package shutdown
+
+import "time"
+
+// DefaultGrace is the grace period that counts where the settings name none.
+const DefaultGrace = 8 * time.Second
+
+const (
+	mostMargin  = 500 * time.Millisecond // of the grace period that is left when the proxy's answers end
+	marginShare = 12                     // the margin is one part in so many of the grace period, at most
+)
+
+// Times are counted from the signal to stop.
+type Times struct {
+	LastAnswers time.Duration // the proxy answers what has no answer yet
+	ProxyEnd    time.Duration // the proxy ends, whatever it has left
+	AgentEnd    time.Duration // the agent ends, whether the proxy has or not
+}
+
+// Plan divides a grace period, from the signal to stop until the platform kills the processes.
+func Plan(grace time.Duration) Times {
+	if grace <= 0 {
+		grace = DefaultGrace
+	}
+	margin := min(mostMargin, grace/marginShare)
+	return Times{LastAnswers: grace - margin, ProxyEnd: grace - margin*3/4, AgentEnd: grace - margin/2}
+}
--- /dev/null
+++ b/internal/shutdown/shutdown_test.go
@@ -0,0 +1,22 @@
+package shutdown
+
+import (
+	"testing"
+	"time"
+)
+
+func TestPlan(t *testing.T) {
+	for grace := 50 * time.Millisecond; grace < time.Minute; grace += 70 * time.Millisecond {
+		times := Plan(grace)
+		ordered := times.LastAnswers < times.ProxyEnd && times.ProxyEnd < times.AgentEnd && times.AgentEnd < grace
+		if !ordered || times.LastAnswers < grace*5/6 {
+			t.Errorf("grace of %v: %+v", grace, times)
+		}
+	}
+	if got := Plan(0); got != Plan(DefaultGrace) {
+		t.Errorf("no grace period is known: %+v", got)
+	}
+	if got := Plan(8 * time.Second); got.LastAnswers != 7500*time.Millisecond {
+		t.Errorf("%+v", got)
+	}
+}
