--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -44,6 +44,7 @@
 func (p *Proxy) Take(u uplink.Update) {
 	for _, name := range u.Removed {
 		p.control.table.Remove(name)
+		p.shares.forget(name)
 	}
 	for _, route := range u.Routes {
 		p.control.table.Upsert(route)
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -87,7 +87,7 @@
 		return
 	}
 	x.request.Route = route
-	x.request.Service = drawService(route, x.proxy.random)
+	x.request.Service = x.proxy.shares.service(route)
 	x.request.Model = header.Get(fieldModel)
 	x.request.TokensIn, x.request.TokensOut = tokenCounts(header.Get(fieldTokenCounts))
 	x.request.Parts = promptParts(header.Get(fieldPromptStart))
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -62,7 +62,7 @@
 	log     *zap.Logger
 	placer  Placer
 	options Options
-	random  *rand.Rand
+	shares  *shareDraws
 	began   float64 // of the loop's clock, when the proxy's began
 
 	routes    Routes // nil until the configuration is known
@@ -87,7 +87,7 @@
 // New makes a proxy; it serves nothing until Listen.
 func New(loop *transport.Loop, log *zap.Logger, placer Placer, options Options) *Proxy {
 	p := &Proxy{loop: loop, log: log, placer: placer, options: options, began: loop.Now()}
-	p.random = rand.New(rand.NewPCG(options.Seed, options.Seed^0x9e3779b97f4a7c15))
+	p.shares = newShareDraws(rand.New(rand.NewPCG(options.Seed, options.Seed^0x9e3779b97f4a7c15)))
 	p.pool = newPool(p)
 	p.pending.flush = p.flushPending
 	p.stopping.plan = planStop(options.GracePeriod)
--- a/internal/proxy/request.go
+++ b/internal/proxy/request.go
@@ -2,12 +2,10 @@
 
 import (
 	"math"
-	"math/rand/v2"
 	"strconv"
 	"strings"
 	"time"
 
-	"cinderroad/internal/configuration"
 	"cinderroad/internal/httpwire"
 	"cinderroad/internal/placement"
 )
@@ -86,29 +84,6 @@
 	return parts
 }
 
-// drawService draws a service by the weights of a route's shares.
-func drawService(r *configuration.Route, random *rand.Rand) string {
-	if len(r.Shares) == 1 {
-		return r.Shares[0].Service
-	}
-	sum := 0.0
-	for _, share := range r.Shares {
-		sum += share.Weight
-	}
-	at := random.Float64() * sum
-	service := ""
-	for _, share := range r.Shares {
-		if share.Weight <= 0 {
-			continue
-		}
-		service = share.Service
-		if at -= share.Weight; at < 0 {
-			break
-		}
-	}
-	return service
-}
-
 // appendRequest writes the head of a request for a runner, which is followed by the body.
 func (x *exchange) appendRequest(b []byte, c placement.Choice) []byte {
 	b = append(b, x.head.Method...)
