One package waits and tries addresses again, where five places did

pause stood alike in rpc, agent, control and its API, and three programs each tried an address that an earlier life may still hold in a loop of their own, the proxy by time.Sleep. internal/retry has both; behaviour is as it was (5 s, every 0.1 s). Nothing measured: no decision changes.

--- a/cmd/cinderroad-proxy/main.go
+++ b/cmd/cinderroad-proxy/main.go
@@ -11,7 +11,6 @@
 	"os"
 	"os/signal"
 	"syscall"
-	"time"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -21,6 +20,7 @@
 	"cinderroad/internal/placement"
 	"cinderroad/internal/proxy"
 	"cinderroad/internal/proxy/uplink"
+	"cinderroad/internal/retry"
 	"cinderroad/internal/startup"
 	"cinderroad/internal/transport"
 )
@@ -28,8 +28,6 @@
 const (
 	filesReserved = 200 + 56
 	leastSockets  = 64
-	listenTries   = 50
-	listenPause   = 100 * time.Millisecond
 	sleptAfter    = 0.5 // seconds by which a turn of the loop is late when that is logged
 )
 
@@ -98,14 +96,10 @@
 
 // listen begins to serve. The addresses may still be held by an earlier life that is about to end.
 func listen(p *proxy.Proxy) error {
-	var err error
-	for range listenTries {
-		if err = p.Listen(); err == nil {
-			return nil
-		}
-		time.Sleep(listenPause)
+	if err := retry.WhileHeld(context.Background(), p.Listen); err != nil {
+		return fmt.Errorf("cannot serve clients; does another process hold the address? %w", err)
 	}
-	return fmt.Errorf("cannot serve clients; does another process hold the address? %w", err)
+	return nil
 }
 
 // follow links the proxy to the agent of its machine.
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -24,6 +24,7 @@
 	"cinderroad/internal/environment"
 	"cinderroad/internal/feed"
 	"cinderroad/internal/gossip"
+	"cinderroad/internal/retry"
 	"cinderroad/internal/rpc"
 	"cinderroad/internal/shutdown"
 )
@@ -109,13 +110,13 @@
 	if loopback.IsValid() {
 		feed = netip.AddrPortFrom(loopback, feed.Port())
 	}
-	local, err := listen(ctx, feed)
+	local, err := retry.Listen(ctx, feed)
 	if err != nil {
 		return fmt.Errorf("agent: cannot listen for the proxy, check that no other agent runs: %w", err)
 	}
 	a.local = &countingListener{Listener: local, changed: a.proxyConnections}
 	machine := netip.AddrPortFrom(a.settings.IP, a.settings.Port(environment.AgentRPC))
-	a.peers, err = listen(ctx, machine)
+	a.peers, err = retry.Listen(ctx, machine)
 	if err != nil {
 		local.Close()
 		return fmt.Errorf("agent: cannot listen for other agents, check that no other agent runs: %w", err)
@@ -232,7 +233,7 @@
 	options.Log = a.log
 	options.Seeds = *a.seeds.Load()
 	options.OnChange = a.crowd.look
-	end := time.Now().Add(listenFor)
+	end := time.Now().Add(retry.HeldFor)
 	for {
 		member, err := gossip.Start(options)
 		if err == nil {
@@ -245,7 +246,7 @@
 		if !errors.As(err, &taken) || time.Now().After(end) {
 			return nil, err
 		}
-		pause(ctx, joinAgain)
+		retry.Pause(ctx, joinAgain)
 	}
 }
 
--- a/internal/agent/follower.go
+++ b/internal/agent/follower.go
@@ -10,6 +10,7 @@
 	"cinderroad/internal/agent/source"
 	"cinderroad/internal/control/following"
 	"cinderroad/internal/feed"
+	"cinderroad/internal/retry"
 	"cinderroad/internal/rpc"
 )
 
@@ -43,7 +44,7 @@
 		question, wait := f.machine.Next(f.now())
 		if wait > 0 {
 			f.tell()
-			pause(ctx, wait)
+			retry.Pause(ctx, wait)
 			continue
 		}
 		f.ask(ctx, question)
@@ -51,16 +52,6 @@
 	}
 }
 
-// pause waits, or until the context ends.
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 func (f *follower) ask(ctx context.Context, question source.Question) {
 	patience := rpc.Patience{First: question.Timeout, Between: answerSilence, Most: mostAnswerTime}
 	request := &feed.FollowRequest{Node: f.node, Positions: f.store.positions(), Wait: question.Wait, Packed: true,
--- a/internal/agent/listener.go
+++ b/internal/agent/listener.go
@@ -1,30 +1,10 @@
 package agent
 
 import (
-	"context"
 	"net"
-	"net/netip"
 	"sync"
-	"time"
 )
 
-const (
-	listenAgain = 100 * time.Millisecond // between two tries for an address
-	listenFor   = 5 * time.Second        // that an address is tried for: an earlier life may still hold it
-)
-
-// listen opens a listener, waiting for an address that is still taken.
-func listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
-	end := time.Now().Add(listenFor)
-	for {
-		listener, err := net.Listen("tcp4", address.String())
-		if err == nil || ctx.Err() != nil || time.Now().After(end) {
-			return listener, err
-		}
-		pause(ctx, listenAgain)
-	}
-}
-
 // countingListener tells how many of its connections are open.
 type countingListener struct {
 	net.Listener
--- a/internal/control/api/api.go
+++ b/internal/control/api/api.go
@@ -16,6 +16,7 @@
 	"cinderroad/internal/control/state"
 	"cinderroad/internal/feed"
 	"cinderroad/internal/replica"
+	"cinderroad/internal/retry"
 )
 
 // Paths of the calls.
@@ -75,7 +76,7 @@
 	a := &API{
 		options: options,
 		committer: committer{replicas: options.Replicas, state: options.State, prepare: documents.prepare,
-			pause: pause},
+			pause: retry.Pause},
 		documents: documents,
 		calls:     make(chan struct{}, mostCalls),
 		changes:   make(chan struct{}, mostChanges),
--- a/internal/control/api/commit.go
+++ b/internal/control/api/commit.go
@@ -202,15 +202,3 @@
 	}
 	return state.DecodeResult(answer)
 }
-
-// pause waits and says whether the context goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -25,6 +25,7 @@
 	"cinderroad/internal/feed"
 	"cinderroad/internal/gossip"
 	"cinderroad/internal/replica"
+	"cinderroad/internal/retry"
 	"cinderroad/internal/rpc"
 )
 
@@ -32,8 +33,6 @@
 const (
 	hintEvery         = time.Second      // between two looks of the replicas at what membership tells
 	staleWhenStopping = 10 * time.Second // age told to followers, so that they turn to another machine
-	listenAgain       = 100 * time.Millisecond
-	listenFor         = 5 * time.Second // for an address that an earlier process still holds
 )
 
 // Limits of connections to the control RPC: every agent may follow, and replicas call each other.
@@ -184,7 +183,7 @@
 	joining := gossip.FromSettings(options.Settings, gossip.Control)
 	joining.Version, joining.Log = options.Version, options.Log
 	var member *gossip.Gossip
-	err := retry(ctx, func() (err error) {
+	err := retry.WhileHeld(ctx, func() (err error) {
 		member, err = gossip.Start(joining)
 		return err
 	})
@@ -270,40 +269,13 @@
 
 // listen opens an address, again for a while if an earlier process still holds it.
 func listen(ctx context.Context, address netip.AddrPort) (net.Listener, error) {
-	var listener net.Listener
-	err := retry(ctx, func() (err error) {
-		listener, err = net.Listen("tcp4", address.String())
-		return err
-	})
+	listener, err := retry.Listen(ctx, address)
 	if err != nil {
 		return nil, fmt.Errorf("control: listen on %v, check that no other process has the address: %w", address, err)
 	}
 	return listener, nil
 }
 
-func retry(ctx context.Context, open func() error) error {
-	ctx, cancel := context.WithTimeout(ctx, listenFor)
-	defer cancel()
-	for {
-		err := open()
-		if err == nil || !pause(ctx, listenAgain) {
-			return err
-		}
-	}
-}
-
-// pause waits and says whether the context goes on.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // fail has Run end: the process can't go on.
 func (p *Process) fail(err error) {
 	select {
--- a/internal/control/stop.go
+++ b/internal/control/stop.go
@@ -8,6 +8,7 @@
 	"go.uber.org/zap"
 
 	"cinderroad/internal/gossip"
+	"cinderroad/internal/retry"
 )
 
 const (
@@ -57,7 +58,7 @@
 	p.gossip.SetServing(gossip.Stopping)
 	p.feed.Stop()
 	p.host.Leave()
-	pause(ctx, plan.serveOn)
+	retry.Pause(ctx, plan.serveOn)
 	if err := p.closeServers(plan.finish); err != nil {
 		p.log.Warn("calls were broken off", zap.Error(err))
 	}
--- a/internal/control/view.go
+++ b/internal/control/view.go
@@ -9,6 +9,7 @@
 	"cinderroad/internal/consensus"
 	"cinderroad/internal/control/directory"
 	"cinderroad/internal/gossip"
+	"cinderroad/internal/retry"
 )
 
 // Bounds of HTTP connections.
@@ -64,7 +65,7 @@
 
 // watch passes addresses from membership to the replicas.
 func (p *Process) watch(ctx context.Context) {
-	for pause(ctx, hintEvery) {
+	for retry.Pause(ctx, hintEvery) {
 		p.host.Hint(p.gossip.ControlAddresses()...)
 	}
 }
--- a/internal/rpc/server.go
+++ b/internal/rpc/server.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"cinderroad/internal/retry"
 )
 
 // Limits bound what a server takes. Fields that are 0 have the defaults.
@@ -86,7 +88,7 @@
 		case !mayPass(err):
 			return err
 		default:
-			pause(ctx, acceptPause)
+			retry.Pause(ctx, acceptPause)
 		}
 	}
 }
@@ -100,15 +102,6 @@
 	return errno.Temporary() || errno == syscall.ENOBUFS || errno == syscall.ENOMEM
 }
 
-func pause(ctx context.Context, wait time.Duration) {
-	timer := time.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // admit serves a connection, or closes it where there are too many.
 func (s *server) admit(socket net.Conn) {
 	codec := &serverCodec{stream: newStream(socket, s.limits.RequestBytes, s.limits.Write),
