Agent and control share their start: signals, settings, reload, end

The two main packages stood alike but for the process that they make; startup.Serve has what they shared. Control reads its settings file in one place fewer: Reload takes the settings, as the agent's does. No decision changes; nothing measured.

--- a/cmd/cinderroad-agent/main.go
+++ b/cmd/cinderroad-agent/main.go
@@ -2,7 +2,7 @@
 package main
 
 import (
-	"os"
+	"context"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
@@ -25,31 +25,8 @@
 }
 
 func run(program *startup.Program, log *zap.Logger) error {
-	changes := startup.SettingsChanges() // before anything else: the signal would end the process
-	settings, log, err := program.LoadSettings(log)
-	if err != nil {
-		return err
-	}
-	ctx, stop := startup.UntilStopped()
-	defer stop()
-	started, err := agent.New(ctx, agent.Options{Settings: settings, Version: program.Version, Log: log,
-		Metrics: program.MetricsAddress(settings.IP)})
-	if err != nil {
-		return err
-	}
-	go reload(log, started, changes)
-	return started.Run(ctx)
-}
-
-// reload reads the settings again whenever they are said to have changed.
-func reload(log *zap.Logger, running *agent.Agent, changes <-chan os.Signal) {
-	for range changes {
-		settings, err := environment.Load()
-		if err != nil {
-			log.Warn("changed settings are not used", zap.Error(err))
-			continue
-		}
-		running.Reload(settings)
-		log.Info("settings read again")
-	}
+	return program.Serve(log, func(ctx context.Context, settings *environment.Settings, log *zap.Logger) (startup.Process, error) {
+		return agent.New(ctx, agent.Options{Settings: settings, Version: program.Version, Log: log,
+			Metrics: program.MetricsAddress(settings.IP)})
+	})
 }
--- a/cmd/cinderroad-control/main.go
+++ b/cmd/cinderroad-control/main.go
@@ -3,12 +3,13 @@
 package main
 
 import (
-	"os"
+	"context"
 
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
 	"cinderroad/internal/control"
+	"cinderroad/internal/environment"
 	"cinderroad/internal/startup"
 )
 
@@ -25,25 +26,8 @@
 }
 
 func run(program *startup.Program, log *zap.Logger) error {
-	changes := startup.SettingsChanges() // before anything else: the signal would end the process
-	settings, log, err := program.LoadSettings(log)
-	if err != nil {
-		return err
-	}
-	ctx, stop := startup.UntilStopped()
-	defer stop()
-	process, err := control.Start(ctx, control.Options{Settings: settings, Version: program.Version, Log: log,
-		Metrics: program.MetricsAddress(settings.IP)})
-	if err != nil {
-		return err
-	}
-	go reload(process, changes)
-	return process.Run(ctx)
-}
-
-// reload has the process read its settings again whenever they are said to have changed.
-func reload(process *control.Process, changes <-chan os.Signal) {
-	for range changes {
-		process.Reload()
-	}
+	return program.Serve(log, func(ctx context.Context, settings *environment.Settings, log *zap.Logger) (startup.Process, error) {
+		return control.Start(ctx, control.Options{Settings: settings, Version: program.Version, Log: log,
+			Metrics: program.MetricsAddress(settings.IP)})
+	})
 }
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -222,18 +222,18 @@
 	if _, known := p.settings.Load().Zones[zone]; known {
 		return true
 	}
-	p.Reload()
-	_, known := p.settings.Load().Zones[zone]
-	return known
-}
-
-// Reload reads the settings file again. What needs a new process stays as it is.
-func (p *Process) Reload() {
 	settings, err := environment.Load()
 	if err != nil {
 		p.log.Warn("changed settings can't be read, the earlier ones stay", zap.Error(err))
-		return
+		return false
 	}
+	p.Reload(settings)
+	_, known := p.settings.Load().Zones[zone]
+	return known
+}
+
+// Reload takes settings that have changed. What needs a new process stays as it is.
+func (p *Process) Reload(settings *environment.Settings) {
 	p.settings.Store(settings)
 	p.gossip.Seek(gossip.SeedAddresses(settings))
 }
--- a/internal/proxy/stop_model_test.go
+++ b/internal/proxy/stop_model_test.go
@@ -55,7 +55,6 @@
 	id       string
 	sent     time.Duration
 	deadline time.Duration
-	ended    bool
 }
 
 // stopClient asks one request after the other, each on the connection of the one before while that is kept. It stops
