--- a/internal/proxy/stop_model_test.go
+++ b/internal/proxy/stop_model_test.go
@@ -229,6 +229,8 @@
 		return
 	}
 	switch sent := q.sent - signalAt; {
+	case r.passed[q.id] && len(c.in) == 0:
+		r.breaks("%s, sent %v after the signal and passed on, gets no word", q.id, sent)
 	case r.passed[q.id] && r.mayBeCut(q):
 		r.cut++
 	case r.passed[q.id]:
