--- a/internal/program/rude_test.go
+++ b/internal/program/rude_test.go
@@ -222,7 +222,7 @@
 		mostAttempts int // of a job
 	}{
 		"one attempt at a time": {true, 2},
-		"second copies":         {false, attemptsCap},
+		"second copies":         {false, 3},
 	} {
 		t.Run(name, func(t *testing.T) { unusableRequests(t, tc.single, tc.mostAttempts) })
 	}
