Agent: names the other proxies to its proxy, not only how many there are

Cause: placement has shared cold runners and silent ones among a few proxies in an order drawn from the proxies' keys since there may be more proxies than a cold runner bears requests (SetPeers). Change: the agent's answer names the other proxies (node, machine, zone) where their digest is not the one that the proxy holds; the proxy's machine has one more port (UDP, offset 4) for what proxies tell each other. Ruled out: telling the list with each answer: 81 names in each of several answers a second.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -87,7 +87,7 @@
 	}
 	a.Reload(options.Settings)
 	a.store = newStore(a.now, feed.RunnerPartitions)
-	a.crowd = newCrowd(a.now, a.proxies)
+	a.crowd = newCrowd(a.now, a.others)
 	a.proxy = newProxy(a.log, a.now)
 	options.source.Partitions = 1 + feed.RunnerPartitions
 	client := discovery.NewClient(discovery.ClientOptions{Address: a.settings.CloudAPI.Address})
@@ -260,6 +260,14 @@
 	return 0
 }
 
+// others are the other proxies that may be sending; nil: not known.
+func (a *Agent) others() []feed.Peer {
+	if member := a.member.Load(); member != nil {
+		return peersOf(member.Peers())
+	}
+	return nil
+}
+
 func (a *Agent) pace() survey.Pace {
 	return survey.Pace{Agents: a.proxies(), RatePerS: a.settings.CloudAPI.RatePerS}
 }
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -48,6 +48,11 @@
 	second := w.newEdge("edge-2")
 	second.report(feed.ProxyReport{Front: "10.0.0.2:80"})
 	first.waitFor("two proxies are known", func() bool { proxies = first.poll(longest).Proxies; return proxies == 2 })
+	var reply *feed.FollowReply
+	first.waitFor("the other proxy is named", func() bool { reply = first.poll(0); return len(reply.Peers) == 1 })
+	if peer := reply.Peers[0]; peer.Node != "edge-2" || !peer.Address.IsValid() || reply.PeersDigest == 0 {
+		t.Errorf("the other proxy is %+v, digest %d", peer, reply.PeersDigest)
+	}
 }
 
 func TestProxyIsServedByTheNextLifeOfItsAgent(t *testing.T) {
--- a/internal/environment/environment.go
+++ b/internal/environment/environment.go
@@ -45,6 +45,7 @@
 	GossipPort    = 1 // UDP on the machine's address: membership
 	AgentFeedPort = 2 // TCP on loopback: agent to proxy
 	AgentRPC      = 3 // TCP on the machine's address: agents to one another
+	ProxyPort     = 4 // UDP on the machine's address: proxies to one another
 )
 
 // Port is the port with the given offset from the first free one.
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -5,6 +5,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"time"
 )
 
@@ -64,6 +65,14 @@
 	Packed    bool // the follower takes packed batches
 	// Current are the partitions with which the follower takes the sender for up to date: the answer comes once one is stale.
 	Current PartitionSet
+	Peers   uint64 // digest of the peers that a proxy was told last; 0: none
+}
+
+// Peer is a proxy that may be sending, as the agent of another proxy knows it.
+type Peer struct {
+	Node    string
+	Address netip.Addr // of its machine
+	Zone    string     // empty: not known yet
 }
 
 // Never is the age of what never was.
@@ -80,6 +89,10 @@
 	// on what they were told, with the time since. Partitions beyond its end never were up to date: see Age.
 	Ages    []time.Duration
 	Proxies int // proxies that may be serving, at least 1; an upper estimate where the sender is not sure; 0: not known
+	// Peers are the other proxies that may be sending, told by an agent to its proxy where their digest is not the one that
+	// the request named.
+	Peers       []Peer
+	PeersDigest uint64 // 0: nothing is told
 	// Busy: there is more than can be sent now; the follower is to ask another sender, or this one after that time.
 	Busy time.Duration
 }
--- a/internal/gossip/view.go
+++ b/internal/gossip/view.go
@@ -156,6 +156,18 @@
 	return max(1, n)
 }
 
+// Peers are the other proxies that may be sending, as Proxies counts them; none where those are not known yet.
+func (g *Gossip) Peers() []Member {
+	members := g.View()
+	g.mutex.Lock()
+	counted := g.counted
+	g.mutex.Unlock()
+	if !counted {
+		return nil
+	}
+	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Me || !g.maySend(&m) })
+}
+
 func (g *Gossip) maySend(member *Member) bool {
 	if member.Role != Edge && member.Role != "" {
 		return false
--- a/internal/proxy/uplink/update.go
+++ b/internal/proxy/uplink/update.go
@@ -20,8 +20,9 @@
 	Limits    *configuration.Limits
 	Evacuated *map[string]bool // zones
 	Runners   *[]Runner
-	Complete  bool // a configuration is known, and so are the partitions that hold the runners of its services
-	Proxies   int  // that may be serving; 0: not known
+	Complete  bool         // a configuration is known, and so are the partitions that hold the runners of its services
+	Proxies   int          // that may be serving; 0: not known
+	Peers     *[]feed.Peer // the other ones, the whole set
 }
 
 // Runner is a runner with the times of the process's steady clock to which the platform's spans refer.
@@ -47,6 +48,7 @@
 	evacuated map[string]bool
 	runners   map[string]Runner
 	findings  []Finding
+	peers     uint64 // digest of the peers that were told last; 0: none
 }
 
 func newState(runnerPartitions int) *state {
@@ -86,6 +88,10 @@
 	update.Version = s.version
 	update.Complete = s.complete()
 	update.Proxies = reply.Proxies
+	if reply.PeersDigest != 0 && reply.PeersDigest != s.peers {
+		s.peers = reply.PeersDigest
+		update.Peers = &reply.Peers
+	}
 	return update
 }
 
--- a/internal/proxy/uplink/uplink.go
+++ b/internal/proxy/uplink/uplink.go
@@ -83,7 +83,8 @@
 	state := newState(l.options.RunnerPartitions)
 	pause := retryPause
 	for ctx.Err() == nil {
-		request := &feed.FollowRequest{Node: l.options.Node, Positions: state.positions(), Wait: followWait}
+		request := &feed.FollowRequest{Node: l.options.Node, Positions: state.positions(), Wait: followWait,
+			Peers: state.peers}
 		reply, err := followCall.Poll(ctx, l.client, followWait, request)
 		if err != nil {
 			l.log.Debug("agent gave no feed", zap.Error(err))
--- a/internal/proxy/uplink/uplink_test.go
+++ b/internal/proxy/uplink/uplink_test.go
@@ -126,7 +126,7 @@
 	}
 	runner := discovery.Runner{ID: "i", Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Zone: "z",
 		Capacity: 4, ColdLeft: 5 * time.Second}
-	a.replies <- &feed.FollowReply{Proxies: 3, Batches: []feed.Batch{
+	a.replies <- &feed.FollowReply{Proxies: 3, Peers: []feed.Peer{{Node: "p", Zone: "z"}}, PeersDigest: 5, Batches: []feed.Batch{
 		{Partition: 0, Snapshot: true, To: 10, Items: []feed.Item{version("7", 9), routeItem("a", "s", 5), routeItem("b",
 			"s", 9), serviceItem(inSecond, 4),
 			{Key: feed.KeyEvacuation + "z9", Index: 3}, {Key: feed.KeyRoute + "bad", Index: 6, Value: stored(1, `{"name":1}`)}}},
@@ -135,14 +135,14 @@
 	}}
 	u := receive(t, updates)
 	if u.Version != 7 || len(u.Routes) != 2 || len(*u.Services) != 1 || !(*u.Evacuated)["z9"] || u.Complete ||
-		u.Proxies != 3 {
+		u.Proxies != 3 || u.Peers == nil || len(*u.Peers) != 1 || (*u.Peers)[0].Node != "p" {
 		t.Errorf("snapshot came as %+v", u)
 	}
 	if r := (*u.Runners)[0]; r.ID != "i" || !r.GoneAt.IsZero() || time.Until(r.ColdUntil) > 4*time.Second ||
 		time.Until(r.ColdUntil) < -patience {
 		t.Errorf("runner came as %+v", r)
 	}
-	if q := receive(t, a.asked); q.Positions[0].Index != 10 || q.Positions[1].Index != 4 {
+	if q := receive(t, a.asked); q.Positions[0].Index != 10 || q.Positions[1].Index != 4 || q.Peers != 5 {
 		t.Errorf("then asked with %+v", q)
 	}
 	a.replies <- &feed.FollowReply{Batches: []feed.Batch{
