Duty: the platform's list is asked for less often while it stays as it is

Change: the time between two polls grows by half with each list that changes nothing, up to a sixth of drain_within_ms, and falls back to 0.45 s with a change, a runner that is missing, a conflict, or another machine's duty. Ruled out: a fixed longer time, which would notice each step of a release later; more than a sixth, since with the list's own lag the list must show within 2 s that a silent runner came back cold.

--- a/internal/control/duty/duty.go
+++ b/internal/control/duty/duty.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -17,7 +18,9 @@
 
 // The duty's pace.
 const (
-	pollEvery    = 450 * time.Millisecond
+	pollEvery    = 450 * time.Millisecond // while the list changes
+	calmGrowth   = 1.5                    // of the time between two polls, with each list that is as the one before
+	drainShare   = 6                      // polls come one part in so many of the time in which a drain must be heeded apart, at most
 	lookEvery    = 200 * time.Millisecond // for the lease, while another machine has the duty
 	leaseMargin  = 100 * time.Millisecond // that must be left of the lease when a call begins
 	listTimeout  = 2 * time.Second
@@ -43,12 +46,13 @@
 
 // Options are a duty's.
 type Options struct {
-	Lister     Lister
-	Replicas   replica.Replicas
-	Partitions []Partition // the first one is partition 1
-	RatePerS   float64     // that the platform takes from the whole system; 0: not told
-	Now        func() time.Duration
-	Log        *zap.Logger
+	Lister      Lister
+	Replicas    replica.Replicas
+	Partitions  []Partition   // the first one is partition 1
+	DrainWithin time.Duration // in which a runner that drains must get nothing any more; 0: not told
+	RatePerS    float64       // that the platform takes from the whole system; 0: not told
+	Now         func() time.Duration
+	Log         *zap.Logger
 }
 
 // Duty polls the list. Run is called once.
@@ -60,6 +64,8 @@
 	doubtful bool           // a single list does not prove that a runner is gone
 	pages    int            // calls that the last list took, at least 1
 	pause    time.Duration
+	spacing  time.Duration     // between two polls, as the list's changes ask for it
+	changing atomic.Bool       // the last list changed what is held, or could not be compared
 	held     feed.PartitionSet // that this machine keeps
 	failing  bool
 	progress progress
@@ -73,6 +79,7 @@
 		behind:  make([]bool, len(options.Partitions)),
 		missing: map[string]int{},
 		pages:   1,
+		spacing: pollEvery,
 	}
 }
 
@@ -168,7 +175,7 @@
 	if d.held.Empty() {
 		d.progress.begin()
 	}
-	d.held = held
+	d.held, d.spacing = held, pollEvery
 	clear(d.missing)
 	for i := range d.behind {
 		d.behind[i] = true
@@ -211,11 +218,22 @@
 // other machines may keep other partitions.
 func (d *Duty) interval() time.Duration {
 	if d.options.RatePerS <= 0 {
-		return pollEvery
+		return d.spacing
 	}
 	share := rateShare * float64(d.held.Len()) / float64(len(d.options.Partitions))
 	least := time.Duration(float64(d.pages) / (d.options.RatePerS * share) * float64(time.Second))
-	return max(pollEvery, least)
+	return max(d.spacing, least)
+}
+
+// space has the next poll come soon where the list changes, and later with each list that is as the one before: calls of
+// the platform are priced, and changes come in groups.
+func (d *Duty) space() {
+	if d.changing.Load() || len(d.missing) > 0 {
+		d.spacing = pollEvery
+		return
+	}
+	most := max(pollEvery, d.options.DrainWithin/drainShare)
+	d.spacing = min(time.Duration(calmGrowth*float64(d.spacing)), most)
 }
 
 // write brings the partitions that are kept to the list, each by itself: one without a leader does not hold up the others.
@@ -225,6 +243,7 @@
 		d.follow(i)
 	}
 	d.noteMissing(listed)
+	d.changing.Store(false)
 	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
 	defer cancel()
 	var running sync.WaitGroup
@@ -233,6 +252,7 @@
 		running.Go(func() { d.writePartition(ctx, i, listed[i]) })
 	}
 	running.Wait()
+	d.space()
 }
 
 // byPartition sorts the list's entries by partition and key.
@@ -274,6 +294,7 @@
 func (d *Duty) writePartition(ctx context.Context, i int, listed map[string]*discovery.Runner) {
 	for range 2 {
 		if err := d.catchUp(ctx, i); err != nil {
+			d.changing.Store(true)
 			return
 		}
 		settled, err := d.propose(ctx, i, listed)
@@ -315,6 +336,7 @@
 	if len(writes) == 0 {
 		return true, nil
 	}
+	d.changing.Store(true)
 	if !d.holds().Has(feed.Partition(i + 1)) {
 		return false, ErrLostLease
 	}
--- a/internal/control/duty/duty_test.go
+++ b/internal/control/duty/duty_test.go
@@ -393,6 +393,38 @@
 	}
 }
 
+// While the list stays as it is it is asked for less often, as far as drains can be heeded in time; a change, or a runner
+// that is missing, brings the short time back.
+func TestPollsComeFurtherApartWhileNothingChanges(t *testing.T) {
+	w := newWorld()
+	w.duty.options.DrainWithin = 6 * time.Second
+	w.list = []discovery.Runner{runnerOf(1), runnerOf(2)}
+	if wait := w.step(); wait != pollEvery {
+		t.Errorf("after the first list: %v", wait)
+	}
+	previous := pollEvery
+	for range 10 {
+		wait := w.step()
+		if wait < previous || wait > time.Second {
+			t.Errorf("a wait of %v after one of %v", wait, previous)
+		}
+		previous = wait
+	}
+	if previous != time.Second {
+		t.Errorf("after ten lists that are alike: %v", previous)
+	}
+	w.list[0].Draining = true
+	if wait := w.step(); wait != pollEvery {
+		t.Errorf("after a change: %v", wait)
+	}
+	w.step()
+	w.pages = 2
+	w.list = w.list[:1]
+	if wait := w.step(); wait != pollEvery {
+		t.Errorf("with a runner that is missing: %v", wait)
+	}
+}
+
 func TestRunnerBetweenPages(t *testing.T) {
 	w := newWorld()
 	w.pages = 3
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -154,7 +154,7 @@
 		},
 	})
 	p.duty = duty.New(duty.Options{Lister: client, Replicas: p.host, Partitions: partitions,
-		RatePerS: settings.CloudAPI.RatePerS, Now: p.now, Log: p.log})
+		RatePerS: settings.CloudAPI.RatePerS, DrainWithin: settings.Timing.DrainWithin, Now: p.now, Log: p.log})
 }
 
 // open opens the addresses that the settings name and serves them.
