Proxies tell each other of the prompts that runners read, and of silent runners that answer again

A line for each attempt showed late first answers behind other prompts at the same runner, while 48 to 60 of the region's 57 to 81 runners read nothing: a proxy of 81 sees ten requests a second of its own and guesses the rest. Change: each prompt of half a slot or more is told to the proxies of its runner's region, one datagram of 39 bytes each, within 2% of the link. What a runner has yet to read shrinks at the learnt speed; plans are made anew after 10 ms. Where nobody is heard for 2 s the guess counts as before. A proxy that finds a silent runner back tells all: before, with 15 proxies or more nobody was allowed to try it again, so a runner that was silent once was left for good by that proxy (TestAnAnswerToldByAnotherEndsTheSuspicion). Cold runners are shared by name (SetPeers), which the programs did not do. Tokens being read weigh twice as much against an answer being written, and the owner of a short chain is preferred by half a slot (four before): with loads known the strong preferences made for guesses only kept prompts waiting.

--- a/internal/placement/choose.go
+++ b/internal/placement/choose.go
@@ -29,6 +29,7 @@
 		return Choice{}, &Refusal{RetryAfter: p.backoff(now, r, 0), Reason: "the retry budget is spent"}
 	}
 	s.aim(r)
+	p.freshen(now, s)
 	s.urgency.note(now, r)
 	d := p.demandOf(s, r)
 	best, rank := p.pick(now, s, r, &d)
--- /dev/null
+++ b/internal/placement/heard.go
@@ -0,0 +1,98 @@
+package placement
+
+import (
+	"math"
+	"time"
+)
+
+// Each proxy sees few of a runner's requests, so proxies tell each other what all of them need to know: the prompts that
+// they have runners read, and that a runner which had been silent answers again. Nothing hangs on the arrival of a notice:
+// where none comes for a while, the load of the others is guessed from a proxy's own.
+
+// Notice is what a proxy tells others of a runner.
+type Notice struct {
+	Runner  uint64 // its key
+	Tokens  int    // of a prompt that the runner is to read; 0 where Answers
+	Answers bool   // the runner had been silent and answers again
+}
+
+// unread is what a runner has yet to read of all prompts that are known. It grows by each prompt and shrinks at the speed
+// of reading.
+type unread struct {
+	slots float64 // at the time below
+	at    time.Duration
+}
+
+// left is what has not been read by now, in slots; rate is how many slots are read in a second.
+func (u *unread) left(now time.Duration, rate float64) float64 {
+	return math.Max(0, u.slots-rate*(now-u.at).Seconds())
+}
+
+// add adds a prompt.
+func (u *unread) add(now time.Duration, rate, slots float64) {
+	u.slots, u.at = u.left(now, rate)+slots, now
+}
+
+// readingRate is how many slots of prompts an engine reads in a second; 0: its speed is not known.
+func (s *service) readingRate() float64 {
+	if !s.isEngine() {
+		return 0
+	}
+	return s.speed / s.unit()
+}
+
+// Heard takes the notice of another proxy.
+func (p *Placer) Heard(now time.Duration, notice Notice) {
+	p.begin(now)
+	w := p.byKey[notice.Runner]
+	switch {
+	case notice.Answers && w != nil:
+		w.answered(now)
+	case notice.Answers:
+	default:
+		p.heard, p.heardAt = true, now
+		p.heardReading(now, w, notice.Tokens)
+	}
+}
+
+// heardReading takes it that a runner reads a prompt of another proxy.
+func (p *Placer) heardReading(now time.Duration, w *runner, tokens int) {
+	if w == nil || !w.service.isEngine() {
+		return
+	}
+	slots := float64(tokens) / w.service.unit()
+	w.unread.add(now, w.service.readingRate(), slots)
+	w.load, w.room = w.load+slots, w.room-slots
+}
+
+// ReadingNotice is what the other proxies are to be told of an attempt that was sent; false: its prompt is too short to
+// matter.
+func (a *Attempt) ReadingNotice() (Notice, bool) {
+	if a.runner == nil || a.reading < tellLeast {
+		return Notice{}, false
+	}
+	return Notice{Runner: a.runner.key, Tokens: int(a.prefill)}, true
+}
+
+// AnswersNotice is what the other proxies are to be told of an attempt whose answer has begun; false: nothing, since the
+// runner had not been silent before.
+func (a *Attempt) AnswersNotice() (Notice, bool) {
+	if !a.returned {
+		return Notice{}, false
+	}
+	return Notice{Runner: a.runner.key, Answers: true}, true
+}
+
+// Region is the region of the attempt's runner; empty: it had left when the attempt was sent.
+func (a *Attempt) Region() string {
+	if a.runner == nil {
+		return ""
+	}
+	return a.runner.Region
+}
+
+// informed says whether the prompts that other proxies send to a runner are known: those of the runners of a region are
+// told to its proxies.
+func (p *Placer) informed(now time.Duration, w *runner) bool {
+	return p.heard && now-p.heardAt < heardSpan && w.Region == p.options.Region
+}
--- /dev/null
+++ b/internal/placement/heard_test.go
@@ -0,0 +1,168 @@
+package placement
+
+import (
+	"testing"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// tellReading has a placer hear that another proxy has a runner read a prompt.
+func tellReading(p *Placer, now time.Duration, id string, tokens int) {
+	p.Heard(now, Notice{Runner: xxhash.Sum64String(id), Tokens: tokens})
+}
+
+// westRequest is a request of the placer's region that is served by an engine.
+func westRequest(now time.Duration) *Request { return testRequest(now, "llm", testRoute()) }
+
+// A prompt that another proxy has a runner read keeps requests away for as long as it takes to be read, and no longer.
+func TestPromptsOfOthersAreAvoidedWhileTheyAreRead(t *testing.T) {
+	const speed, tokens = 20000.0, 10000
+	p := testPlacer(t, testRunners("llm", 3)) // llm-0 and llm-1 are in the region of the placer
+	p.services["llm"].speed = speed
+	read := time.Duration(tokens / speed * float64(time.Second))
+	chosen := func(now time.Duration) map[string]int {
+		counts := map[string]int{}
+		for range 40 {
+			choice, refusal := p.Place(now, westRequest(now))
+			if refusal != nil {
+				t.Fatal(refusal)
+			}
+			counts[choice.Runner]++
+		}
+		return counts
+	}
+	tellReading(p, testStart, "llm-0", tokens)
+	if counts := chosen(testStart); counts["llm-1"] != 40 {
+		t.Errorf("while llm-0 reads: %v", counts)
+	}
+	if counts := chosen(testStart + read*4/5); counts["llm-1"] != 40 {
+		t.Errorf("while llm-0 reads on: %v", counts)
+	}
+	p.Tick(testStart + read)
+	if w := p.runners["llm-0"]; w.unread.left(testStart+read, p.services["llm"].readingRate()) != 0 {
+		t.Errorf("after the prompt has been read %+v is left", w.unread)
+	}
+	if counts := chosen(testStart + read + time.Millisecond); counts["llm-0"] == 0 {
+		t.Errorf("after the prompt has been read: %v", counts)
+	}
+}
+
+// Own prompts count once: as the proxy's own while their answers have not begun, and not as another's beside that.
+func TestOwnPromptsCountOnce(t *testing.T) {
+	p := testPlacer(t, testRunners("llm", 3))
+	p.services["llm"].speed = 1000
+	tellReading(p, testStart, "llm-1", 1)
+	r := westRequest(testStart)
+	r.Parts, r.TokensIn = nil, 6250
+	a := p.Sent(testStart, r, Choice{Runner: "llm-0"})
+	load := p.runners["llm-0"].load
+	p.freshen(testStart+freshPlan, p.services["llm"])
+	if now := p.runners["llm-0"].load; now > load+0.1 {
+		t.Errorf("a load of %.2f became %.2f by a new plan", load, now)
+	}
+	if notice, worth := a.ReadingNotice(); !worth || notice.Tokens != 6250 {
+		t.Errorf("the others are told %+v, %v", notice, worth)
+	}
+}
+
+// Short prompts are not worth a notice, and neither is what a service without prompts is sent.
+func TestShortPromptsAreNotTold(t *testing.T) {
+	p := testPlacer(t, append(testRunners("llm", 3), testRunners("api", 3)...))
+	for _, service := range []string{"llm", "api"} {
+		r := testRequest(testStart, service, testRoute())
+		if notice, worth := p.Sent(testStart, r, Choice{Runner: service + "-0"}).ReadingNotice(); worth {
+			t.Errorf("%s: the others are told %+v", service, notice)
+		}
+	}
+	if notice, worth := p.Sent(testStart, westRequest(testStart), Choice{Runner: "gone"}).ReadingNotice(); worth {
+		t.Errorf("of a runner that has left the others are told %+v", notice)
+	}
+}
+
+// Where no notice comes, a runner's load is guessed as by a proxy that never heard any.
+func TestSilenceOfTheOthersIsNoLackOfLoad(t *testing.T) {
+	deaf, hearing := testPlacer(t, testRunners("llm", 3)), testPlacer(t, testRunners("llm", 3))
+	end := testStart + heardSpan + time.Second
+	for _, p := range []*Placer{deaf, hearing} {
+		p.services["llm"].speed = 20000
+		r := westRequest(testStart)
+		r.Parts, r.TokensIn = nil, 20000
+		p.Sent(testStart, r, Choice{Runner: "llm-0"})
+	}
+	tellReading(hearing, testStart, "llm-1", 100)
+	for now := testStart; now <= end; now += planPeriod {
+		deaf.Tick(now)
+		hearing.Tick(now)
+	}
+	for id, w := range hearing.runners {
+		if other := deaf.runners[id]; w.load != other.load || w.util != other.util {
+			t.Errorf("%s: load %.3f, util %.3f; without notices %.3f, %.3f", id, w.load, w.util, other.load, other.util)
+		}
+	}
+}
+
+// With more proxies than a cold runner bears requests most may not try a runner that was silent. They use it again once
+// one that may has told them that it answers, after the time in which the list comes to show that it is cold.
+func TestAnAnswerToldByAnotherEndsTheSuspicion(t *testing.T) {
+	p := testPlacer(t, testRunners("llm", 3))
+	peers := make([]uint64, 0, 80)
+	self := xxhash.Sum64String("self")
+	for i := range uint64(80) {
+		peers = append(peers, xxhash.Sum64String(string(rune('a'+i))))
+	}
+	p.SetPeers(testStart, self, peers)
+	w := p.runners["llm-0"]
+	for ; p.isHolder(w, 14); self++ {
+		p.self = self
+	}
+	now := testStart
+	a := p.Sent(now, westRequest(now), Choice{Runner: w.ID})
+	p.Ended(now, a, Unreached, Progress{})
+	minute := now + time.Minute
+	for ; now < minute; now += planPeriod {
+		p.Tick(now)
+	}
+	if p.may(now, westRequest(now), w) {
+		t.Fatal("a runner that was silent, and may be cold, is used by a proxy that has no share of it")
+	}
+	p.Heard(now, Notice{Runner: w.key, Answers: true})
+	if p.may(now, westRequest(now), w) {
+		t.Error("it is used before the list can show that it is cold")
+	}
+	for end := now + guardSpan; now < end; now += planPeriod {
+		p.Tick(now)
+	}
+	if !p.may(now, westRequest(now), w) {
+		t.Error("it answers, and is not used")
+	}
+}
+
+// The proxy that finds out that a runner is back has the others told, once.
+func TestWhoFindsARunnerBackTellsTheOthers(t *testing.T) {
+	p := testPlacer(t, testRunners("llm", 3))
+	now := testStart
+	p.Ended(now, p.Sent(now, westRequest(now), Choice{Runner: "llm-0"}), Silent, Progress{})
+	for _, want := range []bool{true, false} {
+		now += time.Second
+		a := p.Sent(now, westRequest(now), Choice{Runner: "llm-0"})
+		if _, worth := a.AnswersNotice(); worth {
+			t.Error("the others are told before anything came")
+		}
+		p.FirstEvent(now, a)
+		if notice, worth := a.AnswersNotice(); worth != want || worth && notice != (Notice{Runner: a.runner.key, Answers: true}) {
+			t.Errorf("the others are told %+v, %v; want %v", notice, worth, want)
+		}
+	}
+}
+
+// Notices of runners that are not known change nothing.
+func TestNoticesOfUnknownRunners(t *testing.T) {
+	p := testPlacer(t, testRunners("api", 3))
+	p.Heard(testStart, Notice{Runner: 7, Tokens: 1000})
+	p.Heard(testStart, Notice{Runner: 7, Answers: true})
+	p.Heard(testStart, Notice{Runner: p.runners["api-0"].key, Tokens: 1000})
+	if w := p.runners["api-0"]; w.unread.slots != 0 || w.load != 0 {
+		t.Errorf("a service without prompts reads one: %+v", w)
+	}
+}
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -17,6 +17,7 @@
 	tokens     float64 // of the runner's memory
 	prefill    float64 // tokens of its prompt that are likely to be read
 	first      bool    // something has come
+	returned   bool    // it showed that a runner which had been silent answers
 	ended      bool
 	prev, next *Attempt // among those of which nothing has come yet
 }
@@ -78,12 +79,13 @@
 	last   float64 // prompt tokens of the last shared part
 }
 
-// unit is how many prompt tokens weigh as much as a slot: an engine's memory divided by its slots.
+// unit is how many prompt tokens weigh as much as a slot: a share of an engine's memory divided by its slots. Prompts being
+// read hold others up, while an answer that is being written holds a slot and little else.
 func (s *service) unit() float64 {
 	if s.Backend == nil || s.Backend.Capacity <= 0 || s.Backend.CacheTokens <= 0 {
 		return math.Inf(1)
 	}
-	return float64(s.Backend.CacheTokens) / float64(s.Backend.Capacity)
+	return slotMemory * float64(s.Backend.CacheTokens) / float64(s.Backend.Capacity)
 }
 
 // isEngine says whether the runners of the service have a memory of tokens.
@@ -145,6 +147,13 @@
 	}
 }
 
+// freshen makes the plan of a service anew where others tell of their prompts: what was told is read meanwhile.
+func (p *Placer) freshen(now time.Duration, s *service) {
+	if p.heard && s.isEngine() && now-s.plannedAt >= freshPlan {
+		p.plan(now, s)
+	}
+}
+
 // measure moves the running means of a service's runners.
 func (p *Placer) measure(now time.Duration, s *service, elapsed float64) {
 	rate, fade := 1-math.Exp(-elapsed/meanSpan), math.Exp(-elapsed/waitFade)
@@ -168,6 +177,7 @@
 
 // plan works out the room of a service's runners.
 func (p *Placer) plan(now time.Duration, s *service) {
+	s.plannedAt = now
 	sum, n := 0.0, 0.0
 	for _, w := range s.runners {
 		p.derive(now, s, w)
@@ -192,6 +202,11 @@
 	likeOwn := math.Min(others*ownWeight, mostLikeOwn)
 	all.add(&w.mean, likeOwn)
 	all.add(&s.mean, others-likeOwn)
+	if p.informed(now, w) {
+		guessed := all.reading - w.own.reading
+		known := math.Max(w.unread.left(now, s.readingRate())-w.own.reading, 0)
+		all.slots, all.reading = all.slots+known-guessed, w.own.reading+known
+	}
 	waiting := s.backlog(w)
 	w.taken = all.slots - all.reading
 	w.load = all.slots + math.Max(waiting-all.reading, 0)
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -25,6 +25,7 @@
 	p.weigh(now, s, a, &d)
 	p.coldSent(now, w)
 	w.take(a)
+	w.unread.add(now, s.readingRate(), a.reading)
 	p.noteChain(now, s, r, &d, w)
 	if w.suspect && w.probing == nil {
 		w.probing = a
@@ -111,7 +112,7 @@
 		return
 	}
 	w := a.runner
-	a.first = true
+	a.first, a.returned = true, w.suspect
 	w.lighten(a)
 	w.answered(now)
 	p.learnFirst(a, (now - a.sent).Seconds())
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -24,6 +24,14 @@
 	speedAt      = 0.8                    // the share of prompts that are read more slowly than the speed learnt
 )
 
+// What proxies tell each other.
+const (
+	slotMemory = 0.5                   // of the memory that a slot has: so many tokens being read weigh as much as a slot; measured
+	tellLeast  = 0.5                   // slots that the reading of a prompt takes for the other proxies to be told
+	freshPlan  = 10 * time.Millisecond // the age of a plan that a choice goes by, where others tell of their prompts
+	heardSpan  = 2 * time.Second       // after the last notice, in which the prompts of all others are taken to be known
+)
+
 // The choice.
 const (
 	zoneShare  = 0.0125 // of its size by which a runner in the own zone is preferred, at least zoneLeast; measured
@@ -32,7 +40,7 @@
 	connsShare = 0.9    // of a runner's connections that are shared among the proxies
 	rankFirst  = 3      // priority of rank 0: an engine takes 5 where none is told
 	rankStep   = 2
-	longPrompt = 0.5 // of the memory that a slot has: the tokens of a prompt above which it is long; measured
+	longPrompt = 1.0 // of the memory that a slot has: the tokens of a prompt above which it is long; measured
 	longAfter  = 4   // long prompts come after short ones of two ranks below; measured
 	lowest     = 9   // priority
 )
@@ -40,7 +48,7 @@
 // Kept parts.
 const (
 	keptPrice   = 4.0  // reading a shared part again costs this multiple of its time, since it is priced; measured
-	keptLeast   = 4.0  // slots by which the owner of a chain is preferred at least; measured
+	keptLeast   = 0.5  // slots by which the owner of a chain is preferred at least; measured
 	keptLately  = 0.75 // of what is saved at the owner, where this proxy sent the chain lately
 	keptNext    = 0.5  // and at the runner that comes after the owner
 	keptSpan    = 30 * time.Second
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -33,6 +33,7 @@
 	own       usage // of this proxy's attempts in flight
 	mean      usage // the same, over about meanSpan
 	ownJobs   int
+	unread    unread
 	wait      float64 // time beyond the expected that first answers have lately taken, in seconds
 	fullUntil time.Duration
 	guarded   time.Duration // until then it may be cold, and the list may not show it yet
@@ -50,16 +51,17 @@
 // service is a group of runners and what is known of them together.
 type service struct {
 	configuration.Service
-	known   bool      // the configuration names it
-	runners []*runner // in the order of their ids
-	budget  retryBudget
-	speed   float64 // prompt tokens read in a second by a runner that reads nothing else; 0: not seen yet
-	target  float64 // the tightest aim of its routes, in seconds; one that is not asked for any more counts less and less
-	took    float64 // running mean of the time that an answer takes, in seconds
-	errors  float64 // mean error share of the runners that have been judged
-	mean    usage   // mean of the runners' means
-	kept    keptMemory
-	urgency urgency
+	known     bool      // the configuration names it
+	runners   []*runner // in the order of their ids
+	budget    retryBudget
+	speed     float64 // prompt tokens read in a second by a runner that reads nothing else; 0: not seen yet
+	target    float64 // the tightest aim of its routes, in seconds; one that is not asked for any more counts less and less
+	took      float64 // running mean of the time that an answer takes, in seconds
+	errors    float64 // mean error share of the runners that have been judged
+	mean      usage   // mean of the runners' means
+	kept      keptMemory
+	urgency   urgency
+	plannedAt time.Duration
 }
 
 // routeStats are what answers of a route have shown.
@@ -75,6 +77,7 @@
 	random   capacity.Source
 	services map[string]*service
 	runners  map[string]*runner
+	byKey    map[uint64]*runner
 	evac     map[string]bool
 	routes   map[string]*routeStats
 	regions  []regionStats
@@ -94,6 +97,8 @@
 	attempts uint64
 	recalled map[string]learntRunner
 	speeds   map[string]float64
+	heard    bool          // another proxy has told of a prompt
+	heardAt  time.Duration // when one did last
 }
 
 // peer is another proxy, or this one, by its key.
@@ -113,7 +118,7 @@
 	if err := o.validate(); err != nil {
 		return nil, err
 	}
-	return &Placer{options: o, random: capacity.Source(seed), services: map[string]*service{}, runners: map[string]*runner{},
+	return &Placer{options: o, random: capacity.Source(seed), services: map[string]*service{}, runners: map[string]*runner{}, byKey: map[uint64]*runner{},
 		evac: map[string]bool{}, routes: map[string]*routeStats{}, target: firstTarget, longest: firstTimeout}, nil
 }
 
@@ -201,6 +206,7 @@
 	for id, w := range p.runners {
 		if !w.here {
 			delete(p.runners, id)
+			delete(p.byKey, w.key)
 			changed = true
 		}
 	}
@@ -219,6 +225,7 @@
 	if isNew {
 		w = &runner{key: xxhash.Sum64String(told.ID)}
 		p.runners[told.ID] = w
+		p.byKey[w.key] = w
 	}
 	moved := isNew || w.Service != told.Service
 	if told.ColdUntil > w.ColdUntil && w.sentAt > 0 { // what went there last may already have met it cold
--- a/internal/proxy/attempt.go
+++ b/internal/proxy/attempt.go
@@ -100,6 +100,7 @@
 	if a.progress.FirstAfter == 0 {
 		a.progress.FirstAfter = max(now-a.sentAt, 1)
 		x.proxy.placer.FirstEvent(now, a.booked)
+		x.proxy.peers.tellAnswers(a.booked)
 		events--
 		a.progress.Events++
 	} else {
--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -62,6 +62,9 @@
 		p.control.proxies = u.Proxies
 		p.SetProxies(u.Proxies)
 	}
+	if u.Peers != nil {
+		p.takePeers(*u.Peers)
+	}
 	if u.Runners != nil {
 		p.takeRunners(*u.Runners)
 	}
--- a/internal/proxy/exchange.go
+++ b/internal/proxy/exchange.go
@@ -202,6 +202,7 @@
 	a := &attempt{exchange: x, choice: c}
 	a.booked = x.proxy.placer.Sent(x.proxy.now(), &x.request, c)
 	x.attempt = a
+	x.proxy.peers.tellReading(a.booked)
 	x.proxy.pool.carry(a)
 }
 
--- a/internal/proxy/placer.go
+++ b/internal/proxy/placer.go
@@ -14,6 +14,8 @@
 	SetRunners(now time.Duration, runners []placement.Runner)
 	SetEvacuated(now time.Duration, zones map[string]bool)
 	SetProxies(now time.Duration, n int)
+	SetPeers(now time.Duration, self uint64, peers []uint64)
+	Heard(now time.Duration, notice placement.Notice)
 	Place(now time.Duration, r *placement.Request) (placement.Choice, *placement.Refusal)
 	Sent(now time.Duration, r *placement.Request, c placement.Choice) *placement.Attempt
 	FirstEvent(now time.Duration, a *placement.Attempt)
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -36,12 +36,15 @@
 
 // Options say where the proxy listens and what it may use.
 type Options struct {
-	Front       netip.AddrPort
-	Ready       netip.AddrPort // zero: readiness is not served
-	Metrics     netip.AddrPort // zero: figures are not served
-	MemoryBytes int            // of the process; 0: not known
-	GracePeriod time.Duration  // from the signal to stop until the process is killed
-	Seed        uint64         // of what is drawn by chance
+	Front         netip.AddrPort
+	Ready         netip.AddrPort // zero: readiness is not served
+	Metrics       netip.AddrPort // zero: figures are not served
+	MemoryBytes   int            // of the process; 0: not known
+	Peers         netip.AddrPort // where other proxies tell what they send; zero: nowhere, and nobody is told
+	Node          string         // the machine's name
+	LinkBytesPerS float64        // of the machine; 0: not known
+	GracePeriod   time.Duration  // from the signal to stop until the process is killed
+	Seed          uint64         // of what is drawn by chance
 }
 
 // Figures count what the proxy has done since it started.
@@ -70,6 +73,7 @@
 	runnersIn bool // the runners are known
 	control   control
 	pool      *pool
+	peers     *peers
 
 	front        *transport.Listener
 	ready        *monitorEndpoint
@@ -89,6 +93,7 @@
 	p := &Proxy{loop: loop, log: log, placer: placer, options: options, began: loop.Now()}
 	p.shares = newShareDraws(rand.New(rand.NewPCG(options.Seed, options.Seed^0x9e3779b97f4a7c15)))
 	p.pool = newPool(p)
+	p.peers = newPeers(p)
 	p.pending.flush = p.flushPending
 	p.stopping.plan = planStop(options.GracePeriod)
 	p.SetLimits(configuration.Limits{})
@@ -110,6 +115,7 @@
 		}
 	}
 	p.listenMetrics()
+	p.peers.listen()
 	p.runTick()
 	return nil
 }
--- a/internal/proxy/world_test.go
+++ b/internal/proxy/world_test.go
@@ -320,6 +320,8 @@
 func (f *fakePlacer) SetRunners(time.Duration, []placement.Runner)        {}
 func (f *fakePlacer) SetEvacuated(time.Duration, map[string]bool)         {}
 func (f *fakePlacer) SetProxies(time.Duration, int)                       {}
+func (f *fakePlacer) SetPeers(time.Duration, uint64, []uint64)            {}
+func (f *fakePlacer) Heard(time.Duration, placement.Notice)               {}
 func (f *fakePlacer) Place(_ time.Duration, r *placement.Request) (placement.Choice, *placement.Refusal) {
 	f.last = *r
 	if f.refusal != nil {
