Placement: the speed of reading from a window of samples, known within a second

The line of each attempt showed proxies with speeds of 0.3 to 37 slots a second where engines read 6: the speed moved by 4% up and 1% down a sample from whatever the first prompt had met, so it took ten seconds, and a runner with anything to read looked full. Change: the 0.8 quantile of the last 64 samples, what was recalled counting until there are four. Ruled out: larger steps at the start (20 times too low takes 40 samples still); the largest of the first (one prompt whose parts were kept unknown makes it five times too high).

--- a/internal/placement/api.go
+++ b/internal/placement/api.go
@@ -101,6 +101,7 @@
 //	func (p *Placer) SetEvacuated(now, zones map[string]bool)
 //	func (p *Placer) SetProxies(now, n int)                   // proxies that may be sending, for the shared budgets
 //	func (p *Placer) SetPeers(now, self uint64, peers []uint64) // their keys, self among them; instead of SetProxies
+//	func (p *Placer) Heard(now, Notice)                       // what another proxy tells of a runner
 //	func (p *Placer) Place(now, *Request) (Choice, *Refusal)  // one of them; a choice is not booked yet
 //	func (p *Placer) Sent(now, *Request, Choice) *Attempt     // books room, tokens, budgets
 //	func (p *Placer) FirstEvent(now, *Attempt); Event(now, *Attempt)
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -138,19 +138,6 @@
 	}
 }
 
-// learnSpeed moves the speed of reading towards the one that speedAt of all prompts stay below: those that waited for
-// others say little.
-func (s *service) learnSpeed(sample float64) {
-	switch {
-	case s.speed == 0:
-		s.speed = sample
-	case sample > s.speed:
-		s.speed *= 1 + speedStep*speedAt
-	default:
-		s.speed *= 1 - speedStep*(1-speedAt)
-	}
-}
-
 // Ended takes the end of an attempt.
 func (p *Placer) Ended(now time.Duration, a *Attempt, outcome Outcome, progress Progress) {
 	if outcome == Unreached {
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -20,7 +20,8 @@
 	learnSlow    = 0.1                    // weight of a sample in means over all runners, which get more of them
 	aimRate      = 0.002                  // with which the tightest aim of a service forgets
 	mostRoutes   = 4096                   // whose answers are remembered
-	speedStep    = 0.05                   // by which the speed of reading follows what is seen
+	speedSamples = 64                     // prompts by which the speed of reading is known
+	speedLeast   = 4                      // of them that count for more than what an earlier life had learnt
 	speedAt      = 0.8                    // the share of prompts that are read more slowly than the speed learnt
 )
 
@@ -40,7 +41,7 @@
 	connsShare = 0.9    // of a runner's connections that are shared among the proxies
 	rankFirst  = 3      // priority of rank 0: an engine takes 5 where none is told
 	rankStep   = 2
-	longPrompt = 1.0 // of the memory that a slot has: the tokens of a prompt above which it is long; measured
+	longPrompt = 1.0 // slots that the reading of a prompt takes, above which it is long; measured
 	longAfter  = 4   // long prompts come after short ones of two ranks below; measured
 	lowest     = 9   // priority
 )
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -62,6 +62,7 @@
 	kept      keptMemory
 	urgency   urgency
 	plannedAt time.Duration
+	speeds    speedWindow
 }
 
 // routeStats are what answers of a route have shown.
