Agent and control serve their figures by one server, whose failure ends no process

Change: exposition.Serve opens the address and serves until a context ends; what fails is logged. Ruled out: the proxy's endpoint, which lives on its own loop and stays apart.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -22,6 +22,7 @@
 	"cinderroad/internal/control/following"
 	"cinderroad/internal/discovery"
 	"cinderroad/internal/environment"
+	"cinderroad/internal/exposition"
 	"cinderroad/internal/feed"
 	"cinderroad/internal/gossip"
 	"cinderroad/internal/retry"
@@ -142,7 +143,7 @@
 	defer a.work.Wait()
 	defer end()
 	a.serve(running)
-	a.serveMetrics(running, a.metrics)
+	exposition.Serve(running, a.log, a.metrics, a.expose)
 	a.work.Go(func() { a.follower.run(running) })
 	a.work.Go(func() { a.platform.run(running) })
 	a.work.Go(func() { a.join(running) })
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -1,47 +1,13 @@
 package agent
 
 import (
-	"context"
-	"net"
-	"net/http"
-	"net/netip"
 	"strconv"
-	"time"
-
-	"go.uber.org/zap"
 
 	"cinderroad/internal/agent/reports"
 	"cinderroad/internal/exposition"
 	"cinderroad/internal/feed"
 )
 
-// Bounds of connections that ask for the figures.
-const (
-	metricsHeaderTimeout = 2 * time.Second
-	metricsIdleTimeout   = 10 * time.Second
-	metricsMostHeader    = 8 << 10 // bytes
-)
-
-// serveMetrics serves the agent's own figures until the context ends. The agent does its work without them, too.
-func (a *Agent) serveMetrics(ctx context.Context, address netip.AddrPort) {
-	if !address.IsValid() {
-		return
-	}
-	listener, err := net.Listen("tcp4", address.String())
-	if err != nil {
-		a.log.Warn("figures are not served, check that no other process holds their port", zap.Error(err))
-		return
-	}
-	server := &http.Server{Handler: exposition.Handler(a.expose), ReadHeaderTimeout: metricsHeaderTimeout,
-		IdleTimeout: metricsIdleTimeout, MaxHeaderBytes: metricsMostHeader}
-	a.work.Go(func() {
-		if err := server.Serve(listener); err != http.ErrServerClosed {
-			a.log.Warn("figures are not served any more", zap.Error(err))
-		}
-	})
-	context.AfterFunc(ctx, func() { server.Close() })
-}
-
 // expose writes the agent's own figures.
 func (a *Agent) expose(page *exposition.Page) {
 	gauge := func(name, help string, value float64) { page.Single(exposition.Gauge, name, help, value) }
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -1,29 +1,12 @@
 package control
 
 import (
-	"net"
-	"net/netip"
 	"strconv"
 
-	"go.uber.org/zap"
-
 	"cinderroad/internal/control/directory"
 	"cinderroad/internal/exposition"
 )
 
-// serveMetrics serves the process's own figures. The process does its work without them, too.
-func (p *Process) serveMetrics(address netip.AddrPort) {
-	if !address.IsValid() {
-		return
-	}
-	listener, err := net.Listen("tcp4", address.String())
-	if err != nil {
-		p.log.Warn("figures are not served, check that no other process holds their port", zap.Error(err))
-		return
-	}
-	p.serveOn(listener, exposition.Handler(p.expose))
-}
-
 // expose writes the process's own figures.
 func (p *Process) expose(page *exposition.Page) {
 	p.exposeState(page)
--- a/internal/control/process.go
+++ b/internal/control/process.go
@@ -22,6 +22,7 @@
 	"cinderroad/internal/control/state"
 	"cinderroad/internal/discovery"
 	"cinderroad/internal/environment"
+	"cinderroad/internal/exposition"
 	"cinderroad/internal/feed"
 	"cinderroad/internal/gossip"
 	"cinderroad/internal/replica"
@@ -89,7 +90,7 @@
 		p.cancel()
 		return nil, err
 	}
-	p.serveMetrics(options.Metrics)
+	exposition.Serve(p.context, p.log, options.Metrics, p.expose)
 	p.host.Start()
 	p.running.Go(func() { p.duty.Run(p.context) })
 	p.running.Go(func() { p.watch(p.context) })
--- /dev/null
+++ b/internal/exposition/serve_test.go
@@ -0,0 +1,58 @@
+package exposition
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+// freeAddress is an address of loopback that nobody holds.
+func freeAddress(t *testing.T) netip.AddrPort {
+	t.Helper()
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func TestServe(t *testing.T) {
+	address := freeAddress(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	Serve(ctx, zap.NewNop(), address, func(p *Page) { p.Single(Gauge, "up", "Whether it runs.", 1) })
+	answer, err := http.Get("http://" + address.String() + Path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer answer.Body.Close()
+	if body, _ := io.ReadAll(answer.Body); string(body) != "# HELP up Whether it runs.\n# TYPE up gauge\nup 1\n" {
+		t.Errorf("got %q", body)
+	}
+	cancel()
+}
+
+// A port that another process holds is logged, and the process goes on; without an address nothing is opened.
+func TestServeWithoutAPort(t *testing.T) {
+	held, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer held.Close()
+	core, logs := observer.New(zapcore.WarnLevel)
+	Serve(t.Context(), zap.New(core), held.Addr().(*net.TCPAddr).AddrPort(), func(*Page) {})
+	if logs.Len() != 1 {
+		t.Errorf("%d lines were logged", logs.Len())
+	}
+	Serve(t.Context(), zap.New(core), netip.AddrPort{}, func(*Page) {})
+	if logs.Len() != 1 {
+		t.Error("a page without an address was missed")
+	}
+}
