Proxies of both regions hear of prompts: one of each other zone passes notices on

Change: a proxy tells those of its own zone, and one of each other zone, drawn anew each time, which tells its zone. Only prompts of a slot or more are told. Figures (notices_total) and the pages for operators name the port and what is told.

--- a/cmd/cinderroad-proxy/main.go
+++ b/cmd/cinderroad-proxy/main.go
@@ -91,7 +91,7 @@
 		return nil, err
 	}
 	return proxy.New(loop, log, placer, proxy.Options{Front: settings.ListenOn.Front, Ready: settings.ListenOn.Ready,
-		Metrics: metrics, Node: settings.Node, LinkBytesPerS: settings.Limits.LinkBytesPerS(),
+		Metrics: metrics, Node: settings.Node, Zone: settings.Zone, LinkBytesPerS: settings.Limits.LinkBytesPerS(),
 		Peers: netip.AddrPortFrom(settings.IP, settings.Port(environment.ProxyPort)), MemoryBytes: settings.Limits.RAMMB << 20, GracePeriod: timing.GracePeriod, Seed: seed}), nil
 }
 
--- a/internal/placement/heard.go
+++ b/internal/placement/heard.go
@@ -6,14 +6,22 @@
 )
 
 // Each proxy sees few of a runner's requests, so proxies tell each other what all of them need to know: the prompts that
-// they have runners read, and that a runner which had been silent answers again. Nothing hangs on the arrival of a notice:
-// where none comes for a while, the load of the others is guessed from a proxy's own.
+// they have runners read, and that a runner which had been silent answers again. Nothing hangs on the arrival of a notice: where none comes for a while, the load of the others is guessed from a proxy's own.
+
+// NoticeKind says what a notice is about.
+type NoticeKind uint8
+
+// The kinds of notices.
+const (
+	NoticeReads   NoticeKind = iota + 1 // the runner is to read a prompt
+	NoticeAnswers                       // the runner had been silent and answers again
+)
 
 // Notice is what a proxy tells others of a runner.
 type Notice struct {
-	Runner  uint64 // its key
-	Tokens  int    // of a prompt that the runner is to read; 0 where Answers
-	Answers bool   // the runner had been silent and answers again
+	Kind   NoticeKind
+	Runner uint64 // its key
+	Tokens int    // of the prompt, where there is one
 }
 
 // unread is what a runner has yet to read of all prompts that are known. It grows by each prompt and shrinks at the speed
@@ -44,20 +52,24 @@
 // Heard takes the notice of another proxy.
 func (p *Placer) Heard(now time.Duration, notice Notice) {
 	p.begin(now)
-	w := p.byKey[notice.Runner]
-	switch {
-	case notice.Answers && w != nil:
-		w.answered(now)
-	case notice.Answers:
-	default:
+	if notice.Kind == NoticeReads {
 		p.heard, p.heardAt = true, now
+	}
+	w := p.byKey[notice.Runner]
+	if w == nil {
+		return
+	}
+	switch notice.Kind {
+	case NoticeReads:
 		p.heardReading(now, w, notice.Tokens)
+	case NoticeAnswers:
+		w.answered(now)
 	}
 }
 
 // heardReading takes it that a runner reads a prompt of another proxy.
 func (p *Placer) heardReading(now time.Duration, w *runner, tokens int) {
-	if w == nil || !w.service.isEngine() {
+	if !w.service.isEngine() {
 		return
 	}
 	slots := float64(tokens) / w.service.unit()
@@ -71,7 +83,7 @@
 	if a.runner == nil || a.reading < tellLeast {
 		return Notice{}, false
 	}
-	return Notice{Runner: a.runner.key, Tokens: int(a.prefill)}, true
+	return Notice{Kind: NoticeReads, Runner: a.runner.key, Tokens: int(a.prefill)}, true
 }
 
 // AnswersNotice is what the other proxies are to be told of an attempt whose answer has begun; false: nothing, since the
@@ -80,19 +92,8 @@
 	if !a.returned {
 		return Notice{}, false
 	}
-	return Notice{Runner: a.runner.key, Answers: true}, true
+	return Notice{Kind: NoticeAnswers, Runner: a.runner.key}, true
 }
 
-// Region is the region of the attempt's runner; empty: it had left when the attempt was sent.
-func (a *Attempt) Region() string {
-	if a.runner == nil {
-		return ""
-	}
-	return a.runner.Region
-}
-
-// informed says whether the prompts that other proxies send to a runner are known: those of the runners of a region are
-// told to its proxies.
-func (p *Placer) informed(now time.Duration, w *runner) bool {
-	return p.heard && now-p.heardAt < heardSpan && w.Region == p.options.Region
-}
+// informed says whether the prompts that other proxies send to runners are known.
+func (p *Placer) informed(now time.Duration) bool { return p.heard && now-p.heardAt < heardSpan }
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -202,7 +202,7 @@
 	likeOwn := math.Min(others*ownWeight, mostLikeOwn)
 	all.add(&w.mean, likeOwn)
 	all.add(&s.mean, others-likeOwn)
-	if p.informed(now, w) {
+	if p.informed(now) {
 		guessed := all.reading - w.own.reading
 		known := math.Max(w.unread.left(now, s.readingRate())-w.own.reading, 0)
 		all.slots, all.reading = all.slots+known-guessed, w.own.reading+known
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -28,7 +28,7 @@
 // What proxies tell each other.
 const (
 	slotMemory = 0.5                   // of the memory that a slot has: so many tokens being read weigh as much as a slot; measured
-	tellLeast  = 0.5                   // slots that the reading of a prompt takes for the other proxies to be told
+	tellLeast  = 1.0                   // slots that the reading of a prompt takes for the other proxies to be told
 	freshPlan  = 10 * time.Millisecond // the age of a plan that a choice goes by, where others tell of their prompts
 	heardSpan  = 2 * time.Second       // after the last notice, in which the prompts of all others are taken to be known
 )
--- a/internal/proxy/metrics.go
+++ b/internal/proxy/metrics.go
@@ -21,6 +21,11 @@
 	counter("cinderroad_proxy_runner_connections_total", "Connections opened to runners.", f.Dials)
 	counter("cinderroad_proxy_spoilt_total", "Connections to runners closed for bytes that belong to no request.", f.Spoilt)
 
+	page.Family(exposition.Counter, "cinderroad_proxy_notices_total", "Notices of prompts and runners that proxies tell each other.")
+	page.Sample(float64(f.NoticesTold), exposition.Label{Name: "way", Value: "told"})
+	page.Sample(float64(f.NoticesHeard), exposition.Label{Name: "way", Value: "heard"})
+	page.Sample(float64(f.NoticesWithheld), exposition.Label{Name: "way", Value: "withheld"})
+
 	gauge("cinderroad_proxy_exchanges", "Requests that have no whole answer yet.", float64(p.exchanges))
 	gauge("cinderroad_proxy_client_connections", "Open connections of clients.", float64(p.sessions.open))
 	gauge("cinderroad_proxy_buffered_bytes", "Bytes of requests held.", float64(p.buffered))
--- a/internal/proxy/proxy.go
+++ b/internal/proxy/proxy.go
@@ -42,6 +42,7 @@
 	MemoryBytes   int            // of the process; 0: not known
 	Peers         netip.AddrPort // where other proxies tell what they send; zero: nowhere, and nobody is told
 	Node          string         // the machine's name
+	Zone          string         // of the machine
 	LinkBytesPerS float64        // of the machine; 0: not known
 	GracePeriod   time.Duration  // from the signal to stop until the process is killed
 	Seed          uint64         // of what is drawn by chance
@@ -52,6 +53,8 @@
 	Requests, Served, Refused, Failed, Aborted uint64 // Aborted: answers broken off and clients that left
 	Attempts, Resumed, Dials                   uint64
 	Spoilt                                     uint64 // runner connections closed for bytes that belong to no request
+	NoticesTold, NoticesHeard                  uint64 // to and from other proxies
+	NoticesWithheld                            uint64 // beyond the share of the link
 	StoppingNew, StoppingKept                  uint64 // requests after the signal to stop, by their connection
 	StoppingRefused                            uint64 // requests turned away since they might outlast the process
 	StoppingCut                                uint64 // requests that the end of the process broke off
