Proxies: only longer prompts are told while more than 300 notices a second come

Change: where more than 300 a second come, the length from which prompts are told grows by a tenth each period, and falls back when fewer come. Long prompts, which others wait for most, are told longest. Test in virtual time. Ruled out: a fixed length (the right one depends on the fleet's size and load); telling some proxies alone (the others would take a runner that reads for an idle one).

--- a/internal/placement/heard.go
+++ b/internal/placement/heard.go
@@ -54,6 +54,7 @@
 	p.begin(now)
 	if notice.Kind == NoticeReads {
 		p.heard, p.heardAt = true, now
+		p.heardCount++
 	}
 	w := p.byKey[notice.Runner]
 	if w == nil {
@@ -80,12 +81,23 @@
 // ReadingNotice is what the other proxies are to be told of an attempt that was sent; false: its prompt is too short to
 // matter.
 func (a *Attempt) ReadingNotice() (Notice, bool) {
-	if a.runner == nil || a.reading < tellLeast {
+	if !a.worthTelling {
 		return Notice{}, false
 	}
 	return Notice{Kind: NoticeReads, Runner: a.runner.key, Tokens: int(a.prefill)}, true
 }
 
+// paceNotices has longer prompts alone told while too many notices come: all proxies hear the same, so each would spend its
+// processor on the more notices the more proxies there are. In a period without too many, shorter ones are told again.
+func (p *Placer) paceNotices(elapsed float64) {
+	if float64(p.heardCount) > mostHeard*elapsed {
+		p.tellFrom *= tellGrowth
+	} else {
+		p.tellFrom = math.Max(tellLeast, p.tellFrom*tellFade)
+	}
+	p.heardCount = 0
+}
+
 // AnswersNotice is what the other proxies are to be told of an attempt whose answer has begun; false: nothing, since the
 // runner had not been silent before.
 func (a *Attempt) AnswersNotice() (Notice, bool) {
--- a/internal/placement/heard_test.go
+++ b/internal/placement/heard_test.go
@@ -156,6 +156,37 @@
 	}
 }
 
+// Where more notices come than a proxy should spend its processor on, only longer prompts are told, until fewer come.
+func TestTooManyNoticesHaveLongPromptsAloneTold(t *testing.T) {
+	p := testPlacer(t, testRunners("llm", 3))
+	told := func(now time.Duration) bool {
+		r := westRequest(now)
+		r.Parts, r.TokensIn = nil, 4000 // of two slots and a half
+		_, worth := p.Sent(now, r, Choice{Runner: "llm-0"}).ReadingNotice()
+		return worth
+	}
+	hear := func(now time.Duration, seconds int, rate float64) time.Duration {
+		for range seconds * int(time.Second/planPeriod) {
+			for range int(rate * planPeriod.Seconds()) {
+				tellReading(p, now, "llm-1", 3000)
+			}
+			now += planPeriod
+			p.Tick(now)
+		}
+		return now
+	}
+	now := hear(testStart, 3, mostHeard*0.9)
+	if !told(now) {
+		t.Error("with few notices a prompt of two slots is not told")
+	}
+	if now = hear(now, 3, mostHeard*2); told(now) {
+		t.Error("with twice as many as should come a prompt of two slots is told")
+	}
+	if now = hear(now, 30, mostHeard*0.9); !told(now) {
+		t.Error("with few notices again a prompt of two slots is not told")
+	}
+}
+
 // Notices of runners that are not known change nothing.
 func TestNoticesOfUnknownRunners(t *testing.T) {
 	p := testPlacer(t, testRunners("api", 3))
--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -9,17 +9,18 @@
 
 // booking is what an attempt takes of its runner.
 type booking struct {
-	runner     *runner
-	sent       time.Duration
-	load       float64 // of the runner when it was sent
-	weight     float64 // slots: 1, and more while its prompt is read
-	reading    float64 // the part of weight that goes with the first event
-	tokens     float64 // of the runner's memory
-	prefill    float64 // tokens of its prompt that are likely to be read
-	first      bool    // something has come
-	returned   bool    // it showed that a runner which had been silent answers
-	ended      bool
-	prev, next *Attempt // among those of which nothing has come yet
+	runner       *runner
+	sent         time.Duration
+	load         float64 // of the runner when it was sent
+	weight       float64 // slots: 1, and more while its prompt is read
+	reading      float64 // the part of weight that goes with the first event
+	tokens       float64 // of the runner's memory
+	prefill      float64 // tokens of its prompt that are likely to be read
+	first        bool    // something has come
+	worthTelling bool    // its prompt is long enough to be told to other proxies
+	returned     bool    // it showed that a runner which had been silent answers
+	ended        bool
+	prev, next   *Attempt // among those of which nothing has come yet
 }
 
 // usage is what attempts take of a runner.
@@ -141,6 +142,7 @@
 // reports: the load is this proxy's own, what the others are likely to have there, and what waits have shown.
 func (p *Placer) rebuild(now time.Duration, elapsed float64) {
 	p.planAt = now
+	p.paceNotices(elapsed)
 	for _, s := range p.services {
 		p.measure(now, s, elapsed)
 		p.plan(now, s)
--- a/internal/placement/outcome.go
+++ b/internal/placement/outcome.go
@@ -63,6 +63,7 @@
 		}
 		a.reading = a.prefill / s.unit()
 		a.weight += a.reading
+		a.worthTelling = a.reading >= p.tellFrom
 	}
 	a.load = w.strain() + a.weight
 }
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -28,8 +28,11 @@
 // What proxies tell each other.
 const (
 	slotMemory = 0.5                   // of the memory that a slot has: so many tokens being read weigh as much as a slot; measured
-	tellLeast  = 1.0                   // slots that the reading of a prompt takes for the other proxies to be told
+	tellLeast  = 1.0                   // slots that the reading of a prompt takes for the other proxies to be told, at least
 	freshPlan  = 10 * time.Millisecond // the age of a plan that a choice goes by, where others tell of their prompts
+	mostHeard  = 300.0                 // notices a second; where more come, longer prompts alone are told
+	tellGrowth = 1.1                   // of the length from which prompts are told, in a period in which too many came
+	tellFade   = 0.98                  // of it in any other
 	heardSpan  = 2 * time.Second       // after the last notice, in which the prompts of all others are taken to be known
 )
 
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -83,23 +83,25 @@
 	routes   map[string]*routeStats
 	regions  []regionStats
 
-	started  time.Duration // when it first was told anything
-	begun    bool
-	awakeAt  time.Duration // when it was last asked or told anything
-	joined   time.Duration // from then on the others count this proxy
-	proxies  int           // that may be sending; 0: not told yet
-	fewer    int           // the count that was told last, where it is lower
-	fewerAt  time.Duration
-	self     uint64
-	peers    []peer // empty: only their number was told
-	planAt   time.Duration
-	target   float64 // tightest aim of a route seen, in seconds
-	longest  float64 // longest time-out of a route seen
-	attempts uint64
-	recalled map[string]learntRunner
-	speeds   map[string]float64
-	heard    bool          // another proxy has told of a prompt
-	heardAt  time.Duration // when one did last
+	started    time.Duration // when it first was told anything
+	begun      bool
+	awakeAt    time.Duration // when it was last asked or told anything
+	joined     time.Duration // from then on the others count this proxy
+	proxies    int           // that may be sending; 0: not told yet
+	fewer      int           // the count that was told last, where it is lower
+	fewerAt    time.Duration
+	self       uint64
+	peers      []peer // empty: only their number was told
+	planAt     time.Duration
+	target     float64 // tightest aim of a route seen, in seconds
+	longest    float64 // longest time-out of a route seen
+	attempts   uint64
+	recalled   map[string]learntRunner
+	speeds     map[string]float64
+	heard      bool          // another proxy has told of a prompt
+	heardAt    time.Duration // when one did last
+	heardCount int           // notices of prompts in this period
+	tellFrom   float64       // slots that the reading of a prompt takes for the others to be told
 }
 
 // peer is another proxy, or this one, by its key.
@@ -120,7 +122,8 @@
 		return nil, err
 	}
 	return &Placer{options: o, random: capacity.Source(seed), services: map[string]*service{}, runners: map[string]*runner{}, byKey: map[uint64]*runner{},
-		evac: map[string]bool{}, routes: map[string]*routeStats{}, target: firstTarget, longest: firstTimeout}, nil
+		evac: map[string]bool{}, routes: map[string]*routeStats{}, target: firstTarget, longest: firstTimeout,
+		tellFrom: tellLeast}, nil
 }
 
 func (o *Options) validate() error {
