Placement: no other proxy is taken to be like this one; a mean that nobody read is gone

Removed with both constants; no test was of it alone. The mean error share of a service (errors) was worked out each period and read by nobody.

--- a/internal/placement/load.go
+++ b/internal/placement/load.go
@@ -160,8 +160,7 @@
 func (p *Placer) measure(now time.Duration, s *service, elapsed float64) {
 	rate, fade := 1-math.Exp(-elapsed/meanSpan), math.Exp(-elapsed/waitFade)
 	recovered := math.Min(elapsed/p.longest, 1)
-	s.mean, s.errors = usage{}, 0
-	judged := 0.0
+	s.mean = usage{}
 	for _, w := range s.runners {
 		w.mean.move(&w.own, rate)
 		w.wait *= fade
@@ -170,11 +169,7 @@
 		}
 		w.ceilings.Recover(w.size, recovered)
 		s.mean.add(&w.mean, 1/float64(len(s.runners)))
-		if w.standing.Judged {
-			s.errors, judged = s.errors+w.standing.Errors, judged+1
-		}
 	}
-	s.errors /= math.Max(judged, 1)
 }
 
 // plan works out the room of a service's runners.
@@ -201,9 +196,7 @@
 // and from the waits that were seen; and the room that is left of its ceiling.
 func (p *Placer) derive(now time.Duration, s *service, w *runner) {
 	all, others := w.own, p.others()
-	likeOwn := math.Min(others*ownWeight, mostLikeOwn)
-	all.add(&w.mean, likeOwn)
-	all.add(&s.mean, others-likeOwn)
+	all.add(&s.mean, others)
 	if p.informed(now) {
 		guessed := all.reading - w.own.reading
 		known := math.Max(w.unread.left(now, s.readingRate())-w.own.reading, 0)
--- a/internal/placement/policy.go
+++ b/internal/placement/policy.go
@@ -9,8 +9,6 @@
 const (
 	planPeriod   = 100 * time.Millisecond // monitoring period
 	meanSpan     = 1.5                    // seconds over which own loads are averaged to guess those of others; measured
-	ownWeight    = 0.35                   // of a runner's own mean in that guess; the rest is the mean of all; measured
-	mostLikeOwn  = 1.0                    // proxies that are taken to be like this one: its few requests tell little; measured
 	waitFade     = 0.5                    // seconds in which a wait that was seen stops counting; measured
 	lateShare    = 0.6                    // of an aim that a first answer may take before it is a sign of load
 	mostBacklog  = 2.0                    // multiples of its size that waits may add to a runner's load
--- a/internal/placement/state.go
+++ b/internal/placement/state.go
@@ -57,7 +57,6 @@
 	speed     float64 // prompt tokens read in a second by a runner that reads nothing else; 0: not seen yet
 	target    float64 // the tightest aim of its routes, in seconds; one that is not asked for any more counts less and less
 	took      float64 // running mean of the time that an answer takes, in seconds
-	errors    float64 // mean error share of the runners that have been judged
 	mean      usage   // mean of the runners' means
 	kept      keptMemory
 	urgency   urgency
