Gossip: the number of proxies and their names come from one place

Change: both ask one function; nothing is decided otherwise. Ruled out: one of them calling the other (Proxies counts this member, too, and Peers must tell "none" from "not known").

--- a/cmd/cinderroad-proxy/main.go
+++ b/cmd/cinderroad-proxy/main.go
@@ -92,7 +92,8 @@
 	}
 	return proxy.New(loop, log, placer, proxy.Options{Front: settings.ListenOn.Front, Ready: settings.ListenOn.Ready,
 		Metrics: metrics, Node: settings.Node, Zone: settings.Zone, LinkBytesPerS: settings.Limits.LinkBytesPerS(),
-		Peers: netip.AddrPortFrom(settings.IP, settings.Port(environment.ProxyPort)), MemoryBytes: settings.Limits.RAMMB << 20, GracePeriod: timing.GracePeriod, Seed: seed}), nil
+		Peers:       netip.AddrPortFrom(settings.IP, settings.Port(environment.ProxyPort)),
+		MemoryBytes: settings.Limits.RAMMB << 20, GracePeriod: timing.GracePeriod, Seed: seed}), nil
 }
 
 // listen begins to serve. The addresses may still be held by an earlier life that is about to end.
--- a/internal/gossip/view.go
+++ b/internal/gossip/view.go
@@ -140,32 +140,32 @@
 // Proxies is how many proxies may be sending: those that are dead to this process may be cut off from it only, and count
 // for a while. A member whose role is not known counts. 0: this process does not know the others yet.
 func (g *Gossip) Proxies() int {
-	members := g.View()
-	g.mutex.Lock()
-	counted := g.counted
-	g.mutex.Unlock()
-	if !counted {
+	proxies, known := g.proxies()
+	if !known {
 		return 0
 	}
-	n := 0
-	for i := range members {
-		if g.maySend(&members[i]) {
-			n++
-		}
-	}
-	return max(1, n)
+	return max(1, len(proxies))
 }
 
-// Peers are the other proxies that may be sending, as Proxies counts them; none where those are not known yet.
+// Peers are the other proxies that may be sending, as Proxies counts them; nil where those are not known yet.
 func (g *Gossip) Peers() []Member {
+	proxies, known := g.proxies()
+	if !known {
+		return nil
+	}
+	return slices.DeleteFunc(proxies, func(m Member) bool { return m.Me })
+}
+
+// proxies are the members that may be sending, in a slice of the caller's own; known: the view has been complete once.
+func (g *Gossip) proxies() (proxies []Member, known bool) {
 	members := g.View()
 	g.mutex.Lock()
-	counted := g.counted
+	known = g.counted
 	g.mutex.Unlock()
-	if !counted {
-		return nil
+	if !known {
+		return nil, false
 	}
-	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return m.Me || !g.maySend(&m) })
+	return slices.DeleteFunc(slices.Clone(members), func(m Member) bool { return !g.maySend(&m) }), true
 }
 
 func (g *Gossip) maySend(member *Member) bool {
--- a/internal/placement/heard.go
+++ b/internal/placement/heard.go
@@ -6,7 +6,8 @@
 )
 
 // Each proxy sees few of a runner's requests, so proxies tell each other what all of them need to know: the prompts that
-// they have runners read, and that a runner which had been silent answers again. Nothing hangs on the arrival of a notice: where none comes for a while, the load of the others is guessed from a proxy's own.
+// they have runners read, and that a runner which had been silent answers again. Nothing hangs on the arrival of a notice:
+// where none comes for a while, the load of the others is guessed from a proxy's own.
 
 // NoticeKind says what a notice is about.
 type NoticeKind uint8
