Proxy: the names of the others say how many there are

Cause: the last reading of the change. The agent tells a proxy a number and, where they changed, the names. Where the two were taken on either side of a change within one answer, the next answer's number (SetProxies) dropped the names until the membership changed again: at 15 proxies or more nothing went to cold runners then. The number that came with new names also forgot the proxies that had left, which are to count for 2 s more in the shares of cold runners. Change: once names are known they give the number, for the placer, for connections and for the figure; a number alone counts before that. TestNamesOutliveANumber fails without it. Ruled out: telling the names with each answer; having the agent take both at one moment (a proxy that joins between would still be told of later).

--- a/internal/proxy/control.go
+++ b/internal/proxy/control.go
@@ -58,13 +58,13 @@
 	if u.Evacuated != nil {
 		p.SetEvacuated(*u.Evacuated)
 	}
-	if u.Proxies > 0 && u.Proxies != p.control.proxies {
+	switch {
+	case u.Peers != nil:
+		p.takePeers(*u.Peers)
+	case u.Proxies > 0 && u.Proxies != p.control.proxies && !p.peers.named: // the names say the number, too
 		p.control.proxies = u.Proxies
 		p.SetProxies(u.Proxies)
 	}
-	if u.Peers != nil {
-		p.takePeers(*u.Peers)
-	}
 	if u.Runners != nil {
 		p.takeRunners(*u.Runners)
 	}
--- a/internal/proxy/peers.go
+++ b/internal/proxy/peers.go
@@ -29,6 +29,7 @@
 	proxy    *Proxy
 	random   *rand.Rand
 	socket   *transport.Socket
+	named    bool                        // the agent has told who the others are
 	own      []netip.AddrPort            // in the own zone
 	zones    map[string][]netip.AddrPort // in the others
 	budget   float64                     // bytes that may be sent now
@@ -64,6 +65,9 @@
 		keys = append(keys, xxhash.Sum64String(told[i].Node))
 		p.peers.add(told[i].Zone, told[i].Address)
 	}
+	p.peers.named = true
+	p.control.proxies = 1 + len(told)
+	p.pool.proxies = p.control.proxies
 	p.placer.SetPeers(p.now(), xxhash.Sum64String(p.options.Node), keys)
 }
 
--- a/internal/proxy/peers_test.go
+++ b/internal/proxy/peers_test.go
@@ -9,6 +9,8 @@
 
 	"cinderroad/internal/feed"
 	"cinderroad/internal/placement"
+	"cinderroad/internal/proxy/uplink"
+	"cinderroad/internal/routetable"
 	"cinderroad/internal/transport"
 )
 
@@ -45,12 +47,16 @@
 	fakePlacer
 	heard []placement.Notice
 	peers []uint64
+
+	numbers int // how often a number of proxies was told alone
 }
 
 func (h *hearingPlacer) Heard(_ time.Duration, notice placement.Notice) {
 	h.heard = append(h.heard, notice)
 }
 
+func (h *hearingPlacer) SetProxies(time.Duration, int) { h.numbers++ }
+
 func (h *hearingPlacer) SetPeers(_ time.Duration, _ uint64, peers []uint64) { h.peers = peers }
 
 // hearingProxy is a proxy on a loopback address of its own that hears notices at a free port.
@@ -135,3 +141,19 @@
 		t.Errorf("%d notices were sent at once, want %d", told, most)
 	}
 }
+
+// A number that was told a moment before or after the names does not take the names away: with many proxies only those that
+// know the others' names may use a cold runner.
+func TestNamesOutliveANumber(t *testing.T) {
+	p, placer := hearingProxy(t, 0)
+	p.control.table = routetable.New()
+	peers := []feed.Peer{{Node: "one", Zone: "a"}, {Node: "two", Zone: "a"}}
+	p.Take(uplink.Update{Proxies: 4, Peers: &peers})
+	p.Take(uplink.Update{Proxies: 3})
+	if placer.numbers != 0 {
+		t.Errorf("the placer was told %d times of a number alone", placer.numbers)
+	}
+	if p.pool.proxies != 3 || p.control.proxies != 3 {
+		t.Errorf("connections are shared among %d, figures tell %d; want 3", p.pool.proxies, p.control.proxies)
+	}
+}
