Faults that lose data or acknowledge too early: spool, client, lists, orders

- spool: recovery read from the oldest file on and stopped at a bound of bytes, so that after a lowered spool_bytes the newest periods and totals were lost and the next file's name existed.
It goes back from the newest file now, until the bound, but never before a period whose totals can be read.
Syncs run on a goroutine of their own: a sync that stalls no longer keeps later periods from the kernel, so that a killed process loses no total that receivers have got.
- control/client: a response over 64 MiB is a ResponseTooLargeError; a 404 means "no configuration yet" only with the API's code; a call waits for as long as the machine may take for its body (api.ParseAllowance).
Redirects stay: the API's protocol has callers follow them, a comment says so.
- control/api: an incomplete body is answered with a code of its own, incomplete_body.
- simwire: a list record that ends before its count reaches no balancer.
- dispatch: a member that is named and not listed yet is not taken for a departed one.
- Orders during an upgrade: 200 says that both processes have carried the order out; 500 that the other one could not, 503 that it has not confirmed in time.

--- a/internal/dispatcher/cluster/jobreplica/errors.go
+++ b/internal/dispatcher/cluster/jobreplica/errors.go
@@ -24,7 +24,8 @@
 	return "Come back after the wait. If it lasts, bring back the machines that hold copies or the network between them."
 }
 
-// NotReplicaError is returned by a member that holds no replica, and for messages of one. The caller must ask a replica.
+// NotReplicaError is returned at a member that holds no replica, and for messages of one. The member's code, which calls
+// Propose, must pass the command on to a member that holds one; this package does not.
 type NotReplicaError struct{}
 
 func (e *NotReplicaError) Error() string { return "job replica: this member holds no replica" }
--- a/internal/dispatcher/cluster/jobreplica/fragmenter.go
+++ b/internal/dispatcher/cluster/jobreplica/fragmenter.go
@@ -9,6 +9,7 @@
 	maxPartialsPerSender  = 16   // incomplete messages of one sender
 	maxRequestedFragments = 100  // in one datagram
 	maxPendingResends     = 256  // datagrams to send again at one Tick
+	sliceHeaderBytes      = 24   // of the memory for each fragment of an incomplete message, whether it has come or not
 	requestAfterSeconds   = 0.1  // without a fragment, after which the missing ones are requested
 	retentionSeconds      = 30.0 // of incomplete messages, and of sent ones for resending
 )
@@ -19,7 +20,7 @@
 type Fragmenter struct {
 	cluster           string
 	self              uint64 // Member.ID
-	maxBytes          int    // of incomplete messages, and of sent messages
+	maxBytes          int    // of incomplete messages, and of sent messages; see NewFragmenter
 	lastMessageNumber uint64
 	now               float64 // seconds, of the last Tick
 	partialBytes      int
@@ -44,11 +45,11 @@
 	lastActivityAt float64  // when the last fragment came, or missing ones were requested
 	fragments      [][]byte // nil: missing
 	missing        int
-	bytes          int
+	bytes          int // of its data, and of its slice headers
 }
 
-// NewFragmenter returns a Fragmenter that holds up to maxPartialBytes of the data of incomplete messages, and as
-// much of sent ones, but always the last one sent.
+// NewFragmenter returns a Fragmenter that holds up to maxPartialBytes of incomplete messages, their slice headers
+// included, and as much data of sent ones, but always the last one sent.
 func NewFragmenter(cluster string, self uint64, maxPartialBytes int) *Fragmenter {
 	return &Fragmenter{cluster: cluster, self: self, maxBytes: maxPartialBytes, partials: map[uint64][]*partialMessage{}}
 }
@@ -166,6 +167,7 @@
 			missing:   int(received.Count),
 		}
 		f.partials[received.From] = append(f.partials[received.From], partial)
+		f.addBytes(partial, sliceHeaderBytes*int(received.Count))
 	}
 	if len(partial.fragments) != int(received.Count) || partial.fragments[received.Index] != nil {
 		return nil // a duplicate, or of another message
@@ -173,8 +175,7 @@
 	partial.fragments[received.Index] = received.Data
 	partial.missing--
 	partial.lastActivityAt = f.now
-	partial.bytes += len(received.Data)
-	f.partialBytes += len(received.Data)
+	f.addBytes(partial, len(received.Data))
 	if partial.missing > 0 {
 		f.dropExcess(received.From)
 		return nil
@@ -187,6 +188,12 @@
 	return message
 }
 
+// addBytes counts memory of an incomplete message.
+func (f *Fragmenter) addBytes(partial *partialMessage, bytes int) {
+	partial.bytes += bytes
+	f.partialBytes += bytes
+}
+
 // exceedsBounds reports whether there are too many incomplete messages of a sender, or too many bytes of all.
 func (f *Fragmenter) exceedsBounds(from uint64) bool {
 	return len(f.partials[from]) > maxPartialsPerSender || f.partialBytes > f.maxBytes
@@ -202,7 +209,7 @@
 	}
 }
 
-// PartialBytes returns the bytes of incomplete messages.
+// PartialBytes returns the bytes of incomplete messages, their slice headers included.
 func (f *Fragmenter) PartialBytes() int { return f.partialBytes }
 
 // dropOldest drops the oldest incomplete message of a sender, and reports whether there was one.
--- a/internal/dispatcher/cluster/jobstate/snapshot.go
+++ b/internal/dispatcher/cluster/jobstate/snapshot.go
@@ -60,10 +60,12 @@
 		}
 		fresh.addUsage(job)
 	}
+	ended := make(map[uint64]bool, len(image.EndedIDs))
 	for _, id := range image.EndedIDs {
-		if job := fresh.jobs[id]; job == nil || !job.State.Terminal() {
+		if job := fresh.jobs[id]; job == nil || !job.State.Terminal() || ended[id] {
 			return &DecodeError{"snapshot", image.FormatVersion, errInvalidJob}
 		}
+		ended[id] = true // a second mention would outlast the job
 	}
 	for _, exclusion := range image.Exclusions {
 		fresh.exclude(exclusion)
--- a/internal/dispatcher/dispatch/dispatcher_test.go
+++ b/internal/dispatcher/dispatch/dispatcher_test.go
@@ -245,6 +245,40 @@
 	}
 }
 
+// A name that no list has filled in yet keeps its ID while departed members are forgotten.
+func TestNamedMembersAreKept(t *testing.T) {
+	b := newTestbed(t)
+	named := b.dispatcher.WorkerID("named")
+	list := func(kind loadbalancer.ListKind, state loadbalancer.WorkerState, names ...string) {
+		var members []Member
+		for _, name := range names {
+			members = append(members, Member{
+				Worker:  loadbalancer.Worker{ID: b.dispatcher.WorkerID(name), State: state},
+				Backend: b,
+				Name:    name,
+			})
+		}
+		b.dispatcher.UpdateMembers(kind, members)
+	}
+	var departing []string
+	for i := range maxDeparted + 1 {
+		departing = append(departing, fmt.Sprint("departing-", i))
+	}
+	list(loadbalancer.ListFull, loadbalancer.Ready, departing...)
+	list(loadbalancer.ListDelta, loadbalancer.Departed, departing...)
+	if len(b.dispatcher.members) != 1 || b.dispatcher.members[named] == nil {
+		t.Fatalf("%d members are known, want the named one alone", len(b.dispatcher.members))
+	}
+	list(loadbalancer.ListDelta, loadbalancer.Ready, "named")
+	if m := b.dispatcher.members[named]; m.Name != "named" || m.State != loadbalancer.Ready {
+		t.Errorf("the named member is %+v", m)
+	}
+	list(loadbalancer.ListDelta, loadbalancer.Departed, append(departing, "named")...)
+	if n, m := len(b.dispatcher.members), len(b.dispatcher.workerIDs); n != 0 || m != 0 {
+		t.Errorf("%d members and %d names are kept of those that have departed", n, m)
+	}
+}
+
 // An exclusion outlasts lists, restarts and reconnects, holds back attempts that are not sent yet, and makes the member
 // start anew when it ends.
 func TestExclusion(t *testing.T) {
--- a/internal/dispatcher/dispatch/members.go
+++ b/internal/dispatcher/dispatch/members.go
@@ -33,7 +33,7 @@
 
 // WorkerID returns the ID of the worker of a name. It is a hash of the name, since dispatchers that share no state must
 // agree on the order in which workers start up. A new name reserves its ID by a Member without a backend, which the next
-// list that names the worker fills in.
+// list that names the worker fills in: callers must list each worker that they name.
 func (d *Dispatcher) WorkerID(name string) loadbalancer.WorkerID {
 	if id, ok := d.workerIDs[name]; ok {
 		return id
@@ -45,7 +45,7 @@
 		id++
 	}
 	d.workerIDs[name] = id
-	d.members[id] = &Member{}
+	d.members[id] = &Member{Name: name}
 	return id
 }
 
@@ -117,12 +117,16 @@
 // maxDeparted is the number of departed members that are kept. Beyond it all of them are forgotten.
 const maxDeparted = 64
 
+// hasDeparted reports whether a member was listed and is no longer. One that is only named, see WorkerID, is yet to be
+// listed.
+func (m *Member) hasDeparted() bool { return m.State == loadbalancer.Departed && m.Backend != nil }
+
 // forgetDeparted bounds the memory of members that have departed: machines come and go for as long as the process
 // runs. An attempt that is still running holds its own reference to its member.
 func (d *Dispatcher) forgetDeparted() {
 	departed := 0
 	for _, member := range d.members {
-		if member.State == loadbalancer.Departed {
+		if member.hasDeparted() {
 			departed++
 		}
 	}
@@ -130,7 +134,7 @@
 		return
 	}
 	for id, member := range d.members {
-		if member.State == loadbalancer.Departed {
+		if member.hasDeparted() {
 			delete(d.members, id)
 			delete(d.workerIDs, member.Name)
 		}
--- a/internal/dispatcher/handover/link.go
+++ b/internal/dispatcher/handover/link.go
@@ -22,18 +22,28 @@
 	HandleDown(l *Link, err error)
 }
 
+// QueryResult is what became of a query.
+type QueryResult uint8
+
+// The results of queries.
+const (
+	AnsweredNo QueryResult = iota
+	AnsweredYes
+	LinkEnded // before the answer
+)
+
 // Link is the connection to the other process. It implements eventloop.Handler.
 type Link struct {
 	conn      *eventloop.Conn
 	handler   Handler
-	queries   map[uint64]func(yes bool) // that wait for their answer, by ID
-	lastQuery uint64                    // ID of the last query
+	queries   map[uint64]func(QueryResult) // that wait for their answer, by ID
+	lastQuery uint64                       // ID of the last query
 	closed    bool
 }
 
 // Connect opens a link to the process that listens at path. HandleDown is called if there is none.
 func Connect(loop *eventloop.Loop, path string, handler Handler) *Link {
-	l := &Link{handler: handler, queries: map[uint64]func(bool){}}
+	l := &Link{handler: handler, queries: map[uint64]func(QueryResult){}}
 	l.conn = loop.ConnectUnixWithDescriptors(path, l)
 	return l
 }
@@ -41,7 +51,7 @@
 // Accept returns the link of a connection from a newer process.
 func Accept(conn *eventloop.Conn, handler Handler) *Link {
 	conn.EnableDescriptorPassing()
-	return &Link{conn: conn, handler: handler, queries: map[uint64]func(bool){}}
+	return &Link{conn: conn, handler: handler, queries: map[uint64]func(QueryResult){}}
 }
 
 // Send sends a frame whose body is message as JSON.
@@ -84,9 +94,9 @@
 	return payload, fd, nil
 }
 
-// Query sends a query. done gets the answer, or false if the link ends before. It returns false, and does not call done,
-// if the link has ended or too many queries are waiting.
-func (l *Link) Query(kind Kind, body []byte, done func(yes bool)) bool {
+// Query sends a query. done is called once, with its result. It returns false, and does not call done, if the link has ended
+// or too many queries are waiting.
+func (l *Link) Query(kind Kind, body []byte, done func(QueryResult)) bool {
 	if l.closed || len(l.queries) >= maxQueries {
 		return false
 	}
@@ -99,19 +109,22 @@
 // Idle reports whether everything has been sent and every query has its answer, or the link has ended.
 func (l *Link) Idle() bool { return l.closed || len(l.queries) == 0 && l.conn.Unsent() == 0 }
 
-// Close ends the link. Waiting queries get false; HandleDown is not called.
+// Ended reports whether the link has ended.
+func (l *Link) Ended() bool { return l.closed }
+
+// Close ends the link. Waiting queries get LinkEnded; HandleDown is not called.
 func (l *Link) Close() {
 	l.conn.Close()
 	l.failQueries()
 }
 
-// failQueries marks the link as ended and answers the waiting queries with false.
+// failQueries marks the link as ended and ends the waiting queries.
 func (l *Link) failQueries() {
 	l.closed = true
 	queries := l.queries
 	l.queries = nil
 	for _, done := range queries {
-		done(false)
+		done(LinkEnded)
 	}
 }
 
@@ -169,7 +182,11 @@
 	}
 	if done := l.queries[query]; done != nil {
 		delete(l.queries, query)
-		done(len(payload) > 0)
+		result := AnsweredNo
+		if len(payload) > 0 {
+			result = AnsweredYes
+		}
+		done(result)
 	}
 	return nil
 }
--- a/internal/dispatcher/server/doc.go
+++ b/internal/dispatcher/server/doc.go
@@ -12,8 +12,8 @@
 //   - In an upgrade the clients belong to exactly one of the two processes at any time, and whichever process is left
 //     serves alone. See [upgrade].
 //   - An order of an operator (evacuate, exclude, …) is acknowledged only once it is in force in the process that got it;
-//     exclusions are on disk before that, if the process has a $TMPDIR. During an upgrade the other process has answered
-//     by then, too, or has had the time to.
+//     exclusions are on disk before that, if the process has a $TMPDIR. During an upgrade it is in force in the other
+//     process by then, too.
 //
 // All state of a [Server] belongs to its event loop: every method runs on the loop's goroutine unless its comment says
 // otherwise, and nothing on the loop may block. Work that waits for a disk runs on a goroutine of its own and posts its
--- a/internal/dispatcher/server/operator.go
+++ b/internal/dispatcher/server/operator.go
@@ -1,6 +1,8 @@
 package server
 
 import (
+	"errors"
+
 	"go.uber.org/zap"
 
 	"cinderroad/internal/dispatcher/admin"
@@ -89,7 +91,7 @@
 }
 
 // executeOrder carries an order out here and has the other process carry it out. It replies once that has answered, or after
-// orderTimeout; a failure of the other process is in its log only.
+// orderTimeout: with 200 only if the order is in force in both.
 func (s *Server) executeOrder(order operatorOrder, reply admin.Reply) {
 	if !s.serving { // the orders that the predecessor was given are still being applied
 		reply(503, "starting")
@@ -100,7 +102,16 @@
 		reply(500, err.Error())
 		return
 	}
-	s.upgrade.forwardOrder(order, nil, func() { reply(200, "done") })
+	s.upgrade.forwardOrder(order, nil, func(err error) {
+		switch {
+		case err == nil:
+			reply(200, "done")
+		case errors.Is(err, errOrderUnconfirmed):
+			reply(503, err.Error())
+		default:
+			reply(500, err.Error())
+		}
+	})
 }
 
 // applyOrder carries an order out in this process. Exclusions are saved before they are applied, since an order that was
--- a/internal/dispatcher/server/upgrade.go
+++ b/internal/dispatcher/server/upgrade.go
@@ -74,7 +74,7 @@
 		u.socketPath = s.config.tempPath(".upgrade")
 	}
 	s.front.ForwardCallback = func(body []byte, done func()) bool {
-		if !u.queryOthers(handover.CallbackQuery, body, nil, func(bool) { done() }) {
+		if !u.queryCallback(body, nil, func(bool) { done() }) {
 			return false
 		}
 		u.CallbackQueries++
--- a/internal/dispatcher/server/upgrade_test.go
+++ b/internal/dispatcher/server/upgrade_test.go
@@ -148,9 +148,9 @@
 // stay unused.
 func (s *upgradeScenario) changeExclusions(next *harness) {
 	s.t.Helper()
-	next.callAdmin(200, "PUT", "/api/exclude", `{"member":"s-c"}`) // the predecessor is informed, too
+	next.giveOrder("/api/exclude", `{"member":"s-c"}`) // the predecessor is informed, too
 	s.first.awaitLog("the old one obeys", `admin: applying order exclude	{"member": "s-c"}`)
-	next.callAdmin(200, "PUT", "/api/include", `{"member":"s-c"}`)
+	next.giveOrder("/api/include", `{"member":"s-c"}`)
 	for range 20 { // enough to find an excluded worker that is used
 		if status, _, _ := next.requestJob("score", 4000); status != 200 {
 			s.t.Errorf("the new one answered %d", status)
@@ -306,7 +306,7 @@
 	w.discovery.CloseClientConnections()
 	next := w.startSuccessor(o)
 	next.callAdmin(200, "GET", "/api/ready", "")
-	next.callAdmin(200, "PUT", "/api/exclude", `{"member":"s-1"}`) // the list is the predecessor's
+	next.giveOrder("/api/exclude", `{"member":"s-1"}`) // the list is the predecessor's
 }
 
 // readFrame reads frames until one of the kind, and returns its body.
@@ -430,7 +430,7 @@
 	if got := health(); !strings.HasPrefix(got, "HTTP/1.1 503") {
 		t.Errorf("health: %q", got)
 	}
-	w.callAdmin(200, "PUT", "/api/rejoin", "") // to the predecessor, which forwards it
+	w.giveOrder("/api/rejoin", "") // to the predecessor, which forwards it
 	if got := health(); !strings.HasPrefix(got, "HTTP/1.1 200") {
 		t.Errorf("health once back: %q", got)
 	}
--- a/internal/dispatcher/simwire/host.go
+++ b/internal/dispatcher/simwire/host.go
@@ -120,9 +120,7 @@
 		return
 	}
 	h.readWorkers(fields, count)
-	if target.isReady() {
-		target.guard(func() { target.balancer.UpdateWorkers(now, kind, h.workers) })
-	}
+	target.deliver(fields, func() { target.balancer.UpdateWorkers(now, kind, h.workers) })
 }
 
 // handleProgress reads and applies a progress record.
--- a/internal/dispatcher/simwire/simwire_test.go
+++ b/internal/dispatcher/simwire/simwire_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"math"
+	"reflect"
 	"strings"
 	"testing"
 
@@ -199,3 +200,34 @@
 		}
 	})
 }
+
+// TestShortListReachesNoBalancer: a list whose record ends before its count is an error, and the balancer keeps the list
+// that it has.
+func TestShortListReachesNoBalancer(t *testing.T) {
+	host := NewHost()
+	handle := func(frame []byte) error {
+		read, err := NewReader(bytes.NewReader(frame)).Next()
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = host.HandleFrame(read)
+		return err
+	}
+	if err := handle(bootBatch(settingsText).frame(1, 3, 100)); err != nil {
+		t.Fatal(err)
+	}
+	before := host.instances[3].balancer.Snapshot()
+	for bytesOfRecord := range 1 + 8 + 4 {
+		short := (&batch{}).u16(eventInstance).u32(3).u16(eventList)
+		for range bytesOfRecord {
+			short.u8(0)
+		}
+		var frameError *FrameError
+		if err := handle(short.frame(2, 2, 100.01)); !errors.As(err, &frameError) {
+			t.Fatalf("%d bytes: %v", bytesOfRecord, err)
+		}
+		if after := host.instances[3].balancer.Snapshot(); !reflect.DeepEqual(before, after) {
+			t.Fatalf("%d bytes: the balancer's list is\n%+v, was\n%+v", bytesOfRecord, after, before)
+		}
+	}
+}
--- a/internal/dispatcher/spool/recovery.go
+++ b/internal/dispatcher/spool/recovery.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"os"
+	"slices"
 
 	"cinderroad/internal/dispatcher/telemetry"
 )
@@ -20,50 +21,91 @@
 	UnknownFiles    int              // files of an unknown version, renamed to NAME.strange
 }
 
-// recoverFiles reads the spool's files, oldest first. It ends at the file with which their sizes exceed twice maxBytes
-// and a record, as they can after the limit was lowered: that file and those after it are not read. lastFile is the number
-// of the file at which it ended.
+// recoverFiles reads the spool's files. It goes back from the newest one until their sizes exceed twice maxBytes and a
+// record, as they can after the limit was lowered, but not before it has found a period whose totals can be read: totals
+// must never decrease. Older files are not read. lastFile is the number of the newest file.
 func recoverFiles(dir, name string, maxBytes int64) (recovered *Recovered, lastFile int, err error) {
 	recovered = &Recovered{Totals: map[string]float64{}, Acknowledged: map[string]int64{}}
 	files, err := listFiles(dir, name)
 	if err != nil {
 		return nil, 0, err
 	}
-	total := int64(0)
-	for i, file := range files {
-		lastFile = file.number
-		total += file.size
-		if total > 2*maxBytes+maxBodyBytes {
+	if len(files) == 0 {
+		return recovered, 0, nil
+	}
+	maxRead := 2*maxBytes + maxBodyBytes
+	var newestFirst []*Recovered
+	bytesRead := int64(0)
+	hasTotals := false
+	for i := len(files) - 1; i >= 0; i-- {
+		bytesRead += files[i].size
+		if bytesRead > maxRead && hasTotals {
 			break
 		}
-		text, err := os.ReadFile(file.path)
+		contents, err := files[i].recover(i == len(files)-1)
 		if err != nil {
-			return nil, 0, fmt.Errorf("spool: %w", err)
+			return nil, 0, err
 		}
-		if !bytes.HasPrefix(text, []byte(magic)) {
-			if i == len(files)-1 && bytes.HasPrefix([]byte(magic), text) { // interrupted at its creation
-				recovered.TornFiles++
-				continue
-			}
-			recovered.UnknownFiles++
-			if err := os.Rename(file.path, file.path+".strange"); err != nil {
-				return nil, 0, fmt.Errorf("spool: %w", err)
-			}
-			continue
-		}
-		if !recovered.readRecords(text[len(magic):]) {
-			recovered.TornFiles++
+		newestFirst = append(newestFirst, contents)
+		hasTotals = contents.readTotals() || hasTotals
+	}
+	for _, contents := range slices.Backward(newestFirst) {
+		recovered.append(contents)
+	}
+	recovered.readTotals()
+	return recovered, files[len(files)-1].number, nil
+}
+
+// recover reads one file, or renames it if it is of an unknown version.
+func (f *spoolFile) recover(isNewest bool) (*Recovered, error) {
+	contents := &Recovered{Totals: map[string]float64{}, Acknowledged: map[string]int64{}}
+	text, err := os.ReadFile(f.path)
+	if err != nil {
+		return nil, fmt.Errorf("spool: %w", err)
+	}
+	if bytes.HasPrefix(text, []byte(magic)) {
+		if !contents.readRecords(text[len(magic):]) {
+			contents.TornFiles++
 		}
+		return contents, nil
 	}
-	for len(recovered.Periods) > 0 { // the totals are those of the last readable period
-		last := recovered.Periods[len(recovered.Periods)-1]
-		if recovered.Totals, err = last.Totals(); err == nil {
-			break
+	if isNewest && bytes.HasPrefix([]byte(magic), text) { // interrupted at its creation
+		contents.TornFiles++
+		return contents, nil
+	}
+	contents.UnknownFiles++
+	if err := os.Rename(f.path, f.path+".strange"); err != nil {
+		return nil, fmt.Errorf("spool: %w", err)
+	}
+	return contents, nil
+}
+
+// append appends what a newer file holds.
+func (r *Recovered) append(newer *Recovered) {
+	r.Periods = append(r.Periods, newer.Periods...)
+	if newer.SlotAssignments != nil {
+		r.SlotAssignments = newer.SlotAssignments
+	}
+	for name, timestamp := range newer.Acknowledged {
+		r.Acknowledged[name] = max(r.Acknowledged[name], timestamp)
+	}
+	r.TornFiles += newer.TornFiles
+	r.UnknownFiles += newer.UnknownFiles
+}
+
+// readTotals sets the totals to those of the last readable period, drops the periods after it, and reports whether there is
+// one.
+func (r *Recovered) readTotals() bool {
+	for len(r.Periods) > 0 {
+		last := r.Periods[len(r.Periods)-1]
+		totals, err := last.Totals()
+		if err == nil {
+			r.Totals = totals
+			return true
 		}
-		recovered.Periods = recovered.Periods[:len(recovered.Periods)-1]
-		recovered.Totals = map[string]float64{}
+		r.Periods = r.Periods[:len(r.Periods)-1]
 	}
-	return recovered, lastFile, nil
+	return false
 }
 
 // readRecords reads the records of a file; false if it ends in a damaged one.
--- a/internal/dispatcher/spool/spool.go
+++ b/internal/dispatcher/spool/spool.go
@@ -1,6 +1,7 @@
-// Package spool stores the closed periods of package telemetry on disk, so that they survive the process. It has a
-// goroutine of its own, since a disk may stall: records wait in a bounded queue, and those that don't fit are counted
-// and dropped. The caller is never blocked, except by Close.
+// Package spool stores the closed periods of package telemetry on disk, so that they survive the process. It has
+// goroutines of its own, since a disk may stall: records wait in a bounded queue, and those that don't fit are counted
+// and dropped. The caller is never blocked, except by Close. Writes do not wait for the sync of earlier ones: what the
+// kernel has taken outlives the process, though not a loss of power, before it is on disk.
 //
 // A spool is a sequence of files in a directory, NAME.1, NAME.2 and so on. Each begins with the eight bytes CRSPOOL1.
 // Records follow: the length of the body (4 bytes, big-endian), the kind (1 byte), the body, and the xxHash64 of kind
@@ -43,9 +44,23 @@
 	fileBytes   int64 // queued for the current file, dropped records included
 
 	// The writing goroutine owns the rest.
-	file       *os.File
+	createFile func(path string) (outputFile, error)
+	file       outputFile
 	size       int64
 	fileNumber int
+	syncer     *syncer
+}
+
+// outputFile is an *os.File, or a fake of tests.
+type outputFile interface {
+	syncedFile
+	WriteAt(b []byte, offset int64) (int, error)
+	Truncate(size int64) error
+}
+
+// createOutputFile creates a file that must not exist yet.
+func createOutputFile(path string) (outputFile, error) {
+	return os.OpenFile(path, os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
 }
 
 // Open recovers what is in a directory and starts a spool with a new file. maxBytes bounds all files of the name together.
@@ -69,8 +84,9 @@
 		done:        make(chan struct{}),
 		reportError: reportError,
 		fileNumber:  lastFile,
+		createFile:  createOutputFile,
 	}
-	go s.run()
+	s.start()
 	return s, recovered, nil
 }
 
@@ -140,6 +156,12 @@
 	<-s.done
 }
 
+// start starts the goroutines.
+func (s *Spool) start() {
+	s.syncer = startSyncer(s.recordError)
+	go s.run()
+}
+
 func (s *Spool) recordError(err error) {
 	s.writeErrors.Add(1)
 	s.reportError(fmt.Errorf("spool: %w", err))
@@ -147,6 +169,7 @@
 
 func (s *Spool) run() {
 	defer close(s.done)
+	defer s.syncer.stop()
 	broken := false // a record is missing, which later records in the file may depend on
 	for records := range s.queue {
 		if records[0].newFile {
@@ -157,28 +180,39 @@
 			}
 			records = records[1:]
 		}
+		done := records[len(records)-1].done
+		// Names and slot assignments come first; later records are read by them.
+		isNeededLater := records[0].kind != kindPeriod && records[0].kind != kindAcknowledged
+		broken = broken || s.syncer.lostNeeded(s.file)
+		var err error
 		if broken {
 			s.writeErrors.Add(1)
-		} else if err := s.write(records); err != nil {
+		} else if err = s.write(records); err != nil {
 			s.recordError(err)
-			// Names and slot assignments come first; later records are read by them.
-			broken = records[0].kind != kindPeriod && records[0].kind != kindAcknowledged
+			broken = isNeededLater
 		}
-		if done := records[len(records)-1].done; done != nil {
-			done()
+		if broken || err != nil {
+			if done != nil {
+				done()
+			}
+			continue
 		}
+		s.syncer.queue <- syncRequest{file: s.file, isNeededLater: isNeededLater, done: done}
 	}
+	s.closeFile()
+}
+
+// closeFile has the file closed once it is synced.
+func (s *Spool) closeFile() {
 	if s.file != nil {
-		s.file.Close()
+		s.syncer.queue <- syncRequest{file: s.file, close: true}
+		s.file = nil
 	}
 }
 
 // startFile starts a new file, and removes the oldest ones beyond the limit.
 func (s *Spool) startFile() error {
-	if s.file != nil {
-		s.file.Close()
-		s.file = nil
-	}
+	s.closeFile()
 	files, err := listFiles(s.dir, s.name)
 	if err != nil {
 		return err
@@ -191,11 +225,11 @@
 		}
 	}
 	s.fileNumber++
-	file, err := os.OpenFile(filepath.Join(s.dir, s.name+"."+strconv.Itoa(s.fileNumber)), os.O_CREATE|os.O_EXCL|os.O_WRONLY, 0o600)
+	file, err := s.createFile(filepath.Join(s.dir, s.name+"."+strconv.Itoa(s.fileNumber)))
 	if err != nil {
 		return err
 	}
-	if _, err := file.WriteString(magic); err != nil {
+	if _, err := file.WriteAt([]byte(magic), 0); err != nil {
 		file.Close()
 		return err
 	}
@@ -204,7 +238,7 @@
 	return nil
 }
 
-// write appends either all records or none.
+// write appends either all records or none. They are on disk once they are synced.
 func (s *Spool) write(records []record) error {
 	if s.file == nil {
 		return errors.New("no file")
@@ -213,11 +247,10 @@
 	for _, r := range records {
 		buffer = appendRecord(buffer, r.kind, r.body)
 	}
-	_, err := s.file.WriteAt(buffer, s.size)
-	if err == nil {
-		s.size += int64(len(buffer))
-		return s.file.Sync()
+	if _, err := s.file.WriteAt(buffer, s.size); err != nil {
+		_ = s.file.Truncate(s.size)
+		return err
 	}
-	_ = s.file.Truncate(s.size)
-	return err
+	s.size += int64(len(buffer))
+	return nil
 }
--- a/internal/system/control/api/api.go
+++ b/internal/system/control/api/api.go
@@ -41,7 +41,7 @@
 	// longer would not help there, and callers are to try another machine.
 	IsolatedResponseTimeout = 100 * time.Millisecond
 
-	// parseTimePerMiB is added to the timeout for each MiB of a large body, see parseAllowance.
+	// parseTimePerMiB is added to the timeout for each MiB of a large body, see ParseAllowance.
 	parseTimePerMiB = 2 * time.Second
 	// maxCalls bounds the concurrent calls; further ones get 503.
 	maxCalls = 64
@@ -117,15 +117,15 @@
 // the majority gives a large body no more time: it could not commit the change anyway.
 func (a *API) responseTimeout(bodyBytes int) time.Duration {
 	if a.options.Replicas.InContact(feed.ConfigurationPartition) {
-		return ResponseTimeout + parseAllowance(bodyBytes)
+		return ResponseTimeout + ParseAllowance(bodyBytes)
 	}
 	return IsolatedResponseTimeout
 }
 
-// parseAllowance is the time that a large body has besides ResponseTimeout: parsing takes about 0.1 s of a core per
-// megabyte, the rest is margin. Callers have to extend their own timeout, too. Package client does so by less; a request
-// that it sends again finds the result of the first in the documentCache.
-func parseAllowance(bodyBytes int) time.Duration {
+// ParseAllowance is the time that a large body has besides ResponseTimeout: parsing takes about 0.1 s of a core per
+// megabyte, the rest is margin. Callers have to extend their own timeout by it, too; a request that is sent again finds
+// the result of the first in the documentCache.
+func ParseAllowance(bodyBytes int) time.Duration {
 	return time.Duration(max(bodyBytes-largeBodyBytes, 0)) * parseTimePerMiB >> 20 // per MiB to per byte
 }
 
--- a/internal/system/control/api/configuration.go
+++ b/internal/system/control/api/configuration.go
@@ -74,7 +74,7 @@
 	case err != nil:
 		return nil, &apiError{
 			status:  http.StatusRequestTimeout,
-			code:    codeUnavailable,
+			code:    codeIncomplete,
 			message: "the body did not arrive whole: " + err.Error(),
 		}
 	}
--- a/internal/system/control/api/configuration_test.go
+++ b/internal/system/control/api/configuration_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"strconv"
 	"strings"
 	"testing"
@@ -242,3 +244,28 @@
 		}
 	}
 }
+
+// cutBody is a request body whose connection is lost after its first bytes.
+type cutBody struct{ beginning *strings.Reader }
+
+func (b *cutBody) Read(p []byte) (int, error) {
+	if b.beginning.Len() == 0 {
+		return 0, io.ErrUnexpectedEOF
+	}
+	return b.beginning.Read(p)
+}
+
+// TestIncompleteBodyHasItsOwnCode: a body that does not arrive whole says nothing of the majority, and nothing is committed.
+func TestIncompleteBodyHasItsOwnCode(t *testing.T) {
+	fake := newFakeReplica()
+	request := httptest.NewRequest(http.MethodPost, PathReplace, &cutBody{strings.NewReader(`{"version":3,`)})
+	request.Header.Set(HeaderBasedOn, "0")
+	response := httptest.NewRecorder()
+	fake.newAPI().ServeHTTP(response, request)
+	if response.Code != http.StatusRequestTimeout || !strings.Contains(response.Body.String(), `"code":"incomplete_body"`) {
+		t.Errorf("%d %s", response.Code, response.Body)
+	}
+	if fake.proposals != 0 {
+		t.Errorf("%d proposals", fake.proposals)
+	}
+}
--- a/internal/system/control/api/response.go
+++ b/internal/system/control/api/response.go
@@ -13,13 +13,16 @@
 // retryAfter is sent as the header Retry-After of 503.
 const retryAfter = 300 * time.Millisecond
 
-// Error codes in response bodies. Operators' tools compare them.
+// CodeNotFound is the error code of 404: there is no configuration yet, or no such zone.
+const CodeNotFound = "not_found"
+
+// Further error codes in response bodies. Operators' tools compare them.
 const (
 	codeInvalid     = "invalid"
 	codeConflict    = "version_conflict"
-	codeUnavailable = "no_majority" // also of outcomes that are unknown for another reason, and of incomplete bodies
+	codeUnavailable = "no_majority" // also of outcomes that are unknown for another reason
+	codeIncomplete  = "incomplete_body"
 	codeTooLarge    = "too_large"
-	codeNotFound    = "not_found"
 	codeBusy        = "busy"
 )
 
@@ -51,7 +54,7 @@
 }
 
 func notFoundError(message string) *apiError {
-	return &apiError{status: http.StatusNotFound, code: codeNotFound, message: message}
+	return &apiError{status: http.StatusNotFound, code: CodeNotFound, message: message}
 }
 
 // write sends the response.
--- a/internal/system/control/client/calls.go
+++ b/internal/system/control/client/calls.go
@@ -22,7 +22,7 @@
 func (c *Client) Read(ctx context.Context) (*Document, error) {
 	response, err := c.Do(ctx, Call{Method: http.MethodGet, Path: api.PathRead})
 	var rejected *RejectedError
-	if errors.As(err, &rejected) && rejected.Response.Status == http.StatusNotFound {
+	if errors.As(err, &rejected) && rejected.isNoConfiguration() {
 		return &Document{}, nil
 	}
 	if err != nil {
--- a/internal/system/control/client/client.go
+++ b/internal/system/control/client/client.go
@@ -12,34 +12,37 @@
 
 	"github.com/cockroachdb/errors"
 
+	"cinderroad/internal/system/control/api"
 	"cinderroad/internal/system/retry"
 )
 
 const (
-	// maxRedirects is the number of redirects that an attempt follows.
+	// maxRedirects is the number of redirects that an attempt follows. The API's callers follow them by its protocol, so that
+	// a control machine may send them; those of this release respond themselves.
 	maxRedirects = 2
 	// maxRejections is the number of responses with an unspecific 4xx status after which a call ends.
 	maxRejections = 3
-	// maxResponseBytes is the size up to which a response body is read.
+	// maxResponseBytes is the size up to which a response body is read. A longer one is an error.
 	maxResponseBytes = 64 << 20
 
-	// callTimeout bounds a request to one machine; callTimeoutPerMiB is added for the size of its body.
-	callTimeout       = time.Second
-	callTimeoutPerMiB = time.Second
+	// callTimeout bounds a request to one machine. Sending its body adds transferTimePerMiB, and handling it the machine's own
+	// allowance, api.ParseAllowance.
+	callTimeout        = time.Second
+	transferTimePerMiB = time.Second
 
 	// The pause between attempts doubles from initialBackoff up to maxBackoff.
 	initialBackoff = 50 * time.Millisecond
 	maxBackoff     = 1500 * time.Millisecond
 )
 
-// DefaultTimeout is the value of a zero Client.Timeout.
+// DefaultTimeout is the value of a zero Client.Timeout, for a call without a large body.
 const DefaultTimeout = 15 * time.Second
 
 // Client calls control machines. It is not safe for concurrent use.
 type Client struct {
 	// Addresses are the addresses of the operator's API, host:port. They are tried in turn, from the first one.
 	Addresses []string
-	// Timeout bounds a call with all its attempts; 0: DefaultTimeout.
+	// Timeout bounds a call with all its attempts; 0: DefaultTimeout, and more for a large body.
 	Timeout time.Duration
 	// MaxAttempts bounds the attempts of a call; 0: only Timeout does.
 	MaxAttempts int
@@ -67,15 +70,15 @@
 	Attempts int // that the call took
 }
 
-// Do repeats the call until there is a definite response. Its error is a *RejectedError, an *UnavailableError or
-// ErrNoAddresses.
+// Do repeats the call until there is a definite response. Its error is a *RejectedError, a *ResponseTooLargeError, an
+// *UnavailableError or ErrNoAddresses.
 func (c *Client) Do(ctx context.Context, call Call) (*Response, error) {
 	if len(c.Addresses) == 0 {
 		return nil, ErrNoAddresses
 	}
 	timeout := c.Timeout
 	if timeout == 0 {
-		timeout = DefaultTimeout
+		timeout = DefaultTimeout + bodyAllowance(len(call.Body))
 	}
 	ctx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -97,6 +100,10 @@
 			}
 			err = errors.Newf("%s responded %d: %s", response.Machine, response.Status, ParseError(response).Message)
 		}
+		var tooLarge *ResponseTooLargeError
+		if errors.As(err, &tooLarge) {
+			return nil, tooLarge
+		}
 		c.nextAddress++
 		if attempts == c.MaxAttempts {
 			return nil, &UnavailableError{Attempts: attempts, LastError: err}
@@ -155,10 +162,16 @@
 	}
 }
 
+// bodyAllowance is the time that a request takes for its body: to send it, and to be handled by the machine. A client that
+// gave up sooner than the machine would send again what is still being committed.
+func bodyAllowance(bodyBytes int) time.Duration {
+	transfer := transferTimePerMiB * time.Duration(bodyBytes) >> 20 // per MiB to per byte
+	return transfer + api.ParseAllowance(bodyBytes)
+}
+
 // send makes one attempt of a call at one machine, which may have handled the call even if there is an error.
 func (c *Client) send(ctx context.Context, call *Call, target *url.URL) (*Response, error) {
-	timeout := callTimeout + callTimeoutPerMiB*time.Duration(len(call.Body))/(1<<20)
-	ctx, cancel := context.WithTimeout(ctx, timeout)
+	ctx, cancel := context.WithTimeout(ctx, callTimeout+bodyAllowance(len(call.Body)))
 	defer cancel()
 	request, err := http.NewRequestWithContext(ctx, call.Method, target.String(), bytes.NewReader(call.Body))
 	if err != nil {
@@ -172,10 +185,13 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "call of %s", target.Host)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
 	if err := errors.CombineErrors(err, response.Body.Close()); err != nil {
 		return nil, errors.Wrapf(err, "response of %s", target.Host)
 	}
+	if len(body) > maxResponseBytes {
+		return nil, &ResponseTooLargeError{Machine: target.Host, LimitBytes: maxResponseBytes}
+	}
 	return &Response{Machine: target.Host, Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
--- a/internal/system/control/client/client_test.go
+++ b/internal/system/control/client/client_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"slices"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -201,3 +202,49 @@
 		t.Fatal(err)
 	}
 }
+
+// TestTooLongResponseIsAnError: a response that is not read to its end is not taken for a whole one.
+func TestTooLongResponseIsAnError(t *testing.T) {
+	var calls atomic.Int32
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		calls.Add(1)
+		w.Header().Set(api.HeaderVersion, "9")
+		chunk := make([]byte, 1<<20)
+		for range maxResponseBytes/len(chunk) + 1 {
+			if _, err := w.Write(chunk); err != nil {
+				return
+			}
+		}
+	}))
+	t.Cleanup(server.Close)
+	machine := strings.TrimPrefix(server.URL, "http://")
+	var pauses []time.Duration
+	document, err := newClient(&pauses, machine).Read(t.Context())
+	var tooLarge *ResponseTooLargeError
+	if !errors.As(err, &tooLarge) || tooLarge.Machine != machine || calls.Load() != 1 {
+		t.Fatalf("%+v, %v after %d calls", document, err, calls.Load())
+	}
+}
+
+// TestReadFromAnotherServer: a 404 without the API's code says nothing of a configuration.
+func TestReadFromAnotherServer(t *testing.T) {
+	for _, body := range []string{"404 page not found\n", `{"error":{"code":"no_route","message":"no route"}}`} {
+		var pauses []time.Duration
+		m := &scriptedMachine{script: []scriptedResponse{{status: 404, body: body}}}
+		document, err := newClient(&pauses, serve(t, m)).Read(t.Context())
+		var rejected *RejectedError
+		if !errors.As(err, &rejected) || document != nil {
+			t.Errorf("%q: %+v, %v", body, document, err)
+		}
+	}
+}
+
+// TestCallOutlastsItsHandling: a client waits at least as long as a machine may take for a body of any size.
+func TestCallOutlastsItsHandling(t *testing.T) {
+	for bodyBytes := 0; bodyBytes <= api.MaxBodyBytes; bodyBytes += 1 << 18 {
+		machineTime := api.ResponseTimeout + api.ParseAllowance(bodyBytes)
+		if clientTime := callTimeout + bodyAllowance(bodyBytes); clientTime < machineTime+callTimeout-api.ResponseTimeout {
+			t.Fatalf("%d bytes: the client waits %v, the machine may take %v", bodyBytes, clientTime, machineTime)
+		}
+	}
+}
--- a/internal/system/control/client/errors.go
+++ b/internal/system/control/client/errors.go
@@ -6,6 +6,8 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"cinderroad/internal/system/control/api"
 )
 
 // ErrNoAddresses means that the client has no address to call.
@@ -22,6 +24,24 @@
 	return "refused by " + e.Response.Machine + " with " + strconv.Itoa(e.Response.Status) + ": " + e.Details.Message
 }
 
+// isNoConfiguration reports whether a read was rejected because there is no configuration yet. The status alone does not
+// say so: a server that is no control machine responds 404 as well.
+func (e *RejectedError) isNoConfiguration() bool {
+	return e.Response.Status == http.StatusNotFound && e.Details.Code == api.CodeNotFound
+}
+
+// ResponseTooLargeError means that the response of a machine was longer than the client reads.
+type ResponseTooLargeError struct {
+	Machine    string
+	LimitBytes int
+}
+
+// Error says what the operator can do.
+func (e *ResponseTooLargeError) Error() string {
+	return "the response of " + e.Machine + " is longer than " + strconv.Itoa(e.LimitBytes) +
+		" bytes; check that the address is that of a control machine"
+}
+
 // UnavailableError means that no machine gave a definite response. A change may be in force all the same: send it again
 // unchanged.
 type UnavailableError struct {
