Placement: one rule for what counts as an attempt, slow start without allowance

Cause: Placer.MayRetry counted runners without a connection among a route's attempts, the proxy did not, and a runner that was passed over for lack of a connection made a first attempt a retry, which a spent budget rejects. Request.RecordAttempt, PassOver, Attempts and MayRepeat state the rule once; the placer, the proxy and the baselines of the policy simulation use them. The random schedule's check of a route's maximum counts by that rule, and bounds failed connects as the proxy does.

- Slow start: where the limit is at least a request a second and four fifths of it are less than one, one proxy uses it; it got nothing before.
The property test over all proxies draws limits without an allowance and of about one.
- The tightest latency target and the longest timeout follow the routes in force: Placer.UpdateRoutes.
- Until the number of proxies is known, pool and placer both divide a runner's connections by 16.

--- a/internal/system/placement/attempt.go
+++ b/internal/system/placement/attempt.go
@@ -165,9 +165,6 @@
 // EndAttempt records the end of an attempt. A further call for the same attempt changes no load and no
 // learnt value.
 func (p *Placer) EndAttempt(now time.Duration, attempt *Attempt, outcome Outcome, progress Progress) {
-	if outcome == ConnectFailed {
-		attempt.Request.connectFailures++
-	}
 	if attempt.ended {
 		return
 	}
--- a/internal/system/placement/eligibility.go
+++ b/internal/system/placement/eligibility.go
@@ -43,7 +43,7 @@
 	if runner.service.MaxConnections <= 0 {
 		return math.MaxInt
 	}
-	return max(1, int(connectionShare*float64(runner.service.MaxConnections)/(1+p.otherProxies())))
+	return max(1, int(connectionShare*float64(runner.service.MaxConnections)/float64(p.connectionSharers())))
 }
 
 // expectedDuration is an upper estimate of how long a request takes at a runner: the mean and two mean deviations of its
--- a/internal/system/placement/peers.go
+++ b/internal/system/placement/peers.go
@@ -83,5 +83,17 @@
 	}
 }
 
+// AssumedProxies is the number of proxies among which the connections that a runner accepts are divided while their number
+// is not known. Shared budgets give nothing until it is.
+const AssumedProxies = 16
+
+// connectionSharers is the number of proxies among which the connections of runners are divided.
+func (p *Placer) connectionSharers() int {
+	if p.proxyCount == 0 {
+		return AssumedProxies
+	}
+	return p.proxyCount
+}
+
 // otherProxies is the number of other proxies, as far as it is known.
 func (p *Placer) otherProxies() float64 { return float64(max(p.proxyCount, 1) - 1) }
--- a/internal/system/placement/placer.go
+++ b/internal/system/placement/placer.go
@@ -74,8 +74,8 @@
 	selfKey             uint64        // of this proxy
 	peers               []peer        // empty: only their number is known
 	plannedAt           time.Duration // when the plan was last rebuilt
-	latencyTarget       float64       // tightest target of all routes seen, initialTarget at most; in seconds
-	longestTimeout      float64       // longest timeout of all routes seen, initialTimeout at least; in seconds
+	latencyTarget       float64       // tightest target of the requested routes, initialTarget at most; in seconds
+	longestTimeout      float64       // longest timeout of the requested routes, initialTimeout at least; in seconds
 	lastAttemptID       uint64
 	restored            map[string]runnerSnapshot // by runner, until SetRunners names it
 	restoredSpeeds      map[string]float64        // by service
--- a/internal/system/placement/random_schedule_test.go
+++ b/internal/system/placement/random_schedule_test.go
@@ -128,20 +128,30 @@
 		third := request.InputTokens / 3
 		request.Chunks = []Chunk{{1, third}, {rapid.Uint64Range(1, 9).Draw(t, "part"), third}, {uint64(schedule.requestCount), third}}
 	}
-	for attempts := 0; attempts == 0 || schedule.placer.MayRetry(schedule.now, request); attempts++ {
-		if attempts >= route.MaxAttempts {
+	const maxConnectFailures = 3 // of a caller, for one request
+	connected, connectFailures := 0, 0
+	for first := true; first || schedule.placer.MayRetry(schedule.now, request); first = false {
+		if connected >= route.MaxAttempts {
 			t.Fatal("more attempts than the route allows")
 		}
+		if connectFailures > maxConnectFailures {
+			return
+		}
 		attempt := schedule.place(t, request)
 		if attempt == nil {
 			return
 		}
-		request.TriedRunners = append(request.TriedRunners, attempt.Runner)
 		if rapid.Bool().Draw(t, "stays out") {
 			schedule.inFlight = append(schedule.inFlight, attempt)
 			return
 		}
 		outcome := rapid.SampledFrom([]Outcome{Rejected, Misdirected, Failed, Interrupted, TimedOut, ConnectFailed}).Draw(t, "outcome")
+		if outcome == ConnectFailed {
+			connectFailures++
+		} else {
+			connected++
+		}
+		request.RecordAttempt(attempt.Runner, outcome != ConnectFailed)
 		schedule.placer.EndAttempt(schedule.now, attempt, outcome, Progress{})
 		request.MayHaveRun = request.MayHaveRun || outcome != Rejected && outcome != Misdirected && outcome != ConnectFailed
 		if request.MayHaveRun && !route.IsIdempotent() && schedule.placer.MayRetry(schedule.now, request) {
--- a/internal/system/placement/request.go
+++ b/internal/system/placement/request.go
@@ -24,10 +24,44 @@
 	BodyBytes       int           // 0: not known
 	ArrivedAt       time.Duration // on the caller's clock, as is Deadline
 	Deadline        time.Duration // the earlier of the client's and the route's
-	TriedRunners    []string      // ids of the runners that had an attempt, or could not be connected to
+	TriedRunners    []string      // ids of the runners that are chosen only if no other may take the request
 	MayHaveRun      bool          // an attempt reached a runner that did not prove that it had not run
 
-	connectFailures int // attempts without a connection: they cost no retry budget
+	unreached int // of TriedRunners: those to which no connection came up, and those passed over
+}
+
+// What counts as an attempt, for the route's maximum of attempts and for the retry budget: one for which a connection to
+// its runner came up, since the request may have arrived there. The caller records that, and only the functions below
+// count.
+
+// RecordAttempt records that the runner had an attempt. Without a connection the attempt does not count.
+func (r *Request) RecordAttempt(runner string, connected bool) {
+	r.TriedRunners = append(r.TriedRunners, runner)
+	if !connected {
+		r.unreached++
+	}
+}
+
+// PassOver records that the runner is not to be chosen again if another may take the request, although it had no attempt.
+func (r *Request) PassOver(runner string) { r.RecordAttempt(runner, false) }
+
+// Attempts returns the number of attempts that count.
+func (r *Request) Attempts() int { return len(r.TriedRunners) - r.unreached }
+
+// isRetry reports whether the next attempt of the request is a retry, which the retry budget bounds.
+func (r *Request) isRetry() bool { return r.Attempts() > 0 }
+
+// MayRepeat reports whether another attempt of the request is allowed by the route's maximum of attempts, by whether the
+// request may have run and is idempotent, and by its deadline. The retry budget is the Placer's to check, see
+// Placer.MayRetry.
+func (r *Request) MayRepeat(now time.Duration) bool {
+	if r.Route == nil || now >= r.Deadline {
+		return false
+	}
+	if r.MayHaveRun && !r.Route.IsIdempotent() {
+		return false
+	}
+	return r.Attempts() < max(r.Route.MaxAttempts, 1)
 }
 
 // Choice is the runner that a request goes to. It reserves nothing before StartAttempt.
@@ -52,7 +86,3 @@
 	}
 	return false
 }
-
-// isRetry reports whether the next attempt of the request is a retry, which the budget bounds: an attempt before it got a
-// connection to its runner, so that the request may have arrived.
-func (r *Request) isRetry() bool { return len(r.TriedRunners) > r.connectFailures }
--- a/internal/system/placement/retries.go
+++ b/internal/system/placement/retries.go
@@ -84,15 +84,10 @@
 	}
 }
 
-// MayRetry reports whether another attempt of a request may be made, by the route's number of attempts, by whether the
-// request may have run and is idempotent, by its deadline and by the shared retry budget.
+// MayRetry reports whether another attempt of a request may be made, by Request.MayRepeat and by the shared retry budget.
 func (p *Placer) MayRetry(now time.Duration, request *Request) bool {
 	service := p.services[request.Service]
-	if service == nil || request.Route == nil || now >= request.Deadline ||
-		len(request.TriedRunners) >= max(request.Route.MaxAttempts, 1) {
-		return false
-	}
-	if request.MayHaveRun && !request.Route.IsIdempotent() {
+	if service == nil || !request.MayRepeat(now) {
 		return false
 	}
 	return !request.isRetry() || service.retryBudget.allows(now, p.retryPolicy())
--- a/internal/system/placement/service.go
+++ b/internal/system/placement/service.go
@@ -79,6 +79,8 @@
 
 // routeStats are running means over the responses of a route.
 type routeStats struct {
+	target       time.Duration // latency target; 0: none
+	timeout      time.Duration
 	meanDuration float64 // of the time to the end, in seconds; the latency target before a response
 	deviation    float64 // mean absolute deviation from it, in seconds
 	outputShare  float64 // generated tokens as a share of the most that requests allow
@@ -93,20 +95,45 @@
 			clear(p.routes)
 		}
 		target := route.LatencyTarget.Seconds()
-		stats = &routeStats{meanDuration: target, deviation: target / 2, outputShare: initialOutputShare}
+		stats = &routeStats{
+			target:       route.LatencyTarget,
+			timeout:      route.Timeout,
+			meanDuration: target,
+			deviation:    target / 2,
+			outputShare:  initialOutputShare,
+		}
 		p.routes[route.Name] = stats
-		p.recordRoute(route)
+		p.recordTimes(stats)
 	}
 	return stats
 }
 
-// recordRoute extends the Placer's latency target and longest timeout by those of a route. Neither ever goes back, also when
-// the route is changed or removed.
-func (p *Placer) recordRoute(route *configuration.Route) {
-	if route.LatencyTarget > 0 {
-		p.latencyTarget = math.Min(p.latencyTarget, route.LatencyTarget.Seconds())
+// recordTimes extends the Placer's latency target and longest timeout by those of a route.
+func (p *Placer) recordTimes(stats *routeStats) {
+	if stats.target > 0 {
+		p.latencyTarget = math.Min(p.latencyTarget, stats.target.Seconds())
+	}
+	p.longestTimeout = math.Max(p.longestTimeout, stats.timeout.Seconds())
+}
+
+// UpdateRoutes takes routes that were added or changed, and the names of those that were removed. A changed route keeps its
+// statistics; its former target and timeout stop counting, as do those of a removed one.
+func (p *Placer) UpdateRoutes(now time.Duration, changed []*configuration.Route, removed []string) {
+	p.recordCall(now)
+	for _, name := range removed {
+		delete(p.routes, name)
+	}
+	for _, route := range changed {
+		if stats := p.routes[route.Name]; stats != nil {
+			stats.target = route.LatencyTarget
+			stats.timeout = route.Timeout
+		}
+	}
+	p.latencyTarget = initialTarget
+	p.longestTimeout = initialTimeout
+	for _, stats := range p.routes {
+		p.recordTimes(stats)
 	}
-	p.longestTimeout = math.Max(p.longestTimeout, route.Timeout.Seconds())
 }
 
 // observeTarget records the latency target of a request's route: a tighter one counts at once, a looser one gradually, so
--- a/internal/system/placement/shared_budgets_test.go
+++ b/internal/system/placement/shared_budgets_test.go
@@ -24,6 +24,8 @@
 	requests       []time.Duration // requests that arrived
 	retries        []time.Duration // attempts beyond the first of a request that arrived
 	slowStartSends map[string][]time.Duration
+
+	slowStartAllowance float64 // Options.SlowStartAllowance of all proxies
 }
 
 type groupProxy struct {
@@ -42,6 +44,8 @@
 		runners:        runners,
 		useKeys:        rapid.Bool().Draw(t, "keys"),
 		slowStartSends: map[string][]time.Duration{},
+
+		slowStartAllowance: rapid.SampledFrom([]float64{5, 0}).Draw(t, "slow start allowance"),
 	}
 	for range rapid.SampledFrom([]int{1, 2, 3, 7, 12, 24}).Draw(t, "proxies") {
 		group.join()
@@ -55,7 +59,9 @@
 // join starts a proxy. It knows of all others at once; they learn of it later.
 func (g *proxyGroup) join() {
 	g.lastSeed++
-	placer, err := New(testOptions([]string{"m", "t", "p"}[g.lastSeed%3]), g.lastSeed)
+	options := testOptions([]string{"m", "t", "p"}[g.lastSeed%3])
+	options.SlowStartAllowance = g.slowStartAllowance
+	placer, err := New(options, g.lastSeed)
 	if err != nil {
 		g.t.Fatal(err)
 	}
@@ -154,7 +160,7 @@
 			runners[i].SlowStartUntil = testStart + time.Hour
 		}
 		group := newProxyGroup(t, runners)
-		group.services[0].SlowStartRate = rapid.SampledFrom([]float64{0, 2, 9, 40}).Draw(t, "rate")
+		group.services[0].SlowStartRate = rapid.SampledFrom([]float64{0, 0.7, 2, 9, 40}).Draw(t, "rate")
 		for _, proxy := range group.proxies {
 			proxy.placer.SetServices(group.now, group.services)
 		}
@@ -181,7 +187,7 @@
 				}
 			}
 		}
-		bound := int(group.services[0].SlowStartRate*1.5 + 5)
+		bound := int(group.services[0].SlowStartRate*1.5 + group.slowStartAllowance)
 		for id, moments := range group.slowStartSends {
 			if n, from := largestCount(moments, time.Second); n > bound {
 				t.Fatalf("%s got %d in the second from %v, at most %d; %d proxies", id, n, from, bound, len(group.proxies))
@@ -331,8 +337,9 @@
 			}
 			c := Choice{Runner: fmt.Sprintf("api-%d", try)}
 			a := p.StartAttempt(now, r, c)
-			r.TriedRunners = append(r.TriedRunners, c.Runner)
-			p.EndAttempt(now, a, []Outcome{ConnectFailed, Succeeded}[try], Progress{Duration: time.Millisecond})
+			outcome := []Outcome{ConnectFailed, Succeeded}[try]
+			r.RecordAttempt(c.Runner, outcome != ConnectFailed)
+			p.EndAttempt(now, a, outcome, Progress{Duration: time.Millisecond})
 		}
 	}
 }
--- a/internal/system/placement/slow_start.go
+++ b/internal/system/placement/slow_start.go
@@ -39,10 +39,15 @@
 	if p.proxyCount == 0 || now < p.countedFrom {
 		return 0 // the others may not count this one yet, and its last process may have sent just now
 	}
-	bound := slowStartPlannedShare * (runner.service.SlowStartRate*p.options.SlowStartFactor + p.options.SlowStartAllowance)
+	limit := runner.service.SlowStartRate*p.options.SlowStartFactor + p.options.SlowStartAllowance
+	bound := slowStartPlannedShare * limit
 	proxies := float64(p.proxyCount)
 	share := math.Floor(math.Min(bound/(proxies+1), math.Max(runner.service.SlowStartRate/proxies, 1)))
-	if share < 1 && p.mayUseSlowStartShare(runner, int(bound)) {
+	maxProxies := int(bound)
+	if maxProxies == 0 && limit >= 1 {
+		maxProxies = 1 // a part of a request can't be planned
+	}
+	if share < 1 && p.mayUseSlowStartShare(runner, maxProxies) {
 		share = 1
 	}
 	if share < 1 {
--- a/internal/system/policysim/attempt.go
+++ b/internal/system/policysim/attempt.go
@@ -30,7 +30,6 @@
 		a.priority = engine.DefaultPriority
 	}
 	a.placementAttempt = policy.StartAttempt(sim.now, state.request, choice)
-	state.request.TriedRunners = append(state.request.TriedRunners, choice.Runner)
 	state.active = a
 	sim.counters.countAttempt(state, runner)
 	sim.after(a.latency(), func() { runner.handleRequest(a) })
@@ -110,6 +109,7 @@
 	if outcome == placement.Succeeded && a.progress.TimeToFirstEvent == 0 {
 		a.progress.TimeToFirstEvent = a.progress.Duration
 	}
+	state.request.RecordAttempt(a.runner.info.ID, outcome != placement.ConnectFailed)
 	state.proxy.policy.EndAttempt(sim.now, a.placementAttempt, outcome, a.progress)
 	switch outcome {
 	case placement.Succeeded:
--- a/internal/system/policysim/baselines.go
+++ b/internal/system/policysim/baselines.go
@@ -109,7 +109,7 @@
 }
 
 func (b *baseline) MayRetry(now time.Duration, r *placement.Request) bool {
-	return len(r.TriedRunners) < r.Route.MaxAttempts && now < r.Deadline && (!r.MayHaveRun || r.Route.IsIdempotent())
+	return r.MayRepeat(now)
 }
 
 func (b *baseline) Tick(now time.Duration) time.Duration { return now + time.Second }
--- a/internal/system/proxy/control_state.go
+++ b/internal/system/proxy/control_state.go
@@ -50,6 +50,9 @@
 	for _, route := range update.Routes {
 		p.control.table.Upsert(route)
 	}
+	if len(update.Routes)+len(update.RemovedRoutes) > 0 {
+		p.placer.UpdateRoutes(p.now(), update.Routes, update.RemovedRoutes)
+	}
 	if update.Limits != nil {
 		p.SetLimits(*update.Limits)
 	}
--- a/internal/system/proxy/control_state_test.go
+++ b/internal/system/proxy/control_state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,6 +60,9 @@
 		if !h.proxy.Ready() || !agent.last().Ready || agent.last().Stopping {
 			t.Error("not ready with all that is needed")
 		}
+		if got := strings.Join(h.placer.routeUpdates, " "); got != "one two" {
+			t.Errorf("the placer was told of routes %q", got)
+		}
 		known := h.proxy.pool.runners["a"]
 		if known.address != address || h.proxy.pool.maxConns(known) != 4 {
 			t.Errorf("runner is known as %+v with %d connections", known, h.proxy.pool.maxConns(known))
--- a/internal/system/proxy/exchange_placement.go
+++ b/internal/system/proxy/exchange_placement.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -32,12 +33,11 @@
 }
 
 // chooseRunner asks the placer for a runner until one has a spare connection, at most maxPlacementTries times. Meanwhile a
-// runner without one is listed among those tried, so that the placer ranks it last. The placer then takes the request for a
-// retry and also rejects it if the retry budget is spent.
+// runner without one is passed over, so that the placer ranks it last.
 func (x *exchange) chooseRunner() (placement.Choice, *placement.Rejection) {
-	tried := x.request.TriedRunners
-	defer func() { x.request.TriedRunners = tried }()
-	x.request.TriedRunners = tried[:len(tried):len(tried)]
+	before := x.request
+	defer func() { x.request = before }()
+	x.request.TriedRunners = slices.Clip(before.TriedRunners)
 	for range maxPlacementTries {
 		choice, rejection := x.proxy.placer.Place(x.proxy.now(), &x.request)
 		if rejection != nil {
@@ -47,7 +47,7 @@
 		if x.proxy.pool.canAccept(choice) {
 			return choice, nil
 		}
-		x.request.TriedRunners = append(x.request.TriedRunners, choice.Runner)
+		x.request.PassOver(choice.Runner)
 	}
 	return placement.Choice{}, &placement.Rejection{RetryAfter: shortRetryAfter, Reason: "no connection to spare"}
 }
@@ -65,22 +65,14 @@
 	x.proxy.pool.send(a)
 }
 
-// mayRetry reports whether the request may be sent to another runner: whether a second execution is allowed, the route's
-// number of attempts and the deadline are checked here, the retry budget by the placer. The placer checks the others as
-// well, and counts attempts without a connection among the route's attempts, which are not counted here.
+// mayRetry reports whether the request may be sent to another runner. The placer checks the retry budget; the rest is checked
+// here, whichever placer is used.
 func (x *exchange) mayRetry() bool {
-	if x.request.MayHaveRun && !x.request.Route.IsIdempotent() {
-		return false
-	}
 	if x.response.started && !x.canContinue() {
 		return false
 	}
 	now := x.proxy.now()
-	attempts := len(x.request.TriedRunners) - x.connectFailures
-	if attempts >= max(1, x.request.Route.MaxAttempts) || now >= x.request.Deadline {
-		return false
-	}
-	return x.proxy.placer.MayRetry(now, &x.request)
+	return x.request.MayRepeat(now) && x.proxy.placer.MayRetry(now, &x.request)
 }
 
 // canContinue reports whether another runner may continue a response that has begun.
@@ -119,9 +111,9 @@
 	possiblyRun  = true
 )
 
-// noteTried has the placer choose the attempt's runner only if no other may take the request, and records whether it may
-// have executed the request.
+// noteTried has the placer choose the attempt's runner only if no other may take the request, and records whether it was
+// reached and may have executed the request.
 func (x *exchange) noteTried(attempt *attempt, mayHaveRun bool) {
-	x.request.TriedRunners = append(x.request.TriedRunners, attempt.choice.Runner)
+	x.request.RecordAttempt(attempt.choice.Runner, attempt.connected)
 	x.request.MayHaveRun = x.request.MayHaveRun || mayHaveRun
 }
--- a/internal/system/proxy/fake_placer_test.go
+++ b/internal/system/proxy/fake_placer_test.go
@@ -45,6 +45,8 @@
 	events      int  // of all streams
 	lastRequest placement.Request
 	restored    []byte
+	// routeUpdates are the names of routes that were announced, with a dash before removed ones.
+	routeUpdates []string
 
 	// Both block the loop when they are full. nil: nobody receives.
 	outcomes chan string // "RUNNER OUTCOME" of each attempt that has ended
@@ -59,6 +61,15 @@
 
 func (f *fakePlacer) SetServices(time.Duration, []*configuration.Service) {}
 
+func (f *fakePlacer) UpdateRoutes(_ time.Duration, changed []*configuration.Route, removed []string) {
+	for _, route := range changed {
+		f.routeUpdates = append(f.routeUpdates, route.Name)
+	}
+	for _, name := range removed {
+		f.routeUpdates = append(f.routeUpdates, "-"+name)
+	}
+}
+
 func (f *fakePlacer) SetRunners(time.Duration, []placement.Runner) {}
 
 func (f *fakePlacer) SetEvacuatedZones(time.Duration, map[string]bool) {}
--- a/internal/system/proxy/placer.go
+++ b/internal/system/proxy/placer.go
@@ -11,6 +11,8 @@
 // Programs use placement.Placer.
 type Placer interface {
 	SetServices(now time.Duration, services []*configuration.Service)
+	// UpdateRoutes announces routes that were added or changed, and the names of those that were removed.
+	UpdateRoutes(now time.Duration, changed []*configuration.Route, removed []string)
 	SetRunners(now time.Duration, runners []placement.Runner)
 	SetEvacuatedZones(now time.Duration, zones map[string]bool)
 	// SetProxyCount announces how many proxies may send to the same runners, this one included.
@@ -27,8 +29,8 @@
 	HandleFirstEvent(now time.Duration, attempt *placement.Attempt)
 	HandleEvent(now time.Duration, attempt *placement.Attempt)
 	EndAttempt(now time.Duration, attempt *placement.Attempt, outcome placement.Outcome, progress placement.Progress)
-	// MayRetry reports whether the retry budget allows another attempt. The proxy has checked the route's other conditions
-	// itself (exchange.mayRetry), so that no Placer can let a request run twice that must not.
+	// MayRetry reports whether the retry budget allows another attempt. The proxy has checked Request.MayRepeat itself, so that
+	// no Placer can let a request run twice that must not.
 	MayRetry(now time.Duration, request *placement.Request) bool
 
 	// Tick does periodic work and returns when it is to be called again.
--- a/internal/system/proxy/pool.go
+++ b/internal/system/proxy/pool.go
@@ -10,7 +10,6 @@
 const (
 	minConns                    = 2  // per runner, whatever its service allows
 	defaultConns                = 64 // per runner, of all proxies together, if its service names no maximum
-	defaultProxies              = 16 // while their number is unknown
 	minConnectTimeout           = 250 * time.Millisecond
 	maxConnectTimeout           = 2 * time.Second
 	initialConnectTimeout       = time.Second            // before any connect was measured
@@ -36,7 +35,7 @@
 		runners:      map[string]*runner{},
 		services:     map[string]*configuration.Service{},
 		idleTimeouts: map[string]*idleTimeoutEstimator{},
-		proxyCount:   defaultProxies,
+		proxyCount:   placement.AssumedProxies,
 	}
 }
 
--- a/internal/system/proxy/retry_test.go
+++ b/internal/system/proxy/retry_test.go
@@ -164,6 +164,26 @@
 	h.expectOutcomes("a unreached", "b served")
 }
 
+// Guards against a first attempt that counts as a retry because a runner with no connection to spare was passed over.
+func TestPassedOverRunner(t *testing.T) {
+	h := newHarness(t)
+	runners := h.startRunners("a", "b")
+	h.onLoop(func() { h.proxy.pool.runners["a"].markSuspect() })
+	client := h.connect()
+	client.send(requestText("/writes/x", "t1", "", "body"))
+	upstream := runners[1].accept()
+	upstream.readRequest()
+	h.onLoop(func() {
+		asked := h.placer.lastRequest
+		if asked.Attempts() != 0 || len(asked.TriedRunners) != 1 || asked.TriedRunners[0] != "a" {
+			t.Errorf("the placer was asked with %d attempts, tried %q", asked.Attempts(), asked.TriedRunners)
+		}
+	})
+	upstream.send(successText("t1", "whole"))
+	client.expectResponse(200, "whole")
+	h.expectOutcomes("b served")
+}
+
 // Guards against a large request that a runner never received completely counting as possibly executed.
 func TestRequestNotFullySent(t *testing.T) {
 	h := newHarness(t)
--- a/internal/system/proxy/watchdog.go
+++ b/internal/system/proxy/watchdog.go
@@ -79,8 +79,7 @@
 		return
 	}
 	x.attempt = a
-	x.request.TriedRunners = before.TriedRunners
-	x.request.MayHaveRun = before.MayHaveRun
+	x.request = before
 }
 
 // markSuspect stops sending requests to the runner for suspectDuration and closes its idle connections.
