Goroutines that nobody waited for, a past deadline, a closed descriptor, the emulator's faults

- eventloop: Post after the loop's end wrote into whichever file had got the number of its descriptor.
Wake and Release share a lock now.
- discovery: a call that was cancelled as its response ended could set its past deadline for the next call, which then was sent twice.
Its connection is not used again.
- rpc: Serve waits for handlers (0.25 s at most: one that waits for a disk may take longer), Client.Close for a dial. control.Start waits for its goroutines where a listener cannot be opened; the server of metrics is waited for.
- grpcbalancer: Close waits for attempts in flight, cancels them after a second, and calls that are left get Unavailable.
- Upgrade: a session or a state that cannot be encoded leaves no descriptor open and nothing counted as in transit.

--- a/grpcbalancer/backend.go
+++ b/grpcbalancer/backend.go
@@ -47,12 +47,16 @@
 
 // Start implements dispatch.Backend; the lock is held.
 func (b *backend) Start(assigned dispatch.Attempt) {
+	if b.dispatcher.closed {
+		b.dispatcher.core.HandleOutcome(assigned.ID, dispatch.Outcome{Result: loadbalancer.ConnectFailed})
+		return
+	}
 	call := assigned.Payload.(*unaryCall)
 	remaining := time.Duration((assigned.Deadline - b.dispatcher.Now()) * float64(time.Second))
 	ctx, cancel := context.WithTimeout(call.ctx, remaining)
 	attempt := &callAttempt{id: assigned.ID, backend: b, cancel: cancel}
 	b.attempts[assigned.ID] = attempt
-	go b.runAttempt(context.WithValue(ctx, attemptKey{}, attempt), attempt, call)
+	b.dispatcher.attempts.Go(func() { b.runAttempt(context.WithValue(ctx, attemptKey{}, attempt), attempt, call) })
 }
 
 // Cancel implements dispatch.Backend; the lock is held. It reports whether the attempt may have reached the server.
--- a/grpcbalancer/dispatcher.go
+++ b/grpcbalancer/dispatcher.go
@@ -23,6 +23,7 @@
 
 const (
 	defaultConnectTimeout = 250 * time.Millisecond
+	closeTimeout          = time.Second // for attempts in flight, after which Close cancels them
 	microsPerSecond       = 1e6
 )
 
@@ -48,6 +49,8 @@
 	name         string    // in the registry
 	startedAt    time.Time // with the monotonic clock
 	startSeconds float64   // startedAt in seconds since 1970
+	closing      sync.Once
+	ended        chan struct{} // closed at the end of Close
 
 	mu       sync.Mutex // guards all that follows, and every call of the core
 	core     *dispatch.Dispatcher
@@ -55,6 +58,8 @@
 	timers   map[*timer]bool     // that have not fired
 	closed   bool
 	metrics  *telemetry.Set // nil: none
+
+	attempts sync.WaitGroup // a goroutine for each; none is added once closed is set
 }
 
 // New makes a Dispatcher. Pass what DialOptions returns to grpc.NewClient; call Close when the ClientConn is closed.
@@ -72,6 +77,7 @@
 		startSeconds: float64(now.UnixMicro()) / microsPerSecond,
 		backends:     map[string]*backend{},
 		timers:       map[*timer]bool{},
+		ended:        make(chan struct{}),
 	}
 	var err error
 	if d.core, err = dispatch.New(options.Settings, options.Seed, d); err != nil {
@@ -96,15 +102,34 @@
 	}
 }
 
-// Close stops the timers. Calls in flight end by their own deadlines; Close does not wait for them.
-func (d *Dispatcher) Close() {
+// Close stops the timers and waits for the attempts in flight, which end at once if their ClientConn is closed already. It
+// cancels those that have not ended within closeTimeout. Calls that come later, or that need another attempt, are
+// rejected. A second Close has no effect.
+func (d *Dispatcher) Close() { d.closing.Do(d.close) }
+
+func (d *Dispatcher) close() {
 	unregisterDispatcher(d.name)
 	d.mu.Lock()
-	defer d.mu.Unlock()
 	d.closed = true
 	for t := range d.timers {
 		t.timer.Stop()
 	}
+	d.mu.Unlock()
+	cancellation := time.AfterFunc(closeTimeout, d.cancelAttempts)
+	defer cancellation.Stop()
+	d.attempts.Wait()
+	close(d.ended)
+}
+
+// cancelAttempts cancels all attempts in flight.
+func (d *Dispatcher) cancelAttempts() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, backend := range d.backends {
+		for _, attempt := range backend.attempts {
+			attempt.cancel()
+		}
+	}
 }
 
 // Counts returns the totals of the core.
--- a/grpcbalancer/dispatcher_test.go
+++ b/grpcbalancer/dispatcher_test.go
@@ -309,3 +309,46 @@
 		}
 	}
 }
+
+// Close returns after the attempts in flight, whether the server ends them or Close does, and each call has its status.
+func TestCloseWaitsForAttempts(t *testing.T) {
+	for name, answers := range map[string]bool{"the server answers": true, "the server hangs": false} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, loadbalancer.RetryUnsafe, 1)
+			arrived := make(chan struct{})
+			release := make(chan struct{})
+			r.script = func(_ int, _ *server, ctx context.Context) error {
+				close(arrived)
+				select {
+				case <-release:
+				case <-ctx.Done():
+				}
+				return nil
+			}
+			called := make(chan error, 1)
+			go func() {
+				_, err := r.client.Check(context.Background(), &grpc_health_v1.HealthCheckRequest{})
+				called <- err
+			}()
+			<-arrived
+			if answers {
+				close(release)
+			}
+			r.dispatcher.Close()
+			r.dispatcher.mu.Lock()
+			for address, backend := range r.dispatcher.backends {
+				if n := len(backend.attempts); n > 0 {
+					t.Errorf("%d attempts at %s are in flight after Close", n, address)
+				}
+			}
+			r.dispatcher.mu.Unlock()
+			if err := <-called; answers && err != nil || !answers && err == nil {
+				t.Errorf("the call in flight: %v", err)
+			}
+			_, err := r.client.Check(context.Background(), &grpc_health_v1.HealthCheckRequest{})
+			if status.Code(err) != codes.Unavailable {
+				t.Errorf("a call after Close: %v", err)
+			}
+		})
+	}
+}
--- a/grpcbalancer/interceptor.go
+++ b/grpcbalancer/interceptor.go
@@ -73,18 +73,22 @@
 	}
 	var id dispatch.RequestID
 	d.withLock(func() { id = d.core.Submit(job, call) })
-	var answer dispatch.Answer
 	select {
-	case answer = <-call.answer:
+	case answer := <-call.answer:
+		return d.deliver(call, answer, reply)
 	case <-ctx.Done():
-		d.withLock(func() { d.core.HandleDisconnect(id) })
-		select {
-		case answer = <-call.answer: // the core answered before the disconnect was handled
-		default:
-			return status.FromContextError(ctx.Err()).Err()
-		}
+	case <-d.ended:
+	}
+	d.withLock(func() { d.core.HandleDisconnect(id) })
+	select {
+	case answer := <-call.answer: // the core answered before the disconnect was handled
+		return d.deliver(call, answer, reply)
+	default:
+	}
+	if ctx.Err() != nil {
+		return status.FromContextError(ctx.Err()).Err()
 	}
-	return d.deliver(call, answer, reply)
+	return status.Error(codes.Unavailable, "grpcbalancer: the dispatcher was closed before the call had an answer")
 }
 
 // deliver turns the core's answer into the call's: it fills the reply or returns the status.
--- a/internal/dispatcher/handover/link.go
+++ b/internal/dispatcher/handover/link.go
@@ -64,8 +64,8 @@
 	return nil
 }
 
-// SendDescriptor sends a frame with a descriptor, which the other process owns from now on. The body is header as JSON
-// and payload.
+// SendDescriptor sends a frame with a descriptor, which the other process owns from now on; the caller keeps it if there is
+// an error. The body is header as JSON and payload.
 func (l *Link) SendDescriptor(kind Kind, header any, payload []byte, fd int) error {
 	headerText, err := json.Marshal(header)
 	if err != nil {
--- a/internal/dispatcher/server/reporting_reload.go
+++ b/internal/dispatcher/server/reporting_reload.go
@@ -9,11 +9,11 @@
 	"cinderroad/internal/dispatcher/requestlog"
 )
 
-// reportingReload is a checked change of the reporting's configuration, with its outputs and log opened.
+// reportingReload is a checked change of the reporting's configuration, with its log opened.
 type reportingReload struct {
 	operatorConfig *operatorconfig.Config
-	outputs        map[string]exporter.Output
-	requestLog     *requestlog.Log // nil: as before, or none
+	outputs        map[string]exporter.Output // new ones hold nothing before they are added to the exporter
+	requestLog     *requestlog.Log            // nil: as before, or none
 }
 
 // prepareReload opens what an operator's file names and is not open yet. Nothing changes before applyReload.
--- a/internal/dispatcher/server/upgrade_successor.go
+++ b/internal/dispatcher/server/upgrade_successor.go
@@ -2,6 +2,7 @@
 
 import (
 	"go.uber.org/zap"
+	"golang.org/x/sys/unix"
 
 	"cinderroad/internal/dispatcher/handover"
 	"cinderroad/internal/dispatcher/httpfront"
@@ -56,7 +57,11 @@
 	}
 	message.Gearman = true
 	message.GearmanListen = server.gearman.Listener().Addr().String()
-	return u.successor.SendDescriptor(handover.State, message, nil, fd)
+	if err := u.successor.SendDescriptor(handover.State, message, nil, fd); err != nil {
+		unix.Close(fd)
+		return err
+	}
+	return nil
 }
 
 // handOverClients stops accepting clients, which are the successor's from now on.
@@ -88,10 +93,12 @@
 		return false
 	}
 	fd, in := conn.Detach()
-	u.sessionsInTransit++
-	u.SessionsPassed++
 	if err := u.successor.SendDescriptor(handover.Session, session, in, fd); err != nil {
 		u.server.log.Error("upgrade: failed to hand over client session", zap.Error(err))
+		unix.Close(fd)
+		return true
 	}
+	u.sessionsInTransit++
+	u.SessionsPassed++
 	return true
 }
--- a/internal/shared/eventloop/kernel.go
+++ b/internal/shared/eventloop/kernel.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"sync"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -16,7 +17,15 @@
 )
 
 // kernel is the System of programs.
-type kernel struct{ epollFD, wakeFD int }
+type kernel struct {
+	epollFD int
+	wakeFD  int
+
+	// wakeMutex keeps Wake, which any goroutine may call at any time, from writing to wakeFD after its release: another
+	// file may have the number by then.
+	wakeMutex sync.Mutex
+	released  bool
+}
 
 func newKernel() (*kernel, error) {
 	epoll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
@@ -47,6 +56,11 @@
 }
 
 func (k *kernel) Wake() {
+	k.wakeMutex.Lock()
+	defer k.wakeMutex.Unlock()
+	if k.released {
+		return
+	}
 	one := [8]byte{1}
 	_, _ = unix.Write(k.wakeFD, one[:])
 }
@@ -64,6 +78,9 @@
 }
 
 func (k *kernel) Release() {
+	k.wakeMutex.Lock()
+	defer k.wakeMutex.Unlock()
+	k.released = true
 	unix.Close(k.wakeFD)
 	unix.Close(k.epollFD)
 }
--- a/internal/shared/eventloop/loop.go
+++ b/internal/shared/eventloop/loop.go
@@ -125,7 +125,7 @@
 // BufferedBytes returns how many received bytes were not consumed, over all connections.
 func (l *Loop) BufferedBytes() int { return l.bufferedBytes }
 
-// Post runs do on the loop's goroutine. It may be called from any goroutine.
+// Post runs do on the loop's goroutine. It may be called from any goroutine, also after Run has ended: do is not run then.
 func (l *Loop) Post(do func()) {
 	l.mutex.Lock()
 	l.posted = append(l.posted, do)
--- a/internal/shared/eventloop/loop_test.go
+++ b/internal/shared/eventloop/loop_test.go
@@ -269,3 +269,32 @@
 		t.Errorf("order %v", order)
 	}
 }
+
+// Guards against a call of another goroutine, after the loop has ended, that writes into a file which has got the number of
+// the loop's descriptor.
+func TestPostAfterTheEnd(t *testing.T) {
+	loop := newLoop(t, 10)
+	wakeFD := loop.system.(*kernel).wakeFD
+	loop.Post(loop.Stop)
+	if err := loop.Run(); err != nil {
+		t.Fatal(err)
+	}
+	pipe := make([]int, 2)
+	if err := unix.Pipe2(pipe, unix.O_NONBLOCK|unix.O_CLOEXEC); err != nil {
+		t.Fatal(err)
+	}
+	defer unix.Close(pipe[0])
+	defer unix.Close(pipe[1])
+	if pipe[1] != wakeFD { // as if it had been the first number that was free
+		if err := unix.Dup3(pipe[1], wakeFD, unix.O_CLOEXEC); err != nil {
+			t.Fatal(err)
+		}
+		defer unix.Close(wakeFD)
+	}
+	loop.Post(func() { t.Error("ran after the end") })
+	if n, err := unix.Read(pipe[0], make([]byte, 8)); n > 0 {
+		t.Errorf("%d bytes were written into another file", n)
+	} else if err != unix.EAGAIN {
+		t.Error(err)
+	}
+}
--- a/internal/shared/eventloop/system.go
+++ b/internal/shared/eventloop/system.go
@@ -14,7 +14,8 @@
 	Now() time.Time
 	// Wait fills in events and returns their number, after at most timeout milliseconds; -1: no timeout.
 	Wait(events []unix.EpollEvent, timeout int) (int, error)
-	// Wake ends a Wait from another goroutine; ClearWake consumes its event.
+	// Wake ends a Wait from another goroutine; ClearWake consumes its event. Wake may be called after Release, and then has no
+	// effect.
 	Wake()
 	ClearWake()
 	// Watch changes the watched events by an operation of epoll_ctl.
--- a/internal/system/agent/agent.go
+++ b/internal/system/agent/agent.go
@@ -131,7 +131,7 @@
 	defer a.goroutines.Wait()
 	defer end()
 	a.serve(running)
-	exposition.Serve(running, a.log, a.metrics, a.expose)
+	exposition.Serve(running, &a.goroutines, a.log, a.metrics, a.expose)
 	a.goroutines.Go(func() { a.follower.run(running) })
 	a.goroutines.Go(func() { a.platformPoller.run(running) })
 	a.goroutines.Go(func() { a.join(running) })
--- a/internal/system/control/process.go
+++ b/internal/system/control/process.go
@@ -79,9 +79,10 @@
 	p.initRunnerSync()
 	if err := p.openListeners(ctx, options); err != nil {
 		p.cancel()
+		p.goroutines.Wait()
 		return nil, err
 	}
-	exposition.Serve(p.context, p.log, options.MetricsAddress, p.writeMetrics)
+	exposition.Serve(p.context, &p.goroutines, p.log, options.MetricsAddress, p.writeMetrics)
 	p.host.Start()
 	p.goroutines.Go(func() { p.runnerSync.Run(p.context) })
 	p.goroutines.Go(func() { p.watchMembers(p.context) })
--- a/internal/system/discovery/client.go
+++ b/internal/system/discovery/client.go
@@ -211,12 +211,13 @@
 		c.disconnect()
 		return response{}, false, err
 	}
-	// A deadline in the past ends a read or write in progress once ctx ends.
+	// A deadline in the past ends a read or write in progress once ctx ends. It may be set at any time from then on, so
+	// that the connection can't be used for another call.
 	stop := context.AfterFunc(ctx, func() { _ = connection.SetDeadline(time.Unix(1, 0)) })
-	defer stop()
 	c.calls++
 	received, final, err = c.exchange(target)
-	if err != nil || received.closeConnection {
+	ended := !stop()
+	if err != nil || received.closeConnection || ended {
 		c.disconnect()
 	}
 	if err != nil && ctx.Err() != nil {
--- a/internal/system/discovery/client_test.go
+++ b/internal/system/discovery/client_test.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -189,3 +190,74 @@
 		}
 	}
 }
+
+// lateDeadlineConn is a connection whose requests end, as they are answered, together with the context; the deadline in the
+// past that ends a read is set only when the next deadline has been, or the connection is closed.
+type lateDeadlineConn struct {
+	net.Conn
+	cancel   context.CancelFunc
+	cancels  bool          // the next read that returns cancels
+	replaced chan struct{} // closed by the second deadline, or by Close
+	replace  func()
+	set      int           // deadlines in the future
+	late     chan struct{} // closed once the deadline in the past was set
+}
+
+func newLateDeadlineConn(connection net.Conn, cancel context.CancelFunc) *lateDeadlineConn {
+	c := &lateDeadlineConn{Conn: connection, cancel: cancel, cancels: true, replaced: make(chan struct{}), late: make(chan struct{})}
+	c.replace = sync.OnceFunc(func() { close(c.replaced) })
+	return c
+}
+
+func (c *lateDeadlineConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if c.cancels {
+		c.cancels = false
+		c.cancel()
+	}
+	return n, err
+}
+
+func (c *lateDeadlineConn) SetDeadline(at time.Time) error {
+	if at.Before(time.Now()) {
+		<-c.replaced
+		defer close(c.late)
+		return c.Conn.SetDeadline(at)
+	}
+	if c.set++; c.set > 1 {
+		err := c.Conn.SetDeadline(at)
+		c.replace()
+		<-c.late
+		return err
+	}
+	return c.Conn.SetDeadline(at)
+}
+
+func (c *lateDeadlineConn) Close() error {
+	c.replace()
+	return c.Conn.Close()
+}
+
+// TestClientCancelledAtTheEndOfAResponse checks that the next call is not ended by a deadline in the past that is set for a
+// call which was cancelled when it was already answered: that call is sent once.
+func TestClientCancelledAtTheEndOfAResponse(t *testing.T) {
+	client, connections := newTestClient(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		fmt.Fprint(w, `{"instances":[]}`)
+	}))
+	if err := client.connect(context.Background(), time.Now().Add(testTimeout)); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	late := newLateDeadlineConn(client.connection, cancel)
+	client.connection = late
+	client.reader = bufio.NewReader(late)
+	if _, err := client.List(ctx); err != nil && !errors.Is(err, context.Canceled) {
+		t.Fatal(err)
+	}
+	if _, err := client.List(context.Background()); err != nil {
+		t.Fatal(err)
+	}
+	if client.CallCount() != 2 || connections.Load() != 2 {
+		t.Errorf("%d calls over %d connections, want 2 over 2", client.CallCount(), connections.Load())
+	}
+}
--- a/internal/system/emulator/configuration.go
+++ b/internal/system/emulator/configuration.go
@@ -7,10 +7,44 @@
 
 // configurationDocument is a whole configuration in the form of the control API.
 type configurationDocument struct {
-	Version  int              `json:"version"`
-	Routes   []routeDocument  `json:"routes"`
-	Services []map[string]any `json:"services"`
-	Limits   map[string]int   `json:"limits"`
+	Version  int               `json:"version"`
+	Routes   []routeDocument   `json:"routes"`
+	Services []serviceDocument `json:"services"`
+	Limits   limitsDocument    `json:"limits"`
+}
+
+// serviceDocument is a service in the form of the control API.
+type serviceDocument struct {
+	Name           string           `json:"name"`
+	HealthPath     string           `json:"health_path"`
+	MaxConnections int              `json:"max_conns"`
+	Protocol       string           `json:"protocol"`
+	UseTLS         bool             `json:"use_tls"`
+	ColdForS       float64          `json:"cold_for_s"`
+	ColdRateS      float64          `json:"cold_rate_s"`
+	Backend        *backendDocument `json:"backend,omitempty"`
+}
+
+// backendDocument describes the engines of a service.
+type backendDocument struct {
+	Capacity        int             `json:"capacity"`
+	CacheTokens     int             `json:"cache_tokens"`
+	TokenCacheBytes int             `json:"token_cache_bytes"`
+	LinkMbps        float64         `json:"link_mbps"`
+	Stride          int             `json:"stride"`
+	Models          []modelDocument `json:"models"`
+}
+
+type modelDocument struct {
+	Name string `json:"name"`
+}
+
+// limitsDocument bounds what clients may send.
+type limitsDocument struct {
+	MaxHeaderBytes int `json:"max_header_bytes"`
+	MaxBodyBytes   int `json:"max_body_bytes"`
+	HeaderWaitMS   int `json:"header_wait_ms"`
+	IdleLimitMS    int `json:"idle_limit_ms"`
 }
 
 type routeDocument struct {
@@ -29,6 +63,17 @@
 	HomeRegions []string `json:"home_regions"`
 }
 
+// upsertRoute replaces the route of the same name, or adds it.
+func (d *configurationDocument) upsertRoute(route routeDocument) {
+	for i := range d.Routes {
+		if d.Routes[i].Name == route.Name {
+			d.Routes[i] = route
+			return
+		}
+	}
+	d.Routes = append(d.Routes, route)
+}
+
 // changeDocument is a change of single items in the form of the control API.
 type changeDocument struct {
 	Version int          `json:"version"`
@@ -85,24 +130,23 @@
 }
 
 // serviceDocumentOf returns a service in the form of the control API.
-func serviceDocumentOf(s *policysim.Service) map[string]any {
-	service := map[string]any{
-		"name":        s.Name,
-		"health_path": healthPath,
-		"max_conns":   s.MaxConnections,
-		"protocol":    "h1",
-		"use_tls":     false,
-		"cold_for_s":  s.SlowStartDuration.Seconds(),
-		"cold_rate_s": s.SlowStartRate,
+func serviceDocumentOf(s *policysim.Service) serviceDocument {
+	service := serviceDocument{
+		Name:           s.Name,
+		HealthPath:     healthPath,
+		MaxConnections: s.MaxConnections,
+		Protocol:       "h1",
+		ColdForS:       s.SlowStartDuration.Seconds(),
+		ColdRateS:      s.SlowStartRate,
 	}
 	if e := s.Engine; e != nil {
-		service["backend"] = map[string]any{
-			"capacity":          e.MaxRunning,
-			"cache_tokens":      e.MemoryTokens,
-			"token_cache_bytes": cacheBytesPerToken,
-			"link_mbps":         engineLinkMbps,
-			"stride":            e.EventTokens,
-			"models":            []map[string]string{{"name": modelName}},
+		service.Backend = &backendDocument{
+			Capacity:        e.MaxRunning,
+			CacheTokens:     e.MemoryTokens,
+			TokenCacheBytes: cacheBytesPerToken,
+			LinkMbps:        engineLinkMbps,
+			Stride:          e.EventTokens,
+			Models:          []modelDocument{{Name: modelName}},
 		}
 	}
 	return service
@@ -112,11 +156,11 @@
 func configurationDocumentOf(scenario *policysim.Scenario, version int) configurationDocument {
 	document := configurationDocument{
 		Version: version,
-		Limits: map[string]int{
-			"max_header_bytes": 16384,
-			"max_body_bytes":   4 << 20,
-			"header_wait_ms":   3000,
-			"idle_limit_ms":    15000,
+		Limits: limitsDocument{
+			MaxHeaderBytes: 16384,
+			MaxBodyBytes:   4 << 20,
+			HeaderWaitMS:   3000,
+			IdleLimitMS:    15000,
 		},
 	}
 	for i := range scenario.Classes {
--- a/internal/system/emulator/emulation.go
+++ b/internal/system/emulator/emulation.go
@@ -55,6 +55,10 @@
 	inForce     configurationDocument    // the configuration that was acknowledged last
 	runnerStats []runner.Stats           // of all runners, once they are closed
 	faults      sync.WaitGroup           // one for each fault that is scheduled or going on
+
+	// configurationMutex guards inForce, and is held while a change of it is sent: faults are injected concurrently, and
+	// each change builds on the version in force.
+	configurationMutex sync.Mutex
 }
 
 // Run runs an emulation and returns its report. An error says that the emulation itself failed; faults of the system
@@ -156,6 +160,8 @@
 func (e *emulation) submitConfiguration(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, configurationTimeout)
 	defer cancel()
+	e.configurationMutex.Lock()
+	defer e.configurationMutex.Unlock()
 	e.inForce = configurationDocumentOf(e.options.Scenario, firstVersion)
 	began := time.Now()
 	if err := e.operator.replaceConfiguration(ctx, e.inForce, 0); err != nil {
@@ -225,6 +231,8 @@
 func (e *emulation) verifyConfiguration(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, readTimeout)
 	defer cancel()
+	e.configurationMutex.Lock()
+	defer e.configurationMutex.Unlock()
 	stored, err := e.operator.readConfiguration(ctx)
 	switch {
 	case err != nil:
--- a/internal/system/emulator/faults.go
+++ b/internal/system/emulator/faults.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"slices"
 	"syscall"
@@ -95,37 +96,56 @@
 // injectFault injects a fault. What happens to runners goes on by timers after it has returned. Faults of runners affect the
 // scenario's first service, which has engines; those of processes affect the first process of the program.
 func (e *emulation) injectFault(ctx context.Context, fault Fault) error {
-	engineService := e.options.Scenario.Services[0].Name
 	switch fault {
 	case DrainRunner:
-		e.runners.drain(e.runners.pickRunner(engineService), 0)
+		return e.onRunner(func(r *runner.Runner) { e.runners.drain(r, 0) })
 	case DrainAtShortNotice:
-		e.runners.drain(e.runners.pickRunner(engineService), terminationNotice)
+		return e.onRunner(func(r *runner.Runner) { e.runners.drain(r, terminationNotice) })
 	case CrashRunner:
-		e.runners.crash(e.runners.pickRunner(engineService), crashDowntime)
+		return e.onRunner(func(r *runner.Runner) { e.runners.crash(r, crashDowntime) })
 	case SilenceRunner:
-		e.runners.silence(e.runners.pickRunner(engineService), crashDowntime)
+		return e.onRunner(func(r *runner.Runner) { e.runners.silence(r, crashDowntime) })
 	case ChangeConfiguration:
 		return e.addRoute(ctx)
 	case EvacuateZone:
 		return e.evacuate(ctx)
 	case KillControl:
-		return e.firstProcess(control).signal(syscall.SIGKILL)
+		return e.signalFirst(control, syscall.SIGKILL)
 	case KillProxy:
-		return e.firstProcess(proxy).signal(syscall.SIGKILL)
+		return e.signalFirst(proxy, syscall.SIGKILL)
 	case KillAgent:
-		return e.firstProcess(agent).signal(syscall.SIGKILL)
+		return e.signalFirst(agent, syscall.SIGKILL)
 	case CorruptResponses:
 		e.runners.corruptResponses(corruption, corruptionTime)
 	case StopProxy:
-		return e.firstProcess(proxy).signal(syscall.SIGTERM)
+		return e.signalFirst(proxy, syscall.SIGTERM)
 	}
 	return nil
 }
 
-// firstProcess returns the first process of a program.
-func (e *emulation) firstProcess(p program) *process {
-	return e.processes[slices.IndexFunc(e.processes, func(proc *process) bool { return proc.program == p })]
+// Errors of faults that find nothing to hit.
+var (
+	errNoRunner  = errors.New("all runners of the first service drain or are gone")
+	errNoProcess = errors.New("no machine runs the program")
+)
+
+// onRunner has a fault hit a runner of the first service.
+func (e *emulation) onRunner(inject func(*runner.Runner)) error {
+	picked := e.runners.pickRunner(e.options.Scenario.Services[0].Name)
+	if picked == nil {
+		return errNoRunner
+	}
+	inject(picked)
+	return nil
+}
+
+// signalFirst sends a signal to the first process of a program.
+func (e *emulation) signalFirst(p program, signal syscall.Signal) error {
+	i := slices.IndexFunc(e.processes, func(proc *process) bool { return proc.program == p })
+	if i < 0 {
+		return fmt.Errorf("%w: %s", errNoProcess, p)
+	}
+	return e.processes[i].signal(signal)
 }
 
 // evacuate evacuates the last zone for some time.
@@ -151,19 +171,9 @@
 	class := e.options.Scenario.Classes[len(e.options.Scenario.Classes)-1]
 	class.Name = "added"
 	route := clientRoute(&class)
-	operator := e.deployment.operator()
-	orderCtx, cancel := context.WithTimeout(ctx, milliseconds(defaultTiming.AckWithinMS))
-	defer cancel()
-	version := e.inForce.Version + versionStep
-	item := routeDocumentOf(&class)
-	began := time.Now()
-	change := changeDocument{Version: version, Replace: changedItems{Routes: []routeDocument{item}}}
-	if err := operator.changeConfiguration(orderCtx, change, e.inForce.Version); err != nil {
+	if err := e.submitRoute(ctx, routeDocumentOf(&class)); err != nil {
 		return err
 	}
-	e.inForce.Version = version
-	e.inForce.Routes = append(e.inForce.Routes, item)
-	e.logEvent("change acknowledged", "version", version, "after", time.Since(began).Round(time.Millisecond))
 	if !retry.Sleep(ctx, milliseconds(defaultTiming.ConfigWithinMS)) {
 		return ctx.Err()
 	}
@@ -173,6 +183,23 @@
 	return nil
 }
 
+// submitRoute sends a change that adds or replaces a route, until it is acknowledged.
+func (e *emulation) submitRoute(ctx context.Context, route routeDocument) error {
+	e.configurationMutex.Lock()
+	defer e.configurationMutex.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, milliseconds(defaultTiming.AckWithinMS))
+	defer cancel()
+	began := time.Now()
+	change := changeDocument{Version: e.inForce.Version + versionStep, Replace: changedItems{Routes: []routeDocument{route}}}
+	if err := e.deployment.operator().changeConfiguration(ctx, change, e.inForce.Version); err != nil {
+		return err
+	}
+	e.inForce.Version = change.Version
+	e.inForce.upsertRoute(route)
+	e.logEvent("change acknowledged", "version", change.Version, "after", time.Since(began).Round(time.Millisecond))
+	return nil
+}
+
 // probe calls a route on one edge machine.
 func (e *emulation) probe(ctx context.Context, m *machine, route *client.Route) {
 	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
--- a/internal/system/emulator/fleet.go
+++ b/internal/system/emulator/fleet.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -41,6 +42,7 @@
 	entries      map[string]fakeplatform.Entry // of the platform's list, by the runner's id
 	services     map[string]*policysim.Service // by the runner's id
 	stoppedStats []runner.Stats                // of runners that have ended
+	failedStarts []error                       // of replacements
 	closed       bool
 }
 
@@ -234,8 +236,19 @@
 	service := f.services[r.ID()]
 	zone := f.entries[r.ID()].Zone
 	f.mu.Unlock()
-	// A runner that does not start is missing, which the system has to bear.
-	_, _ = f.startRunner(service, zone, service.SlowStartDuration)
+	_, err := f.startRunner(service, zone, service.SlowStartDuration)
+	if err != nil && !errors.Is(err, errFleetClosed) {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		f.failedStarts = append(f.failedStarts, err)
+	}
+}
+
+// startErrors returns why replacements did not start.
+func (f *runnerFleet) startErrors() []error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.failedStarts)
 }
 
 // removeRunning removes a runner from the running ones.
--- a/internal/system/emulator/process.go
+++ b/internal/system/emulator/process.go
@@ -34,6 +34,7 @@
 	done           chan struct{} // closed when it will not be restarted
 	starts         int
 	unexpectedEnds int   // without a signal
+	restartError   error // why it was not started again; nil: it was
 	peakKB         int64 // greatest resident memory of all samples
 }
 
@@ -97,6 +98,9 @@
 		time.Sleep(restartDelay)
 		if err := p.start(); err != nil {
 			fmt.Fprintf(p.log, "emulator: not started again: %v\n", err)
+			p.mu.Lock()
+			p.restartError = err
+			p.mu.Unlock()
 			return
 		}
 	}
--- a/internal/system/emulator/report.go
+++ b/internal/system/emulator/report.go
@@ -20,7 +20,8 @@
 	RepeatedRequests int // requests that were sent to another runner after a first one
 	Processes        []ProcessReport
 	Breaches         []checker.Violation
-	LogDir           string // directory of the logs; empty: it was removed
+	RunnerErrors     []error // of replacements that did not start; the system has to bear that they are missing
+	LogDir           string  // directory of the logs; empty: it was removed
 }
 
 // ProcessReport is the result of a process.
@@ -30,12 +31,13 @@
 	PeakMB         float64 // resident memory, over all incarnations
 	Starts         int
 	UnexpectedEnds int
+	RestartError   error // why the platform could not start it again; nil: it did
 }
 
-// Failed reports whether a rule was broken or a process ended unexpectedly.
+// Failed reports whether a rule was broken, or a process ended unexpectedly or could not be started again.
 func (r *Report) Failed() bool {
 	for _, p := range r.Processes {
-		if p.UnexpectedEnds > 0 {
+		if p.UnexpectedEnds > 0 || p.RestartError != nil {
 			return true
 		}
 	}
@@ -75,8 +77,10 @@
 			PeakMB:         p.peakMB(),
 			Starts:         p.starts,
 			UnexpectedEnds: p.unexpectedEnds,
+			RestartError:   p.restartError,
 		})
 	}
+	report.RunnerErrors = e.runners.startErrors()
 	report.Breaches = e.checker.Finish()
 	return report
 }
@@ -102,6 +106,14 @@
 		return err
 	}
 	r.printTotals(out)
+	for _, p := range r.Processes {
+		if p.RestartError != nil {
+			fmt.Fprintf(out, "%s on %s was not started again: %v\n", p.Program, p.Machine, p.RestartError)
+		}
+	}
+	for _, err := range r.RunnerErrors {
+		fmt.Fprintf(out, "a runner was not replaced: %v\n", err)
+	}
 	for _, breach := range r.Breaches {
 		fmt.Fprintln(out, breach)
 	}
--- a/internal/system/exposition/serve.go
+++ b/internal/system/exposition/serve.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,9 +20,9 @@
 )
 
 // Serve serves a page, which fill writes anew for each request, at an address until the context ends; it serves none at
-// the zero address. It returns once the address is open. A process works without its metrics, so Serve only logs
-// failures, and nobody waits for the server after the context has ended.
-func Serve(ctx context.Context, log *zap.Logger, address netip.AddrPort, fill func(*Page)) {
+// the zero address. It returns once the address is open, and adds the server's goroutine to those that the caller waits
+// for. A process works without its metrics, so Serve only logs failures.
+func Serve(ctx context.Context, goroutines *sync.WaitGroup, log *zap.Logger, address netip.AddrPort, fill func(*Page)) {
 	if !address.IsValid() {
 		return
 	}
@@ -36,10 +37,10 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 	}
-	go func() {
+	goroutines.Go(func() {
 		if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
 			log.Warn("metrics server failed", zap.Error(err))
 		}
-	}()
+	})
 	context.AfterFunc(ctx, func() { server.Close() })
 }
--- a/internal/system/exposition/serve_test.go
+++ b/internal/system/exposition/serve_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"testing"
 
 	"go.uber.org/zap"
@@ -27,7 +28,8 @@
 func TestServe(t *testing.T) {
 	address := freeAddress(t)
 	ctx, cancel := context.WithCancel(context.Background())
-	Serve(ctx, zap.NewNop(), address, func(p *Page) { p.Metric(Gauge, "up", "Whether it runs.", 1) })
+	var goroutines sync.WaitGroup
+	Serve(ctx, &goroutines, zap.NewNop(), address, func(p *Page) { p.Metric(Gauge, "up", "Whether it runs.", 1) })
 	answer, err := http.Get("http://" + address.String() + Path)
 	if err != nil {
 		t.Fatal(err)
@@ -37,6 +39,12 @@
 		t.Errorf("got %q", body)
 	}
 	cancel()
+	goroutines.Wait()
+	listener, err := net.Listen("tcp4", address.String())
+	if err != nil {
+		t.Fatalf("the address is still in use: %v", err)
+	}
+	listener.Close()
 }
 
 // A port that is in use is logged, and the process goes on; without an address nothing is opened.
@@ -47,11 +55,12 @@
 	}
 	defer listener.Close()
 	core, logs := observer.New(zapcore.WarnLevel)
-	Serve(t.Context(), zap.New(core), listener.Addr().(*net.TCPAddr).AddrPort(), func(*Page) {})
+	var goroutines sync.WaitGroup
+	Serve(t.Context(), &goroutines, zap.New(core), listener.Addr().(*net.TCPAddr).AddrPort(), func(*Page) {})
 	if logs.Len() != 1 {
 		t.Errorf("%d lines were logged", logs.Len())
 	}
-	Serve(t.Context(), zap.New(core), netip.AddrPort{}, func(*Page) {})
+	Serve(t.Context(), &goroutines, zap.New(core), netip.AddrPort{}, func(*Page) {})
 	if logs.Len() != 1 {
 		t.Error("a page without an address was missed")
 	}
--- a/internal/system/rpc/client.go
+++ b/internal/system/rpc/client.go
@@ -39,13 +39,18 @@
 // Address returns the address of the process.
 func (c *Client) Address() netip.AddrPort { return c.address }
 
-// Close closes the connection. Calls in flight end with an error, later calls fail.
+// Close closes the connection and waits for a dial in progress, which it ends. Calls in flight end with an error, later
+// calls fail.
 func (c *Client) Close() {
 	c.close()
 	c.mutex.Lock()
 	connection := c.connection
+	dial := c.pendingDial
 	c.connection = nil
 	c.mutex.Unlock()
+	if dial != nil {
+		<-dial.done
+	}
 	if connection != nil {
 		connection.client.Close()
 	}
--- a/internal/system/rpc/dial.go
+++ b/internal/system/rpc/dial.go
@@ -70,7 +70,7 @@
 	}
 }
 
-// dial makes an attempt and completes it. It ends by ClientOptions.DialTimeout or Client.Close, which does not wait for it.
+// dial makes an attempt and completes it. It ends by ClientOptions.DialTimeout or Client.Close, which waits for it.
 func (c *Client) dial(attempt *dialAttempt) {
 	ctx, cancel := context.WithTimeout(c.closed, c.options.DialTimeout)
 	defer cancel()
--- a/internal/system/rpc/rpc_test.go
+++ b/internal/system/rpc/rpc_test.go
@@ -343,3 +343,92 @@
 		}
 	}
 }
+
+// TestServeWaitsForHandlers: Serve returns after the handlers that its end has ended.
+func TestServeWaitsForHandlers(t *testing.T) {
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	registry := NewRegistry()
+	entered := make(chan struct{})
+	var ended atomic.Bool
+	echoCall.Handle(registry, func(ctx context.Context, _ *EchoRequest) (*EchoReply, error) {
+		close(entered)
+		<-ctx.Done()
+		ended.Store(true)
+		return nil, ctx.Err()
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	client := newTestClient(t, netip.MustParseAddrPort(listener.Addr().String()), ClientOptions{})
+	called := make(chan error, 1)
+	go func() {
+		_, err := echoCall.Invoke(context.Background(), client, &EchoRequest{})
+		called <- err
+	}()
+	go func() {
+		<-entered
+		cancel()
+	}()
+	if err := Serve(ctx, listener, registry, ServerLimits{}); err != nil {
+		t.Fatal(err)
+	}
+	if !ended.Load() {
+		t.Error("Serve has returned before a handler")
+	}
+	<-called
+}
+
+// TestServeLeavesHandlerThatHangs: a handler that does not heed its context keeps Serve no longer than handlerStopTimeout.
+func TestServeLeavesHandlerThatHangs(t *testing.T) {
+	release := make(chan struct{})
+	hang := Declare[EchoRequest, EchoReply]("Test.Hang")
+	listener, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	registry := NewRegistry()
+	ctx, cancel := context.WithCancel(context.Background())
+	hang.Handle(registry, func(context.Context, *EchoRequest) (*EchoReply, error) {
+		cancel()
+		<-release
+		return nil, errors.New("released")
+	})
+	client := newTestClient(t, netip.MustParseAddrPort(listener.Addr().String()), ClientOptions{})
+	called := make(chan error, 1)
+	go func() {
+		_, err := hang.Invoke(context.Background(), client, &EchoRequest{})
+		called <- err
+	}()
+	if err := Serve(ctx, listener, registry, ServerLimits{}); err != nil {
+		t.Fatal(err)
+	}
+	close(release)
+	<-called
+}
+
+// TestCloseWaitsForDial: Close ends a dial in progress and waits for it.
+func TestCloseWaitsForDial(t *testing.T) {
+	client := NewClient(netip.MustParseAddrPort("127.0.0.1:1"), ClientOptions{DialTimeout: testTimeout})
+	dialing := make(chan struct{})
+	var ended atomic.Bool
+	client.dialTransport = func(ctx context.Context) (net.Conn, error) {
+		close(dialing)
+		<-ctx.Done()
+		ended.Store(true)
+		return nil, ctx.Err()
+	}
+	called := make(chan error, 1)
+	go func() {
+		_, err := echoCall.Invoke(context.Background(), client, &EchoRequest{})
+		called <- err
+	}()
+	<-dialing
+	client.Close()
+	if !ended.Load() {
+		t.Error("Close has returned before the dial")
+	}
+	if err := <-called; err == nil {
+		t.Error("the call of a closed client succeeded")
+	}
+}
--- a/internal/system/rpc/server.go
+++ b/internal/system/rpc/server.go
@@ -11,8 +11,13 @@
 	"cinderroad/internal/system/retry"
 )
 
-// acceptRetryDelay is the pause after a temporary error of Accept, such as a lack of file descriptors.
-const acceptRetryDelay = 50 * time.Millisecond
+const (
+	// acceptRetryDelay is the pause after a temporary error of Accept, such as a lack of file descriptors.
+	acceptRetryDelay = 50 * time.Millisecond
+	// handlerStopTimeout bounds the wait for handlers once their contexts have ended. One that waits for a disk may take
+	// longer, and ends with the process.
+	handlerStopTimeout = 250 * time.Millisecond
+)
 
 // server is the set of connections of one listener.
 type server struct {
@@ -20,16 +25,18 @@
 	limits      ServerLimits
 	mutex       sync.Mutex
 	connections map[*serverCodec]struct{}
+	serving     sync.WaitGroup // a goroutine for each connection, which ends after the handlers of its calls
 }
 
 // Serve serves the connections of a listener until that is closed or the context ends. It then ends the contexts of all
-// handlers of the registry, closes all connections and returns nil, without waiting for handlers. Any other result is a
-// permanent error of the listener.
+// handlers of the registry, closes all connections, waits for the handlers, no longer than handlerStopTimeout, and returns
+// nil. Any other result is a permanent error of the listener.
 func Serve(ctx context.Context, listener net.Listener, registry *Registry, limits ServerLimits) error {
 	limits.setDefaults()
 	s := &server{registry: registry, limits: limits, connections: make(map[*serverCodec]struct{})}
 	stop := context.AfterFunc(ctx, func() { listener.Close() })
 	defer stop()
+	defer s.waitForHandlers()
 	defer s.closeAll()
 	defer registry.cancelHandlers()
 	for {
@@ -77,7 +84,22 @@
 		return
 	}
 	configureSocket(socket, s.limits.WriteTimeout)
-	go s.registry.server.ServeCodec(codec)
+	s.serving.Go(func() { s.registry.server.ServeCodec(codec) })
+}
+
+// waitForHandlers waits until all connections have been served to their end, no longer than handlerStopTimeout.
+func (s *server) waitForHandlers() {
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		s.serving.Wait()
+	}()
+	timeout := time.NewTimer(handlerStopTimeout)
+	defer timeout.Stop()
+	select {
+	case <-ended:
+	case <-timeout.C:
+	}
 }
 
 func (s *server) removeConnection(codec *serverCodec) {
