cinderctl and the agent's log: columns, help texts and states in standard terms

Columns of cinderctl status (LAGGING, STALENESS, UP TO DATE, LAST POLL, STATE AGE), help texts, and the values polling and retaining of the log field state were words of our own.

Tests of cinderctl, compatibility and agent pass.

--- a/cmd/cinderctl/check.go
+++ b/cmd/cinderctl/check.go
@@ -23,7 +23,7 @@
 type checkCommand struct {
 	Files []string `arg:"" name:"file" help:"Files to check; what each one is can be seen from its fields."`
 	On    string   `name:"on" help:"Configuration that changes are applied to; without it only their form is checked." placeholder:"FILE"`
-	Kind  string   `name:"kind" help:"Take all files for this kind." enum:"auto,configuration,change,settings" default:"auto"`
+	Kind  string   `name:"kind" help:"Kind of all files, in place of what their fields show." enum:"auto,configuration,change,settings" default:"auto"`
 }
 
 // fileReport is the result for a file.
--- a/cmd/cinderctl/compatibility_test.go
+++ b/cmd/cinderctl/compatibility_test.go
@@ -24,7 +24,7 @@
 		for path, short := range map[string]string{document: "c.json", bad: "bad.json", change: "d.json"} {
 			text = strings.ReplaceAll(text, path, short)
 		}
-		compatibility.Elsewhere.Check(t, name+".json", []byte(text))
+		compatibility.PackageFolder.Check(t, name+".json", []byte(text))
 	}
 	for _, step := range []struct {
 		name      string
@@ -39,7 +39,7 @@
 		{"status", []string{"status", "--one", "--members"}},
 	} {
 		got := call(append([]string{seed, "--within=20s", "--json"}, step.arguments...)...)
-		compatibility.Elsewhere.Check(t, step.name+".json", []byte(strings.ReplaceAll(got.output, address, "MACHINE")))
+		compatibility.PackageFolder.Check(t, step.name+".json", []byte(strings.ReplaceAll(got.output, address, "MACHINE")))
 	}
 }
 
@@ -60,6 +60,6 @@
 		"version",
 	} {
 		got := call(append(strings.Fields(command), "--help")...)
-		compatibility.Elsewhere.Check(t, "help-"+strings.ReplaceAll(command, " ", "-")+".txt", []byte(got.output))
+		compatibility.PackageFolder.Check(t, "help-"+strings.ReplaceAll(command, " ", "-")+".txt", []byte(got.output))
 	}
 }
--- a/cmd/cinderctl/config.go
+++ b/cmd/cinderctl/config.go
@@ -10,8 +10,8 @@
 )
 
 type configCommand struct {
-	Read    readCommand    `cmd:"" name:"read" help:"Print the newest configuration."`
-	Replace replaceCommand `cmd:"" name:"replace" help:"Put a whole configuration in force."`
+	Read    readCommand    `cmd:"" name:"read" help:"Print the configuration in force."`
+	Replace replaceCommand `cmd:"" name:"replace" help:"Replace the configuration by another one."`
 	Change  changeCommand  `cmd:"" name:"change" help:"Add, replace and remove single items."`
 }
 
@@ -45,8 +45,8 @@
 // sendFlags are the flags of the commands that send a file.
 type sendFlags struct {
 	File    string  `arg:"" name:"file" help:"File to send."`
-	BasedOn *uint64 `name:"based-on" help:"Version that it builds on, 0 for the first; without it, the newest is asked for."`
-	NoCheck bool    `name:"no-check" help:"Send it without a check of its own first."`
+	BasedOn *uint64 `name:"based-on" help:"Version that it builds on, 0 for the first; without it, the one in force is read first."`
+	NoCheck bool    `name:"no-check" help:"Send it without checking it first."`
 }
 
 type replaceCommand struct {
--- a/cmd/cinderctl/drain.go
+++ b/cmd/cinderctl/drain.go
@@ -3,19 +3,19 @@
 import "cinderroad/internal/system/control/client"
 
 type drainCommand struct {
-	Begin  beginCommand  `cmd:"" name:"begin" help:"Have nothing more sent to the runners of a zone."`
-	Finish finishCommand `cmd:"" name:"finish" help:"Take the runners of a zone back."`
+	Begin  beginCommand  `cmd:"" name:"begin" help:"Begin an evacuation: the runners of a zone get no new requests."`
+	Finish finishCommand `cmd:"" name:"finish" help:"End the evacuation of a zone."`
 }
 
 type beginCommand struct {
-	Zone string `arg:"" name:"zone" help:"Zone to empty."`
+	Zone string `arg:"" name:"zone" help:"Zone to evacuate."`
 }
 
 // Run begins the evacuation of a zone.
 func (c *beginCommand) Run(s *session) error { return s.drain(c.Zone, true) }
 
 type finishCommand struct {
-	Zone string `arg:"" name:"zone" help:"Zone to take back."`
+	Zone string `arg:"" name:"zone" help:"Evacuated zone."`
 }
 
 // Run ends the evacuation of a zone.
--- a/cmd/cinderctl/main.go
+++ b/cmd/cinderctl/main.go
@@ -32,12 +32,12 @@
 	JSON     bool          `name:"json" help:"Print JSON in place of text."`
 	Seed     []string      `name:"seed" help:"Operator's address of a control machine, host:port; several are tried in turn." placeholder:"ADDR"`
 	Settings string        `name:"settings" help:"Settings file that names the seeds, if --seed does not." env:"CINDERROAD_SETTINGS" placeholder:"FILE"`
-	Within   time.Duration `name:"within" help:"How long a call is tried for." default:"15s"`
+	Within   time.Duration `name:"within" help:"Timeout of a call with all its retries." default:"15s"`
 
 	Check   checkCommand   `cmd:"" name:"check" help:"Check configurations, changes of them, and settings files."`
 	Status  statusCommand  `cmd:"" name:"status" help:"Print members, partitions, leaders, evacuations and versions."`
 	Config  configCommand  `cmd:"" name:"config" help:"Read, replace or change the configuration."`
-	Drain   drainCommand   `cmd:"" name:"drain" help:"Empty a zone's runners, or take them back."`
+	Drain   drainCommand   `cmd:"" name:"drain" help:"Evacuate a zone, or end its evacuation."`
 	Version versionCommand `cmd:"" name:"version" help:"Print the version of this program."`
 }
 
@@ -68,7 +68,7 @@
 	ended := -1
 	parser, err := kong.New(&flags, kong.Name("cinderctl"), kong.Writers(output, errOutput),
 		kong.Exit(func(status int) { ended = status }),
-		kong.Description("Operator's tool of the system: checks files, reads state, sends orders."))
+		kong.Description("Operator's tool of the system: checks files, reads state, sends change requests."))
 	if err != nil {
 		return fail(errOutput, err)
 	}
--- a/cmd/cinderctl/status.go
+++ b/cmd/cinderctl/status.go
@@ -26,7 +26,7 @@
 
 type statusCommand struct {
 	Members bool `name:"members" help:"List all members, proxies and agents included."`
-	One     bool `name:"one" help:"Ask one control machine only, not the others that it knows."`
+	One     bool `name:"one" help:"Query one control machine only, not the others that it knows."`
 }
 
 // statusReport is the system as its control machines see it.
--- a/cmd/cinderctl/statustables.go
+++ b/cmd/cinderctl/statustables.go
@@ -13,12 +13,12 @@
 // machinesTable has a row for each control machine that responded.
 func machinesTable(report *statusReport) *table {
 	t := &table{}
-	t.add("CONTROL", "RELEASE", "CONFIGURATION", "EVACUATED", "PROXIES", "READY", "FOLLOWERS", "BEHIND", "DISCOVERY")
+	t.add("CONTROL", "RELEASE", "CONFIGURATION", "EVACUATED", "PROXIES", "READY", "FOLLOWERS", "LAGGING", "DISCOVERY")
 	for _, machine := range report.Machines {
-		behind := 0
+		lagging := 0
 		for _, follower := range machine.Followers {
 			if follower.Behind {
-				behind++
+				lagging++
 			}
 		}
 		t.add(
@@ -29,7 +29,7 @@
 			strconv.Itoa(machine.ActiveProxies),
 			strconv.Itoa(machine.ReadyProxies),
 			strconv.Itoa(len(machine.Followers)),
-			strconv.Itoa(behind),
+			strconv.Itoa(lagging),
 			discoveryCell(&machine.Discovery),
 		)
 	}
@@ -51,7 +51,7 @@
 // the partitions' numbers.
 func partitionsTable(report *statusReport) *table {
 	t := &table{}
-	t.add("PARTITION", "CONTROL", "ROLE", "TERM", "LEADER", "LEASE", "COMMIT", "APPLIED", "LAST", "ITEMS", "HEARD")
+	t.add("PARTITION", "CONTROL", "ROLE", "TERM", "LEADER", "LEASE", "COMMIT", "APPLIED", "LAST", "ITEMS", "STALENESS")
 	for _, machine := range report.Machines {
 		for i := range machine.Partitions {
 			partition := &machine.Partitions[i]
@@ -131,7 +131,7 @@
 // membersTable lists the members as the first machine knows them.
 func membersTable(report *statusReport) *table {
 	t := &table{}
-	t.add("MEMBER", "ROLE", "ZONE", "STATE", "FOR", "SERVING", "FRONT", "RELEASE")
+	t.add("MEMBER", "ROLE", "ZONE", "STATE", "STATE AGE", "SERVING", "FRONT", "RELEASE")
 	for i := range report.Machines[0].Members {
 		member := &report.Machines[0].Members[i]
 		t.add(
@@ -151,18 +151,18 @@
 // followersTable lists the followers of each control machine.
 func followersTable(report *statusReport) *table {
 	t := &table{}
-	t.add("FOLLOWER", "OF", "CONFIGURATION", "IN STEP", "ASKED")
+	t.add("FOLLOWER", "CONTROL", "CONFIGURATION", "UP TO DATE", "LAST POLL")
 	for _, machine := range report.Machines {
 		for _, follower := range machine.Followers {
-			inStep := "yes"
+			upToDate := "yes"
 			if follower.Behind {
-				inStep = "no"
+				upToDate = "no"
 			}
 			t.add(
 				follower.Node,
 				machine.Node,
 				"#"+formatUint(follower.ConfigurationIndex),
-				inStep,
+				upToDate,
 				milliseconds(follower.SinceLastCallMS),
 			)
 		}
--- a/internal/compatibility/calls_test.go
+++ b/internal/compatibility/calls_test.go
@@ -36,10 +36,10 @@
 	if name != "" {
 		file += "." + name
 	}
-	request := compatibility.Here.Record(t, file+".request", requestOf(t, call, argument))
+	request := compatibility.SharedFolder.Record(t, file+".request", requestOf(t, call, argument))
 	compareMessages(t, file+".request", requestOf(t, call, argument), request)
 	answer := responseTo(t, call, request, argument, reply)
-	recorded := compatibility.Here.Record(t, file+".reply", answer)
+	recorded := compatibility.SharedFolder.Record(t, file+".reply", answer)
 	compareMessages(t, file+".reply", answer, recorded)
 
 	listener := listen(t)
--- a/internal/compatibility/recorded.go
+++ b/internal/compatibility/recorded.go
@@ -12,10 +12,10 @@
 // Variable is the environment variable which, if it is not empty, makes Record write missing files.
 const Variable = "CINDERROAD_RECORD_COMPATIBILITY"
 
-// The folders of recorded files: Here of this package, Elsewhere of any other package, relative to the running test.
+// The folders of recorded files, relative to the running test.
 const (
-	Here      Folder = "testdata"
-	Elsewhere Folder = "testdata/compatibility"
+	SharedFolder  Folder = "testdata"               // of this package, for its own tests
+	PackageFolder Folder = "testdata/compatibility" // of any other package
 )
 
 // Folder holds recorded files.
--- a/internal/compatibility/sent_test.go
+++ b/internal/compatibility/sent_test.go
@@ -89,7 +89,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			message.Cluster = "cinderroad"
-			recorded := compatibility.Here.Check(t, "members/"+name, must(membership.Encode(message))(t))
+			recorded := compatibility.SharedFolder.Check(t, "members/"+name, must(membership.Encode(message))(t))
 			expectEqual(t, name, must(membership.Decode("cinderroad", recorded))(t), message)
 		})
 	}
@@ -162,7 +162,7 @@
 		datagrams := sender.Fragment(jobreplica.Outgoing{To: 2, Data: c.message})
 		expectEqual(t, "pages", len(datagrams), c.pages)
 		for i, datagram := range datagrams {
-			recorded := compatibility.Here.Check(t, "copies/"+c.name+"-"+strconv.Itoa(i), datagram)
+			recorded := compatibility.SharedFolder.Check(t, "copies/"+c.name+"-"+strconv.Itoa(i), datagram)
 			got = must(receiver.Reassemble(recorded))(t)
 		}
 		expectEqual(t, c.name, got, c.message)
@@ -188,7 +188,7 @@
 // TestReadRunners checks the encoding of runners in the feed, and the platform's list of them.
 func TestReadRunners(t *testing.T) {
 	for name, r := range map[string]discovery.Runner{"whole": runner, "bare": bare} {
-		recorded := compatibility.Here.Check(t, "discovery/runner-"+name, discovery.EncodeRunner(r))
+		recorded := compatibility.SharedFolder.Check(t, "discovery/runner-"+name, discovery.EncodeRunner(r))
 		expectEqual(t, name, must(discovery.DecodeRunner(recorded))(t), r)
 	}
 	const list = `{"instances":[` +
@@ -219,7 +219,7 @@
 	var items []string
 	values := map[string][]byte{}
 	for _, write := range checked.Writes() {
-		recorded := compatibility.Here.Check(t, "configuration/"+strings.ReplaceAll(write.Key, "/", "-"), write.Value)
+		recorded := compatibility.SharedFolder.Check(t, "configuration/"+strings.ReplaceAll(write.Key, "/", "-"), write.Value)
 		items = append(items, write.Key)
 		values[write.Key] = recorded
 	}
@@ -275,7 +275,7 @@
 // sameJSON compares a value with its recorded JSON, encoded and decoded.
 func sameJSON[T any](t *testing.T, name string, value T) {
 	t.Helper()
-	recorded := compatibility.Here.Check(t, name, must(json.Marshal(value))(t))
+	recorded := compatibility.SharedFolder.Check(t, name, must(json.Marshal(value))(t))
 	var read T
 	if err := json.Unmarshal(recorded, &read); err != nil {
 		t.Fatal(err)
@@ -403,7 +403,7 @@
 		"POST /-/Settings.Change":         func(w http.ResponseWriter) { refuse(w) },
 		"POST /-/DrainZone.Begin/east-a":  func(w http.ResponseWriter) { io.WriteString(w, `{"zone":"east-a","evacuated":true}`) },
 		"POST /-/DrainZone.Finish/east-a": func(w http.ResponseWriter) { io.WriteString(w, `{"zone":"east-a","evacuated":false}`) },
-		"GET /-/status":                   func(w http.ResponseWriter) { w.Write(compatibility.Here.Read(t, "status/control.json")) },
+		"GET /-/status":                   func(w http.ResponseWriter) { w.Write(compatibility.SharedFolder.Read(t, "status/control.json")) },
 	}
 	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		body, _ := io.ReadAll(r.Body)
@@ -472,14 +472,14 @@
 
 // TestReadBenchFrames checks the batches that the bench sends, and the replies to them.
 func TestReadBenchFrames(t *testing.T) {
-	batches := compatibility.Here.Record(t, "bench/batches", bench())
+	batches := compatibility.SharedFolder.Record(t, "bench/batches", bench())
 	reader := simwire.NewReader(bytes.NewReader(batches))
 	host := simwire.NewHost()
 	for number := range 4 {
 		frame := must(reader.Next())(t)
 		expectEqual(t, "number", frame.Batch, uint32(number+1))
 		reply := must(host.HandleFrame(frame))(t)
-		compatibility.Here.Check(t, "bench/reply-"+strconv.Itoa(number+1), reply)
+		compatibility.SharedFolder.Check(t, "bench/reply-"+strconv.Itoa(number+1), reply)
 	}
 	if _, err := reader.Next(); !errors.Is(err, io.EOF) {
 		t.Error(err)
@@ -516,7 +516,7 @@
 	for i, kind := range kinds {
 		frames = handover.AppendFrame(frames, kind, []byte(strings.Repeat("x", i)))
 	}
-	rest := compatibility.Here.Check(t, "handover", frames)
+	rest := compatibility.SharedFolder.Check(t, "handover", frames)
 	for i, want := range kinds {
 		kind, body, n, err := handover.ParseFrame(rest)
 		if err != nil {
--- a/internal/compatibility/stored_test.go
+++ b/internal/compatibility/stored_test.go
@@ -62,21 +62,21 @@
 // TestReadConsensusState checks the encodings that replicas store and those that are parts of messages.
 func TestReadConsensusState(t *testing.T) {
 	t.Run("membership", func(t *testing.T) {
-		recorded := compatibility.Here.Check(t, "consensus/membership", consensus.EncodeMembership(group))
+		recorded := compatibility.SharedFolder.Check(t, "consensus/membership", consensus.EncodeMembership(group))
 		expectEqual(t, "membership", must(consensus.DecodeMembership(recorded))(t), group)
 	})
 	t.Run("hard state", func(t *testing.T) {
-		recorded := compatibility.Here.Check(t, "consensus/hard-state", consensus.EncodeHardState(hard))
+		recorded := compatibility.SharedFolder.Check(t, "consensus/hard-state", consensus.EncodeHardState(hard))
 		expectEqual(t, "hard state", must(consensus.DecodeHardState(recorded))(t), hard)
 	})
 	for name, entry := range map[string]consensus.Entry{"command": command, "change": change, "empty": {Index: 1, Term: 1}} {
 		t.Run("entry "+name, func(t *testing.T) {
-			recorded := compatibility.Here.Check(t, "consensus/entry-"+name, consensus.EncodeEntry(entry))
+			recorded := compatibility.SharedFolder.Check(t, "consensus/entry-"+name, consensus.EncodeEntry(entry))
 			expectEqual(t, "entry", must(consensus.DecodeEntry(recorded))(t), entry)
 		})
 	}
 	t.Run("snapshot", func(t *testing.T) {
-		recorded := compatibility.Here.Check(t, "consensus/snapshot", consensus.EncodeSnapshot(snapshot))
+		recorded := compatibility.SharedFolder.Check(t, "consensus/snapshot", consensus.EncodeSnapshot(snapshot))
 		expectEqual(t, "snapshot", must(consensus.DecodeSnapshot(recorded))(t), snapshot)
 	})
 }
@@ -114,7 +114,7 @@
 		"timeout-now":      {Kind: consensus.MessageTimeoutNow, From: 1, To: 2, Term: 7},
 	} {
 		t.Run(name, func(t *testing.T) {
-			recorded := compatibility.Here.Check(t, "consensus/message-"+name, consensus.EncodeMessage(message))
+			recorded := compatibility.SharedFolder.Check(t, "consensus/message-"+name, consensus.EncodeMessage(message))
 			expectEqual(t, name, must(consensus.DecodeMessage(recorded))(t), message)
 		})
 	}
@@ -131,7 +131,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			old := t.TempDir()
 			for _, file := range c.files {
-				recorded := compatibility.Here.Record(t, "storage/"+c.name+"/"+file, written[c.name+"/"+file])
+				recorded := compatibility.SharedFolder.Record(t, "storage/"+c.name+"/"+file, written[c.name+"/"+file])
 				if err := os.WriteFile(filepath.Join(old, file), recorded, 0o600); err != nil {
 					t.Fatal(err)
 				}
@@ -271,14 +271,14 @@
 		{"evacuate", evacuate.Encode(), 12, state.Result{Outcome: state.OutcomeConflict, Revision: 11}},
 		{"unreadable", []byte{0}, 13, state.Result{Outcome: state.OutcomeMalformed}},
 	} {
-		recorded := compatibility.Here.Check(t, "control/command-"+step.name, step.bytes)
+		recorded := compatibility.SharedFolder.Check(t, "control/command-"+step.name, step.bytes)
 		result := configuration.Apply(step.index, recorded)
 		expectEqual(t, step.name, must(state.DecodeResult(result))(t), step.want)
-		compatibility.Here.Check(t, fmt.Sprintf("control/result-%d-%d", step.want.Outcome, step.want.Revision), result)
+		compatibility.SharedFolder.Check(t, fmt.Sprintf("control/result-%d-%d", step.want.Outcome, step.want.Revision), result)
 	}
-	compatibility.Here.Check(t, "control/command-back", back.Encode())
+	compatibility.SharedFolder.Check(t, "control/command-back", back.Encode())
 	forgotten := state.Result{Outcome: state.OutcomeForgotten, Revision: 1 << 40}
-	recorded := compatibility.Here.Check(t, "control/result-forgotten", forgotten.Encode())
+	recorded := compatibility.SharedFolder.Check(t, "control/result-forgotten", forgotten.Encode())
 	expectEqual(t, "result", must(state.DecodeResult(recorded))(t), forgotten)
 
 	wantItems := []feed.Item{
@@ -286,7 +286,7 @@
 		{Key: "limits", Index: 10, Value: []byte(`{"max_body_bytes":1}`)},
 		{Key: "version", Index: 10, Value: []byte("7")},
 	}
-	recorded = compatibility.Here.Check(t, "control/snapshot-configuration", configuration.Snapshot())
+	recorded = compatibility.SharedFolder.Check(t, "control/snapshot-configuration", configuration.Snapshot())
 	restored := state.NewConfiguration(zero, nothing)
 	if err := restored.Restore(11, recorded); err != nil {
 		t.Fatal(err)
@@ -295,7 +295,7 @@
 	expectEqual(t, "evacuation", restored.Evacuation("east-a"), state.Evacuation{Evacuated: true, Revision: 11, LastOrder: 11})
 	expectEqual(t, "taken", restored.CheckRequest(0, commit.Digest), state.RequestStatus{Verdict: state.VerdictAccepted, Version: 7})
 	expectEqual(t, "snapshot again", restored.Snapshot(), recorded)
-	result := restored.Apply(14, compatibility.Here.Read(t, "control/command-back"))
+	result := restored.Apply(14, compatibility.SharedFolder.Read(t, "control/command-back"))
 	expectEqual(t, "back", must(state.DecodeResult(result))(t), state.Result{Outcome: state.OutcomeAccepted, Revision: 14})
 	expectEqual(t, "zones", len(restored.EvacuatedZones()), 0)
 }
@@ -306,12 +306,12 @@
 		Writes:           []state.Write{{Key: "runner/r-1", Value: []byte("one")}, {Key: "runner/r-2", Value: []byte{}}},
 	}
 	partition := state.NewRunners(1, zero, nothing)
-	recorded := compatibility.Here.Check(t, "control/command-runners", runners.Encode())
+	recorded := compatibility.SharedFolder.Check(t, "control/command-runners", runners.Encode())
 	expectEqual(t, "runners", must(state.DecodeResult(partition.Apply(20, recorded)))(t), state.Result{
 		Outcome:  state.OutcomeAccepted,
 		Revision: 20,
 	})
-	recorded = compatibility.Here.Check(t, "control/snapshot-runners", partition.Snapshot())
+	recorded = compatibility.SharedFolder.Check(t, "control/snapshot-runners", partition.Snapshot())
 	partition = state.NewRunners(1, zero, nothing)
 	if err := partition.Restore(20, recorded); err != nil {
 		t.Fatal(err)
@@ -334,7 +334,7 @@
 	table.Put(0, 5, "runner/a", []byte("first"))
 	table.Put(time.Second, 6, "runner/b", []byte{})
 	table.Delete(2*time.Second, 9, "runner/a")
-	recorded := compatibility.Here.Check(t, "feed/table", table.Encode(3*time.Second))
+	recorded := compatibility.SharedFolder.Check(t, "feed/table", table.Encode(3*time.Second))
 	read := must(feed.DecodeTable(time.Minute, recorded))(t)
 	expectEqual(t, "position", read.Position(), feed.Position{Partition: 2, Index: 9})
 	expectEqual(t, "delta", read.BatchSince(time.Minute, 5, 0), feed.Batch{
@@ -363,7 +363,7 @@
 	}
 	batch.Items[7] = feed.Item{Key: "runner/r-07", Index: 8, Deleted: true, Age: 5}
 	packed := batch.Pack()
-	recorded := compatibility.Here.Record(t, "feed/packed", packed.Packed)
+	recorded := compatibility.SharedFolder.Record(t, "feed/packed", packed.Packed)
 	for name, bytes := range map[string][]byte{"recorded": recorded, "now": packed.Packed} {
 		read := feed.Batch{Partition: 1, Snapshot: true, To: 90, Packed: bytes, PackedAge: time.Second}
 		if err := read.Unpack(); err != nil {
@@ -392,7 +392,7 @@
 	written.AppendPeriod(&telemetry.Period{Timestamp: 1_700_000_000_000, Interval: 10, Table: table, EncodedValues: body}, held, nothing)
 	written.AppendAcknowledged(map[string]int64{"carbon": 1_700_000_000_000})
 	written.Close()
-	recorded := compatibility.Here.Check(t, "spool/n0.1", must(os.ReadFile(filepath.Join(fresh, "n0.1")))(t))
+	recorded := compatibility.SharedFolder.Check(t, "spool/n0.1", must(os.ReadFile(filepath.Join(fresh, "n0.1")))(t))
 
 	old := t.TempDir()
 	if err := os.WriteFile(filepath.Join(old, "n0.1"), recorded, 0o600); err != nil {
@@ -467,7 +467,7 @@
 
 // TestReadRequestLogs checks lines of the request log, with its own reader and with that of the audit log.
 func TestReadRequestLogs(t *testing.T) {
-	recorded := compatibility.Here.Check(t, "request-log", writeRequestLog(t))
+	recorded := compatibility.SharedFolder.Check(t, "request-log", writeRequestLog(t))
 	var lines []requestlog.Line
 	bad := func(n int, err error) { t.Error(n, err) }
 	if err := requestlog.Read(bytes.NewReader(recorded), func(l requestlog.Line) { lines = append(lines, l) }, bad); err != nil {
@@ -535,7 +535,7 @@
 		log.Append(1_700_000_000+float64(i)/4, e)
 	}
 	log.Close()
-	recorded := compatibility.Here.Check(t, "ledger", must(os.ReadFile(path))(t))
+	recorded := compatibility.SharedFolder.Check(t, "ledger", must(os.ReadFile(path))(t))
 	var got []auditlog.Entry
 	if err := auditlog.Read(bytes.NewReader(recorded), func(e *auditlog.Entry) { got = append(got, *e) }, nil,
 		func(n int, err error) { t.Error(n, err) }); err != nil {
@@ -611,14 +611,14 @@
 	limits := jobstate.Limits{TotalBytes: 1 << 20, TenantBytes: 1 << 20, JobBytes: 1 << 16, ResultRetentionMS: 1 << 40}
 	written := jobstate.New(limits)
 	for i, step := range jobCommands {
-		recorded := compatibility.Here.Check(t, "promises/"+step.name, step.command.Encode())
+		recorded := compatibility.SharedFolder.Check(t, "promises/"+step.name, step.command.Encode())
 		step.command.FormatVersion = 1
 		expectEqual(t, step.name, must(jobstate.Decode(recorded))(t), step.command)
 		if _, err := written.Apply(uint64(i+1), recorded); err != nil {
 			t.Fatal(step.name, err)
 		}
 	}
-	recorded := compatibility.Here.Check(t, "promises/snapshot", written.Snapshot())
+	recorded := compatibility.SharedFolder.Check(t, "promises/snapshot", written.Snapshot())
 	read := jobstate.New(limits)
 	if err := read.Restore(recorded); err != nil {
 		t.Fatal(err)
--- a/internal/dispatcher/cluster/jobreplica/compatibility_test.go
+++ b/internal/dispatcher/cluster/jobreplica/compatibility_test.go
@@ -21,7 +21,7 @@
 		"propose": {kind: kindPropose, from: 2, to: 3, command: []byte("command")},
 		"gone":    {kind: kindReplaced, from: 4, to: 5, appliedIndex: 1 << 40},
 	} {
-		recorded := compatibility.Elsewhere.Check(t, name, e.encode())
+		recorded := compatibility.PackageFolder.Check(t, name, e.encode())
 		got, err := decodeEnvelope(recorded)
 		if err != nil {
 			t.Fatal(name, err)
@@ -44,7 +44,7 @@
 	if len(requests) != 1 {
 		t.Fatalf("%d datagrams", len(requests))
 	}
-	if _, err := sender.Reassemble(compatibility.Elsewhere.Check(t, "ask", requests[0].Data)); err != nil {
+	if _, err := sender.Reassemble(compatibility.PackageFolder.Check(t, "ask", requests[0].Data)); err != nil {
 		t.Fatal(err)
 	}
 	resent := sender.Tick(1)
--- a/internal/dispatcher/cluster/versions/compatibility_test.go
+++ b/internal/dispatcher/cluster/versions/compatibility_test.go
@@ -32,7 +32,7 @@
 		},
 		"bare": {Version: Version{Source: "s"}},
 	} {
-		recorded := compatibility.Elsewhere.Check(t, "ride-"+name, New("n0").encodePayload(r))
+		recorded := compatibility.PackageFolder.Check(t, "ride-"+name, New("n0").encodePayload(r))
 		got, err := decodePayload(recorded)
 		if err != nil {
 			t.Fatal(name, err)
--- a/internal/dispatcher/exporter/compatibility_test.go
+++ b/internal/dispatcher/exporter/compatibility_test.go
@@ -20,7 +20,7 @@
 		if !p.add(counter, stamp, 10, 40) || !p.add(gauge, stamp, 10, 0.5) {
 			t.Fatal("no room")
 		}
-		compatibility.Elsewhere.Check(t, name, p.protect())
+		compatibility.PackageFolder.Check(t, name, p.protect())
 	}
 	table := &telemetry.SeriesTable{}
 	table.Append(counter, gauge)
@@ -34,6 +34,6 @@
 		if points != 2 {
 			t.Errorf("%s: %d points", name, points)
 		}
-		compatibility.Elsewhere.Check(t, name, b)
+		compatibility.PackageFolder.Check(t, name, b)
 	}
 }
--- a/internal/dispatcher/server/compatibility_test.go
+++ b/internal/dispatcher/server/compatibility_test.go
@@ -25,7 +25,7 @@
 		t.Fatal(err)
 	}
 	var read T
-	if err := json.Unmarshal(compatibility.Elsewhere.Check(t, name, encoded), &read); err != nil {
+	if err := json.Unmarshal(compatibility.PackageFolder.Check(t, name, encoded), &read); err != nil {
 		t.Fatal(name, err)
 	}
 	if d := cmp.Diff(value, read, cmpopts.IgnoreUnexported(httpfront.List{})); d != "" {
@@ -105,7 +105,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	read, err := parseExclusions(compatibility.Elsewhere.Check(t, "exclusions.json", encoded))
+	read, err := parseExclusions(compatibility.PackageFolder.Check(t, "exclusions.json", encoded))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/system/agent/compatibility_test.go
+++ b/internal/system/agent/compatibility_test.go
@@ -28,5 +28,5 @@
 		return strings.Contains(string(page.Bytes()), `cinderroad_agent_feed_age_seconds{partition="2"} `)
 	})
 	values := regexp.MustCompile(`(?m)^# HELP.*\n| [-+.0-9eInf]+$`)
-	compatibility.Elsewhere.Check(t, "figures.txt", values.ReplaceAll(page.Bytes(), nil))
+	compatibility.PackageFolder.Check(t, "figures.txt", values.ReplaceAll(page.Bytes(), nil))
 }
--- a/internal/system/agent/fallback/poller.go
+++ b/internal/system/agent/fallback/poller.go
@@ -29,9 +29,9 @@
 	case Idle:
 		return "idle"
 	case Polling:
-		return "asking"
+		return "polling"
 	case Retaining:
-		return "holding"
+		return "retaining"
 	}
 	return "unknown"
 }
@@ -146,8 +146,8 @@
 	p.nextAt = now + time.Duration(p.random()*float64(p.interval(pace)))
 }
 
-// Next returns the time until the next poll is due. asking is false if none is.
-func (p *Poller) Next(now time.Duration) (wait time.Duration, asking bool) {
+// Next returns the time until the next poll is due. due is false if none is.
+func (p *Poller) Next(now time.Duration) (wait time.Duration, due bool) {
 	if p.state != Polling {
 		return 0, false
 	}
--- a/internal/system/agent/fallback/poller_test.go
+++ b/internal/system/agent/fallback/poller_test.go
@@ -17,13 +17,13 @@
 	poller := New(half)
 	pace := Pace{Agents: 10, CallsPerSecond: 100}
 	poller.Update(0, 0, pace)
-	if _, asking := poller.Next(0); asking || poller.State() != Idle {
+	if _, due := poller.Next(0); due || poller.State() != Idle {
 		t.Fatal("it asks although the feed is up to date")
 	}
 	poller.Update(time.Second, firstPartition, pace)
-	wait, asking := poller.Next(time.Second)
-	if !asking || wait != 500*time.Millisecond {
-		t.Fatalf("it asks: %v, after %v, want after 500ms", asking, wait)
+	wait, due := poller.Next(time.Second)
+	if !due || wait != 500*time.Millisecond {
+		t.Fatalf("a poll is due: %v, after %v, want after 500ms", due, wait)
 	}
 	poller.HandleList(2*time.Second, 1, pace)
 	if wait, _ := poller.Next(2 * time.Second); wait != time.Second {
@@ -37,7 +37,7 @@
 	if !poller.Update(time.Second, 0, Pace{}).IsEmpty() || poller.State() != Retaining {
 		t.Fatal("the list is dropped at once")
 	}
-	if _, asking := poller.Next(time.Second); asking {
+	if _, due := poller.Next(time.Second); due {
 		t.Error("it asks although the feed is up to date")
 	}
 	poller.Update(2*time.Second, firstPartition, Pace{})
@@ -124,7 +124,7 @@
 		for i := range calls {
 			now := time.Duration(i) * step
 			for _, poller := range pollers {
-				if wait, asking := poller.Next(now); asking && wait == 0 {
+				if wait, due := poller.Next(now); due && wait == 0 {
 					calls[i] += c.pages
 					poller.HandleList(now, c.pages, pace)
 				}
--- a/internal/system/agent/platformpoller.go
+++ b/internal/system/agent/platformpoller.go
@@ -72,9 +72,9 @@
 // run polls when a poll is due, until ctx ends.
 func (p *platformPoller) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		wait, asking := p.next()
+		wait, due := p.next()
 		switch {
-		case !asking:
+		case !due:
 			p.lister.Close()
 			p.wait(ctx, nil)
 		case wait > 0:
@@ -87,8 +87,8 @@
 	}
 }
 
-// next returns the time until the next poll; asking is false if none is due.
-func (p *platformPoller) next() (wait time.Duration, asking bool) {
+// next returns the time until the next poll; due is false if there is none.
+func (p *platformPoller) next() (wait time.Duration, due bool) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	return p.poller.Next(p.now())
--- a/internal/system/control/api/compatibility_test.go
+++ b/internal/system/control/api/compatibility_test.go
@@ -45,7 +45,7 @@
 	response := call(api, http.MethodGet, "/-/Settings.Read", "", "")
 	fmt.Fprintf(&transcript, "without a majority\n%d\nRetry-After: %s\n%s\n",
 		response.Code, response.Header().Get("Retry-After"), response.Body)
-	compatibility.Elsewhere.Check(t, "answers.txt", transcript.Bytes())
+	compatibility.PackageFolder.Check(t, "answers.txt", transcript.Bytes())
 }
 
 // TestRequestDigestsUnchanged pins the digests of requests: replicas store them to recognize requests that were accepted.
--- a/internal/system/control/compatibility_test.go
+++ b/internal/system/control/compatibility_test.go
@@ -19,5 +19,5 @@
 	var page exposition.Page
 	cluster.processes[0].writeMetrics(&page)
 	values := regexp.MustCompile(`(?m)^# HELP.*\n| [-+.0-9eInf]+$`)
-	compatibility.Elsewhere.Check(t, "figures.txt", values.ReplaceAll(page.Bytes(), nil))
+	compatibility.PackageFolder.Check(t, "figures.txt", values.ReplaceAll(page.Bytes(), nil))
 }
--- a/internal/system/placement/compatibility_test.go
+++ b/internal/system/placement/compatibility_test.go
@@ -12,7 +12,7 @@
 // TestSnapshotFormatIsStable checks that the snapshot, which an agent stores for the next incarnation of its proxy, keeps its
 // recorded form.
 func TestSnapshotFormatIsStable(t *testing.T) {
-	recorded := compatibility.Elsewhere.Check(t, "learnt", placerWithState(t).Snapshot())
+	recorded := compatibility.PackageFolder.Check(t, "learnt", placerWithState(t).Snapshot())
 	speeds, runners, err := decodeSnapshot(recorded)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/system/proxy/compatibility_test.go
+++ b/internal/system/proxy/compatibility_test.go
@@ -15,7 +15,7 @@
 		"reads":   {Kind: placement.NoticePrefill, RunnerKey: 0xfedcba9876543210, Tokens: 4000},
 		"answers": {Kind: placement.NoticeRecovery, RunnerKey: 9},
 	} {
-		recorded := compatibility.Elsewhere.Check(t, name, appendNotice(nil, notice))
+		recorded := compatibility.PackageFolder.Check(t, name, appendNotice(nil, notice))
 		if got, relayed, ok := parseNotice(recorded); !ok || relayed || got != notice {
 			t.Errorf("%s: %+v, %v, %v", name, got, relayed, ok)
 		}
@@ -34,5 +34,5 @@
 	if !strings.Contains(names, "cinderroad_proxy_ready gauge") {
 		t.Fatal(page)
 	}
-	compatibility.Elsewhere.Check(t, "figures.txt", []byte(names))
+	compatibility.PackageFolder.Check(t, "figures.txt", []byte(names))
 }
--- a/internal/system/replica/compatibility_test.go
+++ b/internal/system/replica/compatibility_test.go
@@ -69,9 +69,9 @@
 		t.Fatal("the batch was not packed")
 	}
 	read("now", packed)
-	read("recorded", &DeliverRequest{Packed: compatibility.Elsewhere.Record(t, "packed", packed.Packed)})
+	read("recorded", &DeliverRequest{Packed: compatibility.PackageFolder.Record(t, "packed", packed.Packed)})
 
 	plain := appendMessage(nil, want[0].Partition, &want[0].Message)
 	want = want[:1]
-	read("plain", &DeliverRequest{Messages: compatibility.Elsewhere.Check(t, "plain", plain)})
+	read("plain", &DeliverRequest{Messages: compatibility.PackageFolder.Check(t, "plain", plain)})
 }
