--- a/loadbalancer/attempts.go
+++ b/loadbalancer/attempts.go
@@ -28,8 +28,7 @@
 
 // attemptNext makes the next attempt, queues the request while no worker is eligible, or answers it.
 func (b *Balancer) attemptNext(now float64, request *requestState) {
-	if now >= request.Deadline-b.Tick || len(request.attempts) >= b.MaxAttempts ||
-		request.class.RetrySafety == RetryUnsafe && request.mayHaveRun() {
+	if !b.mayAttempt(now, request) {
 		b.answerWithoutWorker(now, request)
 		return
 	}
@@ -50,12 +49,21 @@
 	b.send(now, request, worker)
 }
 
+// mayAttempt reports whether there is time for another attempt, and one is left that the class allows.
+func (b *Balancer) mayAttempt(now float64, request *requestState) bool {
+	if now >= request.Deadline-b.Tick || len(request.attempts) >= b.MaxAttempts {
+		return false
+	}
+	return request.class.RetrySafety != RetryUnsafe || !request.mayHaveRun()
+}
+
 // handleJobStart learns from the start of a job: the latency of the zone, whether the worker had a free
 // slot, its limit.
 func (b *Balancer) handleJobStart(now float64, request *requestState, attempt *attemptState) {
 	attempt.startedAt = now
 	worker := attempt.worker
-	wait, latency := now-attempt.sentAt, &b.zoneLatencies[b.zoneOf(worker)]
+	wait := now - attempt.sentAt
+	latency := &b.zoneLatencies[b.zoneOf(worker)]
 	if *latency == 0 || wait < *latency {
 		*latency = wait
 	}
@@ -77,36 +85,41 @@
 
 // learnOutcome learns from the end of an attempt: pace, limits, errors.
 func (b *Balancer) learnOutcome(now float64, request *requestState, attempt *attemptState, result Result) {
-	worker, failure := attempt.worker, 0.0
+	worker := attempt.worker
 	switch result {
 	case OK:
-		runTime, waited := now-attempt.sentAt, 0.0
-		if attempt.startedAt > 0 {
-			runTime, waited = now-attempt.startedAt, attempt.startedAt-attempt.sentAt
-		}
-		b.learnPace(worker, runTime, request.cost)
-		worker.runTime = cmp.Or(worker.runTime, b.meanRunTime)*(1-learningRate) + runTime*learningRate
-		capacity.UpdateMean(&b.meanRunTime, runTime, clusterLearningRate)
-		if request.Work == 0 {
-			capacity.UpdateMean(&b.meanWork[request.Class], runTime, clusterLearningRate)
-		}
-		b.learnWait(false, worker, attempt.load, math.Max(now-request.target, 0))
-		if now <= request.target && waited <= lateStartShare*(request.target-request.arrivedAt) {
-			worker.limits.RecordSuccess(attempt.load, worker.slots)
-		} else if !b.ReportsStart { // else only a late start counts: a late end may be the job's size
-			worker.limits.RecordOverload(attempt.load, worker.slots)
-		}
+		b.learnSuccess(now, request, attempt)
+		b.recordOutcome(now, worker, 0)
 	case Rejected: // draining and the list lags, or overloaded: no slot comes free soon
 		worker.limits.RecordOverload(math.Max(attempt.load, worker.limits.Load), worker.slots)
 		b.eject(now, worker, rejectedEjectionShare*b.recoveryTime, "set aside: it takes nothing")
-		return
 	case Error, Reset, ConnectFailed:
 		worker.limits.RecordOverload(attempt.load, worker.slots)
-		failure = 1
-	default:
-		return
+		b.recordOutcome(now, worker, 1)
+	}
+}
+
+// learnSuccess learns from an attempt that served its job.
+func (b *Balancer) learnSuccess(now float64, request *requestState, attempt *attemptState) {
+	worker := attempt.worker
+	runTime := now - attempt.sentAt
+	waited := 0.0
+	if attempt.startedAt > 0 {
+		runTime = now - attempt.startedAt
+		waited = attempt.startedAt - attempt.sentAt
+	}
+	b.learnPace(worker, runTime, request.cost)
+	worker.runTime = cmp.Or(worker.runTime, b.meanRunTime)*(1-learningRate) + runTime*learningRate
+	capacity.UpdateMean(&b.meanRunTime, runTime, clusterLearningRate)
+	if request.Work == 0 {
+		capacity.UpdateMean(&b.meanWork[request.Class], runTime, clusterLearningRate)
+	}
+	b.learnWait(false, worker, attempt.load, math.Max(now-request.target, 0))
+	if now <= request.target && waited <= lateStartShare*(request.target-request.arrivedAt) {
+		worker.limits.RecordSuccess(attempt.load, worker.slots)
+	} else if !b.ReportsStart { // else only a late start counts: a late end may be the job's size
+		worker.limits.RecordOverload(attempt.load, worker.slots)
 	}
-	b.recordOutcome(now, worker, failure)
 }
 
 // recordOutcome counts a failure of a worker, 1, or a success, 0. One that fails fast looks empty and
@@ -129,11 +142,14 @@
 // again and feeds an overload.
 func (b *Balancer) hedge(now float64, request *requestState) {
 	attempt := request.lastInFlight()
-	waited, runTime := now-attempt.sentAt, request.cost*attempt.worker.pace
-	if !b.ParallelAttempts || !b.ReportsStart || b.hedgeBudget < 1 ||
-		request.class.RetrySafety == RetryUnsafe || attempt.startedAt > 0 ||
-		waited < lateStartShare*(request.target-attempt.sentAt-runTime) ||
-		now+waited+runTime < request.target {
+	if !b.mayHedge(request, attempt) {
+		return
+	}
+	waited := now - attempt.sentAt
+	runTime := request.cost * attempt.worker.pace
+	isLate := waited >= lateStartShare*(request.target-attempt.sentAt-runTime)
+	willMissTarget := now+waited+runTime >= request.target
+	if !isLate || !willMissTarget {
 		return
 	}
 	worker, rank := b.selectWorker(now, request)
@@ -142,3 +158,11 @@
 		b.send(now, request, worker)
 	}
 }
+
+// mayHedge reports whether a second attempt beside this one is allowed, and its budget is not spent.
+func (b *Balancer) mayHedge(request *requestState, attempt *attemptState) bool {
+	if !b.ParallelAttempts || !b.ReportsStart || b.hedgeBudget < 1 {
+		return false
+	}
+	return request.class.RetrySafety != RetryUnsafe && attempt.startedAt <= 0
+}
--- a/loadbalancer/balancer.go
+++ b/loadbalancer/balancer.go
@@ -44,34 +44,53 @@
 
 // Start begins; the list comes as a list event of its own. Call it once, before any other event.
 func (b *Balancer) Start(now float64) {
-	b.watchInterval, b.lastWatchAt = b.ListRefreshInterval/watchesPerRefresh, now
+	b.watchInterval = b.ListRefreshInterval / watchesPerRefresh
+	b.lastWatchAt = now
 	if b.ListOnRequest {
 		b.actions.Watch(true)
 	}
 	b.actions.SetTimer(sweepToken, now+b.sweepInterval)
 }
 
-// HandleTimer handles a timer that was set. The sweep's timer rebuilds the plan of the period and handles
-// requests that wait or are overdue, hedging, the list and probes.
+// HandleTimer handles a timer that was set: a request's own, or that of the sweep.
 func (b *Balancer) HandleTimer(now float64, token uint32) {
-	if request := b.requests[RequestID(token)]; request != nil && now >= request.Deadline-answerTicks*b.Tick {
+	if request := b.requests[RequestID(token)]; request != nil && b.isDue(now, request) {
 		b.answerWithoutWorker(now, request)
 	}
-	if token != sweepToken || now < b.nextSweepAt-b.Tick/2 { // clocks are rounded
-		return
+	clockTolerance := b.Tick / 2 // clocks are rounded
+	if token == sweepToken && now >= b.nextSweepAt-clockTolerance {
+		b.sweep(now)
 	}
+}
+
+// isDue reports whether the request must be answered now, to be in time for its deadline.
+func (b *Balancer) isDue(now float64, request *requestState) bool {
+	return now >= request.Deadline-answerTicks*b.Tick
+}
+
+// sweep does the work of a monitoring period: it rebuilds the plan, and handles requests that wait or are
+// overdue, hedging, the list and probes.
+func (b *Balancer) sweep(now float64) {
 	b.nextSweepAt = now + b.sweepInterval
 	b.actions.SetTimer(sweepToken, b.nextSweepAt)
 	if now >= b.viewChosenAt+b.recoveryTime/viewsPerRecovery {
 		b.chooseView(now)
 	}
-	if now >= b.plannedAt+b.sweepInterval*math.Floor(float64(len(b.workers))/workersPerPlan) {
+	planInterval := b.sweepInterval * math.Floor(float64(len(b.workers))/workersPerPlan)
+	if now >= b.plannedAt+planInterval {
 		b.rebuildPlan(now)
 	}
+	b.sweepUnanswered(now)
+	b.renewWatch(now)
+	b.sendProbes(now)
+}
+
+// sweepUnanswered handles the requests without an answer, from the last one on: handling one may remove it.
+func (b *Balancer) sweepUnanswered(now float64) {
 	for i := len(b.unanswered) - 1; i >= 0; i-- {
 		request := b.unanswered[i]
 		switch {
-		case now >= request.Deadline-answerTicks*b.Tick:
+		case b.isDue(now, request):
 			b.answerWithoutWorker(now, request)
 		case request.inFlight == 0:
 			b.attemptNext(now, request)
@@ -79,6 +98,4 @@
 			b.hedge(now, request)
 		}
 	}
-	b.renewWatch(now)
-	b.sendProbes(now)
 }
--- a/loadbalancer/eligibility.go
+++ b/loadbalancer/eligibility.go
@@ -5,17 +5,26 @@
 
 // isEligible reports whether the rules allow this send.
 func (b *Balancer) isEligible(now float64, request *requestState, worker *workerState) bool {
-	if request.answered || now >= request.Deadline || len(request.attempts) >= b.MaxAttempts ||
-		request.inFlight > 0 && !b.ParallelAttempts || worker.State != Ready || !worker.canRun(request) {
+	switch {
+	case request.answered || now >= request.Deadline:
+		return false
+	case len(request.attempts) >= b.MaxAttempts:
+		return false
+	case request.inFlight > 0 && !b.ParallelAttempts:
+		return false
+	case worker.State != Ready || !worker.canRun(request):
+		return false
+	case !request.mayRepeatOn(now, worker):
 		return false
 	}
-	return request.mayRepeatOn(now, worker) && b.slowStartBudgetLeft(now, worker) >= b.slowStartCost(request)
+	return b.slowStartBudgetLeft(now, worker) >= b.slowStartCost(request)
 }
 
 // mayRepeatOn reports whether every attempt that may have run may also be sent to the worker.
 func (r *requestState) mayRepeatOn(now float64, worker *workerState) bool {
 	for i := range r.attempts {
-		if attempt := &r.attempts[i]; attempt.mayHaveRun && !mayRepeat(now, r.class, attempt, worker) {
+		attempt := &r.attempts[i]
+		if attempt.mayHaveRun && !mayRepeat(now, r.class, attempt, worker) {
 			return false
 		}
 	}
--- a/loadbalancer/probing.go
+++ b/loadbalancer/probing.go
@@ -21,8 +21,11 @@
 	if !b.pollsReports() {
 		return
 	}
-	width := max(minViewWidth, int(b.arrivals*b.reportPeriod/math.Max(now-b.viewChosenAt, b.sweepInterval)))
-	b.arrivals, b.viewChosenAt = 0, now
+	sinceChoice := math.Max(now-b.viewChosenAt, b.sweepInterval)
+	arrivalsInPeriod := b.arrivals * b.reportPeriod / sinceChoice
+	width := max(minViewWidth, int(arrivalsInPeriod))
+	b.arrivals = 0
+	b.viewChosenAt = now
 	for _, ring := range b.viewRings() {
 		// The golden ratio spreads any run of numbers evenly.
 		_, fraction := math.Modf(float64(b.Instance) * math.Phi)
@@ -58,13 +61,7 @@
 		return
 	}
 	for b.probeBudget >= 1 {
-		var oldest *workerState
-		for _, worker := range b.workers {
-			if worker.State == Ready && worker.inView && now-worker.probedAt >= b.reportPeriod/2 &&
-				(oldest == nil || worker.probedAt < oldest.probedAt) {
-				oldest = worker
-			}
-		}
+		oldest := b.nextToProbe(now)
 		if oldest == nil {
 			return
 		}
@@ -73,3 +70,14 @@
 		b.actions.Probe(oldest.ID)
 	}
 }
+
+// nextToProbe returns the worker in view that was not polled for longest; nil if all were polled recently.
+func (b *Balancer) nextToProbe(now float64) (oldest *workerState) {
+	for _, worker := range b.workers {
+		isDue := worker.State == Ready && worker.inView && now-worker.probedAt >= b.reportPeriod/2
+		if isDue && (oldest == nil || worker.probedAt < oldest.probedAt) {
+			oldest = worker
+		}
+	}
+	return oldest
+}
--- a/loadbalancer/rejection.go
+++ b/loadbalancer/rejection.go
@@ -45,8 +45,10 @@
 // mayReject reports whether a rejection, which promises that a retry is harmless, is allowed.
 func (b *Balancer) mayReject(request *requestState) bool {
 	class := request.class
-	return class.RetrySafety == RetrySafe || !request.mayHaveRun() ||
-		class.RetrySafety == RetryDeduplicated && class.DedupScope == DedupAll
+	if class.RetrySafety == RetrySafe || !request.mayHaveRun() {
+		return true
+	}
+	return class.RetrySafety == RetryDeduplicated && class.DedupScope == DedupAll
 }
 
 // answerWithoutWorker gives the one final answer: a rejection if that is known to be harmless, else a
--- a/loadbalancer/selection.go
+++ b/loadbalancer/selection.go
@@ -26,8 +26,8 @@
 		return rankEjected
 	case request.hasTried(worker):
 		return rankTried
-	case now+request.cost*worker.pace > request.target && worker.pace > peerFactor*b.meanPace:
-		return rankTooSlow // so much slower than its peers that this job would be late even alone
+	case b.isTooSlow(now, request, worker):
+		return rankTooSlow
 	case worker.spareSlots < request.slotsNeeded:
 		return rankNoSpare
 	case b.zoneOf(worker) != b.Zone:
@@ -36,6 +36,12 @@
 	return rankSpareLocal
 }
 
+// isTooSlow reports whether a worker is so much slower than its peers that the job would be late even alone.
+func (b *Balancer) isTooSlow(now float64, request *requestState, worker *workerState) bool {
+	runTime := request.cost * worker.pace
+	return now+runTime > request.target && worker.pace > peerFactor*b.meanPace
+}
+
 // selectWorker selects the eligible worker with the most spare capacity, in the own zone first, then in
 // the nearest; if none has any, the one least over its limit. Ties are broken at random. It returns nil
 // if no worker is eligible.
@@ -57,11 +63,14 @@
 // tieBreak orders workers that report nothing: at random, in proportion to their weights in the list. The
 // greatest of log(weight) plus Gumbel noise, -log(-log(uniform)), is each worker's with that probability.
 func (b *Balancer) tieBreak(worker *workerState) float64 {
-	uniform, weight := (float64(b.random.Next()>>11)+0.5)/(1<<53), 1.0
+	const mantissaBits = 53
+	uniform := (float64(b.random.Next()>>(64-mantissaBits)) + 0.5) / (1 << mantissaBits)
+	weight := 1.0
 	if worker.Weight > 0 && isFinite(worker.Weight) {
 		weight = worker.Weight / b.meanWeight
 	}
-	return tieWidth * (math.Log(weight) - math.Log(-math.Log(uniform)))
+	noise := -math.Log(-math.Log(uniform))
+	return tieWidth * (math.Log(weight) + noise)
 }
 
 // distance is the latency of the worker's zone in steps of an eighth of the tightest objective: zones
@@ -74,7 +83,10 @@
 // full one may be so slow that it starts it last.
 func (b *Balancer) soonestStart(now float64, request *requestState) (best *workerState) {
 	for _, worker := range b.workers {
-		if !b.isEligible(now, request, worker) || b.rank(now, request, worker) > rankNoSpare {
+		if !b.isEligible(now, request, worker) {
+			continue
+		}
+		if b.rank(now, request, worker) > rankNoSpare {
 			continue
 		}
 		if best == nil || b.expectedWait(worker, request) < b.expectedWait(best, request) {
--- a/loadbalancer/slow_start.go
+++ b/loadbalancer/slow_start.go
@@ -81,7 +81,8 @@
 func (b *Balancer) slowStartSpent(now float64, worker *workerState) float64 {
 	span := int64(math.Floor(now / (b.OverloadWindow / spansPerWindow)))
 	if span-worker.sentSpan >= int64(len(worker.sentWork)) {
-		worker.sentWork, worker.sentSpan = [4]float64{}, span
+		worker.sentWork = [4]float64{}
+		worker.sentSpan = span
 	}
 	for worker.sentSpan < span {
 		worker.sentSpan++
