--- a/internal/dispatcher/server/cluster_metrics.go
+++ b/internal/dispatcher/server/cluster_metrics.go
@@ -63,18 +63,15 @@
 	stats := func(get func(membership.Stats) uint64) func(*cluster.Cluster) uint64 {
 		return func(c *cluster.Cluster) uint64 { return get(c.Stats()) }
 	}
-	add.gauge("members_alive", "members", "Members in state alive, including this one.", func(c *cluster.Cluster) float64 {
-		alive, _, _ := c.CountByState()
-		return float64(alive)
-	})
-	add.gauge("members_suspect", "members", "Members in state suspect.", func(c *cluster.Cluster) float64 {
-		_, suspect, _ := c.CountByState()
-		return float64(suspect)
-	})
-	add.gauge("members_dead", "members", "Members in state dead that are not removed yet.", func(c *cluster.Cluster) float64 {
-		_, _, dead := c.CountByState()
-		return float64(dead)
-	})
+	members := func(choose func(alive, suspect, dead int) int) func(*cluster.Cluster) float64 {
+		return func(c *cluster.Cluster) float64 { return float64(choose(c.CountByState())) }
+	}
+	add.gauge("members_alive", "members", "Members in state alive, including this one.",
+		members(func(alive, _, _ int) int { return alive }))
+	add.gauge("members_suspect", "members", "Members in state suspect.",
+		members(func(_, suspect, _ int) int { return suspect }))
+	add.gauge("members_dead", "members", "Members in state dead that are not removed yet.",
+		members(func(_, _, dead int) int { return dead }))
 	add.gauge("instances", "members", "Dispatchers among which the slow-start quota is divided.",
 		func(c *cluster.Cluster) float64 { return float64(c.Share().Instances) })
 	add.gauge("part", "", "Fraction of its slow-start quota that this member uses; below 1 while others may not count it.",
--- a/internal/dispatcher/telemetry/period.go
+++ b/internal/dispatcher/telemetry/period.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"math"
+
+	"cinderroad/internal/shared/codec"
 )
 
 // Period is a closed period: the values of all series at its end.
@@ -37,7 +39,7 @@
 			b = binary.AppendUvarint(b, uint64(v)+formInteger)
 		default:
 			b = append(b, formFloat)
-			b = binary.LittleEndian.AppendUint32(b, math.Float32bits(float32(v)))
+			b = codec.AppendFloat32(b, float32(v))
 		}
 	}
 	return b
@@ -47,57 +49,57 @@
 
 // Reader decodes the values of a period one by one, so that the caller can pause.
 type Reader struct {
-	table *SeriesTable
-	input []byte // the values that were not read yet
-	index int    // of the next value's series
-	count int    // values of the period
-	err   error
+	table  *SeriesTable
+	fields codec.Reader // at the next value
+	index  int          // of the next value's series
+	count  int          // values of the period
+	err    error
 }
 
 // Read returns a reader at the first value.
 func (p *Period) Read() *Reader {
-	r := &Reader{table: p.Table}
-	n, size := binary.Uvarint(p.EncodedValues)
-	switch {
-	case size <= 0:
+	r := &Reader{table: p.Table, fields: codec.NewReader(p.EncodedValues)}
+	count := r.fields.Uvarint("count")
+	if _, truncated := r.fields.Malformed(); truncated {
 		r.err = errTruncated
-	case n > uint64(p.Table.Len()):
-		r.err = fmt.Errorf("telemetry: period of %d values, %d series are known", n, p.Table.Len())
-	default:
-		r.count = int(n)
-		r.input = p.EncodedValues[size:]
+		return r
 	}
+	if count > uint64(p.Table.Len()) {
+		r.err = fmt.Errorf("telemetry: period of %d values, %d series are known", count, p.Table.Len())
+		return r
+	}
+	r.count = int(count)
 	return r
 }
 
 // Next returns the next series that has a value; false at the end, or on an error, see Err.
 func (r *Reader) Next() (s Series, v float64, ok bool) {
 	for r.err == nil && r.index < r.count {
-		form, size := binary.Uvarint(r.input)
-		if size <= 0 {
+		value, present := r.readValue()
+		if _, truncated := r.fields.Malformed(); truncated {
 			r.err = errTruncated
 			break
 		}
-		r.input = r.input[size:]
 		r.index++
-		switch form {
-		case formAbsent:
-			continue
-		case formFloat:
-			if len(r.input) < 4 {
-				r.err = errTruncated
-				return Series{}, 0, false
-			}
-			v = float64(math.Float32frombits(binary.LittleEndian.Uint32(r.input)))
-			r.input = r.input[4:]
-		default:
-			v = float64(form - formInteger)
+		if present {
+			return r.table.Series(r.index - 1), value, true
 		}
-		return r.table.Series(r.index - 1), v, true
 	}
 	return Series{}, 0, false
 }
 
+// readValue decodes a value; false if the series has none.
+func (r *Reader) readValue() (value float64, present bool) {
+	switch form := r.fields.Uvarint("form"); form {
+	case formAbsent:
+		return 0, false
+	case formFloat:
+		return float64(r.fields.Float32("value")), true
+	default:
+		return float64(form - formInteger), true
+	}
+}
+
 // Err returns why Next ended early, or nil.
 func (r *Reader) Err() error { return r.err }
 
--- a/internal/system/consensus/encoding.go
+++ b/internal/system/consensus/encoding.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/binary"
 
-	"cinderroad/internal/system/codec"
+	"cinderroad/internal/shared/codec"
 )
 
 // The encodings are canonical: what decodes has one encoding only. Numbers are unsigned varints, byte fields follow their
--- a/internal/system/control/state/commands.go
+++ b/internal/system/control/state/commands.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/binary"
 
-	"cinderroad/internal/system/codec"
+	"cinderroad/internal/shared/codec"
 )
 
 // commandFormat is the version of the commands' encoding, their first byte.
--- a/internal/system/control/state/configuration.go
+++ b/internal/system/control/state/configuration.go
@@ -5,7 +5,7 @@
 	"strconv"
 	"time"
 
-	"cinderroad/internal/system/codec"
+	"cinderroad/internal/shared/codec"
 	"cinderroad/internal/system/feed"
 )
 
--- a/internal/system/control/state/errors.go
+++ b/internal/system/control/state/errors.go
@@ -3,7 +3,7 @@
 import (
 	"fmt"
 
-	"cinderroad/internal/system/codec"
+	"cinderroad/internal/shared/codec"
 )
 
 // FormatError says that a command, a result or a snapshot cannot be decoded. Usually it was written by a newer release.
--- a/internal/system/control/state/history.go
+++ b/internal/system/control/state/history.go
@@ -5,7 +5,7 @@
 	"encoding/binary"
 	"sort"
 
-	"cinderroad/internal/system/codec"
+	"cinderroad/internal/shared/codec"
 )
 
 // RetainedChanges is how many accepted changes are retained to recognize requests that are sent again. For a request
--- a/internal/system/control/state/result.go
+++ b/internal/system/control/state/result.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/binary"
 
-	"cinderroad/internal/system/codec"
+	"cinderroad/internal/shared/codec"
 )
 
 // Outcome says what became of a command. The values are part of the encoding of results.
--- a/internal/system/control/state/runners.go
+++ b/internal/system/control/state/runners.go
@@ -4,7 +4,7 @@
 	"encoding/binary"
 	"time"
 
-	"cinderroad/internal/system/codec"
+	"cinderroad/internal/shared/codec"
 	"cinderroad/internal/system/feed"
 )
 
--- a/internal/system/control/state/store.go
+++ b/internal/system/control/state/store.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"cinderroad/internal/system/codec"
+	"cinderroad/internal/shared/codec"
 	"cinderroad/internal/system/feed"
 )
 
--- a/internal/system/deflate/deflate.go
+++ b/internal/system/deflate/deflate.go
@@ -11,6 +11,8 @@
 	"encoding/binary"
 	"io"
 	"sync"
+
+	"cinderroad/internal/shared/codec"
 )
 
 const (
@@ -48,9 +50,11 @@
 // one above maxSize or above what the packed bytes can expand to. The reader may end before size bytes with an error, or
 // return more: the caller checks that.
 func Open(packed []byte, maxSize uint64) (size uint64, data io.Reader, ok bool) {
-	size, sizeBytes := binary.Uvarint(packed)
-	if sizeBytes <= 0 || size > maxSize || size > MaxRatio*uint64(len(packed)) {
+	fields := codec.NewReader(packed)
+	size = fields.Uvarint("size")
+	_, malformed := fields.Malformed()
+	if malformed || size > maxSize || size > MaxRatio*uint64(len(packed)) {
 		return 0, nil, false
 	}
-	return size, flate.NewReader(bytes.NewReader(packed[sizeBytes:])), true
+	return size, flate.NewReader(bytes.NewReader(fields.Rest())), true
 }
--- a/internal/system/discovery/runner_codec.go
+++ b/internal/system/discovery/runner_codec.go
@@ -6,7 +6,7 @@
 	"net/netip"
 	"time"
 
-	"cinderroad/internal/system/codec"
+	"cinderroad/internal/shared/codec"
 )
 
 // runnerFormatVersion is the first byte of an encoded runner.
--- a/internal/system/feed/digest.go
+++ b/internal/system/feed/digest.go
@@ -7,7 +7,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"cinderroad/internal/system/codec"
+	"cinderroad/internal/shared/codec"
 )
 
 // KeyRange is the range of keys from Start, included, to End, excluded; an empty End is no bound.
--- a/internal/system/feed/pack.go
+++ b/internal/system/feed/pack.go
@@ -10,7 +10,7 @@
 	"math"
 	"time"
 
-	"cinderroad/internal/system/codec"
+	"cinderroad/internal/shared/codec"
 	"cinderroad/internal/system/deflate"
 )
 
--- a/internal/system/feed/table_codec.go
+++ b/internal/system/feed/table_codec.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"cinderroad/internal/system/codec"
+	"cinderroad/internal/shared/codec"
 )
 
 // tableFormatVersion is the first byte of an encoded table.
--- a/internal/system/placement/snapshot.go
+++ b/internal/system/placement/snapshot.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"cinderroad/internal/shared/capacity"
-	"cinderroad/internal/system/codec"
+	"cinderroad/internal/shared/codec"
 )
 
 // snapshotVersion is the first byte of a snapshot. After it come the services, each a name and its prefill speed, and the
--- a/internal/system/processconfig/timing.go
+++ b/internal/system/processconfig/timing.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"cinderroad/internal/system/jsonfield"
+	"cinderroad/internal/system/shutdown"
 )
 
 // Timing holds the bounds of the deployment that the guarantees refer to. A field that the file lacks has the default
@@ -34,7 +35,7 @@
 		AckWithin:          5 * time.Second,
 		CatchUp:            4 * time.Second,
 		DrainWithin:        3 * time.Second,
-		GracePeriod:        8 * time.Second,
+		GracePeriod:        shutdown.DefaultGracePeriod,
 		ConfigWithin:       2500 * time.Millisecond,
 		Evacuate:           5 * time.Second,
 		TTLMax:             5 * time.Second,
--- a/internal/system/proxy/notice.go
+++ b/internal/system/proxy/notice.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/binary"
 
-	"cinderroad/internal/system/codec"
+	"cinderroad/internal/shared/codec"
 	"cinderroad/internal/system/placement"
 )
 
--- a/internal/system/replica/messages.go
+++ b/internal/system/replica/messages.go
@@ -4,7 +4,7 @@
 	"encoding/binary"
 	"errors"
 
-	"cinderroad/internal/system/codec"
+	"cinderroad/internal/shared/codec"
 	"cinderroad/internal/system/consensus"
 	"cinderroad/internal/system/feed"
 )
