Errors as types where callers tell them apart, log a field or show a remedy

server.ConfigError and gearman.ConfigError name file, line and key; PacketError and FrameError the kind; SystemError of the event loop operation and target; UnknownMemberError, NotDeadError and InvalidError of the membership; settings' errors are InvalidValueError throughout. Two messages that named several keys at once name the one at fault: the limits of connections in the settings, and functions and workers of the Gearman file.

--- a/internal/dispatcher/gearman/config.go
+++ b/internal/dispatcher/gearman/config.go
@@ -1,6 +1,7 @@
 package gearman
 
 import (
+	"errors"
 	"fmt"
 	"net/netip"
 	"slices"
@@ -17,6 +18,7 @@
 	Functions     []Function      `toml:"function"`
 	Workers       []WorkerNetwork `toml:"worker"` // the first one that contains a worker's address applies
 
+	path          string // of the file
 	listenAddress netip.AddrPort
 }
 
@@ -61,27 +63,56 @@
 	Deadlines []float64 // seconds, by class
 }
 
-// ReadConfig reads the operator's file, checks it against the settings and applies defaults. Errors name the file and
-// the entry at fault.
+// ConfigError is a problem of the file that turns the front on.
+type ConfigError struct {
+	Path string
+	Key  string // such as function[0].class; empty: the problem is not of a key
+	Err  error
+}
+
+// Error names the file and the key.
+func (e *ConfigError) Error() string {
+	if e.Key == "" {
+		return fmt.Sprintf("gearman: %s: %v", e.Path, e.Err)
+	}
+	return fmt.Sprintf("gearman: %s: %s: %v", e.Path, e.Key, e.Err)
+}
+
+// Unwrap returns what is wrong.
+func (e *ConfigError) Unwrap() error { return e.Err }
+
+// ReadConfig reads the operator's file, checks it against the settings and applies defaults. The error is a *ConfigError.
 func ReadConfig(path string, names SettingsNames) (*Config, error) {
 	var config Config
 	meta, err := toml.DecodeFile(path, &config)
 	if err != nil {
-		return nil, fmt.Errorf("gearman: %s: %w", path, err)
+		return nil, &ConfigError{Path: path, Err: err}
 	}
 	if unknown := meta.Undecoded(); len(unknown) > 0 {
-		return nil, fmt.Errorf("gearman: %s: unknown key %s", path, unknown[0])
+		return nil, &ConfigError{Path: path, Err: fmt.Errorf("unknown key %s", unknown[0])}
 	}
+	config.path = path
 	if err := config.validate(names); err != nil {
-		return nil, fmt.Errorf("gearman: %s: %w", path, err)
+		return nil, err
 	}
 	return &config, nil
 }
 
+// keyError returns the error for a key.
+func (c *Config) keyError(key string, err error) error {
+	return &ConfigError{Path: c.path, Key: key, Err: err}
+}
+
 // validate checks the file, applies defaults and resolves names to indices.
 func (c *Config) validate(names SettingsNames) (err error) {
 	if c.listenAddress, err = netip.ParseAddrPort(c.Listen); err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return c.keyError("listen", err)
+	}
+	if c.MaxJobs < 0 {
+		return c.keyError("max_jobs", errBelowZero)
+	}
+	if c.MaxBytes < 0 {
+		return c.keyError("max_bytes", errBelowZero)
 	}
 	if c.MaxJobs == 0 {
 		c.MaxJobs = defaultMaxJobs
@@ -89,41 +120,79 @@
 	if c.MaxBytes == 0 {
 		c.MaxBytes = defaultMaxBytes
 	}
-	if len(c.Functions) == 0 || c.MaxJobs < 0 || c.MaxBytes < 0 {
-		return fmt.Errorf("no function, or max_jobs or max_bytes below 0")
+	if err := c.validateFunctions(names); err != nil {
+		return err
+	}
+	return c.validateWorkers(names)
+}
+
+// Problems of keys.
+var (
+	errBelowZero = errors.New("is below 0")
+	errNoSection = errors.New("is missing; one at least is needed")
+	errDuplicate = errors.New("stands in another section already")
+	errDeadline  = errors.New("is not within 0 and the deadline of the class")
+)
+
+// validateFunctions checks the sections [[function]].
+func (c *Config) validateFunctions(names SettingsNames) error {
+	if len(c.Functions) == 0 {
+		return c.keyError("function", errNoSection)
 	}
 	seen := map[string]bool{}
 	for i := range c.Functions {
-		fn := &c.Functions[i]
-		fn.classIndex = slices.Index(names.Classes, fn.Class)
-		if fn.classIndex < 0 {
-			return fmt.Errorf("function %q: unknown class %q", fn.Name, fn.Class)
-		}
-		if fn.Name == "" || seen[fn.Name] || fn.Deadline < 0 || fn.Deadline > names.Deadlines[fn.classIndex] {
-			return fmt.Errorf("function %q: no name, named twice, or deadline_s not within the class's", fn.Name)
-		}
-		seen[fn.Name] = true
-		fn.deadline = fn.Deadline
-		if fn.deadline == 0 {
-			fn.deadline = names.Deadlines[fn.classIndex]
+		function := &c.Functions[i]
+		if key, err := function.validate(names); err != nil {
+			return c.keyError(fmt.Sprintf("function[%d].%s", i, key), err)
 		}
-		fn.backgroundDeadline = fn.BackgroundDeadline
-		if fn.backgroundDeadline <= 0 {
-			fn.backgroundDeadline = defaultBackgroundDeadlines * fn.deadline
+		if seen[function.Name] {
+			return c.keyError(fmt.Sprintf("function[%d].name", i), fmt.Errorf("%q %w", function.Name, errDuplicate))
 		}
+		seen[function.Name] = true
 	}
+	return nil
+}
+
+// validate checks a function, applies defaults and resolves its class; the key is that of the problem.
+func (f *Function) validate(names SettingsNames) (key string, err error) {
+	f.classIndex = slices.Index(names.Classes, f.Class)
+	switch {
+	case f.Name == "":
+		return "name", errors.New("is empty")
+	case f.classIndex < 0:
+		return "class", fmt.Errorf("unknown class %q", f.Class)
+	case f.Deadline < 0 || f.Deadline > names.Deadlines[f.classIndex]:
+		return "deadline_s", fmt.Errorf("%v %w", f.Deadline, errDeadline)
+	}
+	f.deadline = f.Deadline
+	if f.deadline == 0 {
+		f.deadline = names.Deadlines[f.classIndex]
+	}
+	f.backgroundDeadline = f.BackgroundDeadline
+	if f.backgroundDeadline <= 0 {
+		f.backgroundDeadline = defaultBackgroundDeadlines * f.deadline
+	}
+	return "", nil
+}
+
+// validateWorkers checks the sections [[worker]].
+func (c *Config) validateWorkers(names SettingsNames) (err error) {
 	if len(c.Workers) == 0 {
-		return fmt.Errorf("no [[worker]] section: the location of workers is not configured")
+		return c.keyError("worker", fmt.Errorf("%w: the location of workers is not configured", errNoSection))
 	}
 	for i := range c.Workers {
 		network := &c.Workers[i]
+		errorAt := func(key string, err error) error { return c.keyError(fmt.Sprintf("worker[%d].%s", i, key), err) }
 		if network.prefix, err = netip.ParsePrefix(network.Network); err != nil {
-			return fmt.Errorf("worker %d: network: %w", i, err)
+			return errorAt("network", err)
 		}
 		network.zoneIndex = slices.Index(names.Zones, network.Zone)
+		if network.zoneIndex < 0 {
+			return errorAt("zone", fmt.Errorf("unknown zone %q", network.Zone))
+		}
 		network.kindIndex = slices.Index(names.Kinds, network.Kind)
-		if network.zoneIndex < 0 || network.kindIndex < 0 {
-			return fmt.Errorf("worker %d: unknown zone %q or kind %q", i, network.Zone, network.Kind)
+		if network.kindIndex < 0 {
+			return errorAt("kind", fmt.Errorf("unknown kind %q", network.Kind))
 		}
 	}
 	return nil
--- a/internal/dispatcher/gearman/packet.go
+++ b/internal/dispatcher/gearman/packet.go
@@ -116,6 +116,20 @@
 // ErrIncomplete is returned while the buffer holds only a prefix of a packet or line: call again with more bytes.
 var ErrIncomplete = errors.New("gearman: incomplete packet")
 
+// PacketError says that a packet or line is malformed. Its text is sent to the peer.
+type PacketError struct {
+	Kind   Kind // of the packet; 0: not known
+	Reason string
+}
+
+// Error names what is wrong, and the packet's type if it is known.
+func (e *PacketError) Error() string {
+	if e.Kind == 0 {
+		return "gearman: " + e.Reason
+	}
+	return fmt.Sprintf("gearman: packet type %d %s", e.Kind, e.Reason)
+}
+
 // Packet is one request to the server, with as many arguments as its kind has.
 type Packet struct {
 	Kind Kind
@@ -123,26 +137,26 @@
 }
 
 // Parse reads one request packet from the start of b and returns the number of bytes it takes up. It returns
-// ErrIncomplete if more bytes are needed. After any other error the stream has lost its framing: close the connection.
-// The error text is sent to the peer.
+// ErrIncomplete if more bytes are needed. After any other error, a *PacketError, the stream has lost its framing: close the
+// connection.
 func Parse(b []byte) (packet Packet, n int, err error) {
 	if len(b) < headerSize {
 		if !bytes.HasPrefix([]byte(requestMagic), b[:min(len(b), 4)]) && !bytes.HasPrefix(b, []byte(requestMagic)) {
-			return packet, 0, errors.New("gearman: bad magic")
+			return packet, 0, &PacketError{Reason: "bad magic"}
 		}
 		return packet, 0, ErrIncomplete
 	}
 	if string(b[:4]) != requestMagic {
-		return packet, 0, errors.New("gearman: bad magic")
+		return packet, 0, &PacketError{Reason: "bad magic"}
 	}
 	packet.Kind = Kind(binary.BigEndian.Uint32(b[4:]))
 	wantArgs, known := argumentCounts[packet.Kind]
 	if !known {
-		return packet, 0, fmt.Errorf("gearman: packet type %d is none that a server gets", packet.Kind)
+		return packet, 0, &PacketError{packet.Kind, "is none that a server gets"}
 	}
 	size := binary.BigEndian.Uint32(b[8:])
 	if size > maxPacketBytes {
-		return packet, 0, fmt.Errorf("gearman: packet of %d bytes", size)
+		return packet, 0, &PacketError{Reason: fmt.Sprintf("packet of %d bytes", size)}
 	}
 	n = headerSize + int(size)
 	if len(b) < n {
@@ -151,13 +165,13 @@
 	body := string(b[headerSize:n])
 	if wantArgs == 0 {
 		if body != "" {
-			return packet, 0, fmt.Errorf("gearman: packet type %d takes no argument", packet.Kind)
+			return packet, 0, &PacketError{packet.Kind, "takes no argument"}
 		}
 		return packet, n, nil
 	}
 	packet.Args = strings.SplitN(body, "\x00", wantArgs)
 	if len(packet.Args) != wantArgs {
-		return packet, 0, fmt.Errorf("gearman: packet type %d has %d arguments, wants %d", packet.Kind, len(packet.Args), wantArgs)
+		return packet, 0, &PacketError{packet.Kind, fmt.Sprintf("has %d arguments, wants %d", len(packet.Args), wantArgs)}
 	}
 	for i, arg := range packet.Args {
 		limit := maxNameBytes
@@ -165,13 +179,13 @@
 			limit = maxDataBytes
 		}
 		if len(arg) > limit {
-			return packet, 0, fmt.Errorf("gearman: argument %d of packet type %d is too long", i, packet.Kind)
+			return packet, 0, &PacketError{packet.Kind, fmt.Sprintf("has argument %d, which is too long", i)}
 		}
 	}
 	switch packet.Kind {
 	case CanDo, CantDo, CanDoTimeout, SubmitJob, SubmitJobBg, SubmitJobHigh, SubmitJobHighBg, SubmitJobLow, SubmitJobLowBg, SubmitJobEpoch:
 		if packet.Args[0] == "" || strings.ContainsAny(packet.Args[0], "\x00\n\t") {
-			return packet, 0, fmt.Errorf("gearman: packet type %d names no function", packet.Kind)
+			return packet, 0, &PacketError{packet.Kind, "names no function"}
 		}
 	}
 	return packet, n, nil
@@ -199,12 +213,12 @@
 }
 
 // ParseLine splits one line of the administrators' text protocol into words and returns the number of bytes it takes
-// up. It returns ErrIncomplete if the line's end has not arrived; any other error is final.
+// up. It returns ErrIncomplete if the line's end has not arrived; any other error, a *PacketError, is final.
 func ParseLine(b []byte) (words []string, n int, err error) {
 	end := bytes.IndexByte(b, '\n')
 	if end < 0 {
 		if len(b) > maxLineBytes {
-			return nil, 0, errors.New("gearman: line too long")
+			return nil, 0, &PacketError{Reason: "line too long"}
 		}
 		return nil, 0, ErrIncomplete
 	}
--- a/internal/dispatcher/handover/frame.go
+++ b/internal/dispatcher/handover/frame.go
@@ -43,6 +43,20 @@
 	errVersion    = errors.New("handover: another version")
 )
 
+// FrameError says that a frame is malformed: the other process runs an incompatible release, or is none of this program.
+type FrameError struct {
+	Kind   Kind // 0: not known
+	Reason string
+}
+
+// Error names what is wrong, and the frame's kind if it is known.
+func (e *FrameError) Error() string {
+	if e.Kind == 0 {
+		return "handover: " + e.Reason
+	}
+	return fmt.Sprintf("handover: frame of kind %d: %s", e.Kind, e.Reason)
+}
+
 // AppendFrame appends a frame to b.
 func AppendFrame(b []byte, kind Kind, body []byte) []byte {
 	b = append(b, magic, Version, byte(kind))
@@ -53,7 +67,7 @@
 // ParseFrame reads one frame from the start of b and returns how many bytes it took. The body aliases b.
 func ParseFrame(b []byte) (kind Kind, body []byte, size int, err error) {
 	if len(b) > 0 && b[0] != magic {
-		return 0, nil, 0, errors.New("handover: no frame")
+		return 0, nil, 0, &FrameError{Reason: "no frame"}
 	}
 	if len(b) > 1 && b[1] != Version {
 		return 0, nil, 0, errVersion
@@ -65,9 +79,9 @@
 	bodySize := binary.BigEndian.Uint32(b[3:])
 	switch {
 	case kind == 0 || kind >= lastKind:
-		return 0, nil, 0, fmt.Errorf("handover: kind %d", kind)
+		return 0, nil, 0, &FrameError{Reason: fmt.Sprintf("kind %d of frame", kind)}
 	case bodySize > maxBody:
-		return 0, nil, 0, fmt.Errorf("handover: frame of %d bytes", bodySize)
+		return 0, nil, 0, &FrameError{Kind: kind, Reason: fmt.Sprintf("frame of %d bytes", bodySize)}
 	case len(b)-headerSize < int(bodySize):
 		return 0, nil, 0, errIncomplete
 	}
--- a/internal/dispatcher/handover/link.go
+++ b/internal/dispatcher/handover/link.go
@@ -81,10 +81,10 @@
 func (l *Link) DecodeDescriptorFrame(body []byte, header any) (payload []byte, fd int, err error) {
 	fd, ok := l.conn.NextDescriptor()
 	if !ok {
-		return nil, -1, errors.New("handover: frame without its descriptor")
+		return nil, -1, &FrameError{Reason: "frame without its descriptor"}
 	}
 	if len(body) < lengthSize || len(body)-lengthSize < int(binary.BigEndian.Uint32(body)) {
-		return nil, fd, errors.New("handover: short frame")
+		return nil, fd, &FrameError{Reason: "short frame"}
 	}
 	end := lengthSize + binary.BigEndian.Uint32(body)
 	headerText, payload := body[lengthSize:end], body[end:]
@@ -166,7 +166,7 @@
 		return l.handler.HandleMessage(l, kind, body)
 	}
 	if len(body) < queryIDSize {
-		return errors.New("handover: short frame")
+		return &FrameError{Kind: kind, Reason: "short frame"}
 	}
 	query := binary.BigEndian.Uint64(body)
 	payload := body[queryIDSize:]
--- a/internal/dispatcher/server/config.go
+++ b/internal/dispatcher/server/config.go
@@ -79,6 +79,34 @@
 
 ` + Example)
 
+// ConfigError is a problem of the configuration file, or of a variable of the environment that takes its place.
+type ConfigError struct {
+	Path string // of the file
+	Line int    // from 1; 0: not known
+	Key  string // such as limits.sockets; empty: the problem is not of a key
+	Err  error
+}
+
+// Error names the file, the line and the key, as far as they are known.
+func (e *ConfigError) Error() string {
+	text := "config: " + e.Path
+	if e.Line > 0 {
+		text += ":" + strconv.Itoa(e.Line)
+	}
+	if e.Key != "" {
+		text += ": " + e.Key
+	}
+	return text + ": " + e.Err.Error()
+}
+
+// Unwrap returns what is wrong.
+func (e *ConfigError) Unwrap() error { return e.Err }
+
+// keyError returns the error for a key.
+func (c *Config) keyError(key string, err error) error {
+	return &ConfigError{Path: c.path, Key: key, Err: err}
+}
+
 // errorAtLine adds the line of a JSON text at which err occurred, if err tells its offset.
 func errorAtLine(path string, text []byte, err error) error {
 	var syntax *json.SyntaxError
@@ -91,9 +119,9 @@
 		offset = kind.Offset
 	}
 	if offset < 0 || offset > int64(len(text)) {
-		return fmt.Errorf("config: %s: %w", path, err)
+		return &ConfigError{Path: path, Err: err}
 	}
-	return fmt.Errorf("config: %s:%d: %w", path, 1+strings.Count(string(text[:offset]), "\n"), err)
+	return &ConfigError{Path: path, Line: 1 + strings.Count(string(text[:offset]), "\n"), Err: err}
 }
 
 // ReadGearman reads the file at path that turns the Gearman front on. Call it after [ReadConfig], whose classes, zones and
@@ -183,12 +211,12 @@
 	}
 	if fd := env("ROUTER_FD"); fd != "" {
 		if c.inheritedFD, err = strconv.Atoi(fd); err != nil || c.inheritedFD < firstInheritableFD {
-			return nil, fmt.Errorf("config: ROUTER_FD: %q is no descriptor to inherit", fd)
+			return nil, c.keyError("ROUTER_FD", fmt.Errorf("%q is no descriptor to inherit", fd))
 		}
 	}
 	if c.Seed != "" {
 		if c.seed, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
-			return nil, fmt.Errorf("config: seed: %w", err)
+			return nil, c.keyError("seed", err)
 		}
 	}
 	if err := c.parseSettings(); err != nil {
@@ -231,7 +259,7 @@
 			continue
 		}
 		if *address.parsed, err = netip.ParseAddrPort(address.text); err != nil {
-			return fmt.Errorf("config: %s: %w", address.name, err)
+			return c.keyError(address.name, err)
 		}
 	}
 	return nil
@@ -240,16 +268,19 @@
 // parseSettings reads the shared settings twice: for the balancer, and for what the dispatcher itself needs of them.
 func (c *Config) parseSettings() (err error) {
 	if c.balancerSettings, err = settings.Parse(c.Settings); err != nil {
-		return fmt.Errorf("config: %w", err)
+		return &ConfigError{Path: c.path, Err: err}
 	}
 	if _, err := loadbalancer.New(c.balancerSettings, c.seed, nil); err != nil { // checks them
-		return fmt.Errorf("config: %w", settings.Explain(err))
+		return &ConfigError{Path: c.path, Err: settings.Explain(err)}
 	}
 	if err := json.Unmarshal(c.Settings, &c.dispatcherSettings); err != nil {
-		return fmt.Errorf("config: settings: %w", err)
+		return c.keyError("settings", err)
+	}
+	if seconds := c.dispatcherSettings.Limits.ConnectTimeoutS; seconds <= 0 {
+		return c.keyError("settings.limits.connectTimeoutS", fmt.Errorf("%v is not above 0", seconds))
 	}
-	if c.dispatcherSettings.Limits.ConnectTimeoutS <= 0 || c.dispatcherSettings.Limits.ConnIdleS <= 0 {
-		return fmt.Errorf("config: settings: limits.connectTimeoutS and limits.connIdleS must be above 0")
+	if seconds := c.dispatcherSettings.Limits.ConnIdleS; seconds <= 0 {
+		return c.keyError("settings.limits.connIdleS", fmt.Errorf("%v is not above 0", seconds))
 	}
 	return nil
 }
@@ -260,10 +291,10 @@
 		c.Limits.Sockets = defaultSocketLimit
 	}
 	if c.Limits.Sockets <= reservedDescriptors {
-		return fmt.Errorf("config: limits.sockets: %d is too few", c.Limits.Sockets)
+		return c.keyError("limits.sockets", fmt.Errorf("%d is too few, more than %d are needed", c.Limits.Sockets, reservedDescriptors))
 	}
 	if c.Limits.MemoryMB < 0 {
-		return fmt.Errorf("config: limits.memory_mb: %d", c.Limits.MemoryMB)
+		return c.keyError("limits.memory_mb", fmt.Errorf("%d is below 0", c.Limits.MemoryMB))
 	}
 	return nil
 }
--- a/internal/dispatcher/settings/settings.go
+++ b/internal/dispatcher/settings/settings.go
@@ -5,6 +5,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"strconv"
 
 	"cinderroad/loadbalancer"
 )
@@ -106,10 +107,12 @@
 		OverQuotaValue:        document.OverShareWorth,
 	}
 	if document.NInstances < 1 {
-		return s, fmt.Errorf("settings: bad nInstances: %d; it is how many dispatchers share the workers, 1 at least", document.NInstances)
+		reason := fmt.Sprintf("%d; it is how many dispatchers share the workers, 1 at least", document.NInstances)
+		return s, &InvalidValueError{"nInstances", reason}
 	}
 	if document.Me < 0 || document.Me >= document.NInstances {
-		return s, fmt.Errorf("settings: bad me: %d; it counts from 0 and stays below nInstances, %d", document.Me, document.NInstances)
+		reason := fmt.Sprintf("%d; it counts from 0 and stays below nInstances, %d", document.Me, document.NInstances)
+		return s, &InvalidValueError{"me", reason}
 	}
 	var err error
 	if s.Classes, err = document.classes(); err != nil {
@@ -123,7 +126,7 @@
 	case "on_request":
 		s.ListOnRequest = true
 	default:
-		return s, fmt.Errorf("settings: bad membershipMode: %q", document.MembershipMode)
+		return s, &InvalidValueError{"membershipMode", strconv.Quote(document.MembershipMode)}
 	}
 	switch document.Report.Via {
 	case "piggyback", "pull":
@@ -133,7 +136,7 @@
 		}
 	case "silent", "":
 	default:
-		return s, fmt.Errorf("settings: bad report.via: %q", document.Report.Via)
+		return s, &InvalidValueError{"report.via", strconv.Quote(document.Report.Via)}
 	}
 	return s, nil
 }
@@ -143,11 +146,11 @@
 	for i, category := range d.Categories {
 		retrySafety, known := retrySafeties[category.Repeat]
 		if !known {
-			return nil, fmt.Errorf("settings: bad categories[%d].repeat: %q", i, category.Repeat)
+			return nil, &InvalidValueError{fmt.Sprintf("categories[%d].repeat", i), strconv.Quote(category.Repeat)}
 		}
 		scope, known := dedupScopes[category.DedupScope]
 		if !known {
-			return nil, fmt.Errorf("settings: bad categories[%d].dedupScope: %q", i, category.DedupScope)
+			return nil, &InvalidValueError{fmt.Sprintf("categories[%d].dedupScope", i), strconv.Quote(category.DedupScope)}
 		}
 		class := loadbalancer.Class{
 			Name:           category.Name,
--- a/internal/shared/eventloop/conn.go
+++ b/internal/shared/eventloop/conn.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 	"net/netip"
 	"time"
@@ -61,7 +60,7 @@
 		fd, err = begin()
 	}
 	if isDescriptorLimit(err) {
-		err = fmt.Errorf("eventloop: socket: %w", ErrNoDescriptor)
+		err = systemError("socket", ErrNoDescriptor)
 	}
 	if err != nil {
 		conn.failLater(err)
@@ -176,7 +175,7 @@
 // finishConnecting handles an event of a connection that is not established yet; false if it still isn't.
 func (c *Conn) finishConnecting(events uint32) bool {
 	if err := c.loop.system.SocketError(c.fd); err != nil {
-		c.fail(fmt.Errorf("eventloop: connect: %w", err))
+		c.fail(systemError("connect", err))
 		return false
 	}
 	if events&(unix.EPOLLOUT|unix.EPOLLIN) == 0 {
--- a/internal/shared/eventloop/conn_read.go
+++ b/internal/shared/eventloop/conn_read.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"io"
 
 	"golang.org/x/sys/unix"
@@ -78,7 +77,7 @@
 			c.notePeerClose()
 			c.fail(io.EOF)
 		default:
-			c.fail(fmt.Errorf("eventloop: read: %w", err))
+			c.fail(systemError("read", err))
 		}
 	}
 }
--- a/internal/shared/eventloop/conn_transfer.go
+++ b/internal/shared/eventloop/conn_transfer.go
@@ -1,8 +1,6 @@
 package eventloop
 
 import (
-	"fmt"
-
 	"golang.org/x/sys/unix"
 )
 
@@ -29,7 +27,7 @@
 	l.bufferedBytes += len(received)
 	if err := unix.SetNonblock(fd, true); err != nil {
 		conn.Close()
-		return fmt.Errorf("eventloop: adopt: %w", err)
+		return systemError("adopt", err)
 	}
 	if err := conn.register(unix.EPOLLIN | unix.EPOLLRDHUP); err != nil {
 		return err
--- a/internal/shared/eventloop/conn_write.go
+++ b/internal/shared/eventloop/conn_write.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 
 	"golang.org/x/sys/unix"
 )
@@ -60,7 +59,7 @@
 			return n, nil
 		}
 		if err != nil {
-			return n, fmt.Errorf("eventloop: write: %w", err)
+			return n, systemError("write", err)
 		}
 	}
 	return n, nil
--- a/internal/shared/eventloop/descriptor_passing.go
+++ b/internal/shared/eventloop/descriptor_passing.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 
 	"golang.org/x/sys/unix"
 )
@@ -79,7 +78,7 @@
 			continue
 		case errors.Is(err, unix.EAGAIN):
 		case err != nil:
-			return n, fmt.Errorf("eventloop: send: %w", err)
+			return n, systemError("send", err)
 		}
 		if sent <= 0 {
 			break
@@ -108,7 +107,7 @@
 	}
 	messages, err := unix.ParseSocketControlMessage(oob[:oobn])
 	if err != nil {
-		return 0, fmt.Errorf("eventloop: control message: %w", err)
+		return 0, systemError("control message", err)
 	}
 	for i := range messages {
 		if fds, err := unix.ParseUnixRights(&messages[i]); err == nil {
--- a/internal/shared/eventloop/kernel.go
+++ b/internal/shared/eventloop/kernel.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"net/netip"
 	"sync"
 	"time"
@@ -30,12 +29,12 @@
 func newKernel() (*kernel, error) {
 	epoll, err := unix.EpollCreate1(unix.EPOLL_CLOEXEC)
 	if err != nil {
-		return nil, fmt.Errorf("eventloop: epoll: %w", err)
+		return nil, systemError("epoll", err)
 	}
 	wake, err := unix.Eventfd(0, unix.EFD_NONBLOCK|unix.EFD_CLOEXEC)
 	if err != nil {
 		unix.Close(epoll)
-		return nil, fmt.Errorf("eventloop: eventfd: %w", err)
+		return nil, systemError("eventfd", err)
 	}
 	k := &kernel{epollFD: epoll, wakeFD: wake}
 	if err := k.Watch(unix.EPOLL_CTL_ADD, wake, unix.EpollEvent{Events: unix.EPOLLIN, Fd: wakeHandle}); err != nil {
@@ -50,7 +49,7 @@
 func (k *kernel) Wait(events []unix.EpollEvent, timeout int) (int, error) {
 	n, err := unix.EpollWait(k.epollFD, events, timeout)
 	if err != nil && !errors.Is(err, unix.EINTR) {
-		return 0, fmt.Errorf("eventloop: epoll wait: %w", err)
+		return 0, systemError("epoll wait", err)
 	}
 	return max(n, 0), nil
 }
@@ -72,7 +71,7 @@
 
 func (k *kernel) Watch(operation, fd int, event unix.EpollEvent) error {
 	if err := unix.EpollCtl(k.epollFD, operation, fd, &event); err != nil {
-		return fmt.Errorf("eventloop: epoll ctl: %w", err)
+		return systemError("epoll ctl", err)
 	}
 	return nil
 }
@@ -89,17 +88,17 @@
 	family, sa := sockaddr(addr)
 	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
-		return -1, fmt.Errorf("eventloop: socket: %w", err)
+		return -1, systemError("socket", err)
 	}
 	// a restarted process must get its address although connections of the previous one linger
 	_ = unix.SetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_REUSEADDR, 1)
 	if err := unix.Bind(fd, sa); err != nil {
 		unix.Close(fd)
-		return -1, fmt.Errorf("eventloop: bind %s: %w", addr, err)
+		return -1, systemErrorAt("bind", addr, err)
 	}
 	if err := unix.Listen(fd, acceptBacklog); err != nil {
 		unix.Close(fd)
-		return -1, fmt.Errorf("eventloop: listen %s: %w", addr, err)
+		return -1, systemErrorAt("listen", addr, err)
 	}
 	return fd, nil
 }
@@ -118,11 +117,11 @@
 func connectSocket(family int, sa unix.Sockaddr) (int, error) {
 	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
-		return -1, fmt.Errorf("eventloop: socket: %w", err)
+		return -1, systemError("socket", err)
 	}
 	if err := unix.Connect(fd, sa); err != nil && !errors.Is(err, unix.EINPROGRESS) {
 		unix.Close(fd)
-		return -1, fmt.Errorf("eventloop: connect: %w", err)
+		return -1, systemError("connect", err)
 	}
 	return fd, nil
 }
--- a/internal/shared/eventloop/listener.go
+++ b/internal/shared/eventloop/listener.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"net/netip"
 
 	"golang.org/x/sys/unix"
@@ -65,13 +64,13 @@
 // InheritListener accepts connections on a listening socket that this process has received and may share with others.
 func (l *Loop) InheritListener(fd int, newHandler func(c *Conn) Handler) (*Listener, error) {
 	if listening, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ACCEPTCONN); err != nil {
-		return nil, fmt.Errorf("eventloop: descriptor %d: %w", fd, err)
+		return nil, systemErrorAt("descriptor", fd, err)
 	} else if listening == 0 {
-		return nil, fmt.Errorf("eventloop: descriptor %d does not listen", fd)
+		return nil, systemErrorAt("descriptor", fd, errNotListening)
 	}
 	unix.CloseOnExec(fd)
 	if err := unix.SetNonblock(fd, true); err != nil {
-		return nil, fmt.Errorf("eventloop: descriptor %d: %w", fd, err)
+		return nil, systemErrorAt("descriptor", fd, err)
 	}
 	ln, err := l.listen(fd, newHandler)
 	if err == nil {
@@ -112,7 +111,7 @@
 func (ln *Listener) Dup() (int, error) {
 	fd, err := unix.FcntlInt(uintptr(ln.fd), unix.F_DUPFD_CLOEXEC, 0)
 	if err != nil {
-		return -1, fmt.Errorf("eventloop: dup: %w", err)
+		return -1, systemError("dup", err)
 	}
 	return fd, nil
 }
--- a/internal/shared/eventloop/udp_sender.go
+++ b/internal/shared/eventloop/udp_sender.go
@@ -16,11 +16,11 @@
 	family, sa := sockaddr(addr)
 	fd, err := unix.Socket(family, unix.SOCK_DGRAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
-		return nil, fmt.Errorf("eventloop: socket: %w", err)
+		return nil, systemError("socket", err)
 	}
 	if err := unix.Connect(fd, sa); err != nil {
 		unix.Close(fd)
-		return nil, fmt.Errorf("eventloop: connect %s: %w", addr, err)
+		return nil, systemErrorAt("connect", addr, err)
 	}
 	return &UDPSender{fd}, nil
 }
@@ -28,7 +28,7 @@
 // Send sends one datagram. The error may concern an earlier one.
 func (d *UDPSender) Send(b []byte) error {
 	if _, err := unix.Write(d.fd, b); err != nil {
-		return fmt.Errorf("eventloop: send: %w", err)
+		return systemError("send", err)
 	}
 	return nil
 }
--- a/internal/shared/eventloop/udp_socket.go
+++ b/internal/shared/eventloop/udp_socket.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"fmt"
 	"net/netip"
 
 	"golang.org/x/sys/unix"
@@ -27,11 +26,11 @@
 	family, sa := sockaddr(addr)
 	fd, err := unix.Socket(family, unix.SOCK_DGRAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
-		return nil, fmt.Errorf("eventloop: socket: %w", err)
+		return nil, systemError("socket", err)
 	}
 	if err := unix.Bind(fd, sa); err != nil {
 		unix.Close(fd)
-		return nil, fmt.Errorf("eventloop: bind %s: %w", addr, err)
+		return nil, systemErrorAt("bind", addr, err)
 	}
 	l.lastUDPSocket++ // handles of slots are above these numbers
 	socket := &UDPSocket{loop: l, id: l.lastUDPSocket, fd: fd, handler: handler}
@@ -53,7 +52,7 @@
 func (s *UDPSocket) SendTo(addr netip.AddrPort, b []byte) error {
 	_, sa := sockaddr(addr)
 	if err := unix.Sendto(s.fd, b, unix.MSG_DONTWAIT, sa); err != nil {
-		return fmt.Errorf("eventloop: send: %w", err)
+		return systemError("send", err)
 	}
 	return nil
 }
--- a/internal/shared/eventloop/unix_socket.go
+++ b/internal/shared/eventloop/unix_socket.go
@@ -38,13 +38,13 @@
 func (l *Loop) ListenUnix(path string, limit int, closeOne func() bool, newHandler func(c *Conn) Handler) (*Listener, error) {
 	fd, err := unix.Socket(unix.AF_UNIX, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
 	if err != nil {
-		return nil, fmt.Errorf("eventloop: socket: %w", err)
+		return nil, systemError("socket", err)
 	}
 	fresh := fmt.Sprintf("%s.%d", path, os.Getpid())
 	_ = os.Remove(fresh)
 	if err := withShortPath(fresh, func(short string) error {
 		if err := unix.Bind(fd, &unix.SockaddrUnix{Name: short}); err != nil {
-			return fmt.Errorf("eventloop: bind %s: %w", fresh, err)
+			return systemErrorAt("bind", fresh, err)
 		}
 		return nil
 	}); err != nil {
@@ -61,7 +61,7 @@
 	if err != nil {
 		unix.Close(fd)
 		_ = os.Remove(fresh)
-		return nil, fmt.Errorf("eventloop: listen %s: %w", path, err)
+		return nil, systemErrorAt("listen", path, err)
 	}
 	ln, err := l.listen(fd, newHandler)
 	if err != nil {
--- a/internal/shared/membership/codec.go
+++ b/internal/shared/membership/codec.go
@@ -2,21 +2,12 @@
 
 import (
 	"encoding/binary"
-	"errors"
 	"fmt"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
 )
 
-// Errors of Encode and Decode. ErrCorrupt is wrapped with its cause.
-var (
-	ErrOversized     = errors.New("membership: oversized")
-	ErrCorrupt       = errors.New("membership: broken")
-	ErrUnknownFormat = errors.New("membership: of another format")
-	ErrOtherCluster  = errors.New("membership: of another fleet")
-)
-
 var (
 	encMode = must(cbor.EncOptions{Sort: cbor.SortNone}.EncMode())
 	decMode = StrictDecMode(6, 32)
--- a/internal/shared/membership/lifecycle.go
+++ b/internal/shared/membership/lifecycle.go
@@ -1,7 +1,6 @@
 package membership
 
 import (
-	"fmt"
 	"math"
 	"net/netip"
 )
@@ -86,17 +85,17 @@
 	n.pingSeeds()
 }
 
-// DeclareLeft marks a dead member as left. The caller must know that its process has ended. It fails for a member in
-// any other state.
+// DeclareLeft marks a dead member as left. The caller must know that its process has ended. It returns an
+// *UnknownMemberError, or a *NotDeadError for a member in any other state.
 func (n *Node) DeclareLeft(now float64, name string) error {
 	peer := n.byName[name]
 	switch {
 	case peer == nil:
-		return fmt.Errorf("membership: nobody has the name %s", name)
+		return &UnknownMemberError{name}
 	case peer.State == Left:
 		return nil
 	case peer.State != Dead:
-		return fmt.Errorf("membership: %s is %s: only one that is dead can be declared gone", name, peer.State)
+		return &NotDeadError{name, peer.State}
 	}
 	n.now = now
 	record := peer.Record
--- a/internal/shared/membership/message.go
+++ b/internal/shared/membership/message.go
@@ -1,8 +1,6 @@
 package membership
 
-import (
-	"errors"
-)
+import ()
 
 // Kind is the purpose of a message.
 type Kind uint8
@@ -54,16 +52,16 @@
 // validate reports why a message is malformed. It bounds all that comes from the network.
 func (m *Message) validate() error {
 	if m.Kind == 0 || m.Kind >= kinds || len(m.Cluster) > maxClusterNameLength {
-		return errors.New("membership: unknown kind, or name of the cluster too long")
+		return &InvalidError{"unknown kind, or name of the cluster too long"}
 	}
 	if len(m.Records) > maxRecords || len(m.ShardDigests) != 0 && len(m.ShardDigests) != shardCount {
-		return errors.New("membership: too many records or digests")
+		return &InvalidError{"too many records or digests"}
 	}
 	if (m.Kind == Ack || m.Kind == IndirectPing || m.Kind == Nack) && m.Subject == nil {
-		return errors.New("membership: no subject")
+		return &InvalidError{"no subject"}
 	}
 	if len(m.Payload) > maxPayloadSize {
-		return errors.New("membership: payload too long")
+		return &InvalidError{"payload too long"}
 	}
 	if m.Subject != nil {
 		if err := m.Subject.validate(); err != nil {
--- a/internal/shared/membership/node_test.go
+++ b/internal/shared/membership/node_test.go
@@ -339,3 +339,18 @@
 		t.Error("the first message of the next generation is dropped")
 	}
 }
+
+// TestDeclareLeftErrors: callers can tell a name that nobody has from a member that is not dead.
+func TestDeclareLeftErrors(t *testing.T) {
+	node := newNode()
+	var unknown *membership.UnknownMemberError
+	if err := node.DeclareLeft(2, "b"); !errors.As(err, &unknown) || unknown.Name != "b" {
+		t.Errorf("a name that nobody has: %v", err)
+	}
+	from := membership.Record{Name: "a", Addr: testAddrs[1], Generation: 7}
+	node.HandleMessage(1, &membership.Message{Kind: membership.Update, Cluster: "f", Number: 1, From: from})
+	var notDead *membership.NotDeadError
+	if err := node.DeclareLeft(2, "a"); !errors.As(err, &notDead) || notDead.State != membership.Alive {
+		t.Errorf("a member that is alive: %v", err)
+	}
+}
--- a/internal/shared/membership/record.go
+++ b/internal/shared/membership/record.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"encoding/binary"
-	"errors"
 	"fmt"
 	"net/netip"
 
@@ -85,18 +84,18 @@
 func (r *Record) validate() error {
 	switch {
 	case r.Name == "" || len(r.Name) > MaxNameLength || len(r.SuspectedBy) > MaxNameLength:
-		return errors.New("membership: empty or too long name")
+		return &InvalidError{"empty or too long name"}
 	case !r.Addr.IsValid() || r.Addr.Port() == 0:
-		return errors.New("membership: no valid address")
+		return &InvalidError{"no valid address"}
 	case r.State >= states:
-		return errors.New("membership: unknown state")
+		return &InvalidError{"unknown state"}
 	case r.Generation == 0 || r.Incarnation >= maxIncarnation:
-		return errors.New("membership: generation or incarnation out of range")
+		return &InvalidError{"generation or incarnation out of range"}
 	case !(r.DeadFor >= 0 && r.DeadFor < 1e9):
-		return errors.New("membership: time out of range")
+		return &InvalidError{"time out of range"}
 	}
 	if r.Metadata != nil && !r.Metadata.isWithinBounds() {
-		return errors.New("membership: metadata too long or unknown")
+		return &InvalidError{"metadata too long or unknown"}
 	}
 	return nil
 }
