Exclusions: the file is written off the event loop

A goroutine writes the file now, one write at a time, and orders that come meanwhile share the next one; they are in force once they are on disk, as before.

--- a/internal/dispatcher/server/operator.go
+++ b/internal/dispatcher/server/operator.go
@@ -90,6 +90,9 @@
 	}
 }
 
+// errOrderNotWritten is the error of an order that the disk has not taken in time. It is carried out once the disk has.
+var errOrderNotWritten = errors.New("the disk has not taken it in time: send it again")
+
 // executeOrder carries an order out here and has the other process carry it out. It replies once that has answered, or after
 // orderTimeout: with 200 only if the order is in force in both.
 func (s *Server) executeOrder(order operatorOrder, reply admin.Reply) {
@@ -97,39 +100,46 @@
 		reply(503, "starting")
 		return
 	}
-	if err := s.applyOrder(order); err != nil {
-		s.log.Error("admin: failed to apply order", zap.String("action", order.Action), zap.Error(err))
-		reply(500, err.Error())
-		return
-	}
-	s.upgrade.forwardOrder(order, nil, func(err error) {
-		switch {
-		case err == nil:
-			reply(200, "done")
-		case errors.Is(err, errOrderUnconfirmed):
-			reply(503, err.Error())
-		default:
+	waitsForDisk := true
+	timeout := s.loop.At(s.loop.Now()+orderTimeout, func() {
+		if waitsForDisk {
+			reply(503, errOrderNotWritten.Error())
+			reply = func(int, string) {} // the operator has an answer
+		}
+	})
+	s.applyOrder(order, func(err error) {
+		waitsForDisk = false
+		timeout.Stop()
+		if err != nil {
+			s.log.Error("admin: failed to apply order", zap.String("action", order.Action), zap.Error(err))
 			reply(500, err.Error())
+			return
 		}
+		s.upgrade.forwardOrder(order, nil, func(err error) { replyToOrder(reply, err) })
 	})
 }
 
-// applyOrder carries an order out in this process. Exclusions are saved before they are applied, since an order that was
-// acknowledged must outlive the process.
-func (s *Server) applyOrder(order operatorOrder) error {
+// replyToOrder replies to an order that is in force in this process; err says whether it is in the others.
+func replyToOrder(reply admin.Reply, err error) {
+	switch {
+	case err == nil:
+		reply(200, "done")
+	case errors.Is(err, errOrderUnconfirmed):
+		reply(503, err.Error())
+	default:
+		reply(500, err.Error())
+	}
+}
+
+// applyOrder carries an order out in this process, and calls done once. Exclusions are saved before they are applied, since an
+// order that was acknowledged must outlive the process.
+func (s *Server) applyOrder(order operatorOrder, done func(error)) {
 	s.log.Info("admin: applying order "+order.Action, zap.String("member", order.Member))
 	switch order.Action {
 	case actionEvacuate, actionRejoin:
 		s.setEvacuated(order.Action == actionEvacuate, s.loop.Now())
-		return nil
-	}
-	exclusions := s.dispatcher.Exclusions()
-	if order.Exclusion != (dispatch.Exclusion{}) { // else it was not excluded, and there is nothing to include again
-		exclusions[order.Member] = order.Exclusion
-	}
-	if err := s.saveExclusions(exclusions); err != nil {
-		return err
+		done(nil)
+	default:
+		s.exclusions.add(order, done)
 	}
-	s.dispatcher.ApplyExclusions(exclusions)
-	return nil
 }
--- a/internal/dispatcher/server/server.go
+++ b/internal/dispatcher/server/server.go
@@ -54,6 +54,7 @@
 	admin      *admin.Server // nil: no second address
 	upgrade    *upgrade      // nil only while newServer has not built it
 	reporting  *reporting    // nil: no metrics leave, and no request log is written
+	exclusions *exclusionsWriter
 
 	cluster           *cluster.Cluster    // nil: not a member of one
 	metadata          membership.Metadata // of this member, as last published
@@ -145,6 +146,7 @@
 	if s.dispatcher, err = dispatch.New(config.balancerSettings, config.seed, clock{loop}); err != nil {
 		return nil, fmt.Errorf("config: %w", err)
 	}
+	s.exclusions = &exclusionsWriter{server: s}
 	s.dispatcher.Log = func(line string) { log.Info("balancer: " + line) }
 	s.connectDispatcher()
 	if s.reporting, err = newReporting(s); err != nil {
--- a/internal/dispatcher/server/upgrade_queries.go
+++ b/internal/dispatcher/server/upgrade_queries.go
@@ -21,11 +21,13 @@
 			answer(false)
 		}
 	case handover.Order:
-		var order operatorOrder
-		err := json.Unmarshal(body, &order)
-		if err == nil {
-			err = u.server.applyOrder(order)
-		}
+		u.handleOrder(link, body, answer)
+	}
+}
+
+// handleOrder carries out an order that the process at link was given.
+func (u *upgrade) handleOrder(link *handover.Link, body []byte, answer func(yes bool)) {
+	finish := func(order operatorOrder, err error) {
 		if err != nil {
 			u.server.log.Error("upgrade: failed to apply order of the other process", zap.Error(err))
 			answer(false)
@@ -33,6 +35,12 @@
 		}
 		u.forwardOrder(order, link, func(err error) { answer(err == nil) })
 	}
+	var order operatorOrder
+	if err := json.Unmarshal(body, &order); err != nil {
+		finish(order, err)
+		return
+	}
+	u.server.applyOrder(order, func(err error) { finish(order, err) })
 }
 
 // otherProcesses returns the links to the other processes of this dispatcher that can answer a query, except the one that
