Event loop: failing system calls; load balancer: drawn events, benchmarks at 10, 60 and 200 workers

TestFailingSystemCalls has each operation on sockets fail once, at each of its first calls. It found that the owner of a new connection which epoll could not watch (ENOMEM, ENOSPC) was never told: register closed it, and a closed connection reports nothing. Reading the other places: a listener that had paused for lack of descriptors stayed paused for good if it could not be watched again, and a connection whose events could not be changed would have waited for ever.

BenchmarkArrival runs at 10, 60 and 200 workers.

--- a/internal/shared/eventloop/conn.go
+++ b/internal/shared/eventloop/conn.go
@@ -78,15 +78,11 @@
 	return errors.Is(err, unix.EMFILE) || errors.Is(err, unix.ENFILE)
 }
 
-// register adds the connection to the loop and watches its events. It closes the connection if that fails.
+// register adds the connection to the loop and watches its events. The caller must close the connection if that fails.
 func (c *Conn) register(events uint32) error {
 	_ = unix.SetsockoptInt(c.fd, unix.IPPROTO_TCP, unix.TCP_NODELAY, 1)
 	c.handle = c.loop.conns.Insert(c)
-	if err := c.loop.watch(unix.EPOLL_CTL_ADD, c.fd, c.handle, events); err != nil {
-		c.Close()
-		return err
-	}
-	return nil
+	return c.loop.watch(unix.EPOLL_CTL_ADD, c.fd, c.handle, events)
 }
 
 // Open reports whether the connection still has its socket.
@@ -111,7 +107,8 @@
 	return errors.Is(err, unix.EAGAIN)
 }
 
-// updateEvents watches the events that the state of the connection calls for.
+// updateEvents watches the events that the state of the connection calls for. A connection that cannot be watched fails: nobody
+// would notice anything of it again.
 func (c *Conn) updateEvents() {
 	events := uint32(unix.EPOLLRDHUP)
 	if !c.paused && !c.stalled {
@@ -120,7 +117,9 @@
 	if c.awaitsWritable {
 		events |= unix.EPOLLOUT
 	}
-	_ = c.loop.watch(unix.EPOLL_CTL_MOD, c.fd, c.handle, events)
+	if err := c.loop.watch(unix.EPOLL_CTL_MOD, c.fd, c.handle, events); err != nil {
+		c.failLater(err)
+	}
 }
 
 // failLater reports a failure once the current event has been handled.
--- a/internal/shared/eventloop/conn_transfer.go
+++ b/internal/shared/eventloop/conn_transfer.go
@@ -30,6 +30,7 @@
 		return systemError("adopt", err)
 	}
 	if err := conn.register(unix.EPOLLIN | unix.EPOLLRDHUP); err != nil {
+		conn.Close()
 		return err
 	}
 	conn.handler = newHandler(conn)
--- a/internal/shared/eventloop/listener.go
+++ b/internal/shared/eventloop/listener.go
@@ -160,9 +160,11 @@
 		ln.reservedOpen++
 		ln.loop.reservedSockets++
 	}
-	if conn.register(unix.EPOLLIN|unix.EPOLLRDHUP) == nil {
-		conn.handler = ln.newHandler(conn)
+	if err := conn.register(unix.EPOLLIN | unix.EPOLLRDHUP); err != nil {
+		conn.Close()
+		return
 	}
+	conn.handler = ln.newHandler(conn)
 }
 
 // pauseAccepting leaves connections in the backlog for acceptPauseSeconds. Without a free descriptor the loop would
@@ -173,10 +175,17 @@
 	}
 	ln.paused = true
 	_ = ln.loop.watch(unix.EPOLL_CTL_MOD, ln.fd, ln.handle|listenerFlag, 0)
+	ln.resumeLater()
+}
+
+// resumeLater accepts connections again after acceptPauseSeconds, or later if the system cannot watch the listener then.
+func (ln *Listener) resumeLater() {
 	ln.loop.At(ln.loop.now+acceptPauseSeconds, func() {
-		ln.paused = false
-		if _, open := ln.loop.listeners.Get(ln.handle); open && !ln.suspended {
-			_ = ln.loop.watch(unix.EPOLL_CTL_MOD, ln.fd, ln.handle|listenerFlag, unix.EPOLLIN)
+		_, open := ln.loop.listeners.Get(ln.handle)
+		if open && !ln.suspended && ln.loop.watch(unix.EPOLL_CTL_MOD, ln.fd, ln.handle|listenerFlag, unix.EPOLLIN) != nil {
+			ln.resumeLater()
+			return
 		}
+		ln.paused = false
 	})
 }
--- a/loadbalancer/allocation_test.go
+++ b/loadbalancer/allocation_test.go
@@ -69,8 +69,11 @@
 	}
 }
 
+// benchmarkWorkers are the numbers of workers of a small deployment, of a cluster and of a large one.
+var benchmarkWorkers = []int{10, 60, 200}
+
 func BenchmarkArrival(b *testing.B) {
-	for _, workers := range []int{16, 256} {
+	for _, workers := range benchmarkWorkers {
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
 			step := arrivals(b, workers)
 			b.ReportAllocs()
@@ -82,7 +85,7 @@
 }
 
 func BenchmarkArrivalWithoutReports(b *testing.B) {
-	for _, workers := range []int{16, 256} {
+	for _, workers := range benchmarkWorkers {
 		b.Run(fmt.Sprint(workers), func(b *testing.B) {
 			step := arrivalsThat(b, workers, nil)
 			b.ReportAllocs()
--- a/loadbalancer/random_events_test.go
+++ b/loadbalancer/random_events_test.go
@@ -5,17 +5,25 @@
 	"math/rand"
 	"strings"
 	"testing"
+
+	"pgregory.net/rapid"
 )
 
 // playRandomEvents feeds a seeded sequence of ordinary and odd events; the recorder checks the rules all along. The order
 // in which events draw is recorded in testdata/replay.txt: it must not change.
-func playRandomEvents(t testing.TB, s Settings, seed int64, steps int) []string {
+func playRandomEvents(t reporter, s Settings, seed int64, steps int) []string {
+	t.Helper()
+	return playEvents(t, s, uint64(seed), rand.New(rand.NewSource(seed)), steps)
+}
+
+// playEvents feeds a sequence of events that rng draws to a balancer of a seed.
+func playEvents(t reporter, s Settings, seed uint64, rng *rand.Rand, steps int) []string {
 	t.Helper()
-	r := newRecorder(t, s, uint64(seed))
+	r := newRecorder(t, s, seed)
 	for i := 1; i <= 6; i++ {
 		r.list(ListDelta, Worker{ID: WorkerID(i), Zone: i % 2, Kind: i % 2, Cell: i % 3, State: Ready})
 	}
-	events := &randomEvents{recorder: r, rng: rand.New(rand.NewSource(seed)), nextID: 1}
+	events := &randomEvents{recorder: r, rng: rng, nextID: 1}
 	for i := 0; i < steps; i++ {
 		events.step()
 	}
@@ -169,6 +177,36 @@
 	}
 }
 
+// drawnSource is a source of random numbers that rapid draws, so that it can shrink a sequence which breaks a rule.
+type drawnSource struct{ t *rapid.T }
+
+func (s drawnSource) Int63() int64 { return rapid.Int64Min(0).Draw(s.t, "random") }
+
+func (s drawnSource) Seed(int64) {}
+
+// drawSettings draws settings from the variants and changes what the rules depend on.
+func drawSettings(t *rapid.T) Settings {
+	s := rapid.SampledFrom(variants()).Draw(t, "variant")
+	s.MaxAttempts = rapid.IntRange(1, 6).Draw(t, "attempts")
+	s.Instances = rapid.SampledFrom([]int{1, 3, 60, 300}).Draw(t, "instances")
+	s.Instance = rapid.IntRange(0, s.Instances-1).Draw(t, "instance")
+	s.ParallelAttempts = rapid.Bool().Draw(t, "parallel")
+	s.MayCancel = rapid.Bool().Draw(t, "cancel")
+	s.ReportsStart = rapid.Bool().Draw(t, "starts")
+	s.SlowStartDuration = rapid.SampledFrom([]float64{0, 1, 9}).Draw(t, "slow start")
+	return s
+}
+
+// TestDrawnEventsKeepInvariants: whatever comes, each request gets one final answer in time, and no send breaks a rule.
+func TestDrawnEventsKeepInvariants(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		settings := drawSettings(t)
+		seed := rapid.Uint64().Draw(t, "seed")
+		steps := rapid.IntRange(1, 80).Draw(t, "steps")
+		playEvents(t, settings, seed, rand.New(drawnSource{t}), steps)
+	})
+}
+
 func TestSameEventsSameActions(t *testing.T) {
 	for v, s := range variants() {
 		alone := playRandomEvents(t, s, 77, 800)
--- a/loadbalancer/recorder_test.go
+++ b/loadbalancer/recorder_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"testing"
 )
 
 // recordedSend is one send as the recorder saw it.
@@ -14,7 +13,7 @@
 
 // recorder carries out no action: it records them and checks the rules that bind each send.
 type recorder struct {
-	t        testing.TB
+	t        reporter
 	settings Settings
 	balancer *Balancer
 	now      float64
@@ -108,7 +107,15 @@
 	}
 }
 
-func newRecorder(t testing.TB, s Settings, seed uint64) *recorder {
+// reporter is what the recorder needs of a test: testing.TB and rapid.T have it.
+type reporter interface {
+	Helper()
+	Error(arguments ...any)
+	Errorf(format string, arguments ...any)
+	Fatal(arguments ...any)
+}
+
+func newRecorder(t reporter, s Settings, seed uint64) *recorder {
 	t.Helper()
 	r := &recorder{
 		t:        t,
