--- a/internal/dispatcher/cluster/jobreplica/errors.go
+++ b/internal/dispatcher/cluster/jobreplica/errors.go
@@ -11,6 +11,7 @@
 	RetryMS   int64 // when to try again
 }
 
+// Error names the voters in contact, and for how long there has been no leader.
 func (e *NoMajorityError) Error() string {
 	return fmt.Sprintf("job replica: no majority in reach: %d of %d voters in contact, no leader for %d ms",
 		e.Reachable, e.Voters, e.SilentMS)
@@ -28,6 +29,7 @@
 // Propose, must pass the command on to a member that holds one; this package does not.
 type NotReplicaError struct{}
 
+// Error says that this member holds no replica.
 func (e *NotReplicaError) Error() string { return "job replica: this member holds no replica" }
 
 // Code returns "not_a_copy".
@@ -43,6 +45,7 @@
 	Cause  error
 }
 
+// Error names the reason and its cause.
 func (e *StoppedError) Error() string {
 	return fmt.Sprintf("job replica: this replica has stopped: %s: %v", e.Reason, e.Cause)
 }
@@ -61,6 +64,7 @@
 // CommandTooLongError is returned for a command longer than Options.MaxCommandBytes.
 type CommandTooLongError struct{ Bytes, LimitBytes int }
 
+// Error names the size and the limit.
 func (e *CommandTooLongError) Error() string {
 	return fmt.Sprintf("job replica: a command of %d bytes exceeds the limit of %d", e.Bytes, e.LimitBytes)
 }
@@ -79,6 +83,7 @@
 	AppliedIndex uint64 // of the member that reported the replacement
 }
 
+// Error names the incarnation and since which index it is no replica.
 func (e *ReplacedError) Error() string {
 	return fmt.Sprintf("job replica: incarnation %d is no longer a replica as of index %d", e.ID, e.AppliedIndex)
 }
--- a/internal/dispatcher/cluster/jobstate/errors.go
+++ b/internal/dispatcher/cluster/jobstate/errors.go
@@ -16,6 +16,7 @@
 	RetryMS               int64  // time until space is expected to be free
 }
 
+// Error names whose limit is reached, the usage and the limit.
 func (e *StateFullError) Error() string {
 	if e.Tenant != "" {
 		return fmt.Sprintf("job state: tenant %q uses %d bytes of its limit of %d", e.Tenant, e.UsedBytes, e.LimitBytes)
@@ -34,6 +35,7 @@
 // JobTooLargeError is returned for a job that exceeds Limits.JobBytes by itself.
 type JobTooLargeError struct{ Bytes, LimitBytes int }
 
+// Error names the size and the limit.
 func (e *JobTooLargeError) Error() string {
 	return fmt.Sprintf("job state: a job of %d bytes exceeds the limit of %d", e.Bytes, e.LimitBytes)
 }
@@ -49,6 +51,7 @@
 // JobNotFoundError is returned for an ID that was never assigned, or whose result has expired.
 type JobNotFoundError struct{ ID uint64 }
 
+// Error names the job.
 func (e *JobNotFoundError) Error() string {
 	return fmt.Sprintf("job state: no job with ID %d", e.ID)
 }
@@ -69,6 +72,7 @@
 	Owner                       string // of the job; "": it waits
 }
 
+// Error names the job and both fencing tokens.
 func (e *FencedError) Error() string {
 	return fmt.Sprintf("job state: job %d has fencing token %d of %s, not %d", e.ID, e.CurrentToken, e.Owner, e.ExpectedToken)
 }
@@ -87,6 +91,7 @@
 	State JobState
 }
 
+// Error names the job and how it ended.
 func (e *JobEndedError) Error() string {
 	return fmt.Sprintf("job state: job %d has ended: %s", e.ID, e.State)
 }
@@ -106,6 +111,7 @@
 	Reason string
 }
 
+// Error names the job and why it is not sent again.
 func (e *MayHaveRunError) Error() string {
 	return fmt.Sprintf("job state: job %d of class %q may have run and is not sent again: %s", e.ID, e.Class, e.Reason)
 }
@@ -124,6 +130,7 @@
 	ID          uint64
 }
 
+// Error names the key and the job that has it.
 func (e *KeyConflictError) Error() string {
 	return fmt.Sprintf("job state: key %q of tenant %q names a different job, %d", e.Key, e.Tenant, e.ID)
 }
@@ -143,6 +150,7 @@
 	Cause         error
 }
 
+// Error names what could not be decoded, and its version.
 func (e *DecodeError) Error() string {
 	return fmt.Sprintf("job state: unreadable %s of version %d: %v", e.What, e.FormatVersion, e.Cause)
 }
--- a/internal/dispatcher/cluster/jobstate/job.go
+++ b/internal/dispatcher/cluster/jobstate/job.go
@@ -14,6 +14,7 @@
 
 var jobStateNames = map[JobState]string{Waiting: "waiting", Sent: "sent", Done: "done", Failed: "failed", Unknown: "unknown"}
 
+// String returns the name of the state, as clients see it.
 func (s JobState) String() string { return jobStateNames[s] }
 
 // Terminal reports whether the state is final.
--- a/internal/dispatcher/exporter/output.go
+++ b/internal/dispatcher/exporter/output.go
@@ -45,6 +45,7 @@
 	maxRetryDelay     = 10.0
 )
 
+// Stats implements Output.
 func (s *outputBase) Stats() OutputStats { return s.stats }
 
 func (s *outputBase) receiverCursor() *telemetry.Cursor { return s.cursor }
--- a/internal/dispatcher/httpfront/discovery_backoff.go
+++ b/internal/dispatcher/httpfront/discovery_backoff.go
@@ -41,6 +41,7 @@
 	retryAfter float64 // seconds; 0: none
 }
 
+// Error names the status of the response.
 func (e *rejectedError) Error() string { return "platform: discovery answered " + e.status }
 
 // responseError returns the error of an answer that is no list: a *rejectedError if discovery is overloaded.
--- a/internal/dispatcher/server/server.go
+++ b/internal/dispatcher/server/server.go
@@ -36,7 +36,10 @@
 // clock has the dispatcher's deadlines kept by the event loop.
 type clock struct{ loop *eventloop.Loop }
 
-func (c clock) Now() float64                            { return c.loop.Now() }
+// Now implements dispatch.Clock: the time of the loop's iteration.
+func (c clock) Now() float64 { return c.loop.Now() }
+
+// At implements dispatch.Clock.
 func (c clock) At(at float64, do func()) dispatch.Timer { return c.loop.At(at, do) }
 
 // Server is one dispatcher process. Times are seconds of the event loop's clock, which shows Unix time.
--- a/internal/shared/eventloop/kernel.go
+++ b/internal/shared/eventloop/kernel.go
@@ -44,8 +44,10 @@
 	return k, nil
 }
 
+// Now implements System: the monotonic clock of package time.
 func (k *kernel) Now() time.Time { return time.Now() }
 
+// Wait implements System: epoll_wait. A signal ends it without events.
 func (k *kernel) Wait(events []unix.EpollEvent, timeout int) (int, error) {
 	n, err := unix.EpollWait(k.epollFD, events, timeout)
 	if err != nil && !errors.Is(err, unix.EINTR) {
@@ -54,6 +56,7 @@
 	return max(n, 0), nil
 }
 
+// Wake implements System: it writes to an eventfd that epoll watches.
 func (k *kernel) Wake() {
 	k.wakeMutex.Lock()
 	defer k.wakeMutex.Unlock()
@@ -64,11 +67,13 @@
 	_, _ = unix.Write(k.wakeFD, one[:])
 }
 
+// ClearWake implements System: it reads the eventfd.
 func (k *kernel) ClearWake() {
 	var count [8]byte
 	_, _ = unix.Read(k.wakeFD, count[:])
 }
 
+// Watch implements System: epoll_ctl.
 func (k *kernel) Watch(operation, fd int, event unix.EpollEvent) error {
 	if err := unix.EpollCtl(k.epollFD, operation, fd, &event); err != nil {
 		return systemError("epoll ctl", err)
@@ -76,6 +81,7 @@
 	return nil
 }
 
+// Release implements System: it closes epoll and the eventfd.
 func (k *kernel) Release() {
 	k.wakeMutex.Lock()
 	defer k.wakeMutex.Unlock()
@@ -84,6 +90,7 @@
 	unix.Close(k.epollFD)
 }
 
+// Listen implements System, with SO_REUSEADDR.
 func (k *kernel) Listen(addr netip.AddrPort) (int, error) {
 	family, sa := sockaddr(addr)
 	fd, err := unix.Socket(family, unix.SOCK_STREAM|unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC, 0)
@@ -103,11 +110,13 @@
 	return fd, nil
 }
 
+// Accept implements System: accept4, for a descriptor that does not block.
 func (k *kernel) Accept(fd int) (int, error) {
 	accepted, _, err := unix.Accept4(fd, unix.SOCK_NONBLOCK|unix.SOCK_CLOEXEC)
 	return accepted, err
 }
 
+// Connect implements System: a non-blocking connect, whose end epoll reports.
 func (k *kernel) Connect(addr netip.AddrPort) (int, error) {
 	family, sa := sockaddr(addr)
 	return connectSocket(family, sa)
@@ -126,29 +135,37 @@
 	return fd, nil
 }
 
+// Address implements System: getsockname.
 func (k *kernel) Address(fd int) netip.AddrPort { return addrPortOf(unix.Getsockname(fd)) }
 
+// Read implements System: read, which does not block.
 func (k *kernel) Read(fd int, b []byte) (int, error) { return unix.Read(fd, b) }
 
+// Peek implements System: recv with MSG_PEEK.
 func (k *kernel) Peek(fd int) (int, error) {
 	var b [1]byte
 	n, _, err := unix.Recvfrom(fd, b[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
 	return n, err
 }
 
+// Discard implements System: recv with MSG_TRUNC, which consumes without copying.
 func (k *kernel) Discard(fd int, b []byte) (int, error) {
 	n, _, err := unix.Recvfrom(fd, b, unix.MSG_TRUNC|unix.MSG_DONTWAIT) // nothing is copied
 	return n, err
 }
 
+// Write implements System: write, which does not block.
 func (k *kernel) Write(fd int, b []byte) (int, error) { return unix.Write(fd, b) }
 
+// ShutdownWrite implements System: shutdown of the write side.
 func (k *kernel) ShutdownWrite(fd int) error { return unix.Shutdown(fd, unix.SHUT_WR) }
 
+// SetResetOnClose implements System: SO_LINGER of no time.
 func (k *kernel) SetResetOnClose(fd int) {
 	_ = unix.SetsockoptLinger(fd, unix.SOL_SOCKET, unix.SO_LINGER, &unix.Linger{Onoff: 1})
 }
 
+// SocketError implements System: SO_ERROR.
 func (k *kernel) SocketError(fd int) error {
 	code, err := unix.GetsockoptInt(fd, unix.SOL_SOCKET, unix.SO_ERROR)
 	if err == nil && code != 0 {
@@ -157,6 +174,8 @@
 	return err
 }
 
+// Unacknowledged implements System: SIOCOUTQ (tcp(7)).
 func (k *kernel) Unacknowledged(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.SIOCOUTQ) }
 
+// Close implements System. Its error is dropped: the descriptor is gone in any case.
 func (k *kernel) Close(fd int) { unix.Close(fd) }
--- a/internal/shared/httpwire/errors.go
+++ b/internal/shared/httpwire/errors.go
@@ -11,6 +11,7 @@
 	Reason string
 }
 
+// Error names what is wrong.
 func (e *SyntaxError) Error() string { return "httpwire: " + e.Reason }
 
 // NewSyntaxError creates a SyntaxError.
--- a/internal/system/policysim/baselines.go
+++ b/internal/system/policysim/baselines.go
@@ -55,12 +55,16 @@
 
 var _ Policy = (*baseline)(nil)
 
+// SetServices implements Policy. Baselines do not use what a service says of its runners.
 func (b *baseline) SetServices(time.Duration, []*configuration.Service) {}
 
+// SetRunners implements Policy.
 func (b *baseline) SetRunners(_ time.Duration, runners []placement.Runner) { b.runners = runners }
 
+// SetProxyCount implements Policy. Baselines share no budgets.
 func (b *baseline) SetProxyCount(time.Duration, int) {}
 
+// Place implements Policy: the baseline's choice among the eligible runners.
 func (b *baseline) Place(_ time.Duration, request *placement.Request) (placement.Choice, *placement.Rejection) {
 	allowed := b.eligibleRunners(request)
 	if len(allowed) == 0 {
@@ -94,24 +98,30 @@
 	return tried
 }
 
+// StartAttempt implements Policy: it counts the attempt at its runner.
 func (b *baseline) StartAttempt(_ time.Duration, r *placement.Request, c placement.Choice) *placement.Attempt {
 	b.attempts++
 	b.inFlight[c.Runner]++
 	return &placement.Attempt{ID: b.attempts, Runner: c.Runner, Request: r}
 }
 
+// HandleFirstEvent implements Policy. Baselines learn nothing from it.
 func (b *baseline) HandleFirstEvent(time.Duration, *placement.Attempt) {}
 
+// HandleEvent implements Policy. Baselines learn nothing from it.
 func (b *baseline) HandleEvent(time.Duration, *placement.Attempt) {}
 
+// EndAttempt implements Policy: the attempt no longer counts.
 func (b *baseline) EndAttempt(_ time.Duration, a *placement.Attempt, _ placement.Outcome, _ placement.Progress) {
 	b.inFlight[a.Runner]--
 }
 
+// MayRetry implements Policy. Baselines have no retry budget.
 func (b *baseline) MayRetry(now time.Duration, r *placement.Request) bool {
 	return r.MayRepeat(now)
 }
 
+// Tick implements Policy. Baselines have no periodic work.
 func (b *baseline) Tick(now time.Duration) time.Duration { return now + time.Second }
 
 // leastInFlight chooses the runner with the fewest requests of this proxy in flight; ties are broken at random.
--- a/internal/testkit/eventqueue/eventqueue.go
+++ b/internal/testkit/eventqueue/eventqueue.go
@@ -19,12 +19,21 @@
 
 type eventHeap []event
 
+// Len implements heap.Interface.
 func (h eventHeap) Len() int { return len(h) }
+
+// Less implements heap.Interface: by time, and in the order of addition at one time.
 func (h eventHeap) Less(i, j int) bool {
 	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].sequence < h[j].sequence
 }
+
+// Swap implements heap.Interface.
 func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-func (h *eventHeap) Push(v any)   { *h = append(*h, v.(event)) }
+
+// Push implements heap.Interface.
+func (h *eventHeap) Push(v any) { *h = append(*h, v.(event)) }
+
+// Pop implements heap.Interface.
 func (h *eventHeap) Pop() any {
 	old := *h
 	last := old[len(old)-1]
