--- a/cmd/cinderctl/main.go
+++ b/cmd/cinderctl/main.go
@@ -34,6 +34,10 @@
 	Settings string        `name:"settings" help:"Settings file that names the seeds, if --seed does not." env:"CINDERROAD_SETTINGS" placeholder:"FILE"`
 	Within   time.Duration `name:"within" help:"Timeout of a call with all its retries." default:"15s"`
 
+	// ShowVersion does what the command version does, as --version does at the other programs. It is hidden: the help
+	// texts stay as they were recorded.
+	ShowVersion kong.VersionFlag `name:"version" hidden:""`
+
 	Check   checkCommand   `cmd:"" name:"check" help:"Check configurations, changes of them, and settings files."`
 	Status  statusCommand  `cmd:"" name:"status" help:"Print members, partitions, leaders, evacuations and versions."`
 	Config  configCommand  `cmd:"" name:"config" help:"Read, replace or change the configuration."`
@@ -68,6 +72,7 @@
 	ended := -1
 	parser, err := kong.New(&flags, kong.Name("cinderctl"), kong.Writers(output, errOutput),
 		kong.Exit(func(status int) { ended = status }),
+		kong.Vars{"version": programVersion()},
 		kong.Description("Operator's tool of the system: checks files, reads state, sends change requests."))
 	if err != nil {
 		return fail(errOutput, err)
--- a/cmd/cinderctl/main_test.go
+++ b/cmd/cinderctl/main_test.go
@@ -17,6 +17,7 @@
 
 func TestVersion(t *testing.T) {
 	call("version").expect(t, exitOK, "cinderctl ")
+	call("--version").expect(t, exitOK, "cinderctl ")
 	call("--json", "version").expect(t, exitOK, `"go"`)
 }
 
--- a/cmd/cinderctl/version.go
+++ b/cmd/cinderctl/version.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"runtime"
 
 	"cinderroad/internal/shared/release"
@@ -20,5 +21,10 @@
 	if s.flags.JSON {
 		return s.printJSON(&report)
 	}
-	return s.printLine("cinderctl %s (%s)", report.Version, report.Go)
+	return s.printLine("%s", programVersion())
+}
+
+// programVersion returns the name, version and Go version of this program, as text.
+func programVersion() string {
+	return fmt.Sprintf("cinderctl %s (%s)", release.Name(), runtime.Version())
 }
--- a/cmd/cinderroad-dispatcher/main.go
+++ b/cmd/cinderroad-dispatcher/main.go
@@ -31,6 +31,7 @@
 		Use:           "cinderroad-dispatcher",
 		Short:         "Dispatch jobs to backends; every job gets one final answer",
 		Args:          cobra.NoArgs,
+		Version:       version(),
 		SilenceErrors: true,
 		SilenceUsage:  true,
 		RunE:          options.run,
@@ -56,6 +57,7 @@
 		Args:  cobra.NoArgs,
 		Run:   func(c *cobra.Command, _ []string) { fmt.Fprintln(c.OutOrStdout(), version()) },
 	})
+	root.SetVersionTemplate("{{.Version}}\n")
 	root.CompletionOptions.HiddenDefaultCmd = true
 	return root
 }
--- a/cmd/cinderroad-dispatcher/main_test.go
+++ b/cmd/cinderroad-dispatcher/main_test.go
@@ -158,3 +158,15 @@
 		t.Error(err)
 	}
 }
+
+// TestVersionFlag checks that --version prints what the command version prints.
+func TestVersionFlag(t *testing.T) {
+	byCommand, err := call("version")
+	if err != nil {
+		t.Fatal(err)
+	}
+	byFlag, err := call("--version")
+	if err != nil || byFlag != byCommand {
+		t.Errorf("%q, want %q; %v", byFlag, byCommand, err)
+	}
+}
--- a/cmd/cinderroad-emulator/day.go
+++ b/cmd/cinderroad-emulator/day.go
@@ -21,7 +21,7 @@
 	Load     float64       `name:"load" default:"0.5" help:"Factor applied to all request rates."`
 	Length   time.Duration `name:"length" default:"20s" help:"Duration of the traffic."`
 	Seed     uint64        `name:"seed" default:"1" help:"Seed of the random traffic."`
-	Trouble  []string      `name:"trouble" default:"drain,config" help:"Faults to inject, evenly spread over the day: none, ${troubles}."`
+	Trouble  []string      `name:"trouble" default:"drain,config" help:"Faults to inject, evenly spread over the day: none, ${faults}."`
 }
 
 // errDayFailed says that the report, which was printed before, is one of a failure.
--- a/cmd/cinderroad-simserver/main.go
+++ b/cmd/cinderroad-simserver/main.go
@@ -1,6 +1,6 @@
 // Command cinderroad-simserver runs the dispatcher's load balancers for a simulator: it reads batches of events from standard
 // input and writes one reply for each to standard output (package simwire). It ends with its input; on a malformed batch it
-// reports where on standard error and exits with status 1.
+// reports where on standard error and exits with status 1. With --version it prints its version instead.
 package main
 
 import (
@@ -11,12 +11,17 @@
 	"os"
 
 	"cinderroad/internal/dispatcher/simwire"
+	"cinderroad/internal/shared/release"
 )
 
 // outputBuffer is the size in bytes of the buffer of a reply.
 const outputBuffer = 1 << 16
 
 func main() {
+	if len(os.Args) == 2 && os.Args[1] == "--version" {
+		fmt.Println(release.Name())
+		return
+	}
 	if err := run(os.Stdin, os.Stdout); err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(1)
--- a/internal/system/emulator/emulation_test.go
+++ b/internal/system/emulator/emulation_test.go
@@ -72,7 +72,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, b := range report.Breaches {
+	for _, b := range report.Violations {
 		t.Error(b)
 	}
 	if report.Clients.Served == 0 {
--- a/internal/system/emulator/fleet_test.go
+++ b/internal/system/emulator/fleet_test.go
@@ -87,12 +87,12 @@
 		t.Run(test.name, func(t *testing.T) {
 			rs := newTestFleet(t)
 			test.do(t, rs, rs.pickRunner("api"))
-			breaches := rs.checker.Violations()
-			if test.want == "" && len(breaches) == 0 {
+			violations := rs.checker.Violations()
+			if test.want == "" && len(violations) == 0 {
 				return
 			}
-			if len(breaches) == 0 || breaches[0].Rule != test.want {
-				t.Errorf("%v, want %q", breaches, test.want)
+			if len(violations) == 0 || violations[0].Rule != test.want {
+				t.Errorf("%v, want %q", violations, test.want)
 			}
 		})
 	}
--- a/internal/system/emulator/report.go
+++ b/internal/system/emulator/report.go
@@ -19,7 +19,7 @@
 	Platform         fakeplatform.Stats
 	RepeatedRequests int // requests that were sent to another runner after a first one
 	Processes        []ProcessReport
-	Breaches         []checker.Violation
+	Violations       []checker.Violation
 	RunnerErrors     []error // of replacements that did not start; the system has to bear that they are missing
 	LogDir           string  // directory of the logs; empty: it was removed
 }
@@ -41,13 +41,13 @@
 			return true
 		}
 	}
-	return len(r.Breaches) > 0
+	return len(r.Violations) > 0
 }
 
-// Limits of requests that may be denied: maxDenied in all, and beyond these one in deniedDivisor calls.
+// Limits of valid requests that may be answered with a client error: maxClientErrors in all, and beyond these one in clientErrorsDivisor calls.
 const (
-	maxDenied     = 5
-	deniedDivisor = 500
+	maxClientErrors     = 5
+	clientErrorsDivisor = 500
 )
 
 // buildReport collects the results, after everything has been stopped.
@@ -58,12 +58,12 @@
 		Platform:         e.platform.Stats(),
 		RepeatedRequests: e.checker.Retries(),
 	}
-	denied := 0
+	clientErrors := 0
 	for _, route := range report.Clients.Routes {
-		denied += route.ClientErrors
+		clientErrors += route.ClientErrors
 	}
-	if denied > maxDenied+report.Clients.Calls/deniedDivisor {
-		e.checker.Report(checker.ValidRequestDenied, "%d of %d calls were answered with a 3xx or 4xx", denied, report.Clients.Calls)
+	if clientErrors > maxClientErrors+report.Clients.Calls/clientErrorsDivisor {
+		e.checker.Report(checker.ValidRequestDenied, "%d of %d calls were answered with a 3xx or 4xx", clientErrors, report.Clients.Calls)
 	}
 	for _, s := range report.Runners {
 		if s.SlowStartViolations > 0 {
@@ -81,14 +81,14 @@
 		})
 	}
 	report.RunnerErrors = e.runners.startErrors()
-	report.Breaches = e.checker.Finish()
+	report.Violations = e.checker.Finish()
 	return report
 }
 
 // Print writes the report as tables, followed by a line for each broken rule.
 func (r *Report) Print(out io.Writer) error {
 	table := tabwriter.NewWriter(out, 0, 0, 2, ' ', tabwriter.AlignRight)
-	fmt.Fprintln(table, "route\tcalls\tin time\tlate\trefused\tfailed\tdenied\tfirst p50\tp95\tp99\t")
+	fmt.Fprintln(table, "route\tcalls\tin time\tlate\trejected\tfailed\tclient errors\tfirst p50\tp95\tp99\t")
 	for i := range r.Clients.Routes {
 		tally := &r.Clients.Routes[i]
 		fmt.Fprintf(table, "%s\t%d\t%d\t%d\t%d\t%d\t%d\t%v\t%v\t%v\t\n",
@@ -114,8 +114,8 @@
 	for _, err := range r.RunnerErrors {
 		fmt.Fprintf(out, "a runner was not replaced: %v\n", err)
 	}
-	for _, breach := range r.Breaches {
-		fmt.Fprintln(out, breach)
+	for _, violation := range r.Violations {
+		fmt.Fprintln(out, violation)
 	}
 	if r.LogDir != "" {
 		fmt.Fprintf(out, "logs=%s\n", r.LogDir)
@@ -137,16 +137,16 @@
 		total.Engine.Preemptions += stats.Engine.Preemptions
 	}
 	fmt.Fprintf(out,
-		"runner_requests=%d rejected=%d misplaced=%d connections=%d connections_reset=%d probes=%d "+
+		"runner_requests=%d rejected=%d misdirected=%d connections=%d connections_reset=%d health_checks=%d "+
 			"faults=%d prefilled=%d preempted=%d\n",
 		total.Requests, total.Rejected, total.Misdirected,
 		total.ConnectionsAccepted, total.ConnectionsReset,
 		total.HealthChecks, total.FaultsInjected,
 		total.Engine.PrefilledTokens, total.Engine.Preemptions)
 	fmt.Fprintf(out,
-		"retries=%d repeats=%d unreached=%d lookups=%d failed_lookups=%d statuses=%v "+
-			"cloud_calls=%d cloud_refused=%d breaches=%d\n",
+		"retries=%d repeats=%d connect_failures=%d lookups=%d failed_lookups=%d statuses=%v "+
+			"platform_calls=%d platform_rejected=%d violations=%d\n",
 		r.Clients.Retries, r.RepeatedRequests, r.Clients.ConnectFailures,
 		r.Clients.Lookups, r.Clients.FailedLookups, r.Clients.Statuses,
-		r.Platform.Calls, r.Platform.Throttled, len(r.Breaches))
+		r.Platform.Calls, r.Platform.Throttled, len(r.Violations))
 }
--- a/internal/system/emulator/report_test.go
+++ b/internal/system/emulator/report_test.go
@@ -8,10 +8,10 @@
 	"cinderroad/internal/testkit/checker"
 )
 
-func TestReportFailedOnBreach(t *testing.T) {
-	r := &Report{Breaches: []checker.Violation{{Rule: checker.DuplicateExecution, Description: "try 1 ran 2 times"}}}
+func TestReportFailedOnViolation(t *testing.T) {
+	r := &Report{Violations: []checker.Violation{{Rule: checker.DuplicateExecution, Description: "try 1 ran 2 times"}}}
 	if !r.Failed() || (&Report{}).Failed() {
-		t.Error("a day fails by a breach, and only then")
+		t.Error("a day fails by a violation, and only then")
 	}
 	var out bytes.Buffer
 	if err := r.Print(&out); err != nil || !strings.Contains(out.String(), "rule=TWICE") {
--- a/internal/system/emulator/traffic.go
+++ b/internal/system/emulator/traffic.go
@@ -100,10 +100,10 @@
 			p.samplePeakMemory()
 		}
 		tally := e.clients.Stats()
-		inTime, refused, failed := 0, 0, 0
+		inTime, rejected, failed := 0, 0, 0
 		for _, r := range tally.Routes {
 			inTime += r.InTime
-			refused += r.Rejected
+			rejected += r.Rejected
 			failed += r.Failed
 		}
 		e.logEvent("serving",
@@ -111,9 +111,9 @@
 			"calls", tally.Calls,
 			"in_time", inTime,
 			"late", tally.Served-inTime,
-			"refused", refused,
+			"rejected", rejected,
 			"failed", failed,
 			"retries", tally.Retries,
-			"breaches", len(e.checker.Violations()))
+			"violations", len(e.checker.Violations()))
 	}
 }
--- a/internal/testkit/client/stats.go
+++ b/internal/testkit/client/stats.go
@@ -140,5 +140,5 @@
 
 // String formats the totals on one line.
 func (s *Stats) String() string {
-	return fmt.Sprintf("calls=%d served=%d retries=%d unreached=%d", s.Calls, s.Served, s.Retries, s.ConnectFailures)
+	return fmt.Sprintf("calls=%d served=%d retries=%d connect_failures=%d", s.Calls, s.Served, s.Retries, s.ConnectFailures)
 }
