--- a/internal/dispatcher/server/harness_test.go
+++ b/internal/dispatcher/server/harness_test.go
@@ -77,6 +77,7 @@
 	retryAfter        atomic.Int32   // seconds; above 0, discovery rejects watches with it
 	fragmented        atomic.Bool    // discovery writes byte by byte
 	unresponsive      atomic.Bool    // discovery accepts watches and sends nothing
+	resetting         atomic.Bool    // discovery resets the connections of watches
 	discovery         *httptest.Server
 	client            *http.Client
 	calls             int           // jobs requested by requestJob
@@ -308,6 +309,10 @@
 		<-r.Context().Done()
 		return
 	}
+	if h.resetting.Load() {
+		reset(rw)
+		return
+	}
 	for at := 0; ; {
 		h.mu.Lock()
 		lines, changed := h.lines[at:], h.changed
@@ -327,6 +332,16 @@
 	}
 }
 
+// reset closes the connection of a request so that its client gets a reset.
+func reset(rw http.ResponseWriter) {
+	conn, _, err := rw.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	conn.(*net.TCPConn).SetLinger(0)
+	conn.Close()
+}
+
 // fragments splits a text as its sender writes it: in one piece, or byte by byte.
 func (h *harness) fragments(text string) []string {
 	if !h.fragmented.Load() {
