--- a/internal/dispatcher/server/upgrade.go
+++ b/internal/dispatcher/server/upgrade.go
@@ -97,8 +97,8 @@
 		return false
 	}
 	linksIdle := (u.predecessor == nil || u.predecessor.Idle()) && (u.successor == nil || u.successor.Idle())
-	sessionsOwed := u.clientsHandedOver && (u.sessionsInTransit != 0 || u.server.front.SessionCount() != 0)
-	return linksIdle && !sessionsOwed
+	sessionsPending := u.clientsHandedOver && (u.sessionsInTransit != 0 || u.server.front.SessionCount() != 0)
+	return linksIdle && !sessionsPending
 }
 
 // HandleUp implements handover.Handler.
--- a/internal/system/proxy/attempt.go
+++ b/internal/system/proxy/attempt.go
@@ -38,7 +38,7 @@
 
 // classify derives the verdict from the head of a runner's response.
 func classify(head *httpwire.ResponseHead) verdict {
-	failed := saysFailure(head.Status)
+	failed := isFailureStatus(head.Status)
 	switch {
 	case head.Status == http.StatusMisdirectedRequest:
 		return verdictWrongRunner
@@ -52,8 +52,8 @@
 	return verdictRelay
 }
 
-// saysFailure reports whether a runner's status says that it failed, or did not execute the request in time.
-func saysFailure(status int) bool {
+// isFailureStatus reports whether a runner's status says that it failed, or did not execute the request in time.
+func isFailureStatus(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusTooManyRequests:
 		return true
@@ -135,11 +135,11 @@
 	case verdictRelay:
 		x.relayHead(head)
 	case verdictNotRun:
-		x.noteTried(a, surelyNotRun)
+		x.recordAttempt(a, notRun)
 		a.end(placement.Rejected)
 		x.retryOrGiveUp(parseRetryAfter(head))
 	case verdictWrongRunner:
-		x.noteTried(a, surelyNotRun)
+		x.recordAttempt(a, notRun)
 		runner := a.choice.Runner
 		a.cancel()
 		a.end(placement.Misdirected)
@@ -156,7 +156,7 @@
 func (a *attempt) handleLost(mayHaveRun bool) {
 	x := a.exchange
 	if !a.connected {
-		x.noteTried(a, surelyNotRun)
+		x.recordAttempt(a, notRun)
 		x.connectFailures++
 		a.cancel()
 		a.end(placement.ConnectFailed)
@@ -167,7 +167,7 @@
 		x.place()
 		return
 	}
-	x.noteTried(a, mayHaveRun)
+	x.recordAttempt(a, mayHaveRun)
 	a.cancel()
 	a.end(placement.Interrupted)
 	x.retryOrGiveUp(0)
@@ -176,7 +176,7 @@
 // handleFailure processes a failure response of the runner, which may have executed the request. The response is
 // forwarded to the client unless another runner takes the request.
 func (x *exchange) handleFailure(attempt *attempt, head *httpwire.ResponseHead) {
-	x.noteTried(attempt, possiblyRun)
+	x.recordAttempt(attempt, possiblyRun)
 	x.attempt = nil
 	if sent, _ := x.retry(); sent {
 		attempt.end(placement.Failed)
--- a/internal/system/proxy/exchange_placement.go
+++ b/internal/system/proxy/exchange_placement.go
@@ -105,15 +105,15 @@
 	}
 }
 
-// Arguments of noteTried and attempt.handleLost: whether the runner may have executed the request.
+// Arguments of recordAttempt and attempt.handleLost: whether the runner may have executed the request.
 const (
-	surelyNotRun = false
-	possiblyRun  = true
+	notRun      = false
+	possiblyRun = true
 )
 
-// noteTried has the placer choose the attempt's runner only if no other may take the request, and records whether it was
-// reached and may have executed the request.
-func (x *exchange) noteTried(attempt *attempt, mayHaveRun bool) {
+// recordAttempt records an attempt in the request: its runner, which the placer chooses again only if no other one may take the
+// request, whether the runner was reached, and whether it may have executed the request.
+func (x *exchange) recordAttempt(attempt *attempt, mayHaveRun bool) {
 	x.request.RecordAttempt(attempt.choice.Runner, attempt.connected)
 	x.request.MayHaveRun = x.request.MayHaveRun || mayHaveRun
 }
--- a/internal/system/proxy/watchdog.go
+++ b/internal/system/proxy/watchdog.go
@@ -71,7 +71,7 @@
 func (a *attempt) moveToAnotherRunner() {
 	x := a.exchange
 	before := x.request
-	x.noteTried(a, possiblyRun)
+	x.recordAttempt(a, possiblyRun)
 	x.attempt = nil
 	if sent, _ := x.retry(); sent {
 		a.cancel()
