Race detector: processes that tests start are built for it, too

Cause: the tests of the dispatcher's server and of the emulator build the programs that they start without -race, so the race detector had seen the tests alone and not the dispatcher, the proxy, the agent and the control process. Earlier runs of it over these packages said less than they seemed to. Change: package racedetector gives the flags of the build and the variables of the process; a process ends at its first race, and the tests look for it in its log. The bound on resident memory is not checked under the detector, which needs several times the memory itself.

--- a/internal/dispatcher/server/harness_test.go
+++ b/internal/dispatcher/server/harness_test.go
@@ -22,26 +22,32 @@
 	"time"
 
 	"cinderroad/internal/shared/invariant"
+	"cinderroad/internal/testkit/racedetector"
 	"cinderroad/internal/testkit/receivers"
 )
 
 // program is the path of the dispatcher's binary, which TestMain builds.
 var program string
 
-// TestMain builds the dispatcher before the tests, with the checks of invariants where these are on in the tests, too.
+// TestMain builds the dispatcher before the tests: with the checks of invariants, and for the race detector, where the tests
+// are, too.
 func TestMain(m *testing.M) {
 	dir, err := os.MkdirTemp("", "cinderroad")
 	if err != nil {
 		panic(err)
 	}
 	program = filepath.Join(dir, "cinderroad")
-	args := []string{"build", "-o", program}
+	args := append([]string{"build", "-o", program}, racedetector.BuildFlags()...)
 	if invariant.PanicOnViolation {
 		args = append(args, "-tags", "debug")
 	}
 	if out, err := exec.Command("go", append(args, "cinderroad/cmd/cinderroad-dispatcher")...).CombinedOutput(); err != nil {
 		panic(string(out))
 	}
+	for _, variable := range racedetector.Environment() {
+		name, value, _ := strings.Cut(variable, "=")
+		os.Setenv(name, value)
+	}
 	code := m.Run()
 	os.RemoveAll(dir)
 	os.Exit(code)
@@ -187,6 +193,9 @@
 	}
 	t.Cleanup(func() {
 		h.kill()
+		if racedetector.FoundIn(h.log.String()) {
+			t.Error("the race detector found a race in the dispatcher")
+		}
 		if t.Failed() {
 			t.Log(h.log)
 		}
--- a/internal/dispatcher/server/memory_test.go
+++ b/internal/dispatcher/server/memory_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"cinderroad/internal/dispatcher/httpfront"
+	"cinderroad/internal/testkit/racedetector"
 )
 
 const (
@@ -32,7 +33,8 @@
 			t.Errorf("round %d: %d jobs waited and %d were rejected at once, want %d and %d",
 				round, waiting, rejected, fitting, memoryJobs-fitting)
 		}
-		if resident := w.residentMB(); resident > smallMemoryMB {
+		// The race detector needs memory of its own, several times the process's.
+		if resident := w.residentMB(); resident > smallMemoryMB && !racedetector.Enabled {
 			t.Errorf("round %d: the process has %.1f MB of %d", round, resident, smallMemoryMB)
 		}
 	}
--- a/internal/system/emulator/emulation_test.go
+++ b/internal/system/emulator/emulation_test.go
@@ -3,14 +3,17 @@
 import (
 	"context"
 	"io"
+	"io/fs"
 	"os"
 	"os/exec"
 	"os/signal"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
 
 	"cinderroad/internal/system/policysim"
+	"cinderroad/internal/testkit/racedetector"
 )
 
 // testTimeout bounds operations that take little time.
@@ -42,15 +45,36 @@
 func buildPrograms(t *testing.T) string {
 	t.Helper()
 	folder := t.TempDir()
-	command := exec.Command("go", "build", "-o", folder+"/", "cinderroad/cmd/cinderroad-proxy",
+	args := append([]string{"build", "-o", folder + "/"}, racedetector.BuildFlags()...)
+	args = append(args,
+		"cinderroad/cmd/cinderroad-proxy",
 		"cinderroad/cmd/cinderroad-agent",
 		"cinderroad/cmd/cinderroad-control")
+	command := exec.Command("go", args...)
 	if out, err := command.CombinedOutput(); err != nil {
 		t.Fatalf("%v: %s", err, out)
 	}
 	return folder
 }
 
+// checkNoRaces fails the test if a file below a folder names a race of a program that was built for the race detector.
+func checkNoRaces(t *testing.T, folder string) {
+	t.Helper()
+	err := filepath.WalkDir(folder, func(path string, entry fs.DirEntry, err error) error {
+		if err != nil || !entry.Type().IsRegular() {
+			return err
+		}
+		text, err := os.ReadFile(path)
+		if racedetector.FoundIn(string(text)) {
+			t.Errorf("the race detector found a race: %s", text)
+		}
+		return err
+	})
+	if err != nil {
+		t.Error(err)
+	}
+}
+
 // TestRun runs the real programs: short traffic, during which a runner, a proxy and a control process end. Only rules
 // without bounds in time are checked, so that a busy machine does not change the result.
 func TestRun(t *testing.T) {
@@ -60,11 +84,12 @@
 	scenario := policysim.Screening()
 	scenario.Duration = 6 * time.Second
 	scenario.Load = 0.3
+	workDir := t.TempDir()
 	report, err := Run(context.Background(), Options{
 		Scenario:     scenario,
 		EdgeMachines: 3,
 		ProgramDir:   buildPrograms(t),
-		WorkDir:      t.TempDir(),
+		WorkDir:      workDir,
 		Faults:       []Fault{CrashRunner, KillProxy, KillControl},
 		Seed:         1,
 		Out:          io.Discard,
@@ -83,4 +108,5 @@
 			t.Errorf("%s on %s ended by itself", p.Program, p.Machine)
 		}
 	}
+	checkNoRaces(t, workDir)
 }
--- a/internal/testkit/processcluster/cluster.go
+++ b/internal/testkit/processcluster/cluster.go
@@ -22,6 +22,7 @@
 	"testing"
 	"time"
 
+	"cinderroad/internal/testkit/racedetector"
 	"cinderroad/internal/testkit/receivers"
 )
 
@@ -139,6 +140,11 @@
 	}
 	c.Discovery.close()
 	c.log.Close()
+	for _, m := range c.Members {
+		if racedetector.FoundIn(m.LogText()) {
+			c.TB.Errorf("the race detector found a race in %s", m.Name)
+		}
+	}
 	if c.TB.Failed() {
 		c.TB.Logf("all logs are in %s", c.dir)
 		return
