--- a/internal/dispatcher/server/cluster_options.go
+++ b/internal/dispatcher/server/cluster_options.go
@@ -21,7 +21,8 @@
 		return nil, nil
 	}
 	if c.Name == "" || len(c.Name) > membership.MaxNameLength {
-		return nil, c.keyError("name", fmt.Errorf("%q: a member of a cluster needs a name of 1 to %d bytes", c.Name, membership.MaxNameLength))
+		err := fmt.Errorf("%q: a member of a cluster needs a name of 1 to %d bytes", c.Name, membership.MaxNameLength)
+		return nil, c.keyError("name", err)
 	}
 	zone := ""
 	if index := c.balancerSettings.Zone; index < len(c.dispatcherSettings.FailureDomains) {
--- a/internal/shared/membership/message.go
+++ b/internal/shared/membership/message.go
@@ -1,7 +1,5 @@
 package membership
 
-import ()
-
 // Kind is the purpose of a message.
 type Kind uint8
 
--- a/internal/system/emulator/report.go
+++ b/internal/system/emulator/report.go
@@ -44,7 +44,8 @@
 	return len(r.Violations) > 0
 }
 
-// Limits of valid requests that may be answered with a client error: maxClientErrors in all, and beyond these one in clientErrorsDivisor calls.
+// Limits of valid requests that may be answered with a client error: maxClientErrors in all, and beyond these one in
+// clientErrorsDivisor calls.
 const (
 	maxClientErrors     = 5
 	clientErrorsDivisor = 500
