One error type for the dispatcher's files

The typed errors of the configuration file and of the Gearman file wrote again what operatorconfig.Error was: path, line, key, cause. Change: package configerror has the one type; the three packages use it.

--- a/internal/dispatcher/gearman/config.go
+++ b/internal/dispatcher/gearman/config.go
@@ -7,6 +7,8 @@
 	"slices"
 
 	"github.com/BurntSushi/toml"
+
+	"cinderroad/internal/dispatcher/configerror"
 )
 
 // Config is the operator's Gearman file; deploy/gearman.toml shows its form. Get one from ReadConfig, which checks it.
@@ -63,33 +65,18 @@
 	Deadlines []float64 // seconds, by class
 }
 
-// ConfigError is a problem of the file that turns the front on.
-type ConfigError struct {
-	Path string
-	Key  string // such as function[0].class; empty: the problem is not of a key
-	Err  error
-}
-
-// Error names the file and the key.
-func (e *ConfigError) Error() string {
-	if e.Key == "" {
-		return fmt.Sprintf("gearman: %s: %v", e.Path, e.Err)
-	}
-	return fmt.Sprintf("gearman: %s: %s: %v", e.Path, e.Key, e.Err)
-}
-
-// Unwrap returns what is wrong.
-func (e *ConfigError) Unwrap() error { return e.Err }
+// configFile is the kind of the file that turns the front on, with which the text of its errors begins.
+const configFile = "gearman"
 
-// ReadConfig reads the operator's file, checks it against the settings and applies defaults. The error is a *ConfigError.
+// ReadConfig reads the operator's file, checks it against the settings and applies defaults. The error is a *configerror.Error.
 func ReadConfig(path string, names SettingsNames) (*Config, error) {
 	var config Config
 	meta, err := toml.DecodeFile(path, &config)
 	if err != nil {
-		return nil, &ConfigError{Path: path, Err: err}
+		return nil, &configerror.Error{File: configFile, Path: path, Err: err}
 	}
 	if unknown := meta.Undecoded(); len(unknown) > 0 {
-		return nil, &ConfigError{Path: path, Err: fmt.Errorf("unknown key %s", unknown[0])}
+		return nil, &configerror.Error{File: configFile, Path: path, Err: fmt.Errorf("unknown key %s", unknown[0])}
 	}
 	config.path = path
 	if err := config.validate(names); err != nil {
@@ -100,7 +87,7 @@
 
 // keyError returns the error for a key.
 func (c *Config) keyError(key string, err error) error {
-	return &ConfigError{Path: c.path, Key: key, Err: err}
+	return &configerror.Error{File: configFile, Path: c.path, Key: key, Err: err}
 }
 
 // validate checks the file, applies defaults and resolves names to indices.
--- a/internal/dispatcher/operatorconfig/config.go
+++ b/internal/dispatcher/operatorconfig/config.go
@@ -16,6 +16,8 @@
 	"strings"
 
 	"github.com/BurntSushi/toml"
+
+	"cinderroad/internal/dispatcher/configerror"
 )
 
 // Config is the content of the operator's file. A nil or empty section is off. It must not be changed after it was read.
@@ -51,7 +53,7 @@
 		if errors.As(err, &cause) {
 			err = cause.Err
 		}
-		return nil, &Error{Path: path, Err: err}
+		return nil, &configerror.Error{File: fileKind, Path: path, Err: err}
 	}
 	return Parse(path, string(text))
 }
--- a/internal/dispatcher/operatorconfig/config_test.go
+++ b/internal/dispatcher/operatorconfig/config_test.go
@@ -7,6 +7,8 @@
 	"regexp"
 	"strings"
 	"testing"
+
+	"cinderroad/internal/dispatcher/configerror"
 )
 
 // The shipped file must be valid as it is, with everything off, and with every key uncommented, with the defaults.
@@ -116,7 +118,7 @@
 func (test *parseErrorCase) check(t *testing.T, path string) {
 	t.Helper()
 	_, err := Parse(path, test.text)
-	var configError *Error
+	var configError *configerror.Error
 	if !errors.As(err, &configError) {
 		t.Errorf("%q: %v", test.text, err)
 		return
--- a/internal/dispatcher/operatorconfig/errors.go
+++ b/internal/dispatcher/operatorconfig/errors.go
@@ -2,56 +2,37 @@
 
 import (
 	"errors"
-	"fmt"
 	"reflect"
 	"regexp"
 	"strconv"
 	"strings"
 
 	"github.com/BurntSushi/toml"
-)
-
-// Error is a problem of an operator's file, with its position as far as it is known.
-type Error struct {
-	Path string
-	Line int    // from 1; 0 if not known
-	Key  string // as section.key; empty if the problem is not of a key
-	Err  error  // what is wrong, without the position
-}
 
-// Error implements error.
-func (e *Error) Error() string {
-	where := e.Path
-	if e.Line > 0 {
-		where = fmt.Sprintf("%s:%d", where, e.Line)
-	}
-	if e.Key != "" {
-		where += ": " + e.Key
-	}
-	return fmt.Sprintf("operator's file: %s: %v", where, e.Err)
-}
+	"cinderroad/internal/dispatcher/configerror"
+)
 
-// Unwrap returns Err.
-func (e *Error) Unwrap() error { return e.Err }
+// fileKind begins the text of each error.
+const fileKind = "operator's file"
 
 // typeErrorPattern matches the TOML library's message for a value of the wrong type, which has no error type of its own.
 var typeErrorPattern = regexp.MustCompile(`line (\d+) \(last key "([^"]+)"\): (.*)`)
 
 // newDecodeError converts an error of the TOML library, with the line and key that it reports.
-func newDecodeError(path string, err error) *Error {
+func newDecodeError(path string, err error) *configerror.Error {
 	var syntax toml.ParseError
 	if errors.As(err, &syntax) {
 		cause := errors.New(syntax.Message)
 		if syntax.Message == "" {
 			cause = err
 		}
-		return &Error{Path: path, Line: syntax.Position.Line, Key: syntax.LastKey, Err: cause}
+		return &configerror.Error{File: fileKind, Path: path, Line: syntax.Position.Line, Key: syntax.LastKey, Err: cause}
 	}
 	if match := typeErrorPattern.FindStringSubmatch(err.Error()); match != nil {
 		line, _ := strconv.Atoi(match[1])
-		return &Error{Path: path, Line: line, Key: match[2], Err: errors.New(match[3])}
+		return &configerror.Error{File: fileKind, Path: path, Line: line, Key: match[2], Err: errors.New(match[3])}
 	}
-	return &Error{Path: path, Err: err}
+	return &configerror.Error{File: fileKind, Path: path, Err: err}
 }
 
 // unknownKey returns the error for a key that no section has.
@@ -77,7 +58,7 @@
 // keyError returns the error for a key, with its line. Keys of receivers are numbered from 0: graphite[1].form is of the
 // second.
 func (c *Config) keyError(key string, err error) error {
-	return &Error{Path: c.path, Line: c.lineOf(key), Key: key, Err: err}
+	return &configerror.Error{File: fileKind, Path: c.path, Line: c.lineOf(key), Key: key, Err: err}
 }
 
 // keyErrorFunc returns the error for a key of one section.
--- a/internal/dispatcher/server/config.go
+++ b/internal/dispatcher/server/config.go
@@ -12,6 +12,7 @@
 	"strconv"
 	"strings"
 
+	"cinderroad/internal/dispatcher/configerror"
 	"cinderroad/internal/dispatcher/gearman"
 	"cinderroad/internal/dispatcher/httpfront"
 	"cinderroad/internal/dispatcher/operatorconfig"
@@ -79,32 +80,12 @@
 
 ` + Example)
 
-// ConfigError is a problem of the configuration file, or of a variable of the environment that takes its place.
-type ConfigError struct {
-	Path string // of the file
-	Line int    // from 1; 0: not known
-	Key  string // such as limits.sockets; empty: the problem is not of a key
-	Err  error
-}
-
-// Error names the file, the line and the key, as far as they are known.
-func (e *ConfigError) Error() string {
-	text := "config: " + e.Path
-	if e.Line > 0 {
-		text += ":" + strconv.Itoa(e.Line)
-	}
-	if e.Key != "" {
-		text += ": " + e.Key
-	}
-	return text + ": " + e.Err.Error()
-}
-
-// Unwrap returns what is wrong.
-func (e *ConfigError) Unwrap() error { return e.Err }
+// configFile is the kind of the configuration file, with which the text of its errors begins.
+const configFile = "config"
 
 // keyError returns the error for a key.
 func (c *Config) keyError(key string, err error) error {
-	return &ConfigError{Path: c.path, Key: key, Err: err}
+	return &configerror.Error{File: configFile, Path: c.path, Key: key, Err: err}
 }
 
 // errorAtLine adds the line of a JSON text at which err occurred, if err tells its offset.
@@ -119,9 +100,9 @@
 		offset = kind.Offset
 	}
 	if offset < 0 || offset > int64(len(text)) {
-		return &ConfigError{Path: path, Err: err}
+		return &configerror.Error{File: configFile, Path: path, Err: err}
 	}
-	return &ConfigError{Path: path, Line: 1 + strings.Count(string(text[:offset]), "\n"), Err: err}
+	return &configerror.Error{File: configFile, Path: path, Line: 1 + strings.Count(string(text[:offset]), "\n"), Err: err}
 }
 
 // ReadGearman reads the file at path that turns the Gearman front on. Call it after [ReadConfig], whose classes, zones and
@@ -268,10 +249,10 @@
 // parseSettings reads the shared settings twice: for the balancer, and for what the dispatcher itself needs of them.
 func (c *Config) parseSettings() (err error) {
 	if c.balancerSettings, err = settings.Parse(c.Settings); err != nil {
-		return &ConfigError{Path: c.path, Err: err}
+		return &configerror.Error{File: configFile, Path: c.path, Err: err}
 	}
 	if _, err := loadbalancer.New(c.balancerSettings, c.seed, nil); err != nil { // checks them
-		return &ConfigError{Path: c.path, Err: settings.Explain(err)}
+		return &configerror.Error{File: configFile, Path: c.path, Err: settings.Explain(err)}
 	}
 	if err := json.Unmarshal(c.Settings, &c.dispatcherSettings); err != nil {
 		return c.keyError("settings", err)
