Proxy: failed connections are counted once, in the request

Cause: reading the change again. exchange.connectFailures counted what placement.Request counts since it records the attempts without a connection. Change: the exchange asks the request (Unreached).

--- a/internal/system/placement/request.go
+++ b/internal/system/placement/request.go
@@ -48,6 +48,9 @@
 // Attempts returns the number of attempts that count.
 func (r *Request) Attempts() int { return len(r.TriedRunners) - r.unreached }
 
+// Unreached returns the number of runners to which no connection came up, or that were passed over.
+func (r *Request) Unreached() int { return r.unreached }
+
 // isRetry reports whether the next attempt of the request is a retry, which the retry budget bounds.
 func (r *Request) isRetry() bool { return r.Attempts() > 0 }
 
--- a/internal/system/proxy/attempt.go
+++ b/internal/system/proxy/attempt.go
@@ -157,10 +157,9 @@
 	x := a.exchange
 	if !a.connected {
 		x.recordAttempt(a, notRun)
-		x.connectFailures++
 		a.cancel()
 		a.end(placement.ConnectFailed)
-		if x.connectFailures > maxConnectFailures || x.proxy.now() >= x.request.Deadline {
+		if x.request.Unreached() > maxConnectFailures || x.proxy.now() >= x.request.Deadline {
 			x.giveUp(shortRetryAfter)
 			return
 		}
--- a/internal/system/proxy/exchange.go
+++ b/internal/system/proxy/exchange.go
@@ -34,20 +34,19 @@
 
 // exchange is one request of a client and its response.
 type exchange struct {
-	proxy           *Proxy
-	session         *session
-	state           exchangeState
-	head            httpwire.RequestHead
-	bodyReader      httpwire.BodyReader
-	body            []byte
-	tryID           string // the client's X-Try-Id, by which a runner's response is matched to its request
-	request         placement.Request
-	attempt         *attempt // in progress; nil between attempts
-	connectFailures int      // attempts without an established connection
-	response        response
-	eventReader     eventReader // of a stream that another runner may continue
-	stalled         bool        // the client does not read fast enough
-	deadlineTimer   *eventloop.Timer
+	proxy         *Proxy
+	session       *session
+	state         exchangeState
+	head          httpwire.RequestHead
+	bodyReader    httpwire.BodyReader
+	body          []byte
+	tryID         string // the client's X-Try-Id, by which a runner's response is matched to its request
+	request       placement.Request
+	attempt       *attempt // in progress; nil between attempts
+	response      response
+	eventReader   eventReader // of a stream that another runner may continue
+	stalled       bool        // the client does not read fast enough
+	deadlineTimer *eventloop.Timer
 }
 
 // newExchange creates the exchange for a request whose head was read.
