Spool: recovery reads the totals of a period once

Cause: reading the change again. Recovery read the totals of each file's last period, and those of the newest one again at the end. Change: appending a file takes its totals over. Measured: tests of spool pass.

--- a/internal/dispatcher/spool/recovery.go
+++ b/internal/dispatcher/spool/recovery.go
@@ -52,7 +52,6 @@
 	for _, contents := range slices.Backward(newestFirst) {
 		recovered.append(contents)
 	}
-	recovered.readTotals()
 	return recovered, files[len(files)-1].number, nil
 }
 
@@ -80,9 +79,12 @@
 	return contents, nil
 }
 
-// append appends what a newer file holds.
+// append appends what a newer file holds, whose totals were read.
 func (r *Recovered) append(newer *Recovered) {
 	r.Periods = append(r.Periods, newer.Periods...)
+	if len(newer.Periods) > 0 {
+		r.Totals = newer.Totals
+	}
 	if newer.SlotAssignments != nil {
 		r.SlotAssignments = newer.SlotAssignments
 	}
