Storage: the SQLite plumbing is a package of its own

Cause: a second store in the state folder needs the same connection, preparation of files, quarantine and writer goroutine; they were parts of the store of the consensus state.

Change: sqlitedb has them, with the error types; storage keeps the tables, the identity of the replica and its names as aliases. File names, tables and pragmas are the same.

--- a/internal/system/storage/errors.go
+++ b/internal/system/storage/errors.go
@@ -1,89 +1,20 @@
 package storage
 
-import (
-	"errors"
-	"fmt"
-	"syscall"
-
-	"github.com/mattn/go-sqlite3"
-)
+import "cinderroad/internal/system/sqlitedb"
 
 // DiskError reports that the disk refused or failed an operation, none of whose updates were applied. The operation may be
 // repeated; it succeeds once the disk works again.
-type DiskError struct {
-	Operation string
-	Full      bool // no space is left on the disk
-	Cause     error
-}
-
-// Error implements error.
-func (e *DiskError) Error() string {
-	if e.Full {
-		return fmt.Sprintf("storage: cannot %s: the disk is full; make room for the state folder", e.Operation)
-	}
-	return fmt.Sprintf("storage: cannot %s: %v; check the disk of the state folder", e.Operation, e.Cause)
-}
-
-// Unwrap returns the cause.
-func (e *DiskError) Unwrap() error { return e.Cause }
+type DiskError = sqlitedb.DiskError
 
 // CorruptError reports that the database can't have been written by this package. The replica has to start anew, as one
 // without a disk.
-type CorruptError struct {
-	Path    string
-	MovedTo string // path of the file now; empty: it was not moved
-	Cause   error
-}
-
-// Error implements error.
-func (e *CorruptError) Error() string {
-	if e.MovedTo == "" {
-		return fmt.Sprintf("storage: %s is corrupt: %v", e.Path, e.Cause)
-	}
-	return fmt.Sprintf("storage: %s is corrupt: %v; it was moved to %s and the replica starts without it", e.Path,
-		e.Cause, e.MovedTo)
-}
-
-// Unwrap returns the cause.
-func (e *CorruptError) Unwrap() error { return e.Cause }
+type CorruptError = sqlitedb.CorruptError
 
 // InUseError reports that another process has the state folder open.
-type InUseError struct{ Path string }
-
-// Error implements error.
-func (e *InUseError) Error() string {
-	return fmt.Sprintf("storage: %s is held by another process; one process only may run on a state folder", e.Path)
-}
+type InUseError = sqlitedb.InUseError
 
 // SchemaError reports that the file was written by a program of another version.
-type SchemaError struct{ Found, Known int64 }
-
-// Error implements error.
-func (e *SchemaError) Error() string {
-	return fmt.Sprintf("storage: the tables have schema %d and this program knows %d; run the program that wrote them",
-		e.Found, e.Known)
-}
+type SchemaError = sqlitedb.SchemaError
 
 // ErrClosed is returned for operations on a closed Store.
-var ErrClosed = errors.New("storage: the store is closed")
-
-// wrapError turns an error of SQLite into an error of this package, and completes a *CorruptError, which what reads the tables
-// returns without the path.
-func (s *Store) wrapError(operation string, err error) error {
-	var corrupt *CorruptError
-	if errors.As(err, &corrupt) && corrupt.Path == "" {
-		corrupt.Path = s.path
-	}
-	var failure sqlite3.Error
-	if err == nil || !errors.As(err, &failure) {
-		return err
-	}
-	switch failure.Code {
-	case sqlite3.ErrCorrupt, sqlite3.ErrNotADB, sqlite3.ErrFormat:
-		return &CorruptError{Path: s.path, Cause: err}
-	case sqlite3.ErrBusy, sqlite3.ErrLocked:
-		return &InUseError{s.path}
-	}
-	full := failure.Code == sqlite3.ErrFull || failure.SystemErrno == syscall.ENOSPC
-	return &DiskError{Operation: operation, Full: full, Cause: err}
-}
+var ErrClosed = sqlitedb.ErrClosed
--- a/internal/system/storage/load.go
+++ b/internal/system/storage/load.go
@@ -13,7 +13,7 @@
 func (db *database) readIdentity() (replica consensus.ReplicaID, initialized bool, err error) {
 	err = db.query(selectMeta, func(row []driver.Value) error {
 		if row[0].(int64) != schemaVersion {
-			return &SchemaError{row[0].(int64), schemaVersion}
+			return &SchemaError{Found: row[0].(int64), Known: schemaVersion}
 		}
 		replica = consensus.ReplicaID(row[1].(int64))
 		initialized = true
--- a/internal/system/storage/schema.go
+++ b/internal/system/storage/schema.go
@@ -1,12 +1,14 @@
 package storage
 
+import "cinderroad/internal/system/sqlitedb"
+
 // schemaVersion is raised with every change of the tables that earlier programs can't read.
 const schemaVersion = 1
 
-// schema creates the tables. The key of an entry is its partition times keysPerPartition plus its index: the table is
+// createTables creates the tables. The key of an entry is its partition times keysPerPartition plus its index: the table is
 // in the order of the logs, and a log is one range of keys. Each entry also holds the commit index that was known when
 // it was written: a row of its own would cost one more page per write.
-const schema = `
+const createTables = `
 CREATE TABLE IF NOT EXISTS meta (
 	id      INTEGER PRIMARY KEY CHECK (id = 1),
 	schema  INTEGER NOT NULL,
@@ -33,18 +35,8 @@
 	data       BLOB
 );`
 
-// pragmas configure a connection, beside the locking mode (see openDatabase). With a write-ahead log and full
-// synchronisation a commit costs one sync. A mapped file would turn a disk fault into a signal instead of an error.
-var pragmas = []string{
-	"PRAGMA page_size=4096", // bytes
-	"PRAGMA journal_mode=WAL",
-	"PRAGMA synchronous=FULL",
-	"PRAGMA wal_autocheckpoint=256",     // pages: 1 MiB
-	"PRAGMA journal_size_limit=4194304", // bytes: 4 MiB
-	"PRAGMA cache_size=-256",            // a negative number is in KiB
-	"PRAGMA mmap_size=0",
-	"PRAGMA temp_store=MEMORY",
-}
+// schema describes the tables.
+var schema = sqlitedb.Schema{Statements: createTables, LastTable: "snapshots"}
 
 const (
 	selectMeta       = "SELECT schema, replica FROM meta WHERE id=1"
--- a/internal/system/storage/store.go
+++ b/internal/system/storage/store.go
@@ -1,27 +1,22 @@
 package storage
 
 import (
-	"errors"
 	"path/filepath"
-	"sync"
 
 	"cinderroad/internal/system/consensus"
 	"cinderroad/internal/system/feed"
+	"cinderroad/internal/system/sqlitedb"
 )
 
 // Store is an open state folder. Its methods may be called concurrently, except as they say.
 type Store struct {
-	path     string    // of the database file
-	database *database // owned by the writer goroutine from Open on; nil: a reopening failed
+	path   string // of the database file
+	writer *sqlitedb.Writer
 	// replica and initialized are set by open and Initialize; the writer goroutine reads them when it reopens the file.
 	replica        consensus.ReplicaID
 	initialized    bool                    // replica is set
 	hasPredecessor bool                    // the folder has held another replica's file
 	syncPath       func(name string) error // replaced by tests
-	requests       chan *request
-	closing        chan struct{} // closed by Close
-	closeOnce      sync.Once
-	writerDone     chan struct{} // closed once the writer has ended
 }
 
 // Open opens a state folder, which it creates if need be. A corrupt file is quarantined and reported as a *CorruptError
@@ -30,33 +25,22 @@
 
 // openWithSync is Open with another function to sync a file or folder.
 func openWithSync(folder string, syncFunc func(string) error) (*Store, error) {
-	if err := makeStateFolder(folder); err != nil {
+	if err := sqlitedb.MakeStateFolder(folder); err != nil {
 		return nil, err
 	}
-	store := &Store{
-		path:       filepath.Join(folder, databaseName),
-		syncPath:   syncFunc,
-		requests:   make(chan *request, maxQueuedRequests),
-		closing:    make(chan struct{}),
-		writerDone: make(chan struct{}),
-	}
-	err := store.open()
-	var corrupt *CorruptError
-	if errors.As(err, &corrupt) {
-		if err := store.replaceCorrupt(corrupt); err != nil {
-			return nil, err
-		}
-	} else if err != nil {
+	store := &Store{path: filepath.Join(folder, databaseName), syncPath: syncFunc}
+	corrupt, err := store.files().OpenOrQuarantine(store.open)
+	if err != nil {
 		return nil, err
 	}
-	go store.runWriter()
 	if corrupt != nil {
+		store.hasPredecessor = true
 		return store, corrupt
 	}
 	return store, nil
 }
 
-// open opens the database and reads its identity.
+// open opens the database, reads its identity and starts the writer.
 func (s *Store) open() error {
 	quarantined, err := pathExists(s.path + quarantineSuffix)
 	if err != nil {
@@ -66,29 +50,20 @@
 	if err := s.prepare(); err != nil {
 		return err
 	}
-	db, err := openDatabase(s.path)
+	opened, err := sqlitedb.Open(s.path, schema)
 	if err != nil {
-		return s.wrapError("open "+s.path, err)
+		return sqlitedb.WrapError(s.path, "open "+s.path, err)
 	}
+	db := &database{opened}
 	s.replica, s.initialized, err = db.readIdentity()
 	if err != nil {
-		db.close()
-		return s.wrapError("read "+s.path, err)
+		db.Close()
+		return sqlitedb.WrapError(s.path, "read "+s.path, err)
 	}
-	s.database = db
+	s.writer = sqlitedb.StartWriter(s.path, opened, s.reopen)
 	return nil
 }
 
-// replaceCorrupt quarantines the corrupt file and creates a new one.
-func (s *Store) replaceCorrupt(corrupt *CorruptError) error {
-	if err := s.quarantine(); err != nil {
-		return err
-	}
-	corrupt.MovedTo = s.path + quarantineSuffix
-	s.hasPredecessor = true
-	return s.open()
-}
-
 // Identity returns the replica that the folder belongs to; false before Initialize.
 func (s *Store) Identity() (consensus.ReplicaID, bool) { return s.replica, s.initialized }
 
@@ -129,8 +104,7 @@
 
 // Close writes what is queued and closes the file. Later calls return ErrClosed.
 func (s *Store) Close() error {
-	s.closeOnce.Do(func() { close(s.closing) })
-	<-s.writerDone
+	s.writer.Close()
 	return nil
 }
 
