Counter: the state machine of replicated counters, first version

The exported API of the pure package, so that the store and the service can be written against it: operations by id, logs by origin, vectors, exchanges, durability and the encodings.

--- /dev/null
+++ b/internal/system/counter/durability.go
@@ -0,0 +1,101 @@
+package counter
+
+// copies counts the machines, and the distinct zones, that a set of replicas stands on.
+type copies struct {
+	machines int
+	zones    []string
+}
+
+// add adds a replica.
+func (c *copies) add(zone string) {
+	c.machines++
+	for _, known := range c.zones {
+		if known == zone {
+			return
+		}
+	}
+	c.zones = append(c.zones, zone)
+}
+
+// reach reports whether there are as many copies as a durability asks for.
+func (c *copies) reach(required Durability) bool {
+	return c.machines >= required.Machines && len(c.zones) >= required.Zones
+}
+
+// required returns the durability that an acknowledgement needs now: the configured one, or as much as this replica and
+// the peers that are not excused can give.
+func (n *Node) required() Durability {
+	if n.now < n.graceEnd {
+		return n.options.Durability
+	}
+	var reachable copies
+	reachable.add(n.options.Zone)
+	for _, peer := range n.peers {
+		if !peer.excused(n) {
+			reachable.add(peer.Zone)
+		}
+	}
+	return Durability{
+		Machines: min(n.options.Durability.Machines, reachable.machines),
+		Zones:    min(n.options.Durability.Zones, len(reachable.zones)),
+	}
+}
+
+// heardFromEnough reports whether this process has had replies from as many peers as the durability asks for.
+func (n *Node) heardFromEnough() bool {
+	var heard copies
+	heard.add(n.options.Zone)
+	for _, peer := range n.peers {
+		if peer.replied {
+			heard.add(peer.Zone)
+		}
+	}
+	return heard.reach(n.options.Durability)
+}
+
+// replicated reports whether an operation that counts is durable on as many machines as required.
+func (n *Node) replicated(index operationIndex, required Durability) bool {
+	if !n.operations.at(index).durable || n.outvoted(index) {
+		return false
+	}
+	var holders copies
+	holders.add(n.options.Zone)
+	for _, peer := range n.peers {
+		if n.heldBy(peer, index) {
+			holders.add(peer.Zone)
+		}
+	}
+	return holders.reach(required)
+}
+
+// heldBy reports whether an operation is durable at a peer, under any of the origins by which it is known here.
+func (n *Node) heldBy(peer *peer, index operationIndex) bool {
+	stored := n.operations.at(index)
+	if peer.vector[n.logs.all[stored.log].origin] >= uint64(stored.sequence) {
+		return true
+	}
+	for _, at := range n.operations.moreLogs[index] {
+		if peer.vector[at.log.origin] >= at.sequence {
+			return true
+		}
+	}
+	return false
+}
+
+// takeAcknowledged removes and returns the calls of Add that need not wait any longer.
+func (n *Node) takeAcknowledged() (acknowledged []AddID) {
+	if len(n.waiters) == 0 {
+		return nil
+	}
+	required := n.required()
+	waiting := n.waiters[:0]
+	for _, waiter := range n.waiters {
+		if n.replicated(waiter.index, required) {
+			acknowledged = append(acknowledged, waiter.id)
+		} else {
+			waiting = append(waiting, waiter)
+		}
+	}
+	n.waiters = waiting
+	return acknowledged
+}
--- /dev/null
+++ b/internal/system/counter/exchange.go
@@ -0,0 +1,248 @@
+package counter
+
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+)
+
+const (
+	// heartbeatInterval is the time between two exchanges with an idle peer.
+	heartbeatInterval = time.Second
+	// retryInterval is the time between two attempts to reach a peer that fails.
+	retryInterval = 300 * time.Millisecond
+	// pushInterval is the time between two pushes to a peer that is not eager.
+	pushInterval = 200 * time.Millisecond
+	// distantPushInterval is the same for a peer that lacks more than distantLag entries, which pulls them.
+	distantPushInterval = time.Second
+	distantLag          = 1024
+	// widenAfter is how long a call of Add waits before its operation is sent to all peers at once.
+	widenAfter = 60 * time.Millisecond
+	// pullAfter is how long a peer holds more than this replica before it is asked for it: mostly, pushes bring it sooner.
+	pullAfter = 300 * time.Millisecond
+	// urgentLag is the number of entries that are pulled without waiting.
+	urgentLag = 512
+	// maxExchangeBytes is the size of the entries in one message, beyond which none is added.
+	maxExchangeBytes = 128 << 10
+	// spareEagerPeers is the number of eager peers beyond those that an acknowledgement needs.
+	spareEagerPeers = 1
+)
+
+// forever is a time after all others.
+const forever = time.Duration(math.MaxInt64)
+
+// planExchanges sends what is due, and returns when it has to be called again at the latest.
+func (n *Node) planExchanges() (next time.Duration) {
+	next = n.now + maxTickInterval
+	next = min(next, n.watchLags())
+	n.startPull()
+	eager := n.eagerPeers()
+	for _, known := range n.peers {
+		if known.inFlight {
+			next = min(next, max(known.excusedFrom(n), n.now))
+			continue
+		}
+		due, push := n.dueAt(known, slices.Contains(eager, known))
+		if due <= n.now {
+			n.sendExchange(known, push, false)
+		} else {
+			next = min(next, due)
+		}
+	}
+	return next
+}
+
+// dueAt returns when the next exchange with a peer is due, and whether it carries entries.
+func (n *Node) dueAt(known *peer, eager bool) (due time.Duration, push bool) {
+	if !known.responsive(n) {
+		return known.sentAt + retryInterval, false
+	}
+	due = known.sentAt + heartbeatInterval
+	lag := n.own.durable - min(n.own.durable, known.vector[n.own.origin])
+	if lag > 0 {
+		push = true
+		switch {
+		case eager:
+			due = n.now
+		case lag <= distantLag:
+			due = known.sentAt + pushInterval
+		default:
+			due = known.sentAt + distantPushInterval
+		}
+	}
+	for i := range n.waiters {
+		waiter := &n.waiters[i]
+		if !n.operations.at(waiter.index).durable || n.heldBy(known, waiter.index) {
+			continue
+		}
+		push = true
+		if eager {
+			due = n.now
+		}
+		due = min(due, waiter.since+widenAfter)
+	}
+	return due, push
+}
+
+// eagerPeers returns the fastest peers that give the needed machines and zones, and a spare one.
+func (n *Node) eagerPeers() (eager []*peer) {
+	var candidates []*peer
+	for _, known := range n.peers {
+		if known.responsive(n) {
+			candidates = append(candidates, known)
+		}
+	}
+	slices.SortFunc(candidates, byRoundTrip)
+	var chosen copies
+	chosen.add(n.options.Zone)
+	take := func(wanted func(known *peer) bool) {
+		for _, known := range candidates {
+			if !slices.Contains(eager, known) && wanted(known) {
+				eager = append(eager, known)
+				chosen.add(known.Zone)
+			}
+		}
+	}
+	take(func(known *peer) bool {
+		return len(chosen.zones) < n.options.Durability.Zones && !slices.Contains(chosen.zones, known.Zone)
+	})
+	take(func(*peer) bool { return chosen.machines < n.options.Durability.Machines })
+	limit := len(eager) + spareEagerPeers
+	take(func(*peer) bool { return len(eager) < limit })
+	return eager
+}
+
+// watchLags notes which logs others hold more of. It returns when the next of them is to be pulled.
+func (n *Node) watchLags() (next time.Duration) {
+	next = forever
+	for _, known := range n.peers {
+		for origin, sequence := range known.vector {
+			if origin == n.own.origin || sequence <= n.logs.durableOf(origin) {
+				continue
+			}
+			log := n.logs.get(origin)
+			if log.aheadTarget <= log.durable {
+				log.aheadTarget = sequence
+				log.aheadSince = n.now
+			}
+			if !n.lags(log) {
+				next = min(next, log.aheadSince+pullAfter)
+			}
+		}
+	}
+	return next
+}
+
+// lags reports whether entries of a log are to be pulled.
+func (n *Node) lags(log *operationLog) bool {
+	if log.aheadTarget <= log.durable {
+		return false
+	}
+	isUrgent := !n.ready || log.aheadTarget-log.durable > urgentLag
+	return isUrgent || n.now-log.aheadSince >= pullAfter
+}
+
+// startPull asks the fastest peer that holds what this replica lacks, one at a time.
+func (n *Node) startPull() {
+	if n.pulling != nil || len(n.queue) > 0 {
+		return // what is on its way to the disk may be what lacks
+	}
+	var source *peer
+	for _, known := range n.peers {
+		if known.inFlight || !known.responsive(n) || !n.holdsMore(known) {
+			continue
+		}
+		if source == nil || byRoundTrip(known, source) < 0 {
+			source = known
+		}
+	}
+	if source != nil {
+		n.pulling = source
+		n.sendExchange(source, true, true)
+	}
+}
+
+// holdsMore reports whether a peer holds entries that are to be pulled.
+func (n *Node) holdsMore(known *peer) bool {
+	for _, log := range n.logs.all {
+		if n.lags(log) && known.vector[log.origin] > log.durable {
+			return true
+		}
+	}
+	return false
+}
+
+// sendExchange sends a request to a peer.
+func (n *Node) sendExchange(known *peer, push, pull bool) {
+	request := &ExchangeRequest{From: n.self, Vector: n.vector(), Pull: pull}
+	if push {
+		request.Ranges = n.pushedRanges(known)
+	}
+	known.inFlight = true
+	known.sentAt = n.now
+	if !known.unanswered {
+		known.unanswered = true
+		known.unansweredSince = n.now
+	}
+	n.exchanges = append(n.exchanges, Exchange{Peer: known.Address, Request: request})
+}
+
+// pushedRanges encodes the entries of the own origin, and those that calls of Add wait for, which a peer lacks.
+func (n *Node) pushedRanges(known *peer) []byte {
+	encoder := newRangeEncoder(maxExchangeBytes)
+	wanted := map[*operationLog]uint64{n.own: n.own.durable}
+	for i := range n.waiters {
+		index := n.waiters[i].index
+		stored := n.operations.at(index)
+		log := n.logs.all[stored.log]
+		if stored.durable && uint64(stored.sequence) <= log.durable && !n.heldBy(known, index) {
+			wanted[log] = max(wanted[log], uint64(stored.sequence))
+		}
+	}
+	for _, log := range n.logs.sorted {
+		n.addRange(encoder, log, known.vector[log.origin], wanted[log])
+	}
+	return encoder.finish(&n.self)
+}
+
+// missingRanges encodes the entries that are durable here and that a requester lacks.
+func (n *Node) missingRanges(vector VersionVector) []byte {
+	encoder := newRangeEncoder(maxExchangeBytes)
+	for _, log := range n.logs.sorted {
+		n.addRange(encoder, log, vector[log.origin], log.durable)
+	}
+	return encoder.finish(&n.self)
+}
+
+// addRange adds the entries of a log after one sequence number up to another.
+func (n *Node) addRange(encoder *rangeEncoder, log *operationLog, after, last uint64) {
+	if after >= last {
+		return
+	}
+	encoder.add(log.origin, after+1, last, func(sequence uint64) Operation {
+		return n.operations.operationAt(log.entries[sequence-1])
+	})
+}
+
+// takeReplies replies to the requests whose entries are durable.
+func (n *Node) takeReplies() []Reply {
+	replies := n.replies
+	n.replies = nil
+	waiting := n.requests[:0]
+	for _, request := range n.requests {
+		if request.durableAt > n.persisted {
+			waiting = append(waiting, request)
+			continue
+		}
+		reply := &ExchangeReply{From: n.self, Vector: n.vector()}
+		if request.pull {
+			reply.Ranges = n.missingRanges(request.vector)
+		}
+		replies = append(replies, Reply{ID: request.id, Reply: reply})
+	}
+	clear(n.requests[len(waiting):])
+	n.requests = waiting
+	slices.SortFunc(replies, func(a, b Reply) int { return cmp.Compare(a.ID, b.ID) })
+	return replies
+}
