--- a/internal/system/sqlitedb/files.go
+++ b/internal/system/sqlitedb/files.go
@@ -91,7 +91,7 @@
 	if !removed {
 		return false, nil
 	}
-	return true, f.syncFolder()
+	return true, f.SyncFolder()
 }
 
 // OpenOrQuarantine calls open. If that returns a *CorruptError, it quarantines the file and calls open once more, for an
@@ -116,7 +116,7 @@
 	if err != nil && !errors.Is(err, os.ErrNotExist) {
 		return &DiskError{Operation: "move " + f.Path + " aside", Cause: err}
 	}
-	if err := f.syncFolder(); err != nil {
+	if err := f.SyncFolder(); err != nil {
 		return err
 	}
 	for _, suffix := range SideFiles {
@@ -125,10 +125,11 @@
 			return &DiskError{Operation: "move " + f.Path + suffix + " aside", Cause: err}
 		}
 	}
-	return f.syncFolder()
+	return f.SyncFolder()
 }
 
-func (f Files) syncFolder() error {
+// SyncFolder makes the names in the folder durable, as after a database was created.
+func (f Files) SyncFolder() error {
 	if err := f.Sync(filepath.Dir(f.Path)); err != nil {
 		return &DiskError{Operation: "sync the state folder", Cause: err}
 	}
