Process configuration: promises and the bound of a merge

Cause: control machines are to serve counters only where the deployment asks for it.

Change: the settings' list of promises is read, with ServesCounters for the one that concerns counters, and the timing merge_within_ms.

Result: tests of the list, absent, null, malformed and with unknown names, pass.

--- a/internal/system/processconfig/parse.go
+++ b/internal/system/processconfig/parse.go
@@ -77,6 +77,8 @@
 		value.ReadObject(s.Timing.readField)
 	case "cloud_api":
 		value.ReadObject(s.CloudAPI.readField)
+	case "promises":
+		s.Promises, _ = value.Texts()
 	}
 }
 
--- a/internal/system/processconfig/parse_test.go
+++ b/internal/system/processconfig/parse_test.go
@@ -110,6 +110,34 @@
 	}
 }
 
+func TestParsePromises(t *testing.T) {
+	const rest = `"node":"n","ip":"10.0.0.1","free_ports":[1,2]`
+	for text, served := range map[string]bool{
+		``:                                     false,
+		`,"promises":null`:                     false,
+		`,"promises":[]`:                       false,
+		`,"promises":["base","Apart","part"]`:  false,
+		`,"promises":["base","apart","later"]`: true,
+	} {
+		settings, err := Parse([]byte("{" + rest + text + `,"timing":{"merge_within_ms":3100}}`))
+		if err != nil || settings.ServesCounters() != served || settings.Timing.MergeWithin != 3100*time.Millisecond {
+			t.Errorf("%s: %+v, %v", text, settings, err)
+		}
+	}
+	for text, path := range map[string]string{
+		`"promises":"apart"`:              "promises",
+		`"promises":["apart",7]`:          "promises[1]",
+		`"promises":{"apart":true}`:       "promises",
+		`"timing":{"merge_within_ms":""}`: "timing.merge_within_ms",
+	} {
+		_, err := Parse([]byte("{" + rest + "," + text + "}"))
+		var validationError *validation.Error
+		if !errors.As(err, &validationError) || validationError.Problems[0].Path != path {
+			t.Errorf("%s: %v", text, err)
+		}
+	}
+}
+
 func TestParseRejectsMalformed(t *testing.T) {
 	for _, data := range []string{"", "{", `{"node":"n"} x`, "[]", `{"node":"n",}`} {
 		if _, err := Parse([]byte(data)); err == nil {
--- a/internal/system/processconfig/settings.go
+++ b/internal/system/processconfig/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -24,8 +25,15 @@
 	SurvivableLosses SurvivableLosses
 	Timing           Timing
 	CloudAPI         CloudAPI
+	Promises         []string // what the deployment expects of the system, by names of which most concern others
 }
 
+// promiseApart is the promise that counters are served on both sides of a network partition.
+const promiseApart = "apart"
+
+// ServesCounters reports whether control machines serve replicated counters.
+func (s *Settings) ServesCounters() bool { return slices.Contains(s.Promises, promiseApart) }
+
 // Listen holds the addresses that the process serves. One that it does not serve is the zero value.
 type Listen struct {
 	Front     netip.AddrPort // requests of clients
--- a/internal/system/processconfig/timing.go
+++ b/internal/system/processconfig/timing.go
@@ -17,6 +17,7 @@
 	Evacuate     time.Duration // until an evacuated zone gets no new requests
 	AckWithin    time.Duration // until the control API acknowledges or rejects a change
 	TTLMax       time.Duration // greatest time to live of a directory record
+	MergeWithin  time.Duration // after a network partition, until all control machines count what each has acknowledged
 
 	RetryRatio     float64       // retries for each request that all proxies together may make
 	RetryWindow    time.Duration // in which requests and retries are counted
@@ -88,6 +89,7 @@
 		"config_within": &t.ConfigWithin,
 		"evacuate":      &t.Evacuate,
 		"ttl_max":       &t.TTLMax,
+		"merge_within":  &t.MergeWithin,
 		"retry_window":  &t.RetryWindow,
 	}
 	if bound := bounds[base]; bound != nil {
