Control: replicated counters are served

Cause: calls that add to a counter or read its total were answered 404.

Change: counterservice drives the node of package counter with the disk, the exchanges between control machines and the HTTP calls at the control address, with limits of their own. It runs only where the settings promise it. jsonfield reads integers of 64 bits without a loss of precision, and httpjson has the form of error responses, which the operator's API shared with nobody before.

--- a/internal/system/control/api/api.go
+++ b/internal/system/control/api/api.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"cinderroad/internal/system/control/httpjson"
 	"cinderroad/internal/system/control/state"
 	"cinderroad/internal/system/feed"
 	"cinderroad/internal/system/replica"
@@ -110,7 +111,7 @@
 }
 
 func (a *API) handleStatus(w http.ResponseWriter, _ *http.Request) {
-	writeJSON(w, http.StatusOK, a.options.Status())
+	httpjson.Write(w, http.StatusOK, a.options.Status())
 }
 
 // responseTimeout is the time that a call has from now on, with a body of so many bytes. A machine without contact to
--- a/internal/system/control/api/configuration.go
+++ b/internal/system/control/api/configuration.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"go.uber.org/zap"
+
+	"cinderroad/internal/system/control/httpjson"
 )
 
 // handleChange serves PathReplace and PathChange.
@@ -102,5 +104,5 @@
 	version := strconv.FormatUint(base.Version, 10)
 	w.Header().Set("ETag", strconv.Quote(version))
 	w.Header().Set(HeaderVersion, version)
-	writeJSON(w, http.StatusOK, document.Encode())
+	httpjson.Write(w, http.StatusOK, document.Encode())
 }
--- a/internal/system/control/api/response.go
+++ b/internal/system/control/api/response.go
@@ -3,16 +3,13 @@
 import (
 	"net/http"
 	"strconv"
-	"time"
 
 	"github.com/go-faster/jx"
 
+	"cinderroad/internal/system/control/httpjson"
 	"cinderroad/internal/system/validation"
 )
 
-// retryAfter is sent as the header Retry-After of 503.
-const retryAfter = 300 * time.Millisecond
-
 // CodeNotFound is the error code of 404: there is no configuration yet, or no such zone.
 const CodeNotFound = "not_found"
 
@@ -59,36 +56,8 @@
 
 // write sends the response.
 func (r *apiError) write(w http.ResponseWriter) {
-	if r.status == http.StatusServiceUnavailable {
-		w.Header().Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
-	}
-	writeJSON(w, r.status, r.encode())
-}
-
-// encode returns the body. Its field names are part of the API.
-func (r *apiError) encode() []byte {
-	var e jx.Encoder
-	e.ObjStart()
-	e.FieldStart("error")
-	e.ObjStart()
-	e.FieldStart("code")
-	e.Str(r.code)
-	e.FieldStart("message")
-	e.Str(r.message)
-	e.FieldStart("findings")
-	e.ArrStart()
-	for _, problem := range r.problems {
-		e.ObjStart()
-		e.FieldStart("place")
-		e.Str(problem.Path)
-		e.FieldStart("problem")
-		e.Str(problem.Message)
-		e.ObjEnd()
-	}
-	e.ArrEnd()
-	e.ObjEnd()
-	e.ObjEnd()
-	return e.Bytes()
+	response := httpjson.Error{Status: r.status, Code: r.code, Message: r.message, Problems: r.problems}
+	response.Write(w)
 }
 
 func writeVersion(w http.ResponseWriter, version uint64) {
@@ -97,7 +66,7 @@
 	e.FieldStart("version")
 	e.UInt64(version)
 	e.ObjEnd()
-	writeJSON(w, http.StatusOK, e.Bytes())
+	httpjson.Write(w, http.StatusOK, e.Bytes())
 }
 
 func writeEvacuation(w http.ResponseWriter, zone string, evacuated bool) {
@@ -108,13 +77,5 @@
 	e.FieldStart("evacuated")
 	e.Bool(evacuated)
 	e.ObjEnd()
-	writeJSON(w, http.StatusOK, e.Bytes())
-}
-
-func writeJSON(w http.ResponseWriter, status int, body []byte) {
-	header := w.Header()
-	header.Set("Content-Type", "application/json")
-	header.Set("Content-Length", strconv.Itoa(len(body)))
-	w.WriteHeader(status)
-	w.Write(body) //nolint:errcheck // the caller has disconnected
+	httpjson.Write(w, http.StatusOK, e.Bytes())
 }
--- a/internal/system/control/doc.go
+++ b/internal/system/control/doc.go
@@ -4,7 +4,8 @@
 //   - the operator's API (package api),
 //   - the directory of proxies for clients (package directory),
 //   - the feed for agents (package feedserver),
-//   - replication between control machines (package replica), over the same RPC server as the feed.
+//   - replication between control machines (package replica), over the same RPC server as the feed,
+//   - replicated counters (package counterservice), if the settings ask for them.
 //
 // It also polls the platform's list of runners while it holds the lease for that (package runnersync), and takes part in
 // the membership of all processes (package gossip).
--- a/internal/system/control/listeners.go
+++ b/internal/system/control/listeners.go
@@ -51,7 +51,7 @@
 	if err = p.serveRPC(ctx, settings); err != nil {
 		return err
 	}
-	if err = p.serveHTTP(ctx, settings.ListenOn.Control, p.operatorAPI()); err != nil {
+	if err = p.serveHTTP(ctx, settings.ListenOn.Control, p.controlHandler()); err != nil {
 		return err
 	}
 	handler := &directory.Handler{Source: p, MaxTTL: settings.Timing.TTLMax}
@@ -64,6 +64,7 @@
 	memberOptions := gossip.FromSettings(options.Settings, gossip.Control)
 	memberOptions.Version = options.Version
 	memberOptions.Log = options.Log
+	memberOptions.OnChange = p.memberChanged
 	var member *gossip.Memberlist
 	err := retry.WhileAddressInUse(ctx, func() (err error) {
 		member, err = gossip.Start(memberOptions)
@@ -76,7 +77,7 @@
 	return member, nil
 }
 
-// serveRPC serves replication and the feed.
+// serveRPC serves replication, the feed and the exchanges of counters.
 func (p *Process) serveRPC(ctx context.Context, settings *processconfig.Settings) error {
 	address := netip.AddrPortFrom(settings.IP, settings.Port(processconfig.ControlRPCPort))
 	listener, err := listen(ctx, address)
@@ -86,6 +87,9 @@
 	registry := rpc.NewRegistry()
 	p.host.Register(registry)
 	feedserver.FollowMethod.Handle(registry, p.feedServer.Follow)
+	if p.counters != nil {
+		p.counters.Register(registry)
+	}
 	limits := rpc.ServerLimits{MaxConnections: maxRPCConnections, MaxCallsPerConnection: maxRPCCallsPerConnection}
 	p.goroutines.Go(func() {
 		if err := rpc.Serve(p.context, listener, registry, limits); err != nil {
--- a/internal/system/control/metrics.go
+++ b/internal/system/control/metrics.go
@@ -12,6 +12,9 @@
 	p.writeStateMetrics(page)
 	p.writePartitionMetrics(page)
 	p.writeDirectoryMetrics(page)
+	if p.counters != nil {
+		p.counters.WriteMetrics(page)
+	}
 }
 
 func (p *Process) writeStateMetrics(page *exposition.Page) {
--- a/internal/system/control/process.go
+++ b/internal/system/control/process.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"cinderroad/internal/system/control/counterservice"
 	"cinderroad/internal/system/control/feedserver"
 	"cinderroad/internal/system/control/runnersync"
 	"cinderroad/internal/system/control/state"
@@ -59,6 +60,7 @@
 	gossip        *gossip.Memberlist
 	feedServer    *feedserver.Server
 	runnerSync    *runnersync.Syncer
+	counters      *counterservice.Service // nil: the deployment asks for none
 
 	servers    []*http.Server  // complete when Start returns
 	failures   chan error      // fatal errors
@@ -77,6 +79,7 @@
 	p.initHost(options)
 	p.initFeedServer(notifier)
 	p.initRunnerSync()
+	p.initCounters(options)
 	if err := p.openListeners(ctx, options); err != nil {
 		p.cancel()
 		p.goroutines.Wait()
@@ -84,6 +87,9 @@
 	}
 	exposition.Serve(p.context, &p.goroutines, p.log, options.MetricsAddress, p.writeMetrics)
 	p.host.Start()
+	if p.counters != nil {
+		p.counters.Start()
+	}
 	p.goroutines.Go(func() { p.runnerSync.Run(p.context) })
 	p.goroutines.Go(func() { p.watchMembers(p.context) })
 	return p, nil
--- a/internal/system/control/stop.go
+++ b/internal/system/control/stop.go
@@ -68,7 +68,7 @@
 	if err := p.closeServers(plan.drain); err != nil {
 		p.log.Warn("open API requests aborted at shutdown", zap.Error(err))
 	}
-	p.host.Stop(ctx)
+	p.stopReplicas(ctx)
 	p.cancel()
 	p.leave()
 	p.goroutines.Wait()
--- a/internal/system/control/testcluster_test.go
+++ b/internal/system/control/testcluster_test.go
@@ -63,8 +63,8 @@
 	return fmt.Sprintf(`{"id":%q,"service":"s","address":"10.0.0.1:80","zone":"a","capacity":4,"state":%q}`, id, state)
 }
 
-// newTestCluster starts a cluster; it is stopped when the test ends.
-func newTestCluster(t *testing.T, machines int) *testCluster {
+// newTestCluster starts a cluster whose settings have the given promises; it is stopped when the test ends.
+func newTestCluster(t *testing.T, machines int, promises ...string) *testCluster {
 	t.Helper()
 	cluster := &testCluster{t: t, platform: &platform{}}
 	server := httptest.NewServer(cluster.platform)
@@ -92,6 +92,7 @@
 				CallsPerSecond: 100,
 			},
 		}
+		settings.Promises = promises
 		settings.ListenOn.Control = netip.AddrPortFrom(ip, first+2)
 		settings.ListenOn.Directory = netip.AddrPortFrom(ip, first+3)
 		cluster.settings = append(cluster.settings, settings)
--- a/internal/system/counterstore/power_loss_test.go
+++ b/internal/system/counterstore/power_loss_test.go
@@ -91,7 +91,8 @@
 		writeEntries(t, store, newEntries(ownOrigin, first, last)...)
 		after := readImage(t, folder)
 		if bytes.Equal(before[""], after[""]) { // no checkpoint, which follows the sync
-			left := diskImage{"": before[""], sqlitedb.WALSuffix: keepSectors(random, before[sqlitedb.WALSuffix], after[sqlitedb.WALSuffix])}
+			log := keepSectors(random, before[sqlitedb.WALSuffix], after[sqlitedb.WALSuffix])
+			left := diskImage{"": before[""], sqlitedb.WALSuffix: log}
 			checkAfterLoss(t, left, entries, newEntries(ownOrigin, 1, last))
 		} else { // the checkpoint is lost in part
 			left := diskImage{"": keepSectors(random, before[""], after[""]), sqlitedb.WALSuffix: after[sqlitedb.WALSuffix]}
--- a/internal/system/jsonfield/scalars.go
+++ b/internal/system/jsonfield/scalars.go
@@ -110,6 +110,28 @@
 	return int(value), true
 }
 
+// Int64 reads an integer of any notation without a loss of precision: one that is not written as digits alone must be within
+// the range in which a float64 holds every integer.
+func (v Value) Int64() (int64, bool) {
+	if value, err := strconv.ParseInt(string(v.raw), 10, 64); err == nil {
+		return value, true
+	}
+	value, ok := v.Float()
+	if !ok {
+		return 0, false
+	}
+	const limit = 1 << 53
+	switch {
+	case value != math.Trunc(value):
+		v.AddProblem("must be a whole number")
+		return 0, false
+	case value > limit || value < -limit:
+		v.AddProblem("must be a whole number of at most 64 bits, written as digits")
+		return 0, false
+	}
+	return int64(value), true
+}
+
 // Uint64 reads an integer of any notation that is not negative.
 func (v Value) Uint64() (uint64, bool) {
 	if value, err := strconv.ParseUint(string(v.raw), 10, 64); err == nil {
