Counter: clusters in virtual time under drawn faults

Partitions (regions, zones, machines, one way, between two zones), lost, late and duplicate messages, freezes, kills, lost disks, stalled and failing disks, replaced machines; invariants are checked after each step.

--- /dev/null
+++ b/internal/system/counter/cluster_test.go
@@ -0,0 +1,82 @@
+package counter
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"testing"
+	"time"
+)
+
+const (
+	// defaultSeeds is the number of seeds that run unless MODEL_SEEDS tells another one.
+	defaultSeeds = 60
+	// mergeLimit is how long after the last fault all totals are complete.
+	mergeLimit = 3 * time.Second
+)
+
+// seedsToRun returns the seeds to run: MODEL_SEED=N replays one, MODEL_SEEDS=N runs that many.
+func seedsToRun(t *testing.T) (seeds []uint64, verbose bool) {
+	t.Helper()
+	number := func(name string, otherwise uint64) uint64 {
+		text := os.Getenv(name)
+		if text == "" {
+			return otherwise
+		}
+		value, err := strconv.ParseUint(text, 10, 64)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return value
+	}
+	if os.Getenv("MODEL_SEED") != "" {
+		return []uint64{number("MODEL_SEED", 0)}, true
+	}
+	for seed := range number("MODEL_SEEDS", defaultSeeds) {
+		seeds = append(seeds, seed+1)
+	}
+	return seeds, false
+}
+
+// TestCluster runs clusters in virtual time under random faults and checks the invariants after each step, and that all
+// totals are complete and equal soon after the last fault.
+func TestCluster(t *testing.T) {
+	seeds, verbose := seedsToRun(t)
+	for _, seed := range seeds {
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			t.Parallel()
+			runSimulation(t, seed, verbose)
+		})
+	}
+}
+
+func runSimulation(t *testing.T, seed uint64, verbose bool) {
+	t.Helper()
+	sim := newSimulation(seed)
+	sim.verbose = verbose
+	defer func() {
+		if sim.failure != "" {
+			t.Errorf("%s\nreplay: MODEL_SEED=%d go test ./internal/system/counter -run TestCluster -v", sim.failure, seed)
+		}
+	}()
+	sim.start()
+	sim.schedule(time.Second, sim.startClients)
+	sim.schedule(2*time.Second, sim.scheduleFaults)
+	sim.run(25 * time.Second)
+	sim.endFaults()
+	healedAt := sim.now
+	sim.run(mergeLimit)
+	sim.checkComplete(healedAt)
+	sim.clientsUntil = sim.now
+	sim.run(mergeLimit)
+	sim.checkComplete(sim.now)
+	sim.checkEqual()
+	observed := &sim.observed
+	if len(observed.acked) == 0 || observed.reads == 0 {
+		sim.fail("%d acknowledgements, %d reads", len(observed.acked), observed.reads)
+	}
+	if verbose {
+		t.Logf("%d steps, %d of %d operations acknowledged, %d with fewer copies, %d reads, %d disks lost, and %d operations: %+v",
+			sim.steps, len(observed.acked), len(observed.sent), observed.reduced, observed.reads, observed.losses, observed.lost, sim.profile)
+	}
+}
--- a/internal/system/counter/doc.go
+++ b/internal/system/counter/doc.go
@@ -32,5 +32,5 @@
 // after they were sent. A Node must not start under the origin of a disk that was lost or restored. A failed write must be
 // repeated, or the Node made anew from what is on disk. Tick is called at Ready.NextTick at the latest: a longer gap between two
 // calls is taken for a pause of the process, which moves all time limits. An exchange whose reply doesn't come must end
-// in HandleFailure within a second or two, since no other is sent to that peer before.
+// in HandleFailure within a second, since no other is sent to that peer before.
 package counter
--- a/internal/system/counter/durability.go
+++ b/internal/system/counter/durability.go
@@ -61,7 +61,8 @@
 	var holders copies
 	holders.add(n.options.Zone)
 	for _, peer := range n.peers {
-		if n.heldBy(peer, index) {
+		// The disk of a peer that is not heard may be lost.
+		if !peer.excused(n) && n.heldBy(peer, index) {
 			holders.add(peer.Zone)
 		}
 	}
--- a/internal/system/counter/encoding.go
+++ b/internal/system/counter/encoding.go
@@ -22,8 +22,7 @@
 	checksumSize = 4
 	// minVectorElementSize and minOperationSize bound counts before memory is allocated, in bytes.
 	minVectorElementSize = originSize + 1
-	minRangeSize         = originSize + 2
-	minOperationSize     = 3
+	minOperationSize     = 4
 )
 
 // checksumTable is of CRC-32C. A message that was changed on its way could shift the entries of a log for good.
@@ -209,7 +208,7 @@
 		}
 	}
 	packed, err := hex.DecodeString(id)
-	return packed, err == nil
+	return packed, err == nil && id != ""
 }
 
 // decodeRanges decodes the ranges of a sender; empty data has none. The error is a *DecodeError.
--- a/internal/system/counter/exchange.go
+++ b/internal/system/counter/exchange.go
@@ -39,15 +39,16 @@
 	n.startPull()
 	eager := n.eagerPeers()
 	for _, known := range n.peers {
-		if known.inFlight {
-			next = min(next, max(known.excusedFrom(n), n.now))
-			continue
+		if !known.inFlight {
+			due, push := n.dueAt(known, slices.Contains(eager, known))
+			if due <= n.now {
+				n.sendExchange(known, push, false)
+			} else {
+				next = min(next, due)
+			}
 		}
-		due, push := n.dueAt(known, slices.Contains(eager, known))
-		if due <= n.now {
-			n.sendExchange(known, push, false)
-		} else {
-			next = min(next, due)
+		if excused := known.excusedFrom(n); excused > n.now {
+			next = min(next, excused)
 		}
 	}
 	return next
@@ -59,8 +60,7 @@
 		return known.sentAt + retryInterval, false
 	}
 	due = known.sentAt + heartbeatInterval
-	lag := n.own.durable - min(n.own.durable, known.vector[n.own.origin])
-	if lag > 0 {
+	if lag := n.ownLag(known); lag > 0 {
 		push = true
 		switch {
 		case eager:
@@ -85,6 +85,11 @@
 	return due, push
 }
 
+// ownLag returns the number of entries of the own origin that a peer is not known to hold.
+func (n *Node) ownLag(known *peer) uint64 {
+	return n.own.durable - min(n.own.durable, known.vector[n.own.origin])
+}
+
 // eagerPeers returns the fastest peers that give the needed machines and zones, and a spare one.
 func (n *Node) eagerPeers() (eager []*peer) {
 	var candidates []*peer
@@ -118,11 +123,11 @@
 	next = forever
 	for _, known := range n.peers {
 		for origin, sequence := range known.vector {
-			if origin == n.own.origin || sequence <= n.logs.durableOf(origin) {
+			if origin == n.own.origin || sequence <= n.logs.lengthOf(origin) {
 				continue
 			}
 			log := n.logs.get(origin)
-			if log.aheadTarget <= log.durable {
+			if log.aheadTarget <= log.length() {
 				log.aheadTarget = sequence
 				log.aheadSince = n.now
 			}
@@ -134,39 +139,44 @@
 	return next
 }
 
-// lags reports whether entries of a log are to be pulled.
+// lags reports whether entries of a log are to be pulled. What is on its way to the disk has arrived.
 func (n *Node) lags(log *operationLog) bool {
-	if log.aheadTarget <= log.durable {
+	if log.aheadTarget <= log.length() {
 		return false
 	}
-	isUrgent := !n.ready || log.aheadTarget-log.durable > urgentLag
+	isUrgent := !n.ready || log.aheadTarget-log.length() > urgentLag
 	return isUrgent || n.now-log.aheadSince >= pullAfter
 }
 
 // startPull asks the fastest peer that holds what this replica lacks, one at a time.
 func (n *Node) startPull() {
-	if n.pulling != nil || len(n.queue) > 0 {
-		return // what is on its way to the disk may be what lacks
+	if n.pulling != nil && n.now-n.pulling.sentAt < pullAfter {
+		return
 	}
 	var source *peer
 	for _, known := range n.peers {
-		if known.inFlight || !known.responsive(n) || !n.holdsMore(known) {
+		available := !known.inFlight && known.responsive(n) && n.now >= known.noPullUntil
+		if !available || !n.holdsMore(known) {
 			continue
 		}
 		if source == nil || byRoundTrip(known, source) < 0 {
 			source = known
 		}
 	}
-	if source != nil {
-		n.pulling = source
-		n.sendExchange(source, true, true)
+	if source == nil {
+		return
 	}
+	n.pulling = source
+	source.noPullUntil = n.now + pullAfter // unless the reply brings something
+	n.sendExchange(source, n.ownLag(source) <= distantLag, true)
 }
 
-// holdsMore reports whether a peer holds entries that are to be pulled.
+// holdsMore reports whether a peer holds entries that are to be pulled. A log whose last entries are on their way to the disk
+// waits: the request, which names what is durable, would bring them again.
 func (n *Node) holdsMore(known *peer) bool {
 	for _, log := range n.logs.all {
-		if n.lags(log) && known.vector[log.origin] > log.durable {
+		isSettled := log.length() == log.durable
+		if isSettled && n.lags(log) && known.vector[log.origin] > log.durable {
 			return true
 		}
 	}
--- a/internal/system/counter/node.go
+++ b/internal/system/counter/node.go
@@ -58,6 +58,7 @@
 
 	logs       logSet
 	own        *operationLog
+	ownStart   uint64 // its length at the start of the process, or when the origin was begun
 	operations operationSet
 	newOrigin  Origin // begun since the last Ready
 	resets     int    // number of origins begun after the disk went back in time
@@ -110,6 +111,7 @@
 			return nil, err
 		}
 	}
+	node.ownStart = node.own.length()
 	return node, nil
 }
 
@@ -174,13 +176,17 @@
 
 // enqueue appends an operation to a log and to the queue of the disk.
 func (n *Node) enqueue(log *operationLog, added *Operation) operationIndex {
-	sequence := log.length() + 1
-	index := n.operations.insert(added, position{log, sequence})
+	index := n.operations.insert(added, position{log, log.length() + 1})
+	n.appendToLog(log, index)
+	return index
+}
+
+// appendToLog appends an operation of the set to a log and to the queue of the disk.
+func (n *Node) appendToLog(log *operationLog, index operationIndex) {
 	log.entries = append(log.entries, index)
 	n.logs.entries++
-	n.queue = append(n.queue, queuedEntry{log: log, sequence: sequence, index: index, queuedAt: n.now})
+	n.queue = append(n.queue, queuedEntry{log: log, sequence: log.length(), index: index, queuedAt: n.now})
 	n.queuedTotal++
-	return index
 }
 
 // HandlePersisted tells that the first count entries which Ready handed out, and for which it was not called yet, are durable.
@@ -209,12 +215,3 @@
 	}
 	return n.encodedVector
 }
-
-// beginNewOrigin continues in the log of a new origin.
-func (n *Node) beginNewOrigin() {
-	n.own = n.logs.get(n.options.NewOrigin())
-	n.self.Origin = n.own.origin
-	n.newOrigin = n.own.origin
-	n.resets++
-	n.encodedVector = nil
-}
--- a/internal/system/counter/operations.go
+++ b/internal/system/counter/operations.go
@@ -103,6 +103,22 @@
 	return index
 }
 
+// move records that an operation does not count as standing at a position, but at another one.
+func (s *operationSet) move(index operationIndex, from, to position) {
+	stored := s.at(index)
+	if stored.log == from.log.index && uint64(stored.sequence) == from.sequence {
+		stored.log = to.log.index
+		stored.sequence = uint32(to.sequence)
+		return
+	}
+	others := s.moreLogs[index]
+	for i := range others {
+		if others[i] == from {
+			others[i] = to
+		}
+	}
+}
+
 // counterIndex returns the index of a counter, which it adds if it is new.
 func (s *operationSet) counterIndex(name string) uint32 {
 	if index, known := s.byName[name]; known {
--- a/internal/system/counter/peer.go
+++ b/internal/system/counter/peer.go
@@ -26,6 +26,7 @@
 	lastReply       time.Duration // if replied
 	roundTrip       time.Duration // smoothed duration of its exchanges; 0: not known
 	catchUpTarget   VersionVector // what it held at its first reply
+	noPullUntil     time.Duration // its last reply to a pull brought nothing
 }
 
 // shiftLimits moves all time limits after a pause of this process.
@@ -107,6 +108,7 @@
 		}
 		known.origin = from.Origin
 		known.vector = VersionVector{}
+		known.replied = false // what its lost disk held is no longer to be caught up with
 	}
 	known.vector.merge(vector)
 	return true
--- a/internal/system/counter/receive.go
+++ b/internal/system/counter/receive.go
@@ -65,7 +65,9 @@
 		n.endExchange(known, false)
 		return
 	}
-	n.applyRanges(ranges)
+	if n.applyRanges(ranges) {
+		known.noPullUntil = n.now
+	}
 	n.endExchange(known, true)
 }
 
@@ -107,8 +109,8 @@
 }
 
 // applyRanges appends what is new to the logs. A range that begins beyond the next sequence number is dropped: the
-// vectors bring it again. The log of the own origin grows by Add alone.
-func (n *Node) applyRanges(ranges []entryRange) {
+// vectors bring it again. The log of the own origin grows by Add alone. It reports whether anything was new.
+func (n *Node) applyRanges(ranges []entryRange) (appended bool) {
 	for i := range ranges {
 		received := &ranges[i]
 		length := n.logs.lengthOf(received.origin)
@@ -121,5 +123,7 @@
 		for _, operation := range received.operations[length+1-received.first:] {
 			n.enqueue(log, &operation)
 		}
+		appended = true
 	}
+	return appended
 }
