Client of the control API: a long response may take its time

A call of cinderctl had a second for the whole response. The limit of a second now holds until the head of the response, and then for each pause in its body; the client's Timeout bounds the whole as before. TestSlowResponseIsReadToItsEnd failed before (60 attempts without a response) and passes.

--- a/internal/system/control/client/client.go
+++ b/internal/system/control/client/client.go
@@ -25,8 +25,8 @@
 	// maxResponseBytes is the size up to which a response body is read. A longer one is an error.
 	maxResponseBytes = 64 << 20
 
-	// callTimeout bounds a request to one machine. Sending its body adds transferTimePerMiB, and handling it the machine's own
-	// allowance, api.ParseAllowance.
+	// callTimeout bounds a request to one machine until the head of its response, and then each pause in the response's body.
+	// Sending a body adds transferTimePerMiB, and handling it the machine's own allowance, api.ParseAllowance.
 	callTimeout        = time.Second
 	transferTimePerMiB = time.Second
 
@@ -171,8 +171,10 @@
 
 // send makes one attempt of a call at one machine, which may have handled the call even if there is an error.
 func (c *Client) send(ctx context.Context, call *Call, target *url.URL) (*Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout+bodyAllowance(len(call.Body)))
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	timer := time.AfterFunc(callTimeout+bodyAllowance(len(call.Body)), cancel)
+	defer timer.Stop()
 	request, err := http.NewRequestWithContext(ctx, call.Method, target.String(), bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, errors.Wrapf(err, "call of %s", target.Host)
@@ -185,7 +187,8 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "call of %s", target.Host)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	progress := &idleTimeoutReader{source: response.Body, timer: timer, timeout: callTimeout}
+	body, err := io.ReadAll(io.LimitReader(progress, maxResponseBytes+1))
 	if err := errors.CombineErrors(err, response.Body.Close()); err != nil {
 		return nil, errors.Wrapf(err, "response of %s", target.Host)
 	}
@@ -195,6 +198,19 @@
 	return &Response{Machine: target.Host, Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
+// idleTimeoutReader restarts a timer before each read, so that a long transfer may go on as long as it makes progress.
+type idleTimeoutReader struct {
+	source  io.Reader
+	timer   *time.Timer
+	timeout time.Duration
+}
+
+// Read implements io.Reader.
+func (r *idleTimeoutReader) Read(p []byte) (int, error) {
+	r.timer.Reset(r.timeout)
+	return r.source.Read(p)
+}
+
 func (c *Client) sleep(ctx context.Context, d time.Duration) {
 	if c.Sleep != nil {
 		c.Sleep(ctx, d)
--- a/internal/system/control/client/client_test.go
+++ b/internal/system/control/client/client_test.go
@@ -226,6 +226,32 @@
 	}
 }
 
+// TestSlowResponseIsReadToItsEnd guards against a configuration that takes longer than callTimeout on its way and could never be
+// read, since each attempt ended in the middle of the response.
+func TestSlowResponseIsReadToItsEnd(t *testing.T) {
+	const parts = 6
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(api.HeaderVersion, "9")
+		for range parts {
+			if _, err := io.WriteString(w, "part"); err != nil {
+				return
+			}
+			w.(http.Flusher).Flush()
+			select {
+			case <-time.After(callTimeout / (parts - 1)):
+			case <-r.Context().Done():
+				return
+			}
+		}
+	}))
+	t.Cleanup(server.Close)
+	var pauses []time.Duration
+	document, err := newClient(&pauses, strings.TrimPrefix(server.URL, "http://")).Read(t.Context())
+	if err != nil || string(document.Body) != strings.Repeat("part", parts) || len(pauses) > 0 {
+		t.Fatalf("%+v, %v after %d pauses", document, err, len(pauses))
+	}
+}
+
 // TestReadFromAnotherServer: a 404 without the API's code says nothing of a configuration.
 func TestReadFromAnotherServer(t *testing.T) {
 	for _, body := range []string{"404 page not found\n", `{"error":{"code":"no_route","message":"no route"}}`} {
