Counterservice: tests of calls, faults of the disk and recorded forms

Cause: the answers at a faulty disk, the form of the exchange between machines and the names of the metrics were not held by tests.

A whole number that is not written as digits is read up to 2^53 - 1: the next one stands for two integers.

--- a/internal/compatibility/counters_test.go
+++ b/internal/compatibility/counters_test.go
@@ -6,6 +6,7 @@
 	"testing"
 
 	"cinderroad/internal/compatibility"
+	"cinderroad/internal/system/control/counterservice"
 	"cinderroad/internal/system/counter"
 	"cinderroad/internal/system/counterstore"
 )
@@ -71,3 +72,20 @@
 	files["stopped/counters.db"] = must(os.ReadFile(filepath.Join(folder, "counters.db")))(t)
 	return files
 }
+
+// TestReadCounterCalls checks the call between replicas of counters.
+func TestReadCounterCalls(t *testing.T) {
+	request := &counter.ExchangeRequest{
+		From:   counter.Sender{Address: "10.0.0.9:7660", Zone: "east-a", Origin: ownOrigin},
+		Vector: []byte("vector"),
+		Ranges: []byte("ranges"),
+		Pull:   true,
+	}
+	reply := &counter.ExchangeReply{
+		From:   counter.Sender{Address: "10.0.0.8:7660", Zone: "east-b", Origin: 7},
+		Vector: []byte("other vector"),
+		Ranges: []byte("other ranges"),
+	}
+	checkCall(t, counterservice.ExchangeMethod, "", request, reply)
+	checkCall(t, counterservice.ExchangeMethod, "zero", &counter.ExchangeRequest{}, &counter.ExchangeReply{})
+}
--- a/internal/system/control/counterservice/disk.go
+++ b/internal/system/control/counterservice/disk.go
@@ -210,8 +210,8 @@
 	Close() error
 }
 
-// openStore opens the store of the state folder, or one in memory if the machine has no disk.
-func (s *Service) openStore() (store, error) {
+// openStateFolder opens the store of the state folder, or one in memory if the machine has no disk.
+func (s *Service) openStateFolder() (store, error) {
 	folder := s.options.Settings.StateDir
 	if folder == "" {
 		return &memoryStore{origin: drawOrigin()}, nil
--- a/internal/system/control/counterservice/service.go
+++ b/internal/system/control/counterservice/service.go
@@ -56,6 +56,8 @@
 	context    context.Context
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
+	// openStore opens the store; tests replace it to simulate disk faults.
+	openStore func() (store, error)
 }
 
 // callCounts counts answers since the start of the process.
@@ -81,6 +83,7 @@
 		writeReady:  make(chan struct{}, 1),
 	}
 	s.mux = s.newMux()
+	s.openStore = s.openStateFolder
 	s.context, s.cancel = context.WithCancel(context.Background())
 	return s
 }
--- a/internal/system/jsonfield/scalars.go
+++ b/internal/system/jsonfield/scalars.go
@@ -111,7 +111,7 @@
 }
 
 // Int64 reads an integer of any notation without a loss of precision: one that is not written as digits alone must be within
-// the range in which a float64 holds every integer.
+// the range in which float64 and integers correspond one to one.
 func (v Value) Int64() (int64, bool) {
 	if value, err := strconv.ParseInt(string(v.raw), 10, 64); err == nil {
 		return value, true
@@ -125,7 +125,7 @@
 	case value != math.Trunc(value):
 		v.AddProblem("must be a whole number")
 		return 0, false
-	case value > limit || value < -limit:
+	case value >= limit || value <= -limit:
 		v.AddProblem("must be a whole number of at most 64 bits, written as digits")
 		return 0, false
 	}
--- a/internal/system/jsonfield/scalars_test.go
+++ b/internal/system/jsonfield/scalars_test.go
@@ -23,6 +23,29 @@
 	}
 }
 
+// TestInt64IsExact: an integer is read as it is written, or not at all.
+func TestInt64IsExact(t *testing.T) {
+	for source, want := range map[string]int64{
+		"9223372036854775807":  math.MaxInt64,
+		"-9223372036854775808": math.MinInt64,
+		"-9007199254740993":    -9007199254740993,
+		"9007199254740991.0":   9007199254740991,
+		"3e0":                  3,
+		"-0":                   0,
+	} {
+		value, problems := mustParse(t, source)
+		if got, ok := value.Int64(); !ok || got != want {
+			t.Errorf("%s: %d, %v", source, got, problems.Err())
+		}
+	}
+	for _, source := range []string{"9223372036854775808", "9007199254740993.0", "-9007199254740992e0", "0.5", "1e400", `"3"`, "null"} {
+		value, problems := mustParse(t, source)
+		if got, ok := value.Int64(); ok || problems.Len() != 1 {
+			t.Errorf("%s: %d, %v", source, got, problems.Err())
+		}
+	}
+}
+
 func TestUnexpectedValueIsAProblem(t *testing.T) {
 	for name, check := range map[string]func(Value) bool{
 		`"x"`:                  func(v Value) bool { _, ok := v.Int(); return ok },
