--- a/internal/system/counter/durability.go
+++ b/internal/system/counter/durability.go
@@ -54,21 +54,26 @@
 }
 
 // replicated reports whether an operation that counts is durable on as many machines as required.
-func (n *Node) replicated(index operationIndex, required Durability) bool {
-	if !n.operations.at(index).durable || n.outvoted(index) {
+func (n *Node) replicated(waiting *waiter, required Durability) bool {
+	if !n.operations.at(waiting.index).durable || n.outvoted(waiting.index) {
 		return false
 	}
 	var holders copies
 	holders.add(n.options.Zone)
 	for _, peer := range n.peers {
-		// The disk of a peer that is not heard may be lost.
-		if !peer.excused(n) && n.heldBy(peer, index) {
+		if n.confirmedBy(peer, waiting) {
 			holders.add(peer.Zone)
 		}
 	}
 	return holders.reach(required)
 }
 
+// confirmedBy reports whether a peer holds an operation durably by its reply to an exchange that was sent since the call of
+// Add. What it held before, by an earlier vector, may be lost with its disk.
+func (n *Node) confirmedBy(peer *peer, waiting *waiter) bool {
+	return peer.answeredSentAt >= waiting.since && n.heldBy(peer, waiting.index)
+}
+
 // heldBy reports whether an operation is durable at a peer, under any of the origins by which it is known here.
 func (n *Node) heldBy(peer *peer, index operationIndex) bool {
 	stored := n.operations.at(index)
@@ -91,7 +96,7 @@
 	required := n.required()
 	waiting := n.waiters[:0]
 	for _, waiter := range n.waiters {
-		if n.replicated(waiter.index, required) {
+		if n.replicated(&waiter, required) {
 			acknowledged = append(acknowledged, waiter.id)
 		} else {
 			waiting = append(waiting, waiter)
--- a/internal/system/counter/exchange.go
+++ b/internal/system/counter/exchange.go
@@ -73,7 +73,7 @@
 	}
 	for i := range n.waiters {
 		waiter := &n.waiters[i]
-		if !n.operations.at(waiter.index).durable || n.heldBy(known, waiter.index) {
+		if !n.operations.at(waiter.index).durable || n.confirmedBy(known, waiter) {
 			continue
 		}
 		push = true
--- a/internal/system/counter/peer.go
+++ b/internal/system/counter/peer.go
@@ -24,6 +24,7 @@
 	unansweredSince time.Duration
 	replied         bool          // at least once to this process
 	lastReply       time.Duration // if replied
+	answeredSentAt  time.Duration // when the last exchange that succeeded was sent
 	roundTrip       time.Duration // smoothed duration of its exchanges; 0: not known
 	catchUpTarget   VersionVector // what it held at its first reply
 	noPullUntil     time.Duration // its last reply to a pull brought nothing
@@ -60,7 +61,7 @@
 		}
 		known := n.byAddress[wanted.Address]
 		if known == nil {
-			known = &peer{sentAt: never, vector: VersionVector{}}
+			known = &peer{sentAt: never, answeredSentAt: never, vector: VersionVector{}}
 		}
 		known.Peer = wanted
 		byAddress[wanted.Address] = known
--- a/internal/system/counter/receive.go
+++ b/internal/system/counter/receive.go
@@ -100,6 +100,7 @@
 		known.catchUpTarget = known.vector.Clone()
 	}
 	if wasInFlight {
+		known.answeredSentAt = known.sentAt
 		took := max(n.now-known.sentAt, 1)
 		if known.roundTrip == 0 {
 			known.roundTrip = took
--- a/internal/system/counter/simulation_process_test.go
+++ b/internal/system/counter/simulation_process_test.go
@@ -49,7 +49,8 @@
 	calls     map[AddID]*clientCall
 	lastReply map[netip.AddrPort]time.Duration
 	peers     []*machine
-	acked     []Operation // in this life
+	accepted  map[string]bool // IDs of operations that were new here, in this life
+	acked     []Operation     // in this life
 }
 
 // boot starts a process from what is on the disk.
@@ -66,6 +67,7 @@
 		inFlight:  map[netip.AddrPort]int{},
 		requests:  map[RequestID]func(Reply){},
 		calls:     map[AddID]*clientCall{},
+		accepted:  map[string]bool{},
 		lastReply: map[netip.AddrPort]time.Duration{},
 	}
 	options := Options{
@@ -247,8 +249,10 @@
 					failed()
 					return
 				}
-				p.lastReply[exchange.Peer] = p.sim.now
 				p.node.HandleReply(exchange.Peer, reply.reply(), p.clock())
+				if known := p.node.byAddress[exchange.Peer]; known != nil && !known.failed { // not from before the loss of its disk
+					p.lastReply[exchange.Peer] = p.sim.now
+				}
 			})
 		})
 	})
