--- a/internal/system/control/counterservice/loop.go
+++ b/internal/system/control/counterservice/loop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -119,5 +120,10 @@
 // logNewOrigin reports that the disk went back in time.
 func (s *Service) logNewOrigin(origin counter.Origin) {
 	s.log.Error("operation log of counters went back in time, continuing under a new origin",
-		zap.Uint64("origin", uint64(origin)))
+		originField(origin))
+}
+
+// originField is an origin as operators see it.
+func originField(origin counter.Origin) zap.Field {
+	return zap.String("origin", fmt.Sprintf("%016x", uint64(origin)))
 }
