Proxy: a shutdown answers the pipelined requests that it has read

A client that pipelines got no answer to its second request if the proxy received SIGTERM between reading it and the first response: that response announced the close, and the connection was closed behind it with the second request in the session's buffer, however long it had waited there.

Cause: from the signal on every response was the last one of its connection, whether or not more had been read from it. Requests that arrive behind an announced close are dropped as before, which HTTP lets clients expect.

--- a/internal/system/proxy/response.go
+++ b/internal/system/proxy/response.go
@@ -49,7 +49,7 @@
 		x.releaseBody()
 	}
 	s := x.session
-	s.closeAfterResponse = s.closeAfterResponse || x.response.framing == httpwire.UntilClose || x.proxy.shutdown.active
+	s.closeAfterResponse = s.closeAfterResponse || x.response.framing == httpwire.UntilClose || s.closesForShutdown()
 	b := x.appendResponseHead(x.proxy.scratch[:0], head)
 	x.proxy.scratch = b
 	s.write(b)
--- a/internal/system/proxy/shutdown.go
+++ b/internal/system/proxy/shutdown.go
@@ -144,6 +144,12 @@
 	return s.isIdle() && !awaitsFirstRequest && s.socket.Alive()
 }
 
+// closesForShutdown reports whether the response that begins now is the last one of its session because the proxy shuts
+// down. A pipelined request that was read already is still answered.
+func (s *session) closesForShutdown() bool {
+	return s.proxy.shutdown.active && len(s.socket.Bytes()) == 0
+}
+
 // closeListener closes the listener for clients.
 func (p *Proxy) closeListener() {
 	p.shutdown.listenerClosed = true
