Tests: the shutdown plans against the platform's words, late signals, slow bodies

The guarantee of a shutdown was tested with a signal that is handled at once and requests that arrive whole.

--- a/internal/system/proxy/shutdown_simulation_test.go
+++ b/internal/system/proxy/shutdown_simulation_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -13,6 +14,7 @@
 	"cinderroad/internal/shared/eventloop"
 	"cinderroad/internal/system/configuration"
 	"cinderroad/internal/system/placement"
+	"cinderroad/internal/system/shutdown"
 )
 
 // The platform's guarantee for a shutdown (LOST): a forwarded request is answered completely. Only responses still in
@@ -33,7 +35,10 @@
 	eventInterval        = 100 * time.Millisecond
 	signalAt             = 2 * time.Second
 	longestAnswer        = 12 * time.Second
-	streamLengthQuery    = "?for=" // in the target: how long the runner streams
+	streamLengthQuery    = "?for="                 // in the target: how long the runner streams
+	longestBody          = 1500 * time.Millisecond // from the first to the last byte of a request with a slow body
+	slowBodyOneIn        = 4                       // requests, on average, until one has a slow body
+	exitJitter           = 100 * time.Millisecond  // by which the exit may be late because iterations are long
 )
 
 // shutdownSimulation is a proxy that gets the shutdown signal under load, in virtual time.
@@ -42,6 +47,7 @@
 	network      *simulatedNetwork
 	proxy        *Proxy
 	grace        time.Duration
+	handledAfter time.Duration // the process handles the signal so much later than the platform sends it
 	requestCount int
 	complete     int
 	rejected     int
@@ -53,7 +59,7 @@
 // shutdownRequest is a request of a shutdownClient.
 type shutdownRequest struct {
 	id       string
-	sentAt   time.Duration
+	sentAt   time.Duration // the last byte
 	deadline time.Duration
 }
 
@@ -68,7 +74,8 @@
 	learnsAt   time.Duration
 }
 
-// Whatever clients send after the shutdown signal, and however long the responses take, no response is lost.
+// Whatever clients send after the shutdown signal, however slowly their requests arrive, however long the responses take,
+// and though the process handles the signal late, no response is lost.
 func TestShutdownUnderTraffic(t *testing.T) {
 	for _, grace := range []time.Duration{2 * time.Second, 5 * time.Second, 8 * time.Second, 20 * time.Second} {
 		var requests, complete, rejected, cut int
@@ -100,6 +107,7 @@
 		grace:     grace,
 		forwarded: map[string]bool{},
 	}
+	sim.handledAfter = sim.randomDuration(grace - shutdown.Plan(grace).LastResponses)
 	loop := eventloop.NewLoopWithSystem(sim.network, 1000)
 	loop.ZeroCopyReads = true
 	placer := &fakePlacer{spread: true}
@@ -129,13 +137,16 @@
 		}
 		sim.network.after(sim.randomDuration(signalAt), c.sendNext)
 	}
-	sim.network.at(signalAt, sim.proxy.Stop)
+	sim.network.at(signalAt+sim.handledAfter, sim.proxy.Stop)
 	ended := false
 	sim.network.at(signalAt+sim.grace, func() {
-		if !ended {
+		if ended {
+			return
+		}
+		if planned := sim.handledAfter + sim.proxy.shutdown.plan.ProxyEnd + exitJitter; planned < sim.grace {
 			sim.violation("the process has not exited by the end of the grace period")
-			sim.proxy.loop.Stop()
 		}
+		sim.proxy.loop.Stop()
 	})
 	if err := sim.proxy.loop.Run(); err != nil {
 		return err
@@ -165,9 +176,21 @@
 	}
 	sim.requestCount++
 	left := 500*time.Millisecond + sim.randomDuration(shutdownRouteTimeout)
-	c.request = &shutdownRequest{id: fmt.Sprintf("q%d", sim.requestCount), sentAt: sim.network.now, deadline: sim.network.now + left}
+	request := &shutdownRequest{id: fmt.Sprintf("q%d", sim.requestCount), sentAt: sim.network.now, deadline: sim.network.now + left}
+	c.request = request
+	body := ""
+	if sim.random.IntN(slowBodyOneIn) == 0 {
+		body = "{}"
+		request.sentAt += sim.randomDuration(longestBody)
+	}
 	c.end.send(fmt.Sprintf("POST /stream/x%s%s HTTP/1.1\r\nHost: h.example\r\nX-Try-Id: %s\r\nX-Time-Left-Ms: %d\r\n"+
-		"Content-Length: 0\r\n\r\n", streamLengthQuery, sim.randomDuration(longestAnswer), c.request.id, left/time.Millisecond))
+		"Content-Length: %d\r\n\r\n", streamLengthQuery, sim.randomDuration(longestAnswer), request.id, left/time.Millisecond, len(body)))
+	end := c.end
+	sim.network.at(request.sentAt, func() {
+		if c.request == request {
+			end.send(body)
+		}
+	})
 }
 
 func (c *shutdownClient) connect() {
@@ -268,7 +291,11 @@
 		if head == nil {
 			return
 		}
-		received = received[head.bytes:]
+		bodyBytes, _ := strconv.Atoi(head.header.Get("Content-Length"))
+		if len(received) < head.bytes+bodyBytes {
+			return
+		}
+		received = received[head.bytes+bodyBytes:]
 		id := head.header.Get(headerTryID)
 		sim.forwarded[id] = true
 		_, length, _ := strings.Cut(strings.TrimSuffix(head.line, " HTTP/1.1"), streamLengthQuery)
