Proxy: the exit resets responses that only the close would end

A client of HTTP/1.0 that was being answered when the proxy exited at the end of the grace period took the truncated response for a complete one: such a response has no length and no chunks, so that its end is the close of the connection, and the exit closed all connections in order.

Cause: a response that fails in any other way goes through session.abort, which resets such a connection; the exit left its responses to the event loop, which closes them. The exit now resets the connections of these responses. Those with a length or chunks show the truncation by themselves and are closed as before. The dispatcher is not concerned: it exits only after all its responses are complete.

TestShutdownResetsUndelimitedResponses failed before ("a truncated response looks complete") and passes now, ten times in a row.

--- a/internal/system/proxy/shutdown.go
+++ b/internal/system/proxy/shutdown.go
@@ -82,14 +82,20 @@
 	}
 }
 
-// terminate stops the loop with whatever is in progress.
+// terminate stops the loop with whatever is in progress. The loop closes all connections in order, which would make a
+// response that only the close ends look complete.
 func (p *Proxy) terminate() {
+	p.flushPending()
 	for s := range p.sessions.all() {
-		if s.exchange != nil {
-			p.logCut(s)
+		x := s.exchange
+		if x == nil {
+			continue
+		}
+		p.logCut(s)
+		if x.response.started && !x.response.isDelimited() {
+			s.socket.Reset()
 		}
 	}
-	p.flushPending()
 	p.logStopped()
 	p.loop.Stop()
 }
--- a/internal/system/proxy/shutdown_test.go
+++ b/internal/system/proxy/shutdown_test.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"io"
 	"strings"
 	"testing"
 	"time"
@@ -80,6 +81,27 @@
 	<-h.done
 }
 
+// TestShutdownResetsUndelimitedResponses guards against a truncated response that looks complete: the exit closed the
+// connection of a client that recognizes the end of a response by the close in order.
+func TestShutdownResetsUndelimitedResponses(t *testing.T) {
+	h := newHarness(t)
+	h.onLoop(func() { h.proxy.shutdown.plan = manualPlan })
+	runner := h.startRunners("a")[0]
+	client := h.connect()
+	client.send(strings.Replace(requestText("/stream/x", "t1", "", ""), "HTTP/1.1", "HTTP/1.0", 1))
+	upstream := runner.accept()
+	upstream.readRequest()
+	upstream.send(streamHeadText("t1", "s") + chunkText(eventText(1)))
+	client.readHead()
+	client.expect(eventText(1))
+	h.onLoop(h.proxy.Stop)
+	h.onLoop(h.proxy.terminate)
+	if _, err := io.ReadAll(client.reader); err == nil {
+		t.Error("a truncated response looks complete")
+	}
+	<-h.done
+}
+
 // A proxy that is about to exit accepts requests that end before and rejects the others at once.
 func TestShutdownRejectsLongRequests(t *testing.T) {
 	h := newHarness(t)
