Control: peers of counters are in the zones that they announce

Founders of a group don't know each other's zones, so that for a while after the first start (until the leader has described the members) every peer's zone was empty. An empty zone counted as one more zone: an addition could be acknowledged that was on machines of one zone only, where survive.zones asks for two.

What a machine announces through the membership comes first now, also of one that is dead; the groups' members only fill up the rest.

--- a/internal/system/control/counters.go
+++ b/internal/system/control/counters.go
@@ -1,11 +1,13 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"net/netip"
 	"sync"
 
+	"cinderroad/internal/system/consensus"
 	"cinderroad/internal/system/control/counterservice"
 	"cinderroad/internal/system/counter"
 	"cinderroad/internal/system/gossip"
@@ -28,20 +30,34 @@
 // counterPeers returns the machines that replicas of the control state stand on, and control machines that membership knows
 // to be alive. Neither is known yet while this machine has just started.
 func (p *Process) counterPeers() (peers []counter.Peer, known bool) {
-	for _, member := range p.host.Members() {
-		known = true
-		address, err := netip.ParseAddrPort(member.Address)
-		if err == nil {
-			peers = append(peers, counter.Peer{Address: address, Zone: member.Zone})
-		}
-	}
 	port := p.settings.Load().Port(processconfig.ControlRPCPort)
-	members := p.gossip.View()
+	return mergeCounterPeers(p.host.Members(), p.gossip.View(), port)
+}
+
+// mergeCounterPeers merges the members of the replicas' groups and those of the membership, whose RPC port is given. What a
+// machine announces of itself comes first: a group's founders don't know each other's zones.
+func mergeCounterPeers(replicas []consensus.Member, members []gossip.Member, port uint16) (peers []counter.Peer, known bool) {
+	zones := make(map[netip.AddrPort]string)
 	for i := range members {
 		member := &members[i]
-		if member.Role == gossip.Control && member.State <= gossip.Suspect && !member.Self {
+		if member.Role != gossip.Control {
+			continue
+		}
+		address := netip.AddrPortFrom(member.Address, port)
+		isAlive := member.State <= gossip.Suspect
+		if isAlive || zones[address] == "" { // another machine may have had the address
+			zones[address] = member.Zone
+		}
+		if isAlive && !member.Self {
 			known = true
-			peers = append(peers, counter.Peer{Address: netip.AddrPortFrom(member.Address, port), Zone: member.Zone})
+			peers = append(peers, counter.Peer{Address: address, Zone: member.Zone})
+		}
+	}
+	for _, replica := range replicas {
+		known = true
+		address, err := netip.ParseAddrPort(replica.Address)
+		if err == nil {
+			peers = append(peers, counter.Peer{Address: address, Zone: cmp.Or(zones[address], replica.Zone)})
 		}
 	}
 	return peers, known
