Status of a control machine: state of the replicated counters

GET /-/status gets "counters": the own origin and vector, entries and their bound, unsynced entries, pending additions, whether the replica catches up, a fault of the disk, what an acknowledgement needs now, and for each peer its zone, origin, whether it is reachable, the time since its last reply, and what it lacks (also by origin) or has more. Absent where no counters are served, so that recorded JSON stays as it is.

Metrics get cinderroad_counters_log_entries_limit. Sums of entries by origin, and origins in hexadecimal, are methods of package counter in place of copies in counterservice.

--- a/internal/system/control/counters_test.go
+++ b/internal/system/control/counters_test.go
@@ -1,14 +1,17 @@
 package control
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/netip"
 	"path/filepath"
+	"slices"
 	"testing"
 
 	"cinderroad/internal/system/control/api"
 	"cinderroad/internal/system/control/counterservice"
+	"cinderroad/internal/system/control/status"
 )
 
 // TestTalliesOnAllMachines guards against tallies that are not served: callers got 404 for every add and every read.
@@ -131,3 +134,59 @@
 		t.Errorf("files %q, %v", files, err)
 	}
 }
+
+// countersOf returns what the status of a machine says of counters.
+func (c *testCluster) countersOf(machine int) *status.Counters {
+	c.t.Helper()
+	code, text := c.call(machine, http.MethodGet, api.PathStatus, "", "")
+	if code == 0 {
+		return nil // not reached
+	}
+	var description status.Control
+	if err := json.Unmarshal([]byte(text), &description); code != http.StatusOK || err != nil {
+		c.t.Fatalf("status: %d %s, %v", code, text, err)
+	}
+	return description.Counters
+}
+
+// TestStatusDescribesCounters: the status shows the own log, and at each peer what it lacks and since when it is silent.
+func TestStatusDescribesCounters(t *testing.T) {
+	cluster := newTestCluster(t, 3, "apart")
+	cluster.mustAdd(0, "a", 1)
+	var counters *status.Counters
+	cluster.waitFor("the peers hold the entry", func() bool {
+		counters = cluster.countersOf(0)
+		return counters != nil && len(counters.Peers) == 2 && counters.Peers[0].Lacks+counters.Peers[1].Lacks == 0 &&
+			counters.Peers[0].Origin != "" && counters.Peers[1].Origin != ""
+	})
+	if !counters.Running || counters.CatchingUp || counters.DiskFault != "" || counters.Operations != 1 || counters.Entries != 1 ||
+		counters.NeededMachines != 2 || counters.NeededZones != 2 || counters.Vector[counters.Origin] != 1 || counters.MaxEntries == 0 {
+		t.Errorf("counters %+v", counters)
+	}
+	for _, peer := range counters.Peers {
+		if !peer.Reachable || !peer.Replied || peer.Zone == "" || peer.Origin == counters.Origin {
+			t.Errorf("peer %+v", peer)
+		}
+	}
+
+	cluster.stop(2)
+	cluster.mustAdd(0, "b", 1)
+	address := netip.AddrPortFrom(cluster.settings[2].IP, cluster.settings[2].FreePorts.First).String()
+	cluster.waitFor("the machine that was stopped is shown as unreachable", func() bool {
+		counters = cluster.countersOf(0)
+		at := slices.IndexFunc(counters.Peers, func(peer status.CounterPeer) bool { return peer.Address == address })
+		if at < 0 {
+			t.Fatalf("peers %+v, without %s", counters.Peers, address)
+		}
+		peer := &counters.Peers[at]
+		return !peer.Reachable && peer.Lacks == 1 && peer.Lag[counters.Origin] == 1 && peer.SinceReplyMS > 0
+	})
+}
+
+// TestStatusWithoutCounters: where none are served, nothing is said of them.
+func TestStatusWithoutCounters(t *testing.T) {
+	cluster := newTestCluster(t, 1)
+	if counters := cluster.countersOf(0); counters != nil {
+		t.Errorf("counters %+v", counters)
+	}
+}
--- a/internal/system/control/counterservice/loop.go
+++ b/internal/system/control/counterservice/loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -125,5 +124,5 @@
 
 // originField is an origin as operators see it.
 func originField(origin counter.Origin) zap.Field {
-	return zap.String("origin", fmt.Sprintf("%016x", uint64(origin)))
+	return zap.String("origin", origin.Hex())
 }
--- a/internal/system/control/counterservice/metrics.go
+++ b/internal/system/control/counterservice/metrics.go
@@ -8,22 +8,22 @@
 // WriteMetrics writes the service's metrics.
 func (s *Service) WriteMetrics(page *exposition.Page) {
 	gauge := func(name, help string, value int) { page.Metric(exposition.Gauge, name, help, float64(value)) }
-	status, running := s.status()
-	s.mutex.Lock()
-	isFaulty := s.disk.fault != nil
-	s.mutex.Unlock()
+	service := s.Status()
+	status := &service.Replica
 	page.Metric(exposition.Gauge, "cinderroad_counters_ready", "Whether this machine answers reads of counters.",
-		exposition.BoolValue(running && !status.CatchingUp))
+		exposition.BoolValue(service.IsRunning && !status.CatchingUp))
 	page.Metric(exposition.Gauge, "cinderroad_counters_disk_failure",
-		"Whether the disk has failed the last write of counters, so that additions are rejected.", exposition.BoolValue(isFaulty))
+		"Whether the disk has failed the last write of counters, so that additions are rejected.",
+		exposition.BoolValue(service.DiskFault != nil))
 	gauge("cinderroad_counters", "Counters to which anything was added.", status.Counters)
 	gauge("cinderroad_counters_operations", "Distinct operations kept.", status.Operations)
 	gauge("cinderroad_counters_log_entries", "Entries in the operation logs of all origins.", status.Entries)
+	gauge("cinderroad_counters_log_entries_limit", "Entries above which additions are rejected.", service.MaxEntries)
 	gauge("cinderroad_counters_unsynced_entries", "Entries that are not on this machine's disk yet.", status.Unpersisted)
 	gauge("cinderroad_counters_pending_additions", "Additions that wait for their replication.", status.PendingAdds)
 	page.Metric(exposition.Counter, "cinderroad_counters_origin_resets_total",
 		"How often the operation log of this machine was found to have gone back in time.", float64(status.OriginResets))
-	s.writePeerMetrics(page, &status)
+	s.writePeerMetrics(page, status)
 	s.writeCallMetrics(page)
 }
 
@@ -40,12 +40,12 @@
 	page.Family(exposition.Gauge, "cinderroad_counters_peer_lag",
 		"Entries on this machine's disk that another control machine is not known to hold.")
 	for i := range status.Peers {
-		page.Sample(float64(sum(status.Peers[i].Lag)), label(i))
+		page.Sample(float64(status.Peers[i].TotalLag()), label(i))
 	}
 	page.Family(exposition.Gauge, "cinderroad_counters_peer_ahead",
 		"Entries that another control machine holds and this machine's disk does not.")
 	for i := range status.Peers {
-		page.Sample(float64(sum(status.Peers[i].Ahead)), label(i))
+		page.Sample(float64(status.Peers[i].TotalAhead()), label(i))
 	}
 }
 
@@ -63,10 +63,3 @@
 	page.Metric(exposition.Counter, "cinderroad_counters_reads_total", "Reads of counters that were answered.",
 		float64(s.counts.reads.Load()))
 }
-
-func sum(entries map[counter.Origin]uint64) (total uint64) {
-	for _, count := range entries {
-		total += count
-	}
-	return total
-}
--- a/internal/system/control/status.go
+++ b/internal/system/control/status.go
@@ -31,6 +31,7 @@
 		ActiveProxies:  p.gossip.ProxyCount(),
 		Discovery:      p.describeDiscovery(),
 		Followers:      p.describeFollowers(),
+		Counters:       p.describeCounters(),
 		Members:        make([]status.Member, 0, len(members)),
 	}
 	for _, partition := range p.host.Status() {
--- a/internal/system/control/status/status.go
+++ b/internal/system/control/status/status.go
@@ -5,15 +5,16 @@
 // Control is a control machine's view of itself and of the system.
 type Control struct {
 	Node           string      `json:"node"`
-	Release        string      `json:"release"`    // of the program
-	Version        uint64      `json:"version"`    // of the configuration that this machine holds; 0: none yet
-	EvacuatedZones []string    `json:"evacuated"`  // ordered by name
-	ActiveProxies  int         `json:"proxies"`    // that may be sending; budgets are divided by this number
-	ReadyProxies   int         `json:"ready"`      // that the directory may return to clients
-	Discovery      Discovery   `json:"discovery"`  // of runners
-	Partitions     []Partition `json:"partitions"` // local replicas
-	Followers      []Follower  `json:"followers"`  // of this machine's feed
-	Members        []Member    `json:"members"`    // all processes of the system
+	Release        string      `json:"release"`            // of the program
+	Version        uint64      `json:"version"`            // of the configuration that this machine holds; 0: none yet
+	EvacuatedZones []string    `json:"evacuated"`          // ordered by name
+	ActiveProxies  int         `json:"proxies"`            // that may be sending; budgets are divided by this number
+	ReadyProxies   int         `json:"ready"`              // that the directory may return to clients
+	Discovery      Discovery   `json:"discovery"`          // of runners
+	Partitions     []Partition `json:"partitions"`         // local replicas
+	Followers      []Follower  `json:"followers"`          // of this machine's feed
+	Members        []Member    `json:"members"`            // all processes of the system
+	Counters       *Counters   `json:"counters,omitempty"` // local replica of the replicated counters; nil: none are served
 }
 
 // Discovery describes the polling of the platform's list of runners, which the leader of partition 0 does.
--- a/internal/system/control/status/status_test.go
+++ b/internal/system/control/status/status_test.go
@@ -27,6 +27,7 @@
 		Followers: []Follower{{Node: "edge-1", ConfigurationIndex: 12, Behind: true, SinceLastCallMS: 5}},
 		Members:   []Member{{Node: "edge-1", Address: "10.0.0.9", State: "alive", StateAgeMS: 8, Role: "edge"}},
 	}
+	want.Counters = newCounters()
 	body, err := json.Marshal(&want)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/system/counter/entry.go
+++ b/internal/system/counter/entry.go
@@ -14,6 +14,9 @@
 // Origin identifies the operation log of one disk. It is random, and never used again after the loss of that disk; 0 is none.
 type Origin uint64
 
+// Hex returns the origin as operators see it.
+func (o Origin) Hex() string { return fmt.Sprintf("%016x", uint64(o)) }
+
 // Operation adds an amount to a counter. Operations of one ID count once.
 type Operation struct {
 	ID      string
--- a/internal/system/counter/errors.go
+++ b/internal/system/counter/errors.go
@@ -30,7 +30,7 @@
 
 // Error implements error.
 func (e *InvalidLogError) Error() string {
-	return fmt.Sprintf("counter: persisted entry %d of origin %016x: %s", e.Sequence, uint64(e.Origin), e.Reason)
+	return fmt.Sprintf("counter: persisted entry %d of origin %s: %s", e.Sequence, e.Origin.Hex(), e.Reason)
 }
 
 // DecodeError reports bytes that are not an encoding of this package: they come from another version or are corrupt.
--- a/internal/system/counter/status.go
+++ b/internal/system/counter/status.go
@@ -60,6 +60,19 @@
 	return status
 }
 
+// TotalLag returns the number of entries that are durable here, and that the peer is not known to hold.
+func (s *PeerStatus) TotalLag() uint64 { return sum(s.Lag) }
+
+// TotalAhead returns the number of entries that the peer holds and that are not durable here.
+func (s *PeerStatus) TotalAhead() uint64 { return sum(s.Ahead) }
+
+func sum(entries map[Origin]uint64) (total uint64) {
+	for _, count := range entries {
+		total += count
+	}
+	return total
+}
+
 // difference returns by how much a vector is beyond another one, for the origins where it is.
 func difference(vector, other VersionVector) map[Origin]uint64 {
 	beyond := map[Origin]uint64{}
