Counterservice: machines of tests have their listeners from the start

Cause: the cluster of the tests looked for a port that is free on all machines, as another test cluster does; the address of a machine need not have the port of the others.

Change: each machine opens its listener when it is made.

--- a/internal/system/control/counterservice/cluster_test.go
+++ b/internal/system/control/counterservice/cluster_test.go
@@ -19,6 +19,7 @@
 
 	"cinderroad/internal/system/counter"
 	"cinderroad/internal/system/processconfig"
+	"cinderroad/internal/system/retry"
 	"cinderroad/internal/system/rpc"
 )
 
@@ -32,7 +33,6 @@
 // testCluster is a cluster of services on loopback, each at an address of its own. Links between them may be cut.
 type testCluster struct {
 	t        *testing.T
-	port     uint16
 	zones    []string // by machine
 	machines []*testMachine
 
@@ -46,6 +46,7 @@
 	cluster  *testCluster
 	settings *processconfig.Settings
 	address  netip.AddrPort
+	listener net.Listener       // open before the first start
 	service  *Service           // nil: stopped
 	endRPC   context.CancelFunc // ends the RPC server
 	rpcEnded chan struct{}
@@ -54,7 +55,7 @@
 // newTestCluster starts a machine in each of the zones, with a durability of two machines and two zones.
 func newTestCluster(t *testing.T, zones ...string) *testCluster {
 	t.Helper()
-	cluster := &testCluster{t: t, zones: zones, cut: make(map[[2]string]bool), port: freePort(t, len(zones))}
+	cluster := &testCluster{t: t, zones: zones, cut: make(map[[2]string]bool)}
 	for machine := range zones {
 		m := cluster.newMachine(machine)
 		cluster.machines = append(cluster.machines, m)
@@ -73,42 +74,23 @@
 
 func machineIP(machine int) netip.Addr { return netip.AddrFrom4([4]byte{127, 0, 2, byte(machine + 1)}) }
 
-// freePort returns a port that is free on so many machines.
-func freePort(t *testing.T, machines int) uint16 {
-	t.Helper()
-	for range 100 {
-		first, err := net.Listen("tcp4", netip.AddrPortFrom(machineIP(0), 0).String())
-		if err != nil {
-			t.Fatal(err)
-		}
-		port := first.Addr().(*net.TCPAddr).AddrPort().Port()
-		first.Close()
-		free := true
-		for machine := range machines {
-			listener, err := net.Listen("tcp4", netip.AddrPortFrom(machineIP(machine), port).String())
-			free = free && err == nil
-			if err == nil {
-				listener.Close()
-			}
-		}
-		if free {
-			return port
-		}
-	}
-	t.Fatal("no free port")
-	return 0
-}
-
-// newMachine makes a machine that is stopped.
+// newMachine makes a machine that is stopped, with an address that it listens on already.
 func (c *testCluster) newMachine(machine int) *testMachine {
+	c.t.Helper()
 	ip := machineIP(machine)
+	listener, err := net.Listen("tcp4", netip.AddrPortFrom(ip, 0).String())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	address := listener.Addr().(*net.TCPAddr).AddrPort()
 	return &testMachine{
-		cluster: c,
-		address: netip.AddrPortFrom(ip, c.port),
+		cluster:  c,
+		address:  address,
+		listener: listener,
 		settings: &processconfig.Settings{
 			IP:               ip,
 			Zone:             c.zones[machine%len(c.zones)],
-			FreePorts:        processconfig.PortRange{First: c.port, Last: c.port + 10},
+			FreePorts:        processconfig.PortRange{First: address.Port(), Last: address.Port()},
 			FirstBoot:        true,
 			StateDir:         c.t.TempDir(),
 			SurvivableLosses: processconfig.SurvivableLosses{Machines: 1, Zones: 1},
@@ -137,9 +119,13 @@
 	}
 	registry := rpc.NewRegistry()
 	ExchangeMethod.Handle(registry, m.handleExchange)
-	listener, err := net.Listen("tcp4", m.address.String())
-	if err != nil {
-		c.t.Fatal(err)
+	listener := m.listener
+	m.listener = nil
+	if listener == nil {
+		var err error
+		if listener, err = retry.Listen(c.t.Context(), m.address); err != nil {
+			c.t.Fatal(err)
+		}
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	m.endRPC = cancel
