Status: operators see the replicas of counters

Cause: how far control machines are with each other's counters was in the metrics alone.

Change: the status of a machine that serves counters describes its replica and the peers; cinderctl has a table of them.

Result: tests of the status, the table and recorded forms pass; a machine without counters has the same status as before.

--- a/cmd/cinderctl/status.go
+++ b/cmd/cinderctl/status.go
@@ -115,6 +115,9 @@
 // print prints the tables, then the machines that did not respond.
 func (c *statusCommand) print(s *session, report *statusReport) error {
 	tables := []*table{machinesTable(report), partitionsTable(report), replicasTable(report)}
+	if counters := countersTable(report); counters != nil {
+		tables = append(tables, counters)
+	}
 	if c.Members {
 		tables = append(tables, membersTable(report), followersTable(report))
 	}
--- a/cmd/cinderctl/statustables.go
+++ b/cmd/cinderctl/statustables.go
@@ -128,6 +128,40 @@
 	return t
 }
 
+// countersTable has a row for each control machine that serves counters and each of its peers; nil if none serves any.
+func countersTable(report *statusReport) *table {
+	t := &table{}
+	t.add("COUNTERS", "OPERATIONS", "UNSYNCED", "PEER", "PEER ZONE", "REACHABLE", "LAG", "AHEAD")
+	for _, machine := range report.Machines {
+		if machine.Counters == nil {
+			continue
+		}
+		for _, peer := range machine.Counters.Peers {
+			t.add(
+				machine.Node,
+				strconv.Itoa(machine.Counters.OperationCount),
+				strconv.Itoa(machine.Counters.UnsyncedCount),
+				peer.Address,
+				peer.Zone,
+				yesOrNo(peer.Reachable),
+				formatUint(peer.Lag),
+				formatUint(peer.Ahead),
+			)
+		}
+	}
+	if len(t.rows) == 1 {
+		return nil
+	}
+	return t
+}
+
+func yesOrNo(condition bool) string {
+	if condition {
+		return "yes"
+	}
+	return "no"
+}
+
 // membersTable lists the members as the first machine knows them.
 func membersTable(report *statusReport) *table {
 	t := &table{}
@@ -154,15 +188,11 @@
 	t.add("FOLLOWER", "CONTROL", "CONFIGURATION", "UP TO DATE", "LAST POLL")
 	for _, machine := range report.Machines {
 		for _, follower := range machine.Followers {
-			upToDate := "yes"
-			if follower.Behind {
-				upToDate = "no"
-			}
 			t.add(
 				follower.Node,
 				machine.Node,
 				"#"+formatUint(follower.ConfigurationIndex),
-				upToDate,
+				yesOrNo(!follower.Behind),
 				milliseconds(follower.SinceLastCallMS),
 			)
 		}
--- a/cmd/cinderctl/statustables_test.go
+++ b/cmd/cinderctl/statustables_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"slices"
 	"testing"
 
 	"cinderroad/internal/system/control/status"
@@ -38,3 +39,29 @@
 		}
 	}
 }
+
+// TestCountersTable: there is a row for each peer, and no table where no machine serves counters.
+func TestCountersTable(t *testing.T) {
+	report := &statusReport{Machines: []*status.Control{{Node: "core-1"}}}
+	if table := countersTable(report); table != nil {
+		t.Errorf("a table without counters: %q", table.rows)
+	}
+	report.Machines = append(report.Machines, &status.Control{
+		Node: "core-2",
+		Counters: &status.Counters{
+			OperationCount: 7,
+			UnsyncedCount:  2,
+			Peers: []status.CounterPeer{
+				{Address: "10.0.0.1:7660", Zone: "a", Reachable: true, Lag: 3},
+				{Address: "10.0.0.3:7660", Zone: "c", Ahead: 4},
+			},
+		},
+	})
+	want := [][]string{
+		{"core-2", "7", "2", "10.0.0.1:7660", "a", "yes", "3", "0"},
+		{"core-2", "7", "2", "10.0.0.3:7660", "c", "no", "0", "4"},
+	}
+	if rows := countersTable(report).rows[1:]; !slices.EqualFunc(rows, want, slices.Equal) {
+		t.Errorf("rows %q, want %q", rows, want)
+	}
+}
--- a/internal/system/control/counters_test.go
+++ b/internal/system/control/counters_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"net/netip"
@@ -9,6 +10,7 @@
 
 	"cinderroad/internal/system/control/api"
 	"cinderroad/internal/system/control/counterservice"
+	"cinderroad/internal/system/control/status"
 )
 
 // TestTalliesOnAllMachines guards against tallies that are not served: callers got 404 for every add and every read.
@@ -115,6 +117,22 @@
 	cluster.waitForTotal(11)
 }
 
+// TestCountersInStatus checks that operators see the replica of counters and its peers.
+func TestCountersInStatus(t *testing.T) {
+	cluster := newTestCluster(t, 2, "apart")
+	cluster.mustAdd(0, "a", 1)
+	cluster.waitFor("the machine lists its peer as up to date", func() bool {
+		var body status.Control
+		code, text := cluster.call(0, http.MethodGet, api.PathStatus, "", "")
+		if code != http.StatusOK || json.Unmarshal([]byte(text), &body) != nil || body.Counters == nil {
+			t.Fatalf("status: %d %s", code, text)
+		}
+		counters := body.Counters
+		return counters.Ready && counters.OperationCount == 1 && len(counters.Peers) == 1 &&
+			counters.Peers[0].Reachable && counters.Peers[0].Origin != "" && counters.Peers[0].Lag == 0
+	})
+}
+
 // TestCountersOnlyWithThePromise: without it there is neither a path nor a file.
 func TestCountersOnlyWithThePromise(t *testing.T) {
 	cluster := newTestCluster(t, 1, "base", "part")
--- a/internal/system/control/counterservice/disk.go
+++ b/internal/system/control/counterservice/disk.go
@@ -133,7 +133,7 @@
 	s.nextPeerUpdate = 0
 	s.wakeBefore(0)
 	s.mutex.Unlock()
-	s.log.Info("replica of counters started", originField(opened.Origin()), zap.Int("entries", len(entries)))
+	s.log.Info("replica of counters started", zap.String("origin", originName(opened.Origin())), zap.Int("entries", len(entries)))
 	return nil
 }
 
--- a/internal/system/control/counterservice/loop.go
+++ b/internal/system/control/counterservice/loop.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"time"
 
 	"go.uber.org/zap"
@@ -120,10 +119,5 @@
 // logNewOrigin reports that the disk went back in time.
 func (s *Service) logNewOrigin(origin counter.Origin) {
 	s.log.Error("operation log of counters went back in time, continuing under a new origin",
-		originField(origin))
-}
-
-// originField is an origin as operators see it.
-func originField(origin counter.Origin) zap.Field {
-	return zap.String("origin", fmt.Sprintf("%016x", uint64(origin)))
+		zap.String("origin", originName(origin)))
 }
--- a/internal/system/control/counterservice/metrics.go
+++ b/internal/system/control/counterservice/metrics.go
@@ -63,10 +63,3 @@
 	page.Metric(exposition.Counter, "cinderroad_counters_reads_total", "Reads of counters that were answered.",
 		float64(s.counts.reads.Load()))
 }
-
-func sum(entries map[counter.Origin]uint64) (total uint64) {
-	for _, count := range entries {
-		total += count
-	}
-	return total
-}
--- a/internal/system/control/status.go
+++ b/internal/system/control/status.go
@@ -33,6 +33,9 @@
 		Followers:      p.describeFollowers(),
 		Members:        make([]status.Member, 0, len(members)),
 	}
+	if p.counters != nil {
+		description.Counters = p.counters.Describe()
+	}
 	for _, partition := range p.host.Status() {
 		description.Partitions = append(description.Partitions, p.describePartition(&partition))
 	}
--- a/internal/system/control/status/status.go
+++ b/internal/system/control/status/status.go
@@ -14,6 +14,29 @@
 	Partitions     []Partition `json:"partitions"` // local replicas
 	Followers      []Follower  `json:"followers"`  // of this machine's feed
 	Members        []Member    `json:"members"`    // all processes of the system
+
+	// Counters describes the replica of counters; nil: the machine serves none.
+	Counters *Counters `json:"counters,omitempty"`
+}
+
+// Counters describes a machine's replica of the replicated counters.
+type Counters struct {
+	Ready          bool          `json:"ready"`            // reads are answered
+	Origin         string        `json:"origin"`           // of the operation log of this machine's disk; empty: not open yet
+	OperationCount int           `json:"operations"`       // distinct ones
+	EntryCount     int           `json:"entries"`          // in the operation logs of all disks
+	UnsyncedCount  int           `json:"unsynced_entries"` // of these, not on this machine's disk yet
+	Peers          []CounterPeer `json:"peers"`            // the other control machines, by address
+}
+
+// CounterPeer describes the replica of another control machine as a machine knows it.
+type CounterPeer struct {
+	Address   string `json:"address"`
+	Zone      string `json:"zone"`
+	Origin    string `json:"origin"`    // empty: not heard yet
+	Reachable bool   `json:"reachable"` // otherwise additions are acknowledged without it
+	Lag       uint64 `json:"lag"`       // entries on this machine's disk that it is not known to hold
+	Ahead     uint64 `json:"ahead"`     // entries that it holds and this machine's disk does not
 }
 
 // Discovery describes the polling of the platform's list of runners, which the leader of partition 0 does.
--- a/internal/system/control/status/status_test.go
+++ b/internal/system/control/status/status_test.go
@@ -26,6 +26,14 @@
 		}},
 		Followers: []Follower{{Node: "edge-1", ConfigurationIndex: 12, Behind: true, SinceLastCallMS: 5}},
 		Members:   []Member{{Node: "edge-1", Address: "10.0.0.9", State: "alive", StateAgeMS: 8, Role: "edge"}},
+		Counters: &Counters{
+			Ready:          true,
+			Origin:         "0f",
+			OperationCount: 3,
+			EntryCount:     4,
+			UnsyncedCount:  1,
+			Peers:          []CounterPeer{{Address: "10.0.0.2:7660", Zone: "b", Origin: "0e", Reachable: true, Lag: 5, Ahead: 6}},
+		},
 	}
 	body, err := json.Marshal(&want)
 	if err != nil {
