--- a/internal/system/counter/exchange.go
+++ b/internal/system/counter/exchange.go
@@ -118,34 +118,35 @@
 	return eager
 }
 
-// watchLags notes which logs others hold more of. It returns when the next of them is to be pulled.
+// watchLags sets targets for the logs that peers hold more of. It returns when the next of them is to be pulled.
 func (n *Node) watchLags() (next time.Duration) {
 	next = forever
-	for _, known := range n.peers {
-		for origin, sequence := range known.vector {
-			if origin == n.own.origin || sequence <= n.logs.lengthOf(origin) {
-				continue
-			}
-			log := n.logs.get(origin)
-			if log.aheadTarget <= log.length() {
-				log.aheadTarget = sequence
-				log.aheadSince = n.now
-			}
-			if !n.lags(log) {
-				next = min(next, log.aheadSince+pullAfter)
-			}
+	behind := n.logs.behind[:0]
+	for _, log := range n.logs.behind {
+		if log.seen <= log.length() {
+			log.isBehind = false
+			continue
+		}
+		behind = append(behind, log)
+		if log.pullTarget <= log.length() {
+			log.pullTarget = log.seen
+			log.targetSince = n.now
+		}
+		if !n.lags(log) {
+			next = min(next, log.targetSince+pullAfter)
 		}
 	}
+	n.logs.behind = behind
 	return next
 }
 
 // lags reports whether entries of a log are to be pulled. What is on its way to the disk has arrived.
 func (n *Node) lags(log *operationLog) bool {
-	if log.aheadTarget <= log.length() {
+	if log.pullTarget <= log.length() {
 		return false
 	}
-	isUrgent := !n.ready || log.aheadTarget-log.length() > urgentLag
-	return isUrgent || n.now-log.aheadSince >= pullAfter
+	isUrgent := !n.ready || log.pullTarget-log.length() > urgentLag
+	return isUrgent || n.now-log.targetSince >= pullAfter
 }
 
 // startPull asks the fastest peer that holds what this replica lacks, one at a time.
@@ -174,7 +175,7 @@
 // holdsMore reports whether a peer holds entries that are to be pulled. A log whose last entries are on their way to the disk
 // waits: the request, which names what is durable, would bring them again.
 func (n *Node) holdsMore(known *peer) bool {
-	for _, log := range n.logs.all {
+	for _, log := range n.logs.behind {
 		isSettled := log.length() == log.durable
 		if isSettled && n.lags(log) && known.vector[log.origin] > log.durable {
 			return true
--- a/internal/system/counter/exchange_test.go
+++ b/internal/system/counter/exchange_test.go
@@ -453,3 +453,21 @@
 	}
 	requireTotal(t, node, "t1", "1")
 }
+
+// TestPullsAtOnceFromAPeerThatReturns checks that after a failed exchange nothing waits for pushes that may never have been sent.
+func TestPullsAtOnceFromAPeerThatReturns(t *testing.T) {
+	node, now := newConnectedNode(t, 2, Durability{Machines: 1, Zones: 1})
+	now += heartbeatInterval
+	node.Tick(now)
+	node.Ready(now)
+	node.HandleFailure(testAddress(2), now)
+	now += retryInterval
+	node.Tick(now)
+	if ready := node.Ready(now); len(ready.Exchanges) != 1 || ready.Exchanges[0].Request.Pull {
+		t.Fatalf("%+v", ready)
+	}
+	node.HandleReply(testAddress(2), replyFrom(sender(2, 2), VersionVector{2: 3}), now)
+	if ready := node.Ready(now); len(ready.Exchanges) != 1 || !ready.Exchanges[0].Request.Pull {
+		t.Errorf("after its return: %+v", ready)
+	}
+}
--- a/internal/system/counter/log.go
+++ b/internal/system/counter/log.go
@@ -13,9 +13,10 @@
 	entries []operationIndex
 	durable uint64 // the sequence number up to which entries are durable here
 
-	// aheadTarget is what a peer was seen to hold of this log since aheadSince; 0: no peer holds more than is durable here.
-	aheadTarget uint64
-	aheadSince  time.Duration
+	seen        uint64        // the highest sequence number that a peer was seen to hold
+	isBehind    bool          // the log is in logSet.behind
+	pullTarget  uint64        // an earlier value of seen; it is pulled if it does not arrive by itself
+	targetSince time.Duration // when pullTarget was set
 }
 
 // length returns the highest sequence number, durable or not.
@@ -26,7 +27,8 @@
 	all      []*operationLog // in the order in which they became known
 	sorted   []*operationLog // by origin
 	byOrigin map[Origin]*operationLog
-	entries  int // in all logs
+	behind   []*operationLog // those that a peer was seen to hold more of
+	entries  int             // in all logs
 }
 
 // get returns the log of an origin, which it adds if it is unknown.
@@ -50,12 +52,27 @@
 	return 0
 }
 
-// durableOf returns the sequence number up to which the log of an origin is durable.
-func (s *logSet) durableOf(origin Origin) uint64 {
-	if log := s.byOrigin[origin]; log != nil {
-		return log.durable
+// noteSeen records what a peer holds of the logs but for its own one.
+func (s *logSet) noteSeen(vector VersionVector, own Origin) {
+	for origin, sequence := range vector {
+		if origin == own || sequence <= s.lengthOf(origin) {
+			continue
+		}
+		log := s.get(origin)
+		log.seen = max(log.seen, sequence)
+		if !log.isBehind {
+			log.isBehind = true
+			s.behind = append(s.behind, log)
+		}
+	}
+}
+
+// pullAtOnce has the logs that others hold more of pulled without waiting for pushes, since none may be under way.
+func (s *logSet) pullAtOnce(now time.Duration) {
+	for _, log := range s.behind {
+		log.pullTarget = log.seen
+		log.targetSince = now - pullAfter
 	}
-	return 0
 }
 
 // vector returns the version vector of what is durable.
--- a/internal/system/counter/node.go
+++ b/internal/system/counter/node.go
@@ -154,8 +154,8 @@
 	for i := range n.waiters {
 		n.waiters[i].since += gap
 	}
-	for _, log := range n.logs.all {
-		log.aheadSince += gap
+	for _, log := range n.logs.behind {
+		log.targetSince += gap
 	}
 	for i := range n.queue {
 		n.queue[i].queuedAt += gap
--- a/internal/system/counter/peer.go
+++ b/internal/system/counter/peer.go
@@ -112,5 +112,6 @@
 		known.replied = false // what its lost disk held is no longer to be caught up with
 	}
 	known.vector.merge(vector)
+	n.logs.noteSeen(vector, n.own.origin)
 	return true
 }
--- a/internal/system/counter/receive.go
+++ b/internal/system/counter/receive.go
@@ -65,6 +65,9 @@
 		n.endExchange(known, false)
 		return
 	}
+	if known.failed {
+		n.logs.pullAtOnce(n.now)
+	}
 	if n.applyRanges(ranges) {
 		known.noPullUntil = n.now
 	}
--- a/internal/system/counter/simulation_test.go
+++ b/internal/system/counter/simulation_test.go
@@ -12,13 +12,14 @@
 
 // simulation is a cluster of replicas in virtual time. Everything that is random is drawn from a seed.
 type simulation struct {
-	seed    uint64
-	random  *rand.Rand
-	events  eventqueue.Queue // in nanoseconds
-	now     time.Duration
-	steps   int
-	verbose bool
-	failure string
+	seed        uint64
+	random      *rand.Rand
+	events      eventqueue.Queue // in nanoseconds
+	now         time.Duration
+	steps       int
+	verbose     bool
+	lightChecks bool // totals are not checked after each step
+	failure     string
 
 	profile      simulationProfile
 	machines     []*machine // also those that were replaced
@@ -44,9 +45,10 @@
 	maxFaultInterval          time.Duration
 	maxFaultDuration          time.Duration
 	addInterval               time.Duration
-	mixedSigns                bool    // amounts of both signs, and at the ends of their range
-	conflictRate              float64 // share of resent operations with another amount
-	linkRate                  float64 // bytes a second; 0: unbounded
+	mixedSigns                bool          // amounts of both signs, and at the ends of their range
+	conflictRate              float64       // share of resent operations with another amount
+	linkRate                  float64       // bytes a second; 0: unbounded
+	writeTime                 time.Duration // of each entry, beside that of the sync
 }
 
 // Latencies one way.
