Test kit: one reader of the seeds of simulations

The soak test takes its seeds from the environment as TestRequestModel does, so what reads them moves to a package that both use.

--- a/internal/system/proxy/simulation_test.go
+++ b/internal/system/proxy/simulation_test.go
@@ -3,8 +3,6 @@
 import (
 	"math/rand/v2"
 	"net/netip"
-	"os"
-	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -14,6 +12,7 @@
 	"cinderroad/internal/shared/eventloop"
 	"cinderroad/internal/system/configuration"
 	"cinderroad/internal/system/placement"
+	"cinderroad/internal/testkit/seeds"
 )
 
 const (
@@ -44,31 +43,12 @@
 	requestCount  int
 }
 
-// simulationSeeds returns the seeds to run: MODEL_SEED=N replays one, MODEL_SEEDS=N runs that many.
-func simulationSeeds(t *testing.T) (seeds []uint64) {
-	number := func(name string, otherwise uint64) uint64 {
-		text := os.Getenv(name)
-		if text == "" {
-			return otherwise
-		}
-		value, err := strconv.ParseUint(text, 10, 64)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return value
-	}
-	if os.Getenv("MODEL_SEED") != "" {
-		return []uint64{number("MODEL_SEED", 0)}
-	}
-	for seed := range number("MODEL_SEEDS", defaultSimulationSeeds) {
-		seeds = append(seeds, seed)
-	}
-	return seeds
-}
-
 // Whatever runners, networks and clients do, the rules for requests hold.
 func TestRequestModel(t *testing.T) {
-	seeds := simulationSeeds(t)
+	seeds, err := seeds.FromEnvironment(defaultSimulationSeeds)
+	if err != nil {
+		t.Fatal(err)
+	}
 	var served, rejected, resumed, timedOut, requests int
 	for _, seed := range seeds {
 		sim := newSimulation(seed)
