Checker: lost requests, and bounds in time only for machines in touch

The checker knew neither which machine a request was sent to nor what had been done to the machines. So it held rules with a bound in time (draining runners, evacuated zones) against machines that had just been killed, and could not say whether a request that a runner had got was cut off around planned work.

Clients may be sticky, pause in the middle of a body, and leave early. Without such a record the checks are as they were.

--- a/internal/testkit/checker/checker.go
+++ b/internal/testkit/checker/checker.go
@@ -29,6 +29,10 @@
 	RetryBudgetExceeded    Rule = "BUDGET"   // requests were retried more often than the budget allows
 	ValidRequestDenied     Rule = "DENIED"   // a valid request was answered with a 3xx or 4xx
 	ConfigurationMismatch  Rule = "CONFIG"   // a configuration that was read isn't the acknowledged one
+	LostRequest            Rule = "LOST"     // a request that a runner had got was cut off around planned work
+	LateEnd                Rule = "GRACE"    // a process did not end within the grace period, or not with status 0
+	ReportedViolation      Rule = "LOG"      // a process logged a violated invariant
+	NotRecovered           Rule = "RECOVER"  // a machine does not serve in time after the last fault
 )
 
 // Violation is one recorded violation of a rule.
@@ -56,6 +60,7 @@
 	ID, Method, Host, URI string
 	Body                  uint64 // from Hash
 	Route                 *Route // nil: no configuration has a route for it
+	Address               string // of the machine that it is sent to
 }
 
 // Runner identifies the receiver of a request.
@@ -77,6 +82,13 @@
 	RetryRatio      float64       // retries allowed for each request within RetryWindow
 	RetryWindow     time.Duration // 0: retries are not limited
 	RetryAllowance  float64       // retries allowed on top of that
+
+	GracePeriod        time.Duration // from SIGTERM until a process is killed
+	ConfigurationDelay time.Duration // after which a configuration or a SIGHUP has taken effect
+	InTouch            time.Duration // for which a machine must have been left alone for rules with a bound in time
+	// Machines holds what was done to the machines. If it is nil, rules with a bound in time hold for all machines, and
+	// that of lost requests is not checked.
+	Machines *Machines
 }
 
 // Checker records requests and violations. Its methods may be called from any goroutine.
@@ -90,6 +102,9 @@
 	evacuated    map[string]time.Time   // by zone: when the evacuation was acknowledged
 	requestTimes map[string][]time.Time // by service that a request's route may lead to, in order
 	retryTimes   map[string][]time.Time // by service that received the retry, in order
+	cuts         []Cut
+	late         []lateArrival
+	ended        map[string]bool // runners that have ended or stopped to respond
 	violations   []Violation
 }
 
@@ -98,6 +113,14 @@
 	arrivals int  // at runners
 	runs     int  // executions that were started
 	rejected bool // its client was told that it was not executed and won't be
+	broken   bool // a runner ended an answer early
+	runners  []string
+}
+
+// lateArrival is a violation of a bound in time, if the machine was in touch.
+type lateArrival struct {
+	address   string
+	violation Violation
 }
 
 // New returns a checker; a nil now stands for time.Now.
@@ -113,6 +136,7 @@
 		evacuated:    make(map[string]time.Time),
 		requestTimes: make(map[string][]time.Time),
 		retryTimes:   make(map[string][]time.Time),
+		ended:        make(map[string]bool),
 	}
 }
 
@@ -132,6 +156,36 @@
 	c.violations = append(c.violations, Violation{At: c.now(), Rule: rule, Description: fmt.Sprintf(format, args...)})
 }
 
+// addLate adds a violation of a bound in time, which counts only if the machine turns out to have been in touch.
+func (c *Checker) addLate(address string, rule Rule, format string, args ...any) {
+	if c.limits.Machines == nil {
+		c.addViolation(rule, format, args...)
+		return
+	}
+	violation := Violation{At: c.now(), Rule: rule, Description: fmt.Sprintf(format, args...)}
+	c.late = append(c.late, lateArrival{address: address, violation: violation})
+}
+
+// ReportLate records a violation of a bound in time by a machine that the caller detected. It counts only if the machine
+// turns out to have been in touch.
+func (c *Checker) ReportLate(address string, rule Rule, format string, args ...any) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.addLate(address, rule, format, args...)
+}
+
+// checkLate adds the violations of bounds in time by machines that were in touch. Trouble is known now that was recorded
+// after its effect.
+func (c *Checker) checkLate() {
+	for _, late := range c.late {
+		from := late.violation.At.Add(-c.limits.InTouch - noticeDelay)
+		if c.limits.Machines.InTouch(late.address, from, late.violation.At.Add(noticeDelay)) {
+			c.violations = append(c.violations, late.violation)
+		}
+	}
+	c.late = nil
+}
+
 // RequestSent records an attempt; call it before the request is sent.
 func (c *Checker) RequestSent(attempt Attempt) {
 	c.mutex.Lock()
@@ -155,6 +209,7 @@
 		return
 	}
 	attempt.arrivals++
+	attempt.runners = append(attempt.runners, received.Runner.ID)
 	if attempt.arrivals > 1 {
 		c.retryTimes[received.Runner.Service] = append(c.retryTimes[received.Runner.Service], c.now())
 	}
@@ -182,11 +237,11 @@
 		c.addViolation(WrongRegion, "attempt %s of %s arrived in region %s", attempt.ID, attempt.Route.Name, runner.Region)
 	}
 	if since, draining := c.draining[runner.ID]; draining && now.Sub(since) > c.limits.DrainGrace {
-		c.addViolation(SentToDraining, "runner %s got attempt %s %v after the list showed it as draining",
+		c.addLate(attempt.Address, SentToDraining, "runner %s got attempt %s %v after the list showed it as draining",
 			runner.ID, attempt.ID, now.Sub(since))
 	}
 	if since, evacuated := c.evacuated[runner.Zone]; evacuated && now.Sub(since) > c.limits.EvacuationGrace {
-		c.addViolation(SentToEvacuatedZone, "zone %s got attempt %s %v after its evacuation",
+		c.addLate(attempt.Address, SentToEvacuatedZone, "zone %s got attempt %s %v after its evacuation",
 			runner.Zone, attempt.ID, now.Sub(since))
 	}
 }
@@ -270,6 +325,8 @@
 	for service, times := range c.retryTimes {
 		c.checkRetryBudget(service, times)
 	}
+	c.checkLate()
+	c.checkCuts()
 	return slices.Clone(c.violations)
 }
 
--- a/internal/testkit/client/call.go
+++ b/internal/testkit/client/call.go
@@ -25,6 +25,7 @@
 	attemptFailed               // 5xx, or an incomplete answer
 	clientError                 // 3xx or 4xx
 	timedOut                    // deadline or read timeout
+	left                        // the client closed the connection as the call says
 )
 
 // callState is a call and the state of its attempts.
@@ -40,6 +41,8 @@
 	longestGap   time.Duration
 	lastEventAt  time.Time
 	retryAfter   time.Duration // from the last answer; 0: none
+	sent         time.Time     // just before the last byte of the last attempt
+	keptConn     bool          // the last attempt's connection had served another request
 }
 
 // Do makes one call, with retries, and records its outcome.
@@ -59,6 +62,10 @@
 		}
 		g.stats.recordRetry()
 	}
+	if last == left {
+		g.stats.recordLeft()
+		return Failed
+	}
 	outcome := c.outcome(last)
 	g.stats.recordOutcome(wanted.Route, outcome, c.firstLatency)
 	return outcome
@@ -104,8 +111,31 @@
 	return Failed
 }
 
+// leavesAt returns when the client closes the connection as the call says; zero: it stays.
+func (c *callState) leavesAt() time.Time {
+	if c.LeaveAfter <= 0 {
+		return time.Time{}
+	}
+	return c.started.Add(c.LeaveAfter)
+}
+
+// hasLeft reports whether the client has closed the connection as the call says.
+func (c *callState) hasLeft() bool {
+	at := c.leavesAt()
+	return !at.IsZero() && !time.Now().Before(at)
+}
+
 // readDeadline returns when the client stops waiting for the next bytes.
 func (c *callState) readDeadline() time.Time {
+	until := c.patience()
+	if at := c.leavesAt(); !at.IsZero() && at.Before(until) {
+		return at
+	}
+	return until
+}
+
+// patience returns when a client that stays stops waiting for the next bytes.
+func (c *callState) patience() time.Time {
 	if !c.Route.Stream {
 		return c.deadline
 	}
--- a/internal/testkit/client/client.go
+++ b/internal/testkit/client/client.go
@@ -41,6 +41,10 @@
 	PromptTokens    int
 	MaxOutputTokens int
 	BodyBytes       int // size of the request's body
+	// BodyPause is how long the client waits in the middle of the body.
+	BodyPause time.Duration
+	// LeaveAfter is how long after the start the client closes the connection, whatever it has received; 0: it stays.
+	LeaveAfter time.Duration
 }
 
 // Options configure a load generator.
@@ -49,6 +53,7 @@
 	Directories    func(zone string) []netip.AddrPort
 	FixedAddress   string        // host:port that all calls go to; empty: looked up in a directory
 	ClientsPerZone int           // 0: 10
+	StickyOneIn    int           // one in so many clients uses connections and look-ups until they fail; 0: none
 	MaxTTL         time.Duration // upper bound for the lifetime of a lookup; 0: none
 	Checker        *checker.Checker
 	Seed           uint64
@@ -99,6 +104,10 @@
 			if i%longTTLOneIn == longTTLOneIn-1 {
 				c.ttlMultiple = longTTLMultiple
 			}
+			if options.StickyOneIn > 0 && i%options.StickyOneIn == 0 {
+				c.sticky = true
+				c.keepsConnections = true
+			}
 			g.clients[zone] = append(g.clients[zone], c)
 		}
 	}
@@ -135,7 +144,8 @@
 	generator        *LoadGenerator
 	zone, region     string
 	keepsConnections bool
-	ttlMultiple      int // of a lookup's lifetime
+	ttlMultiple      int  // of a lookup's lifetime
+	sticky           bool // it uses connections and look-ups until they fail, whatever newer look-ups say
 
 	mutex             sync.Mutex
 	addresses         []string
@@ -144,6 +154,15 @@
 	idle              []*conn
 }
 
+// Close closes all idle connections. No call may be in progress.
+func (g *LoadGenerator) Close() {
+	for _, clients := range g.clients {
+		for _, c := range clients {
+			c.closeIdle()
+		}
+	}
+}
+
 // Client returns a client of a zone for use with Do; i selects one, modulo their number.
 func (g *LoadGenerator) Client(zone string, i int) *client {
 	return g.clients[zone][i%len(g.clients[zone])]
--- a/internal/testkit/client/conn.go
+++ b/internal/testkit/client/conn.go
@@ -50,7 +50,7 @@
 	for len(c.idle) > 0 {
 		idle := c.idle[len(c.idle)-1]
 		c.idle = c.idle[:len(c.idle)-1]
-		expired := !idle.idleUntil.IsZero() && time.Now().After(idle.idleUntil)
+		expired := !c.sticky && !idle.idleUntil.IsZero() && time.Now().After(idle.idleUntil)
 		if expired || !c.checkIdle(idle) {
 			idle.Close()
 			continue
@@ -107,3 +107,13 @@
 	defer c.mutex.Unlock()
 	c.idle = append(c.idle, used)
 }
+
+// closeIdle closes all idle connections.
+func (c *client) closeIdle() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for _, idle := range c.idle {
+		idle.Close()
+	}
+	c.idle = nil
+}
--- a/internal/testkit/client/stats.go
+++ b/internal/testkit/client/stats.go
@@ -43,6 +43,7 @@
 	Calls, Served   int
 	Retries         int
 	ConnectFailures int
+	Left            int // calls whose client left as the call said; no other count has them
 	Lookups         int
 	FailedLookups   int
 	Statuses        map[int]int // answers by status, successes excluded
@@ -94,6 +95,7 @@
 }
 
 func (s *statsRecorder) recordRetry() { s.update(func(total *Stats) { total.Retries++ }) }
+func (s *statsRecorder) recordLeft()  { s.update(func(total *Stats) { total.Left++ }) }
 func (s *statsRecorder) recordConnectFailure() {
 	s.update(func(total *Stats) { total.ConnectFailures++ })
 }
--- a/internal/testkit/client/stream.go
+++ b/internal/testkit/client/stream.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"os"
 	"strings"
 	"time"
 
@@ -32,8 +33,11 @@
 	case errors.Is(err, errStreamOrder):
 		report(checker.StreamOrder, "%v", err)
 		return attemptFailed
+	case errors.Is(err, os.ErrDeadlineExceeded) && !c.hasLeft():
+		c.client.markFailed(conn.address)
+		return attemptFailed // silence: the client may go on with a new attempt
 	case err != nil:
-		return c.connectionFailed(conn, err)
+		return c.answerCut(conn, id, err)
 	case c.events < c.totalEvents:
 		report(checker.StreamOrder, "the stream of attempt %s ended as complete after event %d of %d",
 			id, c.events, c.totalEvents)
@@ -49,6 +53,9 @@
 		if err == io.EOF && line == "" {
 			return nil
 		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			return err
+		}
 		if err != nil {
 			return io.ErrUnexpectedEOF
 		}
--- a/internal/testkit/runner/runner.go
+++ b/internal/testkit/runner/runner.go
@@ -161,6 +161,7 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.hung = true
+	r.reportEnded()
 	r.stopEngine()
 }
 
@@ -177,6 +178,7 @@
 		return
 	}
 	r.ended = true
+	r.reportEnded()
 	r.stopEngine()
 	r.mutex.Unlock()
 	close(r.done)
@@ -252,7 +254,10 @@
 		r.reportStarted(execution)
 	case engine.Preempted, engine.ChunkPrefilled:
 		return
-	case engine.Finished, engine.Expired, engine.TimedOut, engine.Lost:
+	case engine.TimedOut, engine.Lost:
+		r.reportBrokenOff(execution)
+		delete(r.executions, event.Task)
+	case engine.Finished, engine.Expired:
 		delete(r.executions, event.Task)
 	}
 	execution.addEvent(event)
@@ -264,3 +269,17 @@
 		r.options.Checker.ExecutionStarted(&r.options.Runner, execution.attemptID)
 	}
 }
+
+// reportBrokenOff reports to the checker that an answer will end early.
+func (r *Runner) reportBrokenOff(execution *execution) {
+	if r.options.Checker != nil {
+		r.options.Checker.AnswerBrokenOff(execution.attemptID)
+	}
+}
+
+// reportEnded reports to the checker that the runner ends or stops to respond.
+func (r *Runner) reportEnded() {
+	if r.options.Checker != nil {
+		r.options.Checker.RunnerEnded(r.options.ID)
+	}
+}
--- a/internal/testkit/runner/runner_test.go
+++ b/internal/testkit/runner/runner_test.go
@@ -401,3 +401,37 @@
 		t.Error("the spare answer has no id")
 	}
 }
+
+// A runner that crashes, hangs or breaks off an answer tells the checker, so that the system is not blamed for the cut.
+func TestBrokenAnswersAreReported(t *testing.T) {
+	for name, end := range map[string]func(*Runner){"crash": (*Runner).Crash, "hang": (*Runner).Hang, "close": (*Runner).Close} {
+		requests, cut := checkerWithCut()
+		r := startRunner(t, func(o *Options) { o.Checker = requests })
+		end(r)
+		if cut(r.ID(), "a"); len(requests.CutRequests()) != 0 {
+			t.Errorf("%s: the cut is blamed on the system", name)
+		}
+	}
+	requests, cut := checkerWithCut()
+	r := startRunner(t, func(o *Options) { o.Checker = requests })
+	r.SetFaults(Faults{Truncate: 1})
+	if cut("i-2", "a"); requests.CutRequests()[checker.CutAtDeadline] != 1 {
+		t.Error("a cut at a sound runner does not count")
+	}
+	dial(t, r).ask(http.MethodPost, "/a", answer.HeaderAttemptID+": b", answer.HeaderTokenCounts+": 1,4")
+	if cut("i-2", "b"); requests.CutRequests()[checker.CutAtDeadline] != 1 {
+		t.Error("an answer that the runner truncates is blamed on the system")
+	}
+}
+
+// checkerWithCut returns a checker, and a function that reports a request as received by a runner and cut off.
+func checkerWithCut() (*checker.Checker, func(runner, id string)) {
+	requests := checker.New(checker.Limits{Machines: checker.NewMachines()}, nil)
+	for _, id := range []string{"a", "b"} {
+		requests.RequestSent(checker.Attempt{ID: id, Method: http.MethodPost, Host: "x", URI: "/a"})
+	}
+	return requests, func(runner, id string) {
+		requests.RequestReceived(checker.ReceivedRequest{Runner: &checker.Runner{ID: runner}, ID: id})
+		requests.RequestCut(checker.Cut{ID: id})
+	}
+}
--- a/internal/testkit/runner/serve.go
+++ b/internal/testkit/runner/serve.go
@@ -135,11 +135,15 @@
 	now := r.now()
 	if r.options.SlowStart.RecordArrival(now) {
 		r.stats.Overloaded = true
+		r.reportEnded()
 		go r.Crash()
 		return nil, true
 	}
 	execution := newExecution(r, attemptID, engineRequest)
 	execution.fault = r.drawFault()
+	if execution.fault != faultNone {
+		r.reportBrokenOff(execution)
+	}
 	if execution.fault == faultClose {
 		execution.addEvent(engine.Event{Kind: engine.Lost})
 		return execution, true
