Emulator: a soak test under storms of overlapping faults

TestRun injects three faults far apart. TestSoak runs the real programs, built with their assertions, under a schedule that follows from a seed, with clients that keep connections and look-ups, leave, or send slowly, streams that outlast the grace period and requests that must run once. Beside the checker's rules it checks the ends of processes (in time, status 0, not by themselves), the logs, reads of the configuration at all control machines, added routes at all edge machines (known in time, never forgotten), races and invalid changes, and what a run leaves behind in the test's process.

Rules with a bound in time hold only for machines in touch; a machine whose threads wait for a processor for half of the time counts as slowed.

--- a/internal/system/emulator/emulation.go
+++ b/internal/system/emulator/emulation.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cinderroad/internal/system/policysim"
@@ -25,8 +26,13 @@
 	// the emulation or its report is a failure.
 	WorkDir string
 	Faults  []Fault // injected one after the other, at equal distances
-	Seed    uint64
-	Out     io.Writer // for progress
+	Storm   *Storm  // faults that overlap, beside those; nil: none
+	// StickyOneIn is the share of clients, one in so many, that use connections and look-ups until they fail; 0: none.
+	StickyOneIn int
+	// AlterCall may change a call of the traffic before it is made; nil: none is changed.
+	AlterCall func(*client.Call)
+	Seed      uint64
+	Out       io.Writer // for progress
 }
 
 // Timeouts and intervals, and properties of the platform.
@@ -47,6 +53,10 @@
 	deployment  *deployment
 	platform    *fakeplatform.Platform
 	checker     *checker.Checker
+	machines    *checker.Machines
+	lives       *lifeRecorder
+	slowdown    *slowdownMonitor
+	storm       *stormState // nil: the options have none
 	runners     *runnerFleet
 	processes   []*process
 	operator    *operator
@@ -59,6 +69,11 @@
 	// configurationMutex guards inForce, and is held while a change of it is sent: faults are injected concurrently, and
 	// each change builds on the version in force.
 	configurationMutex sync.Mutex
+	unclear            *configurationDocument // that was sent last, without a clear response; nil: none
+	outcomeUnknown     bool                   // a change has no clear outcome; guarded by configurationMutex
+	addedRoutes        atomic.Int64           // by changes of a storm, refused ones included
+
+	outMutex sync.Mutex // guards options.Out
 }
 
 // Run runs an emulation and returns its report. An error says that the emulation itself failed; faults of the system
@@ -77,13 +92,18 @@
 	if err := os.MkdirAll(o.WorkDir, 0o750); err != nil {
 		return nil, err
 	}
-	e := &emulation{options: o}
+	e := &emulation{options: o, machines: checker.NewMachines()}
 	e.checker = checker.New(checker.Limits{
 		DrainGrace:      milliseconds(defaultTiming.DrainWithinMS),
 		EvacuationGrace: milliseconds(defaultTiming.EvacuateMS),
 		RetryRatio:      defaultTiming.RetryRatio,
 		RetryWindow:     time.Duration(defaultTiming.RetryWindowS) * time.Second,
 		RetryAllowance:  defaultTiming.RetryExtra,
+
+		GracePeriod:        time.Duration(defaultTiming.GracePeriodS) * time.Second,
+		ConfigurationDelay: milliseconds(defaultTiming.ConfigWithinMS),
+		InTouch:            milliseconds(defaultTiming.InTouchMS),
+		Machines:           e.machines,
 	}, nil)
 	report, err := e.run(ctx, programs)
 	if err != nil {
@@ -103,6 +123,11 @@
 	if err := e.startAll(programs); err != nil {
 		return nil, err
 	}
+	ended := make(chan struct{})
+	var monitor sync.WaitGroup
+	monitor.Go(func() { e.slowdown.run(e.processes, ended) })
+	defer monitor.Wait()
+	defer close(ended)
 	if err := e.submitConfiguration(ctx); err != nil {
 		return nil, err
 	}
@@ -112,6 +137,10 @@
 	e.runTraffic(ctx)
 	e.verifyConfiguration(ctx)
 	e.stopAll()
+	e.lives.checkEnds(e.slowdown.slowed)
+	if err := e.checkLogs(); err != nil {
+		return nil, err
+	}
 	return e.buildReport(), nil
 }
 
@@ -131,13 +160,20 @@
 		return err
 	}
 	e.deployment.platformAddress = e.platform.Address()
+	e.lives = &lifeRecorder{
+		deployment:  e.deployment,
+		checker:     e.checker,
+		machines:    e.machines,
+		gracePeriod: time.Duration(defaultTiming.GracePeriodS) * time.Second,
+	}
+	e.slowdown = &slowdownMonitor{deployment: e.deployment, machines: e.machines, spans: make(map[string][]slowSpan)}
 	e.runners, err = startFleet(e.options.Scenario, e.deployment.zones, e.platform, e.checker)
 	if err != nil {
 		return err
 	}
 	for _, m := range e.deployment.machines {
 		for _, p := range programsOf(m) {
-			proc, err := e.deployment.startProcess(m, p, programs[p])
+			proc, err := e.deployment.startProcess(m, p, programs[p], e.lives)
 			if err != nil {
 				return err
 			}
@@ -224,6 +260,8 @@
 	for i := 0; i+1 < len(pairs); i += 2 {
 		line += fmt.Sprintf(" %v=%v", pairs[i], pairs[i+1])
 	}
+	e.outMutex.Lock()
+	defer e.outMutex.Unlock()
 	fmt.Fprintln(e.options.Out, line)
 }
 
@@ -237,6 +275,10 @@
 	switch {
 	case err != nil:
 		e.checker.Report(checker.ConfigurationMismatch, "the configuration could not be read back: %v", err)
+	case e.storm != nil:
+		e.reportMismatch("read at the end", e.storm.history.checkFinal(stored))
+	case e.unclear != nil && formOf(stored) == formOf(e.unclear):
+		// It was taken, though the operator was not told.
 	case stored.Version != e.inForce.Version || len(stored.Routes) != len(e.inForce.Routes):
 		e.checker.Report(checker.ConfigurationMismatch, "version %d with %d routes was read back, %d with %d was acknowledged",
 			stored.Version, len(stored.Routes), e.inForce.Version, len(e.inForce.Routes))
@@ -254,6 +296,7 @@
 		}()
 	}
 	group.Wait()
+	e.closeConnections()
 	if e.platform != nil {
 		e.platform.Close()
 	}
--- a/internal/system/emulator/faults.go
+++ b/internal/system/emulator/faults.go
@@ -98,9 +98,9 @@
 func (e *emulation) injectFault(ctx context.Context, fault Fault) error {
 	switch fault {
 	case DrainRunner:
-		return e.onRunner(func(r *runner.Runner) { e.runners.drain(r, 0) })
+		return e.onRunner(func(r *runner.Runner) { e.runners.drain(r, 0, extraDrainTime) })
 	case DrainAtShortNotice:
-		return e.onRunner(func(r *runner.Runner) { e.runners.drain(r, terminationNotice) })
+		return e.onRunner(func(r *runner.Runner) { e.runners.drain(r, terminationNotice, 0) })
 	case CrashRunner:
 		return e.onRunner(func(r *runner.Runner) { e.runners.crash(r, crashDowntime) })
 	case SilenceRunner:
@@ -191,11 +191,18 @@
 	defer cancel()
 	began := time.Now()
 	change := changeDocument{Version: e.inForce.Version + versionStep, Replace: changedItems{Routes: []routeDocument{route}}}
+	next := e.inForce
+	next.Version = change.Version
+	next.Routes = slices.Clone(next.Routes)
+	next.upsertRoute(route)
 	if err := e.deployment.operator().changeConfiguration(ctx, change, e.inForce.Version); err != nil {
+		var rejected *rejectedError
+		if !errors.As(err, &rejected) {
+			e.unclear = &next
+		}
 		return err
 	}
-	e.inForce.Version = change.Version
-	e.inForce.upsertRoute(route)
+	e.inForce = next
 	e.logEvent("change acknowledged", "version", change.Version, "after", time.Since(began).Round(time.Millisecond))
 	return nil
 }
--- a/internal/system/emulator/fleet.go
+++ b/internal/system/emulator/fleet.go
@@ -26,6 +26,7 @@
 	runnersPerSubnet     = 250             // last bytes of the runners' addresses are 1 to 250
 	delistDelay          = 3 * time.Second // for which a crashed runner stays on the platform's list
 	extraDrainTime       = time.Second     // for which a draining runner serves beyond the required time
+	longExtraDrainTime   = 9 * time.Second // the same, of some runners
 )
 
 // runnerFleet is the runners of all services. It keeps the platform's list in step with them. The timers that it sets
@@ -168,13 +169,25 @@
 	return nil
 }
 
-// drain ends a runner as the platform does: it announces the end, lets the runner serve on for a while, or for the
-// given notice if that is above 0, and replaces it.
-func (f *runnerFleet) drain(r *runner.Runner, notice time.Duration) {
+// pickRunnerWithIndex returns one of the running runners that are not draining, the same for the same index and runners; nil
+// if there is none.
+func (f *runnerFleet) pickRunnerWithIndex(index int) *runner.Runner {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	serving := slices.DeleteFunc(slices.Clone(f.running), func(r *runner.Runner) bool { return f.entries[r.ID()].Draining })
+	if len(serving) == 0 {
+		return nil
+	}
+	return serving[index%len(serving)]
+}
+
+// drain ends a runner as the platform does: it announces the end, lets the runner serve on for the required time and some
+// extra time, or for the given notice if that is above 0, and replaces it.
+func (f *runnerFleet) drain(r *runner.Runner, notice, extra time.Duration) {
 	f.mu.Lock()
 	entry := f.entries[r.ID()]
 	entry.Draining = true
-	serves := time.Duration(defaultTiming.DrainWithinMS)*time.Millisecond + extraDrainTime
+	serves := time.Duration(defaultTiming.DrainWithinMS)*time.Millisecond + extra
 	if notice > 0 {
 		serves = notice
 		entry.TerminatesAt = time.Now().Add(notice)
--- a/internal/system/emulator/report.go
+++ b/internal/system/emulator/report.go
@@ -20,8 +20,10 @@
 	RepeatedRequests int // requests that were sent to another runner after a first one
 	Processes        []ProcessReport
 	Violations       []checker.Violation
-	RunnerErrors     []error // of replacements that did not start; the system has to bear that they are missing
-	LogDir           string  // directory of the logs; empty: it was removed
+	RunnerErrors     []error                  // of replacements that did not start; the system has to bear that they are missing
+	CutRequests      map[checker.CutCause]int // that a runner had got
+	SlowedSamples    int                      // of machines that waited for a processor; rules with a bound in time did not hold for them
+	LogDir           string                   // directory of the logs; empty: it was removed
 }
 
 // ProcessReport is the result of a process.
@@ -81,6 +83,8 @@
 			RestartError:   p.restartError,
 		})
 	}
+	report.CutRequests = e.checker.CutRequests()
+	report.SlowedSamples = e.slowdown.count()
 	report.RunnerErrors = e.runners.startErrors()
 	report.Violations = e.checker.Finish()
 	return report
@@ -146,8 +150,8 @@
 		total.Engine.PrefilledTokens, total.Engine.Preemptions)
 	fmt.Fprintf(out,
 		"retries=%d repeats=%d connect_failures=%d lookups=%d failed_lookups=%d statuses=%v "+
-			"platform_calls=%d platform_rejected=%d violations=%d\n",
+			"platform_calls=%d platform_rejected=%d left=%d cut=%v slowed_samples=%d violations=%d\n",
 		r.Clients.Retries, r.RepeatedRequests, r.Clients.ConnectFailures,
 		r.Clients.Lookups, r.Clients.FailedLookups, r.Clients.Statuses,
-		r.Platform.Calls, r.Platform.Throttled, len(r.Violations))
+		r.Platform.Calls, r.Platform.Throttled, r.Clients.Left, r.CutRequests, r.SlowedSamples, len(r.Violations))
 }
--- a/internal/system/emulator/settings.go
+++ b/internal/system/emulator/settings.go
@@ -134,6 +134,9 @@
 	diskMB    = 128
 )
 
+// diskOf returns the folder that stands for a machine's disk.
+func (d *deployment) diskOf(m *machine) string { return filepath.Join(d.workDir, m.name+"-disk") }
+
 // settingsOf returns the settings of a process on a machine.
 func (d *deployment) settingsOf(m *machine, p program, firstBoot bool) settings {
 	s := settings{
@@ -175,7 +178,7 @@
 		s.ListenOn["directory"] = m.addressWithPort(d.ports.directory).String()
 		s.CountsAsLoss = true
 		s.Limits.StorageMB = diskMB
-		folder := filepath.Join(d.workDir, m.name+"-disk")
+		folder := d.diskOf(m)
 		s.StateDir = &folder
 	}
 	return s
--- a/internal/system/emulator/traffic.go
+++ b/internal/system/emulator/traffic.go
@@ -21,6 +21,7 @@
 	e.clients = client.New(client.Options{
 		RegionOfZone: e.deployment.zones,
 		Directories:  e.deployment.directories,
+		StickyOneIn:  e.options.StickyOneIn,
 		MaxTTL:       time.Duration(defaultTiming.TTLMaxS) * time.Second,
 		Checker:      e.checker,
 		Seed:         e.options.Seed,
@@ -29,10 +30,15 @@
 		delay := e.options.Scenario.Duration * time.Duration(i+1) / time.Duration(len(e.options.Faults)+1)
 		e.scheduleFault(ctx, fault, delay)
 	}
+	finishStorm := func() {}
+	if e.options.Storm != nil {
+		finishStorm = e.startStorm(ctx, e.options.Storm)
+	}
 	ended := make(chan struct{})
 	go e.reportProgress(ended)
 	e.clients.Run(ctx, e.calls())
 	e.faults.Wait()
+	finishStorm()
 	close(ended)
 }
 
@@ -80,6 +86,9 @@
 			}
 			call.PromptChunks += fmt.Sprintf("%x:%d", part.ID, part.Tokens)
 		}
+		if e.options.AlterCall != nil {
+			e.options.AlterCall(call)
+		}
 		calls = append(calls, call)
 	}
 	return calls
