Emulator: the soak test uses replicated counters

Clients add to counters and send the same addition again, to other machines, during the storm; readers check that no machine reads more than may have counted, nor less than the same life acknowledged, nor, in calm times, less than any machine had acknowledged long before. At the end every machine has to read all that was acknowledged.

--- a/internal/system/emulator/deployment.go
+++ b/internal/system/emulator/deployment.go
@@ -26,6 +26,7 @@
 	machines        []*machine
 	ports           ports
 	platformAddress netip.AddrPort
+	counters        bool // control machines serve replicated counters
 }
 
 // machine is an emulated machine.
--- a/internal/system/emulator/emulation.go
+++ b/internal/system/emulator/emulation.go
@@ -24,9 +24,10 @@
 	ProgramDir   string // directory of the system's programs
 	// WorkDir is for settings, logs and disks. If it is empty, a temporary directory is used, which is removed unless
 	// the emulation or its report is a failure.
-	WorkDir string
-	Faults  []Fault // injected one after the other, at equal distances
-	Storm   *Storm  // faults that overlap, beside those; nil: none
+	WorkDir  string
+	Faults   []Fault // injected one after the other, at equal distances
+	Storm    *Storm  // faults that overlap, beside those; nil: none
+	Counters bool    // the deployment has replicated counters, which a storm uses
 	// StickyOneIn is the share of clients, one in so many, that use connections and look-ups until they fail; 0: none.
 	StickyOneIn int
 	// AlterCall may change a call of the traffic before it is made; nil: none is changed.
@@ -160,6 +161,7 @@
 		return err
 	}
 	e.deployment.platformAddress = e.platform.Address()
+	e.deployment.counters = e.options.Counters
 	e.lives = &lifeRecorder{
 		deployment:  e.deployment,
 		checker:     e.checker,
--- a/internal/system/emulator/lives.go
+++ b/internal/system/emulator/lives.go
@@ -38,19 +38,30 @@
 	return m.addressWithPort(d.ports.front).String()
 }
 
+// namesOf returns the names under which trouble of a machine is recorded: beside its address, control machines have their own.
+func (d *deployment) namesOf(m *machine) []string {
+	if m.class == coreClass {
+		return []string{checker.Core, m.name}
+	}
+	return []string{d.addressOf(m)}
+}
+
 // signalled records a signal before it is sent.
 func (r *lifeRecorder) signalled(p *process, signal syscall.Signal, at time.Time, first bool) {
 	address := r.deployment.addressOf(p.machine)
 	switch {
-	case signal == syscall.SIGKILL:
-		r.machines.UnplannedTrouble(address, at, at)
-	case signal == syscall.SIGTERM:
-		r.machines.PlannedTrouble(address, at, at)
-		if first && p.program == proxy {
-			r.machines.Stopped(address, at)
-		}
 	case signal == syscall.SIGHUP && p.program == proxy:
 		r.machines.Reloaded(address, at)
+	case signal == syscall.SIGTERM && first && p.program == proxy:
+		r.machines.Stopped(address, at)
+	}
+	for _, name := range r.deployment.namesOf(p.machine) {
+		switch signal {
+		case syscall.SIGKILL:
+			r.machines.UnplannedTrouble(name, at, at)
+		case syscall.SIGTERM:
+			r.machines.PlannedTrouble(name, at, at)
+		}
 	}
 }
 
@@ -79,15 +90,16 @@
 // startedAgain records the trouble of a machine from the first signal of a life to the next start. Beyond SIGTERM, it was not
 // planned.
 func (r *lifeRecorder) startedAgain(p *process, ended life, at time.Time) {
-	address := r.deployment.addressOf(p.machine)
-	switch {
-	case !ended.killed.IsZero():
-		r.machines.UnplannedTrouble(address, ended.killed, at)
-	case ended.stopped.IsZero():
-		r.machines.UnplannedTrouble(address, ended.ended, at)
-	}
-	if !ended.stopped.IsZero() {
-		r.machines.PlannedTrouble(address, ended.stopped, at)
+	for _, name := range r.deployment.namesOf(p.machine) {
+		switch {
+		case !ended.killed.IsZero():
+			r.machines.UnplannedTrouble(name, ended.killed, at)
+		case ended.stopped.IsZero():
+			r.machines.UnplannedTrouble(name, ended.ended, at)
+		}
+		if !ended.stopped.IsZero() {
+			r.machines.PlannedTrouble(name, ended.stopped, at)
+		}
 	}
 }
 
--- a/internal/system/emulator/settings.go
+++ b/internal/system/emulator/settings.go
@@ -75,6 +75,7 @@
 	PassMS         int     `json:"pass_ms"`
 	AgainS         int     `json:"again_s"`
 	TTLMaxS        int     `json:"ttl_max_s"`
+	MergeWithinMS  int     `json:"merge_within_ms,omitempty"`
 }
 
 type cloudAPI struct {
@@ -167,6 +168,10 @@
 			MaxLagMS: platformLagMS,
 		},
 	}
+	if d.counters {
+		s.Promises = append(s.Promises, "apart")
+		s.Timing.MergeWithinMS = mergeWithinMS
+	}
 	switch p {
 	case proxy:
 		s.ServesRoles = []string{"edge"}
--- a/internal/system/emulator/soak_test.go
+++ b/internal/system/emulator/soak_test.go
@@ -168,6 +168,7 @@
 		ProgramDir:   programs,
 		WorkDir:      folder,
 		Storm:        &Storm{Events: events, Begin: stormBegin},
+		Counters:     true,
 		StickyOneIn:  3,
 		AlterCall:    alterCalls(seed),
 		Seed:         seed,
--- a/internal/system/emulator/storm.go
+++ b/internal/system/emulator/storm.go
@@ -28,6 +28,7 @@
 	history    *configurationHistory
 	zoneOrders map[string]chan struct{} // holds a token while no order on the zone is under way
 	workloads  []workload
+	counters   *counterWorkload // nil: the deployment has no replicated counters
 }
 
 // workload is what goes on beside the traffic of a storm and checks what it sees.
@@ -48,6 +49,10 @@
 		e.storm.zoneOrders[zone] = make(chan struct{}, 1)
 	}
 	e.storm.workloads = []workload{newConfigurationReader(e), newRouteProber(e)}
+	if e.options.Counters {
+		e.storm.counters = newCounterWorkload(e)
+		e.storm.workloads = append(e.storm.workloads, e.storm.counters)
+	}
 	for _, event := range storm.Events {
 		e.scheduleEvent(ctx, event, storm.Begin+event.At)
 	}
@@ -139,6 +144,9 @@
 			return err
 		}
 	}
+	if event.Action == schedule.LoseDisk && e.storm.counters != nil {
+		e.storm.counters.diskLost(m, time.Now())
+	}
 	return nil
 }
 
--- a/internal/testkit/checker/checker.go
+++ b/internal/testkit/checker/checker.go
@@ -29,7 +29,8 @@
 	RetryBudgetExceeded    Rule = "BUDGET"   // requests were retried more often than the budget allows
 	ValidRequestDenied     Rule = "DENIED"   // a valid request was answered with a 3xx or 4xx
 	ConfigurationMismatch  Rule = "CONFIG"   // a configuration that was read isn't the acknowledged one
-	LostRequest            Rule = "LOST"     // a request that a runner had got was cut off around planned work
+	LostRequest            Rule = "LOST"     // a request was cut off around planned work, or what was acknowledged is gone
+	StaleRead              Rule = "STALE"    // a counter was read without an addition that had to be part of it
 	LateEnd                Rule = "GRACE"    // a process did not end within the grace period, or not with status 0
 	ReportedViolation      Rule = "LOG"      // a process logged a violated invariant
 	NotRecovered           Rule = "RECOVER"  // a machine does not serve in time after the last fault
--- a/internal/testkit/checker/machines.go
+++ b/internal/testkit/checker/machines.go
@@ -79,14 +79,14 @@
 
 // InTouch reports whether a machine and the core were left alone from one time to the other.
 func (m *Machines) InTouch(address string, from, to time.Time) bool {
+	return m.LeftAlone(address, from, to) && m.LeftAlone(Core, from, to)
+}
+
+// LeftAlone reports whether a machine was left alone from one time to the other.
+func (m *Machines) LeftAlone(address string, from, to time.Time) bool {
 	m.mutex.Lock()
 	defer m.mutex.Unlock()
-	for _, name := range []string{address, Core} {
-		if overlapsAny(m.trouble[name], from, to, planned, unplanned, slowed) {
-			return false
-		}
-	}
-	return true
+	return !overlapsAny(m.trouble[address], from, to, planned, unplanned, slowed)
 }
 
 // unplanned reports whether a machine had unplanned trouble between two times.
