cinderctl: read, change and show replicated counters

tally read NAME prints the total; tally change NAME AMOUNT [--id ID] adds, under an ID that is drawn and printed first if none is given; tally status shows, for each control machine, its disk and bounds, the vector by origin and what its peers lack.

The client repeats an addition under its ID at the next machine, as it does other calls. A call may now name the statuses that promise that nothing was done (503 and 429 here): the errors then tell whether any attempt may have done something, and cinderctl says "nothing was counted" only where that is certain, otherwise that the outcome is unknown and the command that repeats it. Negative numbers need no "--". Names are escaped in paths, so that they may hold slashes.

--- a/cmd/cinderctl/compatibility_test.go
+++ b/cmd/cinderctl/compatibility_test.go
@@ -43,6 +43,28 @@
 	}
 }
 
+// TestCounterJSONOutputUnchanged is TestJSONOutputUnchanged for the commands about counters.
+func TestCounterJSONOutputUnchanged(t *testing.T) {
+	c := &fakeCounters{script: []int{200, 409}}
+	seed := c.serve(t)
+	machine := &fakeControl{status: newStatus("core-1", true)}
+	machine.status.Counters = newCounters()
+	machine.status.Members = machine.status.Members[:1]
+	for _, step := range []struct {
+		name, seed string
+		arguments  []string
+	}{
+		{"tally-read", seed, []string{"read", "visits"}},
+		{"tally-change", seed, []string{"change", "visits", "-3", "--id", "a"}},
+		{"tally-conflict", seed, []string{"change", "visits", "-4", "--id", "a"}},
+		{"tally-status", "--seed=" + machine.serve(t), []string{"status"}},
+	} {
+		got := call(append([]string{step.seed, "--json", "tally"}, step.arguments...)...)
+		text := strings.ReplaceAll(got.output, strings.TrimPrefix(step.seed, "--seed="), "MACHINE")
+		compatibility.PackageFolder.Check(t, step.name+".json", []byte(text))
+	}
+}
+
 // TestHelpUnchanged compares the help texts, which name all commands, arguments and flags, with the recorded ones.
 func TestHelpUnchanged(t *testing.T) {
 	t.Setenv("COLUMNS", "80") // the help is as wide as a terminal
@@ -57,6 +79,10 @@
 		"drain",
 		"drain begin",
 		"drain finish",
+		"tally",
+		"tally read",
+		"tally change",
+		"tally status",
 		"version",
 	} {
 		got := call(append(strings.Fields(command), "--help")...)
--- a/cmd/cinderctl/fake_test.go
+++ b/cmd/cinderctl/fake_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"encoding/json"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -37,9 +38,18 @@
 }
 
 // call runs the program.
-func call(arguments ...string) result {
+func call(arguments ...string) result { return callUntil(math.MaxInt, arguments...) }
+
+// callUntil runs the program, and interrupts it in its pause after a number of attempts.
+func callUntil(attempts int, arguments ...string) result {
+	ctx, interrupt := context.WithCancel(context.Background())
+	defer interrupt()
 	var output, problems bytes.Buffer
-	status := run(context.Background(), arguments, &output, &problems, func(context.Context, time.Duration) {})
+	status := run(ctx, arguments, &output, &problems, func(context.Context, time.Duration) {
+		if attempts--; attempts == 0 {
+			interrupt()
+		}
+	})
 	return result{status, output.String(), problems.String()}
 }
 
--- a/cmd/cinderctl/main.go
+++ b/cmd/cinderctl/main.go
@@ -27,6 +27,9 @@
 	exitFailed   = 2
 )
 
+// counterCommandName is the command about counters, as commandLine names it.
+const counterCommandName = "tally"
+
 // commandLine is what kong parses: the commands, and the flags that all of them take. Flags are named after the fields.
 type commandLine struct {
 	JSON     bool          `name:"json" help:"Print JSON in place of text."`
@@ -42,6 +45,7 @@
 	Status  statusCommand  `cmd:"" name:"status" help:"Print members, partitions, leaders, evacuations and versions."`
 	Config  configCommand  `cmd:"" name:"config" help:"Read, replace or change the configuration."`
 	Drain   drainCommand   `cmd:"" name:"drain" help:"Evacuate a zone, or end its evacuation."`
+	Tally   counterCommand `cmd:"" name:"tally" help:"Read a replicated counter, add to it, or show the state of all."`
 	Version versionCommand `cmd:"" name:"version" help:"Print the version of this program."`
 }
 
@@ -77,7 +81,7 @@
 	if err != nil {
 		return fail(errOutput, err)
 	}
-	parsed, err := parser.Parse(arguments)
+	parsed, err := parser.Parse(markNegativeNumbers(arguments))
 	if ended >= 0 {
 		return ended // --help was given, and printed
 	}
--- a/cmd/cinderctl/status.go
+++ b/cmd/cinderctl/status.go
@@ -118,6 +118,11 @@
 	if c.Members {
 		tables = append(tables, membersTable(report), followersTable(report))
 	}
+	return s.printTables(tables, report.Unreachable)
+}
+
+// printTables prints tables, then the machines that did not respond.
+func (s *session) printTables(tables []*table, unreachable []unreachableMachine) error {
 	for i, table := range tables {
 		if i > 0 {
 			if err := s.printLine(""); err != nil {
@@ -128,7 +133,7 @@
 			return err
 		}
 	}
-	for _, machine := range report.Unreachable {
+	for _, machine := range unreachable {
 		if err := s.printLine("\n%s does not answer: %s", machine.Address, machine.Problem); err != nil {
 			return err
 		}
--- a/internal/system/control/client/client.go
+++ b/internal/system/control/client/client.go
@@ -5,8 +5,10 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -59,6 +61,19 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// EscapedPath is Path with the slashes of its last segment escaped, if it has any.
+	EscapedPath string
+	// NothingDone lists the statuses by which a machine promises that it has done nothing.
+	NothingDone []int
+}
+
+// isHarmless reports whether an attempt, which has failed, has certainly done nothing.
+func (c *Call) isHarmless(response *Response, err error) bool {
+	if response != nil {
+		return slices.Contains(c.NothingDone, response.Status)
+	}
+	var network *net.OpError
+	return errors.As(err, &network) && network.Op == "dial"
 }
 
 // Response is a machine's response to a call.
@@ -84,6 +99,7 @@
 	defer cancel()
 	backoff := initialBackoff
 	rejections := 0
+	mayBeDone := false
 	for attempts := 1; ; attempts++ {
 		response, err := c.attempt(ctx, &call)
 		if err == nil {
@@ -96,21 +112,22 @@
 			case outcome == outcomeAccepted:
 				return response, nil
 			case outcome == outcomeRejected, rejections >= maxRejections:
-				return nil, &RejectedError{Response: *response, Details: ParseError(response)}
+				return nil, &RejectedError{Response: *response, Details: ParseError(response), MayBeDone: mayBeDone}
 			}
 			err = errors.Newf("%s responded %d: %s", response.Machine, response.Status, ParseError(response).Message)
 		}
+		mayBeDone = mayBeDone || !call.isHarmless(response, err)
 		var tooLarge *ResponseTooLargeError
 		if errors.As(err, &tooLarge) {
 			return nil, tooLarge
 		}
 		c.nextAddress++
 		if attempts == c.MaxAttempts {
-			return nil, &UnavailableError{Attempts: attempts, LastError: err}
+			return nil, &UnavailableError{Attempts: attempts, MayBeDone: mayBeDone, LastError: err}
 		}
 		c.sleep(ctx, max(withJitter(backoff), retryAfter(response)))
 		if ctx.Err() != nil {
-			return nil, &UnavailableError{Attempts: attempts, LastError: err}
+			return nil, &UnavailableError{Attempts: attempts, MayBeDone: mayBeDone, LastError: err}
 		}
 		backoff = min(maxBackoff, 2*backoff)
 	}
@@ -145,7 +162,7 @@
 // attempt calls one machine, and those that it redirects to.
 func (c *Client) attempt(ctx context.Context, call *Call) (*Response, error) {
 	machine := c.Addresses[c.nextAddress%len(c.Addresses)]
-	target := url.URL{Scheme: "http", Host: machine, Path: call.Path}
+	target := url.URL{Scheme: "http", Host: machine, Path: call.Path, RawPath: call.EscapedPath}
 	for redirects := 0; ; redirects++ {
 		response, err := c.send(ctx, call, &target)
 		if err != nil || response.Status != http.StatusTemporaryRedirect {
--- a/internal/system/control/client/client_test.go
+++ b/internal/system/control/client/client_test.go
@@ -274,3 +274,41 @@
 		}
 	}
 }
+
+// TestMayBeDone: a call that fails says whether any of its attempts may have done something.
+func TestMayBeDone(t *testing.T) {
+	for _, tc := range []struct {
+		statuses  []int
+		mayBeDone bool
+	}{
+		{[]int{503}, false},
+		{[]int{429, 503}, false},
+		{[]int{503, 500}, true},
+		{[]int{504, 503}, true},
+		{[]int{503, 404}, false},
+		{[]int{502, 404}, true},
+	} {
+		m := &scriptedMachine{}
+		for _, status := range tc.statuses {
+			m.script = append(m.script, scriptedResponse{status: status})
+		}
+		var pauses []time.Duration
+		client := newClient(&pauses, serve(t, m), closedAddress(t))
+		client.MaxAttempts = 2 * len(tc.statuses) // each second attempt at the machine that is down
+		_, err := client.Add(t.Context(), "visits", Addition{ID: "a", Amount: 1})
+		var unavailable *UnavailableError
+		var rejected *RejectedError
+		switch {
+		case errors.As(err, &unavailable):
+			if unavailable.MayBeDone != tc.mayBeDone {
+				t.Errorf("%v: %+v", tc.statuses, unavailable)
+			}
+		case errors.As(err, &rejected):
+			if rejected.MayBeDone != tc.mayBeDone {
+				t.Errorf("%v: %+v", tc.statuses, rejected)
+			}
+		default:
+			t.Errorf("%v: %v", tc.statuses, err)
+		}
+	}
+}
--- a/internal/system/control/client/errors.go
+++ b/internal/system/control/client/errors.go
@@ -15,8 +15,9 @@
 
 // RejectedError means that the call was rejected for good.
 type RejectedError struct {
-	Response Response
-	Details  ErrorDetails
+	Response  Response
+	Details   ErrorDetails
+	MayBeDone bool // by an earlier attempt of the call
 }
 
 // Error returns the machine, the status and the message of the response.
@@ -46,6 +47,7 @@
 // unchanged.
 type UnavailableError struct {
 	Attempts  int
+	MayBeDone bool  // not every attempt has certainly done nothing, see Call.NothingDone
 	LastError error // of the last attempt
 }
 
