Consensus: the simulation's events are in the shared event queue

The simulation had a heap of its own, the same lines as testkit/eventqueue. Times are nanoseconds, as in the simulation of counters.

--- a/internal/system/consensus/simulation_test.go
+++ b/internal/system/consensus/simulation_test.go
@@ -1,12 +1,13 @@
 package consensus
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
+
+	"cinderroad/internal/testkit/eventqueue"
 )
 
 // simulation is a cluster in virtual time.
@@ -14,8 +15,7 @@
 	seed             uint64
 	random           *rand.Rand
 	now              time.Duration
-	events           eventHeap
-	lastSequence     uint64
+	events           eventqueue.Queue // in nanoseconds
 	steps            int
 	verbose          bool
 	failure          string
@@ -60,31 +60,6 @@
 	clockRate   float64           // of its clock, per virtual time
 }
 
-type event struct {
-	at       time.Duration
-	sequence uint64
-	action   func()
-}
-
-type eventHeap []event
-
-func (h eventHeap) Len() int { return len(h) }
-
-func (h eventHeap) Less(i, j int) bool {
-	return h[i].at < h[j].at || h[i].at == h[j].at && h[i].sequence < h[j].sequence
-}
-
-func (h eventHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
-
-func (h *eventHeap) Push(v any) { *h = append(*h, v.(event)) }
-
-func (h *eventHeap) Pop() any {
-	old := *h
-	last := old[len(old)-1]
-	*h = old[:len(old)-1]
-	return last
-}
-
 func newSimulation(seed uint64) *simulation {
 	sim := &simulation{
 		seed:         seed,
@@ -145,8 +120,7 @@
 }
 
 func (sim *simulation) schedule(delay time.Duration, action func()) {
-	sim.lastSequence++
-	heap.Push(&sim.events, event{sim.now + max(delay, 0), sim.lastSequence, action})
+	sim.events.Schedule(float64(sim.now+max(delay, 0)), action)
 }
 
 // start founds the cluster.
@@ -177,11 +151,14 @@
 // run simulates a duration.
 func (sim *simulation) run(duration time.Duration) {
 	end := sim.now + duration
-	for len(sim.events) > 0 && sim.events[0].at <= end && sim.failure == "" {
-		next := heap.Pop(&sim.events).(event)
-		sim.now = next.at
+	for sim.failure == "" {
+		at, action, ok := sim.events.PopUntil(float64(end))
+		if !ok {
+			break
+		}
+		sim.now = time.Duration(at)
 		sim.steps++
-		next.action()
+		action()
 		sim.check()
 	}
 	sim.now = end
