Emulator: additions that a lost disk may take with it

Only what was acknowledged while it could reach none of the others is not owed: the condition now looks at the time of the acknowledgement and at all other machines.

--- a/internal/system/emulator/counter_test.go
+++ b/internal/system/emulator/counter_test.go
@@ -88,20 +88,22 @@
 	}
 }
 
-// TestAdditionsThatWentWithADisk: what only the machine acknowledged that lost its disk is owed if it could reach the others.
+// TestAdditionsThatWentWithADisk: what only the machine acknowledged that lost its disk is owed if it could reach another one.
 func TestAdditionsThatWentWithADisk(t *testing.T) {
 	now := time.Unix(1000, 0)
 	for _, test := range []struct {
 		name    string
 		ackedAt time.Time
 		by      []int // machines that acknowledged
-		trouble func(*checker.Machines, string)
+		down    []int // machines around now
 		owed    bool
 	}{
-		{"alone, the others were down", now, []int{0}, func(m *checker.Machines, other string) { m.UnplannedTrouble(other, now, now) }, false},
-		{"alone, the others were there", now, []int{0}, func(*checker.Machines, string) {}, true},
-		{"by another one, too", now, []int{0, 1}, func(m *checker.Machines, other string) { m.UnplannedTrouble(other, now, now) }, true},
-		{"after the loss", now.Add(time.Minute), []int{0}, func(m *checker.Machines, other string) { m.UnplannedTrouble(other, now, now) }, true},
+		{"alone, both others were down", now, []int{0}, []int{1, 2}, false},
+		{"alone, another one was there", now, []int{0}, []int{2}, true},
+		{"alone, the others were there", now, []int{0}, nil, true},
+		{"alone, the others went down later", now.Add(-time.Second), []int{0}, []int{1, 2}, true},
+		{"by another one, too", now, []int{0, 1}, []int{1, 2}, true},
+		{"after the loss", now.Add(time.Minute), []int{0}, []int{1, 2}, true},
 	} {
 		e, w := newCounterTest(t, &fakeCounters{})
 		a := w.ledger.open("t0", "a", 5)
@@ -109,7 +111,9 @@
 			w.ledger.sending(a)
 			w.ledger.acknowledged(a, additionAck{machine: w.machines[i].name, life: 1, at: test.ackedAt})
 		}
-		test.trouble(e.machines, w.machines[2].name)
+		for _, i := range test.down {
+			e.machines.UnplannedTrouble(w.machines[i].name, now, now)
+		}
 		w.diskLost(w.machines[0], now.Add(time.Second))
 		if got := w.isOwed(a, now.Add(time.Hour)); got != test.owed {
 			t.Errorf("%s: owed %v", test.name, got)
--- a/internal/system/emulator/counter_workload.go
+++ b/internal/system/emulator/counter_workload.go
@@ -201,8 +201,8 @@
 	return a.ackedBefore(before) && !w.wentWithDisk(a)
 }
 
-// wentWithDisk reports whether an addition may be lost because only a machine acknowledged it that lost its disk, while others
-// could not be reached.
+// wentWithDisk reports whether an addition may be lost because only a machine acknowledged it that lost its disk, when it could
+// reach none of the others.
 func (w *counterWorkload) wentWithDisk(a *addition) bool {
 	w.diskLoss.mu.Lock()
 	defer w.diskLoss.mu.Unlock()
@@ -210,23 +210,22 @@
 		return false
 	}
 	for _, ack := range a.acks {
-		if ack.machine != w.diskLoss.machine || ack.at.After(w.diskLoss.at) || w.othersReached(ack.at) {
+		if ack.machine != w.diskLoss.machine || ack.at.After(w.diskLoss.at) || w.reachedAnother(ack) {
 			return false
 		}
 	}
 	return true
 }
 
-// othersReached reports whether no other control machine had trouble from some time before an acknowledgement until the disk
-// was lost.
-func (w *counterWorkload) othersReached(acknowledged time.Time) bool {
-	from := acknowledged.Add(-time.Duration(defaultTiming.CatchUpS) * time.Second)
+// reachedAnother reports whether some other control machine had no trouble around an acknowledgement.
+func (w *counterWorkload) reachedAnother(ack additionAck) bool {
+	from := ack.at.Add(-time.Duration(defaultTiming.CatchUpS) * time.Second)
 	for _, m := range w.machines {
-		if m.name != w.diskLoss.machine && !w.emulation.machines.LeftAlone(m.name, from, w.diskLoss.at) {
-			return false
+		if m.name != ack.machine && w.emulation.machines.LeftAlone(m.name, from, ack.at) {
+			return true
 		}
 	}
-	return true
+	return false
 }
 
 // finish implements workload: every machine reads all that was acknowledged, and nothing else.
--- a/internal/system/emulator/slowdown.go
+++ b/internal/system/emulator/slowdown.go
@@ -19,7 +19,7 @@
 	sampledAt  time.Time
 
 	mu    sync.Mutex
-	spans map[string][]slowSpan // by address
+	spans map[string][]slowSpan // by the name of the machine
 }
 
 type slowSpan struct{ from, to time.Time }
@@ -56,7 +56,9 @@
 		pid := p.pid()
 		waited[pid] = waitTime(pid)
 		if allSlowed || waited[pid]-s.waited[pid] > maxWait {
-			slowed[s.deployment.addressOf(p.machine)] = true
+			for _, name := range s.deployment.namesOf(p.machine) {
+				slowed[name] = true
+			}
 		}
 	}
 	for address := range slowed {
