--- a/internal/system/control/counterservice/disk.go
+++ b/internal/system/control/counterservice/disk.go
@@ -133,7 +133,7 @@
 	s.nextPeerUpdate = 0
 	s.wakeBefore(0)
 	s.mutex.Unlock()
-	s.log.Info("replica of counters started", zap.Uint64("origin", uint64(opened.Origin())), zap.Int("entries", len(entries)))
+	s.log.Info("replica of counters started", originField(opened.Origin()), zap.Int("entries", len(entries)))
 	return nil
 }
 
@@ -210,8 +210,8 @@
 	Close() error
 }
 
-// openStore opens the store of the state folder, or one in memory if the machine has no disk.
-func (s *Service) openStore() (store, error) {
+// openStateFolder opens the store of the state folder, or one in memory if the machine has no disk.
+func (s *Service) openStateFolder() (store, error) {
 	folder := s.options.Settings.StateDir
 	if folder == "" {
 		return &memoryStore{origin: drawOrigin()}, nil
--- a/internal/system/counter/receive.go
+++ b/internal/system/counter/receive.go
@@ -65,6 +65,9 @@
 		n.endExchange(known, false)
 		return
 	}
+	if known.failed {
+		n.logs.pullAtOnce(n.now)
+	}
 	if n.applyRanges(ranges) {
 		known.noPullUntil = n.now
 	}
@@ -100,6 +103,7 @@
 		known.catchUpTarget = known.vector.Clone()
 	}
 	if wasInFlight {
+		known.answeredSentAt = known.sentAt
 		took := max(n.now-known.sentAt, 1)
 		if known.roundTrip == 0 {
 			known.roundTrip = took
