--- a/internal/system/counter/exchange.go
+++ b/internal/system/counter/exchange.go
@@ -14,6 +14,9 @@
 	retryInterval = 300 * time.Millisecond
 	// pushInterval is the time between two pushes to a peer that is not eager.
 	pushInterval = 200 * time.Millisecond
+	// offerInterval is the time after a reply that carried them until the same entries are pushed, if the peer has not
+	// confirmed them: its own next push does that.
+	offerInterval = 2 * pushInterval
 	// distantPushInterval is the same for a peer that lacks more than distantLag entries, which pulls them.
 	distantPushInterval = time.Second
 	distantLag          = 1024
@@ -68,7 +71,7 @@
 		case eager:
 			due = n.now
 		case lag <= distantLag:
-			due = known.sentAt + pushInterval
+			due = max(known.sentAt+pushInterval, known.offeredAt+offerInterval)
 		default:
 			due = known.sentAt + distantPushInterval
 		}
@@ -241,6 +244,23 @@
 	})
 }
 
+// replyTo returns the reply to a request whose entries are durable.
+func (n *Node) replyTo(request *pendingRequest) *ExchangeReply {
+	reply := &ExchangeReply{From: n.self, Vector: n.vector()}
+	requester := n.byAddress[request.from]
+	switch {
+	case request.pull:
+		reply.Ranges = n.missingRanges(request.vector)
+	case requester != nil && !requester.inFlight && n.ownLag(requester) > 0 && n.ownLag(requester) <= distantLag:
+		// Instead of a push of its own:
+		encoder := newRangeEncoder(maxExchangeBytes)
+		n.addRange(encoder, n.own, requester.vector[n.own.origin], n.own.durable)
+		reply.Ranges = encoder.finish(&n.self)
+		requester.offeredAt = n.now
+	}
+	return reply
+}
+
 // takeReplies replies to the requests whose entries are durable.
 func (n *Node) takeReplies() []Reply {
 	replies := n.replies
@@ -251,11 +271,7 @@
 			waiting = append(waiting, request)
 			continue
 		}
-		reply := &ExchangeReply{From: n.self, Vector: n.vector()}
-		if request.pull {
-			reply.Ranges = n.missingRanges(request.vector)
-		}
-		replies = append(replies, Reply{ID: request.id, Reply: reply})
+		replies = append(replies, Reply{ID: request.id, Reply: n.replyTo(&request)})
 	}
 	clear(n.requests[len(waiting):])
 	n.requests = waiting
--- a/internal/system/counter/exchange_test.go
+++ b/internal/system/counter/exchange_test.go
@@ -503,3 +503,32 @@
 	}
 	requireTotal(t, node, "t1", "4")
 }
+
+// TestReplyCarriesOwnEntries checks that a peer's request is answered with what it lacks of the own log, and that the same is not
+// pushed soon afterwards.
+func TestReplyCarriesOwnEntries(t *testing.T) {
+	node, now := newConnectedNode(t, 4, Durability{Machines: 1, Zones: 1})
+	mustAdd(t, node, Operation{"a", "t1", 4}, now)
+	answer(node, persist(node, now), now, map[int]VersionVector{2: {1: 1}})
+	node.HandleRequest(requestFrom(sender(4, 4), nil), now)
+	ready := node.Ready(now)
+	if len(ready.Replies) != 1 {
+		t.Fatalf("%+v", ready)
+	}
+	reply := ready.Replies[0].Reply
+	ranges, err := decodeRanges(&reply.From, reply.Ranges)
+	if err != nil || len(ranges) != 1 || ranges[0].origin != 1 || len(ranges[0].operations) != 1 {
+		t.Fatalf("%+v, %v", ranges, err)
+	}
+	answeredAt := now
+	for pushed := false; !pushed; {
+		now += 10 * time.Millisecond
+		node.Tick(now)
+		ready := node.Ready(now)
+		pushed = slices.Contains(peersOf(ready.Exchanges), 4)
+		answer(node, ready, now, map[int]VersionVector{2: {1: 1}, 3: {1: 1}})
+	}
+	if now-answeredAt != offerInterval {
+		t.Errorf("pushed %v after the reply", now-answeredAt)
+	}
+}
--- a/internal/system/counter/message.go
+++ b/internal/system/counter/message.go
@@ -21,7 +21,8 @@
 type ExchangeReply struct {
 	From   Sender
 	Vector []byte // encoded version vector of what is durable at the replying replica
-	Ranges []byte // encoded entries that the requester lacks, if it asked for them; empty: none
+	// Ranges are encoded entries that the requester lacks: all, if it asked for them, else those of the sender's origin; empty: none
+	Ranges []byte
 }
 
 // RequestID identifies a request that was passed to HandleRequest until its reply.
--- a/internal/system/counter/peer.go
+++ b/internal/system/counter/peer.go
@@ -27,6 +27,7 @@
 	answeredSentAt  time.Duration // when the last exchange that succeeded was sent
 	roundTrip       time.Duration // smoothed duration of its exchanges; 0: not known
 	catchUpTarget   VersionVector // what it held at its first reply
+	offeredAt       time.Duration // when a reply carried entries of the own origin to it
 	noPullUntil     time.Duration // its last reply to a pull brought nothing
 }
 
@@ -61,7 +62,7 @@
 		}
 		known := n.byAddress[wanted.Address]
 		if known == nil {
-			known = &peer{sentAt: never, answeredSentAt: never, vector: VersionVector{}}
+			known = &peer{sentAt: never, answeredSentAt: never, offeredAt: never, vector: VersionVector{}}
 		}
 		known.Peer = wanted
 		byAddress[wanted.Address] = known
--- a/internal/system/counter/receive.go
+++ b/internal/system/counter/receive.go
@@ -8,6 +8,7 @@
 // pendingRequest is a request whose reply waits until its entries are durable.
 type pendingRequest struct {
 	id        RequestID
+	from      netip.AddrPort
 	durableAt uint64        // value of Node.persisted from which on its entries are
 	pull      bool          // the reply contains what the requester lacks
 	vector    VersionVector // of the requester
@@ -26,6 +27,7 @@
 	n.learn(&request.From, vector)
 	n.applyRanges(ranges)
 	pending := pendingRequest{id: id, pull: request.Pull, vector: vector}
+	pending.from, _ = netip.ParseAddrPort(request.From.Address) // the zero address is nobody's
 	if len(ranges) > 0 {
 		pending.durableAt = n.queuedTotal
 	}
