Counterservice: the test of a stop does not depend on the disk

Cause: on a machine whose disk syncs slowly, peers of the test could be late and count as unreachable, and a stop waits for reachable ones only.

--- a/internal/system/control/counterservice/loop.go
+++ b/internal/system/control/counterservice/loop.go
@@ -85,7 +85,7 @@
 
 // flush waits until all peers that are not excused hold this machine's log, but no longer than flushTimeout.
 func (s *Service) flush(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, flushTimeout)
+	ctx, cancel := context.WithTimeout(ctx, s.flushTimeout)
 	defer cancel()
 	for s.hasUnpushed() && retry.Sleep(ctx, flushInterval) {
 	}
--- a/internal/system/control/counterservice/service.go
+++ b/internal/system/control/counterservice/service.go
@@ -56,8 +56,9 @@
 	context    context.Context
 	cancel     context.CancelFunc
 	goroutines sync.WaitGroup
-	// openStore opens the store; tests replace it to simulate disk faults.
-	openStore func() (store, error)
+	// openStore opens the store, and flushTimeout is the constant; tests replace both.
+	openStore    func() (store, error)
+	flushTimeout time.Duration
 }
 
 // callCounts counts answers since the start of the process.
@@ -84,6 +85,7 @@
 	}
 	s.mux = s.newMux()
 	s.openStore = s.openStateFolder
+	s.flushTimeout = flushTimeout
 	s.context, s.cancel = context.WithCancel(context.Background())
 	return s
 }
