Counterservice: what 503 promises, in the words of the code

Cause: a call for an operation that the disk was asked to keep by an earlier call also gets 503 while the disk is faulty; the package comment said that the disk was never asked.

Change: the comment says that the call did nothing.

Result: no code has changed.

--- a/internal/system/control/counterservice/doc.go
+++ b/internal/system/control/counterservice/doc.go
@@ -8,6 +8,6 @@
 // An addition is answered
 //
 //   - 200 once it is replicated,
-//   - 503 only if nothing was done: the disk was never asked to keep it,
+//   - 503 only if the call did nothing: the disk was not asked to keep its operation,
 //   - 504 if it may be counted, now or later; it may be sent again, anywhere, under its ID.
 package counterservice
