--- a/internal/system/control/client/client.go
+++ b/internal/system/control/client/client.go
@@ -5,8 +5,10 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -25,8 +27,8 @@
 	// maxResponseBytes is the size up to which a response body is read. A longer one is an error.
 	maxResponseBytes = 64 << 20
 
-	// callTimeout bounds a request to one machine. Sending its body adds transferTimePerMiB, and handling it the machine's own
-	// allowance, api.ParseAllowance.
+	// callTimeout bounds a request to one machine until the head of its response, and then each pause in the response's body.
+	// Sending a body adds transferTimePerMiB, and handling it the machine's own allowance, api.ParseAllowance.
 	callTimeout        = time.Second
 	transferTimePerMiB = time.Second
 
@@ -59,6 +61,19 @@
 	Path   string
 	Header http.Header
 	Body   []byte
+	// EscapedPath is Path with the slashes of its last segment escaped, if it has any.
+	EscapedPath string
+	// NothingDone lists the statuses by which a machine promises that it has done nothing.
+	NothingDone []int
+}
+
+// isHarmless reports whether an attempt, which has failed, has certainly done nothing.
+func (c *Call) isHarmless(response *Response, err error) bool {
+	if response != nil {
+		return slices.Contains(c.NothingDone, response.Status)
+	}
+	var network *net.OpError
+	return errors.As(err, &network) && network.Op == "dial"
 }
 
 // Response is a machine's response to a call.
@@ -84,6 +99,7 @@
 	defer cancel()
 	backoff := initialBackoff
 	rejections := 0
+	mayBeDone := false
 	for attempts := 1; ; attempts++ {
 		response, err := c.attempt(ctx, &call)
 		if err == nil {
@@ -96,21 +112,22 @@
 			case outcome == outcomeAccepted:
 				return response, nil
 			case outcome == outcomeRejected, rejections >= maxRejections:
-				return nil, &RejectedError{Response: *response, Details: ParseError(response)}
+				return nil, &RejectedError{Response: *response, Details: ParseError(response), MayBeDone: mayBeDone}
 			}
 			err = errors.Newf("%s responded %d: %s", response.Machine, response.Status, ParseError(response).Message)
 		}
+		mayBeDone = mayBeDone || !call.isHarmless(response, err)
 		var tooLarge *ResponseTooLargeError
 		if errors.As(err, &tooLarge) {
 			return nil, tooLarge
 		}
 		c.nextAddress++
 		if attempts == c.MaxAttempts {
-			return nil, &UnavailableError{Attempts: attempts, LastError: err}
+			return nil, &UnavailableError{Attempts: attempts, MayBeDone: mayBeDone, LastError: err}
 		}
 		c.sleep(ctx, max(withJitter(backoff), retryAfter(response)))
 		if ctx.Err() != nil {
-			return nil, &UnavailableError{Attempts: attempts, LastError: err}
+			return nil, &UnavailableError{Attempts: attempts, MayBeDone: mayBeDone, LastError: err}
 		}
 		backoff = min(maxBackoff, 2*backoff)
 	}
@@ -145,7 +162,7 @@
 // attempt calls one machine, and those that it redirects to.
 func (c *Client) attempt(ctx context.Context, call *Call) (*Response, error) {
 	machine := c.Addresses[c.nextAddress%len(c.Addresses)]
-	target := url.URL{Scheme: "http", Host: machine, Path: call.Path}
+	target := url.URL{Scheme: "http", Host: machine, Path: call.Path, RawPath: call.EscapedPath}
 	for redirects := 0; ; redirects++ {
 		response, err := c.send(ctx, call, &target)
 		if err != nil || response.Status != http.StatusTemporaryRedirect {
@@ -171,8 +188,10 @@
 
 // send makes one attempt of a call at one machine, which may have handled the call even if there is an error.
 func (c *Client) send(ctx context.Context, call *Call, target *url.URL) (*Response, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout+bodyAllowance(len(call.Body)))
+	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	timer := time.AfterFunc(callTimeout+bodyAllowance(len(call.Body)), cancel)
+	defer timer.Stop()
 	request, err := http.NewRequestWithContext(ctx, call.Method, target.String(), bytes.NewReader(call.Body))
 	if err != nil {
 		return nil, errors.Wrapf(err, "call of %s", target.Host)
@@ -185,7 +204,8 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "call of %s", target.Host)
 	}
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	progress := &idleTimeoutReader{source: response.Body, timer: timer, timeout: callTimeout}
+	body, err := io.ReadAll(io.LimitReader(progress, maxResponseBytes+1))
 	if err := errors.CombineErrors(err, response.Body.Close()); err != nil {
 		return nil, errors.Wrapf(err, "response of %s", target.Host)
 	}
@@ -195,6 +215,19 @@
 	return &Response{Machine: target.Host, Status: response.StatusCode, Header: response.Header, Body: body}, nil
 }
 
+// idleTimeoutReader restarts a timer before each read, so that a long transfer may go on as long as it makes progress.
+type idleTimeoutReader struct {
+	source  io.Reader
+	timer   *time.Timer
+	timeout time.Duration
+}
+
+// Read implements io.Reader.
+func (r *idleTimeoutReader) Read(p []byte) (int, error) {
+	r.timer.Reset(r.timeout)
+	return r.source.Read(p)
+}
+
 func (c *Client) sleep(ctx context.Context, d time.Duration) {
 	if c.Sleep != nil {
 		c.Sleep(ctx, d)
--- a/internal/system/control/client/client_test.go
+++ b/internal/system/control/client/client_test.go
@@ -226,6 +226,32 @@
 	}
 }
 
+// TestSlowResponseIsReadToItsEnd guards against a configuration that takes longer than callTimeout on its way and could never be
+// read, since each attempt ended in the middle of the response.
+func TestSlowResponseIsReadToItsEnd(t *testing.T) {
+	const parts = 6
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(api.HeaderVersion, "9")
+		for range parts {
+			if _, err := io.WriteString(w, "part"); err != nil {
+				return
+			}
+			w.(http.Flusher).Flush()
+			select {
+			case <-time.After(callTimeout / (parts - 1)):
+			case <-r.Context().Done():
+				return
+			}
+		}
+	}))
+	t.Cleanup(server.Close)
+	var pauses []time.Duration
+	document, err := newClient(&pauses, strings.TrimPrefix(server.URL, "http://")).Read(t.Context())
+	if err != nil || string(document.Body) != strings.Repeat("part", parts) || len(pauses) > 0 {
+		t.Fatalf("%+v, %v after %d pauses", document, err, len(pauses))
+	}
+}
+
 // TestReadFromAnotherServer: a 404 without the API's code says nothing of a configuration.
 func TestReadFromAnotherServer(t *testing.T) {
 	for _, body := range []string{"404 page not found\n", `{"error":{"code":"no_route","message":"no route"}}`} {
@@ -248,3 +274,41 @@
 		}
 	}
 }
+
+// TestMayBeDone: a call that fails says whether any of its attempts may have done something.
+func TestMayBeDone(t *testing.T) {
+	for _, tc := range []struct {
+		statuses  []int
+		mayBeDone bool
+	}{
+		{[]int{503}, false},
+		{[]int{429, 503}, false},
+		{[]int{503, 500}, true},
+		{[]int{504, 503}, true},
+		{[]int{503, 404}, false},
+		{[]int{502, 404}, true},
+	} {
+		m := &scriptedMachine{}
+		for _, status := range tc.statuses {
+			m.script = append(m.script, scriptedResponse{status: status})
+		}
+		var pauses []time.Duration
+		client := newClient(&pauses, serve(t, m), closedAddress(t))
+		client.MaxAttempts = 2 * len(tc.statuses) // each second attempt at the machine that is down
+		_, err := client.Add(t.Context(), "visits", Addition{ID: "a", Amount: 1})
+		var unavailable *UnavailableError
+		var rejected *RejectedError
+		switch {
+		case errors.As(err, &unavailable):
+			if unavailable.MayBeDone != tc.mayBeDone {
+				t.Errorf("%v: %+v", tc.statuses, unavailable)
+			}
+		case errors.As(err, &rejected):
+			if rejected.MayBeDone != tc.mayBeDone {
+				t.Errorf("%v: %+v", tc.statuses, rejected)
+			}
+		default:
+			t.Errorf("%v: %v", tc.statuses, err)
+		}
+	}
+}
--- a/internal/system/control/counterservice/status.go
+++ b/internal/system/control/counterservice/status.go
@@ -1,49 +1,35 @@
 package counterservice
 
 import (
-	"fmt"
+	"time"
 
-	"cinderroad/internal/system/control/status"
 	"cinderroad/internal/system/counter"
 )
 
-// Describe describes the replica for operators.
-func (s *Service) Describe() *status.Counters {
-	node, running := s.status()
-	description := &status.Counters{
-		Ready:          running && !node.CatchingUp,
-		Origin:         originName(node.Origin),
-		OperationCount: node.Operations,
-		EntryCount:     node.Entries,
-		UnsyncedCount:  node.Unpersisted,
-		Peers:          make([]status.CounterPeer, 0, len(node.Peers)),
-	}
-	for i := range node.Peers {
-		peer := &node.Peers[i]
-		description.Peers = append(description.Peers, status.CounterPeer{
-			Address:   peer.Address.String(),
-			Zone:      peer.Zone,
-			Origin:    originName(peer.Origin),
-			Reachable: !peer.Excused,
-			Lag:       sum(peer.Lag),
-			Ahead:     sum(peer.Ahead),
-		})
-	}
-	return description
-}
-
-// originName is an origin as operators see it; empty for none.
-func originName(origin counter.Origin) string {
-	if origin == 0 {
-		return ""
-	}
-	return fmt.Sprintf("%016x", uint64(origin))
+// Status describes a Service, for operators.
+type Status struct {
+	// IsRunning reports whether there is a replica: its disk was read, and it is known whether there are other machines.
+	IsRunning bool
+	// Replica is the state of the replica; the zero value if it is not running.
+	Replica counter.Status
+	// Now is the time on the clock of Replica.
+	Now time.Duration
+	// MaxEntries bounds the entries that the disk keeps.
+	MaxEntries int
+	// DiskFault is why additions are rejected: the error of the last operation of the disk; nil if it succeeded.
+	DiskFault error
 }
 
-// sum returns the number of entries of all origins.
-func sum(entries map[counter.Origin]uint64) (total uint64) {
-	for _, count := range entries {
-		total += count
+// Status returns the present state.
+func (s *Service) Status() Status {
+	replica, running := s.status()
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return Status{
+		IsRunning:  running,
+		Replica:    replica,
+		Now:        s.now(),
+		MaxEntries: maxOperations(s.options.Settings.Limits.StorageMB),
+		DiskFault:  s.disk.fault,
 	}
-	return total
 }
--- a/internal/system/control/status.go
+++ b/internal/system/control/status.go
@@ -31,11 +31,9 @@
 		ActiveProxies:  p.gossip.ProxyCount(),
 		Discovery:      p.describeDiscovery(),
 		Followers:      p.describeFollowers(),
+		Counters:       p.describeCounters(),
 		Members:        make([]status.Member, 0, len(members)),
 	}
-	if p.counters != nil {
-		description.Counters = p.counters.Describe()
-	}
 	for _, partition := range p.host.Status() {
 		description.Partitions = append(description.Partitions, p.describePartition(&partition))
 	}
--- a/internal/system/proxy/shutdown.go
+++ b/internal/system/proxy/shutdown.go
@@ -82,14 +82,20 @@
 	}
 }
 
-// terminate stops the loop with whatever is in progress.
+// terminate stops the loop with whatever is in progress. The loop closes all connections in order, which would make a
+// response that only the close ends look complete.
 func (p *Proxy) terminate() {
+	p.flushPending()
 	for s := range p.sessions.all() {
-		if s.exchange != nil {
-			p.logCut(s)
+		x := s.exchange
+		if x == nil {
+			continue
+		}
+		p.logCut(s)
+		if x.response.started && !x.response.isDelimited() {
+			s.socket.Reset()
 		}
 	}
-	p.flushPending()
 	p.logStopped()
 	p.loop.Stop()
 }
@@ -144,6 +150,12 @@
 	return s.isIdle() && !awaitsFirstRequest && s.socket.Alive()
 }
 
+// closesForShutdown reports whether the response that begins now is the last one of its session because the proxy shuts
+// down. A pipelined request that was read already is still answered.
+func (s *session) closesForShutdown() bool {
+	return s.proxy.shutdown.active && len(s.socket.Bytes()) == 0
+}
+
 // closeListener closes the listener for clients.
 func (p *Proxy) closeListener() {
 	p.shutdown.listenerClosed = true
