--- a/internal/system/proxy/shutdown_simulation_test.go
+++ b/internal/system/proxy/shutdown_simulation_test.go
@@ -138,6 +138,7 @@
 		sim.network.after(sim.randomDuration(signalAt), c.sendNext)
 	}
 	sim.network.at(signalAt+sim.handledAfter, sim.proxy.Stop)
+	sim.network.at(signalAt+sim.handledAfter+sim.randomDuration(sim.grace), sim.proxy.Stop) // a further signal
 	ended := false
 	sim.network.at(signalAt+sim.grace, func() {
 		if ended {
