Proxy: the end of a shutdown is logged once

Cause: each end of a request or a session has the exit checked after the current event, and all these checks found it due. The first one now ends the loop for the others, too. The simulation under traffic wants one such line at most; it failed before ("the end is logged 2 times").

--- a/internal/system/proxy/shutdown.go
+++ b/internal/system/proxy/shutdown.go
@@ -20,6 +20,7 @@
 	active         bool
 	signalAt       time.Duration // when the shutdown signal arrived
 	listenerClosed bool
+	ended          bool // the loop was told to stop
 }
 
 // elapsed returns the time since the shutdown signal; 0 if there was none.
@@ -96,6 +97,12 @@
 			s.socket.Reset()
 		}
 	}
+	p.end()
+}
+
+// end stops the loop.
+func (p *Proxy) end() {
+	p.shutdown.ended = true
 	p.logStopped()
 	p.loop.Stop()
 }
@@ -171,10 +178,11 @@
 	}
 }
 
-// exitIfDrained stops the loop if all responses were sent; otherwise the next sweep tries again.
+// exitIfDrained stops the loop if all responses were sent; otherwise the next sweep tries again. It may be due several times
+// in one iteration.
 func (p *Proxy) exitIfDrained() {
-	if p.openExchanges == 0 && p.pending.session == nil && p.loop.Lingering() == 0 {
-		p.logStopped()
-		p.loop.Stop()
+	isDrained := p.openExchanges == 0 && p.pending.session == nil && p.loop.Lingering() == 0
+	if isDrained && !p.shutdown.ended {
+		p.end()
 	}
 }
--- a/internal/system/proxy/shutdown_simulation_test.go
+++ b/internal/system/proxy/shutdown_simulation_test.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
 
 	"cinderroad/internal/shared/eventloop"
 	"cinderroad/internal/system/configuration"
@@ -46,6 +48,7 @@
 	random       *rand.Rand
 	network      *simulatedNetwork
 	proxy        *Proxy
+	logs         *observer.ObservedLogs // of level info or higher
 	grace        time.Duration
 	handledAfter time.Duration // the process handles the signal so much later than the platform sends it
 	requestCount int
@@ -111,7 +114,9 @@
 	loop := eventloop.NewLoopWithSystem(sim.network, 1000)
 	loop.ZeroCopyReads = true
 	placer := &fakePlacer{spread: true}
-	sim.proxy = New(loop, zap.NewNop(), placer, Options{FrontAddr: simulationFront, GracePeriod: grace, Seed: seed})
+	core, logs := observer.New(zapcore.InfoLevel)
+	sim.logs = logs
+	sim.proxy = New(loop, zap.New(core), placer, Options{FrontAddr: simulationFront, GracePeriod: grace, Seed: seed})
 	stream := route("stream", configuration.Streaming)
 	stream.Timeout = shutdownRouteTimeout
 	sim.proxy.SetRoutes(&fakeRoutes{[]*configuration.Route{stream}})
@@ -153,6 +158,9 @@
 		return err
 	}
 	ended = true
+	if ends := sim.logs.FilterMessage("stopped").Len(); ends > 1 {
+		sim.violation("the end is logged %d times", ends)
+	}
 	sim.network.advance(50 * time.Millisecond)
 	return nil
 }
