--- a/internal/system/emulator/slowdown.go
+++ b/internal/system/emulator/slowdown.go
@@ -15,7 +15,7 @@
 type slowdownMonitor struct {
 	deployment *deployment
 	machines   *checker.Machines
-	waited     map[int]time.Duration // by process, when it was sampled last
+	waited     map[string]time.Duration // by thread, when it was sampled last
 	sampledAt  time.Time
 
 	mu    sync.Mutex
@@ -26,7 +26,7 @@
 
 const (
 	slowdownInterval = 500 * time.Millisecond
-	// maxWait is how long the threads of a process may wait for a processor within slowdownInterval.
+	// maxWait is how long a thread of a process may wait for a processor within slowdownInterval.
 	maxWait = slowdownInterval / 2
 	// maxTickDelay is by how much the monitor itself may be late; beyond it, all machines count as slowed.
 	maxTickDelay = 200 * time.Millisecond
@@ -51,11 +51,9 @@
 func (s *slowdownMonitor) sample(processes []*process, now time.Time) {
 	allSlowed := now.Sub(s.sampledAt) > slowdownInterval+maxTickDelay
 	slowed := make(map[string]bool)
-	waited := make(map[int]time.Duration)
+	waited := make(map[string]time.Duration)
 	for _, p := range processes {
-		pid := p.pid()
-		waited[pid] = waitTime(pid)
-		if allSlowed || waited[pid]-s.waited[pid] > maxWait {
+		if s.longestWait(p.pid(), waited) > maxWait || allSlowed {
 			for _, name := range s.deployment.namesOf(p.machine) {
 				slowed[name] = true
 			}
@@ -97,21 +95,29 @@
 	return n
 }
 
-// waitTime returns how long the threads of a process have waited for a processor; 0 if it has ended.
-func waitTime(pid int) (total time.Duration) {
+// longestWait returns how long a thread of a process has waited for a processor since the last sample, the longest of all
+// threads, and adds the times of all to waited.
+func (s *slowdownMonitor) longestWait(pid int, waited map[string]time.Duration) (longest time.Duration) {
 	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
 	if err != nil {
 		return 0
 	}
 	for _, file := range files {
-		text, err := os.ReadFile(file)
-		if err != nil {
-			continue
-		}
-		var ran, waited int64
-		if n, _ := fmt.Sscan(string(text), &ran, &waited); n == 2 {
-			total += time.Duration(waited)
-		}
+		waited[file] = waitTime(file)
+		longest = max(longest, waited[file]-s.waited[file])
+	}
+	return longest
+}
+
+// waitTime returns how long a thread has waited for a processor; 0 if it has ended.
+func waitTime(file string) time.Duration {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return 0
+	}
+	var ran, waited int64
+	if n, _ := fmt.Sscan(string(text), &ran, &waited); n != 2 {
+		return 0
 	}
-	return total
+	return time.Duration(waited)
 }
--- a/internal/system/emulator/storm_test.go
+++ b/internal/system/emulator/storm_test.go
@@ -254,25 +254,39 @@
 	}
 }
 
-// TestSlowdownIsRecorded: all machines count as slowed if the monitor itself was late.
+// TestSlowdownIsRecorded: a machine counts as slowed if a thread of its processes has waited for long, and all machines do if the
+// monitor itself was late.
 func TestSlowdownIsRecorded(t *testing.T) {
 	d := newTestDeployment(t, 1)
 	m := d.machinesOfClass(edgeClass)[0]
 	command := exec.Command(os.Args[0])
 	command.Process = &os.Process{Pid: os.Getpid()}
 	p := &process{machine: m, program: proxy, command: command}
-	for delay, want := range map[time.Duration]bool{slowdownInterval: false, slowdownInterval + 2*maxTickDelay: true} {
+	for _, test := range []struct {
+		name    string
+		monitor time.Duration // by which it is late
+		waited  time.Duration // since the last sample
+		want    bool
+	}{
+		{"in time", 0, -time.Hour, false},
+		{"the process waited", 0, 2 * maxWait, true},
+		{"the monitor is late", 2 * maxTickDelay, 0, true},
+	} {
 		now := time.Now()
 		s := &slowdownMonitor{
 			deployment: d,
 			machines:   checker.NewMachines(),
-			waited:     map[int]time.Duration{os.Getpid(): waitTime(os.Getpid()) + time.Hour},
-			sampledAt:  now.Add(-delay),
+			waited:     make(map[string]time.Duration),
+			sampledAt:  now.Add(-slowdownInterval - test.monitor),
 			spans:      make(map[string][]slowSpan),
 		}
+		s.longestWait(os.Getpid(), s.waited)
+		for thread := range s.waited {
+			s.waited[thread] -= test.waited
+		}
 		s.sample([]*process{p}, now)
-		if got := s.slowed(d.addressOf(m), now.Add(-time.Second), now); got != want {
-			t.Errorf("late by %v: slowed %v", delay-slowdownInterval, got)
+		if got := s.slowed(d.addressOf(m), now.Add(-time.Second), now); got != test.want {
+			t.Errorf("%s: slowed %v", test.name, got)
 		}
 	}
 }
