Replica: tests of scenarios share the start of their cluster

Six tests set up a calm cluster, warmed it up and looked for its leader with the same lines. newScenario, bootstrapBusy, warmUp and mustLead (sim_scenario_test.go) do that now; all assertions stay.

--- a/internal/system/replica/agent_failover_test.go
+++ b/internal/system/replica/agent_failover_test.go
@@ -131,25 +131,13 @@
 // from its commit to the agent.
 func measureVersionDelays(t *testing.T, seed uint64, leads bool, inject func(sim *simulation, s *simMachine)) []time.Duration {
 	t.Helper()
-	sim := newSimulation(seed)
-	sim.profile.Machines = 5
+	sim := newScenario(seed)
 	sim.profile.Operators = 3
-	sim.profile.Loss = 0
-	sim.profile.SyncTime = 5 * time.Millisecond
 	sim.profile.ThinkTime = 200 * time.Millisecond
-	sim.faultsEnabled = false
-	sim.bootstrap()
-	for _, operator := range sim.operators {
-		operator.unlimited = true
-	}
-	sim.runFor(scenarioWarmup)
-	process := sim.leader()
-	if process == nil {
-		t.Fatalf("seed %d: there is no leader after %v", seed, scenarioWarmup)
-	}
-	followed := process.machine
+	sim.bootstrapBusy()
+	followed := sim.warmUp(t)
 	if !leads {
-		followed = sim.machines[(process.machine.index+1)%len(sim.machines)]
+		followed = sim.machines[(followed.index+1)%len(sim.machines)]
 	}
 	sim.machines[0], sim.machines[followed.index] = sim.machines[followed.index], sim.machines[0] // the agent prefers the first one
 	agent := sim.addFollower()
--- a/internal/system/replica/contact_test.go
+++ b/internal/system/replica/contact_test.go
@@ -25,18 +25,9 @@
 func checkContact(t *testing.T, seed uint64, inject func(sim *simulation, leader *simMachine, duration time.Duration),
 	lost func(sim *simulation, leader, of *simMachine) bool) {
 	t.Helper()
-	sim := newSimulation(seed)
-	sim.profile.Machines = 5
-	sim.profile.Loss = 0
-	sim.profile.SyncTime = 5 * time.Millisecond
-	sim.faultsEnabled = false
+	sim := newScenario(seed)
 	sim.bootstrap()
-	sim.runFor(scenarioWarmup)
-	process := sim.leader()
-	if process == nil {
-		t.Fatalf("seed %d: there is no leader after %v", seed, scenarioWarmup)
-	}
-	leader := process.machine
+	leader := sim.warmUp(t)
 	inject(sim, leader, contactFaultDuration)
 	sim.runFor(contactDetectionTime)
 	for end := sim.now + contactFaultDuration - contactDetectionTime - time.Second; sim.now < end; sim.runFor(100 * time.Millisecond) {
--- a/internal/system/replica/elections_test.go
+++ b/internal/system/replica/elections_test.go
@@ -25,23 +25,12 @@
 // began from the fault on, and how many after its end.
 func countTerms(t *testing.T, seed uint64, cut func(sim *simulation, leader, other *simMachine)) (all, after uint64) {
 	t.Helper()
-	sim := newSimulation(seed)
-	sim.profile.Machines = 5
+	sim := newScenario(seed)
 	sim.profile.Operators = 2
-	sim.profile.Loss = 0
-	sim.profile.SyncTime = 5 * time.Millisecond
-	sim.faultsEnabled = false
-	sim.bootstrap()
-	for _, operator := range sim.operators {
-		operator.unlimited = true
-	}
-	sim.runFor(scenarioWarmup)
-	process := sim.leader()
-	if process == nil {
-		t.Fatalf("seed %d: there is no leader after %v", seed, scenarioWarmup)
-	}
+	sim.bootstrapBusy()
+	leader := sim.warmUp(t)
 	before := sim.newestTerm()
-	cut(sim, process.machine, sim.machines[(process.machine.index+1+sim.random.IntN(4))%len(sim.machines)])
+	cut(sim, leader, sim.machines[(leader.index+1+sim.random.IntN(4))%len(sim.machines)])
 	sim.runFor(partitionDuration)
 	ended := sim.newestTerm()
 	sim.runFor(rejoinedDuration)
--- a/internal/system/replica/repair_test.go
+++ b/internal/system/replica/repair_test.go
@@ -48,20 +48,15 @@
 
 // newRepairSimulation returns a bootstrapped cluster that operators change all the time.
 func newRepairSimulation(seed uint64, setup repairCase) *simulation {
-	sim := newSimulation(seed)
+	sim := newScenario(seed)
 	sim.profile.Machines = setup.machines
 	sim.profile.Operators = 3
 	sim.profile.Delay = setup.delay
 	sim.profile.SyncTime = setup.sync
-	sim.profile.Loss = 0
 	sim.profile.RegionalDelay = min(setup.delay, 4*time.Millisecond)
 	sim.profile.ThinkTime = 100 * time.Millisecond
-	sim.faultsEnabled = false
 	sim.toleratedLosses = setup.losses
-	sim.bootstrap()
-	for _, operator := range sim.operators {
-		operator.unlimited = true
-	}
+	sim.bootstrapBusy()
 	sim.runFor(scenarioWarmup)
 	return sim
 }
--- a/internal/system/replica/unavailability_test.go
+++ b/internal/system/replica/unavailability_test.go
@@ -10,38 +10,26 @@
 // Parameters of the measurements of unavailability.
 const (
 	scenarioSeeds    = 12
-	scenarioWarmup   = 14 * time.Second // before the fault
-	scenarioDuration = 5 * time.Second  // after the fault
+	scenarioDuration = 5 * time.Second // after the fault
 )
 
 // measureUnavailability returns the longest time without a committed version after a fault, in a cluster of five
 // machines that operators change all the time.
 func measureUnavailability(t *testing.T, seed uint64, inject func(sim *simulation, leader *simMachine)) time.Duration {
 	t.Helper()
-	sim := newSimulation(seed)
-	sim.profile.Machines = 5
+	sim := newScenario(seed)
 	sim.profile.Operators = 3
 	sim.profile.Bandwidth = 0
 	sim.profile.PaddingBytes = 0
 	sim.profile.Delay = 5 * time.Millisecond
-	sim.profile.SyncTime = 5 * time.Millisecond
-	sim.profile.Loss = 0
 	sim.profile.ThinkTime = 100 * time.Millisecond
-	sim.faultsEnabled = false
-	sim.bootstrap()
-	for _, operator := range sim.operators {
-		operator.unlimited = true
-	}
-	sim.runFor(scenarioWarmup)
+	sim.bootstrapBusy()
+	leader := sim.warmUp(t)
 	startedAt := sim.now
-	leader := sim.leader()
-	if leader == nil {
-		t.Fatalf("seed %d: there is no leader after %v", seed, scenarioWarmup)
-	}
 	for _, operator := range sim.operators {
-		operator.avoid = leader.machine
+		operator.avoid = leader
 	}
-	inject(sim, leader.machine)
+	inject(sim, leader)
 	sim.runFor(scenarioDuration)
 	if sim.failure != "" {
 		t.Fatal(sim.failure)
@@ -152,15 +140,12 @@
 func measureFailover(t *testing.T, seed uint64, setup repairCase, inject func(sim *simulation, leader *simMachine)) time.Duration {
 	t.Helper()
 	sim := newRepairSimulation(seed, setup)
-	leader := sim.leader()
-	if leader == nil {
-		t.Fatalf("seed %d: there is no leader after %v", seed, scenarioWarmup)
-	}
+	leader := sim.mustLead(t)
 	for _, operator := range sim.operators {
-		operator.avoid = leader.machine
+		operator.avoid = leader
 	}
 	began := sim.now
-	inject(sim, leader.machine)
+	inject(sim, leader)
 	sim.runFor(8 * time.Second)
 	if sim.failure != "" {
 		t.Fatal(sim.failure)
--- a/internal/system/replica/unknown_leader_test.go
+++ b/internal/system/replica/unknown_leader_test.go
@@ -14,18 +14,10 @@
 // leader. When the partition ends, the machine knows a membership that does not include its leader.
 func TestMemberCatchesUpWithUnknownLeader(t *testing.T) {
 	for seed := uint64(1); seed <= unknownLeaderSeeds; seed++ {
-		sim := newSimulation(seed)
-		sim.profile.Machines = 5
-		sim.profile.Loss = 0
-		sim.profile.SyncTime = 5 * time.Millisecond
-		sim.faultsEnabled = false
+		sim := newScenario(seed)
 		sim.bootstrap()
-		sim.runFor(scenarioWarmup)
-		process := sim.leader()
-		if process == nil {
-			t.Fatalf("seed %d: there is no leader after %v", seed, scenarioWarmup)
-		}
-		away, lost := sim.machines[(process.machine.index+1)%5], sim.machines[(process.machine.index+2)%5]
+		leader := sim.warmUp(t)
+		away, lost := sim.machines[(leader.index+1)%5], sim.machines[(leader.index+2)%5]
 		sim.blockAll(away, true, true, time.Hour)
 		successor := sim.replaceMachine(lost)
 		sim.block(successor, away, time.Hour)
