--- a/internal/system/policysim/scenarios.go
+++ b/internal/system/policysim/scenarios.go
@@ -102,81 +102,73 @@
 	}
 }
 
-// reviewClass returns the class of long prompts with shared prefixes.
-func reviewClass(rate float64) Class {
+// streamingClass returns what all classes of the language model have in common.
+func streamingClass(name string, rate float64) Class {
 	return Class{
-		Name:              "review",
+		Name:              name,
 		Service:           "llm",
 		Type:              configuration.Streaming,
 		RequestsPerSecond: rate,
-		LatencyTarget:     milliseconds(800),
 		EventGapTarget:    milliseconds(400),
-		Deadline:          5 * time.Second,
-		ValueInTime:       2,
-		ValueLate:         0.6,
-		Rank:              1,
-		MaxAttempts:       1,
 		ClientRetries:     1,
-		SharedChunks: []SharedChunk{
-			{SizeDistribution{2520, 0.4, 6290}, 4},
-			{SizeDistribution{3780, 0.7, 11300}, 37},
-		},
-		Skew:      0.3,
-		OwnTokens: SizeDistribution{2890, 1, 39600},
-		Events:    SizeDistribution{13, 1.4, 52.1},
+		Skew:              0.3,
 	}
 }
 
+// reviewClass returns the class of long prompts with shared prefixes.
+func reviewClass(rate float64) Class {
+	class := streamingClass("review", rate)
+	class.LatencyTarget = milliseconds(800)
+	class.Deadline = 5 * time.Second
+	class.ValueInTime = 2
+	class.ValueLate = 0.6
+	class.Rank = 1
+	class.MaxAttempts = 1
+	class.SharedChunks = []SharedChunk{
+		{SizeDistribution{2520, 0.4, 6290}, 4},
+		{SizeDistribution{3780, 0.7, 11300}, 37},
+	}
+	class.OwnTokens = SizeDistribution{2890, 1, 39600}
+	class.Events = SizeDistribution{13, 1.4, 52.1}
+	return class
+}
+
 // explainClass returns the class of short explanations, whose streams may be resumed.
 func explainClass(rate float64) Class {
-	return Class{
-		Name:              "explain",
-		Service:           "llm",
-		Type:              configuration.Streaming,
-		RequestsPerSecond: rate,
-		LatencyTarget:     milliseconds(600),
-		EventGapTarget:    milliseconds(400),
-		Deadline:          3 * time.Second,
-		ValueInTime:       3,
-		ValueLate:         0.9,
-		Rank:              0,
-		MaxAttempts:       2,
-		ClientRetries:     1,
-		Resumable:         true,
-		SharedChunks: []SharedChunk{
-			{SizeDistribution{341, 0.4, 851}, 40},
-			{SizeDistribution{227, 0.7, 681}, 52},
-		},
-		Skew:      0.3,
-		OwnTokens: SizeDistribution{1800, 1.3, 6870},
-		Events:    SizeDistribution{5.64, 1.4, 22.6},
+	class := streamingClass("explain", rate)
+	class.LatencyTarget = milliseconds(600)
+	class.Deadline = 3 * time.Second
+	class.ValueInTime = 3
+	class.ValueLate = 0.9
+	class.Rank = 0
+	class.MaxAttempts = 2
+	class.Resumable = true
+	class.SharedChunks = []SharedChunk{
+		{SizeDistribution{341, 0.4, 851}, 40},
+		{SizeDistribution{227, 0.7, 681}, 52},
 	}
+	class.OwnTokens = SizeDistribution{1800, 1.3, 6870}
+	class.Events = SizeDistribution{5.64, 1.4, 22.6}
+	return class
 }
 
 // draftClass returns the class of long responses, which are bound to one region.
 func draftClass(rate float64) Class {
-	return Class{
-		Name:              "draft",
-		Service:           "llm",
-		Type:              configuration.Streaming,
-		RequestsPerSecond: rate,
-		LatencyTarget:     milliseconds(500),
-		EventGapTarget:    milliseconds(400),
-		Deadline:          15 * time.Second,
-		ValueInTime:       1,
-		ValueLate:         0.3,
-		Rank:              2,
-		MaxAttempts:       1,
-		ClientRetries:     1,
-		HomeRegions:       []string{"west"},
-		SharedChunks: []SharedChunk{
-			{SizeDistribution{103, 0.4, 257}, 20},
-			{SizeDistribution{68.6, 0.7, 206}, 98},
-		},
-		Skew:      0.3,
-		OwnTokens: SizeDistribution{543, 0.89, 2310},
-		Events:    SizeDistribution{70, 0.7, 238},
+	class := streamingClass("draft", rate)
+	class.LatencyTarget = milliseconds(500)
+	class.Deadline = 15 * time.Second
+	class.ValueInTime = 1
+	class.ValueLate = 0.3
+	class.Rank = 2
+	class.MaxAttempts = 1
+	class.HomeRegions = []string{"west"}
+	class.SharedChunks = []SharedChunk{
+		{SizeDistribution{103, 0.4, 257}, 20},
+		{SizeDistribution{68.6, 0.7, 206}, 98},
 	}
+	class.OwnTokens = SizeDistribution{543, 0.89, 2310}
+	class.Events = SizeDistribution{70, 0.7, 238}
+	return class
 }
 
 // lookupClass returns the class of lookups without an engine; workMS is the mean of their work in milliseconds.
