--- a/internal/system/counter/exchange.go
+++ b/internal/system/counter/exchange.go
@@ -14,6 +14,9 @@
 	retryInterval = 300 * time.Millisecond
 	// pushInterval is the time between two pushes to a peer that is not eager.
 	pushInterval = 200 * time.Millisecond
+	// offerInterval is the time after a reply that carried them until the same entries are pushed, if the peer has not
+	// confirmed them: its own next push does that.
+	offerInterval = 2 * pushInterval
 	// distantPushInterval is the same for a peer that lacks more than distantLag entries, which pulls them.
 	distantPushInterval = time.Second
 	distantLag          = 1024
@@ -24,7 +27,10 @@
 	// urgentLag is the number of entries that are pulled without waiting.
 	urgentLag = 512
 	// maxExchangeBytes is the size of the entries in one message, beyond which none is added.
-	maxExchangeBytes = 128 << 10
+	maxExchangeBytes = 64 << 10
+	// probeBytes is the same for a peer that fails: enough that its reply waits for its disk, so that a peer whose disk is stalled
+	// stays excused.
+	probeBytes = 1
 	// spareEagerPeers is the number of eager peers beyond those that an acknowledgement needs.
 	spareEagerPeers = 1
 )
@@ -40,9 +46,9 @@
 	eager := n.eagerPeers()
 	for _, known := range n.peers {
 		if !known.inFlight {
-			due, push := n.dueAt(known, slices.Contains(eager, known))
+			due, pushBytes := n.dueAt(known, slices.Contains(eager, known))
 			if due <= n.now {
-				n.sendExchange(known, push, false)
+				n.sendExchange(known, pushBytes, false)
 			} else {
 				next = min(next, due)
 			}
@@ -54,19 +60,18 @@
 	return next
 }
 
-// dueAt returns when the next exchange with a peer is due, and whether it carries entries.
-func (n *Node) dueAt(known *peer, eager bool) (due time.Duration, push bool) {
+// dueAt returns when the next exchange with a peer is due, and the size beyond which no entry is added to it.
+func (n *Node) dueAt(known *peer, eager bool) (due time.Duration, pushBytes int) {
 	if !known.responsive(n) {
-		return known.sentAt + retryInterval, false
+		return known.sentAt + retryInterval, probeBytes
 	}
 	due = known.sentAt + heartbeatInterval
 	if lag := n.ownLag(known); lag > 0 {
-		push = true
 		switch {
 		case eager:
 			due = n.now
 		case lag <= distantLag:
-			due = known.sentAt + pushInterval
+			due = max(known.sentAt+pushInterval, known.offeredAt+offerInterval)
 		default:
 			due = known.sentAt + distantPushInterval
 		}
@@ -76,13 +81,12 @@
 		if !n.operations.at(waiter.index).durable || n.confirmedBy(known, waiter) {
 			continue
 		}
-		push = true
 		if eager {
 			due = n.now
 		}
 		due = min(due, waiter.since+widenAfter)
 	}
-	return due, push
+	return due, maxExchangeBytes
 }
 
 // ownLag returns the number of entries of the own origin that a peer is not known to hold.
@@ -118,34 +122,35 @@
 	return eager
 }
 
-// watchLags notes which logs others hold more of. It returns when the next of them is to be pulled.
+// watchLags sets targets for the logs that peers hold more of. It returns when the next of them is to be pulled.
 func (n *Node) watchLags() (next time.Duration) {
 	next = forever
-	for _, known := range n.peers {
-		for origin, sequence := range known.vector {
-			if origin == n.own.origin || sequence <= n.logs.lengthOf(origin) {
-				continue
-			}
-			log := n.logs.get(origin)
-			if log.aheadTarget <= log.length() {
-				log.aheadTarget = sequence
-				log.aheadSince = n.now
-			}
-			if !n.lags(log) {
-				next = min(next, log.aheadSince+pullAfter)
-			}
+	behind := n.logs.behind[:0]
+	for _, log := range n.logs.behind {
+		if log.seen <= log.length() {
+			log.isBehind = false
+			continue
+		}
+		behind = append(behind, log)
+		if log.pullTarget <= log.length() {
+			log.pullTarget = log.seen
+			log.targetSince = n.now
+		}
+		if !n.lags(log) {
+			next = min(next, log.targetSince+pullAfter)
 		}
 	}
+	n.logs.behind = behind
 	return next
 }
 
 // lags reports whether entries of a log are to be pulled. What is on its way to the disk has arrived.
 func (n *Node) lags(log *operationLog) bool {
-	if log.aheadTarget <= log.length() {
+	if log.pullTarget <= log.length() {
 		return false
 	}
-	isUrgent := !n.ready || log.aheadTarget-log.length() > urgentLag
-	return isUrgent || n.now-log.aheadSince >= pullAfter
+	isUrgent := !n.ready || log.pullTarget-log.length() > urgentLag
+	return isUrgent || n.now-log.targetSince >= pullAfter
 }
 
 // startPull asks the fastest peer that holds what this replica lacks, one at a time.
@@ -168,13 +173,17 @@
 	}
 	n.pulling = source
 	source.noPullUntil = n.now + pullAfter // unless the reply brings something
-	n.sendExchange(source, n.ownLag(source) <= distantLag, true)
+	pushBytes := maxExchangeBytes
+	if n.ownLag(source) > distantLag {
+		pushBytes = 0 // it pulls
+	}
+	n.sendExchange(source, pushBytes, true)
 }
 
 // holdsMore reports whether a peer holds entries that are to be pulled. A log whose last entries are on their way to the disk
 // waits: the request, which names what is durable, would bring them again.
 func (n *Node) holdsMore(known *peer) bool {
-	for _, log := range n.logs.all {
+	for _, log := range n.logs.behind {
 		isSettled := log.length() == log.durable
 		if isSettled && n.lags(log) && known.vector[log.origin] > log.durable {
 			return true
@@ -183,11 +192,11 @@
 	return false
 }
 
-// sendExchange sends a request to a peer.
-func (n *Node) sendExchange(known *peer, push, pull bool) {
+// sendExchange sends a request to a peer, with entries up to a size.
+func (n *Node) sendExchange(known *peer, pushBytes int, pull bool) {
 	request := &ExchangeRequest{From: n.self, Vector: n.vector(), Pull: pull}
-	if push {
-		request.Ranges = n.pushedRanges(known)
+	if known.replied && pushBytes > 0 {
+		request.Ranges = n.pushedRanges(known, pushBytes)
 	}
 	known.inFlight = true
 	known.sentAt = n.now
@@ -199,8 +208,8 @@
 }
 
 // pushedRanges encodes the entries of the own origin, and those that calls of Add wait for, which a peer lacks.
-func (n *Node) pushedRanges(known *peer) []byte {
-	encoder := newRangeEncoder(maxExchangeBytes)
+func (n *Node) pushedRanges(known *peer, limit int) []byte {
+	encoder := newRangeEncoder(limit)
 	wanted := map[*operationLog]uint64{n.own: n.own.durable}
 	for i := range n.waiters {
 		index := n.waiters[i].index
@@ -235,6 +244,23 @@
 	})
 }
 
+// replyTo returns the reply to a request whose entries are durable.
+func (n *Node) replyTo(request *pendingRequest) *ExchangeReply {
+	reply := &ExchangeReply{From: n.self, Vector: n.vector()}
+	requester := n.byAddress[request.from]
+	switch {
+	case request.pull:
+		reply.Ranges = n.missingRanges(request.vector)
+	case requester != nil && !requester.inFlight && n.ownLag(requester) > 0 && n.ownLag(requester) <= distantLag:
+		// Instead of a push of its own:
+		encoder := newRangeEncoder(maxExchangeBytes)
+		n.addRange(encoder, n.own, requester.vector[n.own.origin], n.own.durable)
+		reply.Ranges = encoder.finish(&n.self)
+		requester.offeredAt = n.now
+	}
+	return reply
+}
+
 // takeReplies replies to the requests whose entries are durable.
 func (n *Node) takeReplies() []Reply {
 	replies := n.replies
@@ -245,11 +271,7 @@
 			waiting = append(waiting, request)
 			continue
 		}
-		reply := &ExchangeReply{From: n.self, Vector: n.vector()}
-		if request.pull {
-			reply.Ranges = n.missingRanges(request.vector)
-		}
-		replies = append(replies, Reply{ID: request.id, Reply: reply})
+		replies = append(replies, Reply{ID: request.id, Reply: n.replyTo(&request)})
 	}
 	clear(n.requests[len(waiting):])
 	n.requests = waiting
--- a/internal/system/counter/simulation_test.go
+++ b/internal/system/counter/simulation_test.go
@@ -12,13 +12,14 @@
 
 // simulation is a cluster of replicas in virtual time. Everything that is random is drawn from a seed.
 type simulation struct {
-	seed    uint64
-	random  *rand.Rand
-	events  eventqueue.Queue // in nanoseconds
-	now     time.Duration
-	steps   int
-	verbose bool
-	failure string
+	seed        uint64
+	random      *rand.Rand
+	events      eventqueue.Queue // in nanoseconds
+	now         time.Duration
+	steps       int
+	verbose     bool
+	lightChecks bool // totals are not checked after each step
+	failure     string
 
 	profile      simulationProfile
 	machines     []*machine // also those that were replaced
@@ -29,10 +30,11 @@
 	lastID       int
 	observed     observations
 
-	tamper       mutate.Tamper // nil: messages are unchanged
-	messageCount int
-	bytesSent    int             // size of all vectors and ranges
-	nextFree     []time.Duration // when the link of a machine is free again, by index; nil: links have no bounded rate
+	tamper              mutate.Tamper // nil: messages are unchanged
+	messageCount        int
+	bytesBetweenRegions int
+	bytesSent           int             // size of all vectors and ranges
+	nextFree            []time.Duration // when the link of a machine is free again, by index; nil: links have no bounded rate
 }
 
 // simulationProfile is what a seed draws about its cluster.
@@ -44,9 +46,10 @@
 	maxFaultInterval          time.Duration
 	maxFaultDuration          time.Duration
 	addInterval               time.Duration
-	mixedSigns                bool    // amounts of both signs, and at the ends of their range
-	conflictRate              float64 // share of resent operations with another amount
-	linkRate                  float64 // bytes a second; 0: unbounded
+	mixedSigns                bool          // amounts of both signs, and at the ends of their range
+	conflictRate              float64       // share of resent operations with another amount
+	linkRate                  float64       // bytes a second; 0: unbounded
+	writeTime                 time.Duration // of each entry, beside that of the sync
 }
 
 // Latencies one way.
@@ -225,6 +228,9 @@
 // send delivers a message later, several times or not at all.
 func (sim *simulation) send(from, to *machine, data []byte, receive func(to *machine, data []byte)) {
 	sim.bytesSent += len(data)
+	if from.region != to.region {
+		sim.bytesBetweenRegions += len(data)
+	}
 	waits := sim.transferDelay(from, len(data))
 	message := mutate.Message{From: uint64(from.index), To: uint64(to.index), Data: data}
 	deliveries := mutate.DeliverUnchanged(sim.messageCount, message)
--- a/internal/system/emulator/settings.go
+++ b/internal/system/emulator/settings.go
@@ -75,6 +75,7 @@
 	PassMS         int     `json:"pass_ms"`
 	AgainS         int     `json:"again_s"`
 	TTLMaxS        int     `json:"ttl_max_s"`
+	MergeWithinMS  int     `json:"merge_within_ms,omitempty"`
 }
 
 type cloudAPI struct {
@@ -134,6 +135,9 @@
 	diskMB    = 128
 )
 
+// diskOf returns the folder that stands for a machine's disk.
+func (d *deployment) diskOf(m *machine) string { return filepath.Join(d.workDir, m.name+"-disk") }
+
 // settingsOf returns the settings of a process on a machine.
 func (d *deployment) settingsOf(m *machine, p program, firstBoot bool) settings {
 	s := settings{
@@ -164,6 +168,10 @@
 			MaxLagMS: platformLagMS,
 		},
 	}
+	if d.counters {
+		s.Promises = append(s.Promises, "apart")
+		s.Timing.MergeWithinMS = mergeWithinMS
+	}
 	switch p {
 	case proxy:
 		s.ServesRoles = []string{"edge"}
@@ -175,7 +183,7 @@
 		s.ListenOn["directory"] = m.addressWithPort(d.ports.directory).String()
 		s.CountsAsLoss = true
 		s.Limits.StorageMB = diskMB
-		folder := filepath.Join(d.workDir, m.name+"-disk")
+		folder := d.diskOf(m)
 		s.StateDir = &folder
 	}
 	return s
