Counter: a peer whose zone is not known is in no other zone

An acknowledgement needs machines in as many zones as may be lost and one more. A peer that neither membership nor the group of replicas gave a zone for counted as one in a zone of its own, so that an operation could be acknowledged on machines of one zone. A peer's zone is now also taken from its messages, and an unknown one counts as none. TestUnknownZoneIsNoOtherZone failed before ("in one zone", acknowledged) and passes; the package's tests pass.

--- a/internal/system/counter/durability.go
+++ b/internal/system/counter/durability.go
@@ -6,9 +6,12 @@
 	zones    []string
 }
 
-// add adds a replica.
+// add adds a replica. One whose zone is not known may be in the zone of another.
 func (c *copies) add(zone string) {
 	c.machines++
+	if zone == "" {
+		return
+	}
 	for _, known := range c.zones {
 		if known == zone {
 			return
--- a/internal/system/counter/exchange_test.go
+++ b/internal/system/counter/exchange_test.go
@@ -139,6 +139,30 @@
 	}
 }
 
+// TestUnknownZoneIsNoOtherZone guards against an acknowledgement that rests on one zone: a peer whose zone was not known counted
+// as one in a zone of its own.
+func TestUnknownZoneIsNoOtherZone(t *testing.T) {
+	node := newTestNode(t, Options{Durability: Durability{Machines: 2, Zones: 2}})
+	peers := []Peer{{Address: testAddress(2)}, {Address: testAddress(3)}}
+	sameZone := sender(2, 2)
+	sameZone.Zone = "z1"
+	node.SetPeers(peers, testStart)
+	node.Ready(testStart)
+	node.HandleReply(testAddress(2), replyFrom(sameZone, VersionVector{}), testStart)
+	node.HandleReply(testAddress(3), replyFrom(sender(3, 3), VersionVector{}), testStart)
+	id := mustAdd(t, node, Operation{"a", "t1", 4}, testStart)
+	node.SetPeers(peers, testStart)
+	persist(node, testStart)
+	node.HandleReply(testAddress(2), replyFrom(sameZone, VersionVector{1: 1}), testStart)
+	if ready := node.Ready(testStart); len(ready.Acknowledged) > 0 {
+		t.Fatalf("in one zone: %+v", ready)
+	}
+	node.HandleReply(testAddress(3), replyFrom(sender(3, 3), VersionVector{1: 1}), testStart)
+	if ready := node.Ready(testStart); !slices.Equal(ready.Acknowledged, []AddID{id}) {
+		t.Fatalf("in two zones: %+v", ready)
+	}
+}
+
 // TestExcusesSilentPeers checks from when on an operation is acknowledged without peers that don't reply, and that the next reply
 // ends that.
 func TestExcusesSilentPeers(t *testing.T) {
--- a/internal/system/counter/peer.go
+++ b/internal/system/counter/peer.go
@@ -51,7 +51,8 @@
 	return p.replied && !p.failed && !silent
 }
 
-// SetPeers sets the other replicas. What is known of those that stay is kept; this replica's own address is ignored.
+// SetPeers sets the other replicas. What is known of those that stay is kept; this replica's own address is ignored. The zone of
+// a peer may be empty: it is that of the peer's messages then.
 func (n *Node) SetPeers(peers []Peer, now time.Duration) {
 	n.advanceClock(now)
 	byAddress := make(map[netip.AddrPort]*peer, len(peers))
@@ -64,6 +65,9 @@
 		if known == nil {
 			known = &peer{sentAt: never, answeredSentAt: never, offeredAt: never, vector: VersionVector{}}
 		}
+		if wanted.Zone == "" {
+			wanted.Zone = known.Zone // as the peer itself has stated
+		}
 		known.Peer = wanted
 		byAddress[wanted.Address] = known
 		sorted = append(sorted, known)
@@ -112,6 +116,7 @@
 		known.vector = VersionVector{}
 		known.replied = false // what its lost disk held is no longer to be caught up with
 	}
+	known.Zone = cmp.Or(known.Zone, from.Zone)
 	known.vector.merge(vector)
 	n.logs.noteSeen(vector, n.own.origin)
 	return true
