Emulator: signals and ends of processes may be seen late beside load

A machine whose threads together, or one of the emulation's own, waited for a fifth of a sample counts as squeezed now. It stays in touch; the 3 s and the grace period are extended by 2 s for it. What a stopping process cuts off before the last sixth of the grace period is reported as before, squeezed or not. A process that had to be killed because it did not end is reported, too: it was taken for one that a fault had killed.

--- a/internal/system/emulator/emulation.go
+++ b/internal/system/emulator/emulation.go
@@ -138,7 +138,7 @@
 	e.runTraffic(ctx)
 	e.verifyConfiguration(ctx)
 	e.stopAll()
-	e.lives.checkEnds(e.slowdown.slowed)
+	e.lives.checkEnds()
 	if err := e.checkLogs(); err != nil {
 		return nil, err
 	}
--- a/internal/system/emulator/lives.go
+++ b/internal/system/emulator/lives.go
@@ -67,7 +67,8 @@
 
 // lifeEnded checks how a process ended that had got a signal.
 func (r *lifeRecorder) lifeEnded(p *process, ended life) {
-	if ended.stopped.IsZero() || !ended.killed.IsZero() {
+	killedInTime := !ended.killed.IsZero() && ended.killed.Sub(ended.stopped) < r.gracePeriod
+	if ended.stopped.IsZero() || killedInTime {
 		return
 	}
 	took := ended.ended.Sub(ended.stopped)
@@ -103,12 +104,19 @@
 	}
 }
 
-// checkEnds reports processes that ended late, on machines that were not slowed meanwhile.
-func (r *lifeRecorder) checkEnds(slowed func(address string, from, to time.Time) bool) {
+// squeezedEndDelay is by how much a process may end late on a machine that wants for the processor, and for how long before
+// the end of the grace period that counts.
+const squeezedEndDelay = 2 * time.Second
+
+// checkEnds reports processes that ended late.
+func (r *lifeRecorder) checkEnds() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for _, end := range r.lateEnds {
-		if !slowed(end.address, end.from, end.to) {
+		due := end.from.Add(r.gracePeriod)
+		excused := end.to.Before(due.Add(squeezedEndDelay)) &&
+			r.machines.WasSqueezed(end.address, due.Add(-squeezedEndDelay), end.to.Add(slowdownInterval))
+		if !excused {
 			r.checker.Report(checker.LateEnd, "%s, %v is allowed", end.text, r.gracePeriod)
 		}
 	}
--- a/internal/system/emulator/slowdown.go
+++ b/internal/system/emulator/slowdown.go
@@ -28,6 +28,9 @@
 	slowdownInterval = 500 * time.Millisecond
 	// maxWait is how long a thread of a process may wait for a processor within slowdownInterval.
 	maxWait = slowdownInterval / 2
+	// maxSqueeze is how long all threads of a process together may wait, and a thread of the monitor's own process, before signals
+	// and timers count as possibly late.
+	maxSqueeze = slowdownInterval / 5
 	// maxTickDelay is by how much the monitor itself may be late; beyond it, all machines count as slowed.
 	maxTickDelay = 200 * time.Millisecond
 )
@@ -52,11 +55,16 @@
 	allSlowed := now.Sub(s.sampledAt) > slowdownInterval+maxTickDelay
 	slowed := make(map[string]bool)
 	waited := make(map[string]time.Duration)
+	own, _ := s.waits(os.Getpid(), waited)
 	for _, p := range processes {
-		if s.longestWait(p.pid(), waited) > maxWait || allSlowed {
-			for _, name := range s.deployment.namesOf(p.machine) {
+		longest, sum := s.waits(p.pid(), waited)
+		for _, name := range s.deployment.namesOf(p.machine) {
+			if longest > maxWait || allSlowed {
 				slowed[name] = true
 			}
+			if sum > maxSqueeze || own > maxSqueeze {
+				s.machines.Squeezed(name, s.sampledAt, now)
+			}
 		}
 	}
 	for address := range slowed {
@@ -95,18 +103,20 @@
 	return n
 }
 
-// longestWait returns how long a thread of a process has waited for a processor since the last sample, the longest of all
-// threads, and adds the times of all to waited.
-func (s *slowdownMonitor) longestWait(pid int, waited map[string]time.Duration) (longest time.Duration) {
+// waits returns how long the threads of a process have waited for a processor since the last sample, the longest of all threads
+// and the sum, and adds the times of all to waited.
+func (s *slowdownMonitor) waits(pid int, waited map[string]time.Duration) (longest, sum time.Duration) {
 	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
 	if err != nil {
-		return 0
+		return 0, 0
 	}
 	for _, file := range files {
 		waited[file] = waitTime(file)
-		longest = max(longest, waited[file]-s.waited[file])
+		wait := waited[file] - s.waited[file]
+		longest = max(longest, wait)
+		sum += wait
 	}
-	return longest
+	return longest, sum
 }
 
 // waitTime returns how long a thread has waited for a processor; 0 if it has ended.
--- a/internal/testkit/checker/machines.go
+++ b/internal/testkit/checker/machines.go
@@ -31,6 +31,7 @@
 	planned   troubleKind = iota // it began with SIGTERM
 	unplanned                    // the machine was killed or down
 	slowed                       // it had too little of the processor, which is no reason to cut off requests
+	squeezed                     // it had somewhat less of the processor than it wanted, so that it may see signals late
 )
 
 // NewMachines returns a record of machines without trouble.
@@ -63,6 +64,19 @@
 	m.trouble[address] = append(m.trouble[address], t)
 }
 
+// Squeezed records that a machine had somewhat less of the processor than it wanted from one time to the other. It stays in
+// touch, but may see signals late.
+func (m *Machines) Squeezed(address string, from, to time.Time) {
+	m.add(address, trouble{from: from, to: to, kind: squeezed})
+}
+
+// WasSqueezed reports whether a machine may have seen signals or timers late between two times.
+func (m *Machines) WasSqueezed(address string, from, to time.Time) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return overlapsAny(m.trouble[address], from, to, slowed, squeezed)
+}
+
 // Stopped records SIGTERM to the process that serves a machine's clients; only the first one of its life counts.
 func (m *Machines) Stopped(address string, at time.Time) {
 	m.mutex.Lock()
--- a/internal/testkit/checker/machines_test.go
+++ b/internal/testkit/checker/machines_test.go
@@ -41,6 +41,14 @@
 			m.Stopped(edge, second(9))
 			m.UnplannedTrouble(edge, second(5), second(5.5))
 		}, second(12), 1},
+		{"squeezed, and sent a little too late", func(_ *Checker, m *Machines) {
+			m.Stopped(edge, second(6.5))
+			m.Squeezed(edge, second(6), second(7))
+		}, second(17), 0},
+		{"squeezed, and cut off too early", func(_ *Checker, m *Machines) {
+			m.Stopped(edge, second(6.5))
+			m.Squeezed(edge, second(6), second(7))
+		}, second(16), 1},
 		{"slowed", func(_ *Checker, m *Machines) {
 			m.Stopped(edge, second(9))
 			m.Slowed(edge, second(8), second(20))
