--- a/internal/system/counterstore/power_loss_test.go
+++ b/internal/system/counterstore/power_loss_test.go
@@ -18,7 +18,7 @@
 
 const (
 	sectorBytes  = 512
-	lossSeeds    = 20
+	lossSeeds    = 30
 	writesOfSeed = 12
 )
 
