--- a/internal/system/counter/cluster_test.go
+++ b/internal/system/counter/cluster_test.go
@@ -3,9 +3,10 @@
 import (
 	"fmt"
 	"os"
-	"strconv"
 	"testing"
 	"time"
+
+	"cinderroad/internal/testkit/seeds"
 )
 
 const (
@@ -15,34 +16,21 @@
 	mergeLimit = 3 * time.Second
 )
 
-// seedsToRun returns the seeds to run: MODEL_SEED=N replays one, MODEL_SEEDS=N runs that many.
-func seedsToRun(t *testing.T) (seeds []uint64, verbose bool) {
+// seedsToRun returns the seeds to run, and whether it is one that is replayed.
+func seedsToRun(t *testing.T) (toRun []uint64, replays bool) {
 	t.Helper()
-	number := func(name string, otherwise uint64) uint64 {
-		text := os.Getenv(name)
-		if text == "" {
-			return otherwise
-		}
-		value, err := strconv.ParseUint(text, 10, 64)
-		if err != nil {
-			t.Fatal(err)
-		}
-		return value
-	}
-	if os.Getenv("MODEL_SEED") != "" {
-		return []uint64{number("MODEL_SEED", 0)}, true
-	}
-	for seed := range number("MODEL_SEEDS", defaultSeeds) {
-		seeds = append(seeds, seed+1)
+	toRun, err := seeds.FromEnvironment(defaultSeeds)
+	if err != nil {
+		t.Fatal(err)
 	}
-	return seeds, false
+	return toRun, os.Getenv(seeds.One) != ""
 }
 
 // TestCluster runs clusters in virtual time under random faults and checks the invariants after each step, and that all
 // totals are complete and equal soon after the last fault.
 func TestCluster(t *testing.T) {
-	seeds, verbose := seedsToRun(t)
-	for _, seed := range seeds {
+	toRun, verbose := seedsToRun(t)
+	for _, seed := range toRun {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			runSimulation(t, seed, verbose)
