Counter: a peer's zone is the one that it announces

Cause: copies were counted by the zone of the list of peers. Founders don't know each other's zones at first ("" counted as one more zone), and a list may be older than the machine at an address. With two zones needed, an addition was acknowledged on two machines of one. Change: what a peer's messages announce comes before the list.

--- a/internal/system/counter/durability.go
+++ b/internal/system/counter/durability.go
@@ -32,7 +32,7 @@
 	reachable.add(n.options.Zone)
 	for _, peer := range n.peers {
 		if !peer.excused(n) {
-			reachable.add(peer.Zone)
+			reachable.add(peer.zone())
 		}
 	}
 	return Durability{
@@ -47,7 +47,7 @@
 	heard.add(n.options.Zone)
 	for _, peer := range n.peers {
 		if peer.replied {
-			heard.add(peer.Zone)
+			heard.add(peer.zone())
 		}
 	}
 	return heard.reach(n.options.Durability)
@@ -62,7 +62,7 @@
 	holders.add(n.options.Zone)
 	for _, peer := range n.peers {
 		if n.confirmedBy(peer, waiting) {
-			holders.add(peer.Zone)
+			holders.add(peer.zone())
 		}
 	}
 	return holders.reach(required)
--- a/internal/system/counter/exchange.go
+++ b/internal/system/counter/exchange.go
@@ -109,12 +109,12 @@
 		for _, known := range candidates {
 			if !slices.Contains(eager, known) && wanted(known) {
 				eager = append(eager, known)
-				chosen.add(known.Zone)
+				chosen.add(known.zone())
 			}
 		}
 	}
 	take(func(known *peer) bool {
-		return len(chosen.zones) < n.options.Durability.Zones && !slices.Contains(chosen.zones, known.Zone)
+		return len(chosen.zones) < n.options.Durability.Zones && !slices.Contains(chosen.zones, known.zone())
 	})
 	take(func(*peer) bool { return chosen.machines < n.options.Durability.Machines })
 	limit := len(eager) + spareEagerPeers
--- a/internal/system/counter/node_test.go
+++ b/internal/system/counter/node_test.go
@@ -55,6 +55,13 @@
 	return Sender{Address: testAddress(number).String(), Zone: fmt.Sprintf("z%d", number), Origin: origin}
 }
 
+// senderIn returns the identity of a scripted peer in another zone, whose origin is its number.
+func senderIn(zone string, number int) Sender {
+	identity := sender(number, Origin(number))
+	identity.Zone = zone
+	return identity
+}
+
 // replyFrom returns a reply of a peer that holds a vector.
 func replyFrom(from Sender, vector VersionVector, ranges ...entryRange) *ExchangeReply {
 	return &ExchangeReply{From: from, Vector: encodeVector(&from, logsOf(vector)), Ranges: encodeRanges(&from, ranges)}
--- a/internal/system/counter/peer.go
+++ b/internal/system/counter/peer.go
@@ -13,6 +13,8 @@
 // peer is what this replica knows of another one.
 type peer struct {
 	Peer
+	announcedZone string // by its last message; empty: none yet
+
 	origin  Origin        // of its disk; 0: not known
 	retired []Origin      // of its lost disks: messages from before the loss are ignored
 	vector  VersionVector // what it holds durably
@@ -31,6 +33,10 @@
 	noPullUntil     time.Duration // its last reply to a pull brought nothing
 }
 
+// zone returns the zone that the peer announces, or that it is listed with until it was heard: a list may be older than the
+// machine, or not name its zone yet.
+func (p *peer) zone() string { return cmp.Or(p.announcedZone, p.Zone) }
+
 // shiftLimits moves all time limits after a pause of this process.
 func (p *peer) shiftLimits(gap time.Duration) { p.unansweredSince += gap }
 
@@ -112,6 +118,7 @@
 		known.vector = VersionVector{}
 		known.replied = false // what its lost disk held is no longer to be caught up with
 	}
+	known.announcedZone = from.Zone
 	known.vector.merge(vector)
 	n.logs.noteSeen(vector, n.own.origin)
 	return true
--- a/internal/system/counter/status.go
+++ b/internal/system/counter/status.go
@@ -46,7 +46,7 @@
 	}
 	for _, known := range n.peers {
 		status.Peers = append(status.Peers, PeerStatus{
-			Peer:        known.Peer,
+			Peer:        Peer{Address: known.Address, Zone: known.zone()},
 			Origin:      known.origin,
 			Excused:     known.excused(n),
 			HasReplied:  known.replied,
