--- a/internal/system/counter/exchange_test.go
+++ b/internal/system/counter/exchange_test.go
@@ -143,8 +143,8 @@
 	}
 }
 
-// TestZoneOfPeerIsTheAnnouncedOne guards against a peer whose zone is not known yet, or is known wrongly, being taken for a copy in one more
-// zone: a peer's own messages tell its zone.
+// TestZoneOfPeerIsTheAnnouncedOne guards against a peer whose zone is not known yet, or is known wrongly, being taken for a copy in one
+// more zone: a peer's own messages tell its zone.
 func TestZoneOfPeerIsTheAnnouncedOne(t *testing.T) {
 	for _, listed := range []string{"", "z9"} {
 		t.Run("listed as "+listed, func(t *testing.T) {
