--- a/internal/system/counter/durability.go
+++ b/internal/system/counter/durability.go
@@ -35,7 +35,7 @@
 	reachable.add(n.options.Zone)
 	for _, peer := range n.peers {
 		if !peer.excused(n) {
-			reachable.add(peer.Zone)
+			reachable.add(peer.zone())
 		}
 	}
 	return Durability{
@@ -50,7 +50,7 @@
 	heard.add(n.options.Zone)
 	for _, peer := range n.peers {
 		if peer.replied {
-			heard.add(peer.Zone)
+			heard.add(peer.zone())
 		}
 	}
 	return heard.reach(n.options.Durability)
@@ -65,7 +65,7 @@
 	holders.add(n.options.Zone)
 	for _, peer := range n.peers {
 		if n.confirmedBy(peer, waiting) {
-			holders.add(peer.Zone)
+			holders.add(peer.zone())
 		}
 	}
 	return holders.reach(required)
--- a/internal/system/counter/peer.go
+++ b/internal/system/counter/peer.go
@@ -13,6 +13,8 @@
 // peer is what this replica knows of another one.
 type peer struct {
 	Peer
+	announcedZone string // by its last message; empty: none yet
+
 	origin  Origin        // of its disk; 0: not known
 	retired []Origin      // of its lost disks: messages from before the loss are ignored
 	vector  VersionVector // what it holds durably
@@ -31,6 +33,10 @@
 	noPullUntil     time.Duration // its last reply to a pull brought nothing
 }
 
+// zone returns the zone that the peer announces, or that it is listed with until it was heard: a list may be older than the
+// machine, or not name its zone yet.
+func (p *peer) zone() string { return cmp.Or(p.announcedZone, p.Zone) }
+
 // shiftLimits moves all time limits after a pause of this process.
 func (p *peer) shiftLimits(gap time.Duration) { p.unansweredSince += gap }
 
@@ -51,8 +57,7 @@
 	return p.replied && !p.failed && !silent
 }
 
-// SetPeers sets the other replicas. What is known of those that stay is kept; this replica's own address is ignored. The zone of
-// a peer may be empty: it is that of the peer's messages then.
+// SetPeers sets the other replicas. What is known of those that stay is kept; this replica's own address is ignored.
 func (n *Node) SetPeers(peers []Peer, now time.Duration) {
 	n.advanceClock(now)
 	byAddress := make(map[netip.AddrPort]*peer, len(peers))
@@ -65,9 +70,6 @@
 		if known == nil {
 			known = &peer{sentAt: never, answeredSentAt: never, offeredAt: never, vector: VersionVector{}}
 		}
-		if wanted.Zone == "" {
-			wanted.Zone = known.Zone // as the peer itself has stated
-		}
 		known.Peer = wanted
 		byAddress[wanted.Address] = known
 		sorted = append(sorted, known)
@@ -116,7 +118,7 @@
 		known.vector = VersionVector{}
 		known.replied = false // what its lost disk held is no longer to be caught up with
 	}
-	known.Zone = cmp.Or(known.Zone, from.Zone)
+	known.announcedZone = from.Zone
 	known.vector.merge(vector)
 	n.logs.noteSeen(vector, n.own.origin)
 	return true
