Counter: the simulation excuses an acknowledgement by lost disks only if they held it

Cause: the check of an acknowledgement counted every disk that was lost since the call, so that the loss of disks without the operation hid one with too few copies; so did the count of losses that an operation may not survive. Change: only losses of disks with the operation count, which is stricter. A directed test of the node covers a confirmation whose disk is lost while the call waits.

--- a/internal/system/counter/cluster_test.go
+++ b/internal/system/counter/cluster_test.go
@@ -77,7 +77,7 @@
 	}
 	if verbose {
 		t.Logf("%d steps, %d of %d operations acknowledged, %d with fewer copies, %d reads, %d disks lost, and %d operations: %+v",
-			sim.steps, len(observed.acked), len(observed.sent), observed.reduced, observed.reads, len(observed.lossTimes), observed.lost,
+			sim.steps, len(observed.acked), len(observed.sent), observed.reduced, observed.reads, len(observed.lostDisks), observed.lost,
 			sim.profile)
 	}
 }
--- a/internal/system/counter/exchange_test.go
+++ b/internal/system/counter/exchange_test.go
@@ -254,6 +254,24 @@
 	}
 }
 
+// TestDiskLostWhileACallWaits checks that a confirmation does not outlive the disk that it came from, once its loss was heard of: the
+// call waits for the new disk.
+func TestDiskLostWhileACallWaits(t *testing.T) {
+	node, now := newConnectedNode(t, 3, Durability{Machines: 3, Zones: 3})
+	id := mustAdd(t, node, Operation{"a", "t1", 4}, now)
+	ready := persist(node, now)
+	answer(node, ready, now, map[int]VersionVector{2: {1: 1}})
+	node.HandleRequest(requestFrom(sender(2, 200), nil), now)
+	answer(node, ready, now, map[int]VersionVector{3: {1: 1}})
+	if ready := node.Ready(now); len(ready.Acknowledged) > 0 {
+		t.Fatalf("acknowledged on two disks and a lost one: %+v", ready)
+	}
+	node.HandleReply(testAddress(2), replyFrom(sender(2, 200), VersionVector{1: 1}), now)
+	if ready := node.Ready(now); !slices.Equal(ready.Acknowledged, []AddID{id}) {
+		t.Fatalf("on three disks: %+v", ready)
+	}
+}
+
 // TestExcusedPeerIsNoHolder checks that what a peer held counts only while it is heard: its disk may be lost.
 func TestExcusedPeerIsNoHolder(t *testing.T) {
 	node, now := newConnectedNode(t, 4, Durability{Machines: 2, Zones: 2})
--- a/internal/system/counter/simulation_check_test.go
+++ b/internal/system/counter/simulation_check_test.go
@@ -24,10 +24,16 @@
 	operation Operation
 	at        time.Duration
 	required  int  // disks that had to hold it
-	losses    int  // disks that were lost since the call
+	losses    int  // disks with it that were lost since the call
 	lost      bool // no disk holds it any more, after at least as many losses
 }
 
+// lostDisk is a disk that was lost.
+type lostDisk struct {
+	at  time.Duration
+	ids map[string]bool // that it held
+}
+
 // observations are what the checks of a simulation know.
 type observations struct {
 	sent        []Operation
@@ -36,8 +42,8 @@
 	acked       map[string]*acknowledgement
 	ackedOrder  []string
 	content     map[entryPosition]Operation
-	lossTimes   []time.Duration // of disks
-	recentLoss  int             // disks lost since all acknowledged operations were on enough disks
+	lostDisks   []lostDisk
+	recentLoss  int // disks lost since all acknowledged operations were on enough disks
 	reads       int
 	lost        int
 	reduced     int // acknowledgements with fewer copies than configured
@@ -191,7 +197,7 @@
 	p.acked = append(p.acked, call.operation)
 	required := p.node.Status().Required
 	sim.checkRequired(p, required)
-	losses := sim.lossesSince(call.acceptedAt)
+	losses := sim.lossesSince(call.acceptedAt, call.operation.ID)
 	if holders := sim.copiesOf(call.operation.ID); holders+losses < required.Machines && !sim.observed.forged.happened {
 		sim.fail("machine %d acknowledges %+v on %d of %d disks", p.machine.index, call.operation, holders, required.Machines)
 	}
@@ -210,10 +216,10 @@
 	*known = acknowledgement{operation: call.operation, at: sim.now, required: required.Machines, losses: losses}
 }
 
-// lossesSince returns how many disks were lost since a time.
-func (sim *simulation) lossesSince(since time.Duration) (count int) {
-	for _, at := range sim.observed.lossTimes {
-		if at >= since {
+// lossesSince returns how many disks that held an ID were lost since a time.
+func (sim *simulation) lossesSince(since time.Duration, id string) (count int) {
+	for _, lost := range sim.observed.lostDisks {
+		if lost.at >= since && lost.ids[id] {
 			count++
 		}
 	}
@@ -244,13 +250,16 @@
 func (sim *simulation) loseDisk(machine *machine) {
 	lost := machine.disk
 	machine.disk = sim.newDisk()
-	sim.observed.lossTimes = append(sim.observed.lossTimes, sim.now)
+	sim.observed.lostDisks = append(sim.observed.lostDisks, lostDisk{at: sim.now, ids: lost.ids})
 	sim.observed.recentLoss++
 	sim.logf("%d loses its disk", machine.index)
 	for _, id := range sim.observed.ackedOrder {
+		if !lost.ids[id] {
+			continue
+		}
 		acked := sim.observed.acked[id]
 		acked.losses++
-		if !lost.ids[id] || sim.copiesOf(id) > 0 {
+		if sim.copiesOf(id) > 0 {
 			continue
 		}
 		if acked.losses < acked.required {
