Agent and control: a second SIGTERM during the exit does not end them with a signal

The agent and the control program gave their handler of stop signals back when they had shut down, just before the exit. A second SIGTERM in that moment ended them by the default action, so that the status was no clean one. The proxy keeps its handler and is not concerned.

The handler stays until the process exits.

--- a/internal/system/startup/serve.go
+++ b/internal/system/startup/serve.go
@@ -29,8 +29,9 @@
 	if err != nil {
 		return err
 	}
+	// The signals stay caught until the process exits: a second one that comes meanwhile must not end it by its default action.
 	ctx, stop := StopContext()
-	defer stop()
+	_ = stop
 	process, err := start(ctx, settings, log)
 	if err != nil {
 		return err
