Fake runner: no goroutine stays behind when a hung one ends

A hung runner waited for its caller to disconnect, which net/http does not notice of a request whose body has not been read, so the wait outlasted the runner. It now ends with the runner, too.

--- a/internal/testkit/runner/execution.go
+++ b/internal/testkit/runner/execution.go
@@ -107,7 +107,7 @@
 		return true
 	case engine.Lost:
 		if r.isHung() {
-			<-request.Context().Done()
+			r.awaitEnd(request)
 			return true
 		}
 		reset(execution.conn.Conn)
--- a/internal/testkit/runner/faults.go
+++ b/internal/testkit/runner/faults.go
@@ -101,7 +101,7 @@
 		execution.conn.Conn.Write([]byte("\x00\x01 not an answer\r\n\r\n"))
 		reset(execution.conn.Conn)
 	case faultNoAnswer:
-		<-request.Context().Done()
+		r.awaitEnd(request)
 	case faultReset:
 		reset(execution.conn.Conn)
 	case faultTruncate:
--- a/internal/testkit/runner/runner_test.go
+++ b/internal/testkit/runner/runner_test.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -435,3 +436,17 @@
 		requests.RequestCut(checker.Cut{ID: id})
 	}
 }
+
+// A runner that hangs and ends leaves no goroutine that waits for a caller whose request it has not read.
+func TestHungRunnerLeavesNoGoroutines(t *testing.T) {
+	r := startRunner(t, nil)
+	r.Hang()
+	before := runtime.NumGoroutine()
+	for range 5 {
+		c := dial(t, r)
+		fmt.Fprintf(c, "POST /a HTTP/1.1\r\nHost: h\r\nContent-Length: 100000\r\n\r\nx")
+	}
+	waitFor(t, func() bool { return r.Stats().Unanswered == 5 })
+	r.Close()
+	waitFor(t, func() bool { return runtime.NumGoroutine() <= before })
+}
--- a/internal/testkit/runner/serve.go
+++ b/internal/testkit/runner/serve.go
@@ -17,7 +17,7 @@
 	r.sendStale(connection)
 	if r.isHung() {
 		r.updateStats(func(s *Stats) { s.Unanswered++ })
-		<-request.Context().Done()
+		r.awaitEnd(request)
 		return
 	}
 	r.setCommonHeaders(w)
@@ -31,6 +31,15 @@
 	}
 }
 
+// awaitEnd waits until the caller disconnects or the runner ends. The server does not notice that a caller disconnects whose
+// request has not been read.
+func (r *Runner) awaitEnd(request *http.Request) {
+	select {
+	case <-request.Context().Done():
+	case <-r.done:
+	}
+}
+
 func (r *Runner) isHung() bool {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
