Counter: a late message of a lost disk does not shut out the new one

Cause: a process that heard of a peer's new disk first, and then got a request of the lost disk (both can wait in its sockets while it is frozen), retired the new disk's origin. All further replies of the peer were ignored: it stayed excused, until the process ended. Change: a reply to an exchange that was sent after the last origin was retired comes from the present disk, whose origin is taken back. Test: TestLateMessageOfLostDisk failed before: the peer had the lost disk's origin and no reply after two seconds.

--- a/internal/system/counter/exchange_test.go
+++ b/internal/system/counter/exchange_test.go
@@ -272,6 +272,28 @@
 	}
 }
 
+// TestLateMessageOfLostDisk guards against a peer that stayed excused for good: a process that first heard of the new disk and then
+// got a request of the lost one took the new one for lost.
+func TestLateMessageOfLostDisk(t *testing.T) {
+	node := newTestNode(t, Options{Durability: Durability{Machines: 2, Zones: 2}})
+	node.SetPeers(testPeers(2), testStart)
+	node.Ready(testStart)
+	node.HandleRequest(requestFrom(sender(2, 200), nil), testStart)
+	node.HandleRequest(requestFrom(sender(2, 2), nil), testStart)
+	node.HandleReply(testAddress(2), replyFrom(sender(2, 200), nil), testStart) // to the exchange from before
+	for now := testStart; now <= testStart+2*heartbeatInterval; now += maxTickInterval {
+		node.Tick(now)
+		for _, exchange := range node.Ready(now).Exchanges {
+			node.HandleReply(exchange.Peer, replyFrom(sender(2, 200), nil), now)
+		}
+		node.HandleRequest(requestFrom(sender(2, 2), nil), now)
+	}
+	status := node.Status().Peers[0]
+	if status.Origin != 200 || !status.HasReplied {
+		t.Errorf("the peer does not count with its present disk: %+v", status)
+	}
+}
+
 // TestExcusedPeerIsNoHolder checks that what a peer held counts only while it is heard: its disk may be lost.
 func TestExcusedPeerIsNoHolder(t *testing.T) {
 	node, now := newConnectedNode(t, 4, Durability{Machines: 2, Zones: 2})
--- a/internal/system/counter/peer.go
+++ b/internal/system/counter/peer.go
@@ -15,9 +15,11 @@
 	Peer
 	announcedZone string // by its last message; empty: none yet
 
-	origin  Origin        // of its disk; 0: not known
-	retired []Origin      // of its lost disks: messages from before the loss are ignored
-	vector  VersionVector // what it holds durably
+	origin  Origin   // of its disk; 0: not known
+	retired []Origin // of its lost disks: messages from before the loss are ignored
+	// retiredAt is when the last one was added: replies to exchanges sent later come from the present disk.
+	retiredAt time.Duration
+	vector    VersionVector // what it holds durably
 
 	inFlight        bool
 	sentAt          time.Duration // of the exchange in flight, or of the last one
@@ -82,6 +84,14 @@
 	}
 }
 
+// reinstate takes the origin of a reply for that of the present disk if the exchange was sent after the last loss of a disk was
+// noted: that may have been the other way round, by a late message of the lost disk.
+func (p *peer) reinstate(origin Origin) {
+	if p.inFlight && p.sentAt > p.retiredAt {
+		p.retired = slices.DeleteFunc(p.retired, func(o Origin) bool { return o == origin })
+	}
+}
+
 // byRoundTrip orders peers by the duration of their exchanges; unknown ones come last.
 func byRoundTrip(a, b *peer) int {
 	if unknown := cmp.Compare(boolRank(a.roundTrip == 0), boolRank(b.roundTrip == 0)); unknown != 0 {
@@ -113,6 +123,7 @@
 	if known.origin != from.Origin {
 		if known.origin != 0 {
 			known.retired = append(known.retired, known.origin)
+			known.retiredAt = n.now
 		}
 		known.origin = from.Origin
 		known.vector = VersionVector{}
--- a/internal/system/counter/receive.go
+++ b/internal/system/counter/receive.go
@@ -63,6 +63,7 @@
 		n.endExchange(known, false)
 		return
 	}
+	known.reinstate(reply.From.Origin)
 	if !n.learn(&reply.From, vector) {
 		n.endExchange(known, false)
 		return
