--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-exec go build -o target/review/ ./review/lateanswer ./review/slowlink ./review/thaw
+exec go build -o target/review/ ./review/lateanswer ./review/slowlink ./review/outage
--- a/review/thaw/main.go
+++ b/review/outage/main.go
@@ -1,5 +1,4 @@
-// Command thaw freezes an edge machine while a zone is emptied and taken back, and counts what the zone's cold runner gets when
-// the machine wakes.
+// Command outage has the platform's list fail while a zone is taken back, and counts what the zone's cold runner gets.
 package main
 
 import (
@@ -7,7 +6,6 @@
 	"net/http"
 	"os"
 	"sync"
-	"syscall"
 	"time"
 
 	"cinderroad/internal/testkit/answer"
@@ -16,19 +14,20 @@
 )
 
 const (
-	perSecond   = 28 // requests of the clients at the first edge machine
-	timeLeft    = 10 * time.Second
-	work        = 30 * time.Millisecond // of a runner on a request
-	capacity    = 64
-	coldFor     = 3 * time.Second
-	coldRate    = 9.2
-	coldExcess  = 1.5
-	coldSlack   = 5
-	fallRate    = 6 * coldRate            // requests in a second at which a cold runner falls over
-	beginAfter  = 200 * time.Millisecond  // from the freeze to the order to empty the zone
-	coldAfter   = 900 * time.Millisecond  // from the freeze until the runner becomes cold
-	finishAfter = 1100 * time.Millisecond // from the freeze to the order that takes it back
-	thawAfter   = 2200 * time.Millisecond
+	perSecond  = 50 // requests of the clients at the first edge machine
+	timeLeft   = 10 * time.Second
+	work       = 30 * time.Millisecond // of a runner on a request
+	capacity   = 64
+	coldFor    = 3 * time.Second
+	coldRate   = 9.2
+	coldExcess = 1.5
+	coldSlack  = 5
+	fallRate   = 4 * coldRate // requests in a second at which a cold runner falls over, as in the emulator of the project
+	// Times from the order to empty the zone:
+	failAfter   = 1500 * time.Millisecond // the platform's list fails
+	coldAfter   = 2000 * time.Millisecond // the runner becomes cold
+	finishAfter = 2200 * time.Millisecond // the zone is taken back
+	mendAfter   = 5500 * time.Millisecond // the platform's list is back
 )
 
 // Results of the case.
@@ -114,19 +113,15 @@
 	return coldAt, err
 }
 
-// evacuate empties zone a and takes it back; its runner becomes cold shortly before that. Meanwhile the first machine is frozen.
+// evacuate empties zone a and takes it back; its runner becomes cold shortly before that. Meanwhile the platform's list fails.
 func evacuate(r *rig.Rig, l *ledger, entry fakeplatform.Entry, trouble bool) (coldAt time.Time, err error) {
-	edge := r.Edges[0]
 	begin := time.Now()
-	if trouble {
-		if err := edge.SignalAll(syscall.SIGSTOP); err != nil {
-			return coldAt, err
-		}
-	}
-	time.Sleep(time.Until(begin.Add(beginAfter)))
 	if err := r.Order("/-/DrainZone.Begin/a"); err != nil {
 		return coldAt, err
 	}
+	time.Sleep(time.Until(begin.Add(failAfter)))
+	r.Platform.SetFailing(trouble)
+	r.Log("platform: the list fails: %v", trouble)
 	time.Sleep(time.Until(begin.Add(coldAfter)))
 	coldAt = time.Now()
 	l.mutex.Lock()
@@ -139,10 +134,9 @@
 	if err := r.Order("/-/DrainZone.Finish/a"); err != nil {
 		return coldAt, err
 	}
-	time.Sleep(time.Until(begin.Add(thawAfter)))
-	if trouble {
-		return coldAt, edge.SignalAll(syscall.SIGCONT)
-	}
+	time.Sleep(time.Until(begin.Add(mendAfter)))
+	r.Platform.SetFailing(false)
+	r.Log("platform: the list is back")
 	return coldAt, nil
 }
 
