--- a/review/build.sh
+++ b/review/build.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review
-exec go build -o target/review/ ./review/lateanswer ./review/slowlink ./review/outage
+exec go build -o target/review/ ./review/lonecopy ./review/lateanswer ./review/slowlink
--- a/review/rig/rig.go
+++ b/review/rig/rig.go
@@ -39,6 +39,7 @@
 
 	rig       *Rig
 	processes map[string]*exec.Cmd // by role
+	disks     int                  // that were lost
 }
 
 // Options configure a rig.
@@ -225,6 +226,26 @@
 	return response.StatusCode, err
 }
 
+// NewDisk has the machine start with an empty disk from now on.
+func (m *Machine) NewDisk() { m.disks++ }
+
+// Total reads the total of a counter at the machine.
+func (m *Machine) Total(path string) (total, status int, err error) {
+	client := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Get("http://" + m.Control() + path)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer func() { _ = response.Body.Close() }()
+	var body struct {
+		Total int `json:"total"`
+	}
+	if response.StatusCode == http.StatusOK {
+		err = json.NewDecoder(response.Body).Decode(&body)
+	}
+	return body.Total, response.StatusCode, err
+}
+
 // runLine returns the command of a role in deploy/system.toml, split at spaces.
 func (r *Rig) runLine(role string) ([]string, error) {
 	text, err := os.ReadFile(filepath.Join(r.root, "deploy", "system.toml"))
--- a/review/rig/settings.go
+++ b/review/rig/settings.go
@@ -48,7 +48,7 @@
 		settings["serves_roles"] = []string{"control_plane", "directory"}
 		settings["listen_on"] = map[string]string{"control": m.Control(), "directory": m.address(portDirectory)}
 		limits["storage_mb"] = 128
-		disk := filepath.Join(r.folder, m.Name+"-disk")
+		disk := filepath.Join(r.folder, fmt.Sprintf("%s-disk-%d", m.Name, m.disks))
 		if err := os.MkdirAll(disk, 0o700); err != nil {
 			return "", err
 		}
