--- a/review/stage/runner.go
+++ b/review/stage/runner.go
@@ -28,7 +28,7 @@
 	reader   *bufio.Reader
 }
 
-// RunnerRequest is a request that has arrived whole, unless EarlyHead is set at the runner.
+// RunnerRequest is a request that has arrived whole.
 type RunnerRequest struct {
 	*http.Request
 	TryID string
--- a/review/stage/world.go
+++ b/review/stage/world.go
@@ -85,6 +85,7 @@
 			"cold_for_s": 0.0, "cold_rate_s": 0.0,
 		})
 	}
+	routes = append([]Route{}, routes...)
 	for i := range routes {
 		if routes[i].HomeRegions == nil {
 			routes[i].HomeRegions = []string{}
