review: case 5, a request at a slow runner is refused and runs

A runner that works four times as long, and reads the rest of a long body only later, has its connection ended after three seconds, and the client gets 503 although the request runs.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -4,4 +4,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
-exec go build -o target/review-2/ ./review/lostearly
+exec go build -o target/review-2/ ./review/lostearly ./review/slowrunner
